--- /dev/null
+++ b/src/siskinhold/messages/__init__.py
@@ -0,0 +1,43 @@
+"""What VMs say to one another."""
+
+from ._messages import (
+    Abandon,
+    Answer,
+    Envelope,
+    FloorAnswer,
+    FloorRequest,
+    Forward,
+    Heartbeat,
+    Message,
+    Probe,
+    ProbeAnswer,
+    Redirect,
+    TermsPushed,
+    TermsWanted,
+    TicketsPushed,
+    TicketsWanted,
+    VmsPushed,
+    WitnessAnswer,
+    WitnessRequest,
+)
+
+__all__ = [
+    "Abandon",
+    "Answer",
+    "Envelope",
+    "FloorAnswer",
+    "FloorRequest",
+    "Forward",
+    "Heartbeat",
+    "Message",
+    "Probe",
+    "ProbeAnswer",
+    "Redirect",
+    "TermsPushed",
+    "TermsWanted",
+    "TicketsPushed",
+    "TicketsWanted",
+    "VmsPushed",
+    "WitnessAnswer",
+    "WitnessRequest",
+]
--- /dev/null
+++ b/src/siskinhold/model/_outcomes.py
@@ -0,0 +1,90 @@
+"""How a request ended, as its caller learns it."""
+
+import enum
+
+from msgspec import Struct
+
+
+class NotRunReason(enum.Enum):
+    """Why a statement was refused without having run."""
+
+    DEADLINE = "deadline"
+    OVERLOAD = "overload"
+    NO_PRIMARY = "no_primary"
+    NO_SERVER = "no_server"
+    NO_OWNER = "no_owner"
+    POSITION_LOST = "position_lost"
+    TRANSACTION_LOST = "transaction_lost"
+    TOKEN_INVALID = "token_invalid"
+    UNKNOWN_DATABASE = "unknown_database"
+    STATEMENT_TOO_LARGE = "statement_too_large"
+    UNSUPPORTED = "unsupported"
+    SHUTDOWN = "shutdown"
+
+
+class UnknownReason(enum.Enum):
+    """Why it is not known whether a statement ran."""
+
+    CONNECTION_LOST = "connection_lost"
+    DEADLINE = "deadline"
+    OWNER_LOST = "owner_lost"
+    TERM_NOT_CONFIRMED = "term_not_confirmed"
+
+
+class Column(Struct, frozen=True):
+    """A result column: its name and its MySQL type code and character set."""
+
+    name: str
+    type_code: int = 253
+    charset: int = 45
+
+
+class Done(Struct, frozen=True, kw_only=True, tag="done"):
+    """The statement ran.
+
+    Args:
+        columns: the result's columns; empty for a statement without rows.
+        rows: rows of text-protocol values; None stands for NULL.
+        affected_rows: rows changed.
+        insert_id: the last generated key, 0 if none.
+        repeated: the idempotency key was found, so it had run before.
+        warnings: warning count.
+    """
+
+    columns: tuple[Column, ...] = ()
+    rows: tuple[tuple[bytes | None, ...], ...] = ()
+    affected_rows: int = 0
+    insert_id: int = 0
+    repeated: bool = False
+    warnings: int = 0
+
+
+class Failed(Struct, frozen=True, kw_only=True, tag="failed"):
+    """The backend server refused the statement with an error of its own.
+
+    Args:
+        code: MySQL error code.
+        sqlstate: five characters.
+        message: the server's text.
+    """
+
+    code: int
+    sqlstate: str
+    message: str
+
+
+class NotRun(Struct, frozen=True, kw_only=True, tag="not_run"):
+    """The statement did not run and never will."""
+
+    reason: NotRunReason
+    detail: str = ""
+
+
+class Unknown(Struct, frozen=True, kw_only=True, tag="unknown"):
+    """The statement may or may not have run."""
+
+    reason: UnknownReason
+    detail: str = ""
+
+
+Outcome = Done | Failed | NotRun | Unknown
--- /dev/null
+++ b/src/siskinhold/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/src/siskinhold/store/_objects.py
@@ -0,0 +1,76 @@
+"""Calls to the platform's object store and their results."""
+
+import enum
+
+from msgspec import Struct
+
+
+class StoreFailure(enum.Enum):
+    """Why a store call gave no usable answer.
+
+    After `NO_ANSWER` a change may or may not have taken effect.
+    `CONFLICT` means that the object's version was not the expected one, so
+    the change did not take effect.
+    """
+
+    NO_ANSWER = "no_answer"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    REJECTED = "rejected"
+
+
+class StoredObject(Struct, frozen=True, kw_only=True):
+    """An object as the store holds it.
+
+    Args:
+        key: path-like key such as `ticket/7`.
+        value: encoded value, at most 1 MB.
+        version: grows with each change of this object; 0 stands for absent.
+        revision: the store-wide revision of the last change.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    revision: int
+
+
+class ReadObject(Struct, frozen=True, kw_only=True, tag="read"):
+    """Reads one object."""
+
+    key: str
+
+
+class ListObjects(Struct, frozen=True, kw_only=True, tag="list"):
+    """Reads all objects whose key starts with a prefix."""
+
+    prefix: str
+
+
+class WriteObject(Struct, frozen=True, kw_only=True, tag="write"):
+    """Writes one object if its version is the expected one.
+
+    Args:
+        expected_version: 0 if the object must be absent.
+    """
+
+    key: str
+    value: bytes
+    expected_version: int
+
+
+StoreCall = ReadObject | ListObjects | WriteObject
+
+
+class StoreResult(Struct, frozen=True, kw_only=True):
+    """The result of a store call.
+
+    Args:
+        failure: None on success.
+        objects: the objects read, or the object written.
+        revision: the store-wide revision that the answer reflects.
+    """
+
+    failure: StoreFailure | None = None
+    objects: tuple[StoredObject, ...] = ()
+    revision: int = 0
