--- /dev/null
+++ b/src/siskinhold/core/_reducer.py
@@ -0,0 +1,64 @@
+"""The reducer: finds the handlers of an event and keeps the clock.
+
+Each subject's module offers tables of handlers by type: `EVENTS`,
+`MESSAGES`, `TIMERS`, `STORE_ANSWERS` (by type of the call's purpose) and
+`CONTROL_ANSWERS` (likewise). A handler takes `(node, item, out)` and appends
+effects to `out`; the handler of a store or control answer takes
+`(node, purpose, event, out)`.
+"""
+
+from ..events import (
+    ControlAnswered,
+    Event,
+    PeerReceived,
+    StatusReported,
+    StoreAnswered,
+    TimeAdvanced,
+)
+from ._state import Effects, NodeState
+from ._subjects import CONTROL_ANSWERS, EVENTS, MESSAGES, STORE_ANSWERS, TIMERS, settle
+
+
+def reduce(node: NodeState, event: Event) -> Effects:
+    """Change `node` for `event` and return the effects, in order.
+
+    It neither blocks nor fails for any order of events.
+    """
+    out: Effects = []
+    node.now = max(node.now, event.at)
+    if isinstance(event, TimeAdvanced):
+        _run_timers(node, out)
+    elif isinstance(event, PeerReceived):
+        _receive(node, event, out)
+    elif isinstance(event, StoreAnswered):
+        _answer(node.store_calls, STORE_ANSWERS, node, event, out)
+    elif isinstance(event, (StatusReported, ControlAnswered)):
+        _answer(node.control_calls, CONTROL_ANSWERS, node, event, out)
+    for handler in EVENTS.get(type(event), ()):
+        handler(node, event, out)
+    settle(node, out)
+    return out
+
+
+def _run_timers(node: NodeState, out: Effects) -> None:
+    while (action := node.timers.pop_due(node.now)) is not None:
+        for handler in TIMERS.get(type(action), ()):
+            handler(node, action, out)
+
+
+def _receive(node: NodeState, event: PeerReceived, out: Effects) -> None:
+    envelope = event.envelope
+    expected = envelope.receiver_incarnation
+    if expected and expected != node.identity.incarnation:
+        return
+    node.clock = max(node.clock, envelope.clock) + 1
+    for handler in MESSAGES.get(type(envelope.message), ()):
+        handler(node, event, out)
+
+
+def _answer(calls, handlers, node: NodeState, event, out: Effects) -> None:
+    purpose = calls.pop(event.call, None)
+    if purpose is None:
+        return
+    for handler in handlers.get(type(purpose), ()):
+        handler(node, purpose, event, out)
--- /dev/null
+++ b/src/siskinhold/core/_timers.py
@@ -0,0 +1,42 @@
+"""Timers as data: a heap of due times inside the state."""
+
+import heapq
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class TimerAction:
+    """Base of what falls due. Each kind of timer is a subclass with its key."""
+
+
+@dataclass(slots=True)
+class Timers:
+    """Due times in ascending order.
+
+    A timer can't be taken back: its handler must check that it still applies.
+
+    >>> timers = Timers()
+    >>> timers.schedule(2.0, TimerAction())
+    >>> timers.next_due()
+    2.0
+    >>> timers.pop_due(1.0), timers.pop_due(2.0)
+    (None, TimerAction())
+    """
+
+    _heap: list[tuple[float, int, TimerAction]] = field(default_factory=list)
+    _count: int = 0
+
+    def schedule(self, at: float, action: TimerAction) -> None:
+        """Let `action` fall due at `at`, in seconds of the runtime's clock."""
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, action))
+
+    def next_due(self) -> float | None:
+        """Return the earliest due time, or None."""
+        return self._heap[0][0] if self._heap else None
+
+    def pop_due(self, now: float) -> TimerAction | None:
+        """Remove and return one action that is due at `now`, or None."""
+        if not self._heap or self._heap[0][0] > now:
+            return None
+        return heapq.heappop(self._heap)[2]
