--- /dev/null
+++ b/src/siskinhold/core/_gossip.py
@@ -0,0 +1,291 @@
+"""The spread of views: which to send, to whom, and which of two is newer.
+
+A view is ordered by incarnation, then by beat. With an equal beat, gone counts
+more than leaving, and leaving more than live. A VM refutes a wrong view of
+itself by its next beat, which is higher.
+"""
+
+from ..messages import Heartbeat
+from ..model import VmAddress, VmState, VmView
+from ._ownership import list_live
+from ._state import Effects, NodeState, Peer, record
+
+FULL_TARGETS = 8
+"""Other VMs in a fleet in which each VM sends heartbeats to all others."""
+
+TARGETS = 8
+"""VMs that get each heartbeat in a larger fleet."""
+
+REMOTE_SHARE = 4
+"""One in this many targets is in another region."""
+
+NEIGHBOUR_CHANGE = 5.0
+"""Seconds after which one target is replaced by another random one.
+
+Targets stay for some time because each costs an open connection, and because
+the receivers notice the silence of a sender that they hear regularly.
+"""
+
+VIEWS_PER_HEARTBEAT = 3
+"""Views of other VMs in a heartbeat.
+
+With 8 targets, 5 beats a second and about 75 bytes a view, a VM sends less than
+20 KB/s whatever the size of the fleet.
+"""
+
+VIEWS_PER_SYNC = 200
+"""Views in one message to a VM that knows no other."""
+
+SUSPECT_AFTER = 1.5
+"""Seconds of silence after which a VM is suspected and probed."""
+
+_RANK = {VmState.LIVE: 0, VmState.LEAVING: 1, VmState.GONE: 2}
+
+
+def is_small(node: NodeState) -> bool:
+    """Return whether each VM sends its heartbeats to all others."""
+    return len(list_live(node, None)) <= FULL_TARGETS + 1
+
+
+def build_own_view(node: NodeState) -> VmView:
+    """Return what this VM says of itself."""
+    return VmView(
+        address=node.identity.address,
+        incarnation=node.identity.incarnation,
+        state=node.membership.state,
+        beat=node.membership.beat,
+        ticket=node.config.applied,
+    )
+
+
+def build_heartbeat(node: NodeState) -> Heartbeat:
+    """Return the next heartbeat: own view, changed views, repeated views."""
+    names = _take_changes(node)
+    while len(names) < VIEWS_PER_HEARTBEAT:
+        name = _take_repeated(node)
+        if name is None or name in names:
+            break
+        names.append(name)
+    peers = node.membership.peers
+    return Heartbeat(
+        views=(build_own_view(node), *(peers[name].view for name in names))
+    )
+
+
+def build_sync(node: NodeState) -> list[Heartbeat]:
+    """Return all views, in heartbeats of bounded size."""
+    views = [peer.view for peer in node.membership.peers.values()]
+    messages = []
+    for first in range(0, len(views), VIEWS_PER_SYNC):
+        part = views[first : first + VIEWS_PER_SYNC]
+        messages.append(Heartbeat(views=(build_own_view(node), *part)))
+    return messages or [Heartbeat(views=(build_own_view(node),))]
+
+
+def spread(node: NodeState, name: str) -> None:
+    """Put a VM's view in front of those to be sent.
+
+    It is sent in a number of heartbeats that grows with the logarithm of the
+    fleet, so that an epidemic spread reaches nearly every VM.
+    """
+    changes = node.membership.changes
+    changes[name] = 2 + 2 * len(node.membership.peers).bit_length()
+    changes.move_to_end(name, last=False)
+
+
+def merge_view(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+    """Take over a view of another VM if it is newer.
+
+    Returns:
+        Whether the VM showed life: a higher incarnation or beat.
+    """
+    name = view.address.name
+    if name == node.identity.name:
+        _answer_view_of_self(node, view, out)
+        return False
+    peer = node.membership.peers.get(name)
+    if peer is None:
+        return _add(node, view, cause, out)
+    known = peer.view
+    if view.incarnation != known.incarnation:
+        return view.incarnation > known.incarnation and _replace(
+            node, peer, view, cause, out
+        )
+    if view.beat > known.beat:
+        return _replace(node, peer, view, cause, out)
+    if view.beat == known.beat and _RANK[view.state] > _RANK[known.state]:
+        change_state(node, peer, view.state, cause, out)
+    elif view.state is VmState.GONE and known.state is not VmState.GONE:
+        # The sender knows an older beat. Whether the VM is gone is found out
+        # by listening for it.
+        watch_peer(node, peer)
+    return False
+
+
+def watch_peer(node: NodeState, peer: Peer) -> None:
+    """Let a VM's silence count from now on.
+
+    A VM of which nothing was expected before gets the time between suspicion
+    and loss to answer.
+    """
+    name = peer.view.address.name
+    if name in node.membership.watched:
+        return
+    node.membership.watched[name] = None
+    peer.heard_at = max(peer.heard_at, node.now - SUSPECT_AFTER)
+
+
+def change_state(
+    node: NodeState, peer: Peer, state: VmState, cause: str, out: Effects
+) -> None:
+    """Change the state of a VM as seen here and spread it."""
+    before = peer.view.state
+    if before is state:
+        return
+    name = peer.view.address.name
+    peer.view = VmView(
+        address=peer.view.address,
+        incarnation=peer.view.incarnation,
+        state=state,
+        beat=peer.view.beat,
+        ticket=peer.view.ticket,
+    )
+    _note_state(node, peer, cause, out)
+    spread(node, name)
+
+
+def _note_state(node: NodeState, peer: Peer, cause: str, out: Effects) -> None:
+    mine = node.membership
+    view = peer.view
+    name = view.address.name
+    mine.version += 1
+    peer.suspected_at = None
+    peer.gone_at = None
+    if view.state is VmState.GONE:
+        peer.gone_at = node.now
+        mine.watched.pop(name, None)
+        if name in mine.neighbours:
+            mine.neighbours.remove(name)
+    detail = (("peer", name), ("peer_incarnation", view.incarnation))
+    record(out, f"vm_{view.state.value}", cause=cause, detail=detail)
+
+
+def _add(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+    if view.state is VmState.GONE:
+        return False
+    name = view.address.name
+    peer = Peer(view=view, heard_at=node.now)
+    node.membership.peers[name] = peer
+    _note_state(node, peer, cause, out)
+    spread(node, name)
+    return True
+
+
+def _replace(
+    node: NodeState, peer: Peer, view: VmView, cause: str, out: Effects
+) -> bool:
+    before = peer.view
+    peer.view = view
+    restarted = view.incarnation != before.incarnation
+    if restarted or view.state is not before.state:
+        _note_state(node, peer, cause, out)
+        spread(node, view.address.name)
+    if view.state is VmState.GONE:
+        return False
+    peer.heard_at = node.now
+    peer.suspected_at = None
+    return True
+
+
+def _answer_view_of_self(node: NodeState, view: VmView, out: Effects) -> None:
+    mine = node.membership
+    if view.incarnation > node.identity.incarnation:
+        detail = (("seen_incarnation", view.incarnation),)
+        record(out, "incarnation_conflict", cause="heartbeat", detail=detail)
+        return
+    if view.incarnation < node.identity.incarnation:
+        return
+    if view.state is VmState.GONE and view.beat >= mine.beat:
+        mine.beat = view.beat + 1
+
+
+def _take_changes(node: NodeState) -> list[str]:
+    changes = node.membership.changes
+    names: list[str] = []
+    while changes and len(names) < VIEWS_PER_HEARTBEAT:
+        name, left = changes.popitem(last=False)
+        if name not in node.membership.peers:
+            continue
+        names.append(name)
+        if left > 1:
+            node.membership.changes[name] = left - 1
+        if len(names) >= len(changes):
+            break
+    return names
+
+
+def _take_repeated(node: NodeState) -> str | None:
+    mine = node.membership
+    while True:
+        if not mine.rotation:
+            mine.rotation = [
+                name
+                for name, peer in mine.peers.items()
+                if peer.view.state is not VmState.GONE
+            ]
+            node.random.shuffle(mine.rotation)
+        if not mine.rotation:
+            return None
+        name = mine.rotation.pop()
+        if name in mine.peers:
+            return name
+
+
+def choose_targets(node: NodeState) -> list[str]:
+    """Return the VMs that get the next heartbeat."""
+    mine = node.membership
+    if is_small(node):
+        return [
+            name
+            for name, peer in mine.peers.items()
+            if peer.view.state is not VmState.GONE
+        ]
+    if node.now >= mine.rotate_at:
+        mine.rotate_at = node.now + NEIGHBOUR_CHANGE
+        if mine.neighbours:
+            mine.neighbours.pop(0)
+    _fill_neighbours(node)
+    return list(mine.neighbours)
+
+
+def _fill_neighbours(node: NodeState) -> None:
+    neighbours = node.membership.neighbours
+    mine = node.identity.address.region
+    live = list_live(node, None)
+    for _ in range(4 * TARGETS):
+        if len(neighbours) >= TARGETS:
+            return
+        remote = [n for n in neighbours if _find_region(node, n) != mine]
+        want_remote = len(remote) < TARGETS // REMOTE_SHARE
+        has_remote = len(live) > len(list_live(node, mine))
+        name = node.random.choice(live)
+        for _ in range(8):
+            if (_find_region(node, name) != mine) == (want_remote and has_remote):
+                break
+            name = node.random.choice(live)
+        if name != node.identity.name and name not in neighbours:
+            neighbours.append(name)
+
+
+def _find_region(node: NodeState, name: str) -> str:
+    peer = node.membership.peers.get(name)
+    address = peer.view.address if peer else node.identity.address
+    return address.region
+
+
+def find_address(node: NodeState, vm: str) -> VmAddress | None:
+    """Return where a VM is reached, or None if it is not known."""
+    peer = node.membership.peers.get(vm)
+    if peer is not None:
+        return peer.view.address
+    return node.membership.contacts.get(vm)
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -1,43 +1,178 @@
-"""Which VMs are live, and which of them owns what."""
-
-import xxhash
-
-from ..model import VmState
-from ._state import NodeState
-
-
-def find_owner(node: NodeState, database: str, region: str) -> str | None:
-    """Return the VM that owns the pool of a database in a region.
-
-    It is the VM with the highest rendezvous weight among the live VMs of the
-    region, or of all regions if that one has none; None if no VM is live.
-    """
-    names = _list_live(node, region) or _list_live(node, None)
-    best = None
-    best_weight = -1
-    for name in names:
-        weight = xxhash.xxh64_intdigest(f"{database}/{region}/{name}")
-        if weight > best_weight:
-            best, best_weight = name, weight
-    return best
-
-
-def _list_live(node: NodeState, region: str | None) -> list[str]:
-    names = []
-    me = node.identity.address
-    if node.membership.state is VmState.LIVE and region in (None, me.region):
-        names.append(me.name)
-    for name, peer in node.membership.peers.items():
-        if peer.view.state is not VmState.LIVE:
-            continue
-        if region is not None and peer.view.address.region != region:
-            continue
-        names.append(name)
-    return names
-
-
-EVENTS: dict = {}
-MESSAGES: dict = {}
-TIMERS: dict = {}
+"""Which VMs are live: heartbeats, the platform's list, start and leaving."""
+
+from dataclasses import dataclass
+
+from ..effects import SendPeer
+from ..events import PeerReceived, ShutdownRequested, Started, VmListReported
+from ..messages import Heartbeat, Probe, ProbeAnswer, VmsPushed
+from ..model import VmAddress, VmState
+from ._gossip import (
+    build_heartbeat,
+    build_sync,
+    choose_targets,
+    find_address,
+    merge_view,
+    watch_peer,
+)
+from ._ownership import find_owner, is_watcher, list_live
+from ._state import Effects, NodeState, record
+from ._suspicion import (
+    PAUSE_AFTER,
+    answer_probe,
+    check_silence,
+    forget_gone,
+    forgive_silence,
+    note_message,
+    probe_random,
+    take_probe_answer,
+)
+from ._timers import TimerAction
+
+__all__ = ["find_address", "find_owner", "is_watcher", "list_live"]
+
+BEAT_INTERVAL = 0.2
+"""Seconds between two heartbeats."""
+
+CONTACTS_PER_BEAT = 2
+"""Known addresses without a live VM that are tried with each heartbeat."""
+
+FORGET_INTERVAL = 30.0
+"""Seconds between two searches for VMs to forget."""
+
+
+@dataclass(slots=True, frozen=True)
+class BeatDue(TimerAction):
+    """The next heartbeat is due."""
+
+
+@dataclass(slots=True, frozen=True)
+class ForgetDue(TimerAction):
+    """VMs that have been gone for long are due to be forgotten."""
+
+
+def _start(node: NodeState, event: Started, out: Effects) -> None:
+    mine = node.membership
+    for address in node.identity.seeds:
+        _note_contact(node, address)
+    mine.beat_at = node.now
+    mine.version += 1
+    node.timers.schedule(node.now, BeatDue())
+    node.timers.schedule(node.now + FORGET_INTERVAL, ForgetDue())
+
+
+def _beat(node: NodeState, action: BeatDue, out: Effects) -> None:
+    mine = node.membership
+    if node.now - mine.beat_at > PAUSE_AFTER:
+        forgive_silence(node, out)
+    mine.beat_at = node.now
+    jitter = node.random.uniform(0.95, 1.05)
+    node.timers.schedule(node.now + BEAT_INTERVAL * jitter, BeatDue())
+    check_silence(node, out)
+    probe_random(node, out)
+    _send_heartbeats(node, out)
+
+
+def _send_heartbeats(node: NodeState, out: Effects) -> None:
+    node.membership.beat += 1
+    message = build_heartbeat(node)
+    for name in choose_targets(node) + _choose_contacts(node):
+        out.append(SendPeer(vm=name, message=message))
+
+
+def _choose_contacts(node: NodeState) -> list[str]:
+    mine = node.membership
+    absent = []
+    for name in mine.contacts:
+        peer = mine.peers.get(name)
+        if peer is None or peer.view.state is VmState.GONE:
+            absent.append(name)
+    if len(absent) <= CONTACTS_PER_BEAT:
+        return absent
+    return node.random.sample(absent, CONTACTS_PER_BEAT)
+
+
+def _note_contact(node: NodeState, address: VmAddress) -> None:
+    if address.name != node.identity.name:
+        node.membership.contacts[address.name] = address
+
+
+def _receive_heartbeat(node: NodeState, event: PeerReceived, out: Effects) -> None:
+    envelope = event.envelope
+    views = envelope.message.views
+    if not views or views[0].address.name != envelope.sender:
+        return
+    sender = envelope.sender
+    for index, view in enumerate(views):
+        cause = "heartbeat" if index == 0 else f"heartbeat of {sender}"
+        merge_view(node, view, cause, out)
+    _note_contact(node, views[0].address)
+    peer = node.membership.peers.get(sender)
+    if peer is not None and peer.view.state is not VmState.GONE:
+        watch_peer(node, peer)
+    if len(views) == 1 and len(node.membership.peers) > 1:
+        # The sender knows no other VM yet.
+        for message in build_sync(node):
+            out.append(SendPeer(vm=sender, message=message))
+
+
+def _take_list(node: NodeState, event: VmListReported, out: Effects) -> None:
+    _learn_list(node, event.live, event.leaving, out)
+
+
+def _take_pushed_list(node: NodeState, event: PeerReceived, out: Effects) -> None:
+    pushed = event.envelope.message
+    _learn_list(node, pushed.live, pushed.leaving, out)
+
+
+def _learn_list(node: NodeState, live, leaving, out: Effects) -> None:
+    mine = node.membership
+    for address in live:
+        _note_contact(node, address)
+    names = frozenset(leaving)
+    if names == mine.listed_leaving:
+        return
+    mine.listed_leaving = names
+    mine.version += 1
+    detail = (("leaving", " ".join(sorted(names))),)
+    record(out, "vm_list_changed", cause="platform", detail=detail)
+    if node.identity.name in names:
+        _announce(node, VmState.LEAVING, "platform", out)
+    elif not node.shutting_down:
+        _announce(node, VmState.LIVE, "platform", out)
+
+
+def _leave(node: NodeState, event: ShutdownRequested, out: Effects) -> None:
+    _announce(node, VmState.LEAVING, "shutdown requested", out)
+
+
+def _announce(node: NodeState, state: VmState, cause: str, out: Effects) -> None:
+    mine = node.membership
+    if mine.state is state:
+        return
+    mine.state = state
+    mine.version += 1
+    detail = (("peer", node.identity.name),)
+    record(out, f"vm_{state.value}", cause=cause, detail=detail)
+    _send_heartbeats(node, out)
+
+
+def _forget(node: NodeState, action: ForgetDue, out: Effects) -> None:
+    node.timers.schedule(node.now + FORGET_INTERVAL, ForgetDue())
+    forget_gone(node)
+
+
+EVENTS: dict = {
+    Started: _start,
+    PeerReceived: note_message,
+    VmListReported: _take_list,
+    ShutdownRequested: _leave,
+}
+MESSAGES: dict = {
+    Heartbeat: _receive_heartbeat,
+    Probe: answer_probe,
+    ProbeAnswer: take_probe_answer,
+    VmsPushed: _take_pushed_list,
+}
+TIMERS: dict = {BeatDue: _beat, ForgetDue: _forget}
 STORE_ANSWERS: dict = {}
 CONTROL_ANSWERS: dict = {}
--- /dev/null
+++ b/src/siskinhold/core/_ownership.py
@@ -0,0 +1,115 @@
+"""Which VM owns what: rendezvous hashing over the live VMs, with a cache.
+
+A lookup whose answer is cached costs one dictionary access. After a change of
+the live VMs a cached owner is compared with the VMs that joined only, and it is
+searched anew only if it left.
+"""
+
+import xxhash
+
+from ..model import VmState
+from ._state import NodeState, OwnerCache
+
+CHANGES_KEPT = 64
+"""Changes of the live VMs, per region, that a cached owner may be behind."""
+
+WATCHER_KEY = "#watcher"
+"""Stands in the place of a database name in the choice of the watcher."""
+
+
+def find_owner(node: NodeState, database: str, region: str) -> str | None:
+    """Return the VM that owns the pool of a database in a region.
+
+    It is the VM with the highest rendezvous weight among the live VMs of the
+    region, or of all regions if that one has none; None if no VM is live.
+    """
+    cache = _refresh(node)
+    scope = region if cache.live.get(region) else None
+    names = cache.live[scope]
+    if not names:
+        return None
+    key = f"{database}/{region}/"
+    count = cache.dropped.get(scope, 0) + len(cache.changes.get(scope, ()))
+    entry = cache.owners.get((key, scope))
+    if entry is not None and entry[2] == count:
+        return entry[0]
+    best, weight = _update(cache, scope, key, entry)
+    cache.owners[key, scope] = (best, weight, count)
+    return best
+
+
+def list_live(node: NodeState, region: str | None) -> tuple[str, ...]:
+    """Return the names of the live VMs of a region, or of all for None.
+
+    This VM is among them unless it leaves. VMs that leave, by their own word
+    or by the platform's list, are not.
+    """
+    return _refresh(node).live.get(region, ())
+
+
+def is_watcher(node: NodeState) -> bool:
+    """Return whether this VM watches the store for its region."""
+    region = node.identity.address.region
+    return find_owner(node, WATCHER_KEY, region) == node.identity.name
+
+
+def _update(cache: OwnerCache, scope, key: str, entry) -> tuple[str, int]:
+    dropped = cache.dropped.get(scope, 0)
+    if entry is None or entry[2] < dropped:
+        return _search(key, cache.live[scope])
+    best, weight, seen = entry
+    candidates = []
+    for joined, left in cache.changes[scope][seen - dropped :]:
+        if best in left:
+            return _search(key, cache.live[scope])
+        candidates.extend(joined)
+    live = set(cache.live[scope]) if candidates else ()
+    return _search(key, [n for n in candidates if n in live], best, weight)
+
+
+def _search(key: str, names, best: str = "", best_weight: int = -1) -> tuple[str, int]:
+    digest = xxhash.xxh64_intdigest
+    for name in names:
+        weight = digest(key + name)
+        if weight > best_weight or (weight == best_weight and name < best):
+            best, best_weight = name, weight
+    return best, best_weight
+
+
+def _refresh(node: NodeState) -> OwnerCache:
+    cache = node.membership.owners
+    if cache.version == node.membership.version:
+        return cache
+    live = _group_live(node)
+    for region in live.keys() | cache.live.keys():
+        _note_change(cache, region, live.get(region, ()))
+    cache.live = live
+    cache.version = node.membership.version
+    return cache
+
+
+def _note_change(cache: OwnerCache, region: str | None, names: tuple) -> None:
+    before = frozenset(cache.live.get(region, ()))
+    after = frozenset(names)
+    if before == after:
+        return
+    changes = cache.changes.setdefault(region, [])
+    changes.append((after - before, before - after))
+    if len(changes) > CHANGES_KEPT:
+        del changes[0]
+        cache.dropped[region] = cache.dropped.get(region, 0) + 1
+
+
+def _group_live(node: NodeState) -> dict[str | None, tuple[str, ...]]:
+    mine = node.membership
+    groups: dict[str | None, list[str]] = {None: []}
+    me = node.identity.address
+    if mine.state is VmState.LIVE and me.name not in mine.listed_leaving:
+        groups[None].append(me.name)
+        groups[me.region] = [me.name]
+    for name, peer in mine.peers.items():
+        if peer.view.state is not VmState.LIVE or name in mine.listed_leaving:
+            continue
+        groups[None].append(name)
+        groups.setdefault(peer.view.address.region, []).append(name)
+    return {region: tuple(sorted(names)) for region, names in groups.items()}
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -4,7 +4,9 @@
 changes it. Other modules read it or call that module's functions.
 """
 
+import math
 import random
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from ..effects import Effect, Record
@@ -50,11 +52,37 @@
         view: the newest view of it.
         heard_at: when its beat last grew, directly or through others.
         suspected_at: when it was first suspected, None if it is not.
+        gone_at: when it was taken as gone, None if it is not.
     """
 
     view: VmView
     heard_at: float
     suspected_at: float | None = None
+    gone_at: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class OwnerCache:
+    """Cache of `_ownership`. It depends only on the set of live VMs.
+
+    Args:
+        version: the membership's version that it reflects.
+        live: live VMs by region; None stands for all regions.
+        changes: for each region, how its live VMs changed: joined, left.
+        dropped: for each region, the number of changes no longer kept.
+        owners: owner, its weight and the number of changes it reflects, by
+            database and region.
+    """
+
+    version: int = -1
+    live: dict[str | None, tuple[str, ...]] = field(default_factory=dict)
+    changes: dict[str | None, list[tuple[frozenset[str], frozenset[str]]]] = field(
+        default_factory=dict
+    )
+    dropped: dict[str | None, int] = field(default_factory=dict)
+    owners: dict[tuple[str, str | None], tuple[str, int, int]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass(slots=True, kw_only=True)
@@ -65,13 +93,37 @@
         peers: the other VMs by name.
         state: this VM's own state, as it announces it.
         beat: counter of own heartbeats.
-        version: grows when the set of live VMs changes.
+        version: grows when the set of live VMs changes or one restarts.
+        beat_at: when the last own heartbeat was sent.
+        contacts: addresses from seeds and the platform's list, by VM name.
+        listed_leaving: VMs that the platform's list names as leaving.
+        watched: peers whose silence counts, in order of insertion.
+        changes: sends left of each changed view; the next to send comes first.
+        rotation: names still to be repeated in spare room of heartbeats.
+        neighbours: targets of heartbeats in a fleet too large to send to all.
+        rotate_at: when the next neighbour is replaced.
+        probe_at: when the next VM is probed at random.
+        sequence: number of the last probe.
+        relayed: VMs that asked about a suspect, with their probes' numbers.
+        owners: cache of `_ownership`.
     """
 
     peers: dict[str, Peer] = field(default_factory=dict)
     state: VmState = VmState.LIVE
     beat: int = 0
     version: int = 0
+    beat_at: float = 0.0
+    contacts: dict[str, VmAddress] = field(default_factory=dict)
+    listed_leaving: frozenset[str] = frozenset()
+    watched: dict[str, None] = field(default_factory=dict)
+    changes: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    rotation: list[str] = field(default_factory=list)
+    neighbours: list[str] = field(default_factory=list)
+    rotate_at: float = 0.0
+    probe_at: float = 0.0
+    sequence: int = 0
+    relayed: dict[str, dict[str, int]] = field(default_factory=dict)
+    owners: OwnerCache = field(default_factory=OwnerCache)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -88,6 +140,18 @@
         record_versions: store version of each record.
         watching: whether this VM watches the store.
         version: grows when `groups` or `records` change.
+        started_at: when the process started.
+        answered: whether a peer answered since the start.
+        listed: whether the store was listed since the start.
+        listing: prefixes of lists under way.
+        list_after: earliest time of the next list.
+        list_failures: failed lists in a row.
+        list_failed: whether a list under way failed.
+        list_revision: lowest revision that the lists under way reflect.
+        asked_at: when a peer was last asked for tickets.
+        sent_at: when tickets were last pushed to a VM that was behind.
+        vms_known: the VMs of the platform's list that were passed on.
+        vms_sent_at: when the list was last passed on.
     """
 
     tickets: dict[int, ChangeTicket] = field(default_factory=dict)
@@ -99,6 +163,18 @@
     record_versions: dict[str, int] = field(default_factory=dict)
     watching: bool = False
     version: int = 0
+    started_at: float = 0.0
+    answered: bool = False
+    listed: bool = False
+    listing: set[str] = field(default_factory=set)
+    list_after: float = 0.0
+    list_failures: int = 0
+    list_failed: bool = False
+    list_revision: int | None = None
+    asked_at: float = -math.inf
+    sent_at: dict[str, float] = field(default_factory=dict)
+    vms_known: tuple = ()
+    vms_sent_at: float = -math.inf
 
 
 @dataclass(slots=True, kw_only=True)
--- /dev/null
+++ b/src/siskinhold/core/_watching.py
@@ -0,0 +1,168 @@
+"""The start of a VM's knowledge and the watcher's duty at the store."""
+
+from dataclasses import dataclass
+
+from ..effects import CallStore, ReadVmList, UnwatchStore, WatchStore
+from ..events import Started
+from ..model import VmState
+from ..store import TERM_PREFIX, TICKET_PREFIX, ListObjects, StoreResult
+from ._gossip import choose_targets
+from ._ownership import is_watcher
+from ._spreading import ask_at_start
+from ._state import Effects, NodeState, record
+from ._timers import TimerAction
+
+CATCH_UP_INTERVAL = 0.5
+"""Seconds between two checks of what this VM lacks and of its duty."""
+
+START_WAIT = 1.0
+"""Seconds that peers have to answer a starting VM before it lists the store.
+
+It also keeps a VM that knows no other yet from taking itself as the watcher.
+"""
+
+ASK_AT_START = 2
+"""Peers asked at a time by a starting VM."""
+
+LIST_RETRY = 0.5
+"""Seconds before a failed list is repeated; doubled with each failure."""
+
+LIST_RETRY_LIMIT = 8.0
+"""Most seconds between two lists."""
+
+LIST_TIMEOUT = 5.0
+"""Seconds that the store has to answer a list."""
+
+VM_LIST_READ_INTERVAL = 1.0
+"""Seconds between two reads of the platform's VM list by a watcher."""
+
+WATCH_PREFIX = "t"
+"""Prefix of the keys of tickets and of records of terms."""
+
+
+@dataclass(slots=True, frozen=True)
+class CatchUpDue(TimerAction):
+    """The next check of what this VM lacks is due."""
+
+
+@dataclass(slots=True, frozen=True)
+class VmListDue(TimerAction):
+    """The watcher's next read of the VM list is due."""
+
+
+@dataclass(slots=True, frozen=True)
+class ListPurpose:
+    """A list of the store's objects under a prefix."""
+
+    prefix: str
+
+
+def start(node: NodeState, event: Started, out: Effects) -> None:
+    """Ask peers for what is in force."""
+    node.config.started_at = node.now
+    contacts = [seed.name for seed in node.identity.seeds]
+    contacts = [name for name in contacts if name != node.identity.name]
+    _ask_some(node, contacts, out)
+    node.timers.schedule(node.now + CATCH_UP_INTERVAL, CatchUpDue())
+    node.timers.schedule(node.now, VmListDue())
+
+
+def catch_up(node: NodeState, action: CatchUpDue, out: Effects) -> None:
+    """Repeat unanswered questions, and take up or lay down the watch."""
+    mine = node.config
+    jitter = node.random.uniform(0.9, 1.1)
+    node.timers.schedule(node.now + CATCH_UP_INTERVAL * jitter, CatchUpDue())
+    if not mine.answered:
+        _ask_some(node, choose_targets(node) or list(node.membership.contacts), out)
+    if node.now - mine.started_at < START_WAIT:
+        return
+    if not is_watcher(node):
+        _lay_down_watch(node, out)
+        if not mine.answered and not mine.listed:
+            _list_store(node, out)
+        return
+    if not mine.watching:
+        _list_store(node, out)
+
+
+def read_vm_list(node: NodeState, action: VmListDue, out: Effects) -> None:
+    """Read the platform's list, if this VM is the watcher."""
+    node.timers.schedule(node.now + VM_LIST_READ_INTERVAL, VmListDue())
+    if is_watcher(node):
+        out.append(ReadVmList())
+
+
+def take_list_answer(
+    node: NodeState, purpose: ListPurpose, result: StoreResult, out: Effects
+) -> bool:
+    """Note the answer to a list, and start the watch after the last one.
+
+    Returns:
+        Whether the list succeeded.
+    """
+    mine = node.config
+    mine.listing.discard(purpose.prefix)
+    if result.failure is not None:
+        _note_failure(node, result, out)
+        return False
+    revision = result.revision
+    if mine.list_revision is not None:
+        revision = min(mine.list_revision, revision)
+    mine.list_revision = revision
+    if mine.listing or mine.list_failed:
+        return True
+    mine.listed = True
+    mine.list_failures = 0
+    if is_watcher(node) and not mine.watching:
+        mine.watching = True
+        out.append(WatchStore(prefix=WATCH_PREFIX, after=revision))
+        detail = (("after", revision),)
+        record(out, "watch_started", cause="watcher of the region", detail=detail)
+    return True
+
+
+def _list_store(node: NodeState, out: Effects) -> None:
+    mine = node.config
+    if mine.listing or node.now < mine.list_after:
+        return
+    mine.list_revision = None
+    mine.list_failed = False
+    for prefix in (TICKET_PREFIX, TERM_PREFIX):
+        mine.listing.add(prefix)
+        call = node.open_store_call(ListPurpose(prefix))
+        operation = ListObjects(prefix=prefix)
+        effect = CallStore(call=call, operation=operation, timeout=LIST_TIMEOUT)
+        out.append(effect)
+
+
+def _note_failure(node: NodeState, result: StoreResult, out: Effects) -> None:
+    mine = node.config
+    if mine.list_failed:
+        return
+    mine.list_failed = True
+    delay = min(LIST_RETRY * 2**mine.list_failures, LIST_RETRY_LIMIT)
+    mine.list_failures = min(mine.list_failures + 1, 10)
+    mine.list_after = node.now + delay * node.random.uniform(0.5, 1.0)
+    retry = round(mine.list_after - node.now, 3)
+    detail = (("failure", result.failure.value), ("retry_s", retry))
+    record(out, "store_list_failed", cause="store", detail=detail)
+
+
+def _lay_down_watch(node: NodeState, out: Effects) -> None:
+    if not node.config.watching:
+        return
+    node.config.watching = False
+    out.append(UnwatchStore())
+    record(out, "watch_ended", cause="another VM watches")
+
+
+def _ask_some(node: NodeState, names: list[str], out: Effects) -> None:
+    peers = node.membership.peers
+    names = [
+        name
+        for name in names
+        if name not in peers or peers[name].view.state is not VmState.GONE
+    ]
+    if len(names) > ASK_AT_START:
+        names = node.random.sample(names, ASK_AT_START)
+    ask_at_start(node, names, out)
--- a/src/siskinhold/store/__init__.py
+++ b/src/siskinhold/store/__init__.py
@@ -1,5 +1,16 @@
 """The platform's object store as the reducer sees it."""
 
+from ._codec import (
+    TERM_PREFIX,
+    TICKET_PREFIX,
+    Unreadable,
+    decode_record,
+    decode_ticket,
+    encode_record,
+    encode_ticket,
+    term_key,
+    ticket_key,
+)
 from ._objects import (
     ListObjects,
     ReadObject,
@@ -17,5 +28,14 @@
     "StoreFailure",
     "StoreResult",
     "StoredObject",
+    "TERM_PREFIX",
+    "TICKET_PREFIX",
+    "Unreadable",
     "WriteObject",
+    "decode_record",
+    "decode_ticket",
+    "encode_record",
+    "encode_ticket",
+    "term_key",
+    "ticket_key",
 ]
