--- a/src/siskinhold/adapters/_interfaces.py
+++ b/src/siskinhold/adapters/_interfaces.py
@@ -33,6 +33,10 @@
     def close(self, effect: effects.CloseCaller) -> None:
         """Close a caller's connection."""
 
+    @abc.abstractmethod
+    def stop_listening(self) -> None:
+        """Take no new callers; connected ones stay."""
+
     @abc.abstractmethod
     async def stop(self) -> None:
         """Stop to listen and close all connections."""
@@ -51,7 +55,6 @@
         effect: (
             effects.OpenBackend
             | effects.RunStatement
-            | effects.SettleKey
             | effects.CloseBackend
             | effects.QueryStatus
             | effects.QueryActivity
--- /dev/null
+++ b/src/siskinhold/core/_connections.py
@@ -0,0 +1,156 @@
+"""Connections to backend servers: opening, picking, pinning, closing."""
+
+from ..effects import CloseBackend, Observe, OpenBackend
+from ..model import BackendServer, RequestId
+from ._connection_state import Connection, ConnectionState, ServerConnections
+from ._state import Effects, NodeState
+
+MAX_OPENING = 4
+"""Connections that may be opening to one server at once; each costs it 12 ms."""
+RESERVED_CONNECTIONS = 5
+"""Connections of a server's limit left for control and for a second owner."""
+REOPEN_DELAY = 0.1
+"""Seconds between a failed opening and the next try on the same server."""
+
+
+def server_connections(node: NodeState, server: str) -> ServerConnections:
+    """Return the connections of a server, creating the entry if needed."""
+    known = node.connections.servers.get(server)
+    if known is None:
+        known = node.connections.servers[server] = ServerConnections()
+    return known
+
+
+def open_more(
+    node: NodeState, server: BackendServer, database: str, wanted: int, out: Effects
+) -> None:
+    """Open connections until `wanted` are idle or opening, within the limits."""
+    known = server_connections(node, server.name)
+    if node.now < known.closed_until:
+        return
+    limit = max(server.slots, server.connections - RESERVED_CONNECTIONS)
+    while (
+        len(known.idle) + known.opening < wanted
+        and known.opening < MAX_OPENING
+        and len(known.numbers) < limit
+    ):
+        number = node.connections.next_number
+        node.connections.next_number += 1
+        connection = Connection(number=number, server=server.name, since=node.now)
+        node.connections.connections[number] = connection
+        known.numbers.add(number)
+        known.opening += 1
+        out.append(OpenBackend(connection=number, server=server, database=database))
+        out.append(Observe(metric="backend_connections_opened_total"))
+
+
+def note_open(node: NodeState, number: int) -> Connection | None:
+    """Mark a connection as idle; None if it was given up meanwhile."""
+    connection = node.connections.connections.get(number)
+    if connection is None or connection.state is not ConnectionState.OPENING:
+        return None
+    known = node.connections.servers[connection.server]
+    known.opening -= 1
+    _make_idle(node, connection)
+    return connection
+
+
+def occupy(
+    node: NodeState, connection: Connection, request: RequestId, *, long: bool
+) -> None:
+    """Put a statement on a connection, which takes one of the server's slots."""
+    known = node.connections.servers[connection.server]
+    if connection.state is ConnectionState.IDLE:
+        known.idle.remove(connection.number)
+    connection.state = ConnectionState.BUSY
+    connection.request = request
+    connection.long = long
+    connection.since = node.now
+    connection.suspected = 0
+    known.running += 1
+    known.running_long += long
+
+
+def mark_long(node: NodeState, connection: Connection) -> None:
+    """Count the running statement as long work from now on."""
+    if connection.long or connection.request is None:
+        return
+    connection.long = True
+    node.connections.servers[connection.server].running_long += 1
+
+
+def vacate(node: NodeState, connection: Connection) -> None:
+    """Take the ended statement off a connection and free its slot."""
+    known = node.connections.servers[connection.server]
+    known.running -= 1
+    known.running_long -= connection.long
+    connection.request = None
+    connection.long = False
+    if connection.transaction is not None:
+        connection.state = ConnectionState.PINNED
+        connection.since = node.now
+        return
+    _make_idle(node, connection)
+
+
+def unpin(node: NodeState, connection: Connection) -> None:
+    """Give a connection whose transaction ended back to the pool."""
+    connection.transaction = None
+    if connection.state is ConnectionState.PINNED:
+        _make_idle(node, connection)
+
+
+def take_idle(node: NodeState, server: str) -> Connection | None:
+    """Return an idle connection, the most recently used one, without removing it."""
+    known = node.connections.servers.get(server)
+    if known is None or not known.idle:
+        return None
+    return node.connections.connections[known.idle[-1]]
+
+
+def forget(node: NodeState, number: int, *, failed: bool = False) -> Connection | None:
+    """Remove a connection that has closed; return it if it was known.
+
+    Args:
+        failed: whether opening failed, which delays the next opening.
+    """
+    connection = node.connections.connections.pop(number, None)
+    if connection is None:
+        return None
+    known = node.connections.servers[connection.server]
+    known.numbers.discard(number)
+    if connection.state is ConnectionState.OPENING:
+        known.opening -= 1
+    if connection.state is ConnectionState.IDLE:
+        known.idle.remove(number)
+    if connection.request is not None:
+        known.running -= 1
+        known.running_long -= connection.long
+    if failed:
+        known.closed_until = node.now + REOPEN_DELAY
+    return connection
+
+
+def close(node: NodeState, number: int, out: Effects) -> Connection | None:
+    """Close a connection, whatever is on it; return it if it was known."""
+    connection = forget(node, number)
+    if connection is not None:
+        out.append(CloseBackend(connection=number))
+    return connection
+
+
+def close_idle(node: NodeState, server: str, out: Effects) -> None:
+    """Close the idle and opening connections of a server that gets no new work."""
+    known = node.connections.servers.get(server)
+    if known is None:
+        return
+    for number in list(known.numbers):
+        state = node.connections.connections[number].state
+        if state in (ConnectionState.IDLE, ConnectionState.OPENING):
+            close(node, number, out)
+
+
+def _make_idle(node: NodeState, connection: Connection) -> None:
+    connection.state = ConnectionState.IDLE
+    connection.since = node.now
+    node.connections.servers[connection.server].idle.append(connection.number)
--- /dev/null
+++ b/src/siskinhold/core/_entries.py
@@ -0,0 +1,107 @@
+"""Sessions and their statements under way, and how a statement is answered."""
+
+from ..effects import Observe, ReplyCaller, SendPeer
+from ..messages import Abandon
+from ..model import (
+    Done,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Position,
+    RequestId,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+)
+from ._session_state import EntryRequest, OpenTransaction, Session
+from ._state import Effects, NodeState, record
+
+
+def raise_position(session: Session, database: str, position: Position) -> None:
+    """Raise the position that a session's reads of a database must cover."""
+    known = session.positions.get(database)
+    if known is None or known < position:
+        session.positions[database] = position
+
+
+def finish(
+    node: NodeState,
+    entry: EntryRequest,
+    outcome: Outcome,
+    out: Effects,
+    *,
+    position: Position | None = None,
+) -> None:
+    """Answer a statement under way.
+
+    "Not run" becomes "unknown" if an earlier sending may have had an effect.
+    """
+    node.sessions.requests.pop(entry.request.id, None)
+    session = node.sessions.sessions.get(entry.session)
+    if session is None:
+        return
+    if isinstance(outcome, NotRun) and entry.may_have_run:
+        outcome = Unknown(reason=UnknownReason.OWNER_LOST, detail=outcome.detail)
+    if position is not None and isinstance(outcome, Done):
+        raise_position(session, entry.request.database, position)
+    _follow_transaction(session, entry, outcome, out)
+    out.append(
+        Observe(
+            metric="statement_seconds",
+            value=node.now - entry.arrived,
+            label=entry.request.kind.value,
+        )
+    )
+    reply(session, entry.request.id, outcome, out)
+
+
+def _follow_transaction(
+    session: Session, entry: EntryRequest, outcome: Outcome, out: Effects
+) -> None:
+    transaction = session.transaction
+    if transaction is None or entry.request.transaction != transaction.id:
+        return
+    if entry.request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        session.transaction = None
+        return
+    if isinstance(outcome, NotRun) and entry.request.opens_transaction:
+        # It never began, so the next statement opens it.
+        session.transaction = OpenTransaction(id=transaction.id)
+        return
+    if isinstance(outcome, (NotRun, Unknown)):
+        transaction.lost = True
+        message = Abandon(request=entry.request.id, transaction=transaction.id)
+        out.append(SendPeer(vm=transaction.owner, message=message))
+
+
+def refuse_statement(
+    session: Session,
+    identity: RequestId,
+    reason: NotRunReason,
+    out: Effects,
+    detail: str = "",
+) -> None:
+    """Answer a statement that the entry VM does not pass on."""
+    record(
+        out,
+        "request_refused",
+        cause=reason.value,
+        session=session.number,
+        request=identity,
+    )
+    reply(session, identity, NotRun(reason=reason, detail=detail), out)
+
+
+def reply(
+    session: Session, identity: RequestId, outcome: Outcome, out: Effects
+) -> None:
+    """Answer a session's statement."""
+    session.request = None
+    out.append(
+        ReplyCaller(
+            session=session.number,
+            request=identity,
+            outcome=outcome,
+            positions=session.positions,
+        )
+    )
--- /dev/null
+++ b/src/siskinhold/core/_failover_state.py
@@ -0,0 +1,67 @@
+"""What is kept of failovers and promotions."""
+
+import enum
+from dataclasses import dataclass, field
+
+from ..model import Database, ServerStatus, TermRecord
+
+
+class Phase(enum.Enum):
+    """Step of an attempt."""
+
+    RESERVING = "reserving"
+    FENCING = "fencing"
+    RECORDING = "recording"
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One promotion under way.
+
+    Args:
+        database: the database.
+        run: random identity, so that a lost store answer can be settled.
+        cause: why the primary is replaced.
+        term: the term being reserved.
+        started: when the attempt began.
+        phase: its step.
+        fenced: the status of each fenced server.
+        asked: how many fences are unanswered.
+        written: the record being written.
+    """
+
+    database: Database
+    run: str
+    cause: str
+    term: int
+    started: float
+    phase: Phase = Phase.RESERVING
+    fenced: dict[str, ServerStatus] = field(default_factory=dict)
+    asked: int = 0
+    written: TermRecord | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Watch:
+    """What the owner of a database keeps for failover.
+
+    Args:
+        attempt: the promotion under way.
+        not_before: no new attempt before this time.
+        ahead_since: since when a server has shown a term above the record.
+        switchover_since: since when a planned switchover has been wanted.
+        orders: when each server was last sent an order.
+    """
+
+    attempt: Attempt | None = None
+    not_before: float = 0.0
+    ahead_since: float | None = None
+    switchover_since: float | None = None
+    orders: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class FailoverState:
+    """State of `_failover` and `_promotion`: watches by database."""
+
+    databases: dict[str, Watch] = field(default_factory=dict)
--- /dev/null
+++ b/src/siskinhold/core/_health.py
@@ -0,0 +1,280 @@
+"""What is known of the backend servers: status polls and the evidence in them.
+
+A status counts as evidence from the time its query *started*, because the
+server answered for a moment between start and report.
+"""
+
+from dataclasses import dataclass
+
+from ..effects import Observe, QueryStatus
+from ..events import StatusReported
+from ..model import (
+    BackendServer,
+    ControlFailure,
+    Database,
+    Position,
+    Role,
+    ServerState,
+    ServerStatus,
+    TermRecord,
+    covers,
+)
+from ._health_state import DatabaseHealth, ServerHealth
+from ._state import Effects, NodeState
+from ._timers import TimerAction
+
+NEAR_POLL_INTERVAL = 0.1
+"""Seconds between status polls of a server in the VM's own region."""
+FAR_POLL_INTERVAL = 0.25
+"""Seconds between status polls across the region link, which is paid by volume."""
+STATUS_TIMEOUT = 0.3
+"""Seconds until a status query counts as unanswered."""
+STATUS_LIFETIME = 1.0
+"""Seconds after which a status no longer makes a server fit for new work."""
+
+
+@dataclass(slots=True, frozen=True)
+class PollDue(TimerAction):
+    """A server's status is to be polled."""
+
+    server: str
+
+
+@dataclass(slots=True, frozen=True)
+class StatusQuery:
+    """Purpose of a control call: a poll of `server` started at `started`."""
+
+    server: str
+    started: float
+    fresh: bool
+
+
+def track_database(node: NodeState, database: Database, out: Effects) -> None:
+    """Poll the servers of a database, with their newest configuration."""
+    health = node.health
+    health.databases.setdefault(database.name, DatabaseHealth())
+    for server in database.servers:
+        known = health.servers.get(server.name)
+        if known is not None:
+            known.server = server
+            continue
+        health.servers[server.name] = ServerHealth(
+            server=server, database=database.name
+        )
+        request_status(node, server.name, out)
+        _schedule_poll(node, server)
+
+
+def untrack_database(node: NodeState, name: str) -> None:
+    """Stop to poll the servers of a database."""
+    node.health.databases.pop(name, None)
+    for server in list(node.health.servers.values()):
+        if server.database == name:
+            del node.health.servers[server.server.name]
+
+
+def drop_servers(node: NodeState, database: Database) -> None:
+    """Forget the servers that a change ticket took out of a database."""
+    names = {server.name for server in database.servers}
+    for server in list(node.health.servers.values()):
+        if server.database == database.name and server.server.name not in names:
+            del node.health.servers[server.server.name]
+
+
+def request_status(
+    node: NodeState, name: str, out: Effects, *, fresh: bool = False
+) -> None:
+    """Ask for a status whose query starts now or, if one is under way, after it."""
+    health = node.health.servers.get(name)
+    if health is None:
+        return
+    if health.asked is not None:
+        health.again = True
+        return
+    health.asked = node.now
+    call = node.open_control_call(StatusQuery(name, node.now, fresh))
+    out.append(
+        QueryStatus(
+            server=health.server, call=call, fresh=fresh, timeout=STATUS_TIMEOUT
+        )
+    )
+
+
+def is_reachable(node: NodeState, health: ServerHealth) -> bool:
+    """Return whether the server answered its last query, and lately."""
+    if health.status is None or health.failures:
+        return False
+    return node.now - health.started <= STATUS_LIFETIME
+
+
+def find_record(node: NodeState, database: str) -> TermRecord:
+    """Return the known record of terms of a database, empty if there is none."""
+    return node.config.records.get(database) or TermRecord(database=database)
+
+
+def find_primary(node: NodeState, database: str) -> ServerHealth | None:
+    """Return the recorded primary if its last report shows it leading."""
+    record = find_record(node, database)
+    health = node.health.servers.get(record.primary or "")
+    if health is None or health.status is None:
+        return None
+    if health.status.role is not Role.PRIMARY or health.status.term != record.term:
+        return None
+    return health
+
+
+def is_fit(node: NodeState, health: ServerHealth) -> bool:
+    """Return whether a server may get new work: active, reachable, current term."""
+    if health.server.state is not ServerState.ACTIVE:
+        return False
+    if not is_reachable(node, health):
+        return False
+    if health.status.role is Role.FENCED:
+        return False
+    return health.status.term == find_record(node, health.database).term
+
+
+def measure_age(node: NodeState, health: ServerHealth) -> float | None:
+    """Return an upper bound of the age of a server's data in seconds.
+
+    None if nothing is known. For the primary it is the time since a majority
+    last confirmed it, so that an isolated primary's data grows old as well.
+    """
+    database = node.health.databases.get(health.database)
+    if database is None or health.status is None:
+        return None
+    record = find_record(node, health.database)
+    if health.server.name == record.primary:
+        return node.now - database.confirmed if database.confirmed >= 0 else None
+    for at, position in reversed(database.samples):
+        if covers(record.starts, health.status.position, position):
+            return node.now - at
+    return None
+
+
+def confirm_since(
+    node: NodeState,
+    database: Database,
+    since: float,
+    *,
+    term: int,
+    position: Position | None = None,
+) -> bool:
+    """Return whether a majority confirmed the primary of `term` after `since`.
+
+    Args:
+        database: whose instances are counted.
+        since: only queries that started at or after this time count.
+        term: the term that the primary must still lead.
+        position: if given, each counted instance must hold it.
+    """
+    record = find_record(node, database.name)
+    count = 0
+    primary_counted = False
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is None or health.status is None or health.started < since:
+            continue
+        status = health.status
+        if status.term > term:
+            continue
+        if server.name == record.primary:
+            primary_counted = status.role is Role.PRIMARY and status.term == term
+            if not primary_counted:
+                return False
+        elif position is not None:
+            if not covers(record.starts, status.position, position):
+                continue
+        count += 1
+    return primary_counted and count >= majority(database)
+
+
+def majority(database: Database) -> int:
+    """Return how many instances are a majority."""
+    return len(database.servers) // 2 + 1
+
+
+def _poll(node: NodeState, action: PollDue, out: Effects) -> None:
+    health = node.health.servers.get(action.server)
+    if health is None:
+        return
+    request_status(node, action.server, out, fresh=health.failures > 0)
+    _schedule_poll(node, health.server)
+
+
+def _schedule_poll(node: NodeState, server: BackendServer) -> None:
+    near = server.region == node.identity.address.region
+    interval = NEAR_POLL_INTERVAL if near else FAR_POLL_INTERVAL
+    jitter = 0.9 + 0.2 * node.random.random()
+    node.timers.schedule(node.now + interval * jitter, PollDue(server.name))
+
+
+def _take_report(
+    node: NodeState, query: StatusQuery, event: StatusReported, out: Effects
+) -> None:
+    health = node.health.servers.get(query.server)
+    if health is None:
+        return
+    health.asked = None
+    if event.status is None:
+        _note_failure(health, query, event.failure)
+    else:
+        _note_status(node, health, query, event.status)
+    if health.again or (health.failures == 1 and not query.fresh):
+        health.again = False
+        request_status(node, query.server, out, fresh=health.failures > 0)
+    out.append(Observe(metric="status_queries_total"))
+
+
+def _note_failure(
+    health: ServerHealth, query: StatusQuery, failure: ControlFailure | None
+) -> None:
+    if not health.failures:
+        health.failing_since = query.started
+    health.failures += 1
+    health.failure = failure
+    health.fresh_failed = health.fresh_failed or query.fresh
+
+
+def _note_status(
+    node: NodeState, health: ServerHealth, query: StatusQuery, status: ServerStatus
+) -> None:
+    health.failures = 0
+    health.failure = None
+    health.fresh_failed = False
+    health.status = status
+    health.started = query.started
+    _note_confirmation(node, health.database)
+
+
+def _note_confirmation(node: NodeState, name: str) -> None:
+    """Move the time of the last confirmation forward as far as reports allow."""
+    found = node.config.databases.get(name)
+    evidence = node.health.databases.get(name)
+    primary = find_primary(node, name)
+    if found is None or evidence is None or primary is None:
+        return
+    term = primary.status.term
+    times = []
+    for server in found[1].servers:
+        health = node.health.servers.get(server.name)
+        if health is None or health.status is None or health is primary:
+            continue
+        if health.status.term <= term:
+            times.append(health.started)
+    needed = majority(found[1]) - 1
+    if len(times) < needed:
+        return
+    times.sort(reverse=True)
+    at = min([primary.started, *times[:needed]])
+    if at <= evidence.confirmed:
+        return
+    evidence.confirmed = at
+    evidence.samples.append((at, primary.status.position))
+
+
+EVENTS: dict = {}
+MESSAGES: dict = {}
+TIMERS = {PollDue: _poll}
+STORE_ANSWERS: dict = {}
+CONTROL_ANSWERS = {StatusQuery: _take_report}
--- /dev/null
+++ b/src/siskinhold/core/_owners.py
@@ -0,0 +1,196 @@
+"""What this VM owns: taking, giving up and tidying pools.
+
+`reconcile` runs after each change of the membership view or of the
+configuration, and brings pools, polled servers, entries and transactions in
+line with it.
+"""
+
+from ..effects import SendPeer
+from ..events import StatusReported
+from ..messages import Forward, Redirect
+from ..model import Database, ServerState
+from . import _connections as connections
+from ._answers import lose_connection, roll_back
+from ._health import (
+    StatusQuery,
+    drop_servers,
+    find_record,
+    is_fit,
+    track_database,
+    untrack_database,
+)
+from ._membership import find_owner
+from ._pools import Pool, drain, list_servers, redirect, submit
+from ._routes import find_incarnation, find_primary_region, lose_owner
+from ._state import Effects, NodeState, record
+
+
+def reconcile(node: NodeState, out: Effects) -> None:
+    """Bring everything in line with the view and the configuration."""
+    for _, database in list(node.config.databases.values()):
+        _reconcile_database(node, database, out)
+    _drop_unknown_databases(node, out)
+    _leave_unowned(node, out)
+    _lose_gone_vms(node, out)
+
+
+def is_database_owner(node: NodeState, database: str) -> bool:
+    """Return whether this VM owns a database: its pool in the primary's region."""
+    region = find_primary_region(node, database)
+    pool = node.pools.pools.get((database, region))
+    return pool is not None and pool.owned
+
+
+def _reconcile_database(node: NodeState, database: Database, out: Effects) -> None:
+    me = node.identity.name
+    owns_any = False
+    regions = {server.region for server in database.servers}
+    for region in sorted(regions):
+        owned = find_owner(node, database.name, region) == me
+        pool = node.pools.pools.get((database.name, region))
+        if pool is None and not owned:
+            continue
+        if pool is None:
+            pool = Pool(database=database.name, region=region, owned=False)
+            node.pools.pools[(database.name, region)] = pool
+        if owned and not pool.owned:
+            record(out, "pool_taken", database=database.name, detail=_where(pool))
+        pool.owned = owned
+        owns_any = True
+    if owns_any:
+        track_database(node, database, out)
+        drop_servers(node, database)
+        _close_leaving(node, database, out)
+        _leave_old_term(node, database, out)
+
+
+def _where(pool: Pool) -> tuple[tuple[str, str], ...]:
+    return (("region", pool.region),)
+
+
+def _close_leaving(node: NodeState, database: Database, out: Effects) -> None:
+    for server in database.servers:
+        if server.state is ServerState.LEAVING:
+            connections.close_idle(node, server.name, out)
+
+
+def _leave_old_term(node: NodeState, database: Database, out: Effects) -> None:
+    """Give up statements that run on a primary that has been replaced.
+
+    Their answers could not be acknowledged any more.
+    """
+    known = find_record(node, database.name)
+    for work in list(node.pools.works.values()):
+        if work.request.database != database.name or not work.connection:
+            continue
+        if not work.needs_primary or work.answered is not None:
+            continue
+        if work.term >= known.term or work.server == known.primary:
+            continue
+        connection = connections.close(node, work.connection, out)
+        if connection is not None:
+            lose_connection(node, connection, out, sent=True, cause="primary_replaced")
+    for transaction in list(node.pools.transactions.values()):
+        stale = transaction.database == database.name
+        if stale and transaction.server != known.primary and known.primary:
+            roll_back(node, transaction.id, out)
+
+
+def _drop_unknown_databases(node: NodeState, out: Effects) -> None:
+    for pool in list(node.pools.pools.values()):
+        if pool.database in node.config.databases:
+            continue
+        pool.owned = False
+
+
+def _leave_unowned(node: NodeState, out: Effects) -> None:
+    """Give back the waiting work of pools owned elsewhere; drop empty pools."""
+    for key, pool in list(node.pools.pools.items()):
+        if pool.owned:
+            continue
+        for work in pool.queue:
+            pool.queue.remove(work)
+            redirect(node, work, "not_owner", out)
+        if _is_busy(node, pool):
+            continue
+        del node.pools.pools[key]
+        record(out, "pool_left", database=pool.database, detail=_where(pool))
+        for server in list_servers(node, pool):
+            connections.close_idle(node, server.name, out)
+        if not any(name == pool.database for name, _ in node.pools.pools):
+            untrack_database(node, pool.database)
+
+
+def _is_busy(node: NodeState, pool: Pool) -> bool:
+    for work in node.pools.works.values():
+        if (work.request.database, work.region) == (pool.database, pool.region):
+            return True
+    for transaction in node.pools.transactions.values():
+        if (transaction.database, transaction.region) == (pool.database, pool.region):
+            return True
+    return False
+
+
+def _lose_gone_vms(node: NodeState, out: Effects) -> None:
+    for entry in list(node.sessions.requests.values()):
+        if not entry.owner:
+            continue
+        if find_incarnation(node, entry.owner) != entry.incarnation:
+            lose_owner(node, entry, out)
+    for transaction in list(node.pools.transactions.values()):
+        identity = transaction.id
+        if find_incarnation(node, identity.vm) != identity.incarnation:
+            record(
+                out,
+                "transaction_rolled_back",
+                cause="entry VM lost",
+                database=transaction.database,
+                request=identity,
+            )
+            roll_back(node, identity, out)
+
+
+def _take_forward(node: NodeState, event, out: Effects) -> None:
+    message: Forward = event.envelope.message
+    sender = event.envelope.sender
+    request = message.request
+    pool = node.pools.pools.get((request.database, message.region))
+    continues = request.transaction in node.pools.transactions
+    if pool is None or not (pool.owned or continues):
+        reason = "not_owner"
+        if message.ticket > node.config.applied:
+            reason = "ticket_not_in_force"
+        out.append(
+            SendPeer(vm=sender, message=Redirect(request=request.id, reason=reason))
+        )
+        return
+    submit(node, pool, request, sender, out)
+
+
+def _warm_up(
+    node: NodeState, query: StatusQuery, event: StatusReported, out: Effects
+) -> None:
+    """Open the connections of a fit server before work needs them."""
+    health = node.health.servers.get(query.server)
+    if health is None or not is_fit(node, health):
+        return
+    pool = node.pools.pools.get((health.database, health.server.region))
+    if pool is None or not pool.owned:
+        return
+    known = connections.server_connections(node, health.server.name)
+    if len(known.numbers) < health.server.slots:
+        wanted = health.server.slots - len(known.numbers) + len(known.idle)
+        connections.open_more(node, health.server, health.database, wanted, out)
+
+
+def drain_all(node: NodeState, out: Effects) -> None:
+    """Drain every pool."""
+    for pool in list(node.pools.pools.values()):
+        drain(node, pool, out)
+
+
+EVENTS: dict = {}
+MESSAGES = {Forward: _take_forward}
+TIMERS: dict = {}
+STORE_ANSWERS: dict = {}
+CONTROL_ANSWERS = {StatusQuery: _warm_up}
--- /dev/null
+++ b/src/siskinhold/core/_pool_state.py
@@ -0,0 +1,67 @@
+"""What is kept of pools, works and transactions."""
+
+from dataclasses import dataclass, field
+
+from ..model import RequestId
+from ._queue import Work, WorkQueue
+
+
+@dataclass(slots=True, kw_only=True)
+class Transaction:
+    """An open transaction, pinned to one backend connection.
+
+    Args:
+        id: the identity of its BEGIN.
+        connection: the connection.
+        server: the backend server's name.
+        origin: the entry VM.
+        database: the database.
+        region: the region of the pool it is in.
+        used: when a statement of it last began or ended.
+    """
+
+    id: RequestId
+    connection: int
+    server: str
+    origin: str
+    database: str
+    region: str
+    used: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Pool:
+    """The queue of one database in one region.
+
+    Args:
+        database: database name.
+        region: region name.
+        owned: whether this VM owns it; if not it only finishes what it has.
+        held: whether writes are held back because a switchover is under way.
+        queue: the waiting work.
+        pinned: waiting statements of open transactions.
+    """
+
+    database: str
+    region: str
+    owned: bool = True
+    held: bool = False
+    queue: WorkQueue = field(default_factory=WorkQueue)
+    pinned: list[Work] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class PoolsState:
+    """State of `_pools`.
+
+    Args:
+        pools: pools by (database, region).
+        works: all works that are not yet answered, by request.
+        begun: works whose START TRANSACTION has not been answered.
+        transactions: open transactions by identity.
+    """
+
+    pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
+    works: dict[RequestId, Work] = field(default_factory=dict)
+    begun: set[RequestId] = field(default_factory=set)
+    transactions: dict[RequestId, Transaction] = field(default_factory=dict)
--- /dev/null
+++ b/src/siskinhold/core/_pools.py
@@ -0,0 +1,396 @@
+"""Pools: the works, transactions and queues of the databases owned here.
+
+A pool serves one database in one region. It gives waiting work to the
+region's backend servers within their slots, and hands what they answer to
+`_confirmation`, which decides when the caller may know.
+"""
+
+from dataclasses import dataclass
+
+from ..effects import Observe, RunStatement, SendPeer
+from ..messages import Answer, Redirect
+from ..model import (
+    BackendServer,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Position,
+    Request,
+    RequestId,
+    Role,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+    covers,
+    is_lost,
+)
+from ..statements import shape
+from . import _connections as connections
+from ._health import ServerHealth, find_primary, find_record, is_fit, measure_age
+from ._pool_state import Pool, Transaction
+from ._queue import Work
+from ._state import Effects, NodeState, record
+from ._timers import TimerAction
+
+MAX_ATTEMPTS = 3
+"""Times one request is given to a connection: the first and two retries."""
+REDIRECT_AFTER = 0.05
+"""Seconds a read waits in a region none of whose servers can serve it."""
+PRIMARY_HELP_AFTER = 0.02
+"""Seconds a browsing read waits for a replica before the primary may help."""
+
+
+@dataclass(slots=True, frozen=True)
+class WorkDeadline(TimerAction):
+    """The caller of a request gives up."""
+
+    request: RequestId
+
+
+def list_servers(node: NodeState, pool: Pool) -> list[BackendServer]:
+    """Return the backend servers of a pool: those of its database and region."""
+    found = node.config.databases.get(pool.database)
+    if found is None:
+        return []
+    return [server for server in found[1].servers if server.region == pool.region]
+
+
+def submit(
+    node: NodeState, pool: Pool, request: Request, origin: str, out: Effects
+) -> None:
+    """Take a request into a pool, or answer it at once if it can't run.
+
+    A request that is here already is ignored: it was sent twice.
+    """
+    if request.id in node.pools.works:
+        return
+    work = Work(
+        request=request,
+        origin=origin,
+        region=pool.region,
+        arrived=node.now,
+        deadline=node.now + request.budget_ms / 1000,
+        shape=measure_shape(request.sql),
+    )
+    node.pools.works[request.id] = work
+    node.timers.schedule(work.deadline, WorkDeadline(request.id))
+    if request.transaction is not None and not request.opens_transaction:
+        _submit_pinned(node, pool, work, out)
+        return
+    starts = find_record(node, pool.database).starts
+    if request.need is not None and is_lost(starts, request.need):
+        refuse(node, work, NotRunReason.POSITION_LOST, out)
+        return
+    pool.queue.push(work)
+    drain(node, pool, out)
+
+
+def _submit_pinned(node: NodeState, pool: Pool, work: Work, out: Effects) -> None:
+    transaction = node.pools.transactions.get(work.request.transaction)
+    if transaction is None:
+        refuse(node, work, NotRunReason.TRANSACTION_LOST, out)
+        return
+    transaction.used = node.now
+    work.server = transaction.server
+    work.connection = transaction.connection
+    pool.pinned.append(work)
+    drain(node, pool, out)
+
+
+def answer(
+    node: NodeState,
+    work: Work,
+    outcome: Outcome,
+    out: Effects,
+    *,
+    position: Position | None = None,
+) -> None:
+    """Tell the entry VM how a work ended, and forget the work."""
+    node.pools.works.pop(work.id, None)
+    node.pools.begun.discard(work.id)
+    record = find_record(node, work.request.database)
+    message = Answer(
+        request=work.id,
+        outcome=outcome,
+        position=position,
+        server=work.server,
+        replica=bool(work.server) and work.server != record.primary,
+    )
+    out.append(Observe(metric="request_seconds", value=node.now - work.arrived))
+    out.append(SendPeer(vm=work.origin, message=message))
+
+
+def refuse(
+    node: NodeState, work: Work, reason: NotRunReason, out: Effects, detail: str = ""
+) -> None:
+    """Answer a work as not run, or as unknown if an earlier attempt may have run.
+
+    The work must not be on a connection.
+    """
+    if work.may_have_run and reason is not NotRunReason.POSITION_LOST:
+        give_unknown(node, work, UnknownReason.CONNECTION_LOST, out)
+        return
+    record(
+        out,
+        "request_refused",
+        cause=reason.value,
+        database=work.request.database,
+        request=work.id,
+        detail=(("waited_ms", round((node.now - work.arrived) * 1000)),),
+    )
+    out.append(Observe(metric="refused_total", label=reason.value))
+    answer(node, work, NotRun(reason=reason, detail=detail), out)
+
+
+def give_unknown(
+    node: NodeState, work: Work, reason: UnknownReason, out: Effects
+) -> None:
+    """Answer a work whose fate can't be known."""
+    record(
+        out,
+        "request_unknown",
+        cause=reason.value,
+        database=work.request.database,
+        server=work.server,
+        request=work.id,
+    )
+    out.append(Observe(metric="unknown_total", label=reason.value))
+    answer(node, work, Unknown(reason=reason), out)
+
+
+def redirect(node: NodeState, work: Work, reason: str, out: Effects) -> None:
+    """Give a work that did not run back to its entry VM."""
+    node.pools.works.pop(work.id, None)
+    message = Redirect(request=work.id, reason=reason, may_have_run=work.may_have_run)
+    out.append(SendPeer(vm=work.origin, message=message))
+
+
+def drain(node: NodeState, pool: Pool, out: Effects) -> None:
+    """Give waiting work to the pool's servers as far as their slots allow."""
+    for server in list_servers(node, pool):
+        health = node.health.servers.get(server.name)
+        if health is None:
+            continue
+        while _dispatch_one(node, pool, health, out):
+            continue
+    _redirect_unservable(node, pool, out)
+
+
+def _dispatch_one(
+    node: NodeState, pool: Pool, health: ServerHealth, out: Effects
+) -> bool:
+    """Give one work to a server; return whether there may be more to give."""
+    server = health.server
+    known = connections.server_connections(node, server.name)
+    if known.running >= server.slots:
+        return False
+    pinned = _take_pinned(pool, server.name)
+    if pinned is not None:
+        connection = node.connections.connections[pinned.connection]
+        _run(node, pinned, connection, health, out)
+        return True
+    if not len(pool.queue) or not is_fit(node, health):
+        return False
+    if known.running >= server.slots - _reserve_slots(node, server):
+        return False
+    connection = connections.take_idle(node, server.name)
+    if connection is None:
+        wanted = min(len(pool.queue), server.slots)
+        connections.open_more(node, server, pool.database, wanted, out)
+        return False
+    work = pool.queue.take(lambda item: _accepts(node, pool, health, item), node.now)
+    if work is None:
+        return False
+    _run(node, work, connection, health, out)
+    return True
+
+
+def _take_pinned(pool: Pool, server: str) -> Work | None:
+    for index, work in enumerate(pool.pinned):
+        if work.server == server:
+            return pool.pinned.pop(index)
+    return None
+
+
+def _reserve_slots(node: NodeState, server: BackendServer) -> int:
+    """Keep a slot for open transactions, which hold locks that others wait for."""
+    if server.slots < 2:
+        return 0
+    for transaction in node.pools.transactions.values():
+        if transaction.server == server.name:
+            return 1
+    return 0
+
+
+def _accepts(node: NodeState, pool: Pool, health: ServerHealth, work: Work) -> bool:
+    is_primary = health.status.role is Role.PRIMARY
+    if work.needs_primary:
+        if not is_primary or pool.held:
+            return False
+        return work.request.need is None or can_read(node, health, work)
+    if not can_read(node, health, work):
+        return False
+    if not is_primary:
+        return True
+    if not find_replica(node, pool, work):
+        return True
+    known = connections.server_connections(node, health.server.name)
+    waited = node.now - work.arrived
+    return waited > PRIMARY_HELP_AFTER and known.running <= health.server.slots - 2
+
+
+def can_read(node: NodeState, health: ServerHealth, work: Work) -> bool:
+    """Return whether a server's data is new enough for a request."""
+    request = work.request
+    starts = find_record(node, request.database).starts
+    if request.need is not None:
+        if not covers(starts, health.status.position, request.need):
+            return False
+    if work.needs_primary:
+        return True
+    age = measure_age(node, health)
+    return age is not None and age * 1000 <= request.max_age_ms
+
+
+def find_replica(node: NodeState, pool: Pool, work: Work) -> ServerHealth | None:
+    """Return a replica of the pool that could serve a read if it had a slot."""
+    for server in list_servers(node, pool):
+        health = node.health.servers.get(server.name)
+        if health is None or not is_fit(node, health):
+            continue
+        if health.status.role is Role.PRIMARY:
+            continue
+        if can_read(node, health, work):
+            return health
+    return None
+
+
+def _redirect_unservable(node: NodeState, pool: Pool, out: Effects) -> None:
+    """Send reads away that no server of a region without the primary can serve."""
+    primary = find_record(node, pool.database).primary
+    for server in list_servers(node, pool):
+        if server.name == primary:
+            return
+    for work in pool.queue:
+        if not work.needs_primary and node.now - work.arrived < REDIRECT_AFTER:
+            continue
+        if find_replica(node, pool, work):
+            continue
+        pool.queue.remove(work)
+        redirect(node, work, "no_server_covers_read", out)
+
+
+def _run(
+    node: NodeState,
+    work: Work,
+    connection: connections.Connection,
+    health: ServerHealth,
+    out: Effects,
+) -> None:
+    request = work.request
+    work.attempts += 1
+    work.server = health.server.name
+    work.connection = connection.number
+    work.started = node.now
+    work.term = health.status.term if health.status else 0
+    out.append(Observe(metric="queue_seconds", value=node.now - work.arrived))
+    connections.occupy(node, connection, work.id, long=False)
+    if request.opens_transaction:
+        _begin(node, work, connection, out)
+        return
+    run_statement(node, work, out)
+
+
+def _begin(
+    node: NodeState, work: Work, connection: connections.Connection, out: Effects
+) -> None:
+    identity = work.request.transaction
+    connection.transaction = identity
+    node.pools.transactions[identity] = Transaction(
+        id=identity,
+        connection=connection.number,
+        server=work.server,
+        origin=work.origin,
+        database=work.request.database,
+        region=work.region,
+        used=node.now,
+    )
+    node.pools.begun.add(work.id)
+    out.append(
+        RunStatement(
+            connection=connection.number,
+            request=work.id,
+            sql="START TRANSACTION",
+            autocommit=False,
+        )
+    )
+
+
+def run_statement(node: NodeState, work: Work, out: Effects) -> None:
+    """Put a work's own statement on its connection."""
+    request = work.request
+    in_transaction = request.transaction is not None
+    ends_write = request.kind is StatementKind.COMMIT or (
+        request.kind is StatementKind.WRITE and not in_transaction
+    )
+    out.append(
+        RunStatement(
+            connection=work.connection,
+            request=work.id,
+            sql=request.sql,
+            key=request.marks.key,
+            autocommit=not in_transaction,
+            want_position=ends_write,
+        )
+    )
+
+
+def find_pool(node: NodeState, database: str, region: str) -> Pool | None:
+    """Return a pool this VM has, owned or not."""
+    return node.pools.pools.get((database, region))
+
+
+def drain_database(node: NodeState, database: str, out: Effects) -> None:
+    """Drain all pools of a database."""
+    for (name, _), pool in list(node.pools.pools.items()):
+        if name == database:
+            drain(node, pool, out)
+
+
+def requeue(node: NodeState, work: Work, out: Effects, *, cause: str) -> bool:
+    """Put a work that has had no effect back into its queue.
+
+    Returns:
+        False if it has used up its attempts or its time; it is unchanged then.
+    """
+    pool = find_pool(node, work.request.database, work.region)
+    if pool is None or work.attempts >= MAX_ATTEMPTS or node.now >= work.deadline:
+        return False
+    record(
+        out,
+        "request_retried",
+        cause=cause,
+        database=work.request.database,
+        server=work.server,
+        request=work.id,
+    )
+    out.append(Observe(metric="retries_total", label=cause))
+    work.server = ""
+    work.connection = 0
+    work.answered = None
+    work.outcome = None
+    if not pool.owned:
+        redirect(node, work, cause, out)
+        return True
+    pool.queue.push(work)
+    return True
+
+
+def measure_shape(sql: str) -> int:
+    """Return the hash of a statement without its literals."""
+    return shape(sql)
+
+
+def primary_is_known(node: NodeState, database: str) -> bool:
+    """Return whether a database has a primary that is known to lead."""
+    return find_primary(node, database) is not None
--- /dev/null
+++ b/src/siskinhold/core/_promotion.py
@@ -0,0 +1,442 @@
+"""The steps of a promotion: reserve, fence, record, promote.
+
+The term record in the store is written before the new primary leads. If the
+VM stops between two steps, the next owner finishes what the record says
+(`_failover.order_server`) or begins again with a higher term.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..effects import CallStore, FenceServer, Observe, PromoteServer
+from ..events import ControlAnswered, StoreAnswered
+from ..model import (
+    ControlFailure,
+    Database,
+    Reservation,
+    Role,
+    ServerState,
+    TermRecord,
+    TermStart,
+)
+from ..store import ReadObject, StoreFailure, WriteObject, decode_record, encode_record
+from ._failover_state import Attempt, Phase
+from ._health import find_record, is_reachable, majority, request_status
+from ._state import Effects, NodeState, record
+from ._tickets import learn_record
+from ._timers import TimerAction
+
+FENCE_GRACE = 0.03
+"""Seconds to wait for the fence answers of the rest once a majority answered."""
+READ_BACK_DELAY = 0.1
+"""Seconds before the store is asked what became of an unanswered change."""
+ATTEMPT_LIFETIME = 3.0
+"""Seconds after which an unfinished attempt is given up, outside store waits."""
+RETRY_DELAY = 0.5
+"""Seconds between an attempt that failed and the next one."""
+TERM_PREFIX = "term/"
+"""Prefix of the store keys of the term records."""
+
+
+@dataclass(slots=True, frozen=True)
+class RecordWrite:
+    """Purpose of a store call: the attempt `run` writes its record."""
+
+    database: str
+    run: str
+
+
+@dataclass(slots=True, frozen=True)
+class RecordRead:
+    """Purpose of a store call: the attempt `run` reads its record back."""
+
+    database: str
+    run: str
+
+
+@dataclass(slots=True, frozen=True)
+class FirstRecord:
+    """Purpose of a store call: the first record of a database."""
+
+    database: str
+    written: TermRecord
+
+
+@dataclass(slots=True, frozen=True)
+class Fence:
+    """Purpose of a control call: the attempt `run` fences `server`."""
+
+    database: str
+    run: str
+    server: str
+
+
+@dataclass(slots=True, frozen=True)
+class Promote:
+    """Purpose of a control call: the attempt's new primary takes the lead."""
+
+    database: str
+    server: str
+    started: float
+
+
+@dataclass(slots=True, frozen=True)
+class ReadBackDue(TimerAction):
+    """The store is to be asked what became of a change."""
+
+    database: str
+    run: str
+
+
+@dataclass(slots=True, frozen=True)
+class FenceDue(TimerAction):
+    """The fence answers so far must do."""
+
+    database: str
+    run: str
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptDue(TimerAction):
+    """An attempt has used up its time."""
+
+    database: str
+    run: str
+
+
+def begin_attempt(
+    node: NodeState, database: Database, watch, cause: str, out: Effects
+) -> None:
+    """Begin to replace a database's primary by reserving the next term."""
+    known = find_record(node, database.name)
+    highest = known.highest_reserved
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is not None and health.status is not None:
+            highest = max(highest, health.status.term)
+    run = f"{node.random.getrandbits(64):016x}"
+    attempt = Attempt(
+        database=database, run=run, cause=cause, term=highest + 1, started=node.now
+    )
+    watch.attempt = attempt
+    record(
+        out,
+        "promotion_began",
+        cause=cause,
+        database=database.name,
+        server=known.primary or "",
+        term=attempt.term,
+    )
+    reservation = Reservation(term=attempt.term, vm=node.identity.name, run=run)
+    attempt.written = msgspec.structs.replace(known, reservation=reservation)
+    node.timers.schedule(node.now + ATTEMPT_LIFETIME, AttemptDue(database.name, run))
+    _write_record(node, attempt, out)
+
+
+def record_first_term(
+    node: NodeState, database: Database, start: TermStart, out: Effects
+) -> None:
+    """Write a database's first record, naming the primary it already has."""
+    written = TermRecord(database=database.name, starts=(start,))
+    call = node.open_store_call(FirstRecord(database.name, written))
+    operation = WriteObject(
+        key=TERM_PREFIX + database.name,
+        value=encode_record(written),
+        expected_version=0,
+    )
+    out.append(CallStore(call=call, operation=operation))
+
+
+def _write_record(node: NodeState, attempt: Attempt, out: Effects) -> None:
+    name = attempt.database.name
+    call = node.open_store_call(RecordWrite(name, attempt.run))
+    operation = WriteObject(
+        key=TERM_PREFIX + name,
+        value=encode_record(attempt.written),
+        expected_version=node.config.record_versions.get(name, 0),
+    )
+    out.append(CallStore(call=call, operation=operation))
+
+
+def _find_attempt(node: NodeState, database: str, run: str) -> Attempt | None:
+    watch = node.failover.databases.get(database)
+    if watch is None or watch.attempt is None or watch.attempt.run != run:
+        return None
+    return watch.attempt
+
+
+def _take_write(
+    node: NodeState, purpose: RecordWrite, event: StoreAnswered, out: Effects
+) -> None:
+    attempt = _find_attempt(node, purpose.database, purpose.run)
+    if attempt is None:
+        return
+    failure = event.result.failure
+    if failure is None:
+        version = event.result.objects[0].version
+        _accept_write(node, attempt, version, out)
+        return
+    due = ReadBackDue(purpose.database, purpose.run)
+    delay = 0.0 if failure is StoreFailure.CONFLICT else READ_BACK_DELAY
+    node.timers.schedule(node.now + delay, due)
+
+
+def _read_back(node: NodeState, action: ReadBackDue, out: Effects) -> None:
+    attempt = _find_attempt(node, action.database, action.run)
+    if attempt is None:
+        return
+    call = node.open_store_call(RecordRead(action.database, action.run))
+    out.append(CallStore(call=call, operation=ReadObject(key=_key(action.database))))
+
+
+def _key(database: str) -> str:
+    return TERM_PREFIX + database
+
+
+def _take_read(
+    node: NodeState, purpose: RecordRead, event: StoreAnswered, out: Effects
+) -> None:
+    attempt = _find_attempt(node, purpose.database, purpose.run)
+    if attempt is None:
+        return
+    result = event.result
+    if result.failure is StoreFailure.NO_ANSWER:
+        due = ReadBackDue(purpose.database, purpose.run)
+        node.timers.schedule(node.now + READ_BACK_DELAY, due)
+        return
+    if result.failure is not None or not result.objects:
+        _write_record(node, attempt, out)
+        return
+    stored = result.objects[0]
+    decoded = decode_record(stored.value)
+    if decoded.is_err():
+        abandon_attempt(node, attempt, "record_malformed", out)
+        return
+    found = decoded.unwrap()
+    if found == attempt.written:
+        _accept_write(node, attempt, stored.version, out)
+        return
+    unchanged = stored.version == node.config.record_versions.get(purpose.database)
+    learn_record(node, found, stored.version, out)
+    if unchanged:
+        # The unanswered change never took effect.
+        _write_record(node, attempt, out)
+        return
+    abandon_attempt(node, attempt, "record_changed_by_other_vm", out)
+
+
+def _accept_write(
+    node: NodeState, attempt: Attempt, version: int, out: Effects
+) -> None:
+    learn_record(node, attempt.written, version, out)
+    if attempt.phase is Phase.RESERVING:
+        _fence(node, attempt, out)
+        return
+    _promote(node, attempt, out)
+
+
+def _fence(node: NodeState, attempt: Attempt, out: Effects) -> None:
+    if not _still_needed(node, attempt):
+        abandon_attempt(node, attempt, "primary_answers_again", out)
+        return
+    attempt.phase = Phase.FENCING
+    for server in attempt.database.servers:
+        purpose = Fence(attempt.database.name, attempt.run, server.name)
+        call = node.open_control_call(purpose)
+        out.append(FenceServer(server=server, call=call, term=attempt.term))
+        attempt.asked += 1
+
+
+def _still_needed(node: NodeState, attempt: Attempt) -> bool:
+    """Return whether the loss that the attempt answers to has not healed.
+
+    A slow store can hold a reservation back for seconds.
+    """
+    if attempt.cause in ("primary_leaving", "unfinished_promotion", "primary_removed"):
+        return True
+    known = find_record(node, attempt.database.name)
+    primary = node.health.servers.get(known.primary or "")
+    return primary is None or not is_reachable(node, primary)
+
+
+def _take_fence(
+    node: NodeState, fence: Fence, event: ControlAnswered, out: Effects
+) -> None:
+    attempt = _find_attempt(node, fence.database, fence.run)
+    if attempt is None or attempt.phase is not Phase.FENCING:
+        return
+    attempt.asked -= 1
+    if event.failure is ControlFailure.REJECTED:
+        abandon_attempt(node, attempt, "server_has_higher_term", out)
+        return
+    if event.status is not None and event.status.term == attempt.term:
+        attempt.fenced[fence.server] = event.status
+    needed = majority(attempt.database)
+    if len(attempt.fenced) == needed and attempt.asked:
+        due = FenceDue(fence.database, fence.run)
+        node.timers.schedule(node.now + FENCE_GRACE, due)
+    if attempt.asked:
+        return
+    if len(attempt.fenced) < needed:
+        abandon_attempt(node, attempt, "no_majority_fenced", out)
+        return
+    _record_start(node, attempt, out)
+
+
+def _pass_fence(node: NodeState, action: FenceDue, out: Effects) -> None:
+    attempt = _find_attempt(node, action.database, action.run)
+    if attempt is not None and attempt.phase is Phase.FENCING:
+        _record_start(node, attempt, out)
+
+
+def _record_start(node: NodeState, attempt: Attempt, out: Effects) -> None:
+    attempt.phase = Phase.RECORDING
+    name = choose_candidate(node, attempt)
+    known = find_record(node, attempt.database.name)
+    start = TermStart(
+        term=attempt.term,
+        offset=attempt.fenced[name].position.offset,
+        primary=name,
+    )
+    attempt.written = TermRecord(
+        database=known.database, starts=(*known.starts, start), reservation=None
+    )
+    _write_record(node, attempt, out)
+
+
+def choose_candidate(node: NodeState, attempt: Attempt) -> str:
+    """Return the most advanced of the fenced servers.
+
+    Any majority holds every acknowledged write of `acknowledge=replica`, so
+    the most advanced of a fenced majority does too. Among equals an active
+    server in the region of the old primary is preferred.
+    """
+    known = find_record(node, attempt.database.name)
+    old = node.health.servers.get(known.primary or "")
+    home = old.server.region if old is not None else ""
+    best = ""
+    best_rank: tuple = ()
+    for server in attempt.database.servers:
+        status = attempt.fenced.get(server.name)
+        if status is None:
+            continue
+        rank = (
+            status.position,
+            server.state is ServerState.ACTIVE,
+            server.region == home,
+            server.name == known.primary,
+        )
+        if not best or rank > best_rank:
+            best, best_rank = server.name, rank
+    return best
+
+
+def _promote(node: NodeState, attempt: Attempt, out: Effects) -> None:
+    start = attempt.written.starts[-1]
+    watch = node.failover.databases[attempt.database.name]
+    watch.attempt = None
+    watch.switchover_since = None
+    watch.ahead_since = None
+    _release(node, attempt.database.name)
+    for server in attempt.database.servers:
+        if server.name != start.primary:
+            continue
+        purpose = Promote(attempt.database.name, server.name, attempt.started)
+        call = node.open_control_call(purpose)
+        out.append(PromoteServer(server=server, call=call, term=start.term))
+        watch.orders[server.name] = node.now
+
+
+def _take_promotion(
+    node: NodeState, promote: Promote, event: ControlAnswered, out: Effects
+) -> None:
+    request_status(node, promote.server, out)
+    if event.status is None or event.status.role is not Role.PRIMARY:
+        return
+    seconds = node.now - promote.started
+    record(
+        out,
+        "primary_changed",
+        cause="promotion",
+        database=promote.database,
+        server=promote.server,
+        term=event.status.term,
+        detail=(("took_ms", round(seconds * 1000)),),
+    )
+    out.append(Observe(metric="promotion_seconds", value=seconds))
+
+
+def abandon_attempt(
+    node: NodeState, attempt: Attempt, cause: str, out: Effects
+) -> None:
+    """Give up an attempt; the evidence is weighed anew after a delay."""
+    watch = node.failover.databases[attempt.database.name]
+    watch.attempt = None
+    delay = RETRY_DELAY * (0.5 + node.random.random())
+    watch.not_before = node.now + delay
+    _release(node, attempt.database.name)
+    record(
+        out,
+        "promotion_abandoned",
+        cause=cause,
+        database=attempt.database.name,
+        term=attempt.term,
+    )
+
+
+def _release(node: NodeState, database: str) -> None:
+    for pool in node.pools.pools.values():
+        if pool.database == database:
+            pool.held = False
+
+
+def _pass_lifetime(node: NodeState, action: AttemptDue, out: Effects) -> None:
+    attempt = _find_attempt(node, action.database, action.run)
+    if attempt is None:
+        return
+    if attempt.phase is Phase.FENCING:
+        abandon_attempt(node, attempt, "fencing_took_too_long", out)
+
+
+def _take_first_record(
+    node: NodeState, purpose: FirstRecord, event: StoreAnswered, out: Effects
+) -> None:
+    result = event.result
+    if result.failure is None:
+        learn_record(node, purpose.written, result.objects[0].version, out)
+        return
+    if result.failure is StoreFailure.CONFLICT:
+        call = node.open_store_call(FirstRecordRead(purpose.database))
+        operation = ReadObject(key=_key(purpose.database))
+        out.append(CallStore(call=call, operation=operation))
+
+
+@dataclass(slots=True, frozen=True)
+class FirstRecordRead:
+    """Purpose of a store call: read the record that another VM wrote first."""
+
+    database: str
+
+
+def _take_first_read(
+    node: NodeState, purpose: FirstRecordRead, event: StoreAnswered, out: Effects
+) -> None:
+    if event.result.failure is not None or not event.result.objects:
+        return
+    stored = event.result.objects[0]
+    decoded = decode_record(stored.value)
+    if decoded.is_ok():
+        learn_record(node, decoded.unwrap(), stored.version, out)
+
+
+EVENTS: dict = {}
+MESSAGES: dict = {}
+TIMERS = {ReadBackDue: _read_back, FenceDue: _pass_fence, AttemptDue: _pass_lifetime}
+STORE_ANSWERS = {
+    RecordWrite: _take_write,
+    RecordRead: _take_read,
+    FirstRecord: _take_first_record,
+    FirstRecordRead: _take_first_read,
+}
+CONTROL_ANSWERS = {Fence: _take_fence, Promote: _take_promotion}
--- a/src/siskinhold/core/_reducer.py
+++ b/src/siskinhold/core/_reducer.py
@@ -7,6 +7,9 @@
 `(node, purpose, event, out)`.
 """
 
+from collections import deque
+
+from ..effects import SendPeer
 from ..events import (
     ControlAnswered,
     Event,
@@ -15,6 +18,7 @@
     StoreAnswered,
     TimeAdvanced,
 )
+from ..messages import Envelope
 from ._state import Effects, NodeState
 from ._subjects import CONTROL_ANSWERS, EVENTS, MESSAGES, STORE_ANSWERS, TIMERS, settle
 
@@ -37,7 +41,33 @@
     for handler in EVENTS.get(type(event), ()):
         handler(node, event, out)
     settle(node, out)
-    return out
+    return _deliver_locally(node, out)
+
+
+def _deliver_locally(node: NodeState, out: Effects) -> Effects:
+    """Handle the messages that the VM sends to itself; return the other effects.
+
+    So an owner need not know whether the entry VM is another one.
+    """
+    me = node.identity.name
+    kept: Effects = []
+    pending = deque(out)
+    while pending:
+        effect = pending.popleft()
+        if not isinstance(effect, SendPeer) or effect.vm != me:
+            kept.append(effect)
+            continue
+        more: Effects = []
+        envelope = Envelope(
+            sender=me,
+            incarnation=node.identity.incarnation,
+            receiver_incarnation=node.identity.incarnation,
+            clock=node.clock,
+            message=effect.message,
+        )
+        _receive(node, PeerReceived(at=node.now, envelope=envelope), more)
+        pending.extendleft(reversed(more))
+    return kept
 
 
 def _run_timers(node: NodeState, out: Effects) -> None:
--- /dev/null
+++ b/src/siskinhold/core/_routes.py
@@ -0,0 +1,216 @@
+"""Where a statement is sent: which region's pool, which VM, and what if it fails."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..effects import SendPeer
+from ..messages import Forward
+from ..model import (
+    Done,
+    NotRun,
+    NotRunReason,
+    RequestId,
+    ServerState,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+    VmState,
+)
+from ._entries import EntryRequest, Session, finish
+from ._membership import find_owner
+from ._state import Effects, NodeState, record
+from ._timers import TimerAction
+
+RESEND_DELAY = 0.05
+"""Seconds before a request goes out again after a refusal or without an owner."""
+MAX_SENDINGS = 40
+"""Sendings of one request: a refusal costs little, and its deadline bounds it."""
+
+
+@dataclass(slots=True, frozen=True)
+class ResendDue(TimerAction):
+    """A request waits to be sent again."""
+
+    request: RequestId
+
+
+def find_incarnation(node: NodeState, vm: str) -> int:
+    """Return the incarnation of a VM that may still hold requests, else 0."""
+    if vm == node.identity.name:
+        return node.identity.incarnation
+    peer = node.membership.peers.get(vm)
+    if peer is None or peer.view.state is VmState.GONE:
+        return 0
+    return peer.view.incarnation
+
+
+def find_primary_region(node: NodeState, database: str) -> str | None:
+    """Return the region of a database's recorded primary, None if not known."""
+    found = node.config.databases.get(database)
+    if found is None:
+        return None
+    record_ = node.config.records.get(database)
+    name = record_.primary if record_ is not None else None
+    name = name or found[1].primary
+    for server in found[1].servers:
+        if server.name == name:
+            return server.region
+    return found[1].servers[0].region if found[1].servers else None
+
+
+def find_database_owner(node: NodeState, database: str) -> str | None:
+    """Return the VM that owns a database: its pool in the primary's region."""
+    region = find_primary_region(node, database)
+    if region is None:
+        return None
+    return find_owner(node, database, region)
+
+
+def send(node: NodeState, session: Session, entry: EntryRequest, out: Effects) -> None:
+    """Send a statement to the pool owner that should run it."""
+    if entry.request.transaction is not None and not entry.request.opens_transaction:
+        _send_in_transaction(node, session, entry, out)
+        return
+    region = _choose_region(node, entry)
+    owner = find_owner(node, entry.request.database, region) if region else None
+    if owner is None:
+        _send_later(node, entry)
+        return
+    entry.owner = owner
+    entry.incarnation = find_incarnation(node, owner)
+    entry.region = region
+    entry.sendings += 1
+    if entry.request.opens_transaction and session.transaction is not None:
+        transaction = session.transaction
+        transaction.database = entry.request.database
+        transaction.owner = owner
+        transaction.incarnation = entry.incarnation
+        transaction.region = region
+    _forward(node, session, entry, out)
+
+
+def _choose_region(node: NodeState, entry: EntryRequest) -> str | None:
+    request = entry.request
+    primary = find_primary_region(node, request.database)
+    if request.kind is not StatementKind.READ or request.transaction is not None:
+        return primary
+    group, database = node.config.databases[request.database]
+    here = node.identity.address.region
+    if not group.rules.replica_reads or entry.avoid_region == here:
+        return primary
+    for server in database.servers:
+        if server.region == here and server.state is ServerState.ACTIVE:
+            return here
+    return primary
+
+
+def _forward(
+    node: NodeState, session: Session, entry: EntryRequest, out: Effects
+) -> None:
+    budget = max(1, round((entry.deadline - node.now) * 1000))
+    need = session.positions.get(entry.request.database)
+    if entry.request.kind not in (StatementKind.READ, StatementKind.WRITE):
+        need = None
+    if entry.request.kind is StatementKind.WRITE and not entry.request.transaction:
+        need = None
+    request = msgspec.structs.replace(entry.request, need=need, budget_ms=budget)
+    entry.request = request
+    message = Forward(request=request, region=entry.region, ticket=node.config.applied)
+    out.append(SendPeer(vm=entry.owner, message=message))
+
+
+def _send_in_transaction(
+    node: NodeState, session: Session, entry: EntryRequest, out: Effects
+) -> None:
+    transaction = session.transaction
+    entry.owner = transaction.owner
+    entry.incarnation = transaction.incarnation
+    entry.region = transaction.region
+    entry.sendings += 1
+    if find_incarnation(node, transaction.owner) != transaction.incarnation:
+        lose_owner(node, entry, out)
+        return
+    _forward(node, session, entry, out)
+
+
+def send_elsewhere(
+    node: NodeState, entry: EntryRequest, reason: str, out: Effects
+) -> None:
+    """Deal with a pool owner that gave a statement back."""
+    request = entry.request
+    if request.transaction is not None and not request.opens_transaction:
+        finish(node, entry, NotRun(reason=NotRunReason.TRANSACTION_LOST), out)
+        return
+    if request.opens_transaction:
+        _forget_transaction_owner(node, entry)
+    if reason == "no_server_covers_read":
+        entry.avoid_region = entry.region
+    if entry.sendings >= MAX_SENDINGS:
+        finish(node, entry, NotRun(reason=NotRunReason.NO_OWNER), out)
+        return
+    session = node.sessions.sessions.get(entry.session)
+    if reason == "no_server_covers_read" and entry.sendings == 1 and session:
+        send(node, session, entry, out)
+        return
+    _send_later(node, entry)
+
+
+def _forget_transaction_owner(node: NodeState, entry: EntryRequest) -> None:
+    session = node.sessions.sessions.get(entry.session)
+    if session is not None and session.transaction is not None:
+        session.transaction.owner = ""
+
+
+def _send_later(node: NodeState, entry: EntryRequest) -> None:
+    entry.owner = ""
+    at = node.now + RESEND_DELAY * (0.5 + node.random.random())
+    node.timers.schedule(at, ResendDue(entry.request.id))
+
+
+def _resend(node: NodeState, action: ResendDue, out: Effects) -> None:
+    entry = node.sessions.requests.get(action.request)
+    if entry is None or entry.owner:
+        return
+    session = node.sessions.sessions.get(entry.session)
+    if session is None:
+        return
+    send(node, session, entry, out)
+
+
+def lose_owner(node: NodeState, entry: EntryRequest, out: Effects) -> None:
+    """Deal with a statement whose pool owner is gone or has restarted."""
+    request = entry.request
+    record(
+        out,
+        "owner_lost",
+        cause=entry.owner,
+        database=request.database,
+        request=request.id,
+    )
+    if request.transaction is not None:
+        _lose_in_transaction(node, entry, out)
+        return
+    if request.kind is StatementKind.READ or request.marks.key:
+        entry.may_have_run = True
+        _send_later(node, entry)
+        return
+    finish(node, entry, Unknown(reason=UnknownReason.OWNER_LOST), out)
+
+
+def _lose_in_transaction(node: NodeState, entry: EntryRequest, out: Effects) -> None:
+    if entry.request.kind is StatementKind.COMMIT:
+        finish(node, entry, Unknown(reason=UnknownReason.OWNER_LOST), out)
+        return
+    if entry.request.kind is StatementKind.ROLLBACK:
+        finish(node, entry, Done(), out)
+        return
+    # The owner's connection closed, so the backend server rolled back.
+    finish(node, entry, NotRun(reason=NotRunReason.TRANSACTION_LOST), out)
+
+
+EVENTS: dict = {}
+MESSAGES: dict = {}
+TIMERS = {ResendDue: _resend}
+STORE_ANSWERS: dict = {}
+CONTROL_ANSWERS: dict = {}
--- /dev/null
+++ b/src/siskinhold/core/_sessions.py
@@ -0,0 +1,321 @@
+"""Callers' sessions on their entry VM: positions, transactions, statements."""
+
+from dataclasses import dataclass
+
+from ..effects import Observe, SendPeer
+from ..events import (
+    CallerClosed,
+    CallerOpened,
+    DatabaseSelected,
+    StatementReceived,
+    TokenPresented,
+)
+from ..messages import Abandon, Answer, FloorAnswer, FloorRequest, Redirect
+from ..model import (
+    Done,
+    Marks,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Request,
+    RequestId,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+)
+from . import _routes as routes
+from ._entries import (
+    EntryRequest,
+    FloorWait,
+    OpenTransaction,
+    Session,
+    finish,
+    raise_position,
+    refuse_statement,
+    reply,
+)
+from ._state import Effects, NodeState, record
+from ._timers import TimerAction
+
+ANSWER_GRACE = 0.15
+"""Seconds past its deadline for which an owner's answer is still awaited."""
+
+FLOOR_RETRY = 0.25
+"""Seconds until an unanswered floor request is sent again."""
+
+
+@dataclass(slots=True, frozen=True)
+class FloorRetry(TimerAction):
+    """A floor may have to be asked for again."""
+
+    database: str
+    sequence: int
+
+
+@dataclass(slots=True, frozen=True)
+class EntryDeadline(TimerAction):
+    """No answer came in time."""
+
+    request: RequestId
+
+
+def _open(node: NodeState, event: CallerOpened, out: Effects) -> None:
+    node.sessions.sessions[event.session] = Session(
+        number=event.session, user=event.user, database=event.database
+    )
+    record(out, "caller_connected", session=event.session, database=event.database)
+
+
+def _select(node: NodeState, event: DatabaseSelected, out: Effects) -> None:
+    session = node.sessions.sessions.get(event.session)
+    if session is not None:
+        session.database = event.database
+
+
+def _present(node: NodeState, event: TokenPresented, out: Effects) -> None:
+    session = node.sessions.sessions.get(event.session)
+    if session is None:
+        return
+    session.floored = True
+    for database, position in event.positions.items():
+        raise_position(session, database, position)
+
+
+def _close(node: NodeState, event: CallerClosed, out: Effects) -> None:
+    session = node.sessions.sessions.pop(event.session, None)
+    if session is None:
+        return
+    session.closed = True
+    record(out, "caller_disconnected", session=event.session)
+    transaction = session.transaction
+    entry = node.sessions.requests.pop(session.request, None)
+    owner = entry.owner if entry is not None else ""
+    if transaction is not None and transaction.owner:
+        owner = transaction.owner
+    if not owner:
+        return
+    identity = transaction.id if transaction is not None else None
+    request = session.request or identity
+    if request is not None:
+        message = Abandon(request=request, transaction=identity)
+        out.append(SendPeer(vm=owner, message=message))
+
+
+def _receive(node: NodeState, event: StatementReceived, out: Effects) -> None:
+    session = node.sessions.sessions.get(event.session)
+    if session is None:
+        return
+    identity = _next_id(node)
+    session.request = identity
+    out.append(Observe(metric="statements_total", label=event.kind.value))
+    if event.kind is StatementKind.BEGIN:
+        _begin(node, session, identity, out)
+        return
+    ends = event.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+    transaction = session.transaction
+    lost = transaction is not None and transaction.lost
+    if ends and (transaction is None or lost or not transaction.owner):
+        session.transaction = None
+        _reply_end(node, session, identity, event.kind, lost, out)
+        return
+    found = node.config.databases.get(session.database)
+    if found is None:
+        refuse_statement(session, identity, NotRunReason.UNKNOWN_DATABASE, out)
+        return
+    if lost:
+        refuse_statement(session, identity, NotRunReason.TRANSACTION_LOST, out)
+        return
+    entry = _make_entry(node, session, identity, event, found[0].rules)
+    node.sessions.requests[identity] = entry
+    node.timers.schedule(entry.deadline + ANSWER_GRACE, EntryDeadline(identity))
+    _send_or_seek_floor(node, session, entry, out)
+
+
+def _next_id(node: NodeState) -> RequestId:
+    sequence = node.sessions.next_sequence
+    node.sessions.next_sequence += 1
+    return RequestId(node.identity.name, node.identity.incarnation, sequence)
+
+
+def _begin(
+    node: NodeState, session: Session, identity: RequestId, out: Effects
+) -> None:
+    """Open a transaction; the owner learns of it with its first statement."""
+    if session.transaction is not None and session.transaction.owner:
+        refuse_statement(
+            session, identity, NotRunReason.UNSUPPORTED, out, "nested BEGIN"
+        )
+        return
+    session.transaction = OpenTransaction(id=identity)
+    reply(session, identity, Done(), out)
+
+
+def _reply_end(
+    node: NodeState,
+    session: Session,
+    identity: RequestId,
+    kind: StatementKind,
+    lost: bool,
+    out: Effects,
+) -> None:
+    if lost and kind is StatementKind.COMMIT:
+        refuse_statement(session, identity, NotRunReason.TRANSACTION_LOST, out)
+        return
+    reply(session, identity, Done(), out)
+
+
+def _make_entry(
+    node: NodeState, session: Session, identity: RequestId, event, rules
+) -> EntryRequest:
+    marks: Marks = event.marks
+    transaction = session.transaction
+    max_age = marks.max_age_ms if marks.max_age_ms is not None else rules.max_age_ms
+    time_ms = marks.deadline_ms or rules.deadline_ms
+    request = Request(
+        id=identity,
+        database=session.database,
+        tenant=session.user,
+        kind=event.kind,
+        sql=event.sql,
+        marks=marks,
+        max_age_ms=max_age,
+        transaction=transaction.id if transaction is not None else None,
+        opens_transaction=transaction is not None and not transaction.owner,
+        budget_ms=time_ms,
+    )
+    deadline = node.now + time_ms / 1000
+    return EntryRequest(
+        request=request, session=session.number, arrived=node.now, deadline=deadline
+    )
+
+
+def _send_or_seek_floor(
+    node: NodeState, session: Session, entry: EntryRequest, out: Effects
+) -> None:
+    request = entry.request
+    reads = request.kind is StatementKind.READ
+    reads = reads and (request.transaction is None or request.opens_transaction)
+    known = session.floored or request.database in session.positions
+    if reads and not known:
+        _seek_floor(node, entry, out)
+        return
+    routes.send(node, session, entry, out)
+
+
+def _seek_floor(node: NodeState, entry: EntryRequest, out: Effects) -> None:
+    database = entry.request.database
+    wait = node.sessions.floors.get(database)
+    if wait is not None:
+        wait.later.append(entry.request.id)
+        return
+    wait = FloorWait(sequence=entry.request.id.sequence, asked=[entry.request.id])
+    node.sessions.floors[database] = wait
+    ask_floor(node, database, wait, out)
+
+
+def ask_floor(node: NodeState, database: str, wait: FloorWait, out: Effects) -> None:
+    """Ask the database owner for the primary's position, now and until it comes."""
+    wait.sent_at = node.now
+    owner = routes.find_database_owner(node, database)
+    node.timers.schedule(node.now + FLOOR_RETRY, FloorRetry(database, wait.sequence))
+    if owner is None:
+        return
+    message = FloorRequest(database=database, sequence=wait.sequence)
+    out.append(SendPeer(vm=owner, message=message))
+
+
+def _retry_floor(node: NodeState, action: FloorRetry, out: Effects) -> None:
+    wait = node.sessions.floors.get(action.database)
+    if wait is None or wait.sequence != action.sequence:
+        return
+    waiting = [*wait.asked, *wait.later]
+    if not any(request in node.sessions.requests for request in waiting):
+        del node.sessions.floors[action.database]
+        return
+    ask_floor(node, action.database, wait, out)
+
+
+def _take_floor(node: NodeState, event, out: Effects) -> None:
+    message: FloorAnswer = event.envelope.message
+    wait = node.sessions.floors.get(message.database)
+    if wait is None or wait.sequence != message.sequence or message.position is None:
+        return
+    del node.sessions.floors[message.database]
+    for identity in wait.asked:
+        entry = node.sessions.requests.get(identity)
+        if entry is None:
+            continue
+        session = node.sessions.sessions[entry.session]
+        raise_position(session, message.database, message.position)
+        routes.send(node, session, entry, out)
+    for identity in wait.later:
+        entry = node.sessions.requests.get(identity)
+        if entry is not None:
+            _seek_floor_again(node, entry, out)
+
+
+def _seek_floor_again(node: NodeState, entry: EntryRequest, out: Effects) -> None:
+    wait = node.sessions.floors.get(entry.request.database)
+    if wait is None:
+        _seek_floor(node, entry, out)
+        return
+    # The request came before this floor was asked for, so it serves it too.
+    wait.asked.append(entry.request.id)
+
+
+def _take_answer(node: NodeState, event, out: Effects) -> None:
+    message: Answer = event.envelope.message
+    entry = node.sessions.requests.get(message.request)
+    if entry is None:
+        return
+    finish(node, entry, message.outcome, out, position=message.position)
+    if isinstance(message.outcome, Done):
+        place = "replica" if message.replica else "primary"
+        out.append(Observe(metric="served_total", label=place))
+
+
+def _take_redirect(node: NodeState, event, out: Effects) -> None:
+    message: Redirect = event.envelope.message
+    entry = node.sessions.requests.get(message.request)
+    if entry is None:
+        return
+    entry.may_have_run = entry.may_have_run or message.may_have_run
+    routes.send_elsewhere(node, entry, message.reason, out)
+
+
+def _pass_deadline(node: NodeState, action: EntryDeadline, out: Effects) -> None:
+    entry = node.sessions.requests.get(action.request)
+    if entry is None:
+        return
+    if entry.owner:
+        outcome: Outcome = Unknown(reason=UnknownReason.DEADLINE)
+        message = Abandon(request=entry.request.id)
+        out.append(SendPeer(vm=entry.owner, message=message))
+    else:
+        outcome = NotRun(reason=NotRunReason.NO_OWNER)
+    record(
+        out,
+        "request_deadline_passed",
+        cause="no answer from owner" if entry.owner else "no owner",
+        database=entry.request.database,
+        request=entry.request.id,
+        session=entry.session,
+    )
+    finish(node, entry, outcome, out)
+
+
+EVENTS = {
+    CallerOpened: _open,
+    CallerClosed: _close,
+    DatabaseSelected: _select,
+    TokenPresented: _present,
+    StatementReceived: _receive,
+}
+MESSAGES = {
+    Answer: _take_answer,
+    Redirect: _take_redirect,
+    FloorAnswer: _take_floor,
+}
+TIMERS = {EntryDeadline: _pass_deadline, FloorRetry: _retry_floor}
+STORE_ANSWERS: dict = {}
+CONTROL_ANSWERS: dict = {}
--- /dev/null
+++ b/src/siskinhold/core/_shutdown.py
@@ -0,0 +1,67 @@
+"""Graceful shutdown: nothing in flight is cut off."""
+
+from dataclasses import dataclass
+
+from ..effects import CloseCaller, Stop, StopListening
+from ..events import ShutdownRequested
+from ._state import Effects, NodeState, record
+from ._timers import TimerAction
+
+CHECK_INTERVAL = 0.05
+"""Seconds between two looks at what is still in flight."""
+MIN_DRAIN_TIME = 1.0
+"""Seconds for the other VMs and the balancer to learn that this one leaves."""
+MAX_DRAIN_TIME = 60.0
+"""Seconds after which what is still open is given up."""
+
+
+@dataclass(slots=True, frozen=True)
+class DrainCheck(TimerAction):
+    """What is in flight may have ended."""
+
+
+def _begin(node: NodeState, event: ShutdownRequested, out: Effects) -> None:
+    if node.shutting_down:
+        return
+    node.shutting_down = True
+    node.shutdown_began = node.now
+    out.append(StopListening())
+    record(out, "shutdown_began", cause="requested")
+    node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
+
+
+def _check(node: NodeState, action: DrainCheck, out: Effects) -> None:
+    elapsed = node.now - node.shutdown_began
+    waiting = elapsed < MIN_DRAIN_TIME or _count_in_flight(node) > 0
+    if waiting and elapsed < MAX_DRAIN_TIME:
+        node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
+        return
+    record(
+        out,
+        "shutdown_complete",
+        cause="drained" if not waiting else "drain time is over",
+        detail=(
+            ("in_flight", _count_in_flight(node)),
+            ("took_ms", round(elapsed * 1000)),
+        ),
+    )
+    for number in node.sessions.sessions:
+        out.append(CloseCaller(session=number, reason="shutdown"))
+    out.append(Stop())
+
+
+def _count_in_flight(node: NodeState) -> int:
+    """Count statements, works and transactions, those held for others included."""
+    count = len(node.pools.works) + len(node.pools.transactions)
+    count += len(node.sessions.requests)
+    for session in node.sessions.sessions.values():
+        if session.transaction is not None and session.transaction.owner:
+            count += 1
+    return count
+
+
+EVENTS = {ShutdownRequested: _begin}
+MESSAGES: dict = {}
+TIMERS = {DrainCheck: _check}
+STORE_ANSWERS: dict = {}
+CONTROL_ANSWERS: dict = {}
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -19,6 +19,12 @@
     VmState,
     VmView,
 )
+from ._confirmation_state import ConfirmationState
+from ._connection_state import ConnectionsState
+from ._failover_state import FailoverState
+from ._health_state import HealthState
+from ._pool_state import PoolsState
+from ._session_state import SessionsState
 from ._timers import Timers
 
 Effects = list[Effect]
@@ -192,6 +198,15 @@
         store_calls: purpose of each open store call by number.
         control_calls: purpose of each open status query or order by number.
         next_call: number of the next store or control call.
+        health: state of `_health`.
+        connections: state of `_connections`.
+        pools: state of `_pools`.
+        confirmation: state of `_confirmation`.
+        sessions: state of `_sessions`.
+        failover: state of `_failover` and `_promotion`.
+        settled: versions of membership and config last reconciled with.
+        shutting_down: whether a graceful shutdown is under way.
+        shutdown_began: when it began.
     """
 
     identity: Identity
@@ -204,7 +219,15 @@
     store_calls: dict[int, object] = field(default_factory=dict)
     control_calls: dict[int, object] = field(default_factory=dict)
     next_call: int = 1
+    health: HealthState = field(default_factory=HealthState)
+    connections: ConnectionsState = field(default_factory=ConnectionsState)
+    pools: PoolsState = field(default_factory=PoolsState)
+    confirmation: ConfirmationState = field(default_factory=ConfirmationState)
+    sessions: SessionsState = field(default_factory=SessionsState)
+    failover: FailoverState = field(default_factory=FailoverState)
+    settled: tuple[int, int] = (0, 0)
     shutting_down: bool = False
+    shutdown_began: float = 0.0
 
     def open_store_call(self, purpose: object) -> int:
         """Return a new call number whose answer is handled by `purpose`'s type."""
--- a/src/siskinhold/core/_subjects.py
+++ b/src/siskinhold/core/_subjects.py
@@ -1,9 +1,38 @@
-"""The tables of handlers of all subjects, joined."""
-
-from . import _membership, _tickets
+"""The tables of handlers of all subjects, joined.
+
+The order of `_SUBJECTS` is the order in which the handlers of one event run:
+evidence first, then what is decided from it.
+"""
+
+from . import (
+    _answers,
+    _confirmation,
+    _failover,
+    _health,
+    _membership,
+    _owners,
+    _promotion,
+    _routes,
+    _sessions,
+    _shutdown,
+    _tickets,
+)
+from ._owners import drain_all, reconcile
 from ._state import Effects, NodeState
 
-_SUBJECTS = (_membership, _tickets)
+_SUBJECTS = (
+    _membership,
+    _tickets,
+    _health,
+    _answers,
+    _confirmation,
+    _owners,
+    _failover,
+    _promotion,
+    _sessions,
+    _routes,
+    _shutdown,
+)
 
 
 def _join(table: str) -> dict:
@@ -22,4 +51,10 @@
 
 
 def settle(node: NodeState, out: Effects) -> None:
-    """Bring subjects in line after the view or the configuration changed."""
+    """Bring pools and requests in line after the view or configuration changed."""
+    seen = (node.membership.version, node.config.version)
+    if seen == node.settled:
+        return
+    node.settled = seen
+    reconcile(node, out)
+    drain_all(node, out)
--- a/src/siskinhold/effects/__init__.py
+++ b/src/siskinhold/effects/__init__.py
@@ -17,8 +17,8 @@
     ReplyCaller,
     RunStatement,
     SendPeer,
-    SettleKey,
     Stop,
+    StopListening,
     UnwatchStore,
     WatchStore,
 )
@@ -40,8 +40,8 @@
     "ReplyCaller",
     "RunStatement",
     "SendPeer",
-    "SettleKey",
     "Stop",
+    "StopListening",
     "UnwatchStore",
     "WatchStore",
 ]
--- a/src/siskinhold/messages/_messages.py
+++ b/src/siskinhold/messages/_messages.py
@@ -47,15 +47,18 @@
 
 
 class Redirect(Struct, frozen=True, kw_only=True, tag="redirect"):
-    """Tells the entry VM that this VM did not run a request and will not.
+    """Tells the entry VM to take a request elsewhere; this VM will not run it.
 
     Args:
         request: the request's identity.
         reason: why, for the time line.
+        may_have_run: whether an attempt may have run that its key makes safe
+            to repeat.
     """
 
     request: RequestId
     reason: str
+    may_have_run: bool = False
 
 
 class Abandon(Struct, frozen=True, kw_only=True, tag="abandon"):
--- a/src/siskinhold/model/_requests.py
+++ b/src/siskinhold/model/_requests.py
@@ -63,6 +63,7 @@
         need: position that a server must cover; None for none.
         max_age_ms: accepted age of data read, in ms.
         transaction: id of the BEGIN request of the open transaction, if any.
+        opens_transaction: whether it is the transaction's first statement.
         budget_ms: time left until the caller's deadline, in ms.
     """
 
@@ -75,4 +76,5 @@
     need: Position | None = None
     max_age_ms: int = 0
     transaction: RequestId | None = None
+    opens_transaction: bool = False
     budget_ms: int = 5_000
