--- /dev/null
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -0,0 +1,205 @@
+"""One caller's connection: handshake, commands and their packets."""
+
+import asyncio
+
+from mysql_mimic import packets, types
+from mysql_mimic.connection import Connection
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import Commands
+
+from ..model import Done, Failed, NotRunReason
+from ._caller_packets import (
+    MALFORMED_PACKET,
+    NOT_RUN,
+    PASSED_THROUGH,
+    UNKNOWN_COMMAND,
+    UNSUPPORTED_PREPARE,
+    make_column,
+    make_error,
+    refuse,
+)
+from ._caller_session import CallerSession
+from ._caller_stream import CallerStream, PacketMalformed, PacketTooLarge
+
+# A handshake response holds names and a 20-byte proof.
+HANDSHAKE_BYTES = 65_536
+# An entry VM gives other sessions a turn after this many rows.
+_ROWS_AT_ONCE = 1_000
+# A row of this size needs more than one packet.
+_SPLIT_BYTES = 0xFFFFFF - 1
+_SILENT = {Commands.COM_STMT_CLOSE, Commands.COM_STMT_SEND_LONG_DATA}
+
+
+class AccessDenied(Exception):
+    """The caller did not authenticate; it was told so."""
+
+
+class CallerConnection(Connection):
+    """Carries one session's commands and answers.
+
+    mysql-mimic's `authenticate` returns normally after a refusal, which lets
+    the caller go on to run statements. Here it raises unless a user name was
+    set, and `serve` runs no command before that.
+    """
+
+    stream: CallerStream
+    session: CallerSession
+    closing = False
+    busy = False
+
+    async def serve(self, *, handshake_timeout: float, command_limit: int) -> None:
+        """Carry the connection until it ends.
+
+        Args:
+            handshake_timeout: bound of the time until authentication, in s.
+            command_limit: size of the largest command, in bytes.
+
+        Raises:
+            AccessDenied: if the caller did not authenticate.
+            ConnectionClosed: if the caller disconnected.
+            TimeoutError: if the handshake took too long.
+        """
+        # Stock clients take the state of autocommit from the greeting.
+        self.status_flags = self._find_status()
+        async with asyncio.timeout(handshake_timeout):
+            await self.connection_phase()
+        self.stream.limit = command_limit
+        self.session.open()
+        while not self.closing:
+            self.stream.reset_seq()
+            try:
+                data = await self.stream.read()
+            except PacketTooLarge:
+                await self._refuse_large(command_limit)
+                continue
+            if not data or data[0] == Commands.COM_QUIT:
+                return
+            self.busy = True
+            await self._carry_out(data[0], data[1:])
+            self.busy = False
+
+    async def authenticate(self, *args: object, **kwargs: object) -> None:
+        """Check the caller's proof.
+
+        Raises:
+            AccessDenied: if it is not accepted.
+        """
+        self.session.username = None
+        await super().authenticate(*args, **kwargs)
+        if self.session.username is None:
+            raise AccessDenied()
+
+    async def _carry_out(self, command: int, data: bytes) -> None:
+        if command == Commands.COM_QUERY:
+            await self._query(data)
+        elif command == Commands.COM_PING:
+            await self.stream.write(self.ok())
+        elif command == Commands.COM_INIT_DB:
+            await self._select_database(data)
+        elif command == Commands.COM_RESET_CONNECTION:
+            await self.session.reset()
+            await self._write_done(Done())
+        elif command == Commands.COM_STMT_PREPARE:
+            # Stock clients fall back to the text protocol on this code.
+            detail = "prepared statements: not supported"
+            reason = NotRunReason.UNSUPPORTED.value
+            await self._write_error(refuse(UNSUPPORTED_PREPARE, reason, detail))
+        elif command not in _SILENT:
+            detail = f"command {command:#04x}: not supported"
+            reason = NotRunReason.UNSUPPORTED.value
+            await self._write_error(refuse(UNKNOWN_COMMAND, reason, detail))
+
+    async def _query(self, data: bytes) -> None:
+        try:
+            query = packets.parse_com_query(
+                capabilities=self.capabilities,
+                client_charset=self.client_charset,
+                data=data,
+            )
+        except Exception as error:
+            # The library's parser raises many types on malformed data.
+            detail = f"can't read the command: {type(error).__name__}"
+            await self._write_error(refuse(MALFORMED_PACKET, "malformed", detail))
+            return
+        result = await self.session.run(query.sql, query.query_attrs)
+        if isinstance(result, Done):
+            await self._write_done(result)
+        else:
+            await self._write_error(result)
+
+    async def _select_database(self, data: bytes) -> None:
+        try:
+            database = data.decode("utf-8")
+        except UnicodeDecodeError:
+            detail = "the database name isn't UTF-8"
+            await self._write_error(refuse(MALFORMED_PACKET, "malformed", detail))
+            return
+        await self.session.use(database)
+        await self.stream.write(self.ok())
+
+    async def _write_done(self, done: Done) -> None:
+        self.status_flags = self._find_status()
+        if done.columns:
+            await self._write_rows(done)
+            return
+        packet = self.ok(
+            affected_rows=done.affected_rows,
+            last_insert_id=done.insert_id,
+            warnings=min(done.warnings + done.repeated, 0xFFFF),
+        )
+        await self.stream.write(packet)
+
+    async def _write_rows(self, done: Done) -> None:
+        stream = self.stream
+        count = len(done.columns)
+        header = [
+            packets.make_column_count(
+                capabilities=self.capabilities, column_count=count
+            )
+        ]
+        header.extend(make_column(column) for column in done.columns)
+        if not self.deprecate_eof():
+            header.append(self.eof())
+        stream.write_many(header)
+        columns = [PASSED_THROUGH] * count
+        for start in range(0, len(done.rows), _ROWS_AT_ONCE):
+            rows = done.rows[start : start + _ROWS_AT_ONCE]
+            if _any_needs_split(rows):
+                for row in rows:
+                    packet = packets.make_text_resultset_row(row, columns)
+                    await stream.write(packet, drain=False)
+            else:
+                stream.write_text_rows(rows, columns)
+            await stream.drain()
+        await stream.write(self.ok_or_eof(warnings=min(done.warnings, 0xFFFF)))
+
+    async def _write_error(self, error: Failed) -> None:
+        await self.stream.write(make_error(error))
+
+    async def _refuse_large(self, limit: int) -> None:
+        reason = NotRunReason.STATEMENT_TOO_LARGE.value
+        await self._write_error(refuse(NOT_RUN, reason, f"limit_bytes={limit}"))
+
+    def _find_status(self) -> types.ServerStatus:
+        status = types.ServerStatus(0)
+        if self.session.autocommit:
+            status |= types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.in_transaction:
+            status |= types.ServerStatus.SERVER_STATUS_IN_TRANS
+        return status
+
+
+def _any_needs_split(rows: tuple[tuple[bytes | None, ...], ...]) -> bool:
+    for row in rows:
+        size = sum(9 + len(value) for value in row if value is not None)
+        if size + len(row) >= _SPLIT_BYTES:
+            return True
+    return False
+
+
+__all__ = [
+    "AccessDenied",
+    "CallerConnection",
+    "ConnectionClosed",
+    "PacketMalformed",
+]
--- /dev/null
+++ b/src/siskinhold/adapters/_caller_packets.py
@@ -0,0 +1,91 @@
+"""Outcomes as MySQL packets and error codes.
+
+mysql-mimic's own makers take only the codes, column types and character sets
+of its enumerations; a backend server's must pass unchanged.
+"""
+
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.types import ColumnType, str_len, uint_1, uint_2, uint_4, uint_len
+
+from ..model import Column, Failed, NotRun, NotRunReason, Unknown
+from ..statements import Fault, StatementError
+
+NOT_RUN = 5001
+UNKNOWN = 5002
+TOKEN_INVALID = 5003
+UNSUPPORTED = 5004
+MARK_INVALID = 5005
+UNSUPPORTED_PREPARE = 1295
+EMPTY_QUERY = 1065
+MALFORMED_PACKET = 1835
+UNKNOWN_COMMAND = 1047
+TOO_MANY_SESSIONS = 1040
+UNKNOWN_VARIABLE = 1193
+
+_GENERAL_STATE = "HY000"
+_COLUMN_LENGTH = 1_024
+# Row values are sent as they are, whatever their column's type.
+PASSED_THROUGH = ResultColumn("", ColumnType.VAR_STRING)
+
+
+def refuse(code: int, reason: str, detail: str = "") -> Failed:
+    """Return the error of a statement that did not run."""
+    text = f"not_run reason={reason}"
+    message = f"{text} {detail}" if detail else text
+    return Failed(code=code, sqlstate=_GENERAL_STATE, message=message)
+
+
+def to_error(outcome: Failed | NotRun | Unknown) -> Failed:
+    """Return the error that a caller gets for an outcome other than done."""
+    if isinstance(outcome, Failed):
+        return outcome
+    if isinstance(outcome, NotRun):
+        code = _CODES.get(outcome.reason, NOT_RUN)
+        return refuse(code, outcome.reason.value, outcome.detail)
+    text = f"unknown reason={outcome.reason.value}"
+    message = f"{text} {outcome.detail}" if outcome.detail else text
+    return Failed(code=UNKNOWN, sqlstate=_GENERAL_STATE, message=message)
+
+
+def to_refusal(error: StatementError) -> Failed:
+    """Return the error for a statement that its classification refused."""
+    if error.fault is Fault.EMPTY:
+        return Failed(code=EMPTY_QUERY, sqlstate="42000", message=error.detail)
+    code = MARK_INVALID if error.fault is Fault.MARK_INVALID else UNSUPPORTED
+    return refuse(code, error.fault.value, error.detail)
+
+
+def make_error(error: Failed) -> bytes:
+    """Return an error packet."""
+    state = error.sqlstate.encode("ascii", "replace")[:5].ljust(5, b"0")
+    message = error.message.encode("utf-8", "replace")
+    return b"\xff" + uint_2(error.code & 0xFFFF) + b"#" + state + message
+
+
+def make_column(column: Column) -> bytes:
+    """Return a column definition packet."""
+    name = str_len(column.name.encode("utf-8", "replace"))
+    empty = str_len(b"")
+    return b"".join(
+        (
+            str_len(b"def"),
+            empty,
+            empty,
+            empty,
+            name,
+            name,
+            uint_len(0x0C),
+            uint_2(column.charset & 0xFFFF),
+            uint_4(_COLUMN_LENGTH),
+            uint_1(column.type_code & 0xFF),
+            uint_2(0),
+            uint_1(0),
+            uint_2(0),
+        )
+    )
+
+
+_CODES = {
+    NotRunReason.TOKEN_INVALID: TOKEN_INVALID,
+    NotRunReason.UNSUPPORTED: UNSUPPORTED,
+}
--- /dev/null
+++ b/src/siskinhold/adapters/_caller_session.py
@@ -0,0 +1,336 @@
+"""One caller's session: what the entry VM answers itself and what it emits."""
+
+import asyncio
+from collections.abc import Callable
+
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.variables import SYSTEM_VARIABLES, GlobalVariables, SessionVariables
+from result import Err
+
+from .. import statements
+from ..effects import ReplyCaller
+from ..events import (
+    CallerClosed,
+    CallerOpened,
+    DatabaseSelected,
+    StatementReceived,
+    TokenPresented,
+)
+from ..model import (
+    Column,
+    Done,
+    Failed,
+    Marks,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Position,
+    StatementKind,
+    Unknown,
+)
+from ..tokens import TokenCodec
+from ._caller_packets import UNKNOWN_VARIABLE, to_error, to_refusal
+from ._interfaces import Emit
+
+SERVER_VERSION = "8.0.36-siskinhold"
+_DEADLOCK = 1213
+_REPEATED = 5000
+_CHARSETS = {"utf8mb4", "utf8mb3", "utf8", "ascii"}
+_SCHEMA = {
+    **SYSTEM_VARIABLES,
+    "default_storage_engine": (str, "InnoDB", True),
+    "default_tmp_storage_engine": (str, "InnoDB", True),
+    "init_connect": (str, "", True),
+    "license": (str, "", False),
+    "sql_mode": (
+        str,
+        "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,NO_ZERO_DATE,"
+        "ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION",
+        True,
+    ),
+    "transaction_isolation": (str, "REPEATABLE-READ", True),
+    "tx_isolation": (str, "REPEATABLE-READ", True),
+    "tx_read_only": (bool, False, True),
+    "version": (str, SERVER_VERSION, False),
+    "version_comment": (str, "siskinhold", False),
+}
+_GLOBALS = GlobalVariables(_SCHEMA)
+_WARNING_COLUMNS = (Column("Level"), Column("Code"), Column("Message"))
+
+
+class CallerSession(BaseSession):
+    """A caller's session from its connection to its end.
+
+    Args:
+        number: the session's number, never reused on this VM.
+        emit: takes events.
+        tokens: encodes and checks session tokens.
+    """
+
+    def __init__(self, *, number: int, emit: Emit, tokens: TokenCodec) -> None:
+        self.number = number
+        self.variables = SessionVariables(_GLOBALS)
+        self.username: str | None = None
+        self.database: str | None = None
+        self.autocommit = True
+        self.in_transaction = False
+        self._transaction_lost = False
+        self._emit = emit
+        self._tokens = tokens
+        self._loop = asyncio.get_running_loop()
+        self._positions: dict[str, Position] = {}
+        self._waiting: asyncio.Future[Outcome] | None = None
+        self._insert_id = 0
+        self._warnings: tuple[tuple[bytes | None, ...], ...] = ()
+        self._opened = False
+        self.ended = False
+
+    @property
+    def waiting(self) -> bool:
+        """Whether a statement waits for its reply."""
+        return self._waiting is not None and not self._waiting.done()
+
+    def open(self) -> None:
+        """Report the authenticated caller."""
+        if self.ended or self.username is None:
+            raise ConnectionClosed()
+        self._opened = True
+        self._emit(
+            CallerOpened(
+                at=self._loop.time(),
+                session=self.number,
+                user=self.username,
+                database=self.database or "",
+            )
+        )
+
+    def end(self) -> None:
+        """Report the end of the session, once; a waiting statement is given up."""
+        if self.ended:
+            return
+        self.ended = True
+        if self._opened:
+            self._emit(CallerClosed(at=self._loop.time(), session=self.number))
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(ConnectionClosed())
+
+    def take_reply(self, effect: ReplyCaller) -> bool:
+        """Resolve the waiting statement; return False if none waits."""
+        if self._waiting is None or self._waiting.done():
+            return False
+        self._positions = dict(effect.positions)
+        self._waiting.set_result(effect.outcome)
+        return True
+
+    async def use(self, database: str) -> None:
+        """Choose the default database."""
+        self.database = database
+        at = self._loop.time()
+        self._emit(DatabaseSelected(at=at, session=self.number, database=database))
+
+    async def reset(self) -> None:
+        """Roll back and return to the settings of a new session."""
+        if self.in_transaction:
+            await self._forward(StatementKind.ROLLBACK, "ROLLBACK", Marks())
+        self._transaction_lost = False
+        self.autocommit = True
+        self._insert_id = 0
+        self._warnings = ()
+
+    async def run(self, sql: str, attributes: dict[str, object]) -> Done | Failed:
+        """Run a statement and return its rows or the error for the caller.
+
+        Raises:
+            ConnectionClosed: if the caller disconnected.
+        """
+        found = statements.classify(sql, attributes, in_transaction=self.in_transaction)
+        if isinstance(found, Err):
+            return self._note(to_refusal(found.err_value))
+        statement = found.ok_value
+        if isinstance(statement, statements.ShowWarnings):
+            return Done(columns=_WARNING_COLUMNS, rows=self._warnings)
+        if not isinstance(statement, statements.Forwarded):
+            return self._note(await self._answer(statement))
+        charset = str(self.variables.get("character_set_client"))
+        if charset not in _CHARSETS:
+            detail = f"character set {charset}: use SET NAMES utf8mb4"
+            return self._note(NotRun(reason=NotRunReason.UNSUPPORTED, detail=detail))
+        return self._note(await self._run_forwarded(statement, sql))
+
+    async def _run_forwarded(
+        self, statement: statements.Forwarded, sql: str
+    ) -> Outcome:
+        kind = statement.kind
+        if kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            return await self._end_transaction(kind, sql, statement.marks)
+        if kind is StatementKind.BEGIN:
+            self._transaction_lost = False
+        if self._transaction_lost:
+            return _TRANSACTION_LOST
+        if statement.commits and self.in_transaction:
+            outcome = await self._forward(StatementKind.COMMIT, "COMMIT", Marks())
+            if not isinstance(outcome, Done):
+                return outcome
+        starts = not self.autocommit and not statement.commits
+        if starts and not self.in_transaction:
+            outcome = await self._forward(StatementKind.BEGIN, "BEGIN", Marks())
+            if not isinstance(outcome, Done):
+                return outcome
+        return await self._forward(kind, sql, statement.marks)
+
+    async def _end_transaction(
+        self, kind: StatementKind, sql: str, marks: Marks
+    ) -> Outcome:
+        if self._transaction_lost:
+            self._transaction_lost = False
+            return Done() if kind is StatementKind.ROLLBACK else _TRANSACTION_LOST
+        if not self.in_transaction:
+            return Done()
+        return await self._forward(kind, sql, marks)
+
+    async def _forward(self, kind: StatementKind, sql: str, marks: Marks) -> Outcome:
+        if self.ended:
+            raise ConnectionClosed()
+        self._waiting = self._loop.create_future()
+        self._emit(
+            StatementReceived(
+                at=self._loop.time(),
+                session=self.number,
+                kind=kind,
+                sql=sql,
+                marks=marks,
+            )
+        )
+        outcome = await self._waiting
+        self._waiting = None
+        self._follow_transaction(kind, outcome)
+        return outcome
+
+    def _follow_transaction(self, kind: StatementKind, outcome: Outcome) -> None:
+        if kind is StatementKind.BEGIN:
+            self.in_transaction = isinstance(outcome, Done)
+        elif kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            self.in_transaction = False
+        elif self.in_transaction and _loses_transaction(outcome):
+            # Later statements must not run on their own as if the caller had
+            # not begun a transaction, so they are refused until it ends it.
+            self.in_transaction = False
+            self._transaction_lost = True
+
+    def _note(self, outcome: Outcome) -> Done | Failed:
+        """Keep what SHOW WARNINGS and LAST_INSERT_ID() tell of the outcome."""
+        if not isinstance(outcome, Done):
+            error = to_error(outcome)
+            self._warnings = (_warning("Error", error.code, error.message),)
+            return error
+        if outcome.insert_id:
+            self._insert_id = outcome.insert_id
+        self._warnings = ()
+        if outcome.repeated:
+            text = "repeated: the idempotency key was found, the statement had run"
+            self._warnings = (_warning("Note", _REPEATED, text),)
+        return outcome
+
+    async def _answer(self, statement: statements.Classified) -> Outcome:
+        if isinstance(statement, statements.SetAutocommit):
+            return await self._set_autocommit(statement.enabled)
+        if isinstance(statement, statements.SetCharset):
+            return self._set_charset(statement.name)
+        if isinstance(statement, statements.UseDatabase):
+            await self.use(statement.database)
+        elif isinstance(statement, statements.PresentToken):
+            return self._take_token(statement.token)
+        elif isinstance(statement, statements.ReadValues):
+            return self._read_values(statement)
+        return Done()
+
+    async def _set_autocommit(self, enabled: bool) -> Outcome:
+        if enabled and self.in_transaction:
+            outcome = await self._forward(StatementKind.COMMIT, "COMMIT", Marks())
+            if not isinstance(outcome, Done):
+                return outcome
+        self.autocommit = enabled
+        return Done()
+
+    def _set_charset(self, name: str) -> Outcome:
+        if name == "default":
+            name = "utf8mb4"
+        if name not in _CHARSETS:
+            detail = f"character set {name}: not supported"
+            return NotRun(reason=NotRunReason.UNSUPPORTED, detail=detail)
+        name = "utf8" if name == "utf8mb3" else name
+        for variable in ("client", "connection", "results"):
+            self.variables.set(f"character_set_{variable}", name)
+        return Done()
+
+    def _take_token(self, token: str) -> Outcome:
+        found = self._tokens.decode(token)
+        if isinstance(found, Err):
+            detail = f"fault={found.err_value.fault.value} {found.err_value.detail}"
+            return NotRun(reason=NotRunReason.TOKEN_INVALID, detail=detail)
+        positions = found.ok_value
+        for database, position in positions.items():
+            known = self._positions.get(database)
+            if known is None or known < position:
+                self._positions[database] = position
+        at = self._loop.time()
+        self._emit(TokenPresented(at=at, session=self.number, positions=positions))
+        return Done()
+
+    def _read_values(self, statement: statements.ReadValues) -> Outcome:
+        row: list[bytes | None] = []
+        for _, expression in statement.columns:
+            if expression.startswith("@@") and expression[2:] not in _SCHEMA:
+                text = f"Unknown system variable '{expression[2:66]}'"
+                return Failed(code=UNKNOWN_VARIABLE, sqlstate="HY000", message=text)
+            row.append(_to_bytes(self._read_value(expression)))
+        columns = tuple(Column(label) for label, _ in statement.columns)
+        return Done(columns=columns, rows=(tuple(row),))
+
+    def _read_value(self, expression: str) -> object:
+        if expression == "@@autocommit":
+            return self.autocommit
+        if expression.startswith("@@"):
+            return self.variables.get(expression[2:])
+        return _VALUES[expression](self)
+
+    def _read_token(self) -> str:
+        return self._tokens.encode(self._positions)
+
+
+def _loses_transaction(outcome: Outcome) -> bool:
+    if isinstance(outcome, Failed):
+        return outcome.code == _DEADLOCK
+    if isinstance(outcome, NotRun):
+        return outcome.reason is NotRunReason.TRANSACTION_LOST
+    return isinstance(outcome, Unknown)
+
+
+def _warning(level: str, code: int, text: str) -> tuple[bytes | None, ...]:
+    return level.encode(), str(code).encode(), text.encode("utf-8", "replace")
+
+
+def _to_bytes(value: object) -> bytes | None:
+    if value is None:
+        return None
+    if isinstance(value, bool):
+        value = int(value)
+    return str(value).encode("utf-8", "replace")
+
+
+_TRANSACTION_LOST = NotRun(
+    reason=NotRunReason.TRANSACTION_LOST, detail="the transaction was rolled back"
+)
+_VALUES: dict[str, Callable[[CallerSession], object]] = {
+    "@siskinhold_token": CallerSession._read_token,
+    "connection_id()": lambda session: session.number & 0xFFFFFFFF,
+    "current_user()": lambda session: f"{session.username}@%",
+    "database()": lambda session: session.database or None,
+    "last_insert_id()": lambda session: session._insert_id,
+    "schema()": lambda session: session.database or None,
+    "session_user()": lambda session: f"{session.username}@%",
+    "system_user()": lambda session: f"{session.username}@%",
+    "user()": lambda session: f"{session.username}@%",
+    "version()": lambda session: SERVER_VERSION,
+}
--- /dev/null
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -0,0 +1,115 @@
+"""MySQL packets of one caller, with limits on what is read.
+
+mysql-mimic's stream takes a packet of any size and ends in a traceback on a
+cut-off header, so reading is done here; writing is left to it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from ssl import SSLContext
+
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+
+_MAX_PAYLOAD = 0xFFFFFF
+_DISCARD_BYTES = 65_536
+
+
+class PacketTooLarge(Exception):
+    """A packet was over the limit; it was read and discarded."""
+
+
+class PacketMalformed(Exception):
+    """A packet was out of sequence; the connection can't be read further."""
+
+
+class EofReader(asyncio.StreamReader):
+    """A stream reader that reports the end of the stream when it arrives.
+
+    A caller that disconnects while its statement runs is noticed at once, with
+    no task that reads ahead.
+    """
+
+    on_eof: Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        """Note the end of the stream and report it."""
+        super().feed_eof()
+        if self.on_eof is not None:
+            self.on_eof()
+
+    def set_exception(self, exc: BaseException) -> None:
+        """Note the loss of the connection and report it."""
+        super().set_exception(exc)
+        if self.on_eof is not None:
+            self.on_eof()
+
+
+class CallerStream:
+    """Reads and writes the packets of one connection.
+
+    Args:
+        reader: bytes from the caller.
+        writer: bytes to the caller.
+        limit: size of the largest command that is accepted, in bytes.
+    """
+
+    def __init__(
+        self, *, reader: EofReader, writer: asyncio.StreamWriter, limit: int
+    ) -> None:
+        self.limit = limit
+        self.reader = reader
+        self.writer = writer
+        self._packets = MysqlStream(reader, writer)
+        self.write = self._packets.write
+        self.write_many = self._packets.write_many
+        self.write_text_rows = self._packets.write_text_rows
+        self.drain = self._packets.drain
+        self.reset_seq = self._packets.reset_seq
+
+    async def read(self) -> bytes:
+        """Return the next command.
+
+        Raises:
+            ConnectionClosed: if the stream ended.
+            PacketTooLarge: if the command is over the limit.
+            PacketMalformed: if a packet is out of sequence.
+        """
+        try:
+            return await self._read()
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise ConnectionClosed() from error
+
+    async def start_tls(self, ssl: SSLContext) -> None:
+        """Continue with TLS."""
+        await self.writer.start_tls(ssl)
+
+    async def _read(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            length = await self._read_header()
+            size += length
+            if size <= self.limit:
+                parts.append(await self.reader.readexactly(length))
+            else:
+                parts.clear()
+                await self._discard(length)
+            if length == _MAX_PAYLOAD:
+                continue
+            if size > self.limit:
+                raise PacketTooLarge()
+            return b"".join(parts)
+
+    async def _read_header(self) -> int:
+        header = await self.reader.readexactly(4)
+        expected = next(self._packets.seq)
+        if header[3] != expected:
+            raise PacketMalformed(f"sequence {header[3]} in place of {expected}")
+        return int.from_bytes(header[:3], "little")
+
+    async def _discard(self, length: int) -> None:
+        while length:
+            chunk = await self.reader.read(min(length, _DISCARD_BYTES))
+            if not chunk:
+                raise ConnectionClosed()
+            length -= len(chunk)
--- /dev/null
+++ b/src/siskinhold/adapters/_callers.py
@@ -0,0 +1,280 @@
+"""Callers over the MySQL protocol, on mysql-mimic's server.
+
+What a caller gets for an outcome:
+
+| outcome | code | sqlstate | message |
+|---|---|---|---|
+| done | OK or rows | | a repeated keyed statement carries one warning (note 5000) |
+| failed | the backend server's | the server's | the server's |
+| not run | 5001 | HY000 | `not_run reason=<reason> <detail>` |
+| unknown | 5002 | HY000 | `unknown reason=<reason> <detail>` |
+| not run, token refused | 5003 | HY000 | `not_run reason=token_invalid fault=...` |
+| not run, unsupported | 5004 | HY000 | `not_run reason=unsupported <detail>` |
+| not run, mark refused | 5005 | HY000 | `not_run reason=mark_invalid <detail>` |
+| too large | 5001 | HY000 | `not_run reason=statement_too_large limit_bytes=...` |
+| prepared statement | 1295 | HY000 | `not_run reason=unsupported <detail>` |
+| other command | 1047 | HY000 | `not_run reason=unsupported <detail>` |
+| unreadable command | 1835 | HY000 | `not_run reason=malformed <detail>` |
+| empty statement | 1065 | 42000 | plain text |
+| too many sessions | 1040 | 08004 | `not_run reason=overload max_sessions=...` |
+| access denied | 1045 | 28000 | plain text |
+
+Prepared statements are refused as a whole: mysql-mimic interpolates parameters
+without escaping them. Stock clients fall back to the text protocol on 1295.
+"""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass
+from ssl import SSLContext
+
+from mysql_mimic import IdentityProvider, MysqlServer, User
+from mysql_mimic.auth import AuthPlugin, NativePasswordAuthPlugin
+from mysql_mimic.control import LocalControl
+from mysql_mimic.utils import nonce
+
+from .. import effects
+from ..model import Failed
+from ..tokens import TokenCodec
+from ._caller_connection import (
+    HANDSHAKE_BYTES,
+    AccessDenied,
+    CallerConnection,
+    ConnectionClosed,
+)
+from ._caller_packets import TOO_MANY_SESSIONS, make_error
+from ._caller_session import CallerSession
+from ._caller_stream import CallerStream, EofReader, PacketMalformed
+from ._interfaces import Callers, Emit
+
+_log = logging.getLogger(__name__)
+# Time in which a closing connection may take what was written to it, in s.
+_CLOSE_GRACE = 1.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerLimits:
+    """Bounds of what callers may use.
+
+    Args:
+        max_sessions: connections at a time.
+        max_statement_bytes: size of a statement.
+        handshake_timeout: time until authentication, in seconds.
+    """
+
+    max_sessions: int = 20_000
+    max_statement_bytes: int = 1_048_576
+    handshake_timeout: float = 10.0
+
+
+class Credentials(IdentityProvider):
+    """Callers that authenticate with mysql_native_password.
+
+    Args:
+        users: SHA1(SHA1(password)) as 40 hex digits by user name.
+    """
+
+    def __init__(self, *, users: Mapping[str, str]) -> None:
+        self._users = dict(users)
+        self._plugin = NativePasswordAuthPlugin()
+
+    def get_plugins(self) -> list[AuthPlugin]:
+        """Return the one accepted method."""
+        return [self._plugin]
+
+    async def get_user(self, username: str) -> User:
+        """Return a user; one that nobody can be for an unknown name.
+
+        An unknown name is answered like a wrong password, so that names can't
+        be found out. The empty proof is accepted by the library only for a
+        user without a password, and every user here has one.
+        """
+        proof = self._users.get(username) or nonce(20).hex()
+        plugin = NativePasswordAuthPlugin.name
+        return User(name=username, auth_string=proof, auth_plugin=plugin)
+
+
+class MysqlCallers(Callers):
+    """Listens for callers that speak the MySQL protocol.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port; 0 for a free one.
+        users: SHA1(SHA1(password)) as 40 hex digits by user name.
+        tokens: encodes and checks session tokens.
+        limits: bounds of what callers may use.
+        ssl: for callers that ask for TLS; None to offer none.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        users: Mapping[str, str],
+        tokens: TokenCodec,
+        limits: CallerLimits = CallerLimits(),
+        ssl: SSLContext | None = None,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._tokens = tokens
+        self._limits = limits
+        self._server = _Server(
+            serve=self._serve,
+            identity_provider=Credentials(users=users),
+            ssl=ssl,
+        )
+        self._emit: Emit | None = None
+        self._connections: dict[int, CallerConnection] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_session = 1
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on, once started."""
+        return self._server.sockets()[0].getsockname()[1]
+
+    async def start(self, emit: Emit) -> None:
+        """Start to listen.
+
+        Raises:
+            OSError: if the address can't be bound.
+        """
+        self._emit = emit
+        await self._server.start_server(host=self._host, port=self._port)
+
+    def reply(self, effect: effects.ReplyCaller) -> None:
+        """Answer a statement; nobody may wait for it any more."""
+        connection = self._connections.get(effect.session)
+        if connection is None or not connection.session.take_reply(effect):
+            _log.debug(
+                "event=caller_reply_dropped session=%d request=%s",
+                effect.session,
+                effect.request,
+            )
+
+    def close(self, effect: effects.CloseCaller) -> None:
+        """Close a caller's connection; a reply given before it is written."""
+        connection = self._connections.get(effect.session)
+        if connection is None:
+            return
+        _log.info(
+            "event=caller_closing session=%d reason=%s", effect.session, effect.reason
+        )
+        connection.closing = True
+        replied = connection.busy and not connection.session.waiting
+        if not replied:
+            connection.stream.writer.close()
+        transport = connection.stream.writer.transport
+        asyncio.get_running_loop().call_later(_CLOSE_GRACE, transport.abort)
+
+    async def stop(self) -> None:
+        """Stop to listen and close all connections."""
+        self._server.close()
+        for connection in list(self._connections.values()):
+            connection.stream.writer.close()
+        if self._tasks:
+            _, pending = await asyncio.wait(self._tasks, timeout=_CLOSE_GRACE)
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
+        await self._server.wait_closed()
+
+    async def _serve(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
+        number = self._next_session
+        self._next_session += 1
+        stream = CallerStream(reader=reader, writer=writer, limit=HANDSHAKE_BYTES)
+        if len(self._connections) >= self._limits.max_sessions:
+            await self._refuse_session(stream, number)
+            return
+        session = CallerSession(number=number, emit=self._emit, tokens=self._tokens)
+        connection = self._server.make_connection(stream, session)
+        connection.connection_id = number & 0xFFFFFFFF
+        reader.on_eof = session.end
+        task = asyncio.current_task()
+        self._connections[number] = connection
+        self._tasks.add(task)
+        try:
+            await self._carry(connection, number)
+        finally:
+            session.end()
+            del self._connections[number]
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _carry(self, connection: CallerConnection, number: int) -> None:
+        try:
+            await connection.serve(
+                handshake_timeout=self._limits.handshake_timeout,
+                command_limit=self._limits.max_statement_bytes + 1,
+            )
+        except (ConnectionClosed, ConnectionError):
+            _log.debug("event=caller_disconnected session=%d", number)
+        except AccessDenied:
+            _log.warning("event=caller_denied session=%d", number)
+        except TimeoutError:
+            _log.warning("event=caller_handshake_timeout session=%d", number)
+        except PacketMalformed as error:
+            _log.warning(
+                "event=caller_malformed session=%d error=%r", number, str(error)
+            )
+        except Exception as error:
+            # Bytes of any kind arrive on this port; the library's parsers raise
+            # many types. The connection ends and the process goes on.
+            _log.warning("event=caller_failed session=%d error=%r", number, error)
+
+    async def _refuse_session(self, stream: CallerStream, number: int) -> None:
+        limit = self._limits.max_sessions
+        _log.warning("event=caller_refused session=%d max_sessions=%d", number, limit)
+        message = f"not_run reason=overload max_sessions={limit}"
+        error = Failed(code=TOO_MANY_SESSIONS, sqlstate="08004", message=message)
+        try:
+            await stream.write(make_error(error))
+        except ConnectionError:
+            pass
+        stream.writer.close()
+
+
+class _Server(MysqlServer):
+    """mysql-mimic's server with this module's reader and connection."""
+
+    def __init__(self, *, serve, **kwargs) -> None:
+        super().__init__(**kwargs)
+        self._serve = serve
+
+    async def start_server(self, **kwargs) -> None:
+        """Listen with a protocol whose reader reports the end of the stream."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_protocol, reuse_address=True, backlog=1_024, **kwargs
+        )
+
+    def make_connection(
+        self, stream: CallerStream, session: CallerSession
+    ) -> CallerConnection:
+        """Return a connection with this server's settings."""
+        return CallerConnection(
+            stream=stream,
+            session=session,
+            control=_CONTROL,
+            server_capabilities=self.capabilities,
+            identity_provider=self.identity_provider,
+            ssl=self.ssl,
+        )
+
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = EofReader(loop=asyncio.get_running_loop())
+        return asyncio.StreamReaderProtocol(reader, self._connected)
+
+    async def _connected(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
+        peer = writer.get_extra_info("socket")
+        if peer is not None:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        await self._serve(reader, writer)
+
+
+# The library's connections want one; KILL is not offered, so it stays unused.
+_CONTROL = LocalControl(server_id=1)
--- /dev/null
+++ b/src/siskinhold/statements/_classify.py
@@ -0,0 +1,168 @@
+"""Classification of statements by their first keywords.
+
+The list of accepted keywords is closed: what is not known is refused, because
+a statement that leaves state on a shared backend connection would leak it to
+another session.
+"""
+
+import re
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from ..model import StatementKind
+from ._local import match_local
+from ._marks import parse_marks
+from ._text import split_noise
+from ._types import Classified, Fault, Forwarded, StatementError
+
+_FIRST = re.compile(r"[\s(;]*([A-Za-z]+)")
+_WORDS = re.compile(r"[A-Za-z_]+")
+_MULTI = re.compile(r";[\s;]*[^\s;]")
+_USER_VARIABLE = re.compile(r"(?<!@)@(?!@)")
+_EXECUTABLE_COMMENT = re.compile(r"/\*M?!")
+_NOT_READ = re.compile(
+    r"\bFOR\s+(?:UPDATE|SHARE)\b|\bLOCK\s+IN\s+SHARE\s+MODE\b"
+    r"|\bINTO\s+(?:OUTFILE|DUMPFILE)\b|\bLAST_INSERT_ID\s*\(\s*[^\s)]",
+    re.IGNORECASE,
+)
+_LOCK_FUNCTION = re.compile(
+    r"\b(?:GET_LOCK|RELEASE_LOCK|RELEASE_ALL_LOCKS|IS_FREE_LOCK|IS_USED_LOCK)\s*\(",
+    re.IGNORECASE,
+)
+# These read what the last statement left on its connection, which only an open
+# transaction keeps.
+_LAST_RESULT = re.compile(
+    r"\b(?:LAST_INSERT_ID|ROW_COUNT|FOUND_ROWS)\s*\(\s*\)"
+    r"|@@(?:\w+\s*\.\s*)?(?:identity|last_insert_id|warning_count|error_count)\b"
+    r"|\bSHOW\s+(?:COUNT|WARNINGS|ERRORS)\b",
+    re.IGNORECASE,
+)
+_CHANGES = re.compile(r"\b(?:UPDATE|DELETE|INSERT)\b", re.IGNORECASE)
+_SAVEPOINT = re.compile(r"[\s;]*ROLLBACK\s+(?:WORK\s+)?TO\b", re.IGNORECASE)
+_CHAIN = re.compile(r"(?<!NO\s)\b(?:CHAIN|RELEASE)\b", re.IGNORECASE)
+
+_READS = {"SELECT", "SHOW", "DESCRIBE", "DESC", "EXPLAIN", "WITH", "TABLE", "VALUES"}
+_WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CALL", "DO"}
+_IMPLICIT_COMMIT = {
+    "ALTER",
+    "ANALYZE",
+    "CHECK",
+    "CREATE",
+    "DROP",
+    "GRANT",
+    "OPTIMIZE",
+    "RENAME",
+    "REPAIR",
+    "REVOKE",
+    "TRUNCATE",
+}
+
+
+def classify(
+    sql: str,
+    attributes: Mapping[str, object] | None = None,
+    *,
+    in_transaction: bool = False,
+) -> Result[Classified, StatementError]:
+    """Return what a statement needs, or why it is refused. Never raises.
+
+    Args:
+        sql: the statement's text.
+        attributes: its MySQL query attributes.
+        in_transaction: whether the session has an open transaction, and with
+            it a backend connection of its own.
+    """
+    code, comments = split_noise(sql)
+    first = _FIRST.match(code)
+    if first is None:
+        return _refuse_unnamed(code)
+    marks = parse_marks(comments, attributes)
+    if isinstance(marks, Err):
+        return marks
+    if any(_EXECUTABLE_COMMENT.match(comment) for comment in comments):
+        return _refuse("executable comments")
+    if any(_is_open(comment) for comment in comments):
+        return _refuse("a comment without an end")
+    if _MULTI.search(code, first.start(1)):
+        return _refuse("more than one statement")
+    keyword = first[1].upper()
+    local = match_local(keyword, sql)
+    if local is not None:
+        return Ok(local)
+    kind = _find_kind(keyword, code, in_transaction)
+    if isinstance(kind, str):
+        return _refuse(kind)
+    commits = keyword in _IMPLICIT_COMMIT or kind is StatementKind.BEGIN
+    return Ok(Forwarded(kind=kind, marks=marks.ok_value, commits=commits))
+
+
+def _find_kind(keyword: str, code: str, in_transaction: bool) -> StatementKind | str:
+    """Return the kind, or what makes the statement unsupported."""
+    if _USER_VARIABLE.search(code):
+        return "user variables"
+    if _LOCK_FUNCTION.search(code):
+        return "lock functions"
+    if not in_transaction and _LAST_RESULT.search(code):
+        return "the result of an earlier statement outside a transaction"
+    if keyword in _READS:
+        return _find_read_kind(keyword, code)
+    if keyword in _WRITES:
+        return StatementKind.WRITE
+    if keyword in _IMPLICIT_COMMIT:
+        if "TEMPORARY" in _leading_words(code)[:4]:
+            return "temporary tables"
+        return StatementKind.WRITE
+    return _find_transaction_kind(keyword, code, in_transaction)
+
+
+def _find_read_kind(keyword: str, code: str) -> StatementKind:
+    if _NOT_READ.search(code):
+        return StatementKind.WRITE
+    if keyword == "SELECT" or keyword == "SHOW":
+        return StatementKind.READ
+    if keyword == "WITH" and _CHANGES.search(code):
+        return StatementKind.WRITE
+    if keyword in ("EXPLAIN", "DESC", "DESCRIBE"):
+        words = _leading_words(code)
+        if "ANALYZE" in words[:2] and _CHANGES.search(code):
+            return StatementKind.WRITE
+    return StatementKind.READ
+
+
+def _find_transaction_kind(
+    keyword: str, code: str, in_transaction: bool
+) -> StatementKind | str:
+    if keyword == "BEGIN":
+        return StatementKind.BEGIN
+    if keyword == "START" and _leading_words(code)[1:2] == ["TRANSACTION"]:
+        return StatementKind.BEGIN
+    if keyword == "SAVEPOINT" or keyword == "RELEASE" or _SAVEPOINT.match(code):
+        if in_transaction:
+            return StatementKind.WRITE
+        return "savepoints outside a transaction"
+    if keyword in ("COMMIT", "ROLLBACK"):
+        if _CHAIN.search(code):
+            return f"{keyword} AND CHAIN or RELEASE"
+        return StatementKind[keyword]
+    return f"{keyword[:32]} statements of this form"
+
+
+def _leading_words(code: str) -> list[str]:
+    return [word.upper() for word in _WORDS.findall(code, 0, 200)]
+
+
+def _is_open(comment: str) -> bool:
+    if not comment.startswith("/*"):
+        return False
+    return len(comment) < 4 or not comment.endswith("*/")
+
+
+def _refuse_unnamed(code: str) -> Err[StatementError]:
+    if code.strip(" \t\r\n;"):
+        return _refuse("a statement without a leading keyword")
+    return Err(StatementError(fault=Fault.EMPTY, detail="the statement is empty"))
+
+
+def _refuse(what: str) -> Err[StatementError]:
+    return Err(StatementError(fault=Fault.UNSUPPORTED, detail=f"{what}: not supported"))
--- /dev/null
+++ b/src/siskinhold/statements/_marks.py
@@ -0,0 +1,122 @@
+"""Marks in hint comments and in MySQL query attributes.
+
+A mark that can't be read is an error and never ignored: an ignored `once`
+would let a retry double an order.
+"""
+
+import re
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from ..model import Marks
+from ._types import Fault, StatementError
+
+# Bounds of the marks' values, in ms.
+MAX_AGE_MS = 3_600_000
+MAX_DEADLINE_MS = 600_000
+
+_NAMES = ("once", "max_age_ms", "deadline_ms")
+_HINT = re.compile(r"/\*\s*siskinhold\s*:(.*)\*/\Z", re.DOTALL | re.IGNORECASE)
+_NEAR_HINT = re.compile(r"(?:/\*|#|--)[\s+!]*siskinhold\b", re.IGNORECASE)
+_KEY = re.compile(r"[\x21-\x7e]{1,64}\Z")
+_DIGITS = re.compile(r"[0-9]{1,9}\Z")
+
+
+def parse_marks(
+    comments: list[str], attributes: Mapping[str, object] | None = None
+) -> Result[Marks, StatementError]:
+    """Return the marks of a statement.
+
+    Args:
+        comments: the statement's comments with their delimiters.
+        attributes: the statement's query attributes; others than marks are
+            left alone unless their name begins with `siskinhold`.
+    """
+    found: dict[str, object] = {}
+    for comment in comments:
+        if not _NEAR_HINT.match(comment):
+            continue
+        hint = _HINT.match(comment)
+        if hint is None:
+            return _error(f"can't read the hint comment {comment[:80]!r}")
+        for word in hint[1].split():
+            name, separator, text = word.partition("=")
+            if name not in _NAMES:
+                return _error(f"unknown mark {name[:80]!r}")
+            if name in found:
+                return _error(f"mark {name} is given twice")
+            found[name] = text if separator else True
+    if attributes:
+        given = parse_attributes(attributes)
+        if isinstance(given, Err):
+            return given
+        for name, value in given.ok_value.items():
+            if name in found:
+                return _error(f"mark {name} is given twice")
+            found[name] = value
+    return _build(found) if found else Ok(_NO_MARKS)
+
+
+def parse_attributes(
+    attributes: Mapping[str, object],
+) -> Result[dict[str, object], StatementError]:
+    """Return those query attributes that are marks, unread.
+
+    The bare `once` is an attribute with the value NULL, TRUE or ''.
+    """
+    found: dict[str, object] = {}
+    for name, value in attributes.items():
+        lowered = name.lower()
+        if lowered.startswith("siskinhold"):
+            return _error(f"unknown mark {name[:80]!r}")
+        if lowered not in _NAMES:
+            continue
+        if lowered in found:
+            return _error(f"mark {lowered} is given twice")
+        bare = lowered == "once" and (value is None or value is True or value == "")
+        found[lowered] = True if bare else str(value)
+    return Ok(found)
+
+
+def _build(found: dict[str, object]) -> Result[Marks, StatementError]:
+    once = found.get("once")
+    key = ""
+    if once is not None and once is not True:
+        key = str(once)
+        if not _KEY.match(key):
+            return _error("once needs 1 to 64 printable ASCII characters as its key")
+    max_age = _read_ms(found, "max_age_ms", 0, MAX_AGE_MS)
+    if isinstance(max_age, Err):
+        return max_age
+    deadline = _read_ms(found, "deadline_ms", 1, MAX_DEADLINE_MS)
+    if isinstance(deadline, Err):
+        return deadline
+    return Ok(
+        Marks(
+            once=once is not None,
+            key=key,
+            max_age_ms=max_age.ok_value,
+            deadline_ms=deadline.ok_value,
+        )
+    )
+
+
+def _read_ms(
+    found: dict[str, object], name: str, low: int, high: int
+) -> Result[int | None, StatementError]:
+    value = found.get(name)
+    if value is None:
+        return Ok(None)
+    if isinstance(value, str) and _DIGITS.match(value):
+        number = int(value)
+        if low <= number <= high:
+            return Ok(number)
+    return _error(f"{name} needs a whole number from {low} to {high}")
+
+
+def _error(detail: str) -> Err[StatementError]:
+    return Err(StatementError(fault=Fault.MARK_INVALID, detail=detail))
+
+
+_NO_MARKS = Marks()
--- /dev/null
+++ b/src/siskinhold/statements/_shapes.py
@@ -0,0 +1,59 @@
+"""The shape of a statement: a hash of its text without literals."""
+
+import functools
+import re
+
+import xxhash
+
+# Bounds the cache at about 8 MB of text: longer statements are hashed anew.
+_CACHED_CHARACTERS = 2_048
+_CACHED_STATEMENTS = 4_096
+
+_LITERAL = re.compile(
+    r"""
+      (?P<text>'(?:[^'\\]|\\(?:.|\Z)|'')*+(?:'|\Z)
+    | "(?:[^"\\]|\\(?:.|\Z)|"")*+(?:"|\Z))
+    | (?P<name>`(?:[^`]|``)*+(?:`|\Z))
+    | (?P<comment>/\*.*?(?:\*/|\Z)
+    | \#[^\n]*+
+    | --(?=[\s\x00-\x20]|\Z)[^\n]*+)
+    | (?P<number>(?<![\w$])(?:0[xX][0-9a-fA-F]++|\d++(?:\.\d*+)?(?:[eE][-+]?\d++)?))
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+_LIST = re.compile(r"\?(?:\s*,\s*\?)++")
+_ROWS = re.compile(r"\(\s*\?\s*\)(?:\s*,\s*\(\s*\?\s*\))++")
+_SPACE = re.compile(r"\s++")
+
+
+def shape(sql: str) -> int:
+    """Return a 64-bit hash that is equal for texts that differ in literals only.
+
+    Lists of literals of any length are equal too, so that a query with many
+    keys has one shape.
+
+    >>> shape("SELECT a FROM t WHERE b=1") == shape("select a from t where b=22")
+    True
+    >>> shape("SELECT a FROM t") == shape("SELECT b FROM t")
+    False
+    """
+    if len(sql) > _CACHED_CHARACTERS:
+        return _hash(sql)
+    return _cached_hash(sql)
+
+
+def _hash(sql: str) -> int:
+    text = _LITERAL.sub(_reduce, sql)
+    text = _LIST.sub("?", text)
+    text = _ROWS.sub("(?)", text)
+    text = _SPACE.sub(" ", text).strip(" ;").lower()
+    return xxhash.xxh64_intdigest(text.encode("utf-8", "surrogatepass"))
+
+
+_cached_hash = functools.lru_cache(maxsize=_CACHED_STATEMENTS)(_hash)
+
+
+def _reduce(match: re.Match[str]) -> str:
+    if match.lastgroup == "name":
+        return match[0]
+    return " " if match.lastgroup == "comment" else "?"
--- /dev/null
+++ b/src/siskinhold/statements/_text.py
@@ -0,0 +1,50 @@
+"""Separates a statement's code from its literals, quoted names and comments."""
+
+import re
+
+_NOISE = re.compile(
+    r"""
+      '(?:[^'\\]|\\(?:.|\Z)|'')*+(?:'|\Z)
+    | "(?:[^"\\]|\\(?:.|\Z)|"")*+(?:"|\Z)
+    | `(?:[^`]|``)*+(?:`|\Z)
+    | /\*.*?(?:\*/|\Z)
+    | \#[^\n]*+
+    | --(?=[\s\x00-\x20]|\Z)[^\n]*+
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+_QUOTES = "'\"`"
+
+
+def split_noise(sql: str) -> tuple[str, list[str]]:
+    """Return the code and the comments of a statement.
+
+    In the code, a literal or quoted name is reduced to its two quotes and a
+    comment to a space.
+
+    >>> split_noise("SELECT 'a;b' /* x */ FROM `for`")
+    ("SELECT ''   FROM ``", ['/* x */'])
+    """
+    comments: list[str] = []
+
+    def reduce(match: re.Match[str]) -> str:
+        text = match[0]
+        if text[0] in _QUOTES:
+            return text[0] * 2
+        comments.append(text)
+        return " "
+
+    return _NOISE.sub(reduce, sql), comments
+
+
+def strip_comments(sql: str) -> str:
+    """Return the statement with each comment replaced by a space.
+
+    >>> strip_comments("USE /* the */ `a b`;")
+    'USE   `a b`;'
+    """
+
+    def reduce(match: re.Match[str]) -> str:
+        return match[0] if match[0][0] in _QUOTES else " "
+
+    return _NOISE.sub(reduce, sql)
--- /dev/null
+++ b/src/siskinhold/tokens/_tokens.py
@@ -0,0 +1,125 @@
+"""Encodes and checks session tokens."""
+
+import base64
+import binascii
+import enum
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..model import Position
+
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64
+
+_TAG_BYTES = 16
+# Separates these tags from any other use of the fleet's key.
+_PURPOSE = b"siskinhold-token"
+_VERSION = b"\x01"
+
+
+class TokenFault(enum.Enum):
+    """Why a token is refused."""
+
+    MALFORMED = "malformed"
+    ALTERED = "altered"
+    VERSION = "version"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TokenError:
+    """A refused token."""
+
+    fault: TokenFault
+    detail: str
+
+
+class _Entry(msgspec.Struct, array_like=True, frozen=True):
+    database: str
+    term: int
+    offset: int
+
+
+class TokenCodec:
+    """Signs tokens with the first key and accepts those of any key.
+
+    Args:
+        keys: the fleet's keys, 16 to 64 bytes each.
+
+    Raises:
+        ValueError: if there is no key or one has a wrong length.
+    """
+
+    __slots__ = ("_keys", "_encoder", "_decoder")
+
+    def __init__(self, *, keys: tuple[bytes, ...]) -> None:
+        if not keys:
+            raise ValueError("at least one token key is needed")
+        for key in keys:
+            if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+                raise ValueError("a token key has 16 to 64 bytes")
+        self._keys = keys
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(list[_Entry])
+
+    def encode(self, positions: Mapping[str, Position]) -> str:
+        """Return the token of a session's positions by database name."""
+        entries = [
+            _Entry(database, position.term, position.offset)
+            for database, position in sorted(positions.items())
+        ]
+        body = _VERSION + self._encoder.encode(entries)
+        return _to_text(_sign(self._keys[0], body) + body)
+
+    def decode(self, token: str) -> Result[dict[str, Position], TokenError]:
+        """Return the positions by database name. Never raises."""
+        data = _to_bytes(token)
+        if data is None or len(data) <= _TAG_BYTES:
+            return _error(TokenFault.MALFORMED, "the token isn't base64url text")
+        tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
+        if not self._is_signed(tag, body):
+            return _error(TokenFault.ALTERED, "the token's tag is of no accepted key")
+        if body[:1] != _VERSION:
+            return _error(TokenFault.VERSION, f"unknown token version {body[0]}")
+        try:
+            entries = self._decoder.decode(body[1:])
+        except msgspec.MsgspecError:
+            return _error(TokenFault.MALFORMED, "the token's body can't be read")
+        return Ok({entry.database: _position(entry) for entry in entries})
+
+    def _is_signed(self, tag: bytes, body: bytes) -> bool:
+        accepted = False
+        for key in self._keys:
+            accepted |= hmac.compare_digest(tag, _sign(key, body))
+        return accepted
+
+
+def _position(entry: _Entry) -> Position:
+    return Position(entry.term, entry.offset)
+
+
+def _sign(key: bytes, body: bytes) -> bytes:
+    digest = hashlib.blake2b(body, digest_size=_TAG_BYTES, key=key, person=_PURPOSE)
+    return digest.digest()
+
+
+def _to_text(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).rstrip(b"=").decode("ascii")
+
+
+def _to_bytes(token: str) -> bytes | None:
+    """Return the decoded text, None unless it is the one text of its bytes."""
+    try:
+        text = token.encode("ascii")
+        data = base64.urlsafe_b64decode(text + b"=" * (-len(text) % 4))
+    except (binascii.Error, UnicodeEncodeError, ValueError):
+        return None
+    return data if _to_text(data) == token else None
+
+
+def _error(fault: TokenFault, detail: str) -> Err[TokenError]:
+    return Err(TokenError(fault=fault, detail=detail))
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,451 @@
+"""Tests of the callers' adapter over real sockets with stock clients."""
+
+import asyncio
+import hashlib
+import logging
+import random
+
+import aiomysql
+import pymysql
+import pytest
+
+from siskinhold.adapters import CallerLimits, MysqlCallers
+from siskinhold.effects import CloseCaller, ReplyCaller
+from siskinhold.events import (
+    CallerClosed,
+    CallerOpened,
+    DatabaseSelected,
+    StatementReceived,
+    TokenPresented,
+)
+from siskinhold.model import (
+    Column,
+    Done,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Position,
+    RequestId,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+)
+from siskinhold.tokens import TokenCodec
+
+PASSWORD = "alder"
+PROOF = hashlib.sha1(hashlib.sha1(PASSWORD.encode()).digest()).hexdigest()
+TOKENS = TokenCodec(keys=(b"k" * 16,))
+
+
+class Entry:
+    """Stands in for the runtime: notes events and replies from a script.
+
+    A statement whose reply is None is left waiting.
+    """
+
+    def __init__(self, **settings):
+        self.events = []
+        self.replies = {}
+        self.positions = {}
+        self.changed = asyncio.Event()
+        self.connections = []
+        self.callers = MysqlCallers(
+            host="127.0.0.1", port=0, users={"mill": PROOF}, tokens=TOKENS, **settings
+        )
+
+    async def __aenter__(self):
+        await self.callers.start(self.emit)
+        return self
+
+    async def __aexit__(self, *_):
+        for connection in self.connections:
+            connection.close()
+        await self.callers.stop()
+
+    def emit(self, event):
+        self.events.append(event)
+        self.changed.set()
+        if isinstance(event, StatementReceived):
+            outcome = self.replies.get(event.sql, Done())
+            if outcome is not None:
+                self.reply(event.session, outcome)
+
+    def reply(self, session, outcome):
+        request = RequestId("vm", 1, len(self.events))
+        self.callers.reply(
+            ReplyCaller(
+                session=session,
+                request=request,
+                outcome=outcome,
+                positions=self.positions,
+            )
+        )
+
+    def of(self, kind):
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def sent(self):
+        return [event.sql for event in self.of(StatementReceived)]
+
+    async def wait_for(self, kind):
+        async with asyncio.timeout(2):
+            while not self.of(kind):
+                self.changed.clear()
+                await self.changed.wait()
+        return self.of(kind)[-1]
+
+    async def connect(self, **settings):
+        defaults = dict(
+            host="127.0.0.1",
+            port=self.callers.port,
+            user="mill",
+            password=PASSWORD,
+            autocommit=True,
+        )
+        connection = await aiomysql.connect(**(defaults | settings))
+        self.connections.append(connection)
+        return connection
+
+    async def open_socket(self):
+        return await asyncio.open_connection("127.0.0.1", self.callers.port)
+
+
+async def run(connection, sql):
+    """Run a statement; return its cursor and rows."""
+    cursor = await connection.cursor()
+    await cursor.execute(sql)
+    return cursor, await cursor.fetchall()
+
+
+async def fail(connection, sql):
+    """Run a statement that must fail; return its code and message."""
+    with pytest.raises(pymysql.err.MySQLError) as caught:
+        await run(connection, sql)
+    return caught.value.args
+
+
+class TestAnswers:
+    async def test_rows_pass_through(self):
+        """Rows and types arrive as given; guards against re-encoded values."""
+        columns = (Column("a", 8, 63), Column("b", 253), Column("c", 252, 63))
+        rows = ((b"7", "é".encode(), b"\x00\xff"), (None, b"", None))
+        async with Entry() as entry:
+            entry.replies["SELECT a"] = Done(columns=columns, rows=rows)
+            connection = await entry.connect(db="orders")
+            cursor, found = await run(connection, "SELECT a")
+            assert found == ((7, "é", b"\x00\xff"), (None, "", None))
+            assert [item[:2] for item in cursor.description] == [
+                ("a", 8),
+                ("b", 253),
+                ("c", 252),
+            ]
+            connection.close()
+            await entry.wait_for(CallerClosed)
+        opened = entry.of(CallerOpened)[0]
+        assert (opened.user, opened.database) == ("mill", "orders")
+
+    async def test_rows_over_one_packet(self):
+        """A 17 MB value and many rows arrive whole; guards the packet split."""
+        large = b"x" * (17 * 1024 * 1024)
+        rows = ((large,), (b"end",))
+        many = tuple((str(number).encode(),) for number in range(2_500))
+        async with Entry() as entry:
+            entry.replies["SELECT l"] = Done(columns=(Column("l"),), rows=rows)
+            entry.replies["SELECT m"] = Done(columns=(Column("m", 8),), rows=many)
+            connection = await entry.connect()
+            _, found = await run(connection, "SELECT l")
+            assert [len(row[0]) for row in found] == [len(large), 3]
+            _, found = await run(connection, "SELECT m")
+            assert found == tuple((number,) for number in range(2_500))
+
+    async def test_counts_reach_the_client(self):
+        """Counts are in the OK packet; the library would send zeros."""
+        async with Entry() as entry:
+            entry.replies["INSERT a"] = Done(affected_rows=3, insert_id=41, warnings=2)
+            connection = await entry.connect()
+            cursor, _ = await run(connection, "INSERT a")
+            assert (cursor.rowcount, cursor.lastrowid) == (3, 41)
+            assert cursor._result.warning_count == 2
+            _, rows = await run(connection, "SELECT LAST_INSERT_ID()")
+            assert rows == (("41",),)
+
+    async def test_repeated_write_warns(self):
+        """A repeated keyed write says so; guards against a silent repeat."""
+        async with Entry() as entry:
+            entry.replies["INSERT a"] = Done(repeated=True)
+            connection = await entry.connect()
+            await run(connection, "INSERT a")
+            _, rows = await run(connection, "SHOW WARNINGS")
+            assert rows[0][1] == "5000"
+
+    @pytest.mark.parametrize(
+        "outcome, code, message",
+        [
+            (Failed(code=1062, sqlstate="23000", message="Duplicate"), 1062, "Dup"),
+            (NotRun(reason=NotRunReason.DEADLINE), 5001, "not_run reason=deadline"),
+            (
+                Unknown(reason=UnknownReason.OWNER_LOST, detail="vm=a"),
+                5002,
+                "unknown reason=owner_lost vm=a",
+            ),
+        ],
+    )
+    async def test_outcomes_as_errors(self, outcome, code, message):
+        """Each outcome has its code and text; guards the documented table."""
+        async with Entry() as entry:
+            entry.replies["INSERT a"] = outcome
+            connection = await entry.connect()
+            found = await fail(connection, "INSERT a")
+            assert found[0] == code and found[1].startswith(message)
+
+    async def test_refusals(self):
+        """A refused statement is typed and never emitted, so it can't run."""
+        async with Entry() as entry:
+            connection = await entry.connect()
+            for sql, code, start in [
+                ("INSERT a /* siskinhold: onec=1 */", 5005, "not_run reason=mark_"),
+                ("LOCK TABLES a READ", 5004, "not_run reason=unsupported"),
+                ("SET @siskinhold_token='x'", 5003, "not_run reason=token_invalid"),
+                ("SELECT @@nothing", 1193, "Unknown"),
+                ("-- nothing", 1065, "the statement is empty"),
+            ]:
+                found = await fail(connection, sql)
+                assert found[0] == code and found[1].startswith(start)
+            assert entry.sent() == []
+
+
+class TestSessions:
+    async def test_token_round_trip(self):
+        """A token read in one session is accepted by the next."""
+        async with Entry() as entry:
+            entry.positions = {"orders": Position(2, 17)}
+            first = await entry.connect()
+            await run(first, "INSERT a")
+            _, rows = await run(first, "SELECT @siskinhold_token")
+            second = await entry.connect()
+            await run(second, f"SET @siskinhold_token = '{rows[0][0]}'")
+            presented = entry.of(TokenPresented)[0]
+            assert presented.positions == {"orders": Position(2, 17)}
+            assert presented.session != entry.of(CallerOpened)[0].session
+
+    async def test_database_selected(self):
+        """USE and COM_INIT_DB both report the database."""
+        async with Entry() as entry:
+            connection = await entry.connect()
+            await run(connection, "USE `quotes`")
+            await connection.select_db("orders")
+            names = [event.database for event in entry.of(DatabaseSelected)]
+            assert names == ["quotes", "orders"]
+            _, rows = await run(connection, "SELECT DATABASE()")
+            assert rows == (("orders",),)
+
+    async def test_autocommit_off_begins(self):
+        """With autocommit off a statement begins a transaction.
+
+        Guards against a client's default losing its transactions.
+        """
+        async with Entry() as entry:
+            connection = await entry.connect(autocommit=False)
+            await connection.commit()
+            await run(connection, "INSERT a")
+            assert connection.get_transaction_status()
+            await run(connection, "SELECT 1")
+            await connection.commit()
+            assert not connection.get_transaction_status()
+            assert entry.sent() == ["BEGIN", "INSERT a", "SELECT 1", "COMMIT"]
+
+    async def test_lost_transaction(self):
+        """Statements after a loss are refused until the caller rolls back.
+
+        Guards against the rest of a transaction running on its own.
+        """
+        async with Entry() as entry:
+            lost = NotRun(reason=NotRunReason.TRANSACTION_LOST)
+            entry.replies["INSERT a"] = lost
+            connection = await entry.connect()
+            await connection.begin()
+            for sql in ["INSERT a", "INSERT b", "COMMIT"]:
+                found = await fail(connection, sql)
+                assert found[1].startswith("not_run reason=transaction_lost")
+            await connection.begin()
+            await run(connection, "INSERT b")
+            await connection.rollback()
+            kinds = [event.kind for event in entry.of(StatementReceived)]
+            assert kinds == [
+                StatementKind.BEGIN,
+                StatementKind.WRITE,
+                StatementKind.BEGIN,
+                StatementKind.WRITE,
+                StatementKind.ROLLBACK,
+            ]
+
+    async def test_begin_commits_the_open_transaction(self):
+        """BEGIN and DDL commit first, as MySQL does; guards pinned state."""
+        async with Entry() as entry:
+            connection = await entry.connect()
+            await connection.begin()
+            await connection.begin()
+            await run(connection, "CREATE TABLE a (b int)")
+            assert entry.sent() == [
+                "BEGIN",
+                "COMMIT",
+                "BEGIN",
+                "COMMIT",
+                "CREATE TABLE a (b int)",
+            ]
+
+    async def test_disconnect_while_waiting(self):
+        """A caller that leaves while it waits is reported at once."""
+        async with Entry() as entry:
+            entry.replies["INSERT a"] = None
+            connection = await entry.connect()
+            task = asyncio.create_task(run(connection, "INSERT a"))
+            received = await entry.wait_for(StatementReceived)
+            connection.close()
+            closed = await entry.wait_for(CallerClosed)
+            assert closed.session == received.session
+            assert closed.at - received.at < 0.5
+            entry.reply(received.session, Done())
+            with pytest.raises((pymysql.err.MySQLError, asyncio.CancelledError)):
+                await task
+        assert len(entry.of(CallerClosed)) == 1
+
+    async def test_close_after_reply(self):
+        """A reply followed by a close arrives; guards a shutdown's last answer."""
+        async with Entry() as entry:
+            entry.replies["INSERT a"] = None
+            connection = await entry.connect()
+            task = asyncio.create_task(run(connection, "INSERT a"))
+            received = await entry.wait_for(StatementReceived)
+            entry.reply(received.session, Done(affected_rows=5))
+            entry.callers.close(CloseCaller(session=received.session, reason="test"))
+            cursor, _ = await task
+            assert cursor.rowcount == 5
+            await entry.wait_for(CallerClosed)
+
+    async def test_close_while_idle(self):
+        """An idle caller is closed at once and reported."""
+        async with Entry() as entry:
+            connection = await entry.connect()
+            session = entry.of(CallerOpened)[0].session
+            entry.callers.close(CloseCaller(session=session, reason="test"))
+            await entry.wait_for(CallerClosed)
+
+
+class TestAuthentication:
+    @pytest.mark.parametrize(
+        "user, password", [("mill", "wrong"), ("mill", ""), ("nobody", ""), ("", "")]
+    )
+    async def test_wrong_credentials(self, user, password):
+        """Wrong and empty passwords and unknown names get the same refusal."""
+        async with Entry() as entry:
+            with pytest.raises(pymysql.err.OperationalError) as caught:
+                await entry.connect(user=user, password=password)
+            assert caught.value.args[0] == 1045
+        assert entry.events == []
+
+    async def test_refused_caller_runs_nothing(self):
+        """A caller that ignores its refusal and sends a statement is cut off.
+
+        mysql-mimic goes on to the command phase after a failed authentication.
+        """
+        async with Entry() as entry:
+            reader, writer = await entry.open_socket()
+            await reader.read(1_024)
+            capabilities = 0x00088205  # protocol 4.1, secure, plugin, no database
+            response = capabilities.to_bytes(4, "little") + b"\0\0\0\1\x2d" + bytes(23)
+            response += b"mill\0" + b"\x14" + b"z" * 20 + b"mysql_native_password\0"
+            query = b"\x03DELETE FROM orders"
+            writer.write(len(response).to_bytes(3, "little") + b"\1" + response)
+            writer.write(len(query).to_bytes(3, "little") + b"\0" + query)
+            answer = await reader.read()
+            assert answer[4] == 0xFF and answer[5:7] == (1045).to_bytes(2, "little")
+            assert len(answer) == 4 + int.from_bytes(answer[:3], "little")
+            writer.close()
+        assert entry.events == []
+
+    async def test_other_plugin_switches(self):
+        """A client that prefers another method is asked for native passwords."""
+        async with Entry() as entry:
+            connection = await entry.connect(auth_plugin="caching_sha2_password")
+            await connection.ping(reconnect=False)
+
+
+class TestLimits:
+    async def test_large_statement(self):
+        """A statement over the limit is refused and the session goes on."""
+        limits = CallerLimits(max_statement_bytes=1_000)
+        async with Entry(limits=limits) as entry:
+            connection = await entry.connect()
+            # The client adds two bytes of (empty) attributes at most.
+            found = await fail(connection, "INSERT " + "a" * 100_000)
+            assert found[0] == 5001
+            assert found[1].startswith("not_run reason=statement_too_large")
+            await run(connection, "INSERT b")
+            assert entry.sent() == ["INSERT b"]
+
+    async def test_too_many_sessions(self):
+        """A session over the limit is refused with 1040; the others go on."""
+        async with Entry(limits=CallerLimits(max_sessions=1)) as entry:
+            first = await entry.connect()
+            with pytest.raises(pymysql.err.OperationalError) as caught:
+                await entry.connect()
+            assert caught.value.args[0] == 1040
+            await first.ping(reconnect=False)
+
+    async def test_silent_handshake(self):
+        """A caller that never answers the handshake is cut off."""
+        async with Entry(limits=CallerLimits(handshake_timeout=0.05)) as entry:
+            reader, writer = await entry.open_socket()
+            async with asyncio.timeout(2):
+                await reader.read()
+            writer.close()
+
+    async def test_other_commands_are_typed(self):
+        """Prepared statements and unknown commands are refused, not dropped."""
+        async with Entry() as entry:
+            connection = await entry.connect()
+            for command, code in [(0x16, 1295), (0x11, 1047), (0x7F, 1047)]:
+                await connection._execute_command(command, "SELECT 1")
+                with pytest.raises(pymysql.err.MySQLError) as caught:
+                    await connection._read_packet()
+                assert caught.value.args[0] == code
+            await connection.ping(reconnect=False)
+
+
+class TestGarbage:
+    async def test_garbage_bytes(self, caplog):
+        """Any bytes end their connection only, with one log line and no trace."""
+        caplog.set_level(logging.INFO)
+        generator = random.Random(7)
+        texts = [generator.randbytes(size) for size in (1, 4, 5, 40, 4_000)]
+        texts += [b"\x20\0\0\1" + generator.randbytes(32) for _ in range(20)]
+        texts += [b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\1", b"\xff\xff\xff\1" + b"a" * 9]
+        async with Entry() as entry:
+            for text in texts:
+                caplog.clear()
+                reader, writer = await entry.open_socket()
+                writer.write(text)
+                writer.write_eof()
+                async with asyncio.timeout(2):
+                    await reader.read()
+                writer.close()
+                lines = [record for record in caplog.records if not record.exc_info]
+                assert len(lines) == len(caplog.records) <= 1
+            connection = await entry.connect()
+            await run(connection, "SELECT 1")
+
+    async def test_garbage_after_authentication(self):
+        """Malformed commands of a known caller are refused or end its session."""
+        generator = random.Random(8)
+        async with Entry() as entry:
+            for _ in range(30):
+                connection = await entry.connect()
+                writer = connection._writer
+                body = bytes([generator.randrange(1, 40)]) + generator.randbytes(20)
+                writer.write(len(body).to_bytes(3, "little") + b"\0" + body)
+                writer.write(generator.randbytes(30))
+                connection.close()
+            connection = await entry.connect()
+            await connection.ping(reconnect=False)
+            connection.close()
