Add the database stand-in: three instances with replication, fencing and faults

Trials and adapter tests need a replicated database that speaks the MySQL protocol and the group control statements, and that can fail on demand.

--- /dev/null
+++ b/src/siskinhold_trial/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, for trials only."""
--- /dev/null
+++ b/src/siskinhold_trial/database/_connections.py
@@ -0,0 +1,143 @@
+"""Client connections of an instance in the MySQL protocol."""
+
+import asyncio
+import struct
+from typing import Any
+
+from mysql_mimic import packets
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.connection import Connection
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import ColumnType, ServerStatus
+
+from ._errors import ServerError
+from ._sessions import InstanceSession
+from ._storage import Result
+
+_IDLE = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+_IN_TRANSACTION = _IDLE | ServerStatus.SERVER_STATUS_IN_TRANS
+
+
+class Link:
+    """The state of a client's connection that faults and activity concern."""
+
+    __slots__ = ("silent", "executing", "task", "transport", "counted")
+
+    def __init__(self, *, transport: asyncio.Transport, silent: bool) -> None:
+        self.silent = silent
+        self.executing = False
+        self.task = asyncio.current_task()
+        self.transport = transport
+        self.counted = False
+
+
+class SilenceableWriter(asyncio.StreamWriter):
+    """Drops what is written once its link is silent."""
+
+    link: Link
+
+    def write(self, data: bytes) -> None:
+        """Write, unless the link is silent."""
+        if not self.link.silent:
+            super().write(data)
+
+
+class InstanceConnection(Connection):
+    """Reports affected rows, generated keys and MySQL's own error codes.
+
+    Args:
+        link: its state as seen by the server.
+        admit: called after authentication with the default database; raises
+            `ServerError` to refuse the connection.
+    """
+
+    def __init__(self, *, link: Link, admit: Any, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self.link = link
+        self.status_flags = _IDLE
+        self._admit = admit
+
+    async def authenticate(self, *args: Any, **kwargs: Any) -> None:
+        """Authenticate, within the limit of connections.
+
+        Raises:
+            ServerError: if the connection is beyond the limit.
+        """
+        self._admit(self.link, self.session.database)
+        await super().authenticate(*args, **kwargs)
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer a ping."""
+        await self._pass_or_swallow()
+        await super().handle_ping(data)
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run a statement and write its whole answer."""
+        await self._pass_or_swallow()
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+        )
+        session: InstanceSession = self.session
+        self.link.executing = True
+        try:
+            result = await session.execute(query.sql)
+        except ServerError as error:
+            await self.stream.write(self.error(msg=error))
+            return
+        finally:
+            self.link.executing = False
+            self.status_flags = _IN_TRANSACTION if session.in_transaction else _IDLE
+        await self._answer(result)
+
+    def error(self, **kwargs: Any) -> bytes:
+        """Return an error packet, with the code of a `ServerError`."""
+        error = kwargs.get("msg")
+        if not isinstance(error, ServerError):
+            return super().error(**kwargs)
+        head = struct.pack("<BH", 0xFF, error.code)
+        return head + b"#" + error.sqlstate.encode() + error.message.encode()
+
+    async def _answer(self, result: Result) -> None:
+        if result.columns:
+            await self.write_text_resultset(_encode(result))
+            return
+        packet = self.ok(
+            affected_rows=result.affected_rows, last_insert_id=result.insert_id
+        )
+        await self.stream.write(packet)
+
+    async def _pass_or_swallow(self) -> None:
+        if not self.link.silent:
+            return
+        while await self.stream.reader.read(65536):
+            continue
+        raise asyncio.CancelledError
+
+
+def _encode(result: Result) -> ResultSet:
+    columns = [
+        ResultColumn(name, *_column_type(result.rows, index))
+        for index, name in enumerate(result.columns)
+    ]
+    return ResultSet(rows=result.rows, columns=columns)
+
+
+def _column_type(rows: Any, index: int) -> tuple[ColumnType, CharacterSet]:
+    for row in rows:
+        value = row[index]
+        if value is None:
+            continue
+        if isinstance(value, int):
+            return ColumnType.LONGLONG, CharacterSet.utf8mb4
+        if isinstance(value, float):
+            return ColumnType.DOUBLE, CharacterSet.utf8mb4
+        if isinstance(value, bytes):
+            return ColumnType.BLOB, CharacterSet.binary
+        break
+    return ColumnType.VAR_STRING, CharacterSet.utf8mb4
+
+
+__all__ = ["ConnectionClosed", "InstanceConnection", "Link", "SilenceableWriter"]
--- /dev/null
+++ b/src/siskinhold_trial/database/_database.py
@@ -0,0 +1,85 @@
+"""A database of several instances in one process."""
+
+from collections.abc import Sequence
+
+from ._instance import FIRST_TERM, Instance, Role
+from ._server import Costs, InstanceServer
+
+
+class TrialDatabase:
+    """A replicated database. The first instance is primary at first.
+
+    Args:
+        name: the database's name; its instances are named after it.
+        host: IP address to listen on.
+        ports: a TCP port for each instance; 0 for any free one.
+        lag: replication lag in seconds.
+        costs: limits and times, copied for each instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str = "trial",
+        host: str = "127.0.0.1",
+        ports: Sequence[int] = (0, 0, 0),
+        lag: float = 0.0,
+        costs: Costs | None = None,
+    ) -> None:
+        self.name = name
+        self.servers: list[InstanceServer] = []
+        costs = costs or Costs()
+        for number, port in enumerate(ports, start=1):
+            instance = Instance(name=f"{name}-{number}", host=host, port=port, lag=lag)
+            own = Costs(
+                slots=costs.slots,
+                connections=costs.connections,
+                connection_cost=costs.connection_cost,
+                service_time=costs.service_time,
+                lock_timeout=costs.lock_timeout,
+            )
+            server = InstanceServer(instance=instance, costs=own, find=self._find)
+            self.servers.append(server)
+
+    @property
+    def instances(self) -> list[Instance]:
+        """The instances in order."""
+        return [server.instance for server in self.servers]
+
+    def server(self, name: str) -> InstanceServer:
+        """Return an instance's server.
+
+        Raises:
+            KeyError: if there is no such instance.
+        """
+        for server in self.servers:
+            if server.instance.name == name:
+                return server
+        raise KeyError(name)
+
+    async def start(self) -> None:
+        """Listen on all ports.
+
+        Raises:
+            OSError: if a port can't be bound.
+        """
+        for server in self.servers:
+            await server.start()
+        primary, *replicas = self.instances
+        primary.promote(FIRST_TERM)
+        for replica in replicas:
+            replica.follow(FIRST_TERM, primary)
+
+    async def stop(self) -> None:
+        """Close all ports and connections."""
+        for server in self.servers:
+            await server.kill()
+
+    def _find(self, host: str, port: int) -> Instance | None:
+        for instance in self.instances:
+            if instance.host == host and instance.port == port:
+                return instance
+        return None
+
+
+__all__ = ["Role", "TrialDatabase"]
--- /dev/null
+++ b/src/siskinhold_trial/database/_instance.py
@@ -0,0 +1,236 @@
+"""One instance of a database group: term, role, log and replication."""
+
+import asyncio
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ._errors import read_only, term_refused
+from ._storage import Storage
+
+REPLICATION_HEARTBEAT = 0.02
+"""Seconds between a replica's contacts with its source."""
+
+FIRST_TERM = 1
+
+
+class Role(enum.Enum):
+    """The role that an instance has at its term."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+    FENCED = "fenced"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LogEntry:
+    """A committed transaction.
+
+    Args:
+        term: term of the primary that committed it.
+        offset: its place in the log, from 1.
+        statements: what it ran, in sqlite's words.
+        at: when it was committed, in seconds of the loop's clock.
+    """
+
+    term: int
+    offset: int
+    statements: tuple[str, ...]
+    at: float
+
+
+class Instance:
+    """State of an instance, without its sockets.
+
+    Args:
+        name: unique name within the group.
+        host: IP address of the MySQL protocol.
+        port: TCP port of the MySQL protocol.
+        lag: replication lag in seconds while it is a replica.
+    """
+
+    def __init__(self, *, name: str, host: str, port: int, lag: float) -> None:
+        self.name = name
+        self.host = host
+        self.port = port
+        self.lag = lag
+        self.term = FIRST_TERM
+        self.role = Role.FENCED
+        self.log: list[LogEntry] = []
+        self.storage = Storage()
+        self.lock = asyncio.Lock()
+        self.epoch = 0
+        self.alive = False
+        self.isolated = False
+        self._source: Instance | None = None
+        self._matched = False
+        self._heard = 0.0
+        self._followers: set[Instance] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def log_term(self) -> int:
+        """The term of the last log entry."""
+        return self.log[-1].term if self.log else FIRST_TERM
+
+    @property
+    def source_silence(self) -> float:
+        """Seconds since it last heard from the primary it follows."""
+        if self.role is Role.PRIMARY:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._heard
+
+    def require_primary(self, epoch: int | None = None) -> None:
+        """Check that writes are allowed.
+
+        Args:
+            epoch: the epoch in which the write began; None for a new write.
+
+        Raises:
+            ServerError: if it is not primary, or was fenced since.
+        """
+        if self.role is not Role.PRIMARY:
+            raise read_only()
+        if epoch is not None and epoch != self.epoch:
+            raise read_only()
+
+    def commit(self, statements: Sequence[str]) -> None:
+        """Commit the open write transaction and append it to the log."""
+        self.storage.commit(statements)
+        if not statements:
+            return
+        loop = asyncio.get_running_loop()
+        entry = LogEntry(
+            term=self.term,
+            offset=len(self.log) + 1,
+            statements=tuple(statements),
+            at=loop.time(),
+        )
+        self.log.append(entry)
+        for follower in self._followers:
+            loop.call_later(follower.lag, follower.pull)
+
+    def fence(self, term: int) -> None:
+        """Raise the term, which ends its writes and its replication.
+
+        Raises:
+            ServerError: if its term is higher.
+        """
+        if term < self.term:
+            raise term_refused(f"term is {self.term}")
+        if term > self.term:
+            self._enter(term, Role.FENCED)
+
+    def promote(self, term: int) -> None:
+        """Become primary.
+
+        Raises:
+            ServerError: if it is not fenced at exactly this term.
+        """
+        if term != self.term or self.role is not Role.FENCED:
+            raise term_refused(f"{self.role.value} at term {self.term}")
+        self._enter(term, Role.PRIMARY)
+
+    def follow(self, term: int, source: "Instance | None") -> None:
+        """Follow the primary of a term.
+
+        Raises:
+            ServerError: if its term is higher, if it leads that term, or if
+                there is no such source.
+        """
+        if term < self.term:
+            raise term_refused(f"term is {self.term}")
+        if term == self.term and self.role is Role.PRIMARY:
+            raise term_refused(f"is primary at term {term}")
+        if source is None or source is self:
+            raise term_refused("no such source")
+        self._enter(term, Role.REPLICA)
+        self._source = source
+        self._matched = False
+        source._followers.add(self)
+        self.pull()
+
+    def pull(self) -> None:
+        """Take the log entries that have arrived by now from the source."""
+        source = self._source
+        if source is None or not self._hears(source):
+            return
+        now = asyncio.get_running_loop().time()
+        self._heard = now
+        if not self._matched:
+            self._match(source)
+        # The tolerance covers a timer that fires within the clock's resolution.
+        arrived = now - self.lag + 0.0005
+        for entry in source.log[len(self.log) :]:
+            if entry.at > arrived:
+                break
+            self.storage.apply(entry.statements)
+            self.log.append(entry)
+
+    def start(self) -> None:
+        """Begin to take part in replication."""
+        self.alive = True
+        self._tick()
+
+    def stop(self, *, keep_memory: bool = True) -> None:
+        """Stop to take part, as a process that died.
+
+        The term is kept in any case, because an instance never lowers it.
+
+        Args:
+            keep_memory: whether rows and log survive.
+        """
+        self.alive = False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._end_writes()
+        if keep_memory:
+            return
+        self.log.clear()
+        self._matched = False
+        self.storage.close()
+        self.storage = Storage()
+        if self.role is Role.PRIMARY:
+            self.role = Role.FENCED
+
+    def _tick(self) -> None:
+        self.pull()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(REPLICATION_HEARTBEAT, self._tick)
+
+    def _enter(self, term: int, role: Role) -> None:
+        self.term = term
+        self.role = role
+        self._end_writes()
+        if self._source is not None:
+            self._source._followers.discard(self)
+        self._source = None
+
+    def _end_writes(self) -> None:
+        self.epoch += 1
+        self.lock = asyncio.Lock()
+        self.storage.drop_working_copy()
+
+    def _hears(self, source: "Instance") -> bool:
+        if not self.alive or not source.alive:
+            return False
+        if self.isolated or source.isolated:
+            return False
+        return source.role is Role.PRIMARY and source.term == self.term
+
+    def _match(self, source: "Instance") -> None:
+        # A term has one primary, so equal terms at an offset mean equal logs
+        # up to that offset.
+        keep = min(len(self.log), len(source.log))
+        while keep and self.log[keep - 1].term != source.log[keep - 1].term:
+            keep -= 1
+        if keep < len(self.log):
+            self._cut_back(keep)
+        self._matched = True
+
+    def _cut_back(self, keep: int) -> None:
+        del self.log[keep:]
+        self.storage.close()
+        self.storage = Storage()
+        for entry in self.log:
+            self.storage.apply(entry.statements)
--- /dev/null
+++ b/src/siskinhold_trial/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the stand-ins."""
