Add the MySQL adapter for backend servers

Results stay text-protocol bytes, so that nothing is altered on the way. Keyed writes insert their key in their own transaction, and each loss tells whether the statement may have been sent.

--- /dev/null
+++ b/src/siskinhold/adapters/_raw_connections.py
@@ -0,0 +1,285 @@
+"""Connections to backend servers that leave results as the server sent them."""
+
+import asyncio
+import ssl
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiomysql
+from pymysql.constants import CLIENT
+from pymysql.protocol import MysqlPacket
+
+from ..model import Column, ControlFailure, Done
+
+_ERROR_HEAD = struct.Struct("<xH")
+
+
+class ServerRefusal(Exception):
+    """The server answered with an error; the connection stays usable.
+
+    Args:
+        code: MySQL error code.
+        sqlstate: five characters.
+        message: the server's text.
+    """
+
+    def __init__(self, code: int, sqlstate: str, message: str) -> None:
+        super().__init__(f"{code} {sqlstate} {message}")
+        self.code = code
+        self.sqlstate = sqlstate
+        self.message = message
+
+
+class ConnectionLost(Exception):
+    """The connection can't be used any more.
+
+    Args:
+        failure: how it was lost.
+    """
+
+    def __init__(self, failure: ControlFailure) -> None:
+        super().__init__(failure.value)
+        self.failure = failure
+
+
+class AnswerTooLarge(Exception):
+    """The answer is beyond the limit; the connection was closed."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Access:
+    """How to reach backend servers.
+
+    Args:
+        user: user name.
+        password: its password.
+        ssl_context: TLS context; None for no TLS.
+        connect_timeout: longest time to open a connection, in seconds.
+        answer_limit: largest answer, in bytes.
+    """
+
+    user: str
+    password: str = ""
+    ssl_context: ssl.SSLContext | None = None
+    connect_timeout: float = 2.0
+    answer_limit: int = 64 * 1024 * 1024
+
+
+class _Packet(MysqlPacket):
+    """A packet whose error keeps its SQL state, which pymysql drops."""
+
+    def raise_for_error(self) -> None:
+        """Raise the error of an error packet.
+
+        Raises:
+            ServerRefusal: always.
+        """
+        data = self.get_all_data()
+        (code,) = _ERROR_HEAD.unpack_from(data)
+        text = data[3:].decode("utf-8", "replace")
+        if text[:1] == "#":
+            raise ServerRefusal(code, text[1:6], text[6:])
+        raise ServerRefusal(code, "HY000", text)
+
+
+class _Protocol(asyncio.Protocol):
+    """Passes everything on to a stream protocol and reports the end."""
+
+    def __init__(self, inner: Any, on_end: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_end = on_end
+        self.data_received = inner.data_received
+        self.pause_writing = inner.pause_writing
+        self.resume_writing = inner.resume_writing
+
+    def eof_received(self) -> bool | None:
+        """Pass the end of the input on."""
+        keep_open = self._inner.eof_received()
+        self._on_end()
+        return keep_open
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Pass the loss on."""
+        self._inner.connection_lost(error)
+        self._on_end()
+
+
+class RawConnection(aiomysql.Connection):
+    """A connection that returns text-protocol bytes undecoded.
+
+    Open it with `open_connection`.
+
+    Args:
+        access: credentials and limits.
+        host: IP address.
+        port: TCP port.
+        database: default database; empty for none.
+    """
+
+    def __init__(self, *, access: Access, host: str, port: int, database: str) -> None:
+        super().__init__(
+            host=host,
+            port=port,
+            user=access.user,
+            password=access.password,
+            db=database or None,
+            ssl=access.ssl_context,
+            use_unicode=False,
+            conv={},
+            autocommit=True,
+        )
+        # One request is one statement: a second one in the same text would
+        # escape its classification.
+        self.client_flag &= ~CLIENT.MULTI_STATEMENTS
+        self.on_end: Callable[[], None] | None = None
+        self._ended = False
+        self._answer_limit = access.answer_limit
+        self._answer_size = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether a statement can be written to it, as far as is known."""
+        if self._ended or self._writer is None:
+            return False
+        return not self._writer.transport.is_closing()
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the server reported an open transaction."""
+        return self.get_transaction_status()
+
+    def abort(self) -> None:
+        """Close the socket at once, without sending what is buffered."""
+        self._ended = True
+        self.on_end = None
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._writer = None
+        self._reader = None
+
+    async def run(self, sql: str) -> Done:
+        """Run a statement and read its whole answer.
+
+        Raises:
+            ServerRefusal: if the server refuses the statement.
+            AnswerTooLarge: if the answer is beyond the limit.
+            ConnectionLost: if the connection fails; it is closed then.
+        """
+        self._answer_size = 0
+        try:
+            await self.query(sql)
+            done = _done(self._result)
+            while self._result.has_next:
+                await self.next_result()
+        except ServerRefusal:
+            raise
+        except AnswerTooLarge:
+            self.abort()
+            raise
+        except Exception as error:
+            # Whatever went wrong, the rest of the answer can't be found.
+            self.abort()
+            raise ConnectionLost(ControlFailure.CLOSED) from error
+        except BaseException:
+            self.abort()
+            raise
+        return done
+
+    async def refresh_flags(self) -> None:
+        """Ask for the transaction flag, which error packets lack.
+
+        Raises:
+            ConnectionLost: if the connection fails; it is closed then.
+        """
+        try:
+            await self.ping(reconnect=False)
+        except Exception as error:
+            self.abort()
+            raise ConnectionLost(ControlFailure.CLOSED) from error
+        except BaseException:
+            self.abort()
+            raise
+
+    async def open(self) -> None:
+        """Connect and authenticate.
+
+        Raises:
+            ServerRefusal: if the server refuses the connection.
+            Exception: if it can't be opened, as aiomysql raises it.
+        """
+        try:
+            await self._connect()
+        except BaseException:
+            self.abort()
+            raise
+        transport = self._writer.transport
+        transport.set_protocol(_Protocol(transport.get_protocol(), self._end))
+
+    async def _request_authentication(self) -> None:
+        # aiomysql goes on without TLS when the server doesn't offer it.
+        if self._ssl_context and not self.server_capabilities & CLIENT.SSL:
+            raise ConnectionLost(ControlFailure.REJECTED)
+        await super()._request_authentication()
+
+    async def _read_packet(self, packet_type: type = MysqlPacket) -> MysqlPacket:
+        if packet_type is MysqlPacket:
+            packet_type = _Packet
+        packet = await super()._read_packet(packet_type)
+        self._answer_size += len(packet.get_all_data())
+        if self._answer_size > self._answer_limit:
+            raise AnswerTooLarge
+        return packet
+
+    def _end(self) -> None:
+        self._ended = True
+        if self.on_end is not None:
+            self.on_end()
+
+
+async def open_connection(
+    *, access: Access, host: str, port: int, database: str = ""
+) -> RawConnection:
+    """Open a connection.
+
+    Raises:
+        ConnectionLost: if it can't be opened.
+    """
+    connection = RawConnection(access=access, host=host, port=port, database=database)
+    try:
+        async with asyncio.timeout(access.connect_timeout):
+            await connection.open()
+    except ServerRefusal as error:
+        raise ConnectionLost(ControlFailure.REJECTED) from error
+    except TimeoutError as error:
+        raise ConnectionLost(ControlFailure.TIMEOUT) from error
+    except ConnectionLost:
+        raise
+    except Exception as error:
+        raise ConnectionLost(_classify(error)) from error
+    return connection
+
+
+def _classify(error: Exception) -> ControlFailure:
+    cause = error.__cause__ or error
+    if isinstance(cause, TimeoutError):
+        return ControlFailure.TIMEOUT
+    if isinstance(cause, ConnectionResetError | asyncio.IncompleteReadError):
+        return ControlFailure.CLOSED
+    if isinstance(cause, OSError):
+        return ControlFailure.REFUSED
+    return ControlFailure.CLOSED
+
+
+def _done(result: Any) -> Done:
+    if not result.field_count:
+        return Done(
+            affected_rows=result.affected_rows,
+            insert_id=result.insert_id or 0,
+            warnings=result.warning_count,
+        )
+    columns = tuple(
+        Column(field.name, field.type_code, field.charsetnr) for field in result.fields
+    )
+    return Done(columns=columns, rows=result.rows, warnings=result.warning_count)
--- /dev/null
+++ b/src/siskinhold/adapters/_server_status.py
@@ -0,0 +1,70 @@
+"""The control statements of a backend server and the rows they return."""
+
+from ..model import Done, Position, Role, ServerStatus
+
+SHOW_STATUS = "SHOW GROUP STATUS"
+
+
+def fence(term: int) -> str:
+    """Return the statement that raises a server's term."""
+    return f"GROUP FENCE {term}"
+
+
+def promote(term: int) -> str:
+    """Return the statement that makes a fenced server primary."""
+    return f"GROUP PROMOTE {term}"
+
+
+def follow(term: int, host: str, port: int) -> str:
+    """Return the statement that makes a server follow a primary."""
+    return f"GROUP FOLLOW {term} '{host}' {port}"
+
+
+def show_activity(connection_id: int) -> str:
+    """Return the statement that asks about a connection."""
+    return f"SHOW CONNECTION ACTIVITY {connection_id}"
+
+
+def parse_status(done: Done) -> ServerStatus:
+    """Return the status that a row describes.
+
+    Raises:
+        ValueError: if it is not a status row.
+
+    >>> from siskinhold.model import Column
+    >>> names = ("term", "role", "log_term", "log_offset", "source_silence_ms")
+    >>> row = (b"2", b"replica", b"1", b"7", b"30")
+    >>> status = parse_status(Done(columns=tuple(map(Column, names)), rows=(row,)))
+    >>> status.position
+    Position(term=1, offset=7)
+    """
+    values = _only_row(done)
+    try:
+        return ServerStatus(
+            term=int(values["term"]),
+            role=Role(values["role"].decode("ascii")),
+            position=Position(int(values["log_term"]), int(values["log_offset"])),
+            source_silence_ms=int(values["source_silence_ms"]),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError("not a status row") from error
+
+
+def parse_activity(done: Done) -> bool:
+    """Return whether a connection is executing; False if it is not known.
+
+    Raises:
+        ValueError: if it is not an activity row.
+    """
+    values = _only_row(done)
+    try:
+        return bool(int(values["known"]) and int(values["executing"]))
+    except (KeyError, TypeError) as error:
+        raise ValueError("not an activity row") from error
+
+
+def _only_row(done: Done) -> dict[str, bytes | None]:
+    if len(done.rows) != 1:
+        raise ValueError("not one row")
+    names = (column.name for column in done.columns)
+    return dict(zip(names, done.rows[0]))
--- /dev/null
+++ b/src/siskinhold/adapters/_work_connections.py
@@ -0,0 +1,258 @@
+"""Work connections: one statement at a time, with its idempotency key."""
+
+import asyncio
+import hashlib
+
+from .. import effects, events
+from ..model import (
+    ControlFailure,
+    Done,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Position,
+)
+from ._interfaces import Emit
+from ._raw_connections import (
+    AnswerTooLarge,
+    ConnectionLost,
+    RawConnection,
+    ServerRefusal,
+)
+from ._server_status import SHOW_STATUS, parse_status
+
+DUPLICATE_KEY = 1062
+
+STATE_DONE = "done"
+STATE_TOMBSTONE = "tombstone"
+
+_TOO_LARGE = Failed(code=1153, sqlstate="08S01", message="The answer is too large")
+_SETTLED = NotRun(
+    reason=NotRunReason.DEADLINE, detail="the key was settled as not run before"
+)
+
+
+class WorkConnection:
+    """Carries out statements on an open connection and emits their events.
+
+    After an event that tells of a lost connection, it is closed.
+
+    Args:
+        number: the connection's number.
+        raw: the open connection.
+        emit: takes the events.
+    """
+
+    def __init__(self, *, number: int, raw: RawConnection, emit: Emit) -> None:
+        self.number = number
+        self._raw = raw
+        self._emit = emit
+        self._loop = asyncio.get_running_loop()
+        self._sent = False
+
+    @property
+    def server_connection_id(self) -> int:
+        """The number that the server gave the connection."""
+        return self._raw.thread_id()
+
+    def abort(self) -> None:
+        """Close the socket at once."""
+        self._raw.abort()
+
+    async def run(self, effect: effects.RunStatement) -> None:
+        """Run a statement; emits `BackendAnswered` or `BackendLost`."""
+        self._sent = False
+        try:
+            outcome = await self._run(effect)
+            position = await self._position(wanted=effect.want_position)
+        except ConnectionLost:
+            self._report_loss(effect)
+            return
+        except AnswerTooLarge:
+            outcome, position = _TOO_LARGE, None
+        self._emit(
+            events.BackendAnswered(
+                at=self._loop.time(),
+                connection=self.number,
+                request=effect.request,
+                outcome=outcome,
+                position=position,
+                in_transaction=self._raw.usable and self._raw.in_transaction,
+            )
+        )
+
+    async def settle(self, effect: effects.SettleKey) -> None:
+        """Insert a tombstone for a key; emits `KeySettled`."""
+        ran: bool | None = None
+        position: Position | None = None
+        try:
+            ran = await self._settle(effect.key)
+            position = await self._position(wanted=True)
+        except (ConnectionLost, AnswerTooLarge):
+            self._raw.abort()
+        except ServerRefusal:
+            pass
+        self._emit(
+            events.KeySettled(
+                at=self._loop.time(),
+                connection=self.number,
+                request=effect.request,
+                ran=ran,
+                position=position,
+            )
+        )
+
+    def report_end(self) -> None:
+        """Emit `BackendClosed` if the connection has ended."""
+        if self._raw.usable:
+            return
+        self._raw.abort()
+        self._emit(
+            events.BackendClosed(
+                at=self._loop.time(),
+                connection=self.number,
+                failure=ControlFailure.CLOSED,
+            )
+        )
+
+    def _report_loss(self, effect: effects.RunStatement) -> None:
+        self._raw.abort()
+        self._emit(
+            events.BackendLost(
+                at=self._loop.time(),
+                connection=self.number,
+                request=effect.request,
+                sent=self._sent,
+            )
+        )
+
+    async def _run(self, effect: effects.RunStatement) -> Outcome:
+        if not effect.key:
+            return await self._run_plain(effect.sql)
+        if effect.autocommit:
+            return await self._run_keyed(effect)
+        return await self._run_keyed_in_transaction(effect)
+
+    async def _run_plain(self, sql: str) -> Outcome:
+        try:
+            return await self._send(sql)
+        except ServerRefusal as refusal:
+            failed = _failed(refusal)
+        if self._raw.in_transaction:
+            await self._refresh_flags()
+        return failed
+
+    async def _run_keyed(self, effect: effects.RunStatement) -> Outcome:
+        outcome = await self._run_transaction(effect)
+        if isinstance(outcome, Done) and not outcome.repeated:
+            return outcome
+        await self._roll_back()
+        return outcome
+
+    async def _run_transaction(self, effect: effects.RunStatement) -> Outcome:
+        try:
+            await self._raw.run("START TRANSACTION")
+            settled = await self._insert_key(effect)
+            if settled is not None:
+                return settled
+            done = await self._send(effect.sql)
+            await self._raw.run("COMMIT")
+        except ServerRefusal as refusal:
+            return _failed(refusal)
+        return done
+
+    async def _run_keyed_in_transaction(self, effect: effects.RunStatement) -> Outcome:
+        try:
+            settled = await self._insert_key(effect)
+        except ServerRefusal as refusal:
+            settled = _failed(refusal)
+        if settled is None:
+            return await self._run_plain(effect.sql)
+        await self._refresh_flags()
+        return settled
+
+    async def _insert_key(self, effect: effects.RunStatement) -> Outcome | None:
+        """Insert the key; return an outcome if the statement must not run."""
+        digest = hashlib.blake2b(_encode(effect.sql), digest_size=16).hexdigest()
+        try:
+            await self._raw.run(self._insertion(effect.key, digest, STATE_DONE))
+        except ServerRefusal as refusal:
+            if refusal.code != DUPLICATE_KEY:
+                raise
+            state = await self._read_state(effect.key)
+            if state is None:
+                raise refusal
+            if state == STATE_TOMBSTONE:
+                return _SETTLED
+            return Done(repeated=True)
+        return None
+
+    async def _settle(self, key: str) -> bool:
+        if not self._raw.usable:
+            raise ConnectionLost(ControlFailure.CLOSED)
+        try:
+            await self._raw.run(self._insertion(key, "", STATE_TOMBSTONE))
+        except ServerRefusal as refusal:
+            if refusal.code != DUPLICATE_KEY:
+                raise
+            state = await self._read_state(key)
+            if state is None:
+                raise refusal
+            return state != STATE_TOMBSTONE
+        return False
+
+    def _insertion(self, key: str, digest: str, state: str) -> str:
+        key = self._raw.escape_string(key)
+        return (
+            "INSERT INTO siskinhold_request (request_key, digest, state, created_at)"
+            f" VALUES ('{key}', '{digest}', '{state}', NOW())"
+        )
+
+    async def _read_state(self, key: str) -> str | None:
+        # A plain read in a transaction may see a snapshot from before the row.
+        key = self._raw.escape_string(key)
+        done = await self._raw.run(
+            "SELECT state FROM siskinhold_request"
+            f" WHERE request_key = '{key}' FOR UPDATE"
+        )
+        if not done.rows:
+            return None
+        return (done.rows[0][0] or b"").decode("utf-8", "replace")
+
+    async def _send(self, sql: str) -> Done:
+        if not self._raw.usable:
+            raise ConnectionLost(ControlFailure.CLOSED)
+        self._sent = True
+        return await self._raw.run(sql)
+
+    async def _roll_back(self) -> None:
+        # Without a COMMIT the server rolls back a lost connection by itself,
+        # so the outcome stands either way.
+        try:
+            await self._raw.run("ROLLBACK")
+        except (ConnectionLost, ServerRefusal):
+            self._raw.abort()
+
+    async def _refresh_flags(self) -> None:
+        try:
+            await self._raw.refresh_flags()
+        except ConnectionLost:
+            self._raw.abort()
+
+    async def _position(self, *, wanted: bool) -> Position | None:
+        if not wanted or not self._raw.usable:
+            return None
+        try:
+            done = await self._raw.run(SHOW_STATUS)
+            return parse_status(done).position
+        except (ServerRefusal, ValueError):
+            return None
+
+
+def _encode(sql: str) -> bytes:
+    return sql.encode("utf-8", "surrogateescape")
+
+
+def _failed(refusal: ServerRefusal) -> Failed:
+    return Failed(code=refusal.code, sqlstate=refusal.sqlstate, message=refusal.message)
--- /dev/null
+++ b/tests/test_adapter_backends.py
@@ -0,0 +1,376 @@
+"""The MySQL adapter for backend servers, against the stand-in on loopback."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest_asyncio
+
+from siskinhold import effects, events
+from siskinhold.adapters import MysqlBackends
+from siskinhold.model import (
+    BackendServer,
+    ControlFailure,
+    Done,
+    Failed,
+    NotRun,
+    Position,
+    RequestId,
+    Role,
+)
+from siskinhold_trial.database import Costs, Faults, TrialDatabase, apply_faults
+
+REQUEST = RequestId("vm-1", 1, 1)
+
+
+class Harness:
+    """A started adapter with the events it emitted."""
+
+    def __init__(self, database, **arguments):
+        self.database = database
+        self.seen = asyncio.Queue()
+        self.adapter = MysqlBackends(user="siskinhold", **arguments)
+        self.numbers = iter(range(1, 1000))
+
+    def server(self, index=0):
+        instance = self.database.instances[index]
+        return BackendServer(
+            name=instance.name,
+            host=instance.host,
+            port=instance.port,
+            region="r",
+            availability_zone="z",
+        )
+
+    async def do(self, effect):
+        self.adapter.perform(effect)
+        return await self.next()
+
+    async def next(self):
+        return await asyncio.wait_for(self.seen.get(), 2)
+
+    async def open(self, index=0):
+        effect = effects.OpenBackend(
+            connection=next(self.numbers), server=self.server(index), database="trial"
+        )
+        event = await self.do(effect)
+        assert isinstance(event, events.BackendOpened), event
+        return effect.connection
+
+    def statement(self, connection, sql, **arguments):
+        return effects.RunStatement(
+            connection=connection, request=REQUEST, sql=sql, **arguments
+        )
+
+    async def run(self, connection, sql, **arguments):
+        return await self.do(self.statement(connection, sql, **arguments))
+
+    async def settle(self, connection, key):
+        effect = effects.SettleKey(connection=connection, request=REQUEST, key=key)
+        return await self.do(effect)
+
+    async def status(self, index=0, **arguments):
+        effect = effects.QueryStatus(server=self.server(index), call=7, **arguments)
+        return await self.do(effect)
+
+    async def fault(self, index=0, **faults):
+        await apply_faults(self.database.servers[index], Faults(**faults))
+
+    async def executing(self, index=0):
+        while not self.database.servers[index].executing:
+            await asyncio.sleep(0.001)
+
+
+@pytest_asyncio.fixture
+async def database():
+    costs = Costs(connection_cost=0.0, service_time=0.0, lock_timeout=0.05)
+    database = TrialDatabase(costs=costs)
+    await database.start()
+    yield database
+    await database.stop()
+
+
+@pytest_asyncio.fixture
+async def harness(database):
+    harness = Harness(database)
+    await harness.adapter.start(harness.seen.put_nowait)
+    yield harness
+    await harness.adapter.stop()
+
+
+@pytest_asyncio.fixture
+async def table(harness):
+    connection = await harness.open()
+    await harness.run(
+        connection, "CREATE TABLE t (id INT AUTO_INCREMENT PRIMARY KEY, v TEXT)"
+    )
+    return SimpleNamespace(harness=harness, connection=connection)
+
+
+async def count(table):
+    other = await table.harness.open()
+    event = await table.harness.run(other, "SELECT COUNT(*) FROM t")
+    return int(event.outcome.rows[0][0])
+
+
+class TestResults:
+    async def test_values_stay_bytes(self, table):
+        """Values arrive as sent; guards against decoding on the way."""
+        sql = "INSERT INTO t (v) VALUES ('é'), (NULL), ('')"
+        written = await table.harness.run(table.connection, sql)
+        assert written.outcome.affected_rows == 3
+        assert written.outcome.insert_id == 3
+        read = await table.harness.run(table.connection, "SELECT * FROM t ORDER BY id")
+        assert read.outcome.rows == (
+            (b"1", "é".encode()),
+            (b"2", None),
+            (b"3", b""),
+        )
+        assert [c.type_code for c in read.outcome.columns] == [8, 253]
+
+    async def test_server_error_keeps_code_and_state(self, table):
+        """Guards against the SQL state that pymysql drops."""
+        event = await table.harness.run(table.connection, "SELECT * FROM missing")
+        assert isinstance(event.outcome, Failed)
+        assert (event.outcome.code, event.outcome.sqlstate) == (1146, "42S02")
+
+    async def test_second_statement_in_one_text_is_refused(self, table):
+        """Guards against a write hidden behind a read."""
+        sql = "SELECT 1; DELETE FROM t"
+        event = await table.harness.run(table.connection, sql)
+        assert event.outcome.code == 1064
+
+    async def test_answer_beyond_limit_closes_connection(self, database):
+        """Guards against unbounded memory and against reuse after part of an answer."""
+        harness = Harness(database, answer_limit=2000)
+        await harness.adapter.start(harness.seen.put_nowait)
+        connection = await harness.open()
+        event = await harness.run(connection, f"SELECT '{'x' * 3000}'")
+        assert event.outcome.code == 1153
+        assert isinstance(await harness.next(), events.BackendClosed)
+        await harness.adapter.stop()
+
+    async def test_position_after_write(self, table):
+        """Guards against a token that lacks the session's own write."""
+        sql = "INSERT INTO t (v) VALUES ('a')"
+        event = await table.harness.run(table.connection, sql, want_position=True)
+        assert event.position == Position(1, 2)
+
+
+class TestTransactions:
+    async def test_flag_follows_the_server(self, table):
+        """Guards against a pinned connection that is taken as idle."""
+        h, c = table.harness, table.connection
+        for sql, open_after in (
+            ("BEGIN", True),
+            ("INSERT INTO t (v) VALUES ('a')", True),
+            ("SELECT broken FROM t", True),
+            ("COMMIT", False),
+        ):
+            event = await h.run(c, sql, autocommit=False)
+            assert event.in_transaction is open_after, sql
+        assert await count(table) == 1
+
+    async def test_close_rolls_back(self, table):
+        """Guards against an abandoned transaction that keeps its lock."""
+        h, c = table.harness, table.connection
+        await h.run(c, "BEGIN", autocommit=False)
+        await h.run(c, "INSERT INTO t (v) VALUES ('a')", autocommit=False)
+        h.adapter.perform(effects.CloseBackend(connection=c))
+        other = await h.open()
+        event = await h.run(other, "INSERT INTO t (v) VALUES ('b')")
+        assert isinstance(event.outcome, Done)
+        assert await count(table) == 1
+
+    async def test_commit_on_fenced_primary_has_no_effect(self, table):
+        """Guards against a write that a replaced primary acknowledges."""
+        h, c = table.harness, table.connection
+        await h.run(c, "BEGIN", autocommit=False)
+        await h.run(c, "INSERT INTO t (v) VALUES ('a')", autocommit=False)
+        await h.do(effects.FenceServer(server=h.server(), call=1, term=2))
+        event = await h.run(c, "COMMIT", autocommit=False)
+        assert event.outcome.code == 1290
+        assert event.in_transaction is False
+        assert await count(table) == 0
+
+
+class TestKeys:
+    insert = "INSERT INTO t (v) VALUES ('a')"
+
+    async def test_second_attempt_is_repeated(self, table):
+        """Guards against a keyed write that runs twice."""
+        h, c = table.harness, table.connection
+        first = await h.run(c, self.insert, key="k'1", want_position=True)
+        assert first.outcome == Done(affected_rows=1, insert_id=1)
+        other = await h.open()
+        second = await h.run(other, self.insert, key="k'1", want_position=True)
+        assert second.outcome == Done(repeated=True)
+        assert second.position == first.position
+        assert second.in_transaction is False
+        assert await count(table) == 1
+
+    async def test_failed_statement_leaves_no_key(self, table):
+        """Guards against a key that outlives its rolled back statement."""
+        h, c = table.harness, table.connection
+        failed = await h.run(c, "INSERT INTO missing VALUES (1)", key="k")
+        assert failed.outcome.code == 1146
+        again = await h.run(c, self.insert, key="k")
+        assert again.outcome == Done(affected_rows=1, insert_id=1)
+
+    async def test_key_in_open_transaction(self, table):
+        """Guards against a repeat inside a transaction that runs or ends it."""
+        h, c = table.harness, table.connection
+        await h.run(c, self.insert, key="k")
+        await h.run(c, "BEGIN", autocommit=False)
+        event = await h.run(c, self.insert, key="k", autocommit=False)
+        assert event.outcome == Done(repeated=True)
+        assert event.in_transaction is True
+        event = await h.run(c, self.insert, key="k2", autocommit=False)
+        assert event.outcome.affected_rows == 1
+        await h.run(c, "ROLLBACK", autocommit=False)
+        assert (await h.settle(c, "k2")).ran is False
+
+    async def test_tombstone_forbids_the_statement(self, table):
+        """Guards against a first attempt that commits after "not run"."""
+        h, c = table.harness, table.connection
+        assert (await h.settle(c, "k")).ran is False
+        assert (await h.settle(c, "k")).ran is False
+        event = await h.run(c, self.insert, key="k")
+        assert isinstance(event.outcome, NotRun)
+        assert await count(table) == 0
+
+    async def test_settling_finds_the_key(self, table):
+        """Guards against "not run" for a write that committed."""
+        h, c = table.harness, table.connection
+        await h.run(c, self.insert, key="k")
+        settled = await h.settle(c, "k")
+        assert settled.ran is True
+        assert settled.position == Position(1, 2)
+
+    async def test_settling_waits_for_open_attempt(self, table):
+        """An attempt that holds the key leaves it open; guards against a guess."""
+        h, c = table.harness, table.connection
+        await h.run(c, "BEGIN", autocommit=False)
+        await h.run(c, self.insert, key="k", autocommit=False)
+        other = await h.open()
+        assert (await h.settle(other, "k")).ran is None
+
+    async def test_settling_on_lost_connection(self, table):
+        """Guards against an answer where nothing could be learnt."""
+        h, c = table.harness, table.connection
+        h.adapter.perform(effects.SettleKey(connection=c, request=REQUEST, key="k"))
+        await h.fault(kill="keep")
+        assert (await h.next()).ran is None
+        assert isinstance(await h.next(), events.BackendClosed)
+
+
+class TestLoss:
+    async def test_running_statement_may_have_been_sent(self, table):
+        """Guards against "not run" for a statement that the server got."""
+        h, c = table.harness, table.connection
+        h.adapter.perform(h.statement(c, "SELECT SLEEP(5)"))
+        await h.executing()
+        await h.fault(kill="keep")
+        event = await h.next()
+        assert isinstance(event, events.BackendLost)
+        assert event.sent is True
+
+    async def test_idle_connection_reports_its_end(self, table):
+        """Guards against work for a connection that has ended."""
+        h, c = table.harness, table.connection
+        await h.fault(kill="keep")
+        event = await h.next()
+        assert event == events.BackendClosed(
+            at=event.at, connection=c, failure=ControlFailure.CLOSED
+        )
+        event = await h.run(c, "SELECT 1")
+        assert isinstance(event, events.BackendLost)
+        assert event.sent is False
+
+    async def test_closed_connection_stays_quiet(self, table):
+        """Guards against events of a generation that is over."""
+        h, c = table.harness, table.connection
+        h.adapter.perform(h.statement(c, "SELECT SLEEP(0.05)"))
+        await h.executing()
+        h.adapter.perform(effects.CloseBackend(connection=c))
+        await asyncio.sleep(0.1)
+        assert h.seen.empty()
+
+    async def test_refused_open(self, harness):
+        """Guards against a hang when nobody listens or the limit is reached."""
+        await harness.fault(kill="keep")
+        effect = effects.OpenBackend(
+            connection=5, server=harness.server(), database="trial"
+        )
+        event = await harness.do(effect)
+        assert event.failure is ControlFailure.REFUSED
+
+    async def test_connection_limit_spares_control(self, database, harness):
+        """Guards against a full server that is taken as dead."""
+        database.servers[0].costs.connections = 1
+        await harness.open()
+        effect = effects.OpenBackend(
+            connection=50, server=harness.server(), database="trial"
+        )
+        assert (await harness.do(effect)).failure is ControlFailure.REJECTED
+        assert (await harness.status()).failure is None
+
+
+class TestControl:
+    async def test_status(self, harness):
+        """Guards against a status that is misread."""
+        event = await harness.status(1)
+        assert event.status.role is Role.REPLICA
+        assert event.status.term == 1
+        assert event.server == harness.server(1).name
+
+    async def test_failures_are_told_apart(self, harness):
+        """Guards against evidence of loss that is of the wrong kind."""
+        await harness.status(0)
+        await harness.fault(0, silence="existing")
+        event = await harness.status(0, timeout=0.05)
+        assert event.failure is ControlFailure.TIMEOUT
+        event = await harness.status(0, fresh=True)
+        assert event.failure is None
+        await harness.fault(0, kill="keep")
+        event = await harness.status(0, fresh=True)
+        assert event.failure is ControlFailure.REFUSED
+
+    async def test_fresh_query_passes_a_silent_one(self, harness):
+        """Guards against a fresh query that waits behind a silent connection."""
+        await harness.status()
+        await harness.fault(silence="existing")
+        silent = effects.QueryStatus(server=harness.server(), call=1, timeout=0.2)
+        fresh = effects.QueryStatus(server=harness.server(), call=2, fresh=True)
+        harness.adapter.perform(silent)
+        assert (await harness.do(fresh)).call == 2
+        assert (await harness.next()).failure is ControlFailure.TIMEOUT
+
+    async def test_promotion(self, table):
+        """Fence, promote, follow; guards against orders that are misspelt."""
+        h = table.harness
+        for index in (0, 1):
+            order = effects.FenceServer(server=h.server(index), call=index, term=2)
+            event = await h.do(order)
+            assert event.status.role is Role.FENCED
+        order = effects.PromoteServer(server=h.server(1), call=2, term=2)
+        assert (await h.do(order)).status.role is Role.PRIMARY
+        order = effects.FollowServer(
+            server=h.server(0), call=3, term=2, primary=h.server(1)
+        )
+        event = await h.do(order)
+        assert event.status.role is Role.REPLICA
+        order = effects.FenceServer(server=h.server(0), call=4, term=1)
+        assert (await h.do(order)).failure is ControlFailure.REJECTED
+
+    async def test_activity(self, table):
+        """Guards against a straggler that is taken as a silent connection."""
+        h, c = table.harness, table.connection
+        ask = effects.QueryActivity(connection=c, server=h.server())
+        assert (await h.do(ask)).executing is False
+        h.adapter.perform(h.statement(c, "SELECT SLEEP(0.1)"))
+        await h.executing()
+        assert (await h.do(ask)).executing is True
+        assert isinstance(await h.next(), events.BackendAnswered)
+        await h.fault(silence="all")
+        ask = effects.QueryActivity(connection=c, server=h.server(), timeout=0.05)
+        assert (await h.do(ask)).executing is None
