--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -1,7 +1,9 @@
 """Thin adapters between the runtime and sockets, libraries and files."""
 
+from ._backends import MysqlBackends
 from ._callers import CallerLimits, Credentials, MysqlCallers
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
+from ._store import HttpStore
 
 __all__ = [
     "Backends",
@@ -9,6 +11,8 @@
     "Callers",
     "Credentials",
     "Emit",
+    "HttpStore",
+    "MysqlBackends",
     "MysqlCallers",
     "Peers",
     "Recorder",
