Add the store stand-in and the HTTP store adapter

The stand-in keeps objects in memory and can be taken down, slowed, or made to lose an answer, so that trials and tests meet the store's known faults. Writes are POSTs and connections are not reused, because the HTTP client library repeats idempotent methods on a reused connection that closed.

--- /dev/null
+++ b/src/siskinhold/adapters/_store_client.py
@@ -0,0 +1,268 @@
+"""HTTP client of the platform's object store.
+
+Every method returns a result; none raises for whatever the store answers.
+"""
+
+import asyncio
+import ssl
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+from yarl import URL
+
+from ..model import VmAddress
+from ..store import (
+    MAX_VALUE_BYTES,
+    ListObjects,
+    ReadObject,
+    StoreCall,
+    StoredObject,
+    StoreFailure,
+    StoreResult,
+    WriteObject,
+)
+
+# The store cuts lists and changes to pages of 4 MB of values; base64 makes
+# 5.4 MB of that.
+MAX_ANSWER_BYTES = 8_000_000
+# All pages of one list. Keeps a VM within its memory whatever the store holds.
+MAX_LIST_BYTES = 48_000_000
+
+_FAILURES = {
+    404: StoreFailure.NOT_FOUND,
+    409: StoreFailure.CONFLICT,
+    400: StoreFailure.REJECTED,
+}
+
+Answer = TypeVar("Answer")
+
+
+class ListPage(msgspec.Struct, frozen=True, kw_only=True):
+    """One page of a list, as the store answers it."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    more: bool
+
+
+class VmListing(msgspec.Struct, frozen=True, kw_only=True):
+    """The list of VMs, as the store answers it."""
+
+    live: tuple[VmAddress, ...]
+    leaving: tuple[str, ...]
+
+
+class MalformedAnswer(Exception):
+    """The store's answer breaks its protocol. Never leaves this module."""
+
+
+class StoreClient:
+    """Calls the store; each call uses a connection of its own.
+
+    A kept connection that went silent would cost a call its whole timeout, and
+    store calls are rare enough that opening one each time does not matter.
+
+    Args:
+        url: URL of the store's service port.
+        tls: TLS context for an `https` URL; None for the default one.
+        max_answer_bytes: greatest accepted answer body.
+        max_list_bytes: greatest accepted sum of values of a list's pages.
+
+    Raises:
+        ValueError: if `url` is not an absolute http or https URL.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        tls: ssl.SSLContext | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        max_list_bytes: int = MAX_LIST_BYTES,
+    ) -> None:
+        self._base = URL(url)
+        if self._base.scheme not in ("http", "https") or not self._base.host:
+            raise ValueError(f"not an http or https URL: {url}")
+        self._tls = tls if tls is not None else True
+        self._max_answer_bytes = max_answer_bytes
+        self._max_list_bytes = max_list_bytes
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Prepare to call; must run in the event loop of the calls."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+            headers={"Accept-Encoding": "identity"},
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def call(self, operation: StoreCall, *, timeout: float) -> StoreResult:
+        """Carry out a call within `timeout` seconds."""
+        result = await self._guard(self._perform(operation), timeout)
+        if isinstance(result, Err):
+            return StoreResult(failure=result.err_value)
+        return result.ok_value
+
+    async def changes(
+        self, prefix: str, *, after: int, wait: float, timeout: float
+    ) -> Result[StoreResult, StoreFailure]:
+        """Wait up to `wait` seconds for changes after a revision.
+
+        The result's revision is the one up to which nothing is left out.
+        """
+        return await self._guard(self._read_changes(prefix, after, wait), timeout)
+
+    async def read_vms(self, *, timeout: float) -> Result[VmListing, StoreFailure]:
+        """Read the platform's list of VMs."""
+        return await self._guard(self._read_vms(), timeout)
+
+    async def register_vm(
+        self, address: VmAddress, *, timeout: float
+    ) -> Result[VmListing, StoreFailure]:
+        """Enter a VM in the list, in trials without a platform that does so."""
+        return await self._guard(self._register_vm(address), timeout)
+
+    async def _guard(self, work, timeout: float) -> Result[Answer, StoreFailure]:
+        try:
+            async with asyncio.timeout(timeout):
+                return Ok(await work)
+        except (aiohttp.ClientError, MalformedAnswer, OSError, ValueError):
+            # TimeoutError is an OSError. The change of a write whose answer
+            # can't be read may have taken effect as well.
+            return Err(StoreFailure.NO_ANSWER)
+
+    async def _perform(self, operation: StoreCall) -> StoreResult:
+        if isinstance(operation, ListObjects):
+            return await self._list(operation)
+        if isinstance(operation, ReadObject):
+            return await self._read(operation)
+        return await self._write(operation)
+
+    async def _read(self, operation: ReadObject) -> StoreResult:
+        result = await self._request("GET", "object", {"key": operation.key})
+        if result.failure is None:
+            _require(len(result.objects) == 1)
+            _require(result.objects[0].key == operation.key)
+        return result
+
+    async def _write(self, operation: WriteObject) -> StoreResult:
+        if len(operation.value) > MAX_VALUE_BYTES:
+            return StoreResult(failure=StoreFailure.REJECTED)
+        query = {
+            "key": operation.key,
+            "expected_version": str(operation.expected_version),
+        }
+        result = await self._request("POST", "object", query, operation.value)
+        for stored in result.objects:
+            _require(stored.key == operation.key)
+        if result.failure is None:
+            _require(len(result.objects) == 1)
+            _require(result.objects[0].version > operation.expected_version)
+            _require(result.objects[0].value == operation.value)
+        return result
+
+    async def _list(self, operation: ListObjects) -> StoreResult:
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        size = 0
+        more = True
+        while more:
+            page = await self._read_page(operation.prefix, objects)
+            objects.extend(page.objects)
+            size += sum(len(stored.value) for stored in page.objects)
+            _require(size <= self._max_list_bytes)
+            # Changes made between two pages are still to be watched for, so
+            # the first page's revision is the one the list reflects.
+            revision = page.revision if revision is None else revision
+            more = page.more
+        return StoreResult(objects=tuple(objects), revision=revision)
+
+    async def _read_page(self, prefix: str, before: list[StoredObject]) -> ListPage:
+        last = before[-1].key if before else ""
+        query = {"prefix": prefix, "start_after": last}
+        status, body = await self._exchange("GET", "objects", query)
+        _require(status == 200)
+        page = _decode(body, ListPage)
+        _require(bool(page.objects) or not page.more)
+        for stored in page.objects:
+            _require(stored.key.startswith(prefix) and stored.key > last)
+            last = stored.key
+        return page
+
+    async def _read_changes(self, prefix: str, after: int, wait: float) -> StoreResult:
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(round(wait * 1000)),
+        }
+        result = await self._request("GET", "changes", query)
+        _require(result.failure is None and result.revision >= after)
+        last = after
+        for stored in result.objects:
+            _require(stored.key.startswith(prefix))
+            _require(last < stored.revision <= result.revision)
+            last = stored.revision
+        return result
+
+    async def _read_vms(self) -> VmListing:
+        status, body = await self._exchange("GET", "vms", {})
+        _require(status == 200)
+        return _decode(body, VmListing)
+
+    async def _register_vm(self, address: VmAddress) -> VmListing:
+        data = msgspec.json.encode(address)
+        status, body = await self._exchange("POST", "vms", {}, data)
+        _require(status == 200)
+        return _decode(body, VmListing)
+
+    async def _request(
+        self, method: str, path: str, query: dict[str, str], data: bytes | None = None
+    ) -> StoreResult:
+        status, body = await self._exchange(method, path, query, data)
+        _require(status == 200 or status in _FAILURES)
+        result = _decode(body, StoreResult)
+        _require(result.failure is _FAILURES.get(status))
+        return result
+
+    async def _exchange(
+        self, method: str, path: str, query: dict[str, str], data: bytes | None = None
+    ) -> tuple[int, bytes]:
+        if self._session is None:
+            raise MalformedAnswer("the client is not started")
+        async with self._session.request(
+            method,
+            self._base / "v1" / path,
+            params=query,
+            data=data,
+            ssl=self._tls,
+            allow_redirects=False,
+        ) as response:
+            return response.status, await self._read_body(response)
+
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            _require(len(body) <= self._max_answer_bytes)
+        return bytes(body)
+
+
+def _decode(body: bytes, kind: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedAnswer(str(error)) from error
+
+
+def _require(condition: bool) -> None:
+    if not condition:
+        raise MalformedAnswer("the answer breaks the store's protocol")
--- a/src/siskinhold/store/__init__.py
+++ b/src/siskinhold/store/__init__.py
@@ -1,5 +1,18 @@
 """The platform's object store as the reducer sees it."""
 
+from ._codec import (
+    MAX_VALUE_BYTES,
+    TERM_PREFIX,
+    TICKET_PREFIX,
+    CodecError,
+    CodecFailure,
+    decode_term,
+    decode_ticket,
+    encode_term,
+    encode_ticket,
+    term_key,
+    ticket_key,
+)
 from ._objects import (
     ListObjects,
     ReadObject,
@@ -11,11 +24,22 @@
 )
 
 __all__ = [
+    "CodecError",
+    "CodecFailure",
     "ListObjects",
+    "MAX_VALUE_BYTES",
     "ReadObject",
     "StoreCall",
     "StoreFailure",
     "StoreResult",
     "StoredObject",
+    "TERM_PREFIX",
+    "TICKET_PREFIX",
     "WriteObject",
+    "decode_term",
+    "decode_ticket",
+    "encode_term",
+    "encode_ticket",
+    "term_key",
+    "ticket_key",
 ]
--- /dev/null
+++ b/src/siskinhold_trial/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that run the stand-ins."""
--- /dev/null
+++ b/src/siskinhold_trial/store/__init__.py
@@ -0,0 +1,17 @@
+"""Stand-in for the platform's object store and its list of VMs, in memory."""
+
+from ._engine import MAX_VALUE_BYTES, StoreEngine
+from ._faults import Down, StoreFaults
+from ._server import StoreServer
+from ._vm_list import VmList, VmListing, VmPresence
+
+__all__ = [
+    "Down",
+    "MAX_VALUE_BYTES",
+    "StoreEngine",
+    "StoreFaults",
+    "StoreServer",
+    "VmList",
+    "VmListing",
+    "VmPresence",
+]
--- /dev/null
+++ b/src/siskinhold_trial/store/_service.py
@@ -0,0 +1,149 @@
+"""The service port of the store stand-in: what VMs and tools call.
+
+Answers are JSON:
+
+    GET  /v1/object?key=<k>                             StoreResult
+    POST /v1/object?key=<k>&expected_version=<n>        StoreResult; body: value
+    GET  /v1/objects?prefix=<p>&start_after=<k>         ListAnswer
+    GET  /v1/changes?prefix=<p>&after=<r>&wait_ms=<ms>  StoreResult
+    GET  /v1/vms                                        VmListing
+    POST /v1/vms                                        VmListing; body: VmAddress
+
+The status is 200 on success, 404 for an absent object, 409 for a conflict (the
+answer holds the current object, if there is one) and 400 for a rejected call.
+A write is a POST so that no HTTP client library repeats it by itself.
+"""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from siskinhold.model import VmAddress
+from siskinhold.store import (
+    ListObjects,
+    ReadObject,
+    StoredObject,
+    StoreFailure,
+    StoreResult,
+    WriteObject,
+)
+
+from ._engine import StoreEngine
+from ._vm_list import VmList
+
+# A longer wait is cut to this one, so that the watch of a client that went
+# away without closing its connection does not stay for ever.
+MAX_WATCH_WAIT_MS = 60_000
+
+_STATUS = {
+    None: 200,
+    StoreFailure.NOT_FOUND: 404,
+    StoreFailure.CONFLICT: 409,
+    StoreFailure.REJECTED: 400,
+}
+_encode = msgspec.json.Encoder().encode
+
+
+class ListAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """One page of a list.
+
+    Args:
+        objects: ascending by key.
+        revision: the store-wide revision that the page reflects.
+        more: whether objects with greater keys follow.
+    """
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    more: bool
+
+
+def answer_json(value: object, *, status: int = 200) -> web.Response:
+    """Return a value as a JSON answer."""
+    return web.Response(
+        body=_encode(value), status=status, content_type="application/json"
+    )
+
+
+@web.middleware
+async def refuse_malformed(request: web.Request, handler) -> web.StreamResponse:
+    """Answer calls with malformed parameters or bodies as rejected."""
+    try:
+        return await handler(request)
+    except (ValueError, KeyError):
+        return answer_json(StoreResult(failure=StoreFailure.REJECTED), status=400)
+
+
+class ServiceRoutes:
+    """Handlers of the service port; `add_to` registers them."""
+
+    def __init__(self, *, engine: StoreEngine, vms: VmList) -> None:
+        self._engine = engine
+        self._vms = vms
+
+    def add_to(self, router: web.UrlDispatcher) -> None:
+        """Register the handlers; each route's name is its kind of call."""
+        router.add_get("/v1/objects", self._list, name="list")
+        router.add_get("/v1/object", self._read, name="read")
+        router.add_post("/v1/object", self._write, name="write")
+        router.add_get("/v1/changes", self._watch, name="watch")
+        router.add_get("/v1/vms", self._read_vms, name="vm_list")
+        router.add_post("/v1/vms", self._register_vm, name="vm_register")
+
+    async def _list(self, request: web.Request) -> web.Response:
+        operation = ListObjects(prefix=request.query.get("prefix", ""))
+        start_after = request.query.get("start_after", "")
+        page, more = self._engine.list_page(operation, start_after=start_after)
+        return answer_json(
+            ListAnswer(objects=page.objects, revision=page.revision, more=more)
+        )
+
+    async def _read(self, request: web.Request) -> web.Response:
+        operation = ReadObject(key=request.query["key"])
+        return _answer_result(self._engine.call(operation))
+
+    async def _write(self, request: web.Request) -> web.Response:
+        operation = WriteObject(
+            key=request.query["key"],
+            value=await request.read(),
+            expected_version=int(request.query["expected_version"]),
+        )
+        return _answer_result(self._engine.call(operation))
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query.get("prefix", "")
+        after = int(request.query["after"])
+        wait_ms = min(int(request.query["wait_ms"]), MAX_WATCH_WAIT_MS)
+        result = self._engine.changes(prefix, after=after)
+        if not result.objects:
+            await self._wait_for_change(prefix, after, wait_ms / 1000)
+            result = self._engine.changes(prefix, after=after)
+        return _answer_result(result)
+
+    async def _wait_for_change(self, prefix: str, after: int, seconds: float) -> None:
+        changed = asyncio.Event()
+        unsubscribe = self._engine.subscribe(changed.set)
+        try:
+            async with asyncio.timeout(seconds):
+                while not self._engine.changes(prefix, after=after).objects:
+                    changed.clear()
+                    await changed.wait()
+        except TimeoutError:
+            pass
+        finally:
+            unsubscribe()
+
+    async def _read_vms(self, request: web.Request) -> web.Response:
+        now = asyncio.get_running_loop().time()
+        return answer_json(self._vms.read(now=now))
+
+    async def _register_vm(self, request: web.Request) -> web.Response:
+        address = msgspec.json.decode(await request.read(), type=VmAddress)
+        now = asyncio.get_running_loop().time()
+        self._vms.register(address, now=now)
+        return answer_json(self._vms.read(now=now))
+
+
+def _answer_result(result: StoreResult) -> web.Response:
+    return answer_json(result, status=_STATUS[result.failure])
