Add parsing, checking, folding and comparing of change tickets

Two servers at one address are a fault, also when one address is written as an IPv4-mapped IPv6 address: one process would count twice in a majority. Ticket files are JSON whose unknown fields are refused.

--- /dev/null
+++ b/src/siskinhold/tickets/__init__.py
@@ -0,0 +1,20 @@
+"""Change tickets as pure functions: parse, check, apply, compare, digest."""
+
+from ._check import check_ticket
+from ._diff import DiffKind, DiffLine, diff_states
+from ._faults import TicketFault, TicketFaultKind
+from ._parse import parse_ticket
+from ._state import TicketState, apply_ticket, digest_state
+
+__all__ = [
+    "DiffKind",
+    "DiffLine",
+    "TicketFault",
+    "TicketFaultKind",
+    "TicketState",
+    "apply_ticket",
+    "check_ticket",
+    "diff_states",
+    "digest_state",
+    "parse_ticket",
+]
--- /dev/null
+++ b/src/siskinhold/tickets/_check.py
@@ -0,0 +1,226 @@
+"""Checks a change ticket against the state it is to change."""
+
+import ipaddress
+import re
+from collections.abc import Iterator
+
+import msgspec
+
+from ..model import BackendServer, ChangeTicket, Database, DatabaseGroup, RoutingRules
+from ..store import MAX_VALUE_BYTES
+from ._faults import TicketFault, TicketFaultKind as Kind
+from ._state import TicketState
+
+# Names become parts of store keys, metric labels and log lines.
+_NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}")
+_MAX_TEXT_CHARACTERS = 1_000
+_MAX_IDENTITY_CHARACTERS = 64
+# A majority must survive the loss of one instance.
+_MIN_INSTANCES = 3
+_MAX_PORT = 65_535
+_MAX_SLOTS = 10_000
+_MAX_CONNECTIONS = 10_000
+_MAX_AGE_MS = 86_400_000
+_MAX_DEADLINE_MS = 3_600_000
+
+
+def check_ticket(ticket: ChangeTicket, state: TicketState) -> list[TicketFault]:
+    """Return all faults of a ticket; none means that it may be applied.
+
+    Names and addresses must be unique in the whole state that results, the
+    groups that the ticket does not touch included.
+
+    Args:
+        ticket: the ticket.
+        state: the state that it is to change.
+    """
+    faults = list(_check_head(ticket, state))
+    for group in ticket.groups:
+        faults.extend(_check_group(group))
+    faults.extend(_check_unique(ticket, state))
+    return faults
+
+
+def _check_head(ticket: ChangeTicket, state: TicketState) -> Iterator[TicketFault]:
+    following = state.number + 1
+    if ticket.number != following:
+        detail = f"number {ticket.number} is not the next one, {following}"
+        yield TicketFault(kind=Kind.NUMBER_NOT_NEXT, detail=detail)
+    if not ticket.author.strip():
+        yield TicketFault(kind=Kind.AUTHOR_EMPTY)
+    for field, text in (("author", ticket.author), ("reason", ticket.reason)):
+        yield from _check_range(field, "length", len(text), 0, _MAX_TEXT_CHARACTERS)
+    if not _is_identity(ticket.identity):
+        yield TicketFault(kind=Kind.IDENTITY_INVALID, detail=repr(ticket.identity))
+    if not ticket.groups:
+        yield TicketFault(kind=Kind.NO_GROUPS)
+    size = len(msgspec.json.encode(ticket))
+    if size > MAX_VALUE_BYTES:
+        detail = f"{size} bytes exceed {MAX_VALUE_BYTES}"
+        yield TicketFault(kind=Kind.TOO_LARGE, detail=detail)
+    for group in ticket.groups:
+        if not group.databases and group.name not in state.groups:
+            yield TicketFault(kind=Kind.UNKNOWN_GROUP_REMOVED, subject=group.name)
+
+
+def _check_group(group: DatabaseGroup) -> Iterator[TicketFault]:
+    yield from _check_name(group.name, group.name)
+    yield from _check_rules(group.name, group.rules)
+    for database in group.databases:
+        yield from _check_database(f"{group.name}/{database.name}", database)
+
+
+def _check_rules(subject: str, rules: RoutingRules) -> Iterator[TicketFault]:
+    yield from _check_range(subject, "max_age_ms", rules.max_age_ms, 0, _MAX_AGE_MS)
+    yield from _check_range(
+        subject, "deadline_ms", rules.deadline_ms, 1, _MAX_DEADLINE_MS
+    )
+
+
+def _check_database(subject: str, database: Database) -> Iterator[TicketFault]:
+    yield from _check_name(subject, database.name)
+    count = len(database.servers)
+    if count < _MIN_INSTANCES:
+        detail = f"{count} instances; at least {_MIN_INSTANCES} are needed"
+        yield TicketFault(kind=Kind.INSTANCES_TOO_FEW, subject=subject, detail=detail)
+    if count and count % 2 == 0:
+        detail = f"{count} instances; the number must be odd"
+        yield TicketFault(kind=Kind.INSTANCES_EVEN, subject=subject, detail=detail)
+    yield from _check_primary(subject, database)
+    for server in database.servers:
+        yield from _check_server(f"{subject}/{server.name}", server)
+
+
+def _check_primary(subject: str, database: Database) -> Iterator[TicketFault]:
+    names = {server.name for server in database.servers}
+    if database.primary not in names:
+        yield TicketFault(
+            kind=Kind.UNKNOWN_PRIMARY, subject=subject, detail=database.primary
+        )
+
+
+def _check_server(subject: str, server: BackendServer) -> Iterator[TicketFault]:
+    yield from _check_name(subject, server.name)
+    if not _is_ip(server.host):
+        yield TicketFault(kind=Kind.HOST_NOT_IP, subject=subject, detail=server.host)
+    yield from _check_range(subject, "port", server.port, 1, _MAX_PORT)
+    yield from _check_range(subject, "slots", server.slots, 1, _MAX_SLOTS)
+    # Each slot needs a connection of its own.
+    least = max(1, min(server.slots, _MAX_CONNECTIONS))
+    yield from _check_range(
+        subject, "connections", server.connections, least, _MAX_CONNECTIONS
+    )
+    yield from _check_place(subject, server.region, Kind.REGION_EMPTY)
+    yield from _check_place(subject, server.availability_zone, Kind.ZONE_EMPTY)
+
+
+def _check_place(subject: str, name: str, empty: Kind) -> Iterator[TicketFault]:
+    if not name:
+        yield TicketFault(kind=empty, subject=subject)
+        return
+    yield from _check_name(subject, name)
+
+
+def _check_name(subject: str, name: str) -> Iterator[TicketFault]:
+    if not _NAME.fullmatch(name):
+        yield TicketFault(kind=Kind.NAME_INVALID, subject=subject, detail=repr(name))
+
+
+def _check_range(
+    subject: str, field: str, value: int, least: int, greatest: int
+) -> Iterator[TicketFault]:
+    if not least <= value <= greatest:
+        detail = f"{field} {value} is not from {least} to {greatest}"
+        yield TicketFault(kind=Kind.OUT_OF_RANGE, subject=subject, detail=detail)
+
+
+def _check_unique(ticket: ChangeTicket, state: TicketState) -> Iterator[TicketFault]:
+    group_names: set[str] = set()
+    databases: dict[str, str] = {}
+    claimed: set[str] = set()
+    servers: dict[str, str] = {}
+    addresses: dict[tuple[str, int], str] = {}
+    touched = {group.name for group in ticket.groups}
+    for group in _untouched(state, touched):
+        for database in group.databases:
+            databases[database.name] = group.name
+            for server in database.servers:
+                servers[server.name] = f"{group.name}/{database.name}"
+                addresses[_address_of(server)] = server.name
+    for group in ticket.groups:
+        if group.name in group_names:
+            yield TicketFault(kind=Kind.DUPLICATE_GROUP, subject=group.name)
+        group_names.add(group.name)
+        for database in group.databases:
+            yield from _claim_database(databases, claimed, group, database)
+            for server in database.servers:
+                subject = f"{group.name}/{database.name}"
+                yield from _claim_server(servers, addresses, subject, server)
+
+
+def _untouched(state: TicketState, touched: set[str]) -> Iterator[DatabaseGroup]:
+    for name, group in state.groups.items():
+        if name not in touched:
+            yield group
+
+
+def _claim_database(
+    databases: dict[str, str],
+    claimed: set[str],
+    group: DatabaseGroup,
+    database: Database,
+) -> Iterator[TicketFault]:
+    holder = databases.setdefault(database.name, group.name)
+    subject = f"{group.name}/{database.name}"
+    if holder != group.name:
+        yield TicketFault(
+            kind=Kind.DATABASE_IN_TWO_GROUPS, subject=subject, detail=holder
+        )
+        return
+    if subject in claimed:
+        yield TicketFault(kind=Kind.DUPLICATE_DATABASE, subject=subject)
+    claimed.add(subject)
+
+
+def _claim_server(
+    servers: dict[str, str],
+    addresses: dict[tuple[str, int], str],
+    subject: str,
+    server: BackendServer,
+) -> Iterator[TicketFault]:
+    path = f"{subject}/{server.name}"
+    if server.name in servers:
+        yield TicketFault(
+            kind=Kind.DUPLICATE_SERVER, subject=path, detail=servers[server.name]
+        )
+    servers[server.name] = subject
+    # One process under two names would count twice in a majority.
+    address = _address_of(server)
+    if address in addresses:
+        yield TicketFault(
+            kind=Kind.DUPLICATE_ADDRESS, subject=path, detail=addresses[address]
+        )
+    addresses[address] = server.name
+
+
+def _address_of(server: BackendServer) -> tuple[str, int]:
+    if not _is_ip(server.host):
+        return server.host, server.port
+    address = ipaddress.ip_address(server.host)
+    # An IPv4 address has a second form as an IPv6 address.
+    plain = getattr(address, "ipv4_mapped", None) or address
+    return str(plain), server.port
+
+
+def _is_ip(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_identity(identity: str) -> bool:
+    if not 0 < len(identity) <= _MAX_IDENTITY_CHARACTERS:
+        return False
+    return identity.isprintable()
--- /dev/null
+++ b/src/siskinhold/tickets/_faults.py
@@ -0,0 +1,45 @@
+"""What can be wrong with a change ticket."""
+
+import enum
+from dataclasses import dataclass
+
+
+class TicketFaultKind(enum.Enum):
+    """The kinds of fault."""
+
+    MALFORMED_TEXT = "malformed_text"
+    NUMBER_NOT_NEXT = "number_not_next"
+    AUTHOR_EMPTY = "author_empty"
+    IDENTITY_INVALID = "identity_invalid"
+    NO_GROUPS = "no_groups"
+    UNKNOWN_GROUP_REMOVED = "unknown_group_removed"
+    NAME_INVALID = "name_invalid"
+    DUPLICATE_GROUP = "duplicate_group"
+    DUPLICATE_DATABASE = "duplicate_database"
+    DATABASE_IN_TWO_GROUPS = "database_in_two_groups"
+    DUPLICATE_SERVER = "duplicate_server"
+    DUPLICATE_ADDRESS = "duplicate_address"
+    UNKNOWN_PRIMARY = "unknown_primary"
+    INSTANCES_EVEN = "instances_even"
+    INSTANCES_TOO_FEW = "instances_too_few"
+    HOST_NOT_IP = "host_not_ip"
+    OUT_OF_RANGE = "out_of_range"
+    REGION_EMPTY = "region_empty"
+    ZONE_EMPTY = "zone_empty"
+    TOO_LARGE = "too_large"
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class TicketFault:
+    """One fault of a ticket.
+
+    Args:
+        kind: the kind of fault.
+        subject: what it concerns, as a path such as `group/database/server`;
+            empty for the ticket as a whole.
+        detail: what was found, for the operator.
+    """
+
+    kind: TicketFaultKind
+    subject: str = ""
+    detail: str = ""
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,266 @@
+"""Change tickets as pure functions."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+from msgspec.structs import replace
+from result import Err
+
+from siskinhold.model import BackendServer, ChangeTicket, Database, DatabaseGroup
+from siskinhold.store import decode_ticket, encode_ticket, ticket_key
+from siskinhold.tickets import (
+    DiffKind,
+    TicketFaultKind as Kind,
+    TicketState,
+    apply_ticket,
+    check_ticket,
+    diff_states,
+    digest_state,
+    parse_ticket,
+)
+
+# The same examples in every run.
+REPEATABLE = settings(derandomize=True, deadline=None, max_examples=40)
+
+
+def make_server(database: str, index: int, **fields) -> BackendServer:
+    number = sum(database.encode()) * 10 + index
+    values = dict(
+        name=f"{database}-{index}",
+        host=f"10.0.{number // 250}.{number % 250}",
+        port=3306,
+        region="leinster",
+        availability_zone="leinster-a",
+    )
+    return BackendServer(**(values | fields))
+
+
+def make_database(name: str, instances: int = 3) -> Database:
+    servers = tuple(make_server(name, index) for index in range(instances))
+    return Database(name=name, primary=f"{name}-0", servers=servers)
+
+
+def make_ticket(number: int, *groups: DatabaseGroup) -> ChangeTicket:
+    return ChangeTicket(number=number, author="a", identity="i", groups=groups)
+
+
+ORDERS = DatabaseGroup(name="g", databases=(make_database("a"), make_database("b")))
+BASE = apply_ticket(TicketState(), make_ticket(1, ORDERS))
+
+# Each database name has a home group, so that any subset of them is valid.
+HOMES = {"g": "abc", "h": "def", "k": "mno"}
+
+
+@st.composite
+def group_lists(draw):
+    groups = []
+    for name in draw(st.sets(st.sampled_from(sorted(HOMES)), min_size=1)):
+        names = draw(st.sets(st.sampled_from(HOMES[name]), min_size=1))
+        databases = tuple(
+            make_database(database, draw(st.sampled_from([3, 5])))
+            for database in sorted(names)
+        )
+        groups.append(DatabaseGroup(name=name, databases=databases))
+    return tuple(groups)
+
+
+def fold(group_lists) -> list[TicketState]:
+    states = [TicketState()]
+    for number, groups in enumerate(group_lists, start=1):
+        states.append(apply_ticket(states[-1], make_ticket(number, *groups)))
+    return states
+
+
+class TestFold:
+    @REPEATABLE
+    @given(st.lists(group_lists(), max_size=4))
+    def test_valid_tickets(self, lists):
+        """Every prefix of valid tickets is accepted; guards against false faults."""
+        state = TicketState()
+        for number, groups in enumerate(lists, start=1):
+            ticket = make_ticket(number, *groups)
+            assert check_ticket(ticket, state) == []
+            after = apply_ticket(state, ticket)
+            touched = {group.name for group in groups}
+            for name in state.groups.keys() - touched:
+                assert after.groups[name] == state.groups[name]
+            for group in groups:
+                assert after.groups[group.name] == group
+            state = after
+        assert state.number == len(lists)
+
+    @REPEATABLE
+    @given(st.lists(group_lists(), min_size=1, max_size=4), st.randoms())
+    def test_any_delivery(self, lists, random):
+        """Repeated and early deliveries change nothing; guards against reverting."""
+        tickets = [make_ticket(n, *groups) for n, groups in enumerate(lists, start=1)]
+        deliveries = tickets * len(tickets)
+        random.shuffle(deliveries)
+        state = TicketState()
+        for ticket in deliveries + tickets:
+            before = state.number
+            state = apply_ticket(state, ticket)
+            assert before <= state.number <= before + 1
+        assert digest_state(state) == digest_state(fold(lists)[-1])
+
+    def test_group_without_databases(self):
+        """It is removed, and only it; guards against a group that stays."""
+        other = DatabaseGroup(name="h", databases=(make_database("d"),))
+        state = apply_ticket(BASE, make_ticket(2, other))
+        removal = make_ticket(3, DatabaseGroup(name="g"))
+        assert check_ticket(removal, state) == []
+        assert set(apply_ticket(state, removal).groups) == {"h"}
+        assert set(state.groups) == {"g", "h"}
+
+    def test_database_moved_in_one_ticket(self):
+        """It is in one group before and after; guards against a false fault."""
+        a, b = ORDERS.databases
+        ticket = make_ticket(
+            2,
+            DatabaseGroup(name="h", databases=(b,)),
+            DatabaseGroup(name="g", databases=(a,)),
+        )
+        assert check_ticket(ticket, BASE) == []
+
+
+def change_server(**fields):
+    def change(group):
+        a, b = group.databases
+        first, *rest = a.servers
+        a = replace(a, servers=(replace(first, **fields), *rest))
+        return replace(group, databases=(a, b))
+
+    return change
+
+
+def change_database(**fields):
+    def change(group):
+        a, b = group.databases
+        return replace(group, databases=(replace(a, **fields), b))
+
+    return change
+
+
+def change_rules(**fields):
+    return lambda group: replace(group, rules=replace(group.rules, **fields))
+
+
+A = ORDERS.databases[0]
+FAULTY = [
+    (change_server(host="db1.example"), Kind.HOST_NOT_IP),
+    (change_server(host=""), Kind.HOST_NOT_IP),
+    (change_server(port=0), Kind.OUT_OF_RANGE),
+    (change_server(port=65_536), Kind.OUT_OF_RANGE),
+    (change_server(slots=0), Kind.OUT_OF_RANGE),
+    (change_server(slots=36), Kind.OUT_OF_RANGE),
+    (change_server(connections=-1), Kind.OUT_OF_RANGE),
+    (change_server(region=""), Kind.REGION_EMPTY),
+    (change_server(availability_zone=""), Kind.ZONE_EMPTY),
+    (change_server(name="a-1"), Kind.DUPLICATE_SERVER),
+    (change_server(name="b-1"), Kind.DUPLICATE_SERVER),
+    (change_server(host=A.servers[1].host), Kind.DUPLICATE_ADDRESS),
+    (change_server(host=f"::ffff:{A.servers[1].host}"), Kind.DUPLICATE_ADDRESS),
+    (change_server(name="a b"), Kind.NAME_INVALID),
+    (change_database(primary="b-0"), Kind.UNKNOWN_PRIMARY),
+    (change_database(servers=()), Kind.INSTANCES_TOO_FEW),
+    (change_database(servers=A.servers[:1]), Kind.INSTANCES_TOO_FEW),
+    (change_database(servers=make_database("a", 4).servers), Kind.INSTANCES_EVEN),
+    (change_database(name="b"), Kind.DUPLICATE_DATABASE),
+    (change_database(name="x/y"), Kind.NAME_INVALID),
+    (change_rules(max_age_ms=-1), Kind.OUT_OF_RANGE),
+    (change_rules(deadline_ms=0), Kind.OUT_OF_RANGE),
+]
+
+
+def kinds_of(ticket: ChangeTicket, state: TicketState = BASE) -> set[Kind]:
+    return {fault.kind for fault in check_ticket(ticket, state)}
+
+
+class TestCheck:
+    @pytest.mark.parametrize("change, kind", FAULTY)
+    def test_fault_in_a_group(self, change, kind):
+        """Each fault is found and typed; guards against accepting it."""
+        assert kind in kinds_of(make_ticket(2, change(ORDERS)))
+
+    def test_database_in_two_groups(self):
+        """Also with an untouched group; guards against two owners of a record."""
+        other = DatabaseGroup(name="h", databases=ORDERS.databases[:1])
+        assert Kind.DATABASE_IN_TWO_GROUPS in kinds_of(make_ticket(2, other))
+        assert Kind.DATABASE_IN_TWO_GROUPS in kinds_of(make_ticket(2, ORDERS, other))
+
+    def test_server_of_an_untouched_group(self):
+        """Its name is taken; guards against one server in two databases."""
+        database = replace(make_database("d"), servers=A.servers, primary="a-0")
+        other = DatabaseGroup(name="h", databases=(database,))
+        found = kinds_of(make_ticket(2, other))
+        assert found == {Kind.DUPLICATE_SERVER, Kind.DUPLICATE_ADDRESS}
+
+    def test_head(self):
+        """Faults of the ticket itself are typed; guards against a blank author."""
+        assert Kind.NUMBER_NOT_NEXT in kinds_of(make_ticket(1, ORDERS))
+        assert Kind.NUMBER_NOT_NEXT in kinds_of(make_ticket(3, ORDERS))
+        assert Kind.NO_GROUPS in kinds_of(make_ticket(2))
+        assert Kind.DUPLICATE_GROUP in kinds_of(make_ticket(2, ORDERS, ORDERS))
+        blank = replace(make_ticket(2, ORDERS), author=" ", identity="")
+        assert kinds_of(blank) == {Kind.AUTHOR_EMPTY, Kind.IDENTITY_INVALID}
+        removal = make_ticket(2, DatabaseGroup(name="q"))
+        assert kinds_of(removal) == {Kind.UNKNOWN_GROUP_REMOVED}
+
+    @REPEATABLE
+    @given(st.from_type(ChangeTicket))
+    def test_any_ticket(self, ticket):
+        """Nothing makes the check raise; guards against a crash on odd values."""
+        check_ticket(ticket, BASE)
+        apply_ticket(BASE, ticket)
+
+
+class TestDiff:
+    @REPEATABLE
+    @given(group_lists(), group_lists())
+    def test_empty_means_equal(self, before, after):
+        """No lines mean equal states; guards against an unseen change."""
+        old = apply_ticket(TicketState(), make_ticket(1, *before))
+        new = apply_ticket(TicketState(), make_ticket(1, *after))
+        assert (diff_states(old, new) == []) == (digest_state(old) == digest_state(new))
+
+    def test_changed_field(self):
+        """A single change gives a single line; guards against noise."""
+        ticket = make_ticket(2, change_server(slots=7)(ORDERS))
+        (line,) = diff_states(BASE, apply_ticket(BASE, ticket))
+        assert (line.kind, line.path) == (DiffKind.CHANGED, "g/a/a-0.slots")
+        assert (line.before, line.after) == ("5", "7")
+
+    def test_digest_ignores_order(self):
+        """Order in a file does not matter; guards against a false difference."""
+        a, b = ORDERS.databases
+        a = replace(a, servers=a.servers[::-1])
+        turned = replace(ORDERS, databases=(b, a))
+        state = apply_ticket(TicketState(), make_ticket(1, turned))
+        assert digest_state(state) == digest_state(BASE)
+
+
+class TestText:
+    def test_round_trip(self):
+        """An encoded ticket parses to itself; guards against a lost field."""
+        ticket = make_ticket(1, ORDERS)
+        value = encode_ticket(ticket).unwrap()
+        assert parse_ticket(value).unwrap() == ticket
+        assert decode_ticket(ticket_key(1), value).unwrap() == ticket
+        assert isinstance(decode_ticket(ticket_key(2), value), Err)
+
+    def test_misspelt_field(self):
+        """It is refused at any depth; guards against a silent default."""
+        text = msgspec.json.encode(make_ticket(1, ORDERS))
+        assert isinstance(parse_ticket(text.replace(b'"slots"', b'"slot"')), Err)
+
+    def test_identity(self):
+        """Drawn when left out; guards against equal identities of two runs."""
+        text = b'{"number": 1, "author": "a", "groups": []}'
+        first, second = parse_ticket(text).unwrap(), parse_ticket(text).unwrap()
+        assert first.identity and first.identity != second.identity
+
+    @REPEATABLE
+    @given(st.binary(max_size=40))
+    def test_any_text(self, text):
+        """Whatever the file holds is typed; guards against a crash."""
+        assert isinstance(parse_ticket(text), Err)
