--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -4,6 +4,7 @@
 from ._callers import CallerLimits, Credentials, MysqlCallers
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
 from ._store import HttpStore
+from ._store_client import StoreClient
 
 __all__ = [
     "Backends",
@@ -17,4 +18,5 @@
     "Peers",
     "Recorder",
     "Store",
+    "StoreClient",
 ]
--- a/src/siskinhold/adapters/_interfaces.py
+++ b/src/siskinhold/adapters/_interfaces.py
@@ -55,6 +55,7 @@
         effect: (
             effects.OpenBackend
             | effects.RunStatement
+            | effects.SettleKey
             | effects.CloseBackend
             | effects.QueryStatus
             | effects.QueryActivity
--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -11,14 +11,8 @@
 from ..events import ControlAnswered, StatusReported
 from ..model import Database, Role, ServerState, StatementKind, TermRecord, TermStart
 from ._failover_state import Watch
-from ._health import (
-    ServerHealth,
-    StatusQuery,
-    find_record,
-    is_reachable,
-    majority,
-    request_status,
-)
+from ._health import StatusQuery, find_record, is_reachable, majority, request_status
+from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
 from ._promotion import begin_attempt, record_first_term
 from ._state import Effects, NodeState
--- a/src/siskinhold/core/_owners.py
+++ b/src/siskinhold/core/_owners.py
@@ -20,7 +20,8 @@
     untrack_database,
 )
 from ._membership import find_owner
-from ._pools import Pool, drain, list_servers, redirect, submit
+from ._pool_state import Pool
+from ._pools import drain, list_servers, redirect, submit
 from ._routes import find_incarnation, find_primary_region, lose_owner
 from ._state import Effects, NodeState, record
 
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -26,7 +26,8 @@
 )
 from ..statements import shape
 from . import _connections as connections
-from ._health import ServerHealth, find_primary, find_record, is_fit, measure_age
+from ._health import find_primary, find_record, is_fit, measure_age
+from ._health_state import ServerHealth
 from ._pool_state import Pool, Transaction
 from ._queue import Work
 from ._state import Effects, NodeState, record
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -20,7 +20,14 @@
     TermRecord,
     TermStart,
 )
-from ..store import ReadObject, StoreFailure, WriteObject, decode_record, encode_record
+from ..store import (
+    ReadObject,
+    StoreFailure,
+    WriteObject,
+    decode_term,
+    encode_term,
+    term_key,
+)
 from ._failover_state import Attempt, Phase
 from ._health import find_record, is_reachable, majority, request_status
 from ._state import Effects, NodeState, record
@@ -35,8 +42,6 @@
 """Seconds after which an unfinished attempt is given up, outside store waits."""
 RETRY_DELAY = 0.5
 """Seconds between an attempt that failed and the next one."""
-TERM_PREFIX = "term/"
-"""Prefix of the store keys of the term records."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -141,8 +146,8 @@
     written = TermRecord(database=database.name, starts=(start,))
     call = node.open_store_call(FirstRecord(database.name, written))
     operation = WriteObject(
-        key=TERM_PREFIX + database.name,
-        value=encode_record(written),
+        key=term_key(database.name),
+        value=encode_term(written).unwrap(),
         expected_version=0,
     )
     out.append(CallStore(call=call, operation=operation))
@@ -152,8 +157,8 @@
     name = attempt.database.name
     call = node.open_store_call(RecordWrite(name, attempt.run))
     operation = WriteObject(
-        key=TERM_PREFIX + name,
-        value=encode_record(attempt.written),
+        key=term_key(name),
+        value=encode_term(attempt.written).unwrap(),
         expected_version=node.config.record_versions.get(name, 0),
     )
     out.append(CallStore(call=call, operation=operation))
@@ -187,11 +192,9 @@
     if attempt is None:
         return
     call = node.open_store_call(RecordRead(action.database, action.run))
-    out.append(CallStore(call=call, operation=ReadObject(key=_key(action.database))))
-
-
-def _key(database: str) -> str:
-    return TERM_PREFIX + database
+    out.append(
+        CallStore(call=call, operation=ReadObject(key=term_key(action.database)))
+    )
 
 
 def _take_read(
@@ -209,7 +212,7 @@
         _write_record(node, attempt, out)
         return
     stored = result.objects[0]
-    decoded = decode_record(stored.value)
+    decoded = decode_term(stored.key, stored.value)
     if decoded.is_err():
         abandon_attempt(node, attempt, "record_malformed", out)
         return
@@ -408,7 +411,7 @@
         return
     if result.failure is StoreFailure.CONFLICT:
         call = node.open_store_call(FirstRecordRead(purpose.database))
-        operation = ReadObject(key=_key(purpose.database))
+        operation = ReadObject(key=term_key(purpose.database))
         out.append(CallStore(call=call, operation=operation))
 
 
@@ -425,7 +428,7 @@
     if event.result.failure is not None or not event.result.objects:
         return
     stored = event.result.objects[0]
-    decoded = decode_record(stored.value)
+    decoded = decode_term(stored.key, stored.value)
     if decoded.is_ok():
         learn_record(node, decoded.unwrap(), stored.version, out)
 
--- a/src/siskinhold/core/_routes.py
+++ b/src/siskinhold/core/_routes.py
@@ -17,8 +17,9 @@
     UnknownReason,
     VmState,
 )
-from ._entries import EntryRequest, Session, finish
+from ._entries import finish
 from ._membership import find_owner
+from ._session_state import EntryRequest, Session
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -24,16 +24,8 @@
     UnknownReason,
 )
 from . import _routes as routes
-from ._entries import (
-    EntryRequest,
-    FloorWait,
-    OpenTransaction,
-    Session,
-    finish,
-    raise_position,
-    refuse_statement,
-    reply,
-)
+from ._entries import finish, raise_position, refuse_statement, reply
+from ._session_state import EntryRequest, FloorWait, OpenTransaction, Session
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -7,7 +7,7 @@
 from ..events import PeerReceived, Started, StoreChanged, VmListReported
 from ..messages import Heartbeat, TermsPushed, TermsWanted, TicketsPushed, TicketsWanted
 from ..model import ChangeTicket, Database, DatabaseGroup, TermRecord
-from ..store import TERM_PREFIX, TICKET_PREFIX, decode_record, decode_ticket
+from ..store import TERM_PREFIX, TICKET_PREFIX, decode_term, decode_ticket
 from ._spreading import (
     answer_terms,
     answer_tickets,
@@ -149,17 +149,17 @@
     records = []
     for item in objects:
         if item.key.startswith(TICKET_PREFIX):
-            result = decode_ticket(item.value)
+            result = decode_ticket(item.key, item.value)
             if result.is_ok() and learn_ticket(node, result.ok(), "store", out):
                 tickets.append(result.ok())
         elif item.key.startswith(TERM_PREFIX):
-            result = decode_record(item.value)
+            result = decode_term(item.key, item.value)
             if result.is_ok() and learn_record(node, result.ok(), item.version, out):
                 records.append(result.ok())
         else:
             continue
         if result.is_err():
-            detail = (("key", item.key), ("reason", result.err().reason))
+            detail = (("key", item.key), ("reason", result.err().detail))
             note(out, "object_unreadable", cause="store", detail=detail)
     if node.config.watching:
         push_tickets(node, tickets, out)
--- a/src/siskinhold/store/__init__.py
+++ b/src/siskinhold/store/__init__.py
@@ -1,12 +1,14 @@
 """The platform's object store as the reducer sees it."""
 
 from ._codec import (
+    MAX_VALUE_BYTES,
     TERM_PREFIX,
     TICKET_PREFIX,
-    Unreadable,
-    decode_record,
+    CodecError,
+    CodecFailure,
+    decode_term,
     decode_ticket,
-    encode_record,
+    encode_term,
     encode_ticket,
     term_key,
     ticket_key,
@@ -22,7 +24,10 @@
 )
 
 __all__ = [
+    "CodecError",
+    "CodecFailure",
     "ListObjects",
+    "MAX_VALUE_BYTES",
     "ReadObject",
     "StoreCall",
     "StoreFailure",
@@ -30,11 +35,10 @@
     "StoredObject",
     "TERM_PREFIX",
     "TICKET_PREFIX",
-    "Unreadable",
     "WriteObject",
-    "decode_record",
+    "decode_term",
     "decode_ticket",
-    "encode_record",
+    "encode_term",
     "encode_ticket",
     "term_key",
     "ticket_key",
--- a/src/siskinhold/store/_codec.py
+++ b/src/siskinhold/store/_codec.py
@@ -1,4 +1,8 @@
-"""Keys and encoded values of the objects `ticket/<number>` and `term/<database>`."""
+"""Values of store objects as JSON, and their keys."""
+
+import enum
+from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -6,24 +10,36 @@
 from ..model import ChangeTicket, TermRecord
 
 TICKET_PREFIX = "ticket/"
-"""Keys of change tickets start with it."""
-
 TERM_PREFIX = "term/"
-"""Keys of records of terms start with it."""
+# The store's limit for one value.
+MAX_VALUE_BYTES = 1_000_000
+
+Value = TypeVar("Value")
+
+
+class CodecFailure(enum.Enum):
+    """Why a value can't be encoded or decoded."""
 
+    TOO_LARGE = "too_large"
+    MALFORMED = "malformed"
+    WRONG_KEY = "wrong_key"
 
-class Unreadable(msgspec.Struct, frozen=True, kw_only=True):
-    """A stored value that is not what its key stands for.
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CodecError:
+    """A value that can't be encoded or decoded.
 
     Args:
-        reason: what is wrong with it.
+        failure: the kind of failure.
+        detail: what is wrong, for logs and operators.
     """
 
-    reason: str
+    failure: CodecFailure
+    detail: str
 
 
 def ticket_key(number: int) -> str:
-    """Return the key of a ticket.
+    """Return the key of a change ticket.
 
     >>> ticket_key(7)
     'ticket/7'
@@ -36,28 +52,54 @@
     return f"{TERM_PREFIX}{database}"
 
 
-def encode_ticket(ticket: ChangeTicket) -> bytes:
-    """Return the stored form of a ticket: JSON, as operators may read it."""
-    return msgspec.json.encode(ticket)
+def encode_ticket(ticket: ChangeTicket) -> Result[bytes, CodecError]:
+    """Return the value of `ticket/<number>`."""
+    return _encode(ticket)
+
+
+def encode_term(record: TermRecord) -> Result[bytes, CodecError]:
+    """Return the value of `term/<database>`."""
+    return _encode(record)
 
 
-def decode_ticket(value: bytes) -> Result[ChangeTicket, Unreadable]:
-    """Return the ticket, or why the value is none."""
-    return _decode(value, ChangeTicket)
+def decode_ticket(key: str, value: bytes) -> Result[ChangeTicket, CodecError]:
+    """Return the ticket in a store object; its number must match the key."""
+    decoded = _decode(value, ChangeTicket)
+    if isinstance(decoded, Err):
+        return decoded
+    if ticket_key(decoded.ok_value.number) != key:
+        return _wrong_key(key)
+    return decoded
 
 
-def encode_record(record: TermRecord) -> bytes:
-    """Return the stored form of a record of terms."""
-    return msgspec.json.encode(record)
+def decode_term(key: str, value: bytes) -> Result[TermRecord, CodecError]:
+    """Return the record in a store object; its database must match the key."""
+    decoded = _decode(value, TermRecord)
+    if isinstance(decoded, Err):
+        return decoded
+    if term_key(decoded.ok_value.database) != key:
+        return _wrong_key(key)
+    return decoded
 
 
-def decode_record(value: bytes) -> Result[TermRecord, Unreadable]:
-    """Return the record of terms, or why the value is none."""
-    return _decode(value, TermRecord)
+def _encode(value: msgspec.Struct) -> Result[bytes, CodecError]:
+    encoded = msgspec.json.encode(value)
+    if len(encoded) > MAX_VALUE_BYTES:
+        detail = f"{len(encoded)} bytes exceed {MAX_VALUE_BYTES}"
+        return Err(CodecError(failure=CodecFailure.TOO_LARGE, detail=detail))
+    return Ok(encoded)
 
 
-def _decode(value: bytes, kind: type) -> Result:
+def _decode(value: bytes, kind: type[Value]) -> Result[Value, CodecError]:
+    if len(value) > MAX_VALUE_BYTES:
+        detail = f"{len(value)} bytes exceed {MAX_VALUE_BYTES}"
+        return Err(CodecError(failure=CodecFailure.TOO_LARGE, detail=detail))
     try:
         return Ok(msgspec.json.decode(value, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(Unreadable(reason=str(error)))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Err(CodecError(failure=CodecFailure.MALFORMED, detail=str(error)))
+
+
+def _wrong_key(key: str) -> Err[CodecError]:
+    detail = f"the value does not belong to key {key}"
+    return Err(CodecError(failure=CodecFailure.WRONG_KEY, detail=detail))
--- a/src/siskinhold_trial/__init__.py
+++ b/src/siskinhold_trial/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the platform, for trials only."""
+"""Stand-ins for the outside, for trials and tests only."""
--- a/src/siskinhold_trial/programs/__init__.py
+++ b/src/siskinhold_trial/programs/__init__.py
@@ -1,1 +1,1 @@
-"""Programs of the stand-ins."""
+"""The trial programs."""
