Add in-process fakes of the database, the store, the network and callers

They meet the adapter interfaces, so that the reducers of many VMs run in one process on the event loop's clock.

--- /dev/null
+++ b/src/siskinhold_trial/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and checks for trials of siskinhold; not part of the product."""
--- /dev/null
+++ b/src/siskinhold_trial/fakes/__init__.py
@@ -0,0 +1,33 @@
+"""In-process stand-ins for a database, the store, the network and callers.
+
+All share one `FakeWorld`, run on the event loop's clock and draw every random
+choice from the world's generator, so that a run is repeated by its seed. A VM
+is put together from `FakeCallers`, `FakeBackends`, `FakeStoreClient` and
+`FakePeers`.
+"""
+
+from ._backends import FakeBackends
+from ._callers import CallerConnectionClosed, FakeCaller, FakeCallers, Reply
+from ._database import FakeDatabase
+from ._log import Execution, Promotion
+from ._network import FakeNetwork, FakePeers
+from ._server import FakeServer
+from ._store import FakeStore, FakeStoreClient
+from ._world import FakeWorld
+
+__all__ = [
+    "CallerConnectionClosed",
+    "Execution",
+    "FakeBackends",
+    "FakeCaller",
+    "FakeCallers",
+    "FakeDatabase",
+    "FakeNetwork",
+    "FakePeers",
+    "FakeServer",
+    "FakeStore",
+    "FakeStoreClient",
+    "FakeWorld",
+    "Promotion",
+    "Reply",
+]
--- /dev/null
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -0,0 +1,170 @@
+"""Callers that a test script plays."""
+
+import asyncio
+from dataclasses import dataclass
+
+from siskinhold import effects, events
+from siskinhold.adapters import Callers, Emit
+from siskinhold.model import Marks, Outcome, Position, RequestId, StatementKind
+
+from ._backends import _ignore
+from ._world import FakeWorld
+
+
+class CallerConnectionClosed(Exception):
+    """The VM closed the caller's connection, or the VM is gone."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Reply:
+    """What a caller got for a statement."""
+
+    request: RequestId
+    outcome: Outcome
+    positions: dict[str, Position]
+
+
+class FakeCallers(Callers):
+    """The listener of one VM for callers that live in the test's process.
+
+    Args:
+        world: the test's surroundings.
+        delay: one-way delay to callers in seconds.
+
+    Attributes:
+        stray: replies that no caller waited for; a correct VM sends none.
+    """
+
+    def __init__(self, *, world: FakeWorld, delay: float = 0.0) -> None:
+        self.world = world
+        self.delay = delay
+        self.stray: list[effects.ReplyCaller] = []
+        self._emit: Emit = _ignore
+        self._open: dict[int, "FakeCaller"] = {}
+        self._numbers = 0
+        self._listening = False
+
+    async def start(self, emit: Emit) -> None:
+        """Begin to accept callers."""
+        self._emit = emit
+        self._listening = True
+
+    def connect(self, *, database: str, user: str = "caller") -> "FakeCaller":
+        """Open a connection.
+
+        Raises:
+            CallerConnectionClosed: if the VM does not listen.
+        """
+        if not self._listening:
+            raise CallerConnectionClosed
+        self._numbers += 1
+        caller = FakeCaller(callers=self, session=self._numbers)
+        self._open[caller.session] = caller
+        self.inform(
+            events.CallerOpened, session=caller.session, user=user, database=database
+        )
+        return caller
+
+    def inform(self, kind: type, **fields: object) -> None:
+        """Emit an event after the delay."""
+        self.world.later(
+            self.delay,
+            lambda: self._emit(kind(at=self.world.now(), **fields)),
+        )
+
+    def forget(self, session: int) -> None:
+        """Take note that the caller closed its connection."""
+        if self._open.pop(session, None) is not None:
+            self.inform(events.CallerClosed, session=session)
+
+    def reply(self, effect: effects.ReplyCaller) -> None:
+        """Answer a statement."""
+        self.world.later(self.delay, self._deliver, effect)
+
+    def close(self, effect: effects.CloseCaller) -> None:
+        """Close a caller's connection, after replies sent before."""
+        self.world.later(self.delay, self._break, effect.session, effect.reason)
+
+    async def stop(self) -> None:
+        """Close all connections, as the death of the process would."""
+        self._emit = _ignore
+        self._listening = False
+        for session in list(self._open):
+            self._break(session, "stopped")
+
+    def _deliver(self, effect: effects.ReplyCaller) -> None:
+        caller = self._open.get(effect.session)
+        if caller is None:
+            return
+        if caller.waiting is None:
+            self.stray.append(effect)
+            return
+        waiting, caller.waiting = caller.waiting, None
+        if not waiting.done():
+            waiting.set_result(
+                Reply(
+                    request=effect.request,
+                    outcome=effect.outcome,
+                    positions=dict(effect.positions),
+                )
+            )
+
+    def _break(self, session: int, reason: str) -> None:
+        caller = self._open.pop(session, None)
+        if caller is None:
+            return
+        caller.closed = True
+        if caller.waiting is not None and not caller.waiting.done():
+            caller.waiting.set_exception(CallerConnectionClosed(reason))
+
+
+class FakeCaller:
+    """A caller's connection. Made by `FakeCallers.connect`."""
+
+    def __init__(self, *, callers: FakeCallers, session: int) -> None:
+        self.session = session
+        self.closed = False
+        self.waiting: asyncio.Future[Reply] | None = None
+        self._callers = callers
+
+    async def run(self, kind: StatementKind, sql: str, marks: Marks = Marks()) -> Reply:
+        """Send a statement and wait for its reply.
+
+        Raises:
+            CallerConnectionClosed: if the connection closes first.
+            RuntimeError: if a statement is under way.
+        """
+        if self.closed:
+            raise CallerConnectionClosed
+        if self.waiting is not None:
+            raise RuntimeError("a statement is under way")
+        self.waiting = self._callers.world.loop.create_future()
+        self._callers.inform(
+            events.StatementReceived,
+            session=self.session,
+            kind=kind,
+            sql=sql,
+            marks=marks,
+        )
+        return await self.waiting
+
+    def present(self, positions: dict[str, Position]) -> None:
+        """Present positions, as a valid session token would."""
+        self._callers.inform(
+            events.TokenPresented, session=self.session, positions=dict(positions)
+        )
+
+    def select(self, database: str) -> None:
+        """Choose the default database."""
+        self._callers.inform(
+            events.DatabaseSelected, session=self.session, database=database
+        )
+
+    def close(self) -> None:
+        """Close the connection; a statement under way gets no answer."""
+        if self.closed:
+            return
+        self.closed = True
+        self._callers.forget(self.session)
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_exception(CallerConnectionClosed("closed by the caller"))
--- /dev/null
+++ b/src/siskinhold_trial/fakes/_database.py
@@ -0,0 +1,150 @@
+"""A fake database: its instances, their replication and their faults."""
+
+import random
+from collections.abc import Callable
+
+from siskinhold.model import Database, Position, Role
+
+from ._log import Change, Entry, Execution, Log, Promotion
+from ._server import FakeServer
+from ._world import FakeWorld
+
+Service = Callable[[random.Random], float]
+"""Draws a service time in seconds."""
+
+
+class FakeDatabase:
+    """One replicated database; term 1 begins at offset 0 on its primary.
+
+    Replication is asynchronous. A replica gets an entry after the links'
+    delay and its own `lag`, and catches up by itself after any fault.
+
+    Args:
+        world: the test's surroundings; `FakeBackends` finds the servers there.
+        config: the database as change tickets describe it.
+        service: draws the service times of statements that don't give theirs.
+        lag: replication lag of each replica at first, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: FakeWorld,
+        config: Database,
+        service: Service = lambda chance: 0.002,
+        lag: float = 0.0,
+    ) -> None:
+        self.world = world
+        self.config = config
+        self.service = service
+        self.executions: list[Execution] = []
+        self.promotions: list[Promotion] = []
+        self.servers: dict[str, FakeServer] = {}
+        for place in config.servers:
+            primary = place.name == config.primary
+            server = FakeServer(
+                world=world, database=self, place=place, primary=primary
+            )
+            server.source = "" if primary else config.primary
+            server.lag = lag
+            self.servers[place.name] = server
+        start = Promotion(at=world.now(), server=config.primary, term=1, offset=0)
+        self.promotions.append(start)
+        world.servers.update(self.servers)
+        world.observe_links(self.before_change, self.after_change)
+
+    def find_primary(self) -> FakeServer:
+        """Return the server that leads the highest term finished so far."""
+        newest = max(self.promotions, key=lambda promotion: promotion.term)
+        return self.servers[newest.server]
+
+    def isolate(
+        self, server: str, *, replicas: bool = True, vms: tuple[str, ...] | None = None
+    ) -> None:
+        """Cut a server off, which goes on by itself.
+
+        Args:
+            server: whom to cut off.
+            replicas: whether to cut its links with the other instances.
+            vms: VMs whose links to it are cut; None for every VM and instance.
+        """
+        if vms is None:
+            self.world.isolate(server)
+            return
+        for vm in vms:
+            self.world.cut(server, vm)
+        for other in self.servers:
+            if replicas and other != server:
+                self.world.cut(server, other)
+
+    # What the servers call.
+
+    def draw_service(self) -> float:
+        """Return a service time in seconds."""
+        return self.service(self.world.random)
+
+    def write(self, server: FakeServer, changes: list[Change]) -> Position:
+        """Append an entry to a primary's log and replicate it."""
+        offset = len(server.log.entries) + 1
+        entry = Entry(term=server.term, offset=offset, changes=tuple(changes))
+        server.log.append(entry)
+        self._spread(server)
+        return Position(entry.term, entry.offset)
+
+    def measure_silence(self, server: FakeServer) -> float:
+        """Return for how many seconds a replica has not heard its source."""
+        if self._is_connected(server):
+            return 0.0
+        return self.world.now() - server.heard_at
+
+    def before_change(self) -> None:
+        """Note which replicas hear their source up to now."""
+        for server in self.servers.values():
+            if self._is_connected(server):
+                server.heard_at = self.world.now()
+
+    def after_change(self) -> None:
+        """Let replicas catch up that hear their source from now on."""
+        for server in self.servers.values():
+            if server.role is Role.PRIMARY and server.alive and not server.frozen:
+                self._spread(server)
+
+    def _is_connected(self, replica: FakeServer) -> bool:
+        source = self.servers.get(replica.source)
+        if replica.role is not Role.REPLICA or source is None:
+            return False
+        if source.role is not Role.PRIMARY or source.term != replica.term:
+            return False
+        for server in (replica, source):
+            if not server.alive or server.frozen:
+                return False
+        return self.world.is_open(replica.place, source.place)
+
+    def _spread(self, source: FakeServer) -> None:
+        length = len(source.log.entries)
+        for replica in self.servers.values():
+            if replica.source != source.place.name:
+                continue
+            if not self._is_connected(replica):
+                continue
+            shared = replica.log.measure_common(source.log)
+            if shared < len(replica.log.entries):
+                replica.log.cut(shared)
+            delay = self.world.measure_delay(source.place, replica.place)
+            self.world.later(
+                delay + replica.lag,
+                self._copy,
+                replica,
+                source.log,
+                source.term,
+                length,
+            )
+
+    def _copy(self, replica: FakeServer, log: Log, term: int, length: int) -> None:
+        source = self.servers.get(replica.source)
+        if source is None or source.log is not log or replica.term != term:
+            return
+        if not self._is_connected(replica):
+            return
+        for entry in log.entries[len(replica.log.entries) : length]:
+            replica.log.append(entry)
--- /dev/null
+++ b/src/siskinhold_trial/fakes/_network.py
@@ -0,0 +1,108 @@
+"""Messages between VMs in one process."""
+
+from collections import Counter
+
+import msgspec
+
+from siskinhold import events
+from siskinhold.adapters import Emit, Peers
+from siskinhold.messages import Envelope
+from siskinhold.model import VmAddress
+
+from ._backends import _ignore
+from ._world import FakeWorld
+
+
+class FakeNetwork:
+    """Carries envelopes between VMs; its attributes are the faults.
+
+    Args:
+        world: the test's surroundings; its cut links drop messages.
+        loss: probability that a message is lost.
+        jitter: longest extra delay in seconds; any jitter reorders messages.
+
+    Attributes:
+        sent: bytes by pair of sending and receiving region.
+        messages: messages by the same pair.
+    """
+
+    def __init__(
+        self, *, world: FakeWorld, loss: float = 0.0, jitter: float = 0.0
+    ) -> None:
+        self.world = world
+        self.loss = loss
+        self.jitter = jitter
+        self.sent: Counter[tuple[str, str]] = Counter()
+        self.messages: Counter[tuple[str, str]] = Counter()
+        self.listeners: dict[tuple[str, int], "FakePeers"] = {}
+
+    def carry(
+        self, sender: VmAddress, address: tuple[str, int], envelope: Envelope
+    ) -> None:
+        """Carry an envelope to whoever listens at the address on arrival."""
+        receiver = self.listeners.get(address)
+        if receiver is None:
+            return
+        data = msgspec.msgpack.encode(envelope)
+        pair = (sender.region, receiver.vm.region)
+        self.sent[pair] += len(data)
+        self.messages[pair] += 1
+        chance = self.world.random
+        if self.loss and chance.random() < self.loss:
+            return
+        delay = self.world.measure_delay(sender, receiver.vm)
+        if self.jitter:
+            delay += chance.uniform(0, self.jitter)
+        self.world.later(delay, self._arrive, sender, address, data)
+
+    def _arrive(self, sender: VmAddress, address: tuple[str, int], data: bytes) -> None:
+        receiver = self.listeners.get(address)
+        if receiver is None or not self.world.is_open(sender, receiver.vm):
+            return
+        receiver.receive(msgspec.msgpack.decode(data, type=Envelope))
+
+
+class FakePeers(Peers):
+    """One VM's adapter to the network.
+
+    Args:
+        network: what carries the messages.
+        vm: the VM and the address it listens at.
+    """
+
+    def __init__(self, *, network: FakeNetwork, vm: VmAddress) -> None:
+        self.vm = vm
+        self._network = network
+        self._emit: Emit = _ignore
+        self._known: dict[str, tuple[str, int]] = {}
+
+    async def start(self, emit: Emit) -> None:
+        """Begin to listen.
+
+        Raises:
+            OSError: if another VM listens at the address.
+        """
+        address = (self.vm.host, self.vm.peer_port)
+        if address in self._network.listeners:
+            raise OSError(f"address {address} is in use")
+        self._emit = emit
+        self._network.listeners[address] = self
+
+    def learn(self, vm: str, host: str, port: int) -> None:
+        """Note where a VM is reached."""
+        self._known[vm] = (host, port)
+
+    def send(self, vm: str, envelope: Envelope) -> None:
+        """Send without waiting."""
+        address = self._known.get(vm)
+        if address is not None:
+            self._network.carry(self.vm, address, envelope)
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take an envelope that arrived."""
+        self._emit(events.PeerReceived(at=self._network.world.now(), envelope=envelope))
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        self._emit = _ignore
+        self._network.listeners.pop((self.vm.host, self.vm.peer_port), None)
--- /dev/null
+++ b/tests/trial/test_fake_database.py
@@ -0,0 +1,254 @@
+"""The fake database as a VM's backend adapter meets it."""
+
+import asyncio
+
+from trial_support import Vm, make_database, run
+
+from siskinhold import effects, events
+from siskinhold.model import ControlFailure, Done, Failed, Position, RequestId, Role
+from siskinhold_trial.fakes import FakeDatabase
+
+
+def play(script, **options):
+    """Run `script(database, vm, servers)` in a fresh world."""
+
+    async def start(world):
+        database = FakeDatabase(world=world, config=make_database(), **options)
+        vm = await Vm(world).start()
+        await script(database, vm, database.config.servers)
+
+    run(start)
+
+
+async def promote(vm, servers, leader: int, term: int) -> None:
+    """Fence the leader and the last server, promote one, let the other follow."""
+    for number in (1, 2):
+        await vm.control(effects.FenceServer, servers[number], term=term)
+    await vm.control(effects.PromoteServer, servers[leader], term=term)
+    for number in (1, 2):
+        if number != leader:
+            await vm.control(
+                effects.FollowServer,
+                servers[number],
+                term=term,
+                primary=servers[leader],
+            )
+
+
+class TestStatements:
+    def test_write_reaches_replicas_after_their_lag(self):
+        """Guards against replication that is immediate or never happens."""
+
+        async def script(database, vm, servers):
+            primary = await vm.open(servers[0])
+            answer = await vm.ask(primary, "UPDATE kv SET v='1' WHERE k='a'")
+            assert answer.position == Position(1, 1)
+            replica = await vm.open(servers[1])
+            read = "SELECT v FROM kv WHERE k='a'"
+            assert (await vm.ask(replica, read)).outcome.rows == ((None,),)
+            await asyncio.sleep(0.2)
+            assert (await vm.ask(replica, read)).outcome.rows == ((b"1",),)
+
+        play(script, lag=0.2)
+
+    def test_connection_cost_and_slots(self):
+        """Two slots run two of three statements; guards against free service."""
+
+        async def script(database, vm, servers):
+            opened = [await vm.open(servers[0]) for _ in range(3)]
+            start = database.world.now()
+            for connection in opened:
+                vm.send(connection, "SELECT v FROM kv WHERE k='a' /* cost_ms=50 */")
+            taken = [(await vm.take()).at - start for _ in opened]
+            assert [round(at, 2) for at in taken] == [0.05, 0.05, 0.1]
+
+        play(script)
+
+    def test_too_many_connections(self):
+        """The fifth of four connections is refused as rejected."""
+
+        async def script(database, vm, servers):
+            for _ in range(4):
+                await vm.open(servers[0])
+            vm.backends.perform(
+                effects.OpenBackend(connection=99, server=servers[0], database="db")
+            )
+            assert (await vm.take()).failure is ControlFailure.REJECTED
+
+        play(script)
+
+
+class TestTransactions:
+    def test_rows_stay_locked_until_commit(self):
+        """Guards against a write that overtakes an open transaction's."""
+
+        async def script(database, vm, servers):
+            one, two = await vm.open(servers[0]), await vm.open(servers[0])
+            await vm.ask(one, "BEGIN", autocommit=False)
+            append = "UPDATE kv SET v=CONCAT(v,',{}') WHERE k='a'"
+            held = await vm.ask(one, append.format(1), autocommit=False)
+            assert held.in_transaction
+            vm.send(two, append.format(2))
+            assert await vm.take(0.5) is None
+            vm.send(one, "COMMIT", autocommit=False)
+            ended = [await vm.take(), await vm.take()]
+            assert [event.connection for event in ended] == [one, two]
+            assert database.find_primary().log.rows == {"a": "1,2"}
+
+        play(script)
+
+    def test_closing_rolls_back(self):
+        """Guards against locks and changes that outlive their connection."""
+
+        async def script(database, vm, servers):
+            one, two = await vm.open(servers[0]), await vm.open(servers[0])
+            await vm.ask(one, "BEGIN", autocommit=False)
+            write = "UPDATE kv SET v='{}' WHERE k='a'"
+            await vm.ask(one, write.format(1), autocommit=False)
+            vm.backends.perform(effects.CloseBackend(connection=one))
+            assert (await vm.ask(two, write.format(2))).outcome == Done(affected_rows=1)
+            assert [e.committed_at is None for e in database.executions[:2]] == [
+                True,
+                True,
+            ]
+
+        play(script)
+
+    def test_key_runs_once_and_tombstone_prevents(self):
+        """Guards against a second run of a key and a run after its tombstone."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            write = "INSERT INTO log VALUES ('x')"
+            assert not (await vm.ask(one, write, key="k1")).outcome.repeated
+            assert (await vm.ask(one, write, key="k1")).outcome.repeated
+            settled = []
+            for key in ("k1", "k2", "k2"):
+                request = RequestId("vm", 1, 0)
+                vm.backends.perform(
+                    effects.SettleKey(connection=one, request=request, key=key)
+                )
+                settled.append((await vm.take()).ran)
+            assert settled == [True, False, False]
+            assert (await vm.ask(one, write, key="k2")).outcome.code == 1062
+            assert database.find_primary().log.inserted == ["x"]
+
+        play(script)
+
+
+class TestTerms:
+    def test_fence_fails_running_write(self):
+        """Guards against a write that survives the fencing of its primary."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            vm.send(one, "UPDATE kv SET v='1' WHERE k='a' /* cost_ms=100 */")
+            fenced = await vm.control(effects.FenceServer, servers[0], term=2)
+            assert fenced.status.role is Role.FENCED
+            outcome = (await vm.take()).outcome
+            assert isinstance(outcome, Failed) and outcome.code == 1290
+            assert database.servers["db-0"].log.rows == {}
+
+        play(script)
+
+    def test_isolated_primary_goes_on_and_is_cut_back(self):
+        """Guards against a rejoined log that keeps entries of a lost branch."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            database.isolate("db-0", vms=())
+            write = "UPDATE kv SET v='{}' WHERE k='a'"
+            assert (await vm.ask(one, write.format("lost"))).outcome == Done(
+                affected_rows=1
+            )
+            await asyncio.sleep(1)
+            status = await vm.control(effects.QueryStatus, servers[1])
+            assert status.status.source_silence_ms >= 1000
+            await promote(vm, servers, 1, 2)
+            two = await vm.open(servers[1])
+            kept = await vm.ask(two, write.format("kept"))
+            assert kept.position == Position(2, 1)
+            database.world.rejoin("db-0")
+            follow = dict(term=2, primary=servers[1])
+            await vm.control(effects.FollowServer, servers[0], **follow)
+            await asyncio.sleep(0.1)
+            assert database.servers["db-0"].log.rows == {"a": "kept"}
+            assert database.servers["db-2"].log.rows == {"a": "kept"}
+
+        play(script)
+
+    def test_promotion_needs_exact_fence(self):
+        """Guards against a promotion at a term the server was not fenced at."""
+
+        async def script(database, vm, servers):
+            await vm.control(effects.FenceServer, servers[1], term=3)
+            for kind in (effects.PromoteServer, effects.FenceServer):
+                answer = await vm.control(kind, servers[1], term=2)
+                assert answer.failure is ControlFailure.REJECTED
+
+        play(script)
+
+
+class TestFaults:
+    def test_killed_server_breaks_and_refuses(self):
+        """Guards against a dead server that looks like a silent one."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            vm.send(one, "SELECT v FROM kv WHERE k='a' /* cost_ms=100 */")
+            await asyncio.sleep(0.05)
+            database.servers["db-0"].kill()
+            lost = await vm.take()
+            assert isinstance(lost, events.BackendLost) and lost.sent
+            assert not (await vm.ask(one, "SELECT v FROM kv WHERE k='a'")).sent
+            status = await vm.control(effects.QueryStatus, servers[0])
+            assert status.failure is ControlFailure.REFUSED
+            database.servers["db-0"].restart()
+            status = await vm.control(effects.QueryStatus, servers[0])
+            assert status.status.role is Role.PRIMARY
+
+        play(script)
+
+    def test_silent_connections_beside_new_ones(self):
+        """Old connections answer no more, a fresh one does."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            await vm.control(effects.QueryStatus, servers[0])
+            database.servers["db-0"].silence()
+            vm.send(one, "SELECT v FROM kv WHERE k='a'")
+            old = await vm.control(effects.QueryStatus, servers[0])
+            assert old.failure is ControlFailure.TIMEOUT
+            vm.backends.perform(
+                effects.QueryActivity(connection=one, server=servers[0])
+            )
+            assert (await vm.take()).executing is False
+
+        play(script)
+
+    def test_frozen_server_times_out_and_goes_on(self):
+        """Guards against a freeze that loses or runs what arrives meanwhile."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            database.servers["db-0"].freeze()
+            vm.send(one, "SELECT v FROM kv WHERE k='a'")
+            status = await vm.control(effects.QueryStatus, servers[0])
+            assert status.failure is ControlFailure.TIMEOUT
+            assert await vm.take(1) is None
+            database.servers["db-0"].unfreeze()
+            assert isinstance(await vm.take(), events.BackendAnswered)
+
+        play(script)
+
+    def test_lost_answer_had_its_effect(self):
+        """Guards against a lost answer whose statement did not run."""
+
+        async def script(database, vm, servers):
+            one = await vm.open(servers[0])
+            vm.backends.answer_loss = 1.0
+            answer = await vm.ask(one, "INSERT INTO log VALUES ('x')")
+            assert isinstance(answer, events.BackendLost) and answer.sent
+            assert database.find_primary().log.inserted == ["x"]
+
+        play(script)
