--- a/src/siskinhold_trial/fakes/__init__.py
+++ b/src/siskinhold_trial/fakes/__init__.py
@@ -12,6 +12,7 @@
 from ._log import Execution, Promotion
 from ._network import FakeNetwork, FakePeers
 from ._server import FakeServer
+from ._sql import Parsed, parse
 from ._store import FakeStore, FakeStoreClient
 from ._world import FakeWorld
 
@@ -28,6 +29,8 @@
     "FakeStore",
     "FakeStoreClient",
     "FakeWorld",
+    "Parsed",
     "Promotion",
     "Reply",
+    "parse",
 ]
--- /dev/null
+++ b/src/siskinhold_trial/history/__init__.py
@@ -0,0 +1,104 @@
+"""Records of a run and one check for each guarantee of the design page.
+
+Libraries considered, by name only: Porcupine (Go), Knossos and Elle (Clojure)
+are the usual checkers of recorded histories, and no PyPI package that does
+their work is known. Hypothesis' stateful testing makes runs but does not judge
+recorded concurrent ones; networkx finds cycles, but no guarantee here is a
+cycle condition. The checks are own code because most guarantees need the
+database's account of executions, promotions and terms beside the calls and
+answers. With unique values appended to rows, each is a scan of the records.
+"""
+
+from collections.abc import Sequence
+
+from ._answers import check_answers, check_transactions
+from ._fleet import check_leaving, check_shutdowns, check_tickets
+from ._recorder import RecordedSession
+from ._records import (
+    DatabaseRecord,
+    History,
+    Invocation,
+    Leaving,
+    TicketEvent,
+    VmLife,
+    read_database,
+)
+from ._violations import (
+    AnswerMismatched,
+    CutOffByShutdown,
+    NotRunButRan,
+    RanTwice,
+    ReadMissedOwnWrite,
+    TicketLate,
+    TicketReverted,
+    TransactionMixed,
+    Violation,
+    WorkAfterLeaving,
+    WriteLost,
+    WriteOnReplacedPrimary,
+)
+from ._writes import (
+    check_acknowledged_kept,
+    check_not_run,
+    check_once,
+    check_read_your_writes,
+    check_replaced_primary,
+)
+
+
+def check_all(
+    history: History, records: Sequence[DatabaseRecord], *, kept: bool = True
+) -> list[Violation]:
+    """Return all violations of guarantees 1 to 9.
+
+    Args:
+        kept: whether acknowledged writes must survive, as they must with
+            `acknowledge=replica`.
+    """
+    violations = check_read_your_writes(history)
+    if kept:
+        violations += check_acknowledged_kept(history, records)
+    violations += check_replaced_primary(history, records)
+    violations += check_transactions(history, records)
+    violations += check_answers(history, records)
+    violations += check_not_run(history, records)
+    violations += check_once(history, records)
+    violations += check_leaving(history, records)
+    violations += check_shutdowns(history)
+    violations += check_tickets(history)
+    return violations
+
+
+__all__ = [
+    "AnswerMismatched",
+    "CutOffByShutdown",
+    "DatabaseRecord",
+    "History",
+    "Invocation",
+    "Leaving",
+    "NotRunButRan",
+    "RanTwice",
+    "ReadMissedOwnWrite",
+    "RecordedSession",
+    "TicketEvent",
+    "TicketLate",
+    "TicketReverted",
+    "TransactionMixed",
+    "Violation",
+    "VmLife",
+    "WorkAfterLeaving",
+    "WriteLost",
+    "WriteOnReplacedPrimary",
+    "check_acknowledged_kept",
+    "check_all",
+    "check_answers",
+    "check_leaving",
+    "check_not_run",
+    "check_once",
+    "check_read_your_writes",
+    "check_replaced_primary",
+    "check_shutdowns",
+    "check_tickets",
+    "check_transactions",
+    "read_database",
+]
--- /dev/null
+++ b/src/siskinhold_trial/history/_answers.py
@@ -0,0 +1,94 @@
+"""Checks of sessions and answers: guarantees 3 and 4."""
+
+from collections.abc import Iterable
+
+from siskinhold.model import Done, RequestId
+
+from ._records import DatabaseRecord, History, Invocation
+from ._violations import AnswerMismatched, TransactionMixed, Violation
+
+
+def check_transactions(
+    history: History, records: Iterable[DatabaseRecord]
+) -> list[Violation]:
+    """Guarantee 3: a server's transaction holds one caller's transaction.
+
+    Nor do the statements of a caller's transaction run in two of them. A
+    BEGIN may: one that was lost leaves an empty transaction.
+    """
+    owners = {
+        invocation.tag: invocation.transaction for invocation in history.invocations
+    }
+    violations: list[Violation] = []
+    held_by: dict[tuple, str] = {}
+    runs_in: dict[str, tuple] = {}
+    for record in records:
+        for execution in record.executions:
+            owner = owners.get(execution.tag)
+            if owner is None or execution.ran_at is None:
+                continue
+            place = (execution.server, execution.connection, execution.transaction)
+            if execution.transaction == 0:
+                if owner:
+                    violations.append(_mixed(execution.tag, "ran outside", owner))
+                continue
+            if held_by.setdefault(place, owner) != owner:
+                violations.append(_mixed(execution.tag, "shares", held_by[place]))
+            if execution.form == "begin" or not owner:
+                continue
+            if runs_in.setdefault(owner, place) != place:
+                violations.append(_mixed(execution.tag, "split", owner))
+    return violations
+
+
+def _mixed(tag: str, what: str, transaction: str) -> Violation:
+    return TransactionMixed(
+        subject=tag, detail=f"{what} transaction {transaction or 'of autocommit'}"
+    )
+
+
+def check_answers(
+    history: History, records: Iterable[DatabaseRecord]
+) -> list[Violation]:
+    """Guarantee 4: one whole answer for each request, and only its own.
+
+    A read made as `SELECT v, '<tag>' FROM ...` must return its own tag.
+    """
+    violations: list[Violation] = []
+    for request in history.stray:
+        violations.append(
+            AnswerMismatched(subject=str(request), detail="nobody waited for it")
+        )
+    tags: dict[RequestId, str] = {}
+    for invocation in history.invocations:
+        if invocation.request is None:
+            continue
+        if tags.setdefault(invocation.request, invocation.tag) != invocation.tag:
+            violations.append(_mismatch(invocation, "identity answered twice"))
+        if invocation.parsed.form == "read" and invocation.is_done:
+            if not _is_whole(invocation, invocation.outcome):
+                violations.append(_mismatch(invocation, "other or partial rows"))
+    for record in records:
+        for execution in record.executions:
+            tag = tags.get(execution.request)
+            if tag is None or not execution.tag or execution.form == "settle":
+                continue
+            if tag != execution.tag:
+                violations.append(
+                    AnswerMismatched(subject=tag, detail=f"ran {execution.tag}")
+                )
+    return violations
+
+
+def _is_whole(invocation: Invocation, outcome: Done) -> bool:
+    echo = invocation.parsed.value
+    if len(outcome.rows) != 1:
+        return False
+    row = outcome.rows[0]
+    if not echo:
+        return len(row) == 1
+    return len(row) == 2 and row[1] == echo.encode()
+
+
+def _mismatch(invocation: Invocation, detail: str) -> Violation:
+    return AnswerMismatched(subject=invocation.tag, detail=detail)
--- /dev/null
+++ b/src/siskinhold_trial/history/_fleet.py
@@ -0,0 +1,164 @@
+"""Checks of servers that leave, shutdowns and tickets: guarantees 7, 8 and 9."""
+
+from collections.abc import Iterable
+
+from siskinhold.model import NotRun, NotRunReason, Unknown, UnknownReason
+
+from ._records import DatabaseRecord, History, Invocation, TicketEvent, VmLife
+from ._violations import (
+    CutOffByShutdown,
+    TicketLate,
+    TicketReverted,
+    Violation,
+    WorkAfterLeaving,
+)
+
+LEAVING_LIMIT = 3.0
+"""Seconds after which a leaving server receives no new work."""
+
+TICKET_BOUND = 15.0
+"""Seconds within which an accepted ticket is in force on a reachable VM."""
+
+
+def check_leaving(
+    history: History,
+    records: Iterable[DatabaseRecord],
+    *,
+    limit: float = LEAVING_LIMIT,
+) -> list[Violation]:
+    """Guarantee 7: a leaving server gets nothing new after `limit` seconds.
+
+    Statements of a transaction that began in time may still come.
+    """
+    violations: list[Violation] = []
+    for record in records:
+        for leaving in history.leavings:
+            end = leaving.at + limit
+            begun = set()
+            for execution in record.executions:
+                if execution.server != leaving.server:
+                    continue
+                if execution.arrived_at <= end:
+                    begun.add(execution.transaction)
+                    continue
+                if leaving.undone_at is not None:
+                    if execution.arrived_at >= leaving.undone_at:
+                        continue
+                if execution.transaction and execution.transaction in begun:
+                    continue
+                late = execution.arrived_at - leaving.at
+                violations.append(
+                    WorkAfterLeaving(
+                        subject=leaving.server,
+                        detail=f"{execution.tag} came after {late:.3f} s",
+                    )
+                )
+    return violations
+
+
+def check_shutdowns(history: History) -> list[Violation]:
+    """Guarantee 8: what was in flight on a VM at its shutdown is answered.
+
+    A transaction open at the shutdown counts as in flight to its end. Callers
+    of other VMs must not be told that the owner was lost, unless some VM
+    ended without a graceful shutdown.
+    """
+    violations: list[Violation] = []
+    crashed = any(
+        life.ended_at is not None and life.shutdown_at is None for life in history.lives
+    )
+    called = {
+        invocation.tag: invocation.called_at for invocation in history.invocations
+    }
+    for life in history.lives:
+        if life.shutdown_at is None:
+            continue
+        for invocation in history.invocations:
+            if invocation.vm == life.vm:
+                began = called.get(invocation.transaction, invocation.called_at)
+                cut = _is_cut_off(invocation, began, life)
+            else:
+                cut = not crashed and _lost_owner(invocation, life)
+            if cut:
+                violations.append(
+                    CutOffByShutdown(
+                        subject=invocation.tag, detail=f"by the shutdown of {life.vm}"
+                    )
+                )
+    return violations
+
+
+def _is_cut_off(invocation: Invocation, began: float, life: VmLife) -> bool:
+    if not life.started_at <= began <= life.shutdown_at:
+        return False
+    ended = invocation.answered_at
+    if ended is not None and ended < life.shutdown_at:
+        return False
+    if ended is None:
+        return life.ended_at is not None
+    if isinstance(invocation.outcome, NotRun):
+        return invocation.outcome.reason in (
+            NotRunReason.SHUTDOWN,
+            NotRunReason.TRANSACTION_LOST,
+        )
+    return invocation.outcome is None or _lost_owner(invocation, life)
+
+
+def _lost_owner(invocation: Invocation, life: VmLife) -> bool:
+    outcome, ended = invocation.outcome, invocation.answered_at
+    if not isinstance(outcome, Unknown) or ended is None:
+        return False
+    if outcome.reason not in (UnknownReason.OWNER_LOST, UnknownReason.CONNECTION_LOST):
+        return False
+    over = life.ended_at is not None and invocation.called_at > life.ended_at
+    return ended >= life.shutdown_at and not over
+
+
+def check_tickets(history: History, *, bound: float = TICKET_BOUND) -> list[Violation]:
+    """Guarantee 9: tickets go forwards only and are in force within `bound`.
+
+    A VM that starts, or can be reached again, has the bound from then on.
+    """
+    violations: list[Violation] = []
+    accepted: dict[int, TicketEvent] = {}
+    highest: dict[tuple[str, int], int] = {}
+    for event in sorted(history.tickets, key=lambda event: event.at):
+        if not event.vm:
+            first = accepted.setdefault(event.number, event)
+            if first.identity != event.identity:
+                violations.append(_reverted("", f"{event.number} accepted twice"))
+            continue
+        place = (event.vm, event.incarnation)
+        before = highest.get(place, 0)
+        if event.number < before:
+            violations.append(_reverted(event.vm, f"{before} to {event.number}"))
+        highest[place] = max(before, event.number)
+    for ticket in accepted.values():
+        for life in history.lives:
+            if not _is_in_time(history, ticket, life, bound):
+                violations.append(
+                    TicketLate(subject=life.vm, detail=f"ticket {ticket.number}")
+                )
+    return violations
+
+
+def _reverted(vm: str, detail: str) -> Violation:
+    return TicketReverted(subject=vm, detail=f"ticket {detail}")
+
+
+def _is_in_time(
+    history: History, ticket: TicketEvent, life: VmLife, bound: float
+) -> bool:
+    start = max(ticket.at, life.started_at)
+    for cut, mended in sorted(life.cut_off):
+        if cut <= start + bound and mended >= start:
+            start = mended
+    end = start + bound
+    if life.ended_at is not None and life.ended_at < end:
+        return True
+    for event in history.tickets:
+        if (event.vm, event.incarnation) != (life.vm, life.incarnation):
+            continue
+        if event.number >= ticket.number and event.at <= end:
+            return True
+    return False
--- /dev/null
+++ b/src/siskinhold_trial/history/_records.py
@@ -0,0 +1,192 @@
+"""What a run leaves to be checked: invocations, executions and fleet changes."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from siskinhold.model import Done, Marks, Outcome, Position, RequestId, StatementKind
+from siskinhold_trial.fakes import Execution, FakeDatabase, Parsed, Promotion, parse
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Invocation:
+    """A statement as its caller saw it.
+
+    Args:
+        tag: unique text that the statement carries as `/* id=<tag> */`.
+        session: the logical session, which may move between VMs.
+        vm: the entry VM.
+        called_at: in seconds of the run's clock.
+        transaction: tag of the session's BEGIN; empty outside a transaction.
+        answered_at: when the answer came or the connection closed; None if
+            the run ended first.
+        outcome: None if no answer came.
+        request: identity in the answer.
+        positions: positions in the answer.
+        parsed: `sql`, parsed.
+    """
+
+    tag: str
+    session: str
+    vm: str
+    kind: StatementKind
+    sql: str
+    called_at: float
+    marks: Marks = Marks()
+    transaction: str = ""
+    answered_at: float | None = None
+    outcome: Outcome | None = None
+    request: RequestId | None = None
+    positions: dict[str, Position] = field(default_factory=dict)
+    parsed: Parsed = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        self.parsed = parse(self.sql)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the caller was told that it ran."""
+        return isinstance(self.outcome, Done)
+
+
+@dataclass(slots=True, kw_only=True)
+class Leaving:
+    """A ticket that makes a server leave came into force; None: not undone."""
+
+    server: str
+    at: float
+    undone_at: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class VmLife:
+    """One incarnation of a VM.
+
+    Args:
+        shutdown_at: when a graceful shutdown was requested, None if never.
+        ended_at: when the process ended, None if it runs on.
+        cut_off: spans of time in which it could not reach the other VMs.
+    """
+
+    vm: str
+    incarnation: int
+    started_at: float
+    shutdown_at: float | None = None
+    ended_at: float | None = None
+    cut_off: list[tuple[float, float]] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class TicketEvent:
+    """A ticket was accepted (`vm` is empty) or came into force on a VM."""
+
+    at: float
+    number: int
+    identity: str = ""
+    vm: str = ""
+    incarnation: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class History:
+    """All that callers and the fleet's operators saw in one run.
+
+    Args:
+        stray: request identities of answers that no caller waited for.
+    """
+
+    invocations: list[Invocation] = field(default_factory=list)
+    leavings: list[Leaving] = field(default_factory=list)
+    lives: list[VmLife] = field(default_factory=list)
+    tickets: list[TicketEvent] = field(default_factory=list)
+    stray: list[RequestId] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class DatabaseRecord:
+    """What a database knows of the run.
+
+    Args:
+        kept: positions in the log of the last primary when the run ended.
+    """
+
+    executions: list[Execution]
+    promotions: list[Promotion]
+    kept: frozenset[Position] = frozenset()
+
+
+def read_database(database: FakeDatabase) -> DatabaseRecord:
+    """Return a fake database's record at the end of a run."""
+    entries = database.find_primary().log.entries
+    return DatabaseRecord(
+        executions=database.executions,
+        promotions=database.promotions,
+        kept=frozenset(Position(entry.term, entry.offset) for entry in entries),
+    )
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Commit:
+    """A committed execution with what its database says about it.
+
+    Args:
+        kept: whether the last primary's log holds it.
+        replaced: whether a higher term's promotion had finished before.
+    """
+
+    execution: Execution
+    kept: bool
+    replaced: bool
+
+
+class Commits:
+    """Committed executions by tag and by idempotency key."""
+
+    def __init__(self, *, records: Iterable[DatabaseRecord]) -> None:
+        self.by_tag: dict[str, list[Commit]] = {}
+        self.by_key: dict[str, list[Commit]] = {}
+        for record in records:
+            for execution in record.executions:
+                if execution.committed_at is None:
+                    continue
+                commit = Commit(
+                    execution=execution,
+                    kept=execution.position in record.kept,
+                    replaced=_was_replaced(execution, record.promotions),
+                )
+                self.by_tag.setdefault(execution.tag, []).append(commit)
+                if execution.key:
+                    self.by_key.setdefault(execution.key, []).append(commit)
+
+    def find(self, invocation: Invocation) -> list[Commit]:
+        """Return commits of a statement, or of any attempt with its key."""
+        if invocation.marks.key:
+            return self.by_key.get(invocation.marks.key, [])
+        return self.by_tag.get(invocation.tag, [])
+
+
+def find_acknowledged(history: History) -> list[Invocation]:
+    """Return writes that callers were told are permanent.
+
+    Those of a transaction count once its COMMIT was answered with "done".
+    """
+    committed = set()
+    for invocation in history.invocations:
+        if invocation.kind is StatementKind.COMMIT and invocation.is_done:
+            committed.add(invocation.transaction)
+    found = []
+    for invocation in history.invocations:
+        if invocation.kind is not StatementKind.WRITE or not invocation.is_done:
+            continue
+        if invocation.transaction and invocation.transaction not in committed:
+            continue
+        found.append(invocation)
+    return found
+
+
+def _was_replaced(execution: Execution, promotions: list[Promotion]) -> bool:
+    for promotion in promotions:
+        if promotion.term <= execution.position.term:
+            continue
+        if promotion.at <= execution.committed_at:
+            return True
+    return False
--- /dev/null
+++ b/src/siskinhold_trial/history/_writes.py
@@ -0,0 +1,144 @@
+"""Checks of what became of writes: guarantees 1, 2, 5 and 6."""
+
+from collections.abc import Iterable, Sequence
+
+from siskinhold.model import Failed, NotRun, Position, StatementKind
+
+from ._records import Commits, DatabaseRecord, History, Invocation, find_acknowledged
+from ._violations import (
+    NotRunButRan,
+    RanTwice,
+    ReadMissedOwnWrite,
+    Violation,
+    WriteLost,
+    WriteOnReplacedPrimary,
+)
+
+
+def check_read_your_writes(history: History) -> list[Violation]:
+    """Guarantee 1: a read holds every append that its session knows is done.
+
+    Only appends are looked at, because a value set may have been set again
+    by another session. Inside a transaction its own appends count too.
+    """
+    acknowledged = {invocation.tag for invocation in find_acknowledged(history)}
+    appends: dict[tuple[str, str], list[Invocation]] = {}
+    violations: list[Violation] = []
+    for invocation in history.invocations:
+        parsed = invocation.parsed
+        place = (invocation.session, parsed.key)
+        if parsed.form == "append" and invocation.is_done:
+            appends.setdefault(place, []).append(invocation)
+        if parsed.form != "read" or not invocation.is_done:
+            continue
+        seen = _read_values(invocation)
+        for write in appends.get(place, ()):
+            own = write.transaction and write.transaction == invocation.transaction
+            if not own and write.tag not in acknowledged:
+                continue
+            if write.parsed.value not in seen:
+                violations.append(
+                    ReadMissedOwnWrite(
+                        subject=invocation.tag, detail=f"lacks write {write.tag}"
+                    )
+                )
+    return violations
+
+
+def check_acknowledged_kept(
+    history: History, records: Iterable[DatabaseRecord]
+) -> list[Violation]:
+    """Guarantee 2 with `acknowledge=replica`: acknowledged writes survive."""
+    commits = Commits(records=records)
+    violations: list[Violation] = []
+    for invocation in find_acknowledged(history):
+        if not any(commit.kept for commit in commits.find(invocation)):
+            violations.append(
+                WriteLost(subject=invocation.tag, detail="acknowledged, not kept")
+            )
+    return violations
+
+
+def check_replaced_primary(
+    history: History, records: Iterable[DatabaseRecord]
+) -> list[Violation]:
+    """Guarantee 2: an acknowledged write ran before its primary was replaced.
+
+    A write whose commit is not recorded at all is `check_acknowledged_kept`'s.
+    """
+    commits = Commits(records=records)
+    violations: list[Violation] = []
+    for invocation in find_acknowledged(history):
+        found = commits.find(invocation)
+        if found and all(commit.replaced for commit in found):
+            server = found[0].execution.server
+            violations.append(
+                WriteOnReplacedPrimary(subject=invocation.tag, detail=f"on {server}")
+            )
+    return violations
+
+
+def check_not_run(
+    history: History, records: Iterable[DatabaseRecord]
+) -> list[Violation]:
+    """Guarantee 5: what was refused has no effect, then or later.
+
+    A refused COMMIT stands for the writes of its transaction. An error of the
+    backend server is held to the same. A commit of another attempt with the
+    same key counts only if it came before the refusal: a retry may run.
+    """
+    commits = Commits(records=records)
+    violations: list[Violation] = []
+    for invocation in history.invocations:
+        if not isinstance(invocation.outcome, (NotRun, Failed)):
+            continue
+        effects = list(commits.by_tag.get(invocation.tag, ()))
+        if invocation.kind is StatementKind.COMMIT and invocation.transaction:
+            for write in history.invocations:
+                if write.transaction == invocation.transaction:
+                    effects.extend(commits.by_tag.get(write.tag, ()))
+        if isinstance(invocation.outcome, NotRun) and invocation.marks.key:
+            for commit in commits.by_key.get(invocation.marks.key, ()):
+                if commit.execution.committed_at <= invocation.answered_at:
+                    effects.append(commit)
+        if effects:
+            server = effects[0].execution.server
+            violations.append(
+                NotRunButRan(subject=invocation.tag, detail=f"committed on {server}")
+            )
+    return violations
+
+
+def check_once(history: History, records: Sequence[DatabaseRecord]) -> list[Violation]:
+    """Guarantee 6: marked requests run at most once.
+
+    With a key, all attempts together have at most one commit that survives.
+    Without one, the statement has at most one commit anywhere.
+    """
+    commits = Commits(records=records)
+    violations: list[Violation] = []
+    seen: set[str] = set()
+    for invocation in history.invocations:
+        marks = invocation.marks
+        if not marks.once or marks.key in seen:
+            continue
+        if marks.key:
+            seen.add(marks.key)
+        places: set[tuple[str, Position | None]] = set()
+        for commit in commits.find(invocation):
+            if marks.key and not commit.kept:
+                continue
+            places.add((commit.execution.server, commit.execution.position))
+        if len(places) > 1:
+            violations.append(
+                RanTwice(subject=invocation.tag, detail=f"{len(places)} commits")
+            )
+    return violations
+
+
+def _read_values(invocation: Invocation) -> list[str]:
+    values: list[str] = []
+    for row in invocation.outcome.rows:
+        if row and row[0] is not None:
+            values.extend(row[0].decode().split(","))
+    return values
