--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -102,7 +102,7 @@
             password=PASSWORD,
             autocommit=True,
         )
-        await aiomysql.connect(**(defaults | settings))
+        connection = await aiomysql.connect(**(defaults | settings))
         self.connections.append(connection)
         return connection
 
@@ -131,7 +131,7 @@
         rows = ((b"7", "é".encode(), b"\x00\xff"), (None, b"", None))
         async with Entry() as entry:
             entry.replies["SELECT a"] = Done(columns=columns, rows=rows)
-            await entry.connect(db="orders")
+            connection = await entry.connect(db="orders")
             cursor, found = await run(connection, "SELECT a")
             assert found == ((7, "é", b"\x00\xff"), (None, "", None))
             assert [item[:2] for item in cursor.description] == [
@@ -152,7 +152,7 @@
         async with Entry() as entry:
             entry.replies["SELECT l"] = Done(columns=(Column("l"),), rows=rows)
             entry.replies["SELECT m"] = Done(columns=(Column("m", 8),), rows=many)
-            await entry.connect()
+            connection = await entry.connect()
             _, found = await run(connection, "SELECT l")
             assert [len(row[0]) for row in found] == [len(large), 3]
             _, found = await run(connection, "SELECT m")
@@ -162,7 +162,7 @@
         """Counts are in the OK packet; the library would send zeros."""
         async with Entry() as entry:
             entry.replies["INSERT a"] = Done(affected_rows=3, insert_id=41, warnings=2)
-            await entry.connect()
+            connection = await entry.connect()
             cursor, _ = await run(connection, "INSERT a")
             assert (cursor.rowcount, cursor.lastrowid) == (3, 41)
             assert cursor._result.warning_count == 2
@@ -173,7 +173,7 @@
         """A repeated keyed write says so; guards against a silent repeat."""
         async with Entry() as entry:
             entry.replies["INSERT a"] = Done(repeated=True)
-            await entry.connect()
+            connection = await entry.connect()
             await run(connection, "INSERT a")
             _, rows = await run(connection, "SHOW WARNINGS")
             assert rows[0][1] == "5000"
@@ -194,14 +194,14 @@
         """Each outcome has its code and text; guards the documented table."""
         async with Entry() as entry:
             entry.replies["INSERT a"] = outcome
-            await entry.connect()
+            connection = await entry.connect()
             found = await fail(connection, "INSERT a")
             assert found[0] == code and found[1].startswith(message)
 
     async def test_refusals(self):
         """A refused statement is typed and never emitted, so it can't run."""
         async with Entry() as entry:
-            await entry.connect()
+            connection = await entry.connect()
             for sql, code, start in [
                 ("INSERT a /* siskinhold: onec=1 */", 5005, "not_run reason=mark_"),
                 ("LOCK TABLES a READ", 5004, "not_run reason=unsupported"),
@@ -231,7 +231,7 @@
     async def test_database_selected(self):
         """USE and COM_INIT_DB both report the database."""
         async with Entry() as entry:
-            await entry.connect()
+            connection = await entry.connect()
             await run(connection, "USE `quotes`")
             await connection.select_db("orders")
             names = [event.database for event in entry.of(DatabaseSelected)]
@@ -245,7 +245,7 @@
         Guards against a client's default losing its transactions.
         """
         async with Entry() as entry:
-            await entry.connect(autocommit=False)
+            connection = await entry.connect(autocommit=False)
             await connection.commit()
             await run(connection, "INSERT a")
             assert connection.get_transaction_status()
@@ -262,7 +262,7 @@
         async with Entry() as entry:
             lost = NotRun(reason=NotRunReason.TRANSACTION_LOST)
             entry.replies["INSERT a"] = lost
-            await entry.connect()
+            connection = await entry.connect()
             await connection.begin()
             for sql in ["INSERT a", "INSERT b", "COMMIT"]:
                 found = await fail(connection, sql)
@@ -282,7 +282,7 @@
     async def test_begin_commits_the_open_transaction(self):
         """BEGIN and DDL commit first, as MySQL does; guards pinned state."""
         async with Entry() as entry:
-            await entry.connect()
+            connection = await entry.connect()
             await connection.begin()
             await connection.begin()
             await run(connection, "CREATE TABLE a (b int)")
@@ -298,7 +298,7 @@
         """A caller that leaves while it waits is reported at once."""
         async with Entry() as entry:
             entry.replies["INSERT a"] = None
-            await entry.connect()
+            connection = await entry.connect()
             task = asyncio.create_task(run(connection, "INSERT a"))
             received = await entry.wait_for(StatementReceived)
             connection.close()
@@ -314,7 +314,7 @@
         """A reply followed by a close arrives; guards a shutdown's last answer."""
         async with Entry() as entry:
             entry.replies["INSERT a"] = None
-            await entry.connect()
+            connection = await entry.connect()
             task = asyncio.create_task(run(connection, "INSERT a"))
             received = await entry.wait_for(StatementReceived)
             entry.reply(received.session, Done(affected_rows=5))
@@ -367,7 +367,7 @@
     async def test_other_plugin_switches(self):
         """A client that prefers another method is asked for native passwords."""
         async with Entry() as entry:
-            await entry.connect(auth_plugin="caching_sha2_password")
+            connection = await entry.connect(auth_plugin="caching_sha2_password")
             await connection.ping(reconnect=False)
 
 
@@ -376,7 +376,7 @@
         """A statement over the limit is refused and the session goes on."""
         limits = CallerLimits(max_statement_bytes=1_000)
         async with Entry(limits=limits) as entry:
-            await entry.connect()
+            connection = await entry.connect()
             # The client adds two bytes of (empty) attributes at most.
             found = await fail(connection, "INSERT " + "a" * 100_000)
             assert found[0] == 5001
@@ -404,7 +404,7 @@
     async def test_other_commands_are_typed(self):
         """Prepared statements and unknown commands are refused, not dropped."""
         async with Entry() as entry:
-            await entry.connect()
+            connection = await entry.connect()
             for command, code in [(0x16, 1295), (0x11, 1047), (0x7F, 1047)]:
                 await connection._execute_command(command, "SELECT 1")
                 with pytest.raises(pymysql.err.MySQLError) as caught:
@@ -432,7 +432,7 @@
                 writer.close()
                 lines = [record for record in caplog.records if not record.exc_info]
                 assert len(lines) == len(caplog.records) <= 1
-            await entry.connect()
+            connection = await entry.connect()
             await run(connection, "SELECT 1")
 
     async def test_garbage_after_authentication(self):
@@ -440,12 +440,12 @@
         generator = random.Random(8)
         async with Entry() as entry:
             for _ in range(30):
-                await entry.connect()
+                connection = await entry.connect()
                 writer = connection._writer
                 body = bytes([generator.randrange(1, 40)]) + generator.randbytes(20)
                 writer.write(len(body).to_bytes(3, "little") + b"\0" + body)
                 writer.write(generator.randbytes(30))
                 connection.close()
-            await entry.connect()
+            connection = await entry.connect()
             await connection.ping(reconnect=False)
             connection.close()
