--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -171,6 +171,10 @@
         transport = connection.stream.writer.transport
         asyncio.get_running_loop().call_later(_CLOSE_GRACE, transport.abort)
 
+    def stop_listening(self) -> None:
+        """Take no new callers; connected ones stay."""
+        self._server.close()
+
     async def stop(self) -> None:
         """Stop to listen and close all connections."""
         self._server.close()
--- /dev/null
+++ b/src/siskinhold/runtime/_driver.py
@@ -0,0 +1,167 @@
+"""The driver: events go into the reducer, effects come out to the adapters."""
+
+import asyncio
+from collections import deque
+
+from .. import effects, events
+from ..adapters import Backends, Callers, Peers, Recorder, Store
+from ..core import NodeState, reduce
+from ..effects import Effect
+from ..events import Event
+from ..messages import Envelope
+
+
+class Driver:
+    """Runs one VM's reducer on the running event loop.
+
+    Args:
+        node: the state; only the driver changes it, through the reducer.
+        callers: adapter towards callers.
+        backends: adapter towards backend servers.
+        store: adapter towards the platform.
+        peers: adapter towards other VMs.
+        recorder: takes time-line records and metric values.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: NodeState,
+        callers: Callers,
+        backends: Backends,
+        store: Store,
+        peers: Peers,
+        recorder: Recorder,
+    ) -> None:
+        self.node = node
+        self._callers = callers
+        self._backends = backends
+        self._store = store
+        self._peers = peers
+        self._recorder = recorder
+        self._pending: deque[Event] = deque()
+        self._running = False
+        self._alarm: asyncio.TimerHandle | None = None
+        self._alarm_at = 0.0
+        self._loop = asyncio.get_running_loop()
+        self.stopped = asyncio.Event()
+        self._carry_out = self._make_table()
+
+    def _make_table(self) -> dict:
+        table = {
+            effects.ReplyCaller: self._callers.reply,
+            effects.CloseCaller: self._callers.close,
+            effects.StopListening: lambda effect: self._callers.stop_listening(),
+            effects.SendPeer: self._send,
+            effects.CallStore: self._store.call,
+            effects.WatchStore: self._store.watch,
+            effects.UnwatchStore: lambda effect: self._store.unwatch(),
+            effects.ReadVmList: lambda effect: self._store.read_vm_list(),
+            effects.Record: self._record,
+            effects.Observe: self._recorder.observe,
+            effects.Stop: lambda effect: self.stopped.set(),
+        }
+        for kind in (
+            effects.OpenBackend,
+            effects.RunStatement,
+            effects.SettleKey,
+            effects.CloseBackend,
+            effects.QueryStatus,
+            effects.QueryActivity,
+            effects.FenceServer,
+            effects.PromoteServer,
+            effects.FollowServer,
+        ):
+            table[kind] = self._backends.perform
+        return table
+
+    async def start(self) -> None:
+        """Start the adapters, then the reducer.
+
+        Raises:
+            OSError: if an address can't be bound.
+        """
+        await self._backends.start(self.emit)
+        await self._store.start(self.emit)
+        await self._peers.start(self.emit)
+        await self._callers.start(self.emit)
+        self.emit(events.Started(at=self._loop.time()))
+
+    async def stop(self) -> None:
+        """Stop the adapters; events that still come are dropped."""
+        self.stopped.set()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        await self._callers.stop()
+        await self._peers.stop()
+        await self._store.stop()
+        await self._backends.stop()
+
+    def request_shutdown(self) -> None:
+        """Begin a graceful shutdown; `stopped` is set when it is complete."""
+        self.emit(events.ShutdownRequested(at=self._loop.time()))
+
+    def emit(self, event: Event) -> None:
+        """Reduce an event and carry out its effects; events never nest."""
+        self._pending.append(event)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._pending:
+                self._step(self._pending.popleft())
+        finally:
+            self._running = False
+        self._set_alarm()
+
+    def _step(self, event: Event) -> None:
+        if self.stopped.is_set():
+            return
+        for effect in reduce(self.node, event):
+            self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        self._carry_out[type(effect)](effect)
+
+    def _send(self, effect: effects.SendPeer) -> None:
+        node = self.node
+        peer = node.membership.peers.get(effect.vm)
+        address = self._find_address(effect.vm)
+        if address is None:
+            return
+        self._peers.learn(effect.vm, address.host, address.peer_port)
+        node.clock += 1
+        envelope = Envelope(
+            sender=node.identity.name,
+            incarnation=node.identity.incarnation,
+            receiver_incarnation=peer.view.incarnation if peer is not None else 0,
+            clock=node.clock,
+            message=effect.message,
+        )
+        self._peers.send(effect.vm, envelope)
+
+    def _find_address(self, vm: str):
+        peer = self.node.membership.peers.get(vm)
+        if peer is not None:
+            return peer.view.address
+        return self.node.membership.contacts.get(vm)
+
+    def _record(self, effect: effects.Record) -> None:
+        self.node.clock += 1
+        self._recorder.record(effect, clock=self.node.clock)
+
+    def _set_alarm(self) -> None:
+        due = self.node.timers.next_due()
+        if due is None or self.stopped.is_set():
+            return
+        if self._alarm is not None:
+            if self._alarm_at <= due:
+                return
+            self._alarm.cancel()
+        self._alarm_at = due
+        self._alarm = self._loop.call_at(due, self._ring)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        self.emit(events.TimeAdvanced(at=self._loop.time()))
+        self._set_alarm()
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -81,6 +81,10 @@
         """Answer a statement."""
         self.world.later(self.delay, self._deliver, effect)
 
+    def stop_listening(self) -> None:
+        """Take no new callers; connected ones stay."""
+        self._listening = False
+
     def close(self, effect: effects.CloseCaller) -> None:
         """Close a caller's connection, after replies sent before."""
         self.world.later(self.delay, self._break, effect.session, effect.reason)
