--- /dev/null
+++ b/src/siskinhold_trial/fleet/_vms.py
@@ -0,0 +1,198 @@
+"""One VM of an in-process fleet: the real driver and reducer over fakes."""
+
+import random
+from collections.abc import Callable
+
+from siskinhold import effects
+from siskinhold.adapters import Recorder
+from siskinhold.core import Identity, NodeState
+from siskinhold.events import Event
+from siskinhold.model import VmAddress
+from siskinhold.runtime import Driver
+from siskinhold_trial.fakes import (
+    FakeBackends,
+    FakeCallers,
+    FakeNetwork,
+    FakePeers,
+    FakeStore,
+    FakeStoreClient,
+    FakeWorld,
+)
+from siskinhold_trial.history import History, TicketEvent, VmLife
+
+
+class HistoryRecorder(Recorder):
+    """Keeps time-line records, and notes tickets in force in the history.
+
+    Args:
+        world: whose clock is used.
+        vm: the VM's name.
+        incarnation: its incarnation.
+        history: where tickets in force are noted.
+    """
+
+    def __init__(
+        self, *, world: FakeWorld, vm: str, incarnation: int, history: History
+    ) -> None:
+        self.records: list[tuple[float, effects.Record]] = []
+        self.counts: dict[tuple[str, str], float] = {}
+        self._world = world
+        self._vm = vm
+        self._incarnation = incarnation
+        self._history = history
+
+    def record(self, effect: effects.Record, *, clock: int) -> None:
+        """Keep a record."""
+        now = self._world.now()
+        self.records.append((now, effect))
+        if effect.name != "ticket_applied":
+            return
+        self._history.tickets.append(
+            TicketEvent(
+                at=now,
+                number=effect.ticket,
+                vm=self._vm,
+                incarnation=self._incarnation,
+            )
+        )
+
+    def observe(self, effect: effects.Observe) -> None:
+        """Sum up a metric."""
+        key = (effect.metric, effect.label)
+        self.counts[key] = self.counts.get(key, 0.0) + effect.value
+
+
+class PausableDriver(Driver):
+    """A driver whose process can be frozen: it sees nothing until thawed."""
+
+    def __init__(self, **adapters: object) -> None:
+        super().__init__(**adapters)
+        self._frozen = False
+        self._missed: list[Event] = []
+
+    def freeze(self) -> None:
+        """Stop to see events and time."""
+        self._frozen = True
+
+    def thaw(self) -> None:
+        """See all that came meanwhile, in order."""
+        self._frozen = False
+        missed, self._missed = self._missed, []
+        for event in missed:
+            self.emit(event)
+        self._ring()
+
+    def emit(self, event: Event) -> None:
+        """Reduce an event, or keep it while frozen."""
+        if self._frozen:
+            self._missed.append(event)
+            return
+        super().emit(event)
+
+    def _ring(self) -> None:
+        if self._frozen:
+            self._alarm = None
+            return
+        super()._ring()
+
+
+class FleetVm:
+    """A VM that can be started, killed, frozen and shut down.
+
+    Args:
+        world: the run's surroundings.
+        address: the VM.
+        store: the platform's store.
+        network: the network between VMs.
+        history: where its lives and tickets are recorded.
+        caller_delay: one-way delay to callers in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: FakeWorld,
+        address: VmAddress,
+        store: FakeStore,
+        network: FakeNetwork,
+        history: History,
+        caller_delay: float = 0.0,
+    ) -> None:
+        self.address = address
+        self.incarnation = 0
+        self.driver: PausableDriver | None = None
+        self.callers: FakeCallers | None = None
+        self.recorder: HistoryRecorder | None = None
+        self.life: VmLife | None = None
+        self.on_start: list[Callable[["FleetVm"], None]] = []
+        self._world = world
+        self._store = store
+        self._network = network
+        self._history = history
+        self._caller_delay = caller_delay
+
+    @property
+    def node(self) -> NodeState:
+        """The state of the running process."""
+        return self.driver.node
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.driver is not None and not self.driver.stopped.is_set()
+
+    async def start(self) -> None:
+        """Start the process with empty memory."""
+        self.incarnation += 1
+        name = self.address.name
+        identity = Identity(address=self.address, incarnation=self.incarnation)
+        seed = self._world.random.getrandbits(32)
+        self.callers = FakeCallers(world=self._world, delay=self._caller_delay)
+        self.recorder = HistoryRecorder(
+            world=self._world,
+            vm=name,
+            incarnation=self.incarnation,
+            history=self._history,
+        )
+        self.driver = PausableDriver(
+            node=NodeState(identity=identity, random=random.Random(seed)),
+            callers=self.callers,
+            backends=FakeBackends(world=self._world, vm=self.address),
+            store=FakeStoreClient(store=self._store, vm=self.address),
+            peers=FakePeers(network=self._network, vm=self.address),
+            recorder=self.recorder,
+        )
+        self.life = VmLife(
+            vm=name, incarnation=self.incarnation, started_at=self._world.now()
+        )
+        self._history.lives.append(self.life)
+        self._store.list_vm(self.address)
+        await self.driver.start()
+        for call in self.on_start:
+            call(self)
+
+    async def kill(self) -> None:
+        """End the process at once; its connections break."""
+        if self.life.ended_at is None:
+            self.life.ended_at = self._world.now()
+        self._history.stray.extend(reply.request for reply in self.callers.stray)
+        self.callers.stray.clear()
+        await self.driver.stop()
+
+    async def shut_down(self) -> None:
+        """Shut the process down gracefully and wait for its end."""
+        self.life.shutdown_at = self._world.now()
+        self.driver.request_shutdown()
+        await self.driver.stopped.wait()
+        await self.kill()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self.life.cut_off.append((self._world.now(), float("inf")))
+        self.driver.freeze()
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        start, _ = self.life.cut_off.pop()
+        self.life.cut_off.append((start, self._world.now()))
+        self.driver.thaw()
