--- a/src/siskinhold_trial/fakes/_backends.py
+++ b/src/siskinhold_trial/fakes/_backends.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from siskinhold import effects, events
-from siskinhold.adapters import Backends, Emit
-from siskinhold.model import BackendServer, ControlFailure, ServerStatus, VmAddress
+from siskinhold.adapters import Backends
+from siskinhold.model import ControlFailure, ServerStatus, VmAddress
 
+from ._emitter import Emitter
 from ._server import FakeServer, Rejected, Result, Session
 from ._world import FakeWorld
 
@@ -16,6 +18,16 @@
 CONNECT_TIMEOUT = 1.0
 """Seconds after which an attempt to connect is given up."""
 
+_ORDERS = {
+    effects.FenceServer: lambda effect, server: server.fence(effect.term),
+    effects.PromoteServer: lambda effect, server: server.promote(effect.term),
+    effects.FollowServer: lambda effect, server: server.follow(
+        effect.term, effect.primary.name
+    ),
+}
+
+_Run = effects.RunStatement | effects.SettleKey
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Connection:
@@ -26,21 +38,21 @@
     session: Session | None = None
     ready: bool = False
     closed: bool = False
-    run: effects.RunStatement | effects.SettleKey | None = None
+    run: _Run | None = None
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Query:
-    """A control call; `report` emits its event and is called once."""
+    """A control call; its first `report` counts."""
 
     server: FakeServer
+    session: Session | None
     act: Callable[[FakeServer], object]
     report: Callable[[object, ControlFailure | None], None]
-    session: Session | None
-    done: bool = False
+    reported: bool = False
 
 
-class FakeBackends(Backends):
+class FakeBackends(Emitter, Backends):
     """Carries out one VM's effects against the servers known to the world.
 
     Args:
@@ -53,10 +65,9 @@
     def __init__(
         self, *, world: FakeWorld, vm: VmAddress, answer_loss: float = 0.0
     ) -> None:
-        self._world = world
-        self._vm = vm
+        super().__init__(world=world)
         self.answer_loss = answer_loss
-        self._emit: Emit = _ignore
+        self._vm = vm
         self._connections: dict[int, _Connection] = {}
         self._controls: dict[str, Session] = {}
         self._perform = {
@@ -66,15 +77,8 @@
             effects.CloseBackend: self._close,
             effects.QueryStatus: self._query_status,
             effects.QueryActivity: self._query_activity,
-            effects.FenceServer: self._order,
-            effects.PromoteServer: self._order,
-            effects.FollowServer: self._order,
         }
 
-    async def start(self, emit: Emit) -> None:
-        """Begin to emit events."""
-        self._emit = emit
-
     def perform(self, effect) -> None:
         """Carry out an effect.
 
@@ -82,48 +86,40 @@
             RuntimeError: if a statement is already under way on the
                 connection, which a reducer must never ask for.
         """
-        self._perform[type(effect)](effect)
+        self._perform.get(type(effect), self._order)(effect)
 
     async def stop(self) -> None:
         """Close all connections, as the death of the process would."""
-        self._emit = _ignore
+        await super().stop()
         for number in list(self._connections):
             self._close(effects.CloseBackend(connection=number))
         for name, session in self._controls.items():
-            server = self._world.servers[name]
+            server = self.world.servers[name]
             self._send(server, session, server.close_session, session)
         self._controls.clear()
 
     # Work connections.
 
     def _open(self, effect: effects.OpenBackend) -> None:
-        number = effect.connection
-        server = self._world.servers.get(effect.server.name)
-        if server is None:
-            self._world.later(0, self._fail_open, number, ControlFailure.REFUSED)
-            return
-        connection = _Connection(number=number, server=server)
-        self._connections[number] = connection
-        delay = self._delay(server)
-        self._world.later(delay, self._arrive, connection)
-        self._world.later(CONNECT_TIMEOUT, self._give_up, connection)
+        server = self.world.servers[effect.server.name]
+        connection = _Connection(number=effect.connection, server=server)
+        self._connections[effect.connection] = connection
+        self.world.later(self._delay(server), self._arrive, connection)
+        self.world.later(CONNECT_TIMEOUT, self._give_up, connection)
 
     def _arrive(self, connection: _Connection) -> None:
         server = connection.server
         if not self._is_open(server) or connection.closed:
             return
-        if not server.alive:
+        if server.alive:
+            server.receive(self._admit, connection)
+        else:
             self._answer_open(connection, 0, ControlFailure.REFUSED)
-            return
-        server.receive(self._admit, connection)
 
     def _admit(self, connection: _Connection) -> None:
-        def lost() -> None:
-            self._reset(connection)
-
-        session = connection.server.open_session(self._vm.name, lost)
-        connection.session = session
-        if session is None:
+        reset = partial(self._reset, connection)
+        connection.session = connection.server.open_session(self._vm.name, reset)
+        if connection.session is None:
             self._answer_open(connection, 0, ControlFailure.REJECTED)
         else:
             self._answer_open(connection, CONNECTION_COST, None)
@@ -140,58 +136,38 @@
                 self._drop(connection, failure)
             else:
                 connection.ready = True
-                opened = events.BackendOpened(
-                    at=self._world.now(), connection=connection.number
-                )
-                self._emit(opened)
+                self.emit(events.BackendOpened, connection=connection.number)
 
-        self._world.later(cost + self._delay(connection.server), arrive)
+        self.world.later(cost + self._delay(connection.server), arrive)
 
     def _give_up(self, connection: _Connection) -> None:
-        if connection.ready or connection.closed:
-            return
-        self._end_session(connection)
-        self._drop(connection, ControlFailure.TIMEOUT)
-
-    def _drop(self, connection: _Connection, failure: ControlFailure) -> None:
-        connection.closed = True
-        self._connections.pop(connection.number, None)
-        run = connection.run
-        now = self._world.now()
-        if isinstance(run, effects.RunStatement):
-            self._emit(
-                events.BackendLost(
-                    at=now,
-                    connection=connection.number,
-                    request=run.request,
-                    sent=True,
-                )
-            )
-            return
-        if run is not None:
-            self._emit(
-                events.KeySettled(
-                    at=now,
-                    connection=connection.number,
-                    request=run.request,
-                    ran=None,
-                )
-            )
-        self._fail_open(connection.number, failure)
-
-    def _fail_open(self, number: int, failure: ControlFailure) -> None:
-        self._emit(
-            events.BackendClosed(
-                at=self._world.now(), connection=number, failure=failure
-            )
-        )
+        if not connection.ready and not connection.closed:
+            self._end_session(connection)
+            self._drop(connection, ControlFailure.TIMEOUT)
 
     def _reset(self, connection: _Connection) -> None:
         def arrive() -> None:
             if self._is_open(connection.server) and not connection.closed:
                 self._drop(connection, ControlFailure.CLOSED)
 
-        self._world.later(self._delay(connection.server), arrive)
+        self.world.later(self._delay(connection.server), arrive)
+
+    def _drop(self, connection: _Connection, failure: ControlFailure) -> None:
+        connection.closed = True
+        self._connections.pop(connection.number, None)
+        if connection.run is not None:
+            self._lose(connection.run, True)
+        if not isinstance(connection.run, effects.RunStatement):
+            self.emit(
+                events.BackendClosed, connection=connection.number, failure=failure
+            )
+
+    def _lose(self, effect: _Run, sent: bool) -> None:
+        ids = {"connection": effect.connection, "request": effect.request}
+        if isinstance(effect, effects.SettleKey):
+            self.emit(events.KeySettled, ran=None, **ids)
+        else:
+            self.emit(events.BackendLost, sent=sent, **ids)
 
     def _close(self, effect: effects.CloseBackend) -> None:
         connection = self._connections.pop(effect.connection, None)
@@ -204,10 +180,10 @@
         if session is not None:
             self._send(server, session, server.close_session, session)
 
-    def _run(self, effect: effects.RunStatement | effects.SettleKey) -> None:
+    def _run(self, effect: _Run) -> None:
         connection = self._connections.get(effect.connection)
         if connection is None or not connection.ready:
-            self._world.later(0, self._report_unsent, effect)
+            self.world.later(0, self._lose, effect, False)
             return
         if connection.run is not None:
             raise RuntimeError(f"connection {effect.connection} is busy")
@@ -218,44 +194,24 @@
             self._submit,
             connection,
             effect,
-            reset=lambda: self._reset(connection),
+            reset=partial(self._reset, connection),
         )
 
-    def _report_unsent(self, effect: effects.RunStatement | effects.SettleKey) -> None:
-        number, request = effect.connection, effect.request
-        now = self._world.now()
-        if isinstance(effect, effects.SettleKey):
-            self._emit(
-                events.KeySettled(at=now, connection=number, request=request, ran=None)
-            )
-            return
-        self._emit(
-            events.BackendLost(at=now, connection=number, request=request, sent=False)
-        )
-
-    def _submit(
-        self,
-        connection: _Connection,
-        effect: effects.RunStatement | effects.SettleKey,
-    ) -> None:
+    def _submit(self, connection: _Connection, effect: _Run) -> None:
         settle = isinstance(effect, effects.SettleKey)
-
-        def answer(result: Result) -> None:
-            self._answer(connection, effect, result)
-
         connection.server.submit(
             connection.session,
             request=effect.request,
             sql="COMMIT" if settle else effect.sql,
-            answer=answer,
+            answer=partial(self._answer, connection, effect),
             key=effect.key,
             autocommit=settle or effect.autocommit,
             settle=settle,
         )
 
-    def _answer(self, connection: _Connection, effect, result: Result) -> None:
+    def _answer(self, connection: _Connection, effect: _Run, result: Result) -> None:
         server, session = connection.server, connection.session
-        if self.answer_loss and self._world.random.random() < self.answer_loss:
+        if self.answer_loss and self.world.random.random() < self.answer_loss:
             server.close_session(session)
             self._reset(connection)
             return
@@ -263,48 +219,30 @@
         def arrive() -> None:
             if session.silent or not self._is_open(server):
                 server.silence_session(session)
-                return
-            if connection.closed:
-                return
-            connection.run = None
-            self._emit_answer(effect, result)
+            elif not connection.closed:
+                connection.run = None
+                self._emit_answer(effect, result)
 
-        self._world.later(self._delay(server), arrive)
+        self.world.later(self._delay(server), arrive)
 
-    def _emit_answer(self, effect, result: Result) -> None:
-        now = self._world.now()
+    def _emit_answer(self, effect: _Run, result: Result) -> None:
+        ids = {"connection": effect.connection, "request": effect.request}
         if isinstance(effect, effects.SettleKey):
-            settled = events.KeySettled(
-                at=now,
-                connection=effect.connection,
-                request=effect.request,
-                ran=result.ran,
-                position=result.position,
-            )
-            self._emit(settled)
+            position = result.position
+            self.emit(events.KeySettled, ran=result.ran, position=position, **ids)
             return
-        answered = events.BackendAnswered(
-            at=now,
-            connection=effect.connection,
-            request=effect.request,
+        self.emit(
+            events.BackendAnswered,
             outcome=result.outcome,
             position=result.position if effect.want_position else None,
             in_transaction=result.in_transaction,
+            **ids,
         )
-        self._emit(answered)
 
     # Control connections.
 
     def _query_status(self, effect: effects.QueryStatus) -> None:
-        def report(status: ServerStatus | None, failure: ControlFailure | None):
-            return events.StatusReported(
-                at=self._world.now(),
-                server=effect.server.name,
-                call=effect.call,
-                status=status,
-                failure=failure,
-            )
-
+        report = partial(self._report, events.StatusReported, effect)
         self._ask(effect, FakeServer.report_status, report, fresh=effect.fresh)
 
     def _query_activity(self, effect: effects.QueryActivity) -> None:
@@ -312,68 +250,56 @@
         session = connection.session if connection is not None else None
         number = session.number if session is not None else 0
 
-        def report(executing: bool | None, failure: ControlFailure | None):
-            return events.ActivityReported(
-                at=self._world.now(), connection=effect.connection, executing=executing
-            )
+        def act(server: FakeServer) -> bool:
+            return server.report_activity(number)
 
-        self._ask(
-            effect, lambda server: server.report_activity(number), report, fresh=True
-        )
-
-    def _order(
-        self,
-        effect: effects.FenceServer | effects.PromoteServer | effects.FollowServer,
-    ) -> None:
-        def act(server: FakeServer) -> ServerStatus:
-            if isinstance(effect, effects.FenceServer):
-                return server.fence(effect.term)
-            if isinstance(effect, effects.PromoteServer):
-                return server.promote(effect.term)
-            return server.follow(effect.term, effect.primary.name)
-
-        def report(status: ServerStatus | None, failure: ControlFailure | None):
-            return events.ControlAnswered(
-                at=self._world.now(),
-                server=effect.server.name,
-                call=effect.call,
-                status=status,
-                failure=failure,
+        def report(executing: bool | None, failure: ControlFailure | None) -> None:
+            self.emit(
+                events.ActivityReported,
+                connection=effect.connection,
+                executing=executing,
             )
 
+        self._ask(effect, act, report, fresh=True)
+
+    def _order(self, effect) -> None:
+        act = partial(_ORDERS[type(effect)], effect)
+        report = partial(self._report, events.ControlAnswered, effect)
         self._ask(effect, act, report, fresh=False)
 
-    def _ask(self, effect, act: Callable, make_event: Callable, *, fresh: bool) -> None:
-        place: BackendServer = effect.server
+    def _report(
+        self,
+        event_type: type,
+        effect,
+        status: ServerStatus | None,
+        failure: ControlFailure | None,
+    ) -> None:
+        self.emit(
+            event_type,
+            server=effect.server.name,
+            call=effect.call,
+            status=status,
+            failure=failure,
+        )
 
-        def report(answer: object, failure: ControlFailure | None) -> None:
-            if query.done:
-                return
-            query.done = True
-            if failure in (ControlFailure.TIMEOUT, ControlFailure.CLOSED):
-                self._controls.pop(place.name, None)
-            self._emit(make_event(answer, failure))
-
-        server = self._world.servers.get(place.name)
-        session = None if fresh else self._controls.get(place.name)
-        query = _Query(server=server, act=act, report=report, session=session)
-        if server is None:
-            self._world.later(0, report, None, ControlFailure.REFUSED)
-            return
+    def _ask(self, effect, act: Callable, report: Callable, *, fresh: bool) -> None:
+        name = effect.server.name
+        server = self.world.servers[name]
+        session = None if fresh else self._controls.get(name)
+        query = _Query(server=server, session=session, act=act, report=report)
         delay = self._delay(server)
-        setup = 0.0 if session is not None else 2 * delay + CONNECTION_COST
-        self._world.later(setup + delay, self._reach, query)
-        self._world.later(effect.timeout, report, None, ControlFailure.TIMEOUT)
+        setup = 2 * delay + CONNECTION_COST if session is None else 0.0
+        self.world.later(setup + delay, self._reach, query)
+        self.world.later(
+            effect.timeout, self._finish, query, None, ControlFailure.TIMEOUT
+        )
 
     def _reach(self, query: _Query) -> None:
         server, session = query.server, query.session
-        if not self._is_open(server):
+        if not self._is_open(server) or (session is not None and session.silent):
             return
-        if session is not None and session.silent:
-            return
-        if not server.alive:
-            failure = ControlFailure.REFUSED if session is None else None
-            self._return(query, None, failure or ControlFailure.CLOSED)
+        if session is None and not server.alive:
+            self._return(query, None, ControlFailure.REFUSED)
         elif session is not None and session.closed:
             self._return(query, None, ControlFailure.CLOSED)
         else:
@@ -382,36 +308,43 @@
     def _act(self, query: _Query) -> None:
         server = query.server
         if query.session is None:
-            query.session = server.open_session(self._vm.name, _nothing, control=True)
+            query.session = server.open_session(self._vm.name, control=True)
             old = self._controls.get(server.place.name)
             if old is not None:
                 server.close_session(old)
             self._controls[server.place.name] = query.session
         try:
-            answer = query.act(server)
+            self._return(query, query.act(server), None)
         except Rejected:
             self._return(query, None, ControlFailure.REJECTED)
-        else:
-            self._return(query, answer, None)
 
     def _return(
         self, query: _Query, answer: object, failure: ControlFailure | None
     ) -> None:
         def arrive() -> None:
-            if query.session is not None and query.session.silent:
-                return
-            if self._is_open(query.server):
-                query.report(answer, failure)
+            silent = query.session is not None and query.session.silent
+            if not silent and self._is_open(query.server):
+                self._finish(query, answer, failure)
+
+        self.world.later(self._delay(query.server), arrive)
 
-        self._world.later(self._delay(query.server), arrive)
+    def _finish(
+        self, query: _Query, answer: object, failure: ControlFailure | None
+    ) -> None:
+        if query.reported:
+            return
+        query.reported = True
+        if failure in (ControlFailure.TIMEOUT, ControlFailure.CLOSED):
+            self._controls.pop(query.server.place.name, None)
+        query.report(answer, failure)
 
     # Links.
 
     def _delay(self, server: FakeServer) -> float:
-        return self._world.measure_delay(self._vm, server.place)
+        return self.world.measure_delay(self._vm, server.place)
 
     def _is_open(self, server: FakeServer) -> bool:
-        return self._world.is_open(self._vm, server.place)
+        return self.world.is_open(self._vm, server.place)
 
     def _send(
         self,
@@ -429,12 +362,4 @@
             elif reset is not None:
                 reset()
 
-        self._world.later(self._delay(server), arrive)
-
-
-def _ignore(event: events.Event) -> None:
-    """Take an event that nobody wants."""
-
-
-def _nothing() -> None:
-    """Do nothing when a control connection closes."""
+        self.world.later(self._delay(server), arrive)
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 from siskinhold import effects, events
 from siskinhold.adapters import Callers, Emit
 from siskinhold.model import Marks, Outcome, Position, RequestId, StatementKind
 
-from ._backends import _ignore
+from ._emitter import Emitter
 from ._world import FakeWorld
 
 
@@ -24,7 +25,7 @@
     positions: dict[str, Position]
 
 
-class FakeCallers(Callers):
+class FakeCallers(Emitter, Callers):
     """The listener of one VM for callers that live in the test's process.
 
     Args:
@@ -36,17 +37,16 @@
     """
 
     def __init__(self, *, world: FakeWorld, delay: float = 0.0) -> None:
-        self.world = world
+        super().__init__(world=world)
         self.delay = delay
         self.stray: list[effects.ReplyCaller] = []
-        self._emit: Emit = _ignore
         self._open: dict[int, "FakeCaller"] = {}
         self._numbers = 0
         self._listening = False
 
     async def start(self, emit: Emit) -> None:
         """Begin to accept callers."""
-        self._emit = emit
+        await super().start(emit)
         self._listening = True
 
     def connect(self, *, database: str, user: str = "caller") -> "FakeCaller":
@@ -65,12 +65,9 @@
         )
         return caller
 
-    def inform(self, kind: type, **fields: object) -> None:
+    def inform(self, event_type: type, /, **fields: object) -> None:
         """Emit an event after the delay."""
-        self.world.later(
-            self.delay,
-            lambda: self._emit(kind(at=self.world.now(), **fields)),
-        )
+        self.world.later(self.delay, partial(self.emit, event_type, **fields))
 
     def forget(self, session: int) -> None:
         """Take note that the caller closed its connection."""
@@ -87,7 +84,7 @@
 
     async def stop(self) -> None:
         """Close all connections, as the death of the process would."""
-        self._emit = _ignore
+        await super().stop()
         self._listening = False
         for session in list(self._open):
             self._break(session, "stopped")
--- a/src/siskinhold_trial/fakes/_network.py
+++ b/src/siskinhold_trial/fakes/_network.py
@@ -9,7 +9,7 @@
 from siskinhold.messages import Envelope
 from siskinhold.model import VmAddress
 
-from ._backends import _ignore
+from ._emitter import Emitter
 from ._world import FakeWorld
 
 
@@ -59,10 +59,11 @@
         receiver = self.listeners.get(address)
         if receiver is None or not self.world.is_open(sender, receiver.vm):
             return
-        receiver.receive(msgspec.msgpack.decode(data, type=Envelope))
+        envelope = msgspec.msgpack.decode(data, type=Envelope)
+        receiver.emit(events.PeerReceived, envelope=envelope)
 
 
-class FakePeers(Peers):
+class FakePeers(Emitter, Peers):
     """One VM's adapter to the network.
 
     Args:
@@ -71,9 +72,9 @@
     """
 
     def __init__(self, *, network: FakeNetwork, vm: VmAddress) -> None:
+        super().__init__(world=network.world)
         self.vm = vm
         self._network = network
-        self._emit: Emit = _ignore
         self._known: dict[str, tuple[str, int]] = {}
 
     async def start(self, emit: Emit) -> None:
@@ -85,7 +86,7 @@
         address = (self.vm.host, self.vm.peer_port)
         if address in self._network.listeners:
             raise OSError(f"address {address} is in use")
-        self._emit = emit
+        await super().start(emit)
         self._network.listeners[address] = self
 
     def learn(self, vm: str, host: str, port: int) -> None:
@@ -98,11 +99,7 @@
         if address is not None:
             self._network.carry(self.vm, address, envelope)
 
-    def receive(self, envelope: Envelope) -> None:
-        """Take an envelope that arrived."""
-        self._emit(events.PeerReceived(at=self._network.world.now(), envelope=envelope))
-
     async def stop(self) -> None:
         """Stop to listen."""
-        self._emit = _ignore
+        await super().stop()
         self._network.listeners.pop((self.vm.host, self.vm.peer_port), None)
--- a/src/siskinhold_trial/fakes/_store.py
+++ b/src/siskinhold_trial/fakes/_store.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 from siskinhold import effects, events
 from siskinhold.adapters import Emit, Store
@@ -16,7 +17,7 @@
     WriteObject,
 )
 
-from ._backends import _ignore
+from ._emitter import Emitter
 from ._world import FakeWorld, Place
 
 VALUE_LIMIT = 1_000_000
@@ -71,6 +72,7 @@
 
     def read_vms(self) -> tuple[tuple[VmAddress, ...], tuple[str, ...]]:
         """Return the list as it shows now: live VMs and names of leaving ones."""
+        self.calls["vm_list"] += 1
         live = tuple(vm for vm, leaving in self._vms.values() if not leaving)
         names = tuple(vm.name for vm, leaving in self._vms.values() if leaving)
         return live, names
@@ -128,7 +130,7 @@
         return StoreResult(failure=failure, revision=self.revision)
 
 
-class FakeStoreClient(Store):
+class FakeStoreClient(Emitter, Store):
     """One VM's adapter to the shared store.
 
     Args:
@@ -137,36 +139,30 @@
     """
 
     def __init__(self, *, store: FakeStore, vm: VmAddress) -> None:
+        super().__init__(world=store.world)
         self._store = store
-        self._world = store.world
         self._vm = vm
-        self._emit: Emit = _ignore
         self._watch: effects.WatchStore | None = None
         self._delivered = 0
+        self._open_calls: set[int] = set()
 
     async def start(self, emit: Emit) -> None:
         """Begin to emit events."""
-        self._emit = emit
-        self._world.observe_links(_nothing, self.deliver)
+        await super().start(emit)
+        self.world.observe_links(lambda: None, self.deliver)
 
     def call(self, effect: effects.CallStore) -> None:
         """Begin a call."""
-        answered = False
-
-        def report(result: StoreResult) -> None:
-            nonlocal answered
-            if answered:
-                return
-            answered = True
-            self._emit(
-                events.StoreAnswered(
-                    at=self._world.now(), call=effect.call, result=result
-                )
-            )
-
-        self._exchange(lambda: self._store.carry_out(effect.operation), report)
+        self._open_calls.add(effect.call)
+        act = partial(self._store.carry_out, effect.operation)
+        self._exchange(act, partial(self._report, effect.call))
         lost = StoreResult(failure=StoreFailure.NO_ANSWER)
-        self._world.later(effect.timeout, report, lost)
+        self.world.later(effect.timeout, self._report, effect.call, lost)
+
+    def _report(self, call: int, result: StoreResult) -> None:
+        if call in self._open_calls:
+            self._open_calls.remove(call)
+            self.emit(events.StoreAnswered, call=call, result=result)
 
     def watch(self, effect: effects.WatchStore) -> None:
         """Begin a watch in place of any other."""
@@ -175,7 +171,7 @@
         self._delivered = effect.after
         self._store.calls["watch"] += 1
         self._store.watchers.add(self)
-        self._world.later(self._delay(), self.deliver)
+        self.world.later(self._delay(), self.deliver)
 
     def unwatch(self) -> None:
         """End the watch, if there is one."""
@@ -184,23 +180,16 @@
 
     def read_vm_list(self) -> None:
         """Read the list; without an answer there is no event."""
+        self._exchange(self._store.read_vms, self._report_vms)
 
-        def read() -> tuple:
-            self._store.calls["vm_list"] += 1
-            return self._store.read_vms()
-
-        def report(found: tuple) -> None:
-            live, leaving = found
-            self._emit(
-                events.VmListReported(at=self._world.now(), live=live, leaving=leaving)
-            )
-
-        self._exchange(read, report)
+    def _report_vms(self, found: tuple) -> None:
+        live, leaving = found
+        self.emit(events.VmListReported, live=live, leaving=leaving)
 
     async def stop(self) -> None:
         """End the watch and emit nothing more."""
         self.unwatch()
-        self._emit = _ignore
+        await super().stop()
 
     def deliver(self) -> None:
         """Send what the watch has not delivered yet, if it can be reached."""
@@ -213,7 +202,7 @@
         revision = self._store.revision
         self._delivered = revision
         self._store.calls["watch"] += 1
-        self._world.later(self._delay(), self._arrive, watch, objects, revision)
+        self.world.later(self._delay(), self._arrive, watch, objects, revision)
 
     def _arrive(
         self,
@@ -226,11 +215,7 @@
         if not self._is_open():
             self._delivered = min(self._delivered, objects[0].revision - 1)
             return
-        self._emit(
-            events.StoreChanged(
-                at=self._world.now(), objects=objects, revision=revision
-            )
-        )
+        self.emit(events.StoreChanged, objects=objects, revision=revision)
 
     def _exchange(self, act: Callable, report: Callable) -> None:
         def reach() -> None:
@@ -238,22 +223,18 @@
                 return
             answer = act()
             loss = self._store.answer_loss
-            if loss and self._world.random.random() < loss:
+            if loss and self.world.random.random() < loss:
                 return
-            self._world.later(self._delay(), arrive, answer)
+            self.world.later(self._delay(), arrive, answer)
 
         def arrive(answer: object) -> None:
             if self._is_open() and not self._store.down:
                 report(answer)
 
-        self._world.later(self._delay() + self._store.latency, reach)
+        self.world.later(self._delay() + self._store.latency, reach)
 
     def _delay(self) -> float:
-        return self._world.measure_delay(self._vm, self._store.place)
+        return self.world.measure_delay(self._vm, self._store.place)
 
     def _is_open(self) -> bool:
-        return self._world.is_open(self._vm, self._store.place)
-
-
-def _nothing() -> None:
-    """Do nothing before a change of links."""
+        return self.world.is_open(self._vm, self._store.place)
--- /dev/null
+++ b/tests/trial/test_fake_platform.py
@@ -0,0 +1,333 @@
+"""The fake store, network and callers, and a small VM made of all fakes."""
+
+import asyncio
+
+import pytest
+from trial_support import Vm, make_database, make_vm, run
+
+from siskinhold import effects, events
+from siskinhold.messages import Envelope, TermsWanted
+from siskinhold.model import Marks, Position, RequestId, StatementKind
+from siskinhold.store import ListObjects, ReadObject, StoreFailure, WriteObject
+from siskinhold_trial import history as checks
+from siskinhold_trial.fakes import (
+    CallerConnectionClosed,
+    FakeCallers,
+    FakeDatabase,
+    FakeNetwork,
+    FakePeers,
+    FakeStore,
+    FakeStoreClient,
+    FakeWorld,
+)
+
+
+class StoreUser:
+    """A VM's store adapter and its events."""
+
+    def __init__(self, store: FakeStore, number: int = 0) -> None:
+        self.client = FakeStoreClient(store=store, vm=make_vm(number))
+        self.events: asyncio.Queue = asyncio.Queue()
+
+    async def call(self, operation):
+        """Return the result of a call."""
+        self.client.call(effects.CallStore(call=1, operation=operation))
+        return (await asyncio.wait_for(self.events.get(), 5)).result
+
+
+def play(script):
+    """Run `script(store, one, two)` with two VMs of different regions."""
+
+    async def start(world):
+        store = FakeStore(world=world, place=make_vm(0), list_lag=1.0)
+        users = StoreUser(store, 1), StoreUser(store, 2)
+        for user in users:
+            await user.client.start(user.events.put_nowait)
+        await script(store, *users)
+
+    run(start)
+
+
+def write(key, version, value=b"x"):
+    """Return a conditional write."""
+    return WriteObject(key=key, value=value, expected_version=version)
+
+
+class TestStore:
+    def test_conditional_writes(self):
+        """Guards against a lost race that looks like a win."""
+
+        async def script(store, one, two):
+            assert (await one.call(write("a", 0))).objects[0].version == 1
+            conflict = await two.call(write("a", 0))
+            assert conflict.failure is StoreFailure.CONFLICT
+            assert (await two.call(write("a", 1))).objects[0].version == 2
+            assert (await one.call(ReadObject(key="b"))).failure is (
+                StoreFailure.NOT_FOUND
+            )
+            large = await one.call(write("b", 0, bytes(1_000_001)))
+            assert large.failure is StoreFailure.REJECTED
+            assert len((await one.call(ListObjects(prefix="a"))).objects) == 1
+            assert store.calls == {"write": 4, "read": 1, "list": 1}
+
+        play(script)
+
+    def test_lost_answer_took_effect(self):
+        """Guards against a loss that undoes the change."""
+
+        async def script(store, one, two):
+            store.answer_loss = 1.0
+            assert (await one.call(write("a", 0))).failure is StoreFailure.NO_ANSWER
+            assert "a" in store.objects
+
+        play(script)
+
+    def test_watch_goes_on_after_an_outage(self):
+        """Guards against changes missed while the watcher was cut off."""
+
+        async def script(store, one, two):
+            two.client.watch(effects.WatchStore(prefix="a", after=0))
+            await one.call(write("a", 0))
+            assert (await two.events.get()).revision == 1
+            store.world.isolate("vm2")
+            await one.call(write("a", 1))
+            await one.call(write("b", 0))
+            store.down = True
+            assert (await one.call(write("a", 2))).failure is StoreFailure.NO_ANSWER
+            store.world.rejoin("vm2")
+            assert two.events.empty()
+            store.restore()
+            changed = await two.events.get()
+            assert [stored.version for stored in changed.objects] == [2]
+            assert store.calls["watch"] == 3
+
+        play(script)
+
+    def test_cut_while_a_delivery_is_under_way(self):
+        """Guards against a change lost between store and watcher."""
+
+        async def script(store, one, two):
+            two.client.watch(effects.WatchStore(prefix="", after=0))
+            await asyncio.sleep(0.1)
+            store.carry_out(write("a", 0))
+            store.world.isolate("vm2")
+            await asyncio.sleep(0.1)
+            store.world.rejoin("vm2")
+            assert (await two.events.get()).objects[0].key == "a"
+
+        play(script)
+
+    def test_list_of_vms_lags(self):
+        """Guards against a list that shows changes at once."""
+
+        async def script(store, one, two):
+            store.list_vm(make_vm(1))
+            store.list_vm(make_vm(2), leaving=True)
+            one.client.read_vm_list()
+            assert (await one.events.get()).live == ()
+            await asyncio.sleep(1)
+            one.client.read_vm_list()
+            listed = await one.events.get()
+            assert (listed.live, listed.leaving) == ((make_vm(1),), ("vm2",))
+
+        play(script)
+
+
+class TestNetwork:
+    def play(self, script, **faults):
+        async def start(world):
+            network = FakeNetwork(world=world, **faults)
+            peers = [FakePeers(network=network, vm=make_vm(n)) for n in (0, 2)]
+            got: list = []
+            for peer in peers:
+                await peer.start(got.append)
+            vm = make_vm(2)
+            peers[0].learn(vm.name, vm.host, vm.peer_port)
+            await script(network, peers, got)
+
+        run(start)
+
+    def send(self, peers, clock=0):
+        envelope = Envelope(
+            sender="vm0",
+            incarnation=1,
+            receiver_incarnation=0,
+            clock=clock,
+            message=TermsWanted(),
+        )
+        peers[0].send("vm2", envelope)
+
+    def test_delay_and_bytes(self):
+        """Messages take the links' delay and are counted by region."""
+
+        async def script(network, peers, got):
+            self.send(peers)
+            await asyncio.sleep(0.0079)
+            assert not got
+            await asyncio.sleep(0.0002)
+            assert isinstance(got[0], events.PeerReceived)
+            assert list(network.sent) == [("kochi", "kozhikode")]
+            assert network.sent[("kochi", "kozhikode")] > 20
+
+        self.play(script)
+
+    def test_loss_cut_and_stop(self):
+        """Guards against delivery over a cut link or to a stopped VM."""
+
+        async def script(network, peers, got):
+            network.world.cut("kochi", "kozhikode")
+            self.send(peers)
+            await asyncio.sleep(0.1)
+            network.world.mend("kochi", "kozhikode")
+            network.loss = 1.0
+            self.send(peers)
+            await asyncio.sleep(0.1)
+            network.loss = 0.0
+            self.send(peers)
+            await peers[1].stop()
+            await asyncio.sleep(0.1)
+            assert got == []
+
+        self.play(script)
+
+    def test_jitter_reorders(self):
+        """Guards against a network that keeps order under jitter."""
+
+        async def script(network, peers, got):
+            for clock in range(20):
+                self.send(peers, clock)
+            await asyncio.sleep(1)
+            order = [event.envelope.clock for event in got]
+            assert order != sorted(order) and sorted(order) == list(range(20))
+
+        self.play(script, jitter=0.1)
+
+
+class PassThroughVm:
+    """A VM that passes each statement to the primary over one connection each."""
+
+    def __init__(self, world: FakeWorld, database: FakeDatabase, number: int) -> None:
+        self.world, self.database = world, database
+        self.callers = FakeCallers(world=world, delay=0.001)
+        self.vm = Vm(world, number)
+        self.number = number
+        self._sequence = 0
+        self._sessions: dict[RequestId, int] = {}
+
+    async def start(self) -> "PassThroughVm":
+        """Begin to take callers."""
+        await self.callers.start(self.take)
+        await self.vm.backends.start(self.take)
+        return self
+
+    def take(self, event: events.Event) -> None:
+        """React to an event as a reducer and its runtime would."""
+        if isinstance(event, events.CallerOpened):
+            server = self.database.find_primary().place
+            opening = effects.OpenBackend(
+                connection=event.session, server=server, database="db"
+            )
+            self.vm.backends.perform(opening)
+        elif isinstance(event, events.CallerClosed):
+            self.vm.backends.perform(effects.CloseBackend(connection=event.session))
+        elif isinstance(event, events.StatementReceived):
+            self.world.later(0.05, self.run, event)
+        elif isinstance(event, events.BackendAnswered):
+            positions = {"db": event.position} if event.position else {}
+            reply = effects.ReplyCaller(
+                session=self._sessions.pop(event.request),
+                request=event.request,
+                outcome=event.outcome,
+                positions=positions,
+            )
+            self.callers.reply(reply)
+
+    def run(self, event: events.StatementReceived) -> None:
+        """Run a caller's statement."""
+        self._sequence += 1
+        request = RequestId(f"vm{self.number}", 1, self._sequence)
+        self._sessions[request] = event.session
+        statement = effects.RunStatement(
+            connection=event.session,
+            request=request,
+            sql=event.sql,
+            key=event.marks.key,
+            autocommit=event.kind in (StatementKind.READ, StatementKind.WRITE),
+            want_position=True,
+        )
+        self.vm.backends.perform(statement)
+
+
+async def work(world, history, vms, name):
+    """Append and read through one VM and then the other."""
+    session = checks.RecordedSession(
+        world=world, history=history, name=name, database="db"
+    )
+    for number, vm in enumerate(vms):
+        session.connect(f"vm{number}", vm.callers)
+        await session.run(StatementKind.BEGIN, "BEGIN")
+        await session.append("a")
+        await session.run(StatementKind.COMMIT, "COMMIT")
+        await session.append("a", Marks(once=True, key=name), value=name)
+        await session.read("a")
+    session.close()
+
+
+class TestCallers:
+    def test_whole_chain_keeps_the_guarantees(self):
+        """Two sessions over two VMs give a history that all checks accept."""
+
+        async def script(world):
+            database = FakeDatabase(world=world, config=make_database())
+            vms = [await PassThroughVm(world, database, n).start() for n in (0, 1)]
+            history = checks.History()
+            sessions = [work(world, history, vms, name) for name in ("s", "t")]
+            await asyncio.gather(*sessions)
+            assert len(history.invocations) == 20
+            assert all(invocation.is_done for invocation in history.invocations)
+            assert history.invocations[-1].positions == {"db": Position(1, 6)}
+            value = database.find_primary().log.rows["a"]
+            assert sorted(value.split(",")) == ["s", "s.2", "s.7", "t", "t.2", "t.7"]
+            records = [checks.read_database(database)]
+            assert checks.check_all(history, records) == []
+
+        run(script)
+
+    def test_stop_breaks_callers_and_rolls_back(self):
+        """Guards against a dead VM whose callers wait forever."""
+
+        async def script(world):
+            database = FakeDatabase(world=world, config=make_database())
+            vm = await PassThroughVm(world, database, 0).start()
+            caller = vm.callers.connect(database="db")
+            await caller.run(StatementKind.BEGIN, "BEGIN")
+            write = "UPDATE kv SET v='1' WHERE k='a'"
+            await caller.run(StatementKind.COMMIT, write)
+            await vm.callers.stop()
+            await vm.vm.backends.stop()
+            with pytest.raises(CallerConnectionClosed):
+                await caller.run(StatementKind.COMMIT, "COMMIT")
+            await asyncio.sleep(0.1)
+            assert database.find_primary().sessions == {}
+            assert database.find_primary().log.rows == {}
+
+        run(script)
+
+    def test_reply_nobody_waits_for_is_kept(self):
+        """Guards against second replies that go unseen."""
+
+        async def script(world):
+            callers = FakeCallers(world=world)
+            await callers.start(lambda event: None)
+            caller = callers.connect(database="db")
+            reply = effects.ReplyCaller(
+                session=caller.session,
+                request=RequestId("vm0", 1, 1),
+                outcome=checks.NotRunButRan,
+                positions={},
+            )
+            callers.reply(reply)
+            await asyncio.sleep(0.1)
+            assert callers.stray == [reply]
+
+        run(script)
