--- a/src/siskinhold_trial/fakes/_backends.py
+++ b/src/siskinhold_trial/fakes/_backends.py
@@ -9,7 +9,8 @@
 from siskinhold.model import ControlFailure, ServerStatus, VmAddress
 
 from ._emitter import Emitter
-from ._server import FakeServer, Rejected, Result, Session
+from ._server import FakeServer, Rejected
+from ._statements import Result, Session
 from ._world import FakeWorld
 
 CONNECTION_COST = 0.012
@@ -101,12 +102,19 @@
     # Work connections.
 
     def _open(self, effect: effects.OpenBackend) -> None:
-        server = self.world.servers[effect.server.name]
+        server = self.world.servers.get(effect.server.name)
+        if server is None:
+            self.world.later(0, self._refuse, effect.connection)
+            return
         connection = _Connection(number=effect.connection, server=server)
         self._connections[effect.connection] = connection
         self.world.later(self._delay(server), self._arrive, connection)
         self.world.later(CONNECT_TIMEOUT, self._give_up, connection)
 
+    def _refuse(self, number: int) -> None:
+        failure = ControlFailure.REFUSED
+        self.emit(events.BackendClosed, connection=number, failure=failure)
+
     def _arrive(self, connection: _Connection) -> None:
         server = connection.server
         if not self._is_open(server) or connection.closed:
@@ -147,7 +155,9 @@
 
     def _reset(self, connection: _Connection) -> None:
         def arrive() -> None:
-            if self._is_open(connection.server) and not connection.closed:
+            if connection.session.silent or connection.closed:
+                return
+            if self._is_open(connection.server):
                 self._drop(connection, ControlFailure.CLOSED)
 
         self.world.later(self._delay(connection.server), arrive)
@@ -199,7 +209,7 @@
 
     def _submit(self, connection: _Connection, effect: _Run) -> None:
         settle = isinstance(effect, effects.SettleKey)
-        connection.server.submit(
+        connection.server.executor.submit(
             connection.session,
             request=effect.request,
             sql="COMMIT" if settle else effect.sql,
@@ -284,7 +294,10 @@
 
     def _ask(self, effect, act: Callable, report: Callable, *, fresh: bool) -> None:
         name = effect.server.name
-        server = self.world.servers[name]
+        server = self.world.servers.get(name)
+        if server is None:
+            self.world.later(0, report, None, ControlFailure.REFUSED)
+            return
         session = None if fresh else self._controls.get(name)
         query = _Query(server=server, session=session, act=act, report=report)
         delay = self._delay(server)
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -111,6 +111,7 @@
         if caller is None:
             return
         caller.closed = True
+        self.inform(events.CallerClosed, session=session)
         if caller.waiting is not None and not caller.waiting.done():
             caller.waiting.set_exception(CallerConnectionClosed(reason))
 
--- /dev/null
+++ b/src/siskinhold_trial/fakes/_statements.py
@@ -0,0 +1,282 @@
+"""How a fake backend server runs statements: locks, slots, transactions."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from siskinhold.model import Column, Done, Failed, Position, RequestId, Role
+
+from ._log import Change, Execution, apply_change
+from ._sql import Parsed, parse
+
+if TYPE_CHECKING:
+    from ._server import FakeServer
+
+LOCK_WAIT_LIMIT = 2.0
+"""Seconds after which a wait for a row lock rolls the transaction back."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Result:
+    """How a statement ended on the server; `ran` is that of `KeySettled`."""
+
+    outcome: Done | Failed
+    position: Position | None = None
+    in_transaction: bool = False
+    ran: bool | None = None
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Job:
+    """A statement on its way through a server."""
+
+    session: "Session"
+    parsed: Parsed
+    key: str
+    autocommit: bool
+    settle: bool
+    answer: Callable[[Result], None]
+    execution: Execution
+    term: int
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Session:
+    """A server's end of a connection.
+
+    Args:
+        lost: called when the server closes it.
+        silent: nothing passes any more, though neither end is told.
+        doomed: its transaction was rolled back when the term changed.
+    """
+
+    number: int
+    vm: str
+    control: bool
+    lost: Callable[[], None]
+    silent: bool = False
+    closed: bool = False
+    closing: bool = False
+    doomed: bool = False
+    job: Job | None = None
+    transaction: int = 0
+    changes: list[Change] = field(default_factory=list)
+    executions: list[Execution] = field(default_factory=list)
+    locks: list[str] = field(default_factory=list)
+
+
+class Executor:
+    """Runs the statements of one life of a server's process.
+
+    Args:
+        server: the server.
+    """
+
+    def __init__(self, *, server: "FakeServer") -> None:
+        self.running = 0
+        self._server = server
+        self._transactions = 0
+        self._queue: deque[Job] = deque()
+        self._locks: dict[str, Session] = {}
+        self._lock_waits: dict[str, deque[Job]] = {}
+
+    def submit(
+        self,
+        session: Session,
+        *,
+        request: RequestId,
+        sql: str,
+        answer: Callable[[Result], None],
+        key: str = "",
+        autocommit: bool = True,
+        settle: bool = False,
+    ) -> None:
+        """Take a statement; `answer` is called when it ends."""
+        parsed = parse(sql)
+        execution = Execution(
+            arrived_at=self._server.world.now(),
+            server=self._server.place.name,
+            connection=session.number,
+            request=request,
+            form="settle" if settle else parsed.form,
+            tag=parsed.tag,
+            key=key,
+        )
+        self._server.database.executions.append(execution)
+        job = Job(
+            session=session,
+            parsed=parsed,
+            key=key,
+            autocommit=autocommit,
+            settle=settle,
+            answer=answer,
+            execution=execution,
+            term=self._server.term,
+        )
+        session.job = job
+        self._take_locks(job)
+
+    def _take_locks(self, job: Job) -> None:
+        wanted = [f"key {job.key}"] if job.key else []
+        if job.parsed.lock or job.parsed.form in ("set", "append"):
+            wanted.append(f"row {job.parsed.key}")
+        for name in wanted:
+            holder = self._locks.get(name)
+            if holder is job.session:
+                continue
+            if holder is not None:
+                self._wait_for_lock(job, name)
+                return
+            self._locks[name] = job.session
+            job.session.locks.append(name)
+        if job.parsed.form in ("begin", "rollback"):
+            self.running += 1
+            self._finish(job)
+        elif self.running < self._server.place.slots and not self._queue:
+            self._start(job)
+        else:
+            self._queue.append(job)
+
+    def _wait_for_lock(self, job: Job, name: str) -> None:
+        self._lock_waits.setdefault(name, deque()).append(job)
+        self._server.later(LOCK_WAIT_LIMIT, self._expire_lock_wait, job, name)
+
+    def _expire_lock_wait(self, job: Job, name: str) -> None:
+        waits = self._lock_waits.get(name, ())
+        if job not in waits:
+            return
+        waits.remove(job)
+        self.end_transaction(job.session)
+        self._reply(job, _fail(1213, "40001", "deadlock found"))
+
+    def _start(self, job: Job) -> None:
+        self.running += 1
+        cost = job.parsed.cost
+        if cost is None:
+            cost = self._server.database.draw_service()
+        self._server.later(cost, self._finish, job)
+
+    def _finish(self, job: Job) -> None:
+        self.running -= 1
+        result = self._run(job)
+        while self._queue and self.running < self._server.place.slots:
+            self._start(self._queue.popleft())
+        self._reply(job, result)
+
+    def _reply(self, job: Job, result: Result) -> None:
+        session = job.session
+        session.job = None
+        result.in_transaction = session.transaction != 0
+        if isinstance(result.outcome, Done):
+            result.position = self._server.log.position
+        if session.closing:
+            self._server.close_session(session)
+        else:
+            job.answer(result)
+
+    def _run(self, job: Job) -> Result:
+        session, form = job.session, job.parsed.form
+        if session.doomed:
+            session.doomed = False
+            self.end_transaction(session)
+            if form != "rollback":
+                return _fail(1290, "HY000", "the term changed; rolled back")
+        if form == "begin":
+            job.execution.ran_at = self._server.world.now()
+            self._begin(job)
+            return Result(outcome=Done())
+        opened = not session.transaction and (job.autocommit or form == "rollback")
+        if not session.transaction and not opened:
+            self._begin(job)
+        result = self._apply(job)
+        if not opened and form != "commit":
+            return result
+        if isinstance(result.outcome, Failed):
+            self.end_transaction(session)
+        else:
+            self._commit(session)
+        return result
+
+    def _begin(self, job: Job) -> None:
+        session = job.session
+        self._commit(session)
+        self._transactions += 1
+        session.transaction = self._transactions
+        job.execution.transaction = session.transaction
+
+    def _apply(self, job: Job) -> Result:
+        session, parsed, execution = job.session, job.parsed, job.execution
+        execution.transaction = session.transaction
+        if parsed.form == "invalid":
+            return _fail(1064, "42000", "syntax error")
+        if parsed.form == "rollback":
+            self.end_transaction(session)
+            return Result(outcome=Done())
+        changing = parsed.is_write or job.key
+        if changing or (parsed.form == "commit" and session.changes):
+            if self._server.role is not Role.PRIMARY or job.term != self._server.term:
+                return _fail(1290, "HY000", "the server is not the primary")
+        if job.key:
+            known = self._find_key(session, job.key)
+            if job.settle and known is not None:
+                return Result(outcome=Done(), ran=known)
+            if known is True:
+                self.end_transaction(session)
+                return Result(outcome=Done(repeated=True))
+            if known is False:
+                return _fail(1062, "23000", "the key was settled as not run")
+            session.changes.append(("key", job.key, "" if job.settle else "ran"))
+        if job.settle:
+            return Result(outcome=Done(), ran=False)
+        execution.ran_at = self._server.world.now()
+        if parsed.form == "read":
+            return Result(outcome=self._read(session, parsed))
+        session.executions.append(execution)
+        if parsed.is_write:
+            session.changes.append((parsed.form, parsed.key, parsed.value))
+            return Result(outcome=Done(affected_rows=1))
+        return Result(outcome=Done())
+
+    def _find_key(self, session: Session, key: str) -> bool | None:
+        for form, row, value in session.changes:
+            if form == "key" and row == key:
+                return value == "ran"
+        return self._server.log.keys.get(key)
+
+    def _read(self, session: Session, parsed: Parsed) -> Done:
+        value = self._server.log.rows.get(parsed.key)
+        for form, row, change in session.changes:
+            if row == parsed.key and form in ("set", "append"):
+                value = apply_change(value, form, change)
+        columns = (Column("v"),)
+        cells = [None if value is None else value.encode()]
+        if parsed.value:
+            columns = (Column("v"), Column("id"))
+            cells.append(parsed.value.encode())
+        return Done(columns=columns, rows=(tuple(cells),))
+
+    def _commit(self, session: Session) -> None:
+        if session.changes:
+            position = self._server.database.write(self._server, session.changes)
+            for execution in session.executions:
+                execution.committed_at = self._server.world.now()
+                execution.position = position
+        self.end_transaction(session)
+
+    def end_transaction(self, session: Session) -> None:
+        """Roll back what is not committed and pass the locks on."""
+        session.transaction = 0
+        session.changes = []
+        session.executions = []
+        released, session.locks = session.locks, []
+        for name in released:
+            self._locks.pop(name, None)
+        for name in released:
+            waits = self._lock_waits.get(name)
+            if waits and name not in self._locks:
+                self._take_locks(waits.popleft())
+
+
+def _fail(code: int, sqlstate: str, message: str) -> Result:
+    return Result(outcome=Failed(code=code, sqlstate=sqlstate, message=message))
--- a/src/siskinhold_trial/fakes/_store.py
+++ b/src/siskinhold_trial/fakes/_store.py
@@ -144,6 +144,7 @@
         self._vm = vm
         self._watch: effects.WatchStore | None = None
         self._delivered = 0
+        self._due = 0.0
         self._open_calls: set[int] = set()
 
     async def start(self, emit: Emit) -> None:
@@ -202,7 +203,10 @@
         revision = self._store.revision
         self._delivered = revision
         self._store.calls["watch"] += 1
-        self.world.later(self._delay(), self._arrive, watch, objects, revision)
+        due = self.world.now() + self._delay() + self._store.latency
+        self._due = max(self._due, due)
+        delay = self._due - self.world.now()
+        self.world.later(delay, self._arrive, watch, objects, revision)
 
     def _arrive(
         self,
--- a/src/siskinhold_trial/fakes/_world.py
+++ b/src/siskinhold_trial/fakes/_world.py
@@ -30,6 +30,11 @@
         zone_delay: one way within an availability zone, in seconds.
         region_delay: one way between zones of a region, in seconds.
         link_delay: one way between regions, in seconds.
+
+    Attributes:
+        errors: what scheduled calls raised; the loop only logs it, so a test
+            should check that there is none.
+        servers: backend servers by name, entered by their databases.
     """
 
     def __init__(
@@ -44,6 +49,7 @@
         self.loop = loop
         self.random = random.Random(seed)
         self.servers: dict[str, "FakeServer"] = {}
+        self.errors: list[Exception] = []
         self._delays = (zone_delay, region_delay, link_delay)
         self._heap: list[tuple[float, int, Callable, tuple]] = []
         self._count = 0
@@ -133,6 +139,9 @@
             while self._heap and self._heap[0][0] <= limit:
                 _, _, call, args = heapq.heappop(self._heap)
                 call(*args)
+        except Exception as error:
+            self.errors.append(error)
+            raise
         finally:
             if self._heap:
                 self._arm()
--- a/src/siskinhold_trial/history/_fleet.py
+++ b/src/siskinhold_trial/history/_fleet.py
@@ -38,13 +38,14 @@
             for execution in record.executions:
                 if execution.server != leaving.server:
                     continue
+                place = (execution.connection, execution.transaction)
                 if execution.arrived_at <= end:
-                    begun.add(execution.transaction)
+                    begun.add(place)
                     continue
                 if leaving.undone_at is not None:
                     if execution.arrived_at >= leaving.undone_at:
                         continue
-                if execution.transaction and execution.transaction in begun:
+                if execution.transaction and place in begun:
                     continue
                 late = execution.arrived_at - leaving.at
                 violations.append(
--- a/src/siskinhold_trial/history/_writes.py
+++ b/src/siskinhold_trial/history/_writes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from siskinhold.model import Failed, NotRun, Position, StatementKind
+from siskinhold.model import Failed, NotRun, NotRunReason, Position, StatementKind
 
 from ._records import Commits, DatabaseRecord, History, Invocation, find_acknowledged
 from ._violations import (
@@ -19,7 +19,8 @@
     """Guarantee 1: a read holds every append that its session knows is done.
 
     Only appends are looked at, because a value set may have been set again
-    by another session. Inside a transaction its own appends count too.
+    by another session. Inside a transaction its own appends count too. A
+    session that was told `position_lost` has no claim on its earlier writes.
     """
     acknowledged = {invocation.tag for invocation in find_acknowledged(history)}
     appends: dict[tuple[str, str], list[Invocation]] = {}
@@ -27,6 +28,8 @@
     for invocation in history.invocations:
         parsed = invocation.parsed
         place = (invocation.session, parsed.key)
+        if _is_position_lost(invocation):
+            appends = {key: own for key, own in appends.items() if key[0] != place[0]}
         if parsed.form == "append" and invocation.is_done:
             appends.setdefault(place, []).append(invocation)
         if parsed.form != "read" or not invocation.is_done:
@@ -136,6 +139,13 @@
     return violations
 
 
+def _is_position_lost(invocation: Invocation) -> bool:
+    outcome = invocation.outcome
+    if not isinstance(outcome, NotRun):
+        return False
+    return outcome.reason is NotRunReason.POSITION_LOST
+
+
 def _read_values(invocation: Invocation) -> list[str]:
     values: list[str] = []
     for row in invocation.outcome.rows:
--- a/tests/trial/test_history.py
+++ b/tests/trial/test_history.py
@@ -95,6 +95,12 @@
         seen = read("r", None, at=2.0)
         assert checks.check_read_your_writes(past(other, unsure, seen)) == []
 
+    def test_position_lost_ends_the_claim(self):
+        """A session told that its position is lost may read older data."""
+        told = call("q", NotRun(reason=NotRunReason.POSITION_LOST), at=1.5)
+        seen = read("r", None, at=2.0)
+        assert checks.check_read_your_writes(past(call("w"), told, seen)) == []
+
     def test_rolled_back_transaction(self):
         """A write counts in its own transaction and only there."""
         begin = call("b", kind=StatementKind.BEGIN, transaction="b")
