Add the operators' HTTP port of a VM

It reports the VMs, tickets in force and databases from the node's state. The number of databases in one answer is bounded, because finding the owners of each one weighs every VM of the fleet.

--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -1,16 +1,23 @@
 """Thin adapters between the runtime and sockets, libraries and files."""
 
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
+from ._operator import OperatorServer
+from ._operator_status import DatabaseReport, OperatorStatus, ServerReport, VmReport
 from ._store import HttpStore
 from ._store_client import StoreClient
 
 __all__ = [
     "Backends",
     "Callers",
+    "DatabaseReport",
     "Emit",
     "HttpStore",
+    "OperatorServer",
+    "OperatorStatus",
     "Peers",
     "Recorder",
+    "ServerReport",
     "Store",
     "StoreClient",
+    "VmReport",
 ]
--- /dev/null
+++ b/src/siskinhold/adapters/_operator_status.py
@@ -0,0 +1,197 @@
+"""What a VM tells its operators, as plain values."""
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from ..core import NodeState
+from ..model import Database, ServerStatus, VmState
+
+# The last status report of a backend server and when it came, in seconds of
+# the runtime's clock; None when there is none.
+ReadServerStatus = Callable[[str], tuple[ServerStatus, float] | None]
+# The owner VM of a database in a region, None when no VM is live.
+FindOwner = Callable[[NodeState, str, str], str | None]
+
+
+class VmReport(Struct, frozen=True, kw_only=True):
+    """A VM as the answering VM sees it.
+
+    Args:
+        ticket: highest change ticket in force on it.
+        heard_seconds: time since it was heard of; 0 for the answering VM.
+        suspected: whether it is suspected to be gone.
+    """
+
+    name: str
+    region: str
+    availability_zone: str
+    incarnation: int
+    state: VmState
+    ticket: int
+    heard_seconds: float
+    suspected: bool = False
+
+
+class ServerReport(Struct, frozen=True, kw_only=True):
+    """A backend server.
+
+    Args:
+        state: `active` or `leaving`, from the tickets.
+        status: its last report known to the answering VM, None for none.
+        status_age_seconds: age of that report; None for none.
+    """
+
+    name: str
+    host: str
+    port: int
+    region: str
+    availability_zone: str
+    state: str
+    status: ServerStatus | None = None
+    status_age_seconds: float | None = None
+
+
+class DatabaseReport(Struct, frozen=True, kw_only=True):
+    """A database.
+
+    Args:
+        primary: the server that leads the highest finished term.
+        term: that term; 0 when no promotion has finished.
+        promotion_vm: the VM that has reserved a later term; empty for none.
+        owners: the owner VM by region; empty when no VM is live.
+    """
+
+    name: str
+    group: str
+    primary: str
+    term: int
+    promotion_vm: str = ""
+    owners: dict[str, str]
+    servers: tuple[ServerReport, ...]
+
+
+class OperatorStatus(Struct, frozen=True, kw_only=True):
+    """The answer to `GET /status`.
+
+    Args:
+        vm: the answering VM's name.
+        ticket: highest ticket in force on it.
+        ticket_seconds: time since it came into force; None before the first.
+        vms: every VM that it knows, itself first.
+        database_count: databases that match the query.
+        databases: the first of them by name, as many as were asked for.
+    """
+
+    vm: str
+    incarnation: int
+    state: VmState
+    ticket: int
+    ticket_seconds: float | None
+    watching: bool
+    vms: tuple[VmReport, ...]
+    database_count: int
+    databases: tuple[DatabaseReport, ...]
+
+
+def report_vms(node: NodeState, now: float) -> tuple[VmReport, ...]:
+    """Return the VMs that a node knows, itself first.
+
+    Args:
+        now: seconds of the runtime's clock.
+    """
+    me = node.identity.address
+    own = VmReport(
+        name=me.name,
+        region=me.region,
+        availability_zone=me.availability_zone,
+        incarnation=node.identity.incarnation,
+        state=node.membership.state,
+        ticket=node.config.applied,
+        heard_seconds=0.0,
+    )
+    reports = [own]
+    for name in sorted(node.membership.peers):
+        peer = node.membership.peers[name]
+        view = peer.view
+        reports.append(
+            VmReport(
+                name=name,
+                region=view.address.region,
+                availability_zone=view.address.availability_zone,
+                incarnation=view.incarnation,
+                state=view.state,
+                ticket=view.ticket,
+                heard_seconds=_round(now - peer.heard_at),
+                suspected=peer.suspected_at is not None,
+            )
+        )
+    return tuple(reports)
+
+
+def report_database(
+    node: NodeState,
+    name: str,
+    *,
+    now: float,
+    find_owner: FindOwner,
+    read_status: ReadServerStatus,
+) -> DatabaseReport | None:
+    """Return what a node knows of a database, None if it is not in force.
+
+    Args:
+        now: seconds of the runtime's clock.
+        find_owner: tells the owner VM in a region.
+        read_status: where to find the servers' last reports.
+    """
+    entry = node.config.databases.get(name)
+    if entry is None:
+        return None
+    group, database = entry
+    record = node.config.records.get(name)
+    reservation = record.reservation if record else None
+    under_way = reservation is not None and reservation.term > record.term
+    return DatabaseReport(
+        name=name,
+        group=group.name,
+        primary=(record.primary if record else None) or database.primary,
+        term=record.term if record else 0,
+        promotion_vm=reservation.vm if under_way else "",
+        owners=_report_owners(node, database, find_owner),
+        servers=_report_servers(database, now, read_status),
+    )
+
+
+def _report_owners(
+    node: NodeState, database: Database, find_owner: FindOwner
+) -> dict[str, str]:
+    regions = sorted({server.region for server in database.servers})
+    owners = {}
+    for region in regions:
+        owners[region] = find_owner(node, database.name, region) or ""
+    return owners
+
+
+def _report_servers(
+    database: Database, now: float, read_status: ReadServerStatus
+) -> tuple[ServerReport, ...]:
+    reports = []
+    for server in database.servers:
+        known = read_status(server.name)
+        reports.append(
+            ServerReport(
+                name=server.name,
+                host=server.host,
+                port=server.port,
+                region=server.region,
+                availability_zone=server.availability_zone,
+                state=server.state.value,
+                status=known[0] if known else None,
+                status_age_seconds=_round(now - known[1]) if known else None,
+            )
+        )
+    return tuple(reports)
+
+
+def _round(seconds: float) -> float:
+    return round(max(0.0, seconds), 3)
