Add the operators' ticket tool

A submission whose answer was lost is settled by reading the object back; an object that is still absent is no proof, because the first call may take effect later, so the same conditional create is repeated with the same identity.

--- /dev/null
+++ b/src/siskinhold/programs/_ticket_status.py
@@ -0,0 +1,121 @@
+"""Reads the status of the fleet from the operator ports of VMs."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from ..adapters import OperatorStatus, StoreClient
+from ..model import VmAddress, VmState
+
+STATUS_TIMEOUT_SECONDS = 2.0
+POLL_SECONDS = 0.2
+# Enough for several thousand VMs and the greatest number of databases.
+MAX_STATUS_BYTES = 16_000_000
+
+ReportProgress = Callable[[str], None]
+
+
+class StatusReader:
+    """Reads the status from the first operator port that answers.
+
+    Args:
+        urls: operator ports, the preferred one first.
+    """
+
+    def __init__(self, *, urls: list[str]) -> None:
+        self._urls = list(urls)
+
+    async def read(self, *, databases: int) -> Result[OperatorStatus, str]:
+        """Return a VM's status with at most that many databases.
+
+        The error is a text for the operator.
+        """
+        if not self._urls:
+            return Err("no operator port is known")
+        failures = []
+        for url in tuple(self._urls):
+            try:
+                return Ok(await self._fetch(url, databases))
+            except (aiohttp.ClientError, OSError, ValueError) as error:
+                failures.append(f"{url}: {type(error).__name__} {error}".strip())
+            # A port that failed is asked last from now on.
+            self._urls.remove(url)
+            self._urls.append(url)
+        return Err("; ".join(failures))
+
+    async def _fetch(self, url: str, databases: int) -> OperatorStatus:
+        timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            address = f"{url.rstrip('/')}/status"
+            query = {"limit": str(databases)}
+            async with session.get(address, params=query) as response:
+                response.raise_for_status()
+                body = bytearray()
+                async for chunk in response.content.iter_any():
+                    body += chunk
+                    if len(body) > MAX_STATUS_BYTES:
+                        raise ValueError("the answer is too large")
+        return msgspec.json.decode(body, type=OperatorStatus)
+
+
+async def find_operator_urls(client: StoreClient) -> list[str]:
+    """Return the operator ports of the VMs on the platform's list."""
+    listed = await client.read_vms(timeout=STATUS_TIMEOUT_SECONDS)
+    if isinstance(listed, Err):
+        return []
+    return [_url_of(vm) for vm in listed.ok_value.live if vm.operator_port]
+
+
+async def wait_in_force(
+    reader: StatusReader, number: int, *, seconds: float, progress: ReportProgress
+) -> Result[OperatorStatus, str]:
+    """Wait until a ticket is in force on every live VM.
+
+    The error names the VMs that lag, or says why none can be asked.
+
+    Args:
+        number: the ticket.
+        seconds: how long to wait.
+        progress: takes a line whenever the situation changes.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
+    last = ""
+    while True:
+        read = await reader.read(databases=0)
+        if isinstance(read, Ok) and not list_lagging(read.ok_value, number):
+            return read
+        situation = describe_lag(read, number)
+        if situation != last:
+            progress(f"event=waiting ticket={number} {situation}")
+            last = situation
+        if loop.time() + POLL_SECONDS > deadline:
+            return Err(situation)
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def list_lagging(status: OperatorStatus, number: int) -> list[str]:
+    """Return the live VMs on which a ticket is not in force."""
+    lagging = []
+    for vm in status.vms:
+        if vm.state is VmState.LIVE and vm.ticket < number:
+            lagging.append(vm.name)
+    return lagging
+
+
+def describe_lag(read: Result[OperatorStatus, str], number: int) -> str:
+    """Return how far a ticket has come, as key=value pairs."""
+    if isinstance(read, Err):
+        return f"operator_failure={read.err_value!r}"
+    live = sum(vm.state is VmState.LIVE for vm in read.ok_value.vms)
+    lagging = list_lagging(read.ok_value, number)
+    in_force = live - len(lagging)
+    return f"in_force={in_force} live={live} lagging={','.join(lagging)}"
+
+
+def _url_of(vm: VmAddress) -> str:
+    host = f"[{vm.host}]" if ":" in vm.host else vm.host
+    return f"http://{host}:{vm.operator_port}"
--- /dev/null
+++ b/src/siskinhold/programs/ticket.py
@@ -0,0 +1,296 @@
+"""The operators' ticket tool: `siskinhold-ticket`.
+
+A ticket is a JSON file in the form of `ChangeTicket`. Exit codes:
+
+    0  done
+    2  wrong usage, or the file can't be read
+    3  the ticket is invalid
+    4  the ticket's number is taken by another ticket
+    5  the store can't be reached, or its tickets can't be read
+    6  the ticket is accepted, but not in force everywhere in time
+    7  no operator port can be reached (only `status`)
+"""
+
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import uvloop
+from result import Err, Ok, Result
+
+from ..adapters import StoreClient
+from ..model import ChangeTicket
+from ..tickets import (
+    apply_ticket,
+    check_ticket,
+    diff_states,
+    digest_state,
+    parse_ticket,
+)
+from ._ticket_report import (
+    ExitCode,
+    Report,
+    report_diff,
+    report_faults,
+    report_history,
+    report_status,
+    report_store_fault,
+)
+from ._ticket_status import StatusReader, find_operator_urls, wait_in_force
+from ._ticket_store import History, compare_winner, load_history, submit_ticket
+
+SHOWN_DATABASES = 1_000
+
+TicketFile = Annotated[Path, cappa.Arg(value_name="FILE")]
+
+
+@cappa.command(name="check")
+@dataclass(slots=True, kw_only=True)
+class Check:
+    """Check a ticket against the accepted ones.
+
+    Args:
+        file: the ticket.
+    """
+
+    file: TicketFile
+
+
+@cappa.command(name="diff")
+@dataclass(slots=True, kw_only=True)
+class Diff:
+    """Show what a ticket changes.
+
+    Args:
+        file: the ticket.
+    """
+
+    file: TicketFile
+
+
+@cappa.command(name="apply")
+@dataclass(slots=True, kw_only=True)
+class Apply:
+    """Submit a ticket.
+
+    Args:
+        file: the ticket.
+        wait: seconds to wait until it is in force on every live VM.
+    """
+
+    file: TicketFile
+    wait: Annotated[float | None, cappa.Arg(long=True)] = None
+
+
+@cappa.command(name="status")
+@dataclass(slots=True, kw_only=True)
+class Status:
+    """Show the ticket in force on every VM, and the databases."""
+
+
+@cappa.command(name="history")
+@dataclass(slots=True, kw_only=True)
+class HistoryCommand:
+    """Show the accepted tickets."""
+
+
+@cappa.command(name="siskinhold-ticket")
+@dataclass(slots=True, kw_only=True)
+class Options:
+    """Check, apply and follow change tickets.
+
+    Args:
+        store: URL of the platform's store.
+        operator: URL of a VM's operator port; by default those on the
+            platform's list of VMs.
+        json: print JSON.
+    """
+
+    command: cappa.Subcommands[Check | Diff | Apply | Status | HistoryCommand]
+    store: Annotated[str, cappa.Arg(long=True, propagate=True)] = ""
+    operator: Annotated[str, cappa.Arg(long=True, propagate=True)] = ""
+    json: Annotated[bool, cappa.Arg(long=True, propagate=True)] = False
+
+
+async def run(options: Options) -> Report:
+    """Carry out a command."""
+    command = options.command
+    if isinstance(command, Status) and not options.store:
+        return await _show_status(options, None)
+    if not options.store:
+        return _report_usage("--store is needed")
+    try:
+        client = StoreClient(url=options.store)
+    except ValueError as error:
+        return _report_usage(str(error))
+    await client.start()
+    try:
+        return await _run_with_store(options, client)
+    finally:
+        await client.stop()
+
+
+async def _run_with_store(options: Options, client: StoreClient) -> Report:
+    command = options.command
+    if isinstance(command, Status):
+        return await _show_status(options, client)
+    if isinstance(command, HistoryCommand):
+        return await _with_history(client, None, _show_history)
+    read = _read_ticket(command.file)
+    if isinstance(read, Err):
+        return read.err_value
+    ticket = read.ok_value
+    if isinstance(command, Check):
+        return await _with_history(client, ticket, _check)
+    if isinstance(command, Diff):
+        return await _with_history(client, ticket, _diff)
+    report = await _with_history(client, ticket, _submit_with(client))
+    if report.code is not ExitCode.DONE or command.wait is None:
+        return report
+    _print_progress(report.lines[0])
+    return await _wait(options, client, ticket, command.wait)
+
+
+async def _with_history(
+    client: StoreClient,
+    ticket: ChangeTicket | None,
+    act: Callable[[History, ChangeTicket | None], Awaitable[Report]],
+) -> Report:
+    loaded = await load_history(client)
+    if isinstance(loaded, Err):
+        return report_store_fault(loaded.err_value, None)
+    return await act(loaded.ok_value, ticket)
+
+
+async def _show_history(history: History, ticket: ChangeTicket | None) -> Report:
+    return report_history(history.tickets)
+
+
+async def _check(history: History, ticket: ChangeTicket) -> Report:
+    faults = check_ticket(ticket, history.state)
+    if faults:
+        return report_faults(faults)
+    line = f"event=ticket_valid ticket={ticket.number}"
+    return Report(code=ExitCode.DONE, result="done", lines=[line])
+
+
+async def _diff(history: History, ticket: ChangeTicket) -> Report:
+    faults = check_ticket(ticket, history.state)
+    if faults:
+        return report_faults(faults)
+    after = apply_ticket(history.state, ticket)
+    digests = (digest_state(history.state), digest_state(after))
+    differences = diff_states(history.state, after)
+    return report_diff(differences, number=ticket.number, digests=digests)
+
+
+def _submit_with(client: StoreClient):
+    async def submit(history: History, ticket: ChangeTicket) -> Report:
+        return await _submit(client, history, ticket)
+
+    return submit
+
+
+async def _submit(
+    client: StoreClient, history: History, ticket: ChangeTicket
+) -> Report:
+    accepted = history.find(ticket.number)
+    if accepted is not None:
+        result = compare_winner(ticket, accepted)
+    else:
+        faults = check_ticket(ticket, history.state)
+        if faults:
+            return report_faults(faults)
+        result = await submit_ticket(client, ticket)
+    if isinstance(result, Err):
+        return report_store_fault(result.err_value, ticket)
+    line = f"event=ticket_accepted ticket={ticket.number} identity={ticket.identity}"
+    return Report(
+        code=ExitCode.DONE,
+        result="done",
+        lines=[line],
+        body={"number": ticket.number, "identity": ticket.identity},
+    )
+
+
+async def _wait(
+    options: Options, client: StoreClient, ticket: ChangeTicket, seconds: float
+) -> Report:
+    reader = await _make_reader(options, client)
+    waited = await wait_in_force(
+        reader, ticket.number, seconds=seconds, progress=_print_progress
+    )
+    body = {"number": ticket.number, "identity": ticket.identity}
+    if isinstance(waited, Err):
+        line = f"event=ticket_not_in_force ticket={ticket.number} {waited.err_value}"
+        return Report(
+            code=ExitCode.NOT_IN_FORCE,
+            result="not_in_force",
+            lines=[line],
+            body=body | {"detail": waited.err_value},
+        )
+    line = f"event=ticket_in_force ticket={ticket.number} identity={ticket.identity}"
+    return Report(code=ExitCode.DONE, result="done", lines=[line], body=body)
+
+
+async def _show_status(options: Options, client: StoreClient | None) -> Report:
+    reader = await _make_reader(options, client)
+    read = await reader.read(databases=SHOWN_DATABASES)
+    if isinstance(read, Ok):
+        return report_status(read.ok_value)
+    return Report(
+        code=ExitCode.OPERATOR,
+        result="operator_no_answer",
+        lines=[f"failure=operator_no_answer detail={read.err_value!r}"],
+        body={"detail": read.err_value},
+    )
+
+
+async def _make_reader(options: Options, client: StoreClient | None) -> StatusReader:
+    urls = [options.operator] if options.operator else []
+    if client is not None:
+        urls += await find_operator_urls(client)
+    return StatusReader(urls=urls)
+
+
+def _read_ticket(path: Path) -> Result[ChangeTicket, Report]:
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return Err(_report_usage(f"the file can't be read: {error}"))
+    parsed = parse_ticket(text)
+    if isinstance(parsed, Err):
+        return Err(report_faults([parsed.err_value]))
+    return parsed
+
+
+def _report_usage(detail: str) -> Report:
+    return Report(
+        code=ExitCode.USAGE,
+        result="usage",
+        lines=[f"failure=usage detail={detail!r}"],
+        body={"detail": detail},
+    )
+
+
+def _print_progress(line: str) -> None:
+    print(line, file=sys.stderr, flush=True)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the tool and exit; `arguments` default to the command line.
+
+    Raises:
+        SystemExit: with one of the exit codes.
+    """
+    options = cappa.parse(Options, argv=arguments)
+    report = uvloop.run(run(options))
+    print(report.render(as_json=options.json), flush=True)
+    raise SystemExit(int(report.code))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_ticket_tool.py
@@ -0,0 +1,277 @@
+"""The ticket tool against the store stand-in and an operator port."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+import pytest_asyncio
+from result import Err, Ok
+
+from siskinhold.adapters import OperatorServer, StoreClient
+from siskinhold.core import Identity, NodeState
+from siskinhold.core._state import Peer
+from siskinhold.model import (
+    BackendServer,
+    ChangeTicket,
+    Database,
+    DatabaseGroup,
+    VmAddress,
+    VmState,
+    VmView,
+)
+from siskinhold.programs import ticket as tool
+from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
+from siskinhold_trial.store import Down, StoreEngine, StoreFaults, StoreServer, VmList
+
+
+def make_ticket(number: int, author: str = "a", identity: str = "") -> ChangeTicket:
+    servers = tuple(
+        BackendServer(
+            name=f"d-{index}",
+            host="127.0.0.1",
+            port=4000 + index,
+            region="r",
+            availability_zone="z",
+            slots=number,
+        )
+        for index in range(3)
+    )
+    database = Database(name="d", primary="d-0", servers=servers)
+    return ChangeTicket(
+        number=number,
+        author=author,
+        identity=identity or f"{author}{number}",
+        reason=f"reason of {author}",
+        groups=(DatabaseGroup(name="g", databases=(database,)),),
+    )
+
+
+class Desk:
+    """A store stand-in and the tool's commands against it."""
+
+    def __init__(self, folder) -> None:
+        self.folder = folder
+        self.engine = StoreEngine()
+        self.server = StoreServer(engine=self.engine, vms=VmList())
+        self.files = 0
+
+    def write_file(self, ticket: ChangeTicket):
+        self.files += 1
+        path = self.folder / f"{self.files}.json"
+        path.write_bytes(msgspec.json.encode(ticket))
+        return path
+
+    async def run(self, command, operator: str = ""):
+        options = tool.Options(
+            command=command, store=self.server.url, operator=operator
+        )
+        return await tool.run(options)
+
+    async def apply(self, ticket: ChangeTicket, wait=None, operator: str = ""):
+        file = self.write_file(ticket)
+        return await self.run(tool.Apply(file=file, wait=wait), operator)
+
+
+@pytest_asyncio.fixture
+async def desk(tmp_path):
+    desk = Desk(tmp_path)
+    await desk.server.start()
+    yield desk
+    await desk.server.stop()
+
+
+@pytest_asyncio.fixture
+async def client(desk):
+    client = StoreClient(url=desk.server.url)
+    await client.start()
+    yield client
+    await client.stop()
+
+
+class TestCommands:
+    async def test_check_diff_apply_history(self, desk):
+        """The usual way of a ticket; guards against a command that breaks it."""
+        assert (await desk.apply(make_ticket(1))).code == 0
+        second = desk.write_file(make_ticket(2))
+        assert (await desk.run(tool.Check(file=second))).code == 0
+        diff = await desk.run(tool.Diff(file=second))
+        paths = [line.path for line in diff.body["differences"]]
+        assert paths == ["g/d/d-0.slots", "g/d/d-1.slots", "g/d/d-2.slots"]
+        assert (await desk.run(tool.Apply(file=second))).code == 0
+        history = await desk.run(tool.HistoryCommand())
+        numbers = [item["number"] for item in history.body["tickets"]]
+        assert numbers == [1, 2]
+        for report in (diff, history):
+            assert msgspec.json.decode(report.render(as_json=True))["result"] == "done"
+
+    async def test_invalid_ticket(self, desk):
+        """Nothing is written; guards against accepting a ticket with faults."""
+        assert (await desk.apply(make_ticket(5))).code == 3
+        assert desk.engine.revision == 0
+
+    async def test_gap_in_the_store(self, desk, client):
+        """Tickets without their predecessor are refused; guards against a
+        diff against a state that was never in force."""
+        assert isinstance(await submit_ticket(client, make_ticket(2)), Ok)
+        assert (await desk.run(tool.HistoryCommand())).code == 5
+
+    def test_usage(self, capsys, tmp_path):
+        """Wrong usage has its own code; guards against taking it as a refusal."""
+        missing = str(tmp_path / "missing.json")
+        url = "http://127.0.0.1:1"
+        for arguments in (
+            ["bogus"],
+            ["history"],
+            ["history", "--store", "ftp://x"],
+            ["check", missing, "--store", url],
+        ):
+            with pytest.raises(SystemExit) as ended:
+                tool.main(arguments)
+            assert ended.value.code == 2
+        with pytest.raises(SystemExit) as ended:
+            tool.main(["--json", "history", "--store", url])
+        assert ended.value.code == 5
+        capsys.readouterr()
+
+
+class TestRaces:
+    async def test_two_operators(self, desk):
+        """One wins and the other learns who; guards against a lost ticket."""
+        first, second = await asyncio.gather(
+            desk.apply(make_ticket(1, "ann")), desk.apply(make_ticket(1, "bob"))
+        )
+        assert sorted([first.code, second.code]) == [0, 4]
+        loser, winner = (first, "bob") if first.code else (second, "ann")
+        assert loser.result == "ticket_number_taken"
+        assert loser.body["winner"]["author"] == winner
+        assert loser.body["winner"]["reason"] == f"reason of {winner}"
+        assert desk.engine.revision == 1
+
+    async def test_both_checked_before_either_wrote(self, client):
+        """The store decides; guards against a check that is out of date."""
+        results = await asyncio.gather(
+            submit_ticket(client, make_ticket(1, "ann")),
+            submit_ticket(client, make_ticket(1, "bob")),
+        )
+        refused = [result for result in results if isinstance(result, Err)]
+        assert len(refused) == 1
+        assert refused[0].err_value.kind is StoreFaultKind.NUMBER_TAKEN
+
+    async def test_same_ticket_again(self, desk):
+        """The same identity is done already; guards against a false refusal."""
+        assert (await desk.apply(make_ticket(1))).code == 0
+        assert (await desk.apply(make_ticket(1))).code == 0
+        other = await desk.apply(make_ticket(1, identity="other"))
+        assert other.code == 4
+        assert desk.engine.revision == 1
+
+
+class TestStoreFaults:
+    async def test_answer_lost_after_effect(self, desk):
+        """Read-back settles it; guards against reporting it as taken."""
+        await desk.server.set_faults(StoreFaults(lose_answers=1))
+        assert (await desk.apply(make_ticket(1))).code == 0
+        assert desk.engine.revision == 1
+        assert desk.server.counters["write"] == 1
+
+    async def test_change_takes_effect_after_the_timeout(self, desk, client):
+        """An absent object is no proof; guards against a second author being
+        told that the number is free, or this one that it is taken."""
+        await desk.server.set_faults(StoreFaults(delay=0.4))
+        submitted = asyncio.create_task(
+            submit_ticket(client, make_ticket(1), call_timeout=0.1)
+        )
+        await asyncio.sleep(0.3)
+        await desk.server.set_faults(StoreFaults())
+        assert isinstance(await submitted, Ok)
+        assert desk.engine.revision == 1
+
+    async def test_store_down(self, desk, client):
+        """The outcome is unknown; guards against promising either one."""
+        await desk.server.set_faults(StoreFaults(down=Down.REFUSE))
+        result = await submit_ticket(client, make_ticket(1), settle_seconds=0.2)
+        assert result.err_value.kind is StoreFaultKind.NO_ANSWER
+        assert (await desk.apply(make_ticket(1))).code == 5
+
+
+class Fleet:
+    """An operator port of a VM that knows two others, one of them leaving."""
+
+    def __init__(self) -> None:
+        identity = Identity(address=make_address("vm1"), incarnation=1)
+        self.node = NodeState(identity=identity, random=random.Random(1))
+        self.set_peer("vm2", 0, VmState.LIVE)
+        self.set_peer("vm3", 0, VmState.LEAVING)
+        self.server = OperatorServer(
+            node=self.node,
+            host="127.0.0.1",
+            port=0,
+            find_owner=lambda node, database, region: None,
+        )
+
+    def set_peer(self, name: str, ticket: int, state: VmState) -> None:
+        view = VmView(
+            address=make_address(name),
+            incarnation=1,
+            state=state,
+            beat=1,
+            ticket=ticket,
+        )
+        self.node.membership.peers[name] = Peer(view=view, heard_at=0.0)
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.server.port}"
+
+
+def make_address(name: str, operator_port: int = 0) -> VmAddress:
+    return VmAddress(
+        name=name,
+        host="127.0.0.1",
+        peer_port=1,
+        operator_port=operator_port,
+        region="r",
+        availability_zone="z",
+    )
+
+
+@pytest_asyncio.fixture
+async def fleet():
+    fleet = Fleet()
+    await fleet.server.start()
+    yield fleet
+    await fleet.server.stop()
+
+
+class TestWait:
+    async def test_in_force_on_all_live_vms(self, desk, fleet):
+        """It ends with the last live VM; guards against stopping at the first."""
+        fleet.node.config.applied = 1
+        applied = asyncio.create_task(
+            desk.apply(make_ticket(1), wait=5.0, operator=fleet.url)
+        )
+        await asyncio.sleep(0.3)
+        assert not applied.done()
+        fleet.set_peer("vm2", 1, VmState.LIVE)
+        assert (await applied).code == 0
+
+    async def test_vm_that_lags(self, desk, fleet):
+        """It is named; guards against a wait that ends without a reason."""
+        fleet.node.config.applied = 1
+        report = await desk.apply(make_ticket(1), wait=0.3, operator=fleet.url)
+        assert report.code == 6
+        assert "lagging=vm2" in report.lines[0]
+
+    async def test_operator_port_from_the_list(self, desk, fleet):
+        """Another VM is asked when the named one is gone; guards against
+        depending on one VM."""
+        desk.server.vms.register(make_address("vm1", fleet.server.port), now=0.0)
+        report = await desk.run(tool.Status(), operator="http://127.0.0.1:1")
+        assert report.code == 0
+        assert report.lines[0].startswith("vm=vm1 ")
+
+    async def test_no_operator_port(self, desk):
+        """Its own code; guards against confusing it with the store."""
+        assert (await desk.run(tool.Status())).code == 7
+        assert (await desk.apply(make_ticket(1), wait=0.1)).code == 6
