--- a/tests/test_store_adapter.py
+++ b/tests/test_store_adapter.py
@@ -1,13 +1,20 @@
 """The store adapter against the stand-in, over loopback sockets."""
 
 import asyncio
+import datetime
+import ipaddress
 import random
+import ssl
 
 import pytest
 import pytest_asyncio
 from aiohttp import web
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
-from siskinhold.adapters import HttpStore
+from siskinhold.adapters import HttpStore, StoreClient
 from siskinhold.effects import CallStore, WatchStore
 from siskinhold.events import StoreChanged, VmListReported
 from siskinhold.model import VmAddress
@@ -148,6 +155,20 @@
         keys = await probe.collect_keys(5)
         assert keys == [f"t/{number}" for number in range(1, 6)]
 
+    async def test_repeated_outages(self, server, probe):
+        """Writes go on through outages of both kinds; guards against a change
+        that falls between two polls."""
+        choose = random.Random(7)
+        probe.store.watch(WatchStore(prefix="t/", after=0))
+        for number in range(60):
+            if number % 10 == 0:
+                down = choose.choice(list(Down))
+                await server.set_faults(StoreFaults(down=down))
+            server.engine.call(write(f"t/{number}", b"123456"))
+            await asyncio.sleep(choose.uniform(0, 0.02))
+        await server.set_faults(StoreFaults())
+        assert await probe.collect_keys(60) == [f"t/{n}" for n in range(60)]
+
     async def test_replaced_and_ended(self, server, probe):
         """A replaced watch is silent; guards against two watches at once."""
         probe.store.watch(WatchStore(prefix="t/", after=0))
@@ -175,6 +196,56 @@
         assert event.live == (vm,) and event.leaving == ()
 
 
+def make_tls_contexts(folder) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+    """Return contexts of a server and a client that trusts only it."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "store")])
+    now = datetime.datetime.now(datetime.timezone.utc)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    path = folder / "store.pem"
+    path.write_bytes(
+        key.private_bytes(
+            pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+        + certificate.public_bytes(pem)
+    )
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    server.load_cert_chain(path)
+    return server, ssl.create_default_context(cafile=str(path))
+
+
+class TestTls:
+    async def test_trusted_and_untrusted(self, tmp_path):
+        """A client that does not trust the certificate gets a typed failure;
+        guards against a connection without verification."""
+        server_tls, client_tls = make_tls_contexts(tmp_path)
+        server = StoreServer(engine=StoreEngine(), vms=VmList(), tls=server_tls)
+        await server.start()
+        results = []
+        for tls in (client_tls, None):
+            client = StoreClient(url=server.url, tls=tls)
+            await client.start()
+            results.append(await client.call(ListObjects(prefix=""), timeout=2.0))
+            await client.stop()
+        await server.stop()
+        assert [result.failure for result in results] == [
+            None,
+            StoreFailure.NO_ANSWER,
+        ]
+
+
 MALFORMED = [
     (200, b""),
     (200, b"{"),
