--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -3,6 +3,8 @@
 from ._backends import MysqlBackends
 from ._callers import CallerLimits, Credentials, MysqlCallers
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
+from ._operator import OperatorServer
+from ._operator_status import DatabaseReport, OperatorStatus, ServerReport, VmReport
 from ._store import HttpStore
 from ._store_client import StoreClient
 
@@ -11,12 +13,17 @@
     "CallerLimits",
     "Callers",
     "Credentials",
+    "DatabaseReport",
     "Emit",
     "HttpStore",
     "MysqlBackends",
     "MysqlCallers",
+    "OperatorServer",
+    "OperatorStatus",
     "Peers",
     "Recorder",
+    "ServerReport",
     "Store",
     "StoreClient",
+    "VmReport",
 ]
