--- /dev/null
+++ b/src/siskinhold/settings/_types.py
@@ -0,0 +1,134 @@
+"""The settings objects and the report of faults."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..model import VmAddress
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class VmSettings:
+    """Section `vm`: who this VM is. The keys are described in `KEYS`."""
+
+    name: str
+    host: str
+    region: str
+    availability_zone: str
+    log_level: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerSettings:
+    """Section `callers`: the port for callers and its limits."""
+
+    port: int
+    max_sessions: int
+    max_statement_bytes: int
+    handshake_timeout_ms: int
+    tls_certificate: str
+    tls_key: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerSettings:
+    """Section `peers`: the port for other VMs and those to greet first."""
+
+    port: int
+    seeds: tuple[VmAddress, ...]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OperatorSettings:
+    """Section `operator`: the port for operators."""
+
+    port: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreSettings:
+    """Section `store`: the platform's object store."""
+
+    url: str
+    timeout_ms: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetSettings:
+    """Section `fleet`: the keys of session tokens; the first one signs."""
+
+    key: tuple[bytes, ...] = field(repr=False)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TimelineSettings:
+    """Section `timeline`: where the event log goes."""
+
+    path: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Settings:
+    """All settings of a proxy VM.
+
+    Args:
+        users: SHA1(SHA1(password)) as 40 hex digits by caller's user name.
+    """
+
+    vm: VmSettings
+    callers: CallerSettings
+    peers: PeerSettings
+    operator: OperatorSettings
+    store: StoreSettings
+    fleet: FleetSettings
+    timeline: TimelineSettings
+    users: Mapping[str, str] = field(repr=False)
+
+    @property
+    def address(self) -> VmAddress:
+        """This VM as other VMs reach it."""
+        return VmAddress(
+            name=self.vm.name,
+            host=self.vm.host,
+            peer_port=self.peers.port,
+            operator_port=self.operator.port,
+            region=self.vm.region,
+            availability_zone=self.vm.availability_zone,
+        )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SettingsFault:
+    """One fault of a settings file.
+
+    Args:
+        file: the file's path.
+        section: the section; empty for the file as a whole.
+        key: the key; empty for the section as a whole.
+        problem: what is wrong. It never holds a secret value.
+        allowed: what the key accepts; empty when that isn't the problem.
+    """
+
+    file: str
+    section: str
+    key: str
+    problem: str
+    allowed: str = ""
+
+    def __str__(self) -> str:
+        place = self.file
+        if self.section:
+            place += f" [{self.section}]"
+        if self.key:
+            place += f" {self.key}"
+        text = f"{place}: {self.problem}"
+        return f"{text}; allowed: {self.allowed}" if self.allowed else text
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SettingsReport:
+    """Every fault of a settings file; as text, one a line."""
+
+    faults: tuple[SettingsFault, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(fault) for fault in self.faults)
--- /dev/null
+++ b/src/siskinhold/settings/_values.py
@@ -0,0 +1,148 @@
+"""Parsers of single values. Each raises `ValueError` with the problem."""
+
+import hashlib
+import ipaddress
+import re
+from collections.abc import Callable
+from urllib.parse import urlsplit
+
+from ..model import VmAddress
+from ..tokens import MAX_KEY_BYTES, MIN_KEY_BYTES
+from ._keys import Key, Kind
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+_INTEGER = re.compile(r"-?[0-9]{1,18}\Z")
+_SEED = re.compile(r"([^=/\s]+)=(\[[^\]]+\]|[^:/\s]+):([0-9]+)/([^/\s]+)/([^/\s]+)\Z")
+_PROOF = re.compile(r"\*?([0-9a-fA-F]{40})\Z")
+_MAX_PORT = 65_535
+_MAX_USER_CHARACTERS = 32
+
+
+def parse_value(key: Key, text: str) -> object:
+    """Return the value of a key.
+
+    Raises:
+        ValueError: if it is not allowed; the message doesn't quote a secret.
+    """
+    return _PARSERS[key.kind](key, text)
+
+
+def parse_user(name: str, text: str) -> str:
+    """Return SHA1(SHA1(password)) in hex.
+
+    Raises:
+        ValueError: if the name or the password is not allowed.
+    """
+    if not 0 < len(name) <= _MAX_USER_CHARACTERS or not name.isprintable():
+        raise ValueError("the user name needs 1 to 32 printable characters")
+    if not text:
+        raise ValueError("the password is empty")
+    proof = _PROOF.match(text)
+    if proof is not None:
+        return proof[1].lower()
+    once = hashlib.sha1(text.encode("utf-8")).digest()
+    return hashlib.sha1(once).hexdigest()
+
+
+def _parse_name(key: Key, text: str) -> str:
+    if not _NAME.match(text):
+        raise ValueError(f"{_quote(text)} is not a name")
+    return text
+
+
+def _parse_integer(key: Key, text: str) -> int:
+    if not _INTEGER.match(text):
+        raise ValueError(f"{_quote(text)} is not an integer")
+    number = int(text)
+    if not key.low <= number <= key.high:
+        raise ValueError(f"{number} is out of range")
+    return number
+
+
+def _parse_ip_address(key: Key, text: str) -> str:
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError(f"{_quote(text)} is not an IP address") from None
+
+
+def _parse_choice(key: Key, text: str) -> str:
+    if text not in key.choices:
+        raise ValueError(f"{_quote(text)} is not known")
+    return text
+
+
+def _parse_path(key: Key, text: str) -> str:
+    if "\0" in text:
+        raise ValueError("the path holds a NUL byte")
+    return text
+
+
+def _parse_url(key: Key, text: str) -> str:
+    try:
+        parts = urlsplit(text)
+        port = parts.port
+    except ValueError:
+        raise ValueError(f"{_quote(text)} is not a URL") from None
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError(f"{_quote(text)} is not an HTTP URL")
+    if not port or parts.query or parts.fragment or parts.username is not None:
+        raise ValueError(f"{_quote(text)} has no port, or parts beside host and port")
+    return text.rstrip("/")
+
+
+def _parse_hex_keys(key: Key, text: str) -> tuple[bytes, ...]:
+    keys = []
+    for number, word in enumerate(text.split(), start=1):
+        try:
+            value = bytes.fromhex(word)
+        except ValueError:
+            raise ValueError(f"key {number} is not hex") from None
+        if not MIN_KEY_BYTES <= len(value) <= MAX_KEY_BYTES:
+            raise ValueError(f"key {number} has {len(value)} bytes")
+        keys.append(value)
+    if not keys:
+        raise ValueError("there is no key")
+    return tuple(keys)
+
+
+def _parse_seeds(key: Key, text: str) -> tuple[VmAddress, ...]:
+    seeds: dict[str, VmAddress] = {}
+    for word in text.split():
+        seed = _parse_seed(key, word)
+        if seed.name in seeds:
+            raise ValueError(f"VM {seed.name} is given twice")
+        seeds[seed.name] = seed
+    return tuple(seeds.values())
+
+
+def _parse_seed(key: Key, word: str) -> VmAddress:
+    match = _SEED.match(word)
+    if match is None:
+        raise ValueError(f"{_quote(word)} is not the address of a VM")
+    name, host, port, region, zone = match.groups()
+    if not 1 <= int(port[:6]) <= _MAX_PORT:
+        raise ValueError(f"{_quote(word)} has a port out of range")
+    return VmAddress(
+        name=_parse_name(key, name),
+        host=_parse_ip_address(key, host.strip("[]")),
+        peer_port=int(port),
+        region=_parse_name(key, region),
+        availability_zone=_parse_name(key, zone),
+    )
+
+
+def _quote(text: str) -> str:
+    return repr(text[:80])
+
+
+_PARSERS: dict[Kind, Callable[[Key, str], object]] = {
+    Kind.NAME: _parse_name,
+    Kind.INTEGER: _parse_integer,
+    Kind.IP_ADDRESS: _parse_ip_address,
+    Kind.CHOICE: _parse_choice,
+    Kind.PATH: _parse_path,
+    Kind.URL: _parse_url,
+    Kind.HEX_KEYS: _parse_hex_keys,
+    Kind.SEEDS: _parse_seeds,
+}
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -326,7 +326,7 @@
     async def test_close_while_idle(self):
         """An idle caller is closed at once and reported."""
         async with Entry() as entry:
-            connection = await entry.connect()
+            await entry.connect()
             session = entry.of(CallerOpened)[0].session
             entry.callers.close(CloseCaller(session=session, reason="test"))
             await entry.wait_for(CallerClosed)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,172 @@
+"""Tests of the INI settings."""
+
+import dataclasses
+import hashlib
+from pathlib import Path
+
+import pytest
+
+from siskinhold.model import VmAddress
+from siskinhold.settings import KEYS, load_settings, parse_settings, render_reference
+
+MINIMAL = """
+[vm]
+name = vm-1
+host = 127.0.0.1
+region = leinster
+availability_zone = leinster-a
+[store]
+url = http://127.0.0.1:7400
+[fleet]
+key = 000102030405060708090a0b0c0d0e0f
+[users]
+mill = alder
+"""
+
+
+def parse(text):
+    return parse_settings(text, file="vm.ini")
+
+
+def faults(text):
+    """Return section, key and text of each fault."""
+    report = parse(text).unwrap_err()
+    return [(fault.section, fault.key, str(fault)) for fault in report.faults]
+
+
+def places(text):
+    return {(section, key) for section, key, _ in faults(text)}
+
+
+class TestValues:
+    def test_minimal(self):
+        """Defaults fill in the rest; guards against a key without a field."""
+        settings = parse(MINIMAL).unwrap()
+        for key in KEYS:
+            assert hasattr(getattr(settings, key.section), key.name)
+        assert settings.callers.port == 3306
+        assert settings.fleet.key == (bytes(range(16)),)
+        assert settings.address.peer_port == settings.peers.port
+
+    def test_every_key(self):
+        """Lists and references are read; guards the forms of the page."""
+        text = MINIMAL + "[peers]\nport = 7\nseeds =\n  b=10.0.0.2:7300/r/z\n"
+        text += "  c=[::1]:1/r/z\n[operator]\nport = 0\n"
+        text = text.replace("0d0e0f\n", "0d0e0f\n  " + "ab" * 20 + "\n")
+        settings = parse(text).unwrap()
+        assert settings.peers.seeds == (
+            VmAddress(
+                name="b",
+                host="10.0.0.2",
+                peer_port=7300,
+                region="r",
+                availability_zone="z",
+            ),
+            VmAddress(
+                name="c", host="::1", peer_port=1, region="r", availability_zone="z"
+            ),
+        )
+        assert len(settings.fleet.key) == 2
+
+    def test_passwords(self):
+        """Plain and hashed passwords give the same proof; names keep case."""
+        once = hashlib.sha1(b"alder").digest()
+        proof = hashlib.sha1(once).hexdigest()
+        text = MINIMAL + f"Mill = {proof.upper()}\nother = *{proof}\n"
+        users = parse(text).unwrap().users
+        assert dict(users) == {"mill": proof, "Mill": proof, "other": proof}
+
+    def test_immutable_without_secrets(self):
+        """Settings can't change and don't show secrets in a log line."""
+        settings = parse(MINIMAL).unwrap()
+        with pytest.raises(dataclasses.FrozenInstanceError):
+            settings.vm.name = "other"
+        with pytest.raises(TypeError):
+            settings.users["mill"] = ""
+        assert "alder" not in repr(settings) and "\\x0f" not in repr(settings)
+
+
+class TestFaults:
+    def test_all_in_one_report(self):
+        """Every fault is reported at once, with its place and range."""
+        text = MINIMAL.replace("name = vm-1", "name = a b").replace("[store]", "")
+        text += "\n[callers]\nport = 70000\nmax_sessions = x\ntls_key = k\nfoo = 1\n"
+        text += "[pears]\nport = 1\n[peers]\nseeds = b=host:1/r/z\nport = 7301\n"
+        found = faults(text)
+        assert {(section, key) for section, key, _ in found} == {
+            ("vm", "name"),
+            ("vm", "url"),
+            ("callers", "port"),
+            ("callers", "max_sessions"),
+            ("callers", "tls_certificate"),
+            ("callers", "tls_key"),
+            ("callers", "foo"),
+            ("pears", ""),
+            ("peers", "seeds"),
+            ("operator", "port"),
+            ("store", "url"),
+        }
+        ported = [line for section, key, line in found if section == "callers"]
+        expected = "vm.ini [callers] port: 70000 is out of range; allowed: 1 to 65535"
+        assert expected in ported
+
+    @pytest.mark.parametrize("key", [key for key in KEYS if key.high])
+    def test_bounds(self, key):
+        """Each number is accepted at its bounds only; guards the table."""
+        text = MINIMAL.replace("[store]", "[store]\n") + "[callers]\n[peers]\n"
+        text += "[operator]\n"
+        for number, wrong in [
+            (key.low - 1, True),
+            (key.low, False),
+            (key.high, False),
+            (key.high + 1, True),
+        ]:
+            changed = text.replace(
+                f"[{key.section}]\n", f"[{key.section}]\n{key.name} = {number}\n"
+            )
+            result = parse(changed)
+            assert result.is_err() == wrong
+            if wrong:
+                assert places(changed) == {(key.section, key.name)}
+
+    @pytest.mark.parametrize(
+        "line", ["key = zz", "key =", "key = aabb", "key = " + "00" * 65]
+    )
+    def test_bad_fleet_key(self, line):
+        """A short or unreadable key is refused, and not quoted."""
+        text = MINIMAL.replace("key = 000102030405060708090a0b0c0d0e0f", line)
+        ((section, key, message),) = faults(text)
+        assert (section, key) == ("fleet", "key")
+        assert "aabb" not in message and "zz" not in message
+
+    def test_users(self):
+        """An empty password is refused: anybody could log in."""
+        assert places(MINIMAL + "other =\n") == {("users", "other")}
+        assert places(MINIMAL.replace("mill = alder", "")) == {("users", "")}
+
+    def test_duplicates_and_broken_lines(self):
+        """A duplicate or broken line doesn't hide the other faults."""
+        text = MINIMAL + "mill = b\n[callers]\nport = 0\n"
+        assert places(text) == {("users", "mill"), ("callers", "port")}
+        text = MINIMAL + "[callers]\nport = 0\nnonsense\n"
+        assert places(text) == {("callers", "port"), ("", "")}
+        assert ("", "") in places("port = 1\n")
+        assert places(MINIMAL + "[DEFAULT]\nport = 5\n") >= {("DEFAULT", "")}
+
+    def test_unreadable_file(self, tmp_path):
+        """A missing, binary or odd path is a report and no exception."""
+        binary = tmp_path / "binary.ini"
+        binary.write_bytes(b"\xff\xfe[")
+        for path in [str(tmp_path / "none"), str(tmp_path), str(binary), "a\0b"]:
+            report = load_settings(path).unwrap_err()
+            assert report.faults[0].file == path
+        good = tmp_path / "vm.ini"
+        good.write_text(MINIMAL)
+        assert load_settings(str(good)).is_ok()
+
+
+class TestReference:
+    def test_page_is_current(self):
+        """docs/settings.md is what `render_reference` returns."""
+        page = Path(__file__).parent.parent / "docs" / "settings.md"
+        assert page.read_text(encoding="utf-8") == render_reference()
