--- a/src/siskinhold/statements/_classify.py
+++ b/src/siskinhold/statements/_classify.py
@@ -13,35 +13,48 @@
 from ..model import StatementKind
 from ._local import match_local
 from ._marks import parse_marks
-from ._text import split_noise
+from ._text import split_noise, strip_comments
 from ._types import Classified, Fault, Forwarded, StatementError
 
-_FIRST = re.compile(r"[\s(;]*([A-Za-z]+)")
-_WORDS = re.compile(r"[A-Za-z_]+")
-_MULTI = re.compile(r";[\s;]*[^\s;]")
+# The code is matched in upper case. MySQL knows ASCII whitespace only; any other
+# is part of a name to it.
+_FIRST = re.compile(r"[\s(;]*([A-Z]+)", re.ASCII)
+_WORDS = re.compile(r"[A-Z_]+")
+_MULTI = re.compile(r";[\s;]*[^\s;]", re.ASCII)
 _USER_VARIABLE = re.compile(r"(?<!@)@(?!@)")
-_EXECUTABLE_COMMENT = re.compile(r"/\*M?!")
 _NOT_READ = re.compile(
-    r"\bFOR\s+(?:UPDATE|SHARE)\b|\bLOCK\s+IN\s+SHARE\s+MODE\b"
-    r"|\bINTO\s+(?:OUTFILE|DUMPFILE)\b|\bLAST_INSERT_ID\s*\(\s*[^\s)]",
-    re.IGNORECASE,
+    r"FOR\s+(?:UPDATE|SHARE)\b|LOCK\s+IN\s+SHARE\s+MODE\b"
+    r"|INTO\s+(?:OUTFILE|DUMPFILE)\b|LAST_INSERT_ID\s*\(\s*[^\s)]",
+    re.ASCII,
 )
 _LOCK_FUNCTION = re.compile(
-    r"\b(?:GET_LOCK|RELEASE_LOCK|RELEASE_ALL_LOCKS|IS_FREE_LOCK|IS_USED_LOCK)\s*\(",
-    re.IGNORECASE,
+    r"(?:GET_LOCK|RELEASE_LOCK|RELEASE_ALL_LOCKS|IS_FREE_LOCK|IS_USED_LOCK)\s*\(",
+    re.ASCII,
 )
 # These read what the last statement left on its connection, which only an open
 # transaction keeps.
 _LAST_RESULT = re.compile(
-    r"\b(?:LAST_INSERT_ID|ROW_COUNT|FOUND_ROWS)\s*\(\s*\)"
-    r"|@@(?:\w+\s*\.\s*)?(?:identity|last_insert_id|warning_count|error_count)\b"
-    r"|\bSHOW\s+(?:COUNT|WARNINGS|ERRORS)\b",
-    re.IGNORECASE,
+    r"(?:LAST_INSERT_ID|ROW_COUNT|FOUND_ROWS)\s*\(\s*\)"
+    r"|@@(?:\w+\s*\.\s*)?(?:IDENTITY|LAST_INSERT_ID|WARNING_COUNT|ERROR_COUNT)\b"
+    r"|SHOW\s+(?:COUNT|WARNINGS|ERRORS)\b",
+    re.ASCII,
 )
-_CHANGES = re.compile(r"\b(?:UPDATE|DELETE|INSERT)\b", re.IGNORECASE)
-_SAVEPOINT = re.compile(r"[\s;]*ROLLBACK\s+(?:WORK\s+)?TO\b", re.IGNORECASE)
-_CHAIN = re.compile(r"(?<!NO\s)\b(?:CHAIN|RELEASE)\b", re.IGNORECASE)
-
+# MySQL also calls a function by its quoted name, which the code doesn't show.
+_QUOTED_FUNCTION = re.compile(
+    r"`(?:GET_LOCK|RELEASE_LOCK|RELEASE_ALL_LOCKS|IS_FREE_LOCK|IS_USED_LOCK"
+    r"|LAST_INSERT_ID|ROW_COUNT|FOUND_ROWS)`\s*\(",
+    re.ASCII,
+)
+_CHANGES = re.compile(r"\b(?:UPDATE|DELETE|INSERT)\b", re.ASCII)
+_SAVEPOINT = re.compile(r"[\s;]*ROLLBACK\s+(?:WORK\s+)?TO\b", re.ASCII)
+_CHAIN = re.compile(r"(?<!NO\s)\b(?:CHAIN|RELEASE)\b", re.ASCII)
+# A search for a plain word is far faster than one of the expressions above, so
+# those run only on code that holds one of these.
+_NOT_READ_HINTS = ("UPDATE", "SHARE", "FILE", "LAST_INSERT_ID")
+_LAST_RESULT_HINTS = ("_ID", "ROW_COUNT", "FOUND_ROWS", "@@", "SHOW")
+_FUNCTION_HINTS = ("_LOCK", "_ID", "ROW_COUNT", "FOUND_ROWS")
+
+_EXECUTABLE_COMMENTS = ("/*!", "/*M!")
 _READS = {"SELECT", "SHOW", "DESCRIBE", "DESC", "EXPLAIN", "WITH", "TABLE", "VALUES"}
 _WRITES = {"INSERT", "UPDATE", "DELETE", "REPLACE", "CALL", "DO"}
 _IMPLICIT_COMMIT = {
@@ -74,22 +87,28 @@
             it a backend connection of its own.
     """
     code, comments = split_noise(sql)
+    code = code.upper()
+    for comment in comments:
+        if comment.startswith(_EXECUTABLE_COMMENTS):
+            return _refuse("executable comments")
     first = _FIRST.match(code)
     if first is None:
         return _refuse_unnamed(code)
     marks = parse_marks(comments, attributes)
     if isinstance(marks, Err):
         return marks
-    if any(_EXECUTABLE_COMMENT.match(comment) for comment in comments):
-        return _refuse("executable comments")
-    if any(_is_open(comment) for comment in comments):
-        return _refuse("a comment without an end")
-    if _MULTI.search(code, first.start(1)):
+    for comment in comments:
+        if _is_open(comment):
+            return _refuse("a comment without an end")
+    if ";" in code and _MULTI.search(code, first.start(1)):
         return _refuse("more than one statement")
-    keyword = first[1].upper()
-    local = match_local(keyword, sql)
+    keyword = first[1]
+    local = match_local(keyword, code, sql)
     if local is not None:
         return Ok(local)
+    if "`" in code and _holds(sql.upper(), _FUNCTION_HINTS):
+        if _QUOTED_FUNCTION.search(strip_comments(sql).upper()):
+            return _refuse("quoted function names")
     kind = _find_kind(keyword, code, in_transaction)
     if isinstance(kind, str):
         return _refuse(kind)
@@ -99,12 +118,13 @@
 
 def _find_kind(keyword: str, code: str, in_transaction: bool) -> StatementKind | str:
     """Return the kind, or what makes the statement unsupported."""
-    if _USER_VARIABLE.search(code):
+    if "@" in code and _USER_VARIABLE.search(code):
         return "user variables"
-    if _LOCK_FUNCTION.search(code):
+    if "_LOCK" in code and _LOCK_FUNCTION.search(code):
         return "lock functions"
-    if not in_transaction and _LAST_RESULT.search(code):
-        return "the result of an earlier statement outside a transaction"
+    if not in_transaction and _holds(code, _LAST_RESULT_HINTS):
+        if _LAST_RESULT.search(code):
+            return "the result of an earlier statement outside a transaction"
     if keyword in _READS:
         return _find_read_kind(keyword, code)
     if keyword in _WRITES:
@@ -117,7 +137,7 @@
 
 
 def _find_read_kind(keyword: str, code: str) -> StatementKind:
-    if _NOT_READ.search(code):
+    if _holds(code, _NOT_READ_HINTS) and _NOT_READ.search(code):
         return StatementKind.WRITE
     if keyword == "SELECT" or keyword == "SHOW":
         return StatementKind.READ
@@ -149,7 +169,14 @@
 
 
 def _leading_words(code: str) -> list[str]:
-    return [word.upper() for word in _WORDS.findall(code, 0, 200)]
+    return _WORDS.findall(code, 0, 200)
+
+
+def _holds(text: str, words: tuple[str, ...]) -> bool:
+    for word in words:
+        if word in text:
+            return True
+    return False
 
 
 def _is_open(comment: str) -> bool:
--- a/src/siskinhold/statements/_local.py
+++ b/src/siskinhold/statements/_local.py
@@ -18,9 +18,9 @@
     UseDatabase,
 )
 
-_FLAGS = re.IGNORECASE | re.DOTALL
+_FLAGS = re.IGNORECASE | re.DOTALL | re.ASCII
 _SCOPE = r"(?:SESSION\s+|LOCAL\s+|@@SESSION\s*\.\s*|@@LOCAL\s*\.\s*|@@)?"
-_USE = re.compile(r"USE\s*(?:`((?:[^`]|``)+)`|([\w$-]+))\Z", _FLAGS)
+_USE = re.compile(r"USE\s*(?:`((?:[^`]|``)+)`|([\w$\x80-\U0010ffff-]+))\Z", _FLAGS)
 _TOKEN = re.compile(
     r"SET\s+@`?siskinhold_token`?\s*:?=\s*(?:'([^'\\]*)'|\"([^\"\\]*)\")\Z", _FLAGS
 )
@@ -57,6 +57,11 @@
     "STRICT_TRANS_TABLES",
 }
 _SHOW = re.compile(r"SHOW\s+(?:WARNINGS|ERRORS)(?:\s+LIMIT\s+[\d\s,]+)?\Z", _FLAGS)
+# Longer texts are no list of values that the entry VM knows.
+_MAX_SELECT_CHARACTERS = 2_000
+_MAY_BE_VALUES = re.compile(
+    r"[^@(]*(?:@|(?:DATABASE|SCHEMA|_ID|VERSION|USER)\s*\(\s*\))", re.ASCII
+)
 _SELECT = re.compile(r"SELECT\s+(.+?)(?:\s+LIMIT\s+1)?\Z", _FLAGS)
 _VALUE = re.compile(
     r"(?P<label>@@(?:(?:SESSION|LOCAL|GLOBAL)\s*\.\s*)?(?P<variable>\w+)"
@@ -68,16 +73,20 @@
 )
 
 
-def match_local(first: str, sql: str) -> Classified | None:
+def match_local(first: str, code: str, sql: str) -> Classified | None:
     """Return the local statement that a text is, or None.
 
     Args:
         first: the first keyword in upper case.
+        code: the statement in upper case without literals and comments.
         sql: the whole statement.
     """
     matcher = _MATCHERS.get(first)
     if matcher is None:
         return None
+    if first == "SELECT":
+        if len(code) > _MAX_SELECT_CHARACTERS or not _MAY_BE_VALUES.match(code):
+            return None
     return matcher(strip_comments(sql).strip().rstrip(";").rstrip())
 
 
--- a/src/siskinhold/statements/_marks.py
+++ b/src/siskinhold/statements/_marks.py
@@ -17,8 +17,10 @@
 MAX_DEADLINE_MS = 600_000
 
 _NAMES = ("once", "max_age_ms", "deadline_ms")
-_HINT = re.compile(r"/\*\s*siskinhold\s*:(.*)\*/\Z", re.DOTALL | re.IGNORECASE)
-_NEAR_HINT = re.compile(r"(?:/\*|#|--)[\s+!]*siskinhold\b", re.IGNORECASE)
+_HINT = re.compile(
+    r"/\*\s*siskinhold\s*:(.*)\*/\Z", re.DOTALL | re.IGNORECASE | re.ASCII
+)
+_NEAR_HINT = re.compile(r"(?:/\*|#|--)[\s+!]*siskinhold\b", re.IGNORECASE | re.ASCII)
 _KEY = re.compile(r"[\x21-\x7e]{1,64}\Z")
 _DIGITS = re.compile(r"[0-9]{1,9}\Z")
 
@@ -74,8 +76,12 @@
             continue
         if lowered in found:
             return _error(f"mark {lowered} is given twice")
-        bare = lowered == "once" and (value is None or value is True or value == "")
-        found[lowered] = True if bare else str(value)
+        if lowered == "once" and (value is None or value is True or value == ""):
+            found[lowered] = True
+        elif isinstance(value, (str, int)) and not isinstance(value, bool):
+            found[lowered] = str(value)
+        else:
+            return _error(f"mark {lowered} can't be {str(value)[:80]!r}")
     return Ok(found)
 
 
--- a/src/siskinhold/statements/_shapes.py
+++ b/src/siskinhold/statements/_shapes.py
@@ -19,7 +19,7 @@
     | --(?=[\s\x00-\x20]|\Z)[^\n]*+)
     | (?P<number>(?<![\w$])(?:0[xX][0-9a-fA-F]++|\d++(?:\.\d*+)?(?:[eE][-+]?\d++)?))
     """,
-    re.VERBOSE | re.DOTALL,
+    re.VERBOSE | re.DOTALL | re.ASCII,
 )
 _LIST = re.compile(r"\?(?:\s*,\s*\?)++")
 _ROWS = re.compile(r"\(\s*\?\s*\)(?:\s*,\s*\(\s*\?\s*\))++")
--- a/src/siskinhold/statements/_text.py
+++ b/src/siskinhold/statements/_text.py
@@ -11,9 +11,10 @@
     | \#[^\n]*+
     | --(?=[\s\x00-\x20]|\Z)[^\n]*+
     """,
-    re.VERBOSE | re.DOTALL,
+    re.VERBOSE | re.DOTALL | re.ASCII,
 )
 _QUOTES = "'\"`"
+_MARKERS = ("'", '"', "`", "/*", "#", "--")
 
 
 def split_noise(sql: str) -> tuple[str, list[str]]:
@@ -26,6 +27,11 @@
     ("SELECT ''   FROM ``", ['/* x */'])
     """
     comments: list[str] = []
+    for marker in _MARKERS:
+        if marker in sql:
+            break
+    else:
+        return sql, comments
 
     def reduce(match: re.Match[str]) -> str:
         text = match[0]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,13 +1,20 @@
 """Tests of the callers' adapter over real sockets with stock clients."""
 
 import asyncio
+import datetime
 import hashlib
+import ipaddress
 import logging
 import random
+import ssl
 
 import aiomysql
 import pymysql
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
 from siskinhold.adapters import CallerLimits, MysqlCallers
 from siskinhold.effects import CloseCaller, ReplyCaller
@@ -22,6 +29,7 @@
     Column,
     Done,
     Failed,
+    Marks,
     NotRun,
     NotRunReason,
     Position,
@@ -124,6 +132,36 @@
     return caught.value.args
 
 
+def make_contexts(directory):
+    """Return TLS contexts of a server and a client that trusts it."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "127.0.0.1")])
+    start = datetime.datetime(2000, 1, 1)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=365_000))
+        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    pem = directory / "vm.pem"
+    encoding = serialization.Encoding.PEM
+    private = key.private_bytes(
+        encoding,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    pem.write_bytes(private + certificate.public_bytes(encoding))
+    server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    server.load_cert_chain(pem)
+    return server, ssl.create_default_context(cafile=str(pem))
+
+
 class TestAnswers:
     async def test_rows_pass_through(self):
         """Rows and types arrive as given; guards against re-encoded values."""
@@ -294,6 +332,37 @@
                 "CREATE TABLE a (b int)",
             ]
 
+    async def test_reset_connection(self):
+        """A reset rolls back; guards a pool's next user from an open transaction."""
+        async with Entry() as entry:
+            connection = await entry.connect(autocommit=False)
+            await run(connection, "INSERT a")
+            await connection._execute_command(0x1F, "")
+            await connection._read_ok_packet()
+            assert entry.sent() == ["BEGIN", "INSERT a", "ROLLBACK"]
+            await run(connection, "INSERT b")
+            assert entry.sent()[3:] == ["INSERT b"]
+
+    async def test_other_character_set(self):
+        """A latin1 caller is told to use utf8mb4; guards against wrong text."""
+        async with Entry() as entry:
+            connection = await entry.connect(charset="latin1")
+            found = await fail(connection, "SELECT 1")
+            assert found[0] == 5004 and "utf8mb4" in found[1]
+            await run(connection, "SET NAMES utf8mb4")
+            await run(connection, "SELECT 1")
+
+    async def test_query_attributes(self):
+        """Marks in query attributes reach the event; the client lacks them."""
+        async with Entry() as entry:
+            connection = await entry.connect(client_flag=1 << 27)
+            connection.client_flag |= 1 << 27
+            name = b"once"
+            attributes = b"\1\1\0\1" + b"\xfd\0" + b"\4" + name + b"\3K-7"
+            await connection._execute_command(3, attributes + b"INSERT a")
+            await connection._read_ok_packet()
+            assert entry.of(StatementReceived)[0].marks == Marks(once=True, key="K-7")
+
     async def test_disconnect_while_waiting(self):
         """A caller that leaves while it waits is reported at once."""
         async with Entry() as entry:
@@ -370,6 +439,22 @@
             connection = await entry.connect(auth_plugin="caching_sha2_password")
             await connection.ping(reconnect=False)
 
+    async def test_tls(self, tmp_path):
+        """A caller that asks for TLS gets it, and its end is noticed as well."""
+        server, client = make_contexts(tmp_path)
+        async with Entry(ssl=server) as entry:
+            entry.replies["INSERT a"] = None
+            connection = await entry.connect(ssl=client)
+            await run(connection, "INSERT b")
+            assert connection._writer.get_extra_info("cipher")
+            task = asyncio.create_task(run(connection, "INSERT a"))
+            await entry.wait_for(StatementReceived)
+            await asyncio.sleep(0)
+            connection.close()
+            await entry.wait_for(CallerClosed)
+            with pytest.raises((pymysql.err.MySQLError, asyncio.CancelledError)):
+                await task
+
 
 class TestLimits:
     async def test_large_statement(self):
