Free a backend connection before its event is emitted

The reducer may run a statement from within BackendOpened; the connection still counted as busy, and the statement was reported as lost.

--- a/src/siskinhold/adapters/_backends.py
+++ b/src/siskinhold/adapters/_backends.py
@@ -53,6 +53,7 @@
         )
         self._connection_limit = connection_limit
         self._work: dict[int, WorkConnection] = {}
+        self._opening: set[int] = set()
         self._busy: dict[int, asyncio.Task] = {}
         self._links: dict[tuple[str, str, int], ControlLink] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -94,9 +95,10 @@
         self._links.clear()
 
     def _open_backend(self, effect: effects.OpenBackend) -> None:
-        if len(self._work) + len(self._busy) >= self._connection_limit:
+        if len(self._work) + len(self._opening) >= self._connection_limit:
             self._emit_closed(effect.connection, ControlFailure.REFUSED)
             return
+        self._opening.add(effect.connection)
         self._occupy(effect.connection, self._open(effect))
 
     async def _open(self, effect: effects.OpenBackend) -> None:
@@ -109,12 +111,16 @@
                 database=effect.database,
             )
         except ConnectionLost as loss:
+            self._busy.pop(number, None)
             self._emit_closed(number, loss.failure)
             return
+        finally:
+            self._opening.discard(number)
         self._work[number] = WorkConnection(
             number=number, raw=raw, emit=self._emit_of_work
         )
         raw.on_end = lambda: self._on_end(number)
+        self._busy.pop(number, None)
         self._emit(events.BackendOpened(at=self._loop.time(), connection=number))
 
     def _run_statement(self, effect: effects.RunStatement) -> None:
@@ -259,7 +265,7 @@
             return
         if isinstance(event, events.BackendLost | events.BackendClosed):
             del self._work[number]
-        # The connection is idle again before the reducer may use it again.
+        # A handler of the event may use the connection at once.
         self._busy.pop(number, None)
         self._emit(event)
 
--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -295,6 +295,22 @@
         await asyncio.sleep(0.1)
         assert h.seen.empty()
 
+    async def test_effects_from_within_an_event(self, database):
+        """Guards against a connection that still counts as busy in its own event."""
+        harness = Harness(database)
+        sql = iter(("SELECT 1", "SELECT 2"))
+
+        def react(event):
+            harness.seen.put_nowait(event)
+            if (text := next(sql, None)) is not None:
+                harness.adapter.perform(harness.statement(event.connection, text))
+
+        await harness.adapter.start(react)
+        await harness.open()
+        assert (await harness.next()).outcome.rows == ((b"1",),)
+        assert (await harness.next()).outcome.rows == ((b"2",),)
+        await harness.adapter.stop()
+
     async def test_refused_open(self, harness):
         """Guards against a hang when nobody listens or the limit is reached."""
         await harness.fault(kill="keep")
