Hand bytes that follow a TLS request to the TLS handshake

A client's first TLS message may be read together with its request for TLS; left in the plain reader it stalled the handshake until the timeout.

--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -12,6 +12,9 @@
 
 _MAX_PAYLOAD = 0xFFFFFF
 _DISCARD_BYTES = 65_536
+# The request for TLS is a packet of this size; a longer first packet is a login.
+_TLS_REQUEST_BYTES = 36
+_TLS_REQUEST_LENGTH = b"\x20\0\0"
 
 
 class PacketTooLarge(Exception):
@@ -26,10 +29,26 @@
     """A stream reader that reports the end of the stream when it arrives.
 
     A caller that disconnects while its statement runs is noticed at once, with
-    no task that reads ahead.
+    no task that reads ahead. What arrives right after a request for TLS is kept
+    apart, as it belongs to the TLS handshake.
     """
 
     on_eof: Callable[[], None] | None = None
+    awaits_tls = False
+    _head = b""
+    _received = 0
+    _excess = b""
+
+    def feed_data(self, data: bytes) -> None:
+        """Take bytes from the transport."""
+        if self.awaits_tls:
+            data = self._keep_excess(bytes(data))
+        super().feed_data(data)
+
+    def take_excess(self) -> bytes:
+        """Return what was kept apart; everything later is read as it comes."""
+        self.awaits_tls = False
+        return self._excess
 
     def feed_eof(self) -> None:
         """Note the end of the stream and report it."""
@@ -43,6 +62,16 @@
         if self.on_eof is not None:
             self.on_eof()
 
+    def _keep_excess(self, data: bytes) -> bytes:
+        room = max(_TLS_REQUEST_BYTES - self._received, 0)
+        self._received += len(data)
+        self._head = (self._head + data)[: len(_TLS_REQUEST_LENGTH)]
+        if not _TLS_REQUEST_LENGTH.startswith(self._head):
+            self.awaits_tls = False
+            return data
+        self._excess += data[room:]
+        return data[:room]
+
 
 class CallerStream:
     """Reads and writes the packets of one connection.
@@ -80,8 +109,23 @@
             raise ConnectionClosed() from error
 
     async def start_tls(self, ssl: SSLContext) -> None:
-        """Continue with TLS."""
-        await self.writer.start_tls(ssl)
+        """Continue with TLS.
+
+        A client sends its first TLS message without waiting, so it may be read
+        together with the request. The loop's TLS protocol is then given it.
+        """
+        excess = self.reader.take_excess()
+        transport = self.writer.transport
+        plain = transport.get_protocol()
+        start = asyncio.create_task(self.writer.start_tls(ssl))
+        while transport.get_protocol() is plain and not start.done():
+            await asyncio.sleep(0)
+        if excess and not start.done():
+            # Runs after the protocol's `connection_made`, which is scheduled,
+            # and before the transport reads again.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(_feed, transport.get_protocol(), excess)
+        await start
 
     async def _read(self) -> bytes:
         parts: list[bytes] = []
@@ -113,3 +157,12 @@
             if not chunk:
                 raise ConnectionClosed()
             length -= len(chunk)
+
+
+def _feed(protocol: asyncio.BufferedProtocol, data: bytes) -> None:
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -267,13 +267,18 @@
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         reader = EofReader(loop=asyncio.get_running_loop())
+        reader.awaits_tls = self.ssl is not None
         return asyncio.StreamReaderProtocol(reader, self._connected)
 
     async def _connected(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
         peer = writer.get_extra_info("socket")
         if peer is not None:
             peer.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        await self._serve(reader, writer)
+        try:
+            await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            # Only `stop` cancels; the protocol would report it as a failure.
+            writer.transport.abort()
 
 
 # The library's connections want one; KILL is not offered, so it stays unused.
