--- a/src/siskinhold_trial/store/_server.py
+++ b/src/siskinhold_trial/store/_server.py
@@ -125,7 +125,9 @@
     def _make_service(self) -> web.Application:
         application = web.Application(
             middlewares=[self._apply_faults, refuse_malformed],
-            client_max_size=MAX_VALUE_BYTES,
+            # Above the limit of a value, so that the engine refuses a larger one
+            # with a typed failure and not the HTTP library.
+            client_max_size=2 * MAX_VALUE_BYTES,
         )
         routes = ServiceRoutes(engine=self.engine, vms=self.vms)
         routes.add_to(application.router)
--- a/tests/store_samples.py
+++ b/tests/store_samples.py
@@ -1,5 +1,9 @@
-"""Values that the tests of the store, the tickets and the operator port share."""
+"""What the tests of the store, the tickets and the operator port share."""
 
+import contextlib
+import random
+
+from siskinhold.core import Identity, NodeState
 from siskinhold.core._state import Peer
 from siskinhold.model import BackendServer, VmAddress, VmState, VmView
 from siskinhold.store import WriteObject
@@ -16,6 +20,13 @@
     )
 
 
+def make_node(name: str, *peers: Peer) -> NodeState:
+    identity = Identity(address=make_address(name), incarnation=3)
+    node = NodeState(identity=identity, random=random.Random(1))
+    node.membership.peers = {peer.view.address.name: peer for peer in peers}
+    return node
+
+
 def make_peer(name: str, ticket: int, state=VmState.LIVE, heard_at=0.0) -> Peer:
     address = make_address(name)
     view = VmView(address=address, incarnation=1, state=state, beat=1, ticket=ticket)
@@ -27,5 +38,14 @@
     return BackendServer(**(values | fields))
 
 
+@contextlib.asynccontextmanager
+async def started(part, *arguments):
+    await part.start(*arguments)
+    try:
+        yield part
+    finally:
+        await part.stop()
+
+
 def write(key: str, value: bytes = b"v", version: int = 0) -> WriteObject:
     return WriteObject(key=key, value=value, expected_version=version)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,15 +1,14 @@
 """The operators' port over loopback sockets."""
 
 import copy
-import random
 
 import aiohttp
 import msgspec
 import pytest_asyncio
-from store_samples import make_address, make_peer, make_server
+from store_samples import make_node, make_peer, make_server, started
 
 from siskinhold.adapters import OperatorServer, OperatorStatus
-from siskinhold.core import Identity, NodeState
+from siskinhold.core import NodeState
 from siskinhold.model import (
     Database,
     DatabaseGroup,
@@ -22,10 +21,8 @@
 )
 
 
-def make_node() -> NodeState:
-    identity = Identity(address=make_address("vm1"), incarnation=3)
-    node = NodeState(identity=identity, random=random.Random(1))
-    node.membership.peers["vm2"] = make_peer("vm2", 6, heard_at=99.5)
+def make_full_node() -> NodeState:
+    node = make_node("vm1", make_peer("vm2", 6, heard_at=99.5))
     node.config.applied = 7
     node.config.applied_at = 90.0
     for name in ("a1", "a2", "b1"):
@@ -47,7 +44,7 @@
     """A started server and a client of it."""
 
     def __init__(self) -> None:
-        self.node = make_node()
+        self.node = make_full_node()
         self.server = OperatorServer(
             node=self.node,
             host="127.0.0.1",
@@ -71,9 +68,8 @@
 @pytest_asyncio.fixture
 async def port():
     port = Port()
-    await port.server.start()
-    yield port
-    await port.server.stop()
+    async with started(port.server):
+        yield port
 
 
 class TestStatus:
--- a/tests/test_store_adapter.py
+++ b/tests/test_store_adapter.py
@@ -13,7 +13,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from store_samples import make_address, write
+from store_samples import make_address, started, write
 
 from siskinhold.adapters import HttpStore, StoreClient
 from siskinhold.effects import CallStore, WatchStore
@@ -48,17 +48,15 @@
 @pytest_asyncio.fixture
 async def server():
     server = StoreServer(engine=StoreEngine(page_bytes=10), vms=VmList())
-    await server.start()
-    yield server
-    await server.stop()
+    async with started(server):
+        yield server
 
 
 @pytest_asyncio.fixture
 async def probe(server):
     probe = Probe(server.url)
-    await probe.store.start(probe.events.put_nowait)
-    yield probe
-    await probe.store.stop()
+    async with started(probe.store, probe.events.put_nowait):
+        yield probe
 
 
 class TestCalls:
@@ -93,8 +91,9 @@
         assert result.revision == 6
 
     async def test_too_large_value(self, probe):
-        """A value over 1 MB is refused before it is sent to the store."""
-        result = await probe.call(write("a", b"x" * 1_000_001))
+        """1 MB is stored and more is refused; guards against a lower limit."""
+        assert (await probe.call(write("a", b"x" * 1_000_000))).failure is None
+        result = await probe.call(write("b", b"x" * 1_000_001))
         assert result.failure is StoreFailure.REJECTED
 
 
@@ -152,8 +151,7 @@
         assert keys == [f"t/{number}" for number in range(1, 6)]
 
     async def test_repeated_outages(self, server, probe):
-        """Writes go on through outages of both kinds; guards against a change
-        that falls between two polls."""
+        """Writes go on meanwhile; guards against a change between two polls."""
         choose = random.Random(7)
         probe.store.watch(WatchStore(prefix="t/", after=0))
         for number in range(60):
@@ -222,22 +220,16 @@
 
 class TestTls:
     async def test_trusted_and_untrusted(self, tmp_path):
-        """A client that does not trust the certificate gets a typed failure;
-        guards against a connection without verification."""
+        """An unknown certificate is refused; guards against not verifying it."""
         server_tls, client_tls = make_tls_contexts(tmp_path)
         server = StoreServer(engine=StoreEngine(), vms=VmList(), tls=server_tls)
-        await server.start()
-        results = []
-        for tls in (client_tls, None):
-            client = StoreClient(url=server.url, tls=tls)
-            await client.start()
-            results.append(await client.call(ListObjects(prefix=""), timeout=2.0))
-            await client.stop()
-        await server.stop()
-        assert [result.failure for result in results] == [
-            None,
-            StoreFailure.NO_ANSWER,
-        ]
+        failures = []
+        async with started(server):
+            for tls in (client_tls, None):
+                async with started(StoreClient(url=server.url, tls=tls)) as client:
+                    result = await client.call(ListObjects(prefix=""), timeout=2.0)
+                failures.append(result.failure)
+        assert failures == [None, StoreFailure.NO_ANSWER]
 
 
 MALFORMED = [
@@ -268,10 +260,9 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         probe = Probe(f"http://127.0.0.1:{runner.addresses[0][1]}")
-        await probe.store.start(probe.events.put_nowait)
-        for operation in (ReadObject(key="a"), write("a")):
-            result = await probe.call(operation)
-            assert result.failure is StoreFailure.NO_ANSWER
-        assert await probe.store.register_vm(make_address("a"))
-        await probe.store.stop()
+        async with started(probe.store, probe.events.put_nowait):
+            for operation in (ReadObject(key="a"), write("a")):
+                result = await probe.call(operation)
+                assert result.failure is StoreFailure.NO_ANSWER
+            assert await probe.store.register_vm(make_address("a"))
         await runner.cleanup()
--- a/tests/test_store_standin.py
+++ b/tests/test_store_standin.py
@@ -5,7 +5,7 @@
 import pytest
 import pytest_asyncio
 from hypothesis import given, settings, strategies as st
-from store_samples import make_address, write
+from store_samples import make_address, started, write
 
 from siskinhold.store import ListObjects, ReadObject, StoreFailure
 from siskinhold_trial.store import (
@@ -51,8 +51,7 @@
     @REPEATABLE
     @given(st.lists(st.sampled_from(KEYS), max_size=20), st.data())
     def test_watch_misses_nothing(self, keys, data):
-        """A reader that polls now and then ends with the engine's objects;
-        guards against a gap between pages or revisions."""
+        """Polling now and then ends up to date; guards against a gap in pages."""
         engine = StoreEngine(page_bytes=3)
         versions: dict[str, int] = {}
         seen: dict[str, int] = {}
@@ -74,8 +73,7 @@
         return result.revision
 
     def test_limits(self):
-        """A value may have 1 MB and no more; guards against trials with values
-        that the platform refuses."""
+        """A value may have 1 MB; guards against trials with impossible values."""
         engine = StoreEngine()
         assert engine.call(write("a", b"x" * 1_000_000, 0)).failure is None
         for refused in (write("b", b"x" * 1_000_001, 0), write("", b"", 0)):
@@ -99,9 +97,8 @@
 @pytest_asyncio.fixture
 async def server():
     server = StoreServer(engine=StoreEngine(), vms=VmList())
-    await server.start()
-    yield server
-    await server.stop()
+    async with started(server):
+        yield server
 
 
 @pytest_asyncio.fixture
@@ -112,8 +109,7 @@
 
 class TestControlPort:
     async def test_counters(self, server, session):
-        """Each call counts once, a watch included; guards against a store load
-        that trials report too low."""
+        """Each call counts once, watches too; guards against a load set too low."""
         changes = "/v1/changes?prefix=&after=0&wait_ms=10"
         for path in ("/v1/object?key=a", changes, "/v1/objects?prefix=", "/v1/vms"):
             await session.get(server.url + path)
@@ -124,8 +120,7 @@
         assert await (await session.get(url)).json() == {"total": 0}
 
     async def test_faults_over_http(self, server, session):
-        """A fault is set and cleared from outside; guards against a control port
-        that goes down with the service."""
+        """A fault is set and cleared; guards against losing the control port."""
         url = f"{server.control_url}/control/faults"
         assert (await session.put(url, json={"down": "refuse"})).status == 200
         with pytest.raises(aiohttp.ClientConnectionError):
@@ -135,8 +130,7 @@
         assert (await session.put(url, json={"dwon": "refuse"})).status == 400
 
     async def test_vm_list(self, server, session):
-        """Registered VMs can be set to leave; guards against an unknown name
-        being taken for a success."""
+        """Only a registered VM can leave; guards against a misspelt name."""
         await session.post(f"{server.url}/v1/vms", data=msgspec.json.encode(VM))
         url = f"{server.control_url}/control/vms"
         leaving = {"presence": "leaving"}
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -1,16 +1,14 @@
 """The ticket tool against the store stand-in and an operator port."""
 
 import asyncio
-import random
 
 import msgspec
 import pytest
 import pytest_asyncio
 from result import Err, Ok
-from store_samples import make_address, make_peer, make_server
+from store_samples import make_address, make_node, make_peer, make_server, started
 
 from siskinhold.adapters import OperatorServer, StoreClient
-from siskinhold.core import Identity, NodeState
 from siskinhold.model import ChangeTicket, Database, DatabaseGroup, VmState
 from siskinhold.programs import ticket as tool
 from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
@@ -60,17 +58,14 @@
 @pytest_asyncio.fixture
 async def desk(tmp_path):
     desk = Desk(tmp_path)
-    await desk.server.start()
-    yield desk
-    await desk.server.stop()
+    async with started(desk.server):
+        yield desk
 
 
 @pytest_asyncio.fixture
 async def client(desk):
-    client = StoreClient(url=desk.server.url)
-    await client.start()
-    yield client
-    await client.stop()
+    async with started(StoreClient(url=desk.server.url)) as client:
+        yield client
 
 
 class TestCommands:
@@ -95,8 +90,7 @@
         assert desk.engine.revision == 0
 
     async def test_gap_in_the_store(self, desk, client):
-        """Tickets without their predecessor are refused; guards against a
-        diff against a state that was never in force."""
+        """A missing ticket is a failure; guards against a state never in force."""
         assert isinstance(await submit_ticket(client, make_ticket(2)), Ok)
         assert (await desk.run(tool.HistoryCommand())).code == 5
 
@@ -160,8 +154,7 @@
         assert desk.server.counters["write"] == 1
 
     async def test_change_takes_effect_after_the_timeout(self, desk, client):
-        """An absent object is no proof; guards against a second author being
-        told that the number is free, or this one that it is taken."""
+        """An absent object is no proof; guards against a false refusal."""
         await desk.server.set_faults(StoreFaults(delay=0.4))
         submitted = asyncio.create_task(
             submit_ticket(client, make_ticket(1), call_timeout=0.1)
@@ -183,12 +176,8 @@
     """An operator port of a VM that knows two others, one of them leaving."""
 
     def __init__(self) -> None:
-        identity = Identity(address=make_address("vm1"), incarnation=1)
-        self.node = NodeState(identity=identity, random=random.Random(1))
-        self.node.membership.peers = {
-            "vm2": make_peer("vm2", 0),
-            "vm3": make_peer("vm3", 0, VmState.LEAVING),
-        }
+        leaving = make_peer("vm3", 0, VmState.LEAVING)
+        self.node = make_node("vm1", make_peer("vm2", 0), leaving)
         self.server = OperatorServer(
             node=self.node,
             host="127.0.0.1",
@@ -204,9 +193,8 @@
 @pytest_asyncio.fixture
 async def fleet():
     fleet = Fleet()
-    await fleet.server.start()
-    yield fleet
-    await fleet.server.stop()
+    async with started(fleet.server):
+        yield fleet
 
 
 class TestWait:
@@ -229,8 +217,7 @@
         assert "lagging=vm2" in report.lines[0]
 
     async def test_operator_port_from_the_list(self, desk, fleet):
-        """Another VM is asked when the named one is gone; guards against
-        depending on one VM."""
+        """Another VM is asked for a lost one; guards against needing one VM."""
         desk.server.vms.register(make_address("vm1", fleet.server.port), now=0.0)
         report = await desk.run(tool.Status(), operator="http://127.0.0.1:1")
         assert report.code == 0
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -118,21 +118,13 @@
 
 
 def change_server(**fields):
-    def change(group):
-        a, b = group.databases
-        first, *rest = a.servers
-        a = replace(a, servers=(replace(first, **fields), *rest))
-        return replace(group, databases=(a, b))
-
-    return change
+    first, *rest = ORDERS.databases[0].servers
+    return change_database(servers=(replace(first, **fields), *rest))
 
 
 def change_database(**fields):
-    def change(group):
-        a, b = group.databases
-        return replace(group, databases=(replace(a, **fields), b))
-
-    return change
+    a, b = ORDERS.databases
+    return lambda group: replace(group, databases=(replace(a, **fields), b))
 
 
 def change_rules(**fields):
