--- a/src/siskinhold_trial/database/_connections.py
+++ b/src/siskinhold_trial/database/_connections.py
@@ -1,6 +1,7 @@
 """Client connections of an instance in the MySQL protocol."""
 
 import asyncio
+import socket
 import struct
 from typing import Any
 
@@ -14,6 +15,9 @@
 from ._sessions import InstanceSession
 from ._storage import Result
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Linger option that makes a close send a reset."""
+
 _IDLE = ServerStatus.SERVER_STATUS_AUTOCOMMIT
 _IN_TRANSACTION = _IDLE | ServerStatus.SERVER_STATUS_IN_TRANS
 
@@ -30,6 +34,14 @@
         self.transport = transport
         self.counted: bool | None = None
 
+    def reset(self) -> None:
+        """Reset the connection and end the statement on it."""
+        raw_socket = self.transport.get_extra_info("socket")
+        if raw_socket is not None and not self.transport.is_closing():
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.transport.abort()
+        self.task.cancel()
+
 
 class SilenceableWriter(asyncio.StreamWriter):
     """Drops what is written once its link is silent."""
--- a/src/siskinhold_trial/database/_server.py
+++ b/src/siskinhold_trial/database/_server.py
@@ -88,8 +88,7 @@
         self.close()
         links = list(self._links.values())
         for link in links:
-            link.transport.abort()
-            link.task.cancel()
+            link.reset()
         if links:
             await asyncio.wait([link.task for link in links])
 
--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -4,80 +4,11 @@
 from types import SimpleNamespace
 
 import pytest_asyncio
+from backends_harness import REQUEST, Harness
 
 from siskinhold import effects, events
-from siskinhold.adapters import MysqlBackends
-from siskinhold.model import (
-    BackendServer,
-    ControlFailure,
-    Done,
-    Failed,
-    NotRun,
-    Position,
-    RequestId,
-    Role,
-)
-from siskinhold_trial.database import Costs, Faults, TrialDatabase, apply_faults
-
-REQUEST = RequestId("vm-1", 1, 1)
-
-
-class Harness:
-    """A started adapter with the events it emitted."""
-
-    def __init__(self, database, **arguments):
-        self.database = database
-        self.seen = asyncio.Queue()
-        self.adapter = MysqlBackends(user="siskinhold", **arguments)
-        self.numbers = iter(range(1, 1000))
-
-    def server(self, index=0):
-        instance = self.database.instances[index]
-        return BackendServer(
-            name=instance.name,
-            host=instance.host,
-            port=instance.port,
-            region="r",
-            availability_zone="z",
-        )
-
-    async def do(self, effect):
-        self.adapter.perform(effect)
-        return await self.next()
-
-    async def next(self):
-        return await asyncio.wait_for(self.seen.get(), 2)
-
-    async def open(self, index=0):
-        effect = effects.OpenBackend(
-            connection=next(self.numbers), server=self.server(index), database="trial"
-        )
-        event = await self.do(effect)
-        assert isinstance(event, events.BackendOpened), event
-        return effect.connection
-
-    def statement(self, connection, sql, **arguments):
-        return effects.RunStatement(
-            connection=connection, request=REQUEST, sql=sql, **arguments
-        )
-
-    async def run(self, connection, sql, **arguments):
-        return await self.do(self.statement(connection, sql, **arguments))
-
-    async def settle(self, connection, key):
-        effect = effects.SettleKey(connection=connection, request=REQUEST, key=key)
-        return await self.do(effect)
-
-    async def status(self, index=0, **arguments):
-        effect = effects.QueryStatus(server=self.server(index), call=7, **arguments)
-        return await self.do(effect)
-
-    async def fault(self, index=0, **faults):
-        await apply_faults(self.database.servers[index], Faults(**faults))
-
-    async def executing(self, index=0):
-        while not self.database.servers[index].executing:
-            await asyncio.sleep(0.001)
+from siskinhold.model import ControlFailure, Done, Failed, NotRun, Position, Role
+from siskinhold_trial.database import Costs, TrialDatabase
 
 
 @pytest_asyncio.fixture
