Compare the progress of term records in heartbeats

A pushed record was sent once and not repeated. Ruled out: the store watch, which only watchers hold. Before: 1 of 3 VMs without any record after 30 s. Conclusion: heartbeats carry the sum of the reserved and finished terms, and a VM that is behind asks for the records.

--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -55,6 +55,7 @@
         state=node.membership.state,
         beat=node.membership.beat,
         ticket=node.config.applied,
+        terms=node.config.progress,
     )
 
 
@@ -149,6 +150,7 @@
         state=state,
         beat=peer.view.beat,
         ticket=peer.view.ticket,
+        terms=peer.view.terms,
     )
     _note_state(node, peer, cause, out)
     spread(node, name)
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -30,6 +30,7 @@
 )
 from ._failover_state import Attempt, Phase
 from ._health import find_record, is_reachable, majority, request_status
+from ._spreading import push_records
 from ._state import Effects, NodeState, record
 from ._tickets import learn_record
 from ._timers import TimerAction
@@ -233,6 +234,7 @@
     node: NodeState, attempt: Attempt, version: int, out: Effects
 ) -> None:
     learn_record(node, attempt.written, version, out)
+    push_records(node, [attempt.written], out)
     if attempt.phase is Phase.RESERVING:
         _fence(node, attempt, out)
         return
@@ -408,6 +410,7 @@
     result = event.result
     if result.failure is None:
         learn_record(node, purpose.written, result.objects[0].version, out)
+        push_records(node, [purpose.written], out)
         return
     if result.failure is StoreFailure.CONFLICT:
         call = node.open_store_call(FirstRecordRead(purpose.database))
--- a/src/siskinhold/core/_spreading.py
+++ b/src/siskinhold/core/_spreading.py
@@ -28,6 +28,9 @@
 ASK_INTERVAL = 0.3
 """Seconds between two requests for missing tickets."""
 
+TERMS_INTERVAL = 0.5
+"""Seconds between two requests for records of terms."""
+
 BEHIND_TIME = 1.0
 """Seconds after which tickets are pushed to a VM that did not ask for them.
 
@@ -58,6 +61,7 @@
     views = event.envelope.message.views
     if not views or views[0].address.name != sender:
         return
+    _compare_terms(node, sender, views[0].terms, out)
     theirs = views[0].ticket
     if theirs > mine.applied and node.now - mine.asked_at >= ASK_INTERVAL:
         ask_for_tickets(node, sender, out)
@@ -70,6 +74,18 @@
     _send_tickets(node, sender, theirs + 1, out)
 
 
+def _compare_terms(node: NodeState, vm: str, theirs: int, out: Effects) -> None:
+    """Ask a VM that knows more of the records of terms for them.
+
+    A pushed record can be lost, and a VM may start after it was pushed.
+    """
+    mine = node.config
+    if theirs <= mine.progress or node.now - mine.terms_asked_at < TERMS_INTERVAL:
+        return
+    mine.terms_asked_at = node.now
+    out.append(SendPeer(vm=vm, message=TermsWanted()))
+
+
 def answer_tickets(node: NodeState, event: PeerReceived, out: Effects) -> None:
     """Send the tickets that a VM asks for; none if it has them all."""
     sender = event.envelope.sender
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -146,6 +146,8 @@
         record_versions: store version of each record.
         watching: whether this VM watches the store.
         version: grows when `groups` or `records` change.
+        progress: sum of the terms reserved and finished in all records.
+        terms_asked_at: when a VM was last asked for its records.
         started_at: when the process started.
         answered: whether a peer answered since the start.
         listed: whether the store was listed since the start.
@@ -169,6 +171,8 @@
     record_versions: dict[str, int] = field(default_factory=dict)
     watching: bool = False
     version: int = 0
+    progress: int = 0
+    terms_asked_at: float = -math.inf
     started_at: float = 0.0
     answered: bool = False
     listed: bool = False
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -109,6 +109,7 @@
         same_rank = _rank(record) == _rank(known)
         if not newer and not (same_rank and store_version > version > 0):
             return False
+    mine.progress += _measure_progress(record) - _measure_progress(known)
     mine.records[name] = record
     mine.record_versions[name] = store_version
     mine.version += 1
@@ -125,6 +126,12 @@
     return True
 
 
+def _measure_progress(record: TermRecord | None) -> int:
+    if record is None:
+        return 0
+    return record.term + record.highest_reserved
+
+
 def _rank(record: TermRecord) -> tuple[int, int, int]:
     return (len(record.starts), record.term, record.highest_reserved)
 
--- a/src/siskinhold/model/_peers.py
+++ b/src/siskinhold/model/_peers.py
@@ -42,6 +42,7 @@
         state: its state in the sender's view.
         beat: counter that the VM itself raises with each heartbeat.
         ticket: highest change ticket number in force on it.
+        terms: progress of the records of terms it knows; grows with each one.
     """
 
     address: VmAddress
@@ -49,3 +50,4 @@
     state: VmState
     beat: int
     ticket: int
+    terms: int = 0
--- a/src/siskinhold_trial/fleet/_fleet.py
+++ b/src/siskinhold_trial/fleet/_fleet.py
@@ -72,6 +72,7 @@
                 caller_delay=deployment.caller_delay,
             )
         self.accepted = 0
+        self.draining = False
 
     async def start(self) -> None:
         """Accept the first ticket, start all VMs and wait until they serve."""
--- /dev/null
+++ b/src/siskinhold_trial/proof/_faults.py
@@ -0,0 +1,242 @@
+"""The faults of the brief as actions on a fleet, each with its repair."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from siskinhold.model import ServerState
+from siskinhold_trial.fleet import Fleet
+from siskinhold_trial.history import Leaving
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Fault:
+    """One kind of fault.
+
+    Args:
+        name: its name in reports.
+        run: causes it, waits, and repairs it.
+    """
+
+    name: str
+    run: Callable[[Fleet, random.Random], Awaitable[None]]
+
+
+def _pick_database(fleet: Fleet, chance: random.Random) -> str:
+    return chance.choice(sorted(fleet.databases))
+
+
+def _pick_vm(fleet: Fleet, chance: random.Random):
+    running = fleet.list_running()
+    return chance.choice(running) if len(running) > 2 else None
+
+
+async def kill_vm(fleet: Fleet, chance: random.Random) -> None:
+    """Kill a VM; it restarts with empty memory under the same address."""
+    vm = _pick_vm(fleet, chance)
+    if vm is None:
+        return
+    await vm.kill()
+    await asyncio.sleep(chance.choice((0.1, 1.0, 4.0)))
+    await vm.start()
+
+
+async def kill_owner(fleet: Fleet, chance: random.Random) -> None:
+    """Kill the owner of a database, then restart it."""
+    vm = fleet.find_owner(_pick_database(fleet, chance))
+    if vm is None or len(fleet.list_running()) < 3:
+        return
+    await vm.kill()
+    await asyncio.sleep(3.0)
+    await vm.start()
+
+
+async def kill_primary(fleet: Fleet, chance: random.Random) -> None:
+    """Kill a primary; it comes back with its log."""
+    server = fleet.databases[_pick_database(fleet, chance)].find_primary()
+    if not server.alive:
+        return
+    server.kill()
+    await asyncio.sleep(chance.choice((0.3, 3.0, 8.0)))
+    server.restart()
+
+
+async def kill_owner_in_promotion(fleet: Fleet, chance: random.Random) -> None:
+    """Kill a primary, and its database's owner while it promotes another."""
+    name = _pick_database(fleet, chance)
+    server = fleet.databases[name].find_primary()
+    if not server.alive:
+        return
+    server.kill()
+    await asyncio.sleep(0.5 + chance.random() * 0.15)
+    vm = fleet.find_owner(name)
+    if vm is not None and len(fleet.list_running()) > 3:
+        await vm.kill()
+        await asyncio.sleep(4.0)
+        await vm.start()
+    server.restart()
+
+
+async def isolate_primary(fleet: Fleet, chance: random.Random) -> None:
+    """Cut a primary off from everything while it still believes it leads."""
+    server = fleet.databases[_pick_database(fleet, chance)].find_primary()
+    fleet.world.isolate(server.place.name)
+    await asyncio.sleep(chance.choice((0.4, 3.0, 8.0)))
+    fleet.world.rejoin(server.place.name)
+
+
+async def isolate_primary_with_owner(fleet: Fleet, chance: random.Random) -> None:
+    """Cut a primary and its owner VM off together from everything else."""
+    name = _pick_database(fleet, chance)
+    database = fleet.databases[name]
+    server = database.find_primary()
+    vm = fleet.find_owner(name)
+    if vm is None:
+        return
+    here = (server.place.name, vm.address.name)
+    others = [other for other in database.servers if other not in here]
+    others += [other for other in fleet.vms if other not in here]
+    pairs = [(one, other) for one in here for other in (*others, "store")]
+    began = fleet.world.now()
+    for one, other in pairs:
+        fleet.world.cut(one, other)
+    await asyncio.sleep(chance.choice((1.0, 5.0)))
+    for one, other in pairs:
+        fleet.world.mend(one, other)
+    if vm.life is not None:
+        vm.life.cut_off.append((began, fleet.world.now()))
+
+
+async def cut_region_link(fleet: Fleet, chance: random.Random) -> None:
+    """Cut the link between the two regions."""
+    regions = sorted({region for region, _ in fleet.deployment.zones})
+    began = fleet.world.now()
+    fleet.world.cut(*regions)
+    await asyncio.sleep(chance.choice((1.0, 6.0)))
+    fleet.world.mend(*regions)
+    for vm in fleet.vms.values():
+        if vm.life is not None:
+            vm.life.cut_off.append((began, fleet.world.now()))
+
+
+async def freeze_vm(fleet: Fleet, chance: random.Random) -> None:
+    """Freeze an owner VM and thaw it, as a paused virtual machine is."""
+    vm = fleet.find_owner(_pick_database(fleet, chance))
+    if vm is None:
+        return
+    vm.freeze()
+    await asyncio.sleep(chance.choice((0.3, 3.0, 6.0)))
+    if vm.running:
+        vm.thaw()
+
+
+async def stop_store(fleet: Fleet, chance: random.Random) -> None:
+    """Take the store down for a while."""
+    fleet.store.down = True
+    await asyncio.sleep(chance.choice((1.0, 10.0)))
+    fleet.store.restore()
+
+
+async def slow_store(fleet: Fleet, chance: random.Random) -> None:
+    """Make the store slow."""
+    usual = fleet.store.latency
+    fleet.store.latency = chance.choice((0.2, 1.0))
+    await asyncio.sleep(6.0)
+    fleet.store.latency = usual
+
+
+async def lose_store_answers(fleet: Fleet, chance: random.Random) -> None:
+    """Lose answers of the store after the change took effect."""
+    fleet.store.answer_loss = 0.5
+    await asyncio.sleep(6.0)
+    fleet.store.answer_loss = 0.0
+
+
+async def silence_connections(fleet: Fleet, chance: random.Random) -> None:
+    """Make all open connections to a server silent; new ones work."""
+    database = fleet.databases[_pick_database(fleet, chance)]
+    server = database.servers[chance.choice(sorted(database.servers))]
+    server.silence()
+    await asyncio.sleep(2.0)
+
+
+async def delay_replicas(fleet: Fleet, chance: random.Random) -> None:
+    """Make the replicas of a database fall far behind."""
+    database = fleet.databases[_pick_database(fleet, chance)]
+    usual = {server: server.lag for server in database.servers.values()}
+    for server in usual:
+        server.lag = chance.choice((0.5, 3.0))
+    await asyncio.sleep(4.0)
+    for server, lag in usual.items():
+        server.lag = lag
+
+
+async def freeze_primary(fleet: Fleet, chance: random.Random) -> None:
+    """Freeze a primary and let it go on: answers come very late."""
+    server = fleet.databases[_pick_database(fleet, chance)].find_primary()
+    server.freeze()
+    await asyncio.sleep(chance.choice((0.4, 2.0, 5.0)))
+    server.unfreeze()
+
+
+async def restart_vm_gracefully(fleet: Fleet, chance: random.Random) -> None:
+    """Shut a VM down gracefully and start it again."""
+    vm = _pick_vm(fleet, chance)
+    if vm is None:
+        return
+    await vm.shut_down()
+    await asyncio.sleep(0.5)
+    await vm.start()
+
+
+async def drain_server(fleet: Fleet, chance: random.Random) -> None:
+    """Let a server leave by a change ticket, and come back by the next one."""
+    if fleet.store.down or fleet.draining:
+        return
+    fleet.draining = True
+    database = fleet.databases[_pick_database(fleet, chance)]
+    name = chance.choice(sorted(database.servers))
+    fleet.accept_ticket(_with_state(fleet, name, ServerState.LEAVING))
+    leaving = Leaving(server=name, at=fleet.world.now())
+    fleet.history.leavings.append(leaving)
+    await asyncio.sleep(8.0)
+    while fleet.store.down:
+        await asyncio.sleep(0.5)
+    fleet.accept_ticket(fleet.group)
+    leaving.undone_at = fleet.world.now()
+    fleet.draining = False
+
+
+def _with_state(fleet: Fleet, name: str, state: ServerState):
+    databases = []
+    for database in fleet.group.databases:
+        servers = []
+        for server in database.servers:
+            if server.name == name:
+                server = msgspec.structs.replace(server, state=state)
+            servers.append(server)
+        databases.append(msgspec.structs.replace(database, servers=tuple(servers)))
+    return msgspec.structs.replace(fleet.group, databases=tuple(databases))
+
+
+FAULTS = (
+    Fault(name="kill_vm", run=kill_vm),
+    Fault(name="kill_owner", run=kill_owner),
+    Fault(name="kill_primary", run=kill_primary),
+    Fault(name="kill_owner_in_promotion", run=kill_owner_in_promotion),
+    Fault(name="isolate_primary", run=isolate_primary),
+    Fault(name="isolate_primary_with_owner", run=isolate_primary_with_owner),
+    Fault(name="cut_region_link", run=cut_region_link),
+    Fault(name="freeze_vm", run=freeze_vm),
+    Fault(name="stop_store", run=stop_store),
+    Fault(name="slow_store", run=slow_store),
+    Fault(name="lose_store_answers", run=lose_store_answers),
+    Fault(name="silence_connections", run=silence_connections),
+    Fault(name="delay_replicas", run=delay_replicas),
+    Fault(name="freeze_primary", run=freeze_primary),
+    Fault(name="restart_vm_gracefully", run=restart_vm_gracefully),
+    Fault(name="drain_server", run=drain_server),
+)
--- /dev/null
+++ b/src/siskinhold_trial/proof/_workload.py
@@ -0,0 +1,134 @@
+"""Sessions that read, write, order and roam while faults happen."""
+
+import asyncio
+import random
+
+from siskinhold.model import Done, Marks, NotRun, StatementKind
+from siskinhold_trial.fakes import CallerConnectionClosed
+from siskinhold_trial.fleet import Fleet, FleetVm
+from siskinhold_trial.history import RecordedSession
+
+KEYS = ("a", "b", "c", "d")
+"""Rows that sessions share."""
+THINK_TIME = 0.08
+"""Mean seconds between two statements of a session."""
+CONNECT_DELAY = 0.02
+"""Seconds before a session tries another VM."""
+STATEMENT_LIMIT = 8.0
+"""Seconds in which a caller must have an answer or a closed connection: the
+longest deadline of a statement and some seconds."""
+
+
+class WaitedTooLong(Exception):
+    """A caller got no answer long after its deadline."""
+
+
+class RoamingSession:
+    """One caller that works until told to stop.
+
+    Args:
+        fleet: where it works.
+        name: unique name.
+        database: the database it uses.
+        seed: seed of its choices.
+    """
+
+    def __init__(self, *, fleet: Fleet, name: str, database: str, seed: int) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._random = random.Random(seed)
+        self._session = RecordedSession(
+            world=fleet.world,
+            history=fleet.history,
+            name=name,
+            database=database,
+            user=f"tenant{seed % 3}",
+        )
+        self._orders = 0
+        self.stopping = False
+
+    async def work(self) -> None:
+        """Run statements until `stopping` is set.
+
+        Raises:
+            WaitedTooLong: if a statement is not answered at all.
+        """
+        await self._connect()
+        while not self.stopping:
+            await asyncio.sleep(self._random.expovariate(1 / THINK_TIME))
+            choice = self._random.random()
+            if choice < 0.45:
+                await self._read()
+            elif choice < 0.70:
+                await self._limit(self._session.append(self._pick_key()))
+            elif choice < 0.82:
+                await self._order()
+            elif choice < 0.94:
+                await self._transact()
+            else:
+                await self._connect()
+        self._session.close()
+
+    async def _limit(self, statement):
+        try:
+            invocation = await asyncio.wait_for(statement, STATEMENT_LIMIT)
+        except TimeoutError as error:
+            raise WaitedTooLong(self._name) from error
+        if invocation.outcome is None:
+            await self._connect()
+        return invocation
+
+    def _pick_key(self) -> str:
+        return self._random.choice(KEYS)
+
+    async def _connect(self) -> None:
+        while not self.stopping:
+            vms = self._fleet.list_running()
+            vm: FleetVm = self._random.choice(vms)
+            try:
+                self._session.connect(vm.address.name, vm.callers)
+                return
+            except CallerConnectionClosed:
+                await asyncio.sleep(CONNECT_DELAY)
+
+    async def _read(self) -> None:
+        await self._limit(self._session.read(self._pick_key()))
+
+    async def _order(self) -> None:
+        """Place an order with a key, and retry it until its outcome is known."""
+        self._orders += 1
+        order = f"{self._name}.order{self._orders}"
+        key = self._pick_key()
+        for _ in range(20):
+            marks = Marks(once=True, key=order)
+            invocation = await self._limit(
+                self._session.append(key, marks, value=order)
+            )
+            if isinstance(invocation.outcome, Done) or self.stopping:
+                return
+            await asyncio.sleep(0.1)
+
+    async def _transact(self) -> None:
+        """Append to two rows in one transaction."""
+        session = self._session
+        first, second = sorted(self._random.sample(KEYS, 2))
+        begun = await self._limit(session.run(StatementKind.BEGIN, "BEGIN"))
+        if not isinstance(begun.outcome, Done):
+            return
+        for key in (first, second):
+            written = await self._limit(session.append(key))
+            if written.outcome is None:
+                return
+            if isinstance(written.outcome, Done):
+                continue
+            await self._end(StatementKind.ROLLBACK)
+            return
+        ends = StatementKind.COMMIT
+        if self._random.random() < 0.15:
+            ends = StatementKind.ROLLBACK
+        await self._end(ends)
+
+    async def _end(self, kind: StatementKind) -> None:
+        ended = await self._limit(self._session.run(kind, kind.value.upper()))
+        if isinstance(ended.outcome, NotRun):
+            await self._limit(self._session.run(StatementKind.ROLLBACK, "ROLLBACK"))
