--- a/src/siskinhold_trial/fakes/_backends.py
+++ b/src/siskinhold_trial/fakes/_backends.py
@@ -1,32 +1,21 @@
 """The connections of one VM to fake backend servers."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
 from siskinhold import effects, events
 from siskinhold.adapters import Backends
-from siskinhold.model import ControlFailure, ServerStatus, VmAddress
+from siskinhold.model import ControlFailure, VmAddress
 
+from ._control import CONNECTION_COST, ControlCalls, Wire
 from ._emitter import Emitter
-from ._server import FakeServer, Rejected
+from ._server import FakeServer
 from ._statements import Result, Session
 from ._world import FakeWorld
 
-CONNECTION_COST = 0.012
-"""Seconds that a new connection takes beside the links' delay."""
-
 CONNECT_TIMEOUT = 1.0
 """Seconds after which an attempt to connect is given up."""
 
-_ORDERS = {
-    effects.FenceServer: lambda effect, server: server.fence(effect.term),
-    effects.PromoteServer: lambda effect, server: server.promote(effect.term),
-    effects.FollowServer: lambda effect, server: server.follow(
-        effect.term, effect.primary.name
-    ),
-}
-
 _Run = effects.RunStatement | effects.SettleKey
 
 
@@ -42,17 +31,6 @@
     run: _Run | None = None
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Query:
-    """A control call; its first `report` counts."""
-
-    server: FakeServer
-    session: Session | None
-    act: Callable[[FakeServer], object]
-    report: Callable[[object, ControlFailure | None], None]
-    reported: bool = False
-
-
 class FakeBackends(Emitter, Backends):
     """Carries out one VM's effects against the servers known to the world.
 
@@ -68,15 +46,14 @@
     ) -> None:
         super().__init__(world=world)
         self.answer_loss = answer_loss
-        self._vm = vm
         self._connections: dict[int, _Connection] = {}
-        self._controls: dict[str, Session] = {}
+        self._wire = Wire(world=world, vm=vm)
+        self._control = ControlCalls(world=world, wire=self._wire, emit=self.emit)
         self._perform = {
             effects.OpenBackend: self._open,
             effects.RunStatement: self._run,
             effects.SettleKey: self._run,
             effects.CloseBackend: self._close,
-            effects.QueryStatus: self._query_status,
             effects.QueryActivity: self._query_activity,
         }
 
@@ -87,19 +64,14 @@
             RuntimeError: if a statement is already under way on the
                 connection, which a reducer must never ask for.
         """
-        self._perform.get(type(effect), self._order)(effect)
+        self._perform.get(type(effect), self._control.perform)(effect)
 
     async def stop(self) -> None:
         """Close all connections, as the death of the process would."""
         await super().stop()
         for number in list(self._connections):
             self._close(effects.CloseBackend(connection=number))
-        for name, session in self._controls.items():
-            server = self.world.servers[name]
-            self._send(server, session, server.close_session, session)
-        self._controls.clear()
-
-    # Work connections.
+        self._control.close()
 
     def _open(self, effect: effects.OpenBackend) -> None:
         server = self.world.servers.get(effect.server.name)
@@ -108,7 +80,7 @@
             return
         connection = _Connection(number=effect.connection, server=server)
         self._connections[effect.connection] = connection
-        self.world.later(self._delay(server), self._arrive, connection)
+        self.world.later(self._wire.measure_delay(server), self._arrive, connection)
         self.world.later(CONNECT_TIMEOUT, self._give_up, connection)
 
     def _refuse(self, number: int) -> None:
@@ -117,7 +89,7 @@
 
     def _arrive(self, connection: _Connection) -> None:
         server = connection.server
-        if not self._is_open(server) or connection.closed:
+        if not self._wire.is_open(server) or connection.closed:
             return
         if server.alive:
             server.receive(self._admit, connection)
@@ -126,7 +98,7 @@
 
     def _admit(self, connection: _Connection) -> None:
         reset = partial(self._reset, connection)
-        connection.session = connection.server.open_session(self._vm.name, reset)
+        connection.session = connection.server.open_session(self._wire.vm.name, reset)
         if connection.session is None:
             self._answer_open(connection, 0, ControlFailure.REJECTED)
         else:
@@ -136,7 +108,7 @@
         self, connection: _Connection, cost: float, failure: ControlFailure | None
     ) -> None:
         def arrive() -> None:
-            if not self._is_open(connection.server):
+            if not self._wire.is_open(connection.server):
                 return
             if connection.closed:
                 self._end_session(connection)
@@ -146,7 +118,7 @@
                 connection.ready = True
                 self.emit(events.BackendOpened, connection=connection.number)
 
-        self.world.later(cost + self._delay(connection.server), arrive)
+        self.world.later(cost + self._wire.measure_delay(connection.server), arrive)
 
     def _give_up(self, connection: _Connection) -> None:
         if not connection.ready and not connection.closed:
@@ -157,10 +129,10 @@
         def arrive() -> None:
             if connection.session.silent or connection.closed:
                 return
-            if self._is_open(connection.server):
+            if self._wire.is_open(connection.server):
                 self._drop(connection, ControlFailure.CLOSED)
 
-        self.world.later(self._delay(connection.server), arrive)
+        self.world.later(self._wire.measure_delay(connection.server), arrive)
 
     def _drop(self, connection: _Connection, failure: ControlFailure) -> None:
         connection.closed = True
@@ -188,7 +160,7 @@
     def _end_session(self, connection: _Connection) -> None:
         server, session = connection.server, connection.session
         if session is not None:
-            self._send(server, session, server.close_session, session)
+            self._wire.send(server, session, server.close_session, session)
 
     def _run(self, effect: _Run) -> None:
         connection = self._connections.get(effect.connection)
@@ -198,7 +170,7 @@
         if connection.run is not None:
             raise RuntimeError(f"connection {effect.connection} is busy")
         connection.run = effect
-        self._send(
+        self._wire.send(
             connection.server,
             connection.session,
             self._submit,
@@ -227,13 +199,13 @@
             return
 
         def arrive() -> None:
-            if session.silent or not self._is_open(server):
+            if session.silent or not self._wire.is_open(server):
                 server.silence_session(session)
             elif not connection.closed:
                 connection.run = None
                 self._emit_answer(effect, result)
 
-        self.world.later(self._delay(server), arrive)
+        self.world.later(self._wire.measure_delay(server), arrive)
 
     def _emit_answer(self, effect: _Run, result: Result) -> None:
         ids = {"connection": effect.connection, "request": effect.request}
@@ -249,130 +221,7 @@
             **ids,
         )
 
-    # Control connections.
-
-    def _query_status(self, effect: effects.QueryStatus) -> None:
-        report = partial(self._report, events.StatusReported, effect)
-        self._ask(effect, FakeServer.report_status, report, fresh=effect.fresh)
-
     def _query_activity(self, effect: effects.QueryActivity) -> None:
         connection = self._connections.get(effect.connection)
         session = connection.session if connection is not None else None
-        number = session.number if session is not None else 0
-
-        def act(server: FakeServer) -> bool:
-            return server.report_activity(number)
-
-        def report(executing: bool | None, failure: ControlFailure | None) -> None:
-            self.emit(
-                events.ActivityReported,
-                connection=effect.connection,
-                executing=executing,
-            )
-
-        self._ask(effect, act, report, fresh=True)
-
-    def _order(self, effect) -> None:
-        act = partial(_ORDERS[type(effect)], effect)
-        report = partial(self._report, events.ControlAnswered, effect)
-        self._ask(effect, act, report, fresh=False)
-
-    def _report(
-        self,
-        event_type: type,
-        effect,
-        status: ServerStatus | None,
-        failure: ControlFailure | None,
-    ) -> None:
-        self.emit(
-            event_type,
-            server=effect.server.name,
-            call=effect.call,
-            status=status,
-            failure=failure,
-        )
-
-    def _ask(self, effect, act: Callable, report: Callable, *, fresh: bool) -> None:
-        name = effect.server.name
-        server = self.world.servers.get(name)
-        if server is None:
-            self.world.later(0, report, None, ControlFailure.REFUSED)
-            return
-        session = None if fresh else self._controls.get(name)
-        query = _Query(server=server, session=session, act=act, report=report)
-        delay = self._delay(server)
-        setup = 2 * delay + CONNECTION_COST if session is None else 0.0
-        self.world.later(setup + delay, self._reach, query)
-        self.world.later(
-            effect.timeout, self._finish, query, None, ControlFailure.TIMEOUT
-        )
-
-    def _reach(self, query: _Query) -> None:
-        server, session = query.server, query.session
-        if not self._is_open(server) or (session is not None and session.silent):
-            return
-        if session is None and not server.alive:
-            self._return(query, None, ControlFailure.REFUSED)
-        elif session is not None and session.closed:
-            self._return(query, None, ControlFailure.CLOSED)
-        else:
-            server.receive(self._act, query)
-
-    def _act(self, query: _Query) -> None:
-        server = query.server
-        if query.session is None:
-            query.session = server.open_session(self._vm.name, control=True)
-            old = self._controls.get(server.place.name)
-            if old is not None:
-                server.close_session(old)
-            self._controls[server.place.name] = query.session
-        try:
-            self._return(query, query.act(server), None)
-        except Rejected:
-            self._return(query, None, ControlFailure.REJECTED)
-
-    def _return(
-        self, query: _Query, answer: object, failure: ControlFailure | None
-    ) -> None:
-        def arrive() -> None:
-            silent = query.session is not None and query.session.silent
-            if not silent and self._is_open(query.server):
-                self._finish(query, answer, failure)
-
-        self.world.later(self._delay(query.server), arrive)
-
-    def _finish(
-        self, query: _Query, answer: object, failure: ControlFailure | None
-    ) -> None:
-        if query.reported:
-            return
-        query.reported = True
-        if failure in (ControlFailure.TIMEOUT, ControlFailure.CLOSED):
-            self._controls.pop(query.server.place.name, None)
-        query.report(answer, failure)
-
-    # Links.
-
-    def _delay(self, server: FakeServer) -> float:
-        return self.world.measure_delay(self._vm, server.place)
-
-    def _is_open(self, server: FakeServer) -> bool:
-        return self.world.is_open(self._vm, server.place)
-
-    def _send(
-        self,
-        server: FakeServer,
-        session: Session,
-        call: Callable,
-        *args: object,
-        reset: Callable[[], None] | None = None,
-    ) -> None:
-        def arrive() -> None:
-            if session.silent or not self._is_open(server):
-                server.silence_session(session)
-            elif not session.closed:
-                server.receive(call, *args)
-            elif reset is not None:
-                reset()
-
-        self.world.later(self._delay(server), arrive)
+        self._control.query_activity(effect, session.number if session else 0)
--- a/tests/trial/trial_support.py
+++ b/tests/trial/trial_support.py
@@ -43,7 +43,8 @@
 
 def run(script):
     """Run `script(world)` on a loop whose time jumps forward."""
-    loop = looptime.new_event_loop(start=0)
+    # Nothing waits for I/O, so time may jump without idle cycles of the loop.
+    loop = looptime.new_event_loop(start=0, noop_cycles=0)
     try:
         return loop.run_until_complete(script(FakeWorld(loop=loop, seed=1)))
     finally:
