--- a/tests/trial/test_fake_platform.py
+++ b/tests/trial/test_fake_platform.py
@@ -300,6 +300,35 @@
         assert trace(1) == trace(1)
         assert trace(1) != trace(2)
 
+    def test_acknowledged_on_isolated_primary_is_found(self):
+        """A VM that does not confirm terms breaks guarantee 2, and it shows."""
+
+        async def script(world):
+            database = FakeDatabase(world=world, config=make_database())
+            vm = await PassThroughVm(world, database, 0).start()
+            history = checks.History()
+            session = checks.RecordedSession(
+                world=world, history=history, name="s", database="db"
+            )
+            session.connect("vm0", vm.callers)
+            await session.append("a")
+            await asyncio.sleep(0.1)
+            database.isolate("db-0", vms=())
+            for name in ("db-1", "db-2"):
+                database.servers[name].fence(2)
+            database.servers["db-1"].promote(2)
+            await session.append("a")
+            session.connect("vm0", vm.callers)
+            await session.read("a")
+            records = [checks.read_database(database)]
+            assert [type(found) for found in checks.check_all(history, records)] == [
+                checks.ReadMissedOwnWrite,
+                checks.WriteLost,
+                checks.WriteOnReplacedPrimary,
+            ]
+
+        run(script)
+
     def test_stop_breaks_callers_and_rolls_back(self):
         """Guards against a dead VM whose callers wait forever."""
 
