Keep the locks of a statement that opens a transaction

A transaction opened without BEGIN gave up the key and row that its first statement had locked, so another could commit the same key before it.

--- a/src/siskinhold_trial/fakes/_log.py
+++ b/src/siskinhold_trial/fakes/_log.py
@@ -57,7 +57,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class Log:
-    """Entries and the state that they add up to."""
+    """Entries and the state that they add up to.
+
+    Args:
+        rows: the register map.
+        inserted: the values inserted into the table `log`, in order.
+        keys: idempotency keys; False for one that a tombstone settled as not
+            run, which no request may use any more.
+    """
 
     entries: list[Entry] = field(default_factory=list)
     rows: dict[str, str] = field(default_factory=dict)
--- a/src/siskinhold_trial/fakes/_statements.py
+++ b/src/siskinhold_trial/fakes/_statements.py
@@ -182,13 +182,12 @@
             self.end_transaction(session)
             if form != "rollback":
                 return _fail(1290, "HY000", "the term changed; rolled back")
-        if form == "begin":
-            job.execution.ran_at = self._server.world.now()
-            self._begin(job)
-            return Result(outcome=Done())
-        opened = not session.transaction and (job.autocommit or form == "rollback")
+        if form == "begin" and session.transaction:
+            self._commit(session)
+        opened = not session.transaction and self._is_single(job)
         if not session.transaction and not opened:
-            self._begin(job)
+            self._transactions += 1
+            session.transaction = self._transactions
         result = self._apply(job)
         if not opened and form != "commit":
             return result
@@ -198,12 +197,10 @@
             self._commit(session)
         return result
 
-    def _begin(self, job: Job) -> None:
-        session = job.session
-        self._commit(session)
-        self._transactions += 1
-        session.transaction = self._transactions
-        job.execution.transaction = session.transaction
+    def _is_single(self, job: Job) -> bool:
+        if job.parsed.form == "begin":
+            return False
+        return job.autocommit or job.parsed.form == "rollback"
 
     def _apply(self, job: Job) -> Result:
         session, parsed, execution = job.session, job.parsed, job.execution
--- a/tests/trial/test_fake_database.py
+++ b/tests/trial/test_fake_database.py
@@ -93,6 +93,21 @@
 
         play(script)
 
+    def test_locks_of_the_first_statement(self):
+        """A transaction that opens without BEGIN must keep its first locks."""
+
+        async def script(database, vm, servers):
+            one, two = await vm.open(servers[0]), await vm.open(servers[0])
+            write = "UPDATE kv SET v='1' WHERE k='a'"
+            first = await vm.ask(one, write, key="k", autocommit=False)
+            assert first.in_transaction
+            vm.send(two, "INSERT INTO log VALUES ('x')", key="k")
+            assert await vm.take(0.5) is None
+            await vm.ask(one, "COMMIT", autocommit=False)
+            assert (await vm.take()).outcome.repeated
+
+        play(script)
+
     def test_closing_rolls_back(self):
         """Guards against locks and changes that outlive their connection."""
 
