--- /dev/null
+++ b/src/siskinhold/adapters/_peers.py
@@ -0,0 +1,273 @@
+"""Messages between VMs over pynng: one pull socket, one push socket a VM."""
+
+import asyncio
+import hashlib
+import hmac
+import logging
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+import pynng
+from result import Err, Ok, Result
+
+from ..events import PeerReceived
+from ..messages import Envelope, Probe
+from ._interfaces import Emit, Peers
+
+MESSAGE_LIMIT = 4 * 1024 * 1024
+"""Bytes of the largest message taken: a ticket of 1 MB with room to spare."""
+
+SEND_BUFFER = 256
+"""Messages that wait for one VM; further ones are dropped."""
+
+RECEIVE_BUFFER = 1024
+"""Messages that wait to be read."""
+
+RECEIVE_BATCH = 64
+"""Messages read in one turn of the event loop."""
+
+RECONNECT_MIN_MS = 50
+"""Milliseconds before the first new attempt to connect."""
+
+RECONNECT_MAX_MS = 1000
+"""Most milliseconds between two attempts to connect."""
+
+IDLE_TIME = 30.0
+"""Seconds after which an unused connection is closed.
+
+In a large fleet a VM exchanges messages with few others at a time.
+"""
+
+IDLE_CHECK_INTERVAL = 5.0
+"""Seconds between two searches for unused connections."""
+
+RENEW_INTERVAL = 1.0
+"""Least age in seconds of a connection that is replaced because of a probe."""
+
+REPORT_INTERVAL = 1.0
+"""Least seconds between two log lines about dropped messages of one reason."""
+
+TAG_BYTES = 16
+"""Bytes of the keyed tag in front of a message."""
+
+_log = logging.getLogger(__name__)
+
+
+class EnvelopeCodec:
+    """Encodes envelopes, with a keyed tag if the fleet has a key.
+
+    The tag turns away processes without the key. It hides nothing and does not
+    detect that a message is repeated.
+    """
+
+    def __init__(self, *, fleet_key: bytes = b"") -> None:
+        """Keep the key; an empty one stands for no tag."""
+        self._key = hashlib.blake2b(fleet_key).digest() if fleet_key else b""
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return the bytes to send."""
+        body = self._encoder.encode(envelope)
+        return self._tag(body) + body if self._key else body
+
+    def decode(self, data: bytes) -> Result[Envelope, str]:
+        """Return the envelope, or the reason for which the bytes are dropped."""
+        if len(data) > MESSAGE_LIMIT:
+            return Err("too_large")
+        body = data
+        if self._key:
+            body = data[TAG_BYTES:]
+            if not hmac.compare_digest(data[:TAG_BYTES], self._tag(body)):
+                return Err("bad_tag")
+        try:
+            return Ok(self._decoder.decode(body))
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return Err("garbage")
+
+    def _tag(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, key=self._key, digest_size=TAG_BYTES).digest()
+
+
+@dataclass(slots=True, kw_only=True)
+class _Link:
+    """The way to one VM; the socket is opened with the first message."""
+
+    url: str
+    socket: pynng.Push0 | None = None
+    opened_at: float = 0.0
+    used_at: float = 0.0
+
+
+class NngPeers(Peers):
+    """Carries messages between VMs over TCP.
+
+    Sending never waits: a message that does not fit the buffer is dropped and
+    counted. A VM that is started again on its address is reached again.
+
+    A probe of this VM by another one means that the other one does not hear it.
+    The connection to that VM may have gone silent, so it is replaced.
+    """
+
+    def __init__(self, *, vm: str, host: str, port: int, fleet_key: bytes = b""):
+        """Prepare to listen.
+
+        Args:
+            vm: the name of this VM.
+            host: IP address to listen on.
+            port: TCP port to listen on.
+            fleet_key: secret of the fleet; empty for none.
+        """
+        self.counters: Counter[str] = Counter()
+        self._vm = vm
+        self._url = _build_url(host, port)
+        self._codec = EnvelopeCodec(fleet_key=fleet_key)
+        self._links: dict[str, _Link] = {}
+        self._pull: pynng.Pull0 | None = None
+        self._emit: Emit | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._reported: dict[str, float] = {}
+
+    async def start(self, emit: Emit) -> None:
+        """Start to listen.
+
+        Raises:
+            OSError: if the address can't be bound.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._emit = emit
+        pull = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER, recv_max_size=MESSAGE_LIMIT)
+        try:
+            pull.listen(self._url)
+        except pynng.NNGException as error:
+            pull.close()
+            raise OSError(f"cannot listen on {self._url}: {error}") from error
+        self._pull = pull
+        self._loop.add_reader(pull.recv_fd, self._read)
+        self._plan_idle_check()
+
+    def learn(self, vm: str, host: str, port: int) -> None:
+        """Note where a VM is reached; replaces what was known of it."""
+        url = _build_url(host, port)
+        link = self._links.get(vm)
+        if link is not None and link.url == url:
+            return
+        if link is not None:
+            self._close_link(link)
+        self._links[vm] = _Link(url=url)
+
+    def send(self, vm: str, envelope: Envelope) -> None:
+        """Send without waiting; drops the message if the VM is not known."""
+        link = self._links.get(vm)
+        if link is None or self._loop is None:
+            self._drop("unknown_vm", vm)
+            return
+        data = self._codec.encode(envelope)
+        if len(data) > MESSAGE_LIMIT:
+            self._drop("too_large", vm)
+            return
+        link.used_at = self._loop.time()
+        if link.socket is None and not self._open_link(link, vm):
+            return
+        try:
+            link.socket.send(data, block=False)
+        except pynng.NNGException:
+            self._drop("full", vm)
+            return
+        self.counters["sent"] += 1
+        self.counters["sent_bytes"] += len(data)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        for link in self._links.values():
+            self._close_link(link)
+        self._links.clear()
+        if self._pull is not None:
+            self._loop.remove_reader(self._pull.recv_fd)
+            self._pull.close()
+            self._pull = None
+
+    def _open_link(self, link: _Link, vm: str) -> bool:
+        try:
+            socket = pynng.Push0(
+                send_buffer_size=SEND_BUFFER,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            socket.dial(link.url, block=False)
+        except pynng.NNGException:
+            self._drop("cannot_dial", vm)
+            return False
+        link.socket = socket
+        link.opened_at = self._loop.time()
+        self.counters["dialled"] += 1
+        return True
+
+    def _close_link(self, link: _Link) -> None:
+        if link.socket is not None:
+            link.socket.close()
+            link.socket = None
+
+    def _read(self) -> None:
+        for _ in range(RECEIVE_BATCH):
+            if self._pull is None:
+                return
+            try:
+                # Unlike `recv`, `recv_msg` also takes an empty message.
+                data = self._pull.recv_msg(block=False).bytes
+            except pynng.NNGException:
+                return
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        result = self._codec.decode(data)
+        if result.is_err():
+            self._drop(result.err(), "")
+            return
+        envelope = result.ok()
+        self.counters["received"] += 1
+        self.counters["received_bytes"] += len(data)
+        message = envelope.message
+        if isinstance(message, Probe) and message.suspect == self._vm:
+            self._renew(envelope.sender)
+        self._emit(PeerReceived(at=self._loop.time(), envelope=envelope))
+
+    def _renew(self, vm: str) -> None:
+        link = self._links.get(vm)
+        if link is None or link.socket is None:
+            return
+        if self._loop.time() - link.opened_at >= RENEW_INTERVAL:
+            self._close_link(link)
+
+    def _drop(self, reason: str, vm: str) -> None:
+        self.counters[f"dropped_{reason}"] += 1
+        now = self._loop.time() if self._loop is not None else 0.0
+        if now - self._reported.get(reason, -REPORT_INTERVAL) < REPORT_INTERVAL:
+            return
+        self._reported[reason] = now
+        count = self.counters[f"dropped_{reason}"]
+        _log.warning(
+            "event=peer_message_dropped reason=%s peer=%s count=%d", reason, vm, count
+        )
+
+    def _plan_idle_check(self) -> None:
+        self._idle_timer = self._loop.call_later(
+            IDLE_CHECK_INTERVAL, self._close_idle_links
+        )
+
+    def _close_idle_links(self) -> None:
+        now = self._loop.time()
+        for link in self._links.values():
+            if link.socket is not None and now - link.used_at >= IDLE_TIME:
+                self._close_link(link)
+        self._plan_idle_check()
+
+
+def _build_url(host: str, port: int) -> str:
+    if ":" in host:
+        host = f"[{host}]"
+    return f"tcp://{host}:{port}"
