--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -5,6 +5,7 @@
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
 from ._operator import OperatorServer
 from ._operator_status import DatabaseReport, OperatorStatus, ServerReport, VmReport
+from ._peers import EnvelopeCodec, NngPeers
 from ._store import HttpStore
 from ._store_client import StoreClient
 
@@ -15,9 +16,11 @@
     "Credentials",
     "DatabaseReport",
     "Emit",
+    "EnvelopeCodec",
     "HttpStore",
     "MysqlBackends",
     "MysqlCallers",
+    "NngPeers",
     "OperatorServer",
     "OperatorStatus",
     "Peers",
