--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -9,6 +9,7 @@
 
 from ..model import Done, Failed, NotRunReason
 from ._caller_packets import (
+    BAD_HANDSHAKE,
     MALFORMED_PACKET,
     NOT_RUN,
     PASSED_THROUGH,
@@ -62,7 +63,7 @@
         # Stock clients take the state of autocommit from the greeting.
         self.status_flags = self._find_status()
         async with asyncio.timeout(handshake_timeout):
-            await self.connection_phase()
+            await self._authenticate_caller()
         self.stream.limit = command_limit
         self.session.open()
         while not self.closing:
@@ -89,6 +90,15 @@
         if self.session.username is None:
             raise AccessDenied()
 
+    async def _authenticate_caller(self) -> None:
+        try:
+            await self.connection_phase()
+        except (AccessDenied, ConnectionClosed, ConnectionError, PacketMalformed):
+            raise
+        except Exception:
+            await self._write_error(BAD_HANDSHAKE)
+            raise
+
     async def _carry_out(self, command: int, data: bytes) -> None:
         if command == Commands.COM_QUERY:
             await self._query(data)
@@ -100,7 +110,7 @@
             await self.session.reset()
             await self._write_done(Done())
         elif command == Commands.COM_STMT_PREPARE:
-            # Stock clients fall back to the text protocol on this code.
+            # MySQL's own code for a statement that can't be prepared.
             detail = "prepared statements: not supported"
             reason = NotRunReason.UNSUPPORTED.value
             await self._write_error(refuse(UNSUPPORTED_PREPARE, reason, detail))
@@ -171,6 +181,8 @@
             else:
                 stream.write_text_rows(rows, columns)
             await stream.drain()
+            if start + _ROWS_AT_ONCE < len(done.rows):
+                await asyncio.sleep(0)
         await stream.write(self.ok_or_eof(warnings=min(done.warnings, 0xFFFF)))
 
     async def _write_error(self, error: Failed) -> None:
--- a/src/siskinhold/adapters/_caller_packets.py
+++ b/src/siskinhold/adapters/_caller_packets.py
@@ -22,6 +22,8 @@
 TOO_MANY_SESSIONS = 1040
 UNKNOWN_VARIABLE = 1193
 
+BAD_HANDSHAKE = Failed(code=1043, sqlstate="08S01", message="bad handshake")
+
 _GENERAL_STATE = "HY000"
 _COLUMN_LENGTH = 1_024
 # Row values are sent as they are, whatever their column's type.
--- a/src/siskinhold/adapters/_caller_session.py
+++ b/src/siskinhold/adapters/_caller_session.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from mysql_mimic.charset import CharacterSet
 from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import ColumnType
 from mysql_mimic.variables import SYSTEM_VARIABLES, GlobalVariables, SessionVariables
 from result import Err
 
@@ -280,13 +282,15 @@
 
     def _read_values(self, statement: statements.ReadValues) -> Outcome:
         row: list[bytes | None] = []
-        for _, expression in statement.columns:
+        columns: list[Column] = []
+        for label, expression in statement.columns:
             if expression.startswith("@@") and expression[2:] not in _SCHEMA:
                 text = f"Unknown system variable '{expression[2:66]}'"
                 return Failed(code=UNKNOWN_VARIABLE, sqlstate="HY000", message=text)
-            row.append(_to_bytes(self._read_value(expression)))
-        columns = tuple(Column(label) for label, _ in statement.columns)
-        return Done(columns=columns, rows=(tuple(row),))
+            value = self._read_value(expression)
+            row.append(_to_bytes(value))
+            columns.append(_to_column(label, value))
+        return Done(columns=tuple(columns), rows=(tuple(row),))
 
     def _read_value(self, expression: str) -> object:
         if expression == "@@autocommit":
@@ -311,6 +315,12 @@
     return level.encode(), str(code).encode(), text.encode("utf-8", "replace")
 
 
+def _to_column(label: str, value: object) -> Column:
+    if isinstance(value, int):
+        return Column(label, ColumnType.LONGLONG, CharacterSet.binary)
+    return Column(label)
+
+
 def _to_bytes(value: object) -> bytes | None:
     if value is None:
         return None
--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -73,6 +73,15 @@
         return data[:room]
 
 
+class CallerProtocol(asyncio.StreamReaderProtocol):
+    """Feeds the reader; the transport closes when the caller's side ends."""
+
+    def eof_received(self) -> bool:
+        """Report the end of the stream; nothing is sent to a caller that left."""
+        super().eof_received()
+        return False
+
+
 class CallerStream:
     """Reads and writes the packets of one connection.
 
@@ -87,13 +96,8 @@
     ) -> None:
         self.limit = limit
         self.reader = reader
-        self.writer = writer
-        self._packets = MysqlStream(reader, writer)
-        self.write = self._packets.write
-        self.write_many = self._packets.write_many
-        self.write_text_rows = self._packets.write_text_rows
-        self.drain = self._packets.drain
-        self.reset_seq = self._packets.reset_seq
+        self._plain_writer: asyncio.StreamWriter | None = None
+        self._use(writer)
 
     async def read(self) -> bytes:
         """Return the next command.
@@ -113,19 +117,41 @@
 
         A client sends its first TLS message without waiting, so it may be read
         together with the request. The loop's TLS protocol is then given it.
+
+        Raises:
+            ConnectionClosed: if the caller left during the TLS handshake.
+            ssl.SSLError: if the TLS handshake failed.
         """
+        loop = asyncio.get_running_loop()
         excess = self.reader.take_excess()
         transport = self.writer.transport
         plain = transport.get_protocol()
-        start = asyncio.create_task(self.writer.start_tls(ssl))
+        start = asyncio.create_task(
+            loop.start_tls(transport, plain, ssl, server_side=True)
+        )
         while transport.get_protocol() is plain and not start.done():
             await asyncio.sleep(0)
         if excess and not start.done():
             # Runs after the protocol's `connection_made`, which is scheduled,
             # and before the transport reads again.
-            loop = asyncio.get_running_loop()
             loop.call_soon(_feed, transport.get_protocol(), excess)
-        await start
+        secure = await start
+        if secure is None:
+            raise ConnectionClosed()
+        # The plain writer closes its transport when it is collected.
+        self._plain_writer = self.writer
+        sequence = self._packets.seq.value
+        self._use(asyncio.StreamWriter(secure, plain, self.reader, loop))
+        self._packets.seq.value = sequence
+
+    def _use(self, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self._packets = MysqlStream(self.reader, writer)
+        self.write = self._packets.write
+        self.write_many = self._packets.write_many
+        self.write_text_rows = self._packets.write_text_rows
+        self.drain = self._packets.drain
+        self.reset_seq = self._packets.reset_seq
 
     async def _read(self) -> bytes:
         parts: list[bytes] = []
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -17,10 +17,11 @@
 | unreadable command | 1835 | HY000 | `not_run reason=malformed <detail>` |
 | empty statement | 1065 | 42000 | plain text |
 | too many sessions | 1040 | 08004 | `not_run reason=overload max_sessions=...` |
+| unreadable handshake | 1043 | 08S01 | plain text |
 | access denied | 1045 | 28000 | plain text |
 
 Prepared statements are refused as a whole: mysql-mimic interpolates parameters
-without escaping them. Stock clients fall back to the text protocol on 1295.
+without escaping them, which would let a value change the statement.
 """
 
 import asyncio
@@ -46,7 +47,7 @@
 )
 from ._caller_packets import TOO_MANY_SESSIONS, make_error
 from ._caller_session import CallerSession
-from ._caller_stream import CallerStream, EofReader, PacketMalformed
+from ._caller_stream import CallerProtocol, CallerStream, EofReader, PacketMalformed
 from ._interfaces import Callers, Emit
 
 _log = logging.getLogger(__name__)
@@ -203,7 +204,7 @@
             session.end()
             del self._connections[number]
             self._tasks.discard(task)
-            writer.close()
+            stream.writer.close()
 
     async def _carry(self, connection: CallerConnection, number: int) -> None:
         try:
@@ -265,10 +266,10 @@
             ssl=self.ssl,
         )
 
-    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+    def _make_protocol(self) -> CallerProtocol:
         reader = EofReader(loop=asyncio.get_running_loop())
         reader.awaits_tls = self.ssl is not None
-        return asyncio.StreamReaderProtocol(reader, self._connected)
+        return CallerProtocol(reader, self._connected)
 
     async def _connected(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
         peer = writer.get_extra_info("socket")
