--- a/src/siskinhold/adapters/_caller_session.py
+++ b/src/siskinhold/adapters/_caller_session.py
@@ -68,6 +68,9 @@
         number: the session's number, never reused on this VM.
         emit: takes events.
         tokens: encodes and checks session tokens.
+
+    `opened` tells whether the caller authenticated and `ended` whether its
+    connection is gone.
     """
 
     def __init__(self, *, number: int, emit: Emit, tokens: TokenCodec) -> None:
@@ -85,7 +88,7 @@
         self._waiting: asyncio.Future[Outcome] | None = None
         self._insert_id = 0
         self._warnings: tuple[tuple[bytes | None, ...], ...] = ()
-        self._opened = False
+        self.opened = False
         self.ended = False
 
     @property
@@ -97,7 +100,7 @@
         """Report the authenticated caller."""
         if self.ended or self.username is None:
             raise ConnectionClosed()
-        self._opened = True
+        self.opened = True
         self._emit(
             CallerOpened(
                 at=self._loop.time(),
@@ -112,7 +115,7 @@
         if self.ended:
             return
         self.ended = True
-        if self._opened:
+        if self.opened:
             self._emit(CallerClosed(at=self._loop.time(), session=self.number))
         if self._waiting is not None and not self._waiting.done():
             self._waiting.set_exception(ConnectionClosed())
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -130,7 +130,7 @@
         )
         self._emit: Emit | None = None
         self._connections: dict[int, CallerConnection] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
         self._next_session = 1
 
     @property
@@ -175,10 +175,14 @@
     async def stop(self) -> None:
         """Stop to listen and close all connections."""
         self._server.close()
-        for connection in list(self._connections.values()):
-            connection.stream.writer.close()
-        if self._tasks:
-            _, pending = await asyncio.wait(self._tasks, timeout=_CLOSE_GRACE)
+        tasks = list(self._tasks.values())
+        for number, connection in list(self._connections.items()):
+            if connection.session.opened:
+                connection.stream.writer.close()
+            else:
+                self._tasks[number].cancel()
+        if tasks:
+            _, pending = await asyncio.wait(tasks, timeout=_CLOSE_GRACE)
             for task in pending:
                 task.cancel()
             await asyncio.gather(*pending, return_exceptions=True)
@@ -195,15 +199,14 @@
         connection = self._server.make_connection(stream, session)
         connection.connection_id = number & 0xFFFFFFFF
         reader.on_eof = session.end
-        task = asyncio.current_task()
         self._connections[number] = connection
-        self._tasks.add(task)
+        self._tasks[number] = asyncio.current_task()
         try:
             await self._carry(connection, number)
         finally:
             session.end()
             del self._connections[number]
-            self._tasks.discard(task)
+            del self._tasks[number]
             stream.writer.close()
 
     async def _carry(self, connection: CallerConnection, number: int) -> None:
