--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -31,6 +31,17 @@
 _SILENT = {Commands.COM_STMT_CLOSE, Commands.COM_STMT_SEND_LONG_DATA}
 
 
+_AUTOCOMMIT = types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+_IN_TRANSACTION = types.ServerStatus.SERVER_STATUS_IN_TRANS
+# By whether autocommit is on and whether a transaction is open.
+_STATUS = {
+    (False, False): types.ServerStatus(0),
+    (False, True): _IN_TRANSACTION,
+    (True, False): _AUTOCOMMIT,
+    (True, True): _AUTOCOMMIT | _IN_TRANSACTION,
+}
+
+
 class AccessDenied(Exception):
     """The caller did not authenticate; it was told so."""
 
@@ -180,8 +191,8 @@
                     await stream.write(packet, drain=False)
             else:
                 stream.write_text_rows(rows, columns)
-            await stream.drain()
             if start + _ROWS_AT_ONCE < len(done.rows):
+                await stream.drain()
                 await asyncio.sleep(0)
         await stream.write(self.ok_or_eof(warnings=min(done.warnings, 0xFFFF)))
 
@@ -193,12 +204,7 @@
         await self._write_error(refuse(NOT_RUN, reason, f"limit_bytes={limit}"))
 
     def _find_status(self) -> types.ServerStatus:
-        status = types.ServerStatus(0)
-        if self.session.autocommit:
-            status |= types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        if self.session.in_transaction:
-            status |= types.ServerStatus.SERVER_STATUS_IN_TRANS
-        return status
+        return _STATUS[self.session.autocommit, self.session.in_transaction]
 
 
 def _any_needs_split(rows: tuple[tuple[bytes | None, ...], ...]) -> bool:
--- a/src/siskinhold/adapters/_caller_packets.py
+++ b/src/siskinhold/adapters/_caller_packets.py
@@ -4,6 +4,8 @@
 of its enumerations; a backend server's must pass unchanged.
 """
 
+import functools
+
 from mysql_mimic.results import ResultColumn
 from mysql_mimic.types import ColumnType, str_len, uint_1, uint_2, uint_4, uint_len
 
@@ -26,6 +28,7 @@
 
 _GENERAL_STATE = "HY000"
 _COLUMN_LENGTH = 1_024
+_CACHED_COLUMNS = 4_096
 # Row values are sent as they are, whatever their column's type.
 PASSED_THROUGH = ResultColumn("", ColumnType.VAR_STRING)
 
@@ -64,6 +67,7 @@
     return b"\xff" + uint_2(error.code & 0xFFFF) + b"#" + state + message
 
 
+@functools.lru_cache(maxsize=_CACHED_COLUMNS)
 def make_column(column: Column) -> bytes:
     """Return a column definition packet."""
     name = str_len(column.name.encode("utf-8", "replace"))
