--- a/src/siskinhold/adapters/_caller_session.py
+++ b/src/siskinhold/adapters/_caller_session.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from mysql_mimic.charset import CharacterSet
 from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import ColumnType
 from mysql_mimic.variables import SYSTEM_VARIABLES, GlobalVariables, SessionVariables
 from result import Err
 
@@ -66,6 +68,9 @@
         number: the session's number, never reused on this VM.
         emit: takes events.
         tokens: encodes and checks session tokens.
+
+    `opened` tells whether the caller authenticated and `ended` whether its
+    connection is gone.
     """
 
     def __init__(self, *, number: int, emit: Emit, tokens: TokenCodec) -> None:
@@ -83,7 +88,7 @@
         self._waiting: asyncio.Future[Outcome] | None = None
         self._insert_id = 0
         self._warnings: tuple[tuple[bytes | None, ...], ...] = ()
-        self._opened = False
+        self.opened = False
         self.ended = False
 
     @property
@@ -95,7 +100,7 @@
         """Report the authenticated caller."""
         if self.ended or self.username is None:
             raise ConnectionClosed()
-        self._opened = True
+        self.opened = True
         self._emit(
             CallerOpened(
                 at=self._loop.time(),
@@ -110,7 +115,7 @@
         if self.ended:
             return
         self.ended = True
-        if self._opened:
+        if self.opened:
             self._emit(CallerClosed(at=self._loop.time(), session=self.number))
         if self._waiting is not None and not self._waiting.done():
             self._waiting.set_exception(ConnectionClosed())
@@ -280,13 +285,15 @@
 
     def _read_values(self, statement: statements.ReadValues) -> Outcome:
         row: list[bytes | None] = []
-        for _, expression in statement.columns:
+        columns: list[Column] = []
+        for label, expression in statement.columns:
             if expression.startswith("@@") and expression[2:] not in _SCHEMA:
                 text = f"Unknown system variable '{expression[2:66]}'"
                 return Failed(code=UNKNOWN_VARIABLE, sqlstate="HY000", message=text)
-            row.append(_to_bytes(self._read_value(expression)))
-        columns = tuple(Column(label) for label, _ in statement.columns)
-        return Done(columns=columns, rows=(tuple(row),))
+            value = self._read_value(expression)
+            row.append(_to_bytes(value))
+            columns.append(_to_column(label, value))
+        return Done(columns=tuple(columns), rows=(tuple(row),))
 
     def _read_value(self, expression: str) -> object:
         if expression == "@@autocommit":
@@ -311,6 +318,12 @@
     return level.encode(), str(code).encode(), text.encode("utf-8", "replace")
 
 
+def _to_column(label: str, value: object) -> Column:
+    if isinstance(value, int):
+        return Column(label, ColumnType.LONGLONG, CharacterSet.binary)
+    return Column(label)
+
+
 def _to_bytes(value: object) -> bytes | None:
     if value is None:
         return None
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -17,10 +17,11 @@
 | unreadable command | 1835 | HY000 | `not_run reason=malformed <detail>` |
 | empty statement | 1065 | 42000 | plain text |
 | too many sessions | 1040 | 08004 | `not_run reason=overload max_sessions=...` |
+| unreadable handshake | 1043 | 08S01 | plain text |
 | access denied | 1045 | 28000 | plain text |
 
 Prepared statements are refused as a whole: mysql-mimic interpolates parameters
-without escaping them. Stock clients fall back to the text protocol on 1295.
+without escaping them, which would let a value change the statement.
 """
 
 import asyncio
@@ -46,7 +47,7 @@
 )
 from ._caller_packets import TOO_MANY_SESSIONS, make_error
 from ._caller_session import CallerSession
-from ._caller_stream import CallerStream, EofReader, PacketMalformed
+from ._caller_stream import CallerProtocol, CallerStream, EofReader, PacketMalformed
 from ._interfaces import Callers, Emit
 
 _log = logging.getLogger(__name__)
@@ -129,7 +130,7 @@
         )
         self._emit: Emit | None = None
         self._connections: dict[int, CallerConnection] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[int, asyncio.Task[None]] = {}
         self._next_session = 1
 
     @property
@@ -178,10 +179,14 @@
     async def stop(self) -> None:
         """Stop to listen and close all connections."""
         self._server.close()
-        for connection in list(self._connections.values()):
-            connection.stream.writer.close()
-        if self._tasks:
-            _, pending = await asyncio.wait(self._tasks, timeout=_CLOSE_GRACE)
+        tasks = list(self._tasks.values())
+        for number, connection in list(self._connections.items()):
+            if connection.session.opened:
+                connection.stream.writer.close()
+            else:
+                self._tasks[number].cancel()
+        if tasks:
+            _, pending = await asyncio.wait(tasks, timeout=_CLOSE_GRACE)
             for task in pending:
                 task.cancel()
             await asyncio.gather(*pending, return_exceptions=True)
@@ -198,16 +203,15 @@
         connection = self._server.make_connection(stream, session)
         connection.connection_id = number & 0xFFFFFFFF
         reader.on_eof = session.end
-        task = asyncio.current_task()
         self._connections[number] = connection
-        self._tasks.add(task)
+        self._tasks[number] = asyncio.current_task()
         try:
             await self._carry(connection, number)
         finally:
             session.end()
             del self._connections[number]
-            self._tasks.discard(task)
-            writer.close()
+            del self._tasks[number]
+            stream.writer.close()
 
     async def _carry(self, connection: CallerConnection, number: int) -> None:
         try:
@@ -269,10 +273,10 @@
             ssl=self.ssl,
         )
 
-    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+    def _make_protocol(self) -> CallerProtocol:
         reader = EofReader(loop=asyncio.get_running_loop())
         reader.awaits_tls = self.ssl is not None
-        return asyncio.StreamReaderProtocol(reader, self._connected)
+        return CallerProtocol(reader, self._connected)
 
     async def _connected(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
         peer = writer.get_extra_info("socket")
