--- /dev/null
+++ b/scripts/prove.py
@@ -0,0 +1,120 @@
+"""Runs campaigns of seeded runs under faults and prints what they found.
+
+prove.py --seeds 0:20             the whole core; exits 1 on a violation
+prove.py --seeds 0:4 --fault NAME only that fault (may be repeated)
+prove.py --mutants --seeds 0:6    the core without one rule at a time;
+                                  exits 1 if a mutant is not noticed
+"""
+
+import argparse
+import multiprocessing
+import sys
+import time
+
+from siskinhold_trial.proof import FAULTS, MUTANTS, Mutant, RunReport, run_seed
+
+WORKERS = 4
+"""Processes that run seeds side by side."""
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the command line's arguments."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="0:16", help="first:end of the seeds")
+    parser.add_argument("--fault", action="append", default=[])
+    parser.add_argument("--count", type=int, default=4, help="faults in a run")
+    parser.add_argument("--mutants", action="store_true")
+    return parser.parse_args()
+
+
+def run_whole(task: tuple[int, tuple[str, ...], int]) -> RunReport:
+    """Run one seed of the whole core."""
+    seed, names, count = task
+    faults = tuple(fault for fault in FAULTS if not names or fault.name in names)
+    return run_seed(seed, faults=faults, count=count)
+
+
+def run_mutant(task: tuple[str, tuple[int, ...]]) -> tuple[str, RunReport | None]:
+    """Run seeds of one mutant until a violation is found."""
+    name, seeds = task
+    mutant: Mutant = next(item for item in MUTANTS if item.name == name)
+    for seed in seeds:
+        with mutant.active():
+            report = run_seed(seed, faults=mutant.faults, count=4)
+        if report.violations:
+            return name, report
+    return name, None
+
+
+def print_report(report: RunReport) -> None:
+    """Print one run in one line, and what it broke."""
+    verdict = "passed" if report.passed else "FAILED"
+    print(
+        f"seed={report.seed} {verdict} deployment={report.deployment}"
+        f" operations={report.operations} done={report.done}"
+        f" not_run={report.not_run} unknown={report.unknown}"
+        f" unanswered={report.unanswered} promotions={report.promotions}"
+        f" faults={','.join(report.faults)}",
+        flush=True,
+    )
+    for violation in report.violations[:5]:
+        print(f"  {violation}")
+    for stuck in report.stuck[:5]:
+        print(f"  stuck: {stuck}")
+
+
+def prove_whole(pool, seeds: tuple[int, ...], names: tuple[str, ...], count: int):
+    """Run the whole core; return whether nothing was broken."""
+    began = time.monotonic()
+    reports = []
+    tasks = [(seed, names, count) for seed in seeds]
+    for report in pool.imap(run_whole, tasks):
+        print_report(report)
+        reports.append(report)
+    failed = [report for report in reports if not report.passed]
+    print(
+        f"runs={len(reports)}"
+        f" operations={sum(report.operations for report in reports)}"
+        f" faults={sum(len(report.faults) for report in reports)}"
+        f" promotions={sum(report.promotions for report in reports)}"
+        f" violations={sum(len(report.violations) for report in reports)}"
+        f" failed_runs={len(failed)}"
+        f" seconds={time.monotonic() - began:.0f}"
+    )
+    return not failed
+
+
+def prove_mutants(pool, seeds: tuple[int, ...]) -> bool:
+    """Run every mutant; return whether each was noticed."""
+    noticed = True
+    tasks = [(mutant.name, seeds) for mutant in MUTANTS]
+    for name, report in pool.imap(run_mutant, tasks):
+        if report is None:
+            noticed = False
+            print(f"mutant={name} NOT NOTICED in seeds {seeds[0]}:{seeds[-1] + 1}")
+            continue
+        kinds = sorted({type(item).__name__ for item in report.violations})
+        print(
+            f"mutant={name} noticed seed={report.seed}"
+            f" violations={len(report.violations)} kinds={','.join(kinds)}",
+            flush=True,
+        )
+    return noticed
+
+
+def main() -> int:
+    """Run what the command line asks for."""
+    arguments = parse_arguments()
+    first, end = arguments.seeds.split(":")
+    seeds = tuple(range(int(first), int(end)))
+    with multiprocessing.get_context("spawn").Pool(WORKERS) as pool:
+        if arguments.mutants:
+            passed = prove_mutants(pool, seeds)
+        else:
+            names = tuple(arguments.fault)
+            passed = prove_whole(pool, seeds, names, arguments.count)
+    return 0 if passed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/siskinhold_trial/proof/__init__.py
+++ b/src/siskinhold_trial/proof/__init__.py
@@ -2,5 +2,6 @@
 
 from ._campaign import RunReport, run_seed
 from ._faults import FAULTS, Fault
+from ._mutants import MUTANTS, Mutant
 
-__all__ = ["FAULTS", "Fault", "RunReport", "run_seed"]
+__all__ = ["FAULTS", "Fault", "MUTANTS", "Mutant", "RunReport", "run_seed"]
--- /dev/null
+++ b/src/siskinhold_trial/proof/_mutants.py
@@ -0,0 +1,176 @@
+"""The core without one of its rules, to show that the checks notice.
+
+Each mutant replaces one function of the core while it is active. A campaign
+over a mutant must find violations; a campaign over the whole core must not.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from unittest import mock
+
+from siskinhold.core import (
+    _answers,
+    _confirmation,
+    _entries,
+    _health,
+    _pools,
+    _routes,
+    _shutdown,
+)
+from siskinhold.model import ServerState
+
+from ._faults import (
+    FAULTS,
+    Fault,
+    delay_replicas,
+    drain_server,
+    isolate_primary_with_owner,
+    kill_owner,
+    kill_vm,
+    restart_vm_gracefully,
+    silence_connections,
+)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Mutant:
+    """The core without one rule.
+
+    Args:
+        name: the rule that is missing.
+        target: the module that holds the replaced function.
+        attribute: the function's name in that module.
+        replacement: takes the original function, returns the one used instead.
+        faults: the faults that bring the missing rule to light.
+    """
+
+    name: str
+    target: object
+    attribute: str
+    replacement: Callable[[Callable], Callable]
+    faults: tuple[Fault, ...]
+
+    @contextlib.contextmanager
+    def active(self) -> Iterator[None]:
+        """Replace the function for the time of the context."""
+        original = getattr(self.target, self.attribute)
+        replacement = self.replacement(original)
+        with mock.patch.object(self.target, self.attribute, replacement):
+            yield
+
+
+def _pick(*actions: Callable) -> tuple[Fault, ...]:
+    return tuple(fault for fault in FAULTS if fault.run in actions)
+
+
+def _confirm_always(original: Callable) -> Callable:
+    return lambda *args, **kwargs: True
+
+
+def _ignore_position(original: Callable) -> Callable:
+    def confirm(node, database, since, *, term, position=None):
+        return original(node, database, since, term=term, position=None)
+
+    return confirm
+
+
+def _ignore_need(original: Callable) -> Callable:
+    return lambda node, health, work: True
+
+
+def _forget_attempt(original: Callable) -> Callable:
+    """Answer "not run" although an earlier attempt may have run."""
+
+    def refuse(node, work, reason, out, detail=""):
+        work.may_have_run = False
+        original(node, work, reason, out, detail)
+
+    return refuse
+
+
+def _repeat_all(original: Callable) -> Callable:
+    """Send any write again after its owner was lost."""
+
+    def lose(node, entry, out):
+        _routes._send_later(node, entry)
+
+    return lose
+
+
+def _ignore_leaving(original: Callable) -> Callable:
+    def fit(node, health):
+        if health.server.state is ServerState.LEAVING:
+            return _health.is_reachable(node, health)
+        return original(node, health)
+
+    return fit
+
+
+def _drop_positions(original: Callable) -> Callable:
+    return lambda session, database, position: None
+
+
+def _stop_at_once(original: Callable) -> Callable:
+    return lambda node: 0
+
+
+MUTANTS = (
+    Mutant(
+        name="write_confirmation",
+        target=_confirmation,
+        attribute="confirm_since",
+        replacement=_confirm_always,
+        faults=_pick(isolate_primary_with_owner),
+    ),
+    Mutant(
+        name="replica_holds_write",
+        target=_confirmation,
+        attribute="confirm_since",
+        replacement=_ignore_position,
+        faults=_pick(isolate_primary_with_owner, delay_replicas),
+    ),
+    Mutant(
+        name="read_position",
+        target=_pools,
+        attribute="can_read",
+        replacement=_ignore_need,
+        faults=_pick(delay_replicas),
+    ),
+    Mutant(
+        name="session_position",
+        target=_entries,
+        attribute="raise_position",
+        replacement=_drop_positions,
+        faults=_pick(delay_replicas),
+    ),
+    Mutant(
+        name="not_run_after_attempt",
+        target=_answers,
+        attribute="refuse",
+        replacement=_forget_attempt,
+        faults=_pick(silence_connections, kill_owner),
+    ),
+    Mutant(
+        name="unknown_after_lost_owner",
+        target=_routes,
+        attribute="lose_owner",
+        replacement=_repeat_all,
+        faults=_pick(kill_owner, kill_vm),
+    ),
+    Mutant(
+        name="leaving_server_unfit",
+        target=_pools,
+        attribute="is_fit",
+        replacement=_ignore_leaving,
+        faults=_pick(drain_server),
+    ),
+    Mutant(
+        name="drain_before_stop",
+        target=_shutdown,
+        attribute="_count_in_flight",
+        replacement=_stop_at_once,
+        faults=_pick(restart_vm_gracefully),
+    ),
+)
+"""All rules that can be taken away."""
