--- a/src/siskinhold_trial/fleet/_vms.py
+++ b/src/siskinhold_trial/fleet/_vms.py
@@ -122,6 +122,7 @@
         self.incarnation = 0
         self.driver: PausableDriver | None = None
         self.callers: FakeCallers | None = None
+        self.backends: FakeBackends | None = None
         self.recorder: HistoryRecorder | None = None
         self.life: VmLife | None = None
         self.on_start: list[Callable[["FleetVm"], None]] = []
@@ -154,10 +155,11 @@
             incarnation=self.incarnation,
             history=self._history,
         )
+        self.backends = FakeBackends(world=self._world, vm=self.address)
         self.driver = PausableDriver(
             node=NodeState(identity=identity, random=random.Random(seed)),
             callers=self.callers,
-            backends=FakeBackends(world=self._world, vm=self.address),
+            backends=self.backends,
             store=FakeStoreClient(store=self._store, vm=self.address),
             peers=FakePeers(network=self._network, vm=self.address),
             recorder=self.recorder,
--- a/src/siskinhold_trial/history/_answers.py
+++ b/src/siskinhold_trial/history/_answers.py
@@ -14,7 +14,9 @@
     """Guarantee 3: a server's transaction holds one caller's transaction.
 
     Nor do the statements of a caller's transaction run in two of them. A
-    BEGIN may: one that was lost leaves an empty transaction.
+    transaction of which nothing was committed does not count: when the
+    connection of a first statement is lost, it rolls back and the statement
+    begins again elsewhere.
     """
     owners = {
         invocation.tag: invocation.transaction for invocation in history.invocations
@@ -22,6 +24,13 @@
     violations: list[Violation] = []
     held_by: dict[tuple, str] = {}
     runs_in: dict[str, tuple] = {}
+    records = list(records)
+    committed = {
+        (execution.server, execution.connection, execution.transaction)
+        for record in records
+        for execution in record.executions
+        if execution.committed_at is not None
+    }
     for record in records:
         for execution in record.executions:
             owner = owners.get(execution.tag)
@@ -36,6 +45,8 @@
                 violations.append(_mixed(execution.tag, "shares", held_by[place]))
             if execution.form == "begin" or not owner:
                 continue
+            if place not in committed:
+                continue
             if runs_in.setdefault(owner, place) != place:
                 violations.append(_mixed(execution.tag, "split", owner))
     return violations
--- a/src/siskinhold_trial/proof/_faults.py
+++ b/src/siskinhold_trial/proof/_faults.py
@@ -163,6 +163,33 @@
     await asyncio.sleep(2.0)
 
 
+async def lose_answers(fleet: Fleet, chance: random.Random) -> None:
+    """Break connections after statements took effect, before their answers.
+
+    Half the time all primaries are killed during it while the store is down,
+    so that a statement that ran can be neither confirmed nor repeated.
+    """
+    vms = fleet.list_running()
+    for vm in vms:
+        vm.backends.answer_loss = 0.3
+    await asyncio.sleep(2.0)
+    servers = []
+    if chance.random() < 0.5:
+        fleet.store.down = True
+        servers = [database.find_primary() for database in fleet.databases.values()]
+        for server in servers:
+            server.kill()
+    await asyncio.sleep(0.1)
+    for vm in vms:
+        vm.backends.answer_loss = 0.0
+    if not servers:
+        return
+    await asyncio.sleep(7.0)
+    fleet.store.restore()
+    for server in servers:
+        server.restart()
+
+
 async def delay_replicas(fleet: Fleet, chance: random.Random) -> None:
     """Make the replicas of a database fall far behind."""
     database = fleet.databases[_pick_database(fleet, chance)]
@@ -235,6 +262,7 @@
     Fault(name="slow_store", run=slow_store),
     Fault(name="lose_store_answers", run=lose_store_answers),
     Fault(name="silence_connections", run=silence_connections),
+    Fault(name="lose_answers", run=lose_answers),
     Fault(name="delay_replicas", run=delay_replicas),
     Fault(name="freeze_primary", run=freeze_primary),
     Fault(name="restart_vm_gracefully", run=restart_vm_gracefully),
--- a/src/siskinhold_trial/proof/_mutants.py
+++ b/src/siskinhold_trial/proof/_mutants.py
@@ -14,6 +14,7 @@
     _confirmation,
     _entries,
     _health,
+    _owners,
     _pools,
     _routes,
     _shutdown,
@@ -28,8 +29,8 @@
     isolate_primary_with_owner,
     kill_owner,
     kill_vm,
+    lose_answers,
     restart_vm_gracefully,
-    silence_connections,
 )
 
 
@@ -149,11 +150,11 @@
         target=_answers,
         attribute="refuse",
         replacement=_forget_attempt,
-        faults=_pick(silence_connections, kill_owner),
+        faults=_pick(lose_answers),
     ),
     Mutant(
         name="unknown_after_lost_owner",
-        target=_routes,
+        target=_owners,
         attribute="lose_owner",
         replacement=_repeat_all,
         faults=_pick(kill_owner, kill_vm),
