--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -174,7 +174,7 @@
     if view.state is VmState.GONE:
         return False
     name = view.address.name
-    peer = Peer(view=view, heard_at=node.now)
+    peer = Peer(view=view, heard_at=node.now, direct_at=node.now)
     node.membership.peers[name] = peer
     _note_state(node, peer, cause, out)
     spread(node, name)
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -53,12 +53,16 @@
         heard_at: when its beat last grew, directly or through others.
         suspected_at: when it was first suspected, None if it is not.
         gone_at: when it was taken as gone, None if it is not.
+        direct_at: when a message of it last arrived here.
+        probed_at: when it was last probed for the lack of such messages.
     """
 
     view: VmView
     heard_at: float
     suspected_at: float | None = None
     gone_at: float | None = None
+    direct_at: float = 0.0
+    probed_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_suspicion.py
+++ b/src/siskinhold/core/_suspicion.py
@@ -42,8 +42,10 @@
     mine = node.membership
     if is_small(node):
         for peer in mine.peers.values():
-            if peer.view.state is not VmState.GONE:
-                watch_peer(node, peer)
+            if peer.view.state is VmState.GONE:
+                continue
+            watch_peer(node, peer)
+            _check_connection(node, peer, out)
     limit = ISOLATED_GONE_AFTER if _is_isolated(node) else GONE_AFTER
     for name in list(mine.watched):
         peer = mine.peers.get(name)
@@ -60,6 +62,19 @@
             change_state(node, peer, VmState.GONE, cause, out)
 
 
+def _check_connection(node: NodeState, peer: Peer, out: Effects) -> None:
+    """Probe a VM that is heard of through others only.
+
+    Its connection to this VM may have gone silent; the probe tells it so.
+    """
+    last = max(peer.direct_at, peer.probed_at)
+    if node.now - last < SUSPECT_AFTER:
+        return
+    peer.probed_at = node.now
+    name = peer.view.address.name
+    _send_probe(node, name, name, out)
+
+
 def forgive_silence(node: NodeState, out: Effects) -> None:
     """Start to measure silence anew after a pause of this process."""
     mine = node.membership
@@ -104,6 +119,7 @@
         return
     if envelope.incarnation == peer.view.incarnation:
         peer.heard_at = node.now
+        peer.direct_at = node.now
         peer.suspected_at = None
 
 
