--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -38,13 +38,10 @@
 
     A group without databases is removed.
 
-    >>> from ..model import ChangeTicket, DatabaseGroup
-    >>> empty = ChangeTicket(
-    ...     number=2, author="a", identity="i", groups=(DatabaseGroup(name="g"),)
-    ... )
-    >>> fold_ticket({"g": DatabaseGroup(name="g"), "h": DatabaseGroup(name="h")}, empty)
-    {'h': DatabaseGroup(name='h', databases=(), rules=RoutingRules(acknowledge=<Acknow\
-ledge.REPLICA: 'replica'>, max_age_ms=2000, deadline_ms=5000, replica_reads=True))}
+    >>> empty = DatabaseGroup(name="g")
+    >>> ticket = ChangeTicket(number=2, author="a", identity="i", groups=(empty,))
+    >>> sorted(fold_ticket({"g": empty, "h": DatabaseGroup(name="h")}, ticket))
+    ['h']
     """
     folded = dict(groups)
     for group in ticket.groups:
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -33,6 +33,9 @@
 LIST_TIMEOUT = 5.0
 """Seconds that the store has to answer a list."""
 
+GAP_LIST_INTERVAL = 5.0
+"""Least seconds between two lists of a watcher that misses a ticket."""
+
 VM_LIST_READ_INTERVAL = 1.0
 """Seconds between two reads of the platform's VM list by a watcher."""
 
@@ -83,6 +86,9 @@
         return
     if not mine.watching:
         _list_store(node, out)
+    elif max(mine.tickets, default=0) > mine.applied:
+        _list_store(node, out)
+        mine.list_after = max(mine.list_after, node.now + GAP_LIST_INTERVAL)
 
 
 def read_vm_list(node: NodeState, action: VmListDue, out: Effects) -> None:
--- /dev/null
+++ b/src/siskinhold/programs/timeline.py
@@ -0,0 +1,214 @@
+"""siskinhold-timeline: merges the event logs of several processes.
+
+The order is causal: by logical clock, then by VM and sequence. Events of one
+process always keep their own order.
+"""
+
+import json
+import re
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import cappa
+
+COLUMN_FIELDS = ("vm", "incarnation", "clock", "sequence", "wall", "event")
+"""Fields that are printed in columns; the others follow as pairs."""
+
+_PAIR = re.compile(r'([^\s=]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?=\s|$)')
+_REQUIRED = ("vm", "incarnation", "clock", "sequence", "event")
+
+
+@dataclass(slots=True, kw_only=True)
+class Entry:
+    """One event of a log.
+
+    Args:
+        fields: all pairs of the line.
+        vm: the process's VM.
+        incarnation: its incarnation.
+        sequence: position among the process's events.
+        clock: logical clock; never less than that of an earlier event of the
+            process once entries are merged.
+    """
+
+    fields: dict[str, str]
+    vm: str
+    incarnation: int
+    sequence: int
+    clock: int
+
+
+def parse_line(line: str) -> Entry | None:
+    """Return the event of a line, or None if the line is none.
+
+    >>> parse_line('vm=a incarnation=1 clock=2 sequence=3 event=x cause="y z"').fields
+    ... # doctest: +ELLIPSIS
+    {'vm': 'a', ..., 'cause': 'y z'}
+    """
+    fields: dict[str, str] = {}
+    for key, value in _PAIR.findall(line):
+        if value.startswith('"'):
+            try:
+                value = json.loads(value)
+            except ValueError:
+                return None
+        fields[key] = value
+    if any(key not in fields for key in _REQUIRED):
+        return None
+    try:
+        return Entry(
+            fields=fields,
+            vm=fields["vm"],
+            incarnation=int(fields["incarnation"]),
+            sequence=int(fields["sequence"]),
+            clock=int(fields["clock"]),
+        )
+    except ValueError:
+        return None
+
+
+def merge_entries(entries: Iterable[Entry]) -> list[Entry]:
+    """Return the entries in causal order; a repeated entry appears once."""
+    processes: dict[tuple[str, int], dict[int, Entry]] = {}
+    for entry in entries:
+        process = processes.setdefault((entry.vm, entry.incarnation), {})
+        process.setdefault(entry.sequence, entry)
+    merged = []
+    for process in processes.values():
+        clock = 0
+        for sequence in sorted(process):
+            entry = process[sequence]
+            clock = entry.clock = max(clock, entry.clock)
+            merged.append(entry)
+    merged.sort(key=lambda e: (e.clock, e.vm, e.incarnation, e.sequence))
+    return merged
+
+
+def select_entries(entries: list[Entry], wanted: dict[str, str]) -> list[Entry]:
+    """Return the entries whose fields have all wanted values."""
+    selected = []
+    for entry in entries:
+        if all(entry.fields.get(key) == value for key, value in wanted.items()):
+            selected.append(entry)
+    return selected
+
+
+def explain_request(entries: list[Entry], request: str) -> list[Entry]:
+    """Return a request's events and those that may have held it up.
+
+    The latter are the events between its first and its last one that concern
+    its database but no other request.
+    """
+    places = [
+        place
+        for place, entry in enumerate(entries)
+        if entry.fields.get("request") == request
+    ]
+    if not places:
+        return []
+    own = [entries[place] for place in places]
+    databases = {entry.fields.get("database") for entry in own} - {None}
+    found = []
+    for entry in entries[places[0] : places[-1] + 1]:
+        other = entry.fields.get("request")
+        if other == request:
+            found.append(entry)
+        elif other is None and entry.fields.get("database") in databases:
+            found.append(entry)
+    return found
+
+
+def state_reason(entries: list[Entry], request: str) -> str:
+    """Return one sentence: the request's last event that names a cause."""
+    for entry in reversed(entries):
+        cause = entry.fields.get("cause")
+        if entry.fields.get("request") == request and cause:
+            event = entry.fields["event"]
+            return f"{request}: {event} on {entry.vm} because: {cause}"
+    return f"{request}: no event names a cause"
+
+
+@dataclass
+class Timeline:
+    """Merge event logs in causal order.
+
+    Filters are joined by "and". Lines that are no events are passed over.
+    """
+
+    logs: Annotated[list[str], cappa.Arg(help="Log files; - for standard input.")]
+    database: Annotated[str, cappa.Arg(long=True, help="Only this database.")] = ""
+    session: Annotated[str, cappa.Arg(long=True, help="Only this session.")] = ""
+    request: Annotated[str, cappa.Arg(long=True, help="Only this request.")] = ""
+    ticket: Annotated[str, cappa.Arg(long=True, help="Only this ticket.")] = ""
+    vm: Annotated[str, cappa.Arg(long=True, help="Only this VM.")] = ""
+    event: Annotated[str, cappa.Arg(long=True, help="Only this event.")] = ""
+    why: Annotated[
+        str, cappa.Arg(long=True, help="Tell why a request waited or was refused.")
+    ] = ""
+    json: Annotated[bool, cappa.Arg(long=True, help="Print JSON lines.")] = field(
+        default=False
+    )
+
+    def __call__(self) -> int:
+        """Print the selected events; 1 if a log can't be read or none matches."""
+        entries: list[Entry] = []
+        for path in self.logs:
+            try:
+                entries.extend(_read_log(path))
+            except OSError as error:
+                print(f"cannot read {path}: {error.strerror}", file=sys.stderr)
+                return 1
+        entries = merge_entries(entries)
+        if self.why:
+            entries = explain_request(entries, self.why)
+        selected = select_entries(entries, self._build_filter())
+        for entry in selected:
+            print(json.dumps(entry.fields) if self.json else _format(entry))
+        if self.why and selected and not self.json:
+            print(state_reason(entries, self.why))
+        return 0 if selected else 1
+
+    def _build_filter(self) -> dict[str, str]:
+        keys = ("database", "session", "request", "ticket", "vm", "event")
+        return {key: getattr(self, key) for key in keys if getattr(self, key)}
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the program and exit with its status."""
+    raise SystemExit(cappa.invoke(Timeline, argv=argv))
+
+
+def _read_log(path: str) -> list[Entry]:
+    if path == "-":
+        return _parse_lines(sys.stdin)
+    with open(path, encoding="utf-8", errors="replace") as log:
+        return _parse_lines(log)
+
+
+def _parse_lines(lines: Iterable[str]) -> list[Entry]:
+    entries = []
+    for line in lines:
+        entry = parse_line(line)
+        if entry is not None:
+            entries.append(entry)
+    return entries
+
+
+def _format(entry: Entry) -> str:
+    columns = [
+        f"{entry.clock:>8}",
+        entry.fields.get("wall", "-"),
+        f"{entry.vm}.{entry.incarnation}",
+        entry.fields["event"],
+    ]
+    for key, value in entry.fields.items():
+        if key not in COLUMN_FIELDS:
+            quoted = json.dumps(value) if " " in value or not value else value
+            columns.append(f"{key}={quoted}")
+    return " ".join(columns)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,213 @@
+"""Tests of tickets and records of terms: order, spread, outages."""
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+from pump import Fleet, build_address, build_ticket
+
+from siskinhold import events
+from siskinhold.core import Identity, NodeState, reduce
+from siskinhold.core._tickets import find_database, fold_ticket, learn_record
+from siskinhold.messages import Envelope, TicketsPushed
+from siskinhold.model import DatabaseGroup, Reservation, TermRecord, TermStart
+from siskinhold.store import encode_record, encode_ticket, term_key, ticket_key
+
+
+def build_node() -> NodeState:
+    address = build_address(0, "north")
+    identity = Identity(address=address, incarnation=1)
+    return NodeState(identity=identity, random=random.Random(1))
+
+
+def push(*tickets) -> events.PeerReceived:
+    message = TicketsPushed(tickets=tickets)
+    envelope = Envelope(
+        sender="vm1", incarnation=1, receiver_incarnation=0, clock=1, message=message
+    )
+    return events.PeerReceived(at=0.0, envelope=envelope)
+
+
+def build_record(*, starts=1, reserved=None) -> TermRecord:
+    past = tuple(TermStart(term=n + 1, offset=n, primary="s") for n in range(starts))
+    held = Reservation(term=reserved, vm="vm1", run="r") if reserved else None
+    return TermRecord(database="db", starts=past, reservation=held)
+
+
+def applied(fleet) -> set[int]:
+    return {node.config.applied for node in fleet.nodes.values()}
+
+
+class TestOrder:
+    """Tickets come into force in order, once, and never go back."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.permutations(range(1, 9)), st.lists(st.integers(1, 8), max_size=8))
+    def test_racing_arrivals(self, order, repeated):
+        """In any order of arrival, with repeats, the number never falls and the
+        end is the fold of all; guards against a gap that is jumped."""
+        node = build_node()
+        seen = 0
+        for number in (*order, *repeated):
+            out = reduce(node, push(build_ticket(number)))
+            assert node.config.applied >= seen
+            seen = node.config.applied
+            assert all(n in node.config.tickets for n in range(1, seen + 1))
+            assert not any(
+                e.name == "ticket_conflict" for e in out if hasattr(e, "name")
+            )
+        groups = {}
+        for number in range(1, 9):
+            groups = fold_ticket(groups, build_ticket(number))
+        assert (node.config.applied, node.config.groups) == (8, groups)
+        assert find_database(node, "db8")[0].name == "g8"
+
+    def test_other_ticket_with_a_known_number(self):
+        """A second ticket with a number in force changes nothing and is
+        recorded; guards against an operator's lost race that wins on one VM."""
+        node = build_node()
+        reduce(node, push(build_ticket(1)))
+        out = reduce(node, push(build_ticket(1, "other")))
+        assert node.config.tickets[1].identity == "i1"
+        assert [effect.name for effect in out] == ["ticket_conflict"]
+
+    def test_group_without_databases_is_removed(self):
+        """A ticket with an empty group removes it; guards against databases
+        that stay in force."""
+        node = build_node()
+        empty = msgspec.structs.replace(
+            build_ticket(2), groups=(DatabaseGroup(name="g1"),)
+        )
+        reduce(node, push(build_ticket(1), empty))
+        assert node.config.groups == {}
+        assert find_database(node, "db1") is None
+
+    def test_unreadable_object(self):
+        """An unreadable object is recorded and the others count; guards
+        against one bad object that stops all tickets."""
+        node = build_node()
+        fleet = Fleet(size=0)
+        fleet.put("ticket/2", b"\xff{")
+        fleet.put(ticket_key(1), encode_ticket(build_ticket(1)))
+        event = events.StoreChanged(at=0.0, objects=tuple(fleet.objects), revision=2)
+        out = reduce(node, event)
+        assert [effect.name for effect in out] == [
+            "object_unreadable",
+            "ticket_applied",
+        ]
+
+
+class TestRecords:
+    """Records of terms only move forwards."""
+
+    @pytest.mark.parametrize(
+        "newer",
+        [build_record(starts=2), build_record(starts=1, reserved=2)],
+    )
+    def test_only_forwards(self, newer):
+        """More starts or a higher reservation win in either order; guards
+        against an old record from a peer that hides a promotion."""
+        for first, second in ((build_record(), newer), (newer, build_record())):
+            node = build_node()
+            learn_record(node, first, 0, [])
+            learn_record(node, second, 0, [])
+            assert node.config.records["db"] == newer
+
+    def test_store_version(self):
+        """The version follows the record held; guards against a conditional
+        write that expects the version of another content."""
+        node = build_node()
+        learn_record(node, build_record(), 4, [])
+        learn_record(node, build_record(starts=2), 0, [])
+        assert node.config.record_versions["db"] == 0
+        learn_record(node, build_record(starts=2), 5, [])
+        assert node.config.record_versions["db"] == 5
+
+
+class TestSpread:
+    """How tickets and records reach all VMs."""
+
+    def test_ticket_reaches_all(self):
+        """A ticket is in force everywhere within 0.5 s, and two VMs watch;
+        guards against VMs that hear of tickets late or all ask the store."""
+        fleet = Fleet(size=9, remote=4)
+        fleet.run(4)
+        assert len(fleet.watches) == 2
+        fleet.accept(build_ticket(1))
+        fleet.put(term_key("db"), encode_record(build_record()))
+        fleet.run(0.5)
+        assert applied(fleet) == {1}
+        assert all("db" in node.config.records for node in fleet.nodes.values())
+        assert {at for at, _ in fleet.names_of("ticket_applied")}
+
+    def test_ticket_reaches_all_of_a_large_fleet(self):
+        """With a bounded push the rest hears by gossip within 3 s, also with
+        10 % loss; guards against VMs that nobody tells."""
+        fleet = Fleet(size=60, remote=20, loss=0.1)
+        fleet.run(6)
+        fleet.accept(build_ticket(1))
+        fleet.run(3)
+        assert applied(fleet) == {1}
+
+    def test_vm_that_was_away_for_three_tickets(self):
+        """A VM that was cut off for three tickets gets them in order; guards
+        against a VM that applies only the last."""
+        fleet = Fleet(size=9, remote=4)
+        fleet.run(4)
+        away = next(name for name in fleet.nodes if name not in fleet.watches)
+        fleet.cut = lambda a, b: away in (a, b)
+        for number in (1, 2, 3):
+            fleet.accept(build_ticket(number))
+            fleet.run(1)
+        assert fleet.nodes[away].config.applied == 0
+        fleet.cut = lambda a, b: False
+        fleet.run(1.5)
+        assert applied(fleet) == {3}
+        order = [
+            r.ticket
+            for _, vm, r in fleet.records
+            if (vm, r.name) == (away, "ticket_applied")
+        ]
+        assert order == [1, 2, 3]
+
+    def test_start_during_store_outage(self):
+        """A VM that starts during an outage gets all from peers, and a fleet
+        that restarts VM by VM keeps it; guards against a lower ticket."""
+        fleet = Fleet(size=5)
+        fleet.run(3)
+        fleet.accept(build_ticket(1), build_ticket(2))
+        fleet.put(term_key("db"), encode_record(build_record()))
+        fleet.run(1)
+        fleet.store_up = False
+        for name in list(fleet.nodes):
+            fleet.stop(name)
+            fleet.start(name, incarnation=2)
+            fleet.run(2)
+        assert applied(fleet) == {2}
+        assert all("db" in node.config.records for node in fleet.nodes.values())
+
+    def test_store_returns_after_outage(self):
+        """A fleet that starts without the store retries with growing delays
+        and watches when it is back; guards against a watcher that gives up."""
+        fleet = Fleet(size=3)
+        fleet.store_up = False
+        fleet.accept(build_ticket(1))
+        fleet.run(60)
+        failures = len(fleet.names_of("store_list_failed"))
+        assert 5 <= failures <= 30
+        fleet.store_up = True
+        fleet.run(10)
+        assert applied(fleet) == {1}
+        assert len(fleet.watches) == 1
+
+    def test_next_watcher_takes_over(self):
+        """After the loss of a watcher the next one lists and watches; guards
+        against tickets that nobody sees."""
+        fleet = Fleet(size=6)
+        fleet.run(4)
+        fleet.stop(next(iter(fleet.watches)))
+        fleet.accept(build_ticket(1))
+        fleet.run(4.5)
+        assert applied(fleet) == {1}
+        assert len(fleet.watches) == 1
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,106 @@
+"""Tests of the recorder and of the program that merges its logs."""
+
+import json
+
+import pytest
+from hypothesis import given, strategies as st
+from prometheus_client import CollectorRegistry
+
+from siskinhold.adapters import TimelineRecorder
+from siskinhold.effects import Observe, Record
+from siskinhold.model import RequestId
+from siskinhold.programs.timeline import main, merge_entries, parse_line
+
+ID = RequestId("vm1", 3, 9)
+
+
+def open_recorder(path, vm="vm1") -> TimelineRecorder:
+    return TimelineRecorder(
+        vm=vm,
+        incarnation=3,
+        path=str(path),
+        registry=CollectorRegistry(),
+        read_wall_clock=lambda: 1.5,
+    )
+
+
+def run(capsys, *argv) -> tuple[int, list[str]]:
+    with pytest.raises(SystemExit) as exit_info:
+        main([str(arg) for arg in argv])
+    return exit_info.value.code, capsys.readouterr().out.splitlines()
+
+
+class TestRecorder:
+    """Lines and metrics."""
+
+    @given(st.text(), st.text())
+    def test_line_survives_parsing(self, cause, value):
+        """Any text comes back from one line; guards against a cause that
+        breaks the line or hides the next field."""
+        effect = Record(name="x", cause=cause, request=ID, detail=(("k", value),))
+        lines = []
+        recorder = open_recorder("/dev/null")
+        recorder._handler.emit = lambda r: lines.append(recorder._handler.format(r))
+        recorder.record(effect, clock=0)
+        recorder.close()
+        assert len(lines[0].splitlines()) == 1
+        fields = parse_line(lines[0]).fields
+        assert fields.get("cause", "") == cause
+        assert (fields["k"], fields["request"]) == (value, "vm1.3.9")
+
+    def test_metrics(self, caplog, tmp_path):
+        """Unknown metrics are refused once in the log and labels are bounded;
+        guards against memory that grows with label values."""
+        recorder = open_recorder(tmp_path / "log")
+        for number in range(200):
+            recorder.observe(Observe(metric="requests", label=f"o{number}"))
+            recorder.observe(Observe(metric="no_such"))
+        values = recorder.metrics.registry
+        other = {"outcome": "other"}
+        assert values.get_sample_value("siskinhold_requests_total", other) == 150
+        assert caplog.text.count("event=metric_refused metric=no_such") == 1
+        recorder.close()
+
+
+class TestMerge:
+    """The order of merged logs."""
+
+    @given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 5)), max_size=20))
+    def test_process_order_is_kept(self, events):
+        """Each process's events keep their sequence whatever their clocks;
+        guards against an effect printed before its cause."""
+        entries = []
+        for number, (vm, clock) in enumerate(events):
+            line = f"vm={vm} incarnation=1 clock={clock} sequence={number} event=x"
+            entries.append(parse_line(line))
+        merged = merge_entries(reversed(entries))
+        assert len(merged) == len(events)
+        for vm in "ab":
+            order = [entry.sequence for entry in merged if entry.vm == vm]
+            assert order == sorted(order)
+
+    def test_filters_and_reason(self, tmp_path, capsys):
+        """Filters select, `--why` shows the request, what held it up and the
+        cause, and nothing of others; guards against a refusal without reason."""
+        first, second = tmp_path / "1", tmp_path / "2"
+        entry, owner = open_recorder(first), open_recorder(second, "vm2")
+        entry.record(Record(name="request_sent", request=ID, database="d"), clock=1)
+        entry.record(Record(name="vm_gone", cause="silence"), clock=9)
+        owner.record(Record(name="primary_lost", database="d"), clock=3)
+        other = RequestId("vm1", 3, 8)
+        owner.record(Record(name="queued", request=other, database="d"), clock=4)
+        owner.record(
+            Record(name="refused", cause="no primary", request=ID, database="d"),
+            clock=5,
+        )
+        code, lines = run(capsys, first, second, "--why", "vm1.3.9")
+        names = [line.split()[3] for line in lines[:-1]]
+        assert (code, names) == (0, ["request_sent", "primary_lost", "refused"])
+        assert lines[-1] == "vm1.3.9: refused on vm2 because: no primary"
+        code, lines = run(capsys, second, first, "--vm", "vm1", "--json")
+        assert [json.loads(line)["event"] for line in lines] == [
+            "request_sent",
+            "vm_gone",
+        ]
+        assert run(capsys, first, "--ticket", "4")[0] == 1
+        assert run(capsys, tmp_path / "none")[0] == 1
