--- a/src/siskinhold/model/_peers.py
+++ b/src/siskinhold/model/_peers.py
@@ -13,9 +13,12 @@
     GONE = "gone"
 
 
-class VmAddress(Struct, frozen=True, kw_only=True):
+class VmAddress(Struct, frozen=True, kw_only=True, array_like=True):
     """A VM and where to reach it.
 
+    Encoded as an array: heartbeats carry several, and field names would double
+    their size.
+
     Args:
         name: unique name.
         host: IP address.
@@ -33,8 +36,8 @@
     availability_zone: str
 
 
-class VmView(Struct, frozen=True, kw_only=True):
-    """What a heartbeat tells of one VM.
+class VmView(Struct, frozen=True, kw_only=True, array_like=True):
+    """What a heartbeat tells of one VM; encoded as an array.
 
     Args:
         address: the VM.
