--- a/src/siskinhold/adapters/_peers.py
+++ b/src/siskinhold/adapters/_peers.py
@@ -5,7 +5,7 @@
 import hmac
 import logging
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 import pynng
@@ -16,16 +16,25 @@
 from ._interfaces import Emit, Peers
 
 MESSAGE_LIMIT = 4 * 1024 * 1024
-"""Bytes of the largest message taken: a ticket of 1 MB with room to spare."""
+"""Bytes of the largest frame taken: a ticket of 1 MB with room to spare."""
 
-SEND_BUFFER = 256
-"""Messages that wait for one VM; further ones are dropped."""
+BATCH_MESSAGES = 64
+"""Messages for one VM that one turn of the event loop puts into one frame.
 
-RECEIVE_BUFFER = 1024
-"""Messages that wait to be read."""
+A pull socket hands over one frame a wake-up, so frames cost more than bytes.
+"""
+
+BATCH_BYTES = 64 * 1024
+"""Bytes of messages after which a frame is sent within the turn."""
+
+SEND_BUFFER = 64
+"""Frames that wait for one VM; further ones are dropped."""
+
+STOP_LINGER = 0.05
+"""Seconds for which the last frames may leave before connections close."""
 
 RECEIVE_BATCH = 64
-"""Messages read in one turn of the event loop."""
+"""Frames read in one turn of the event loop."""
 
 RECONNECT_MIN_MS = 50
 """Milliseconds before the first new attempt to connect."""
@@ -48,6 +57,9 @@
 REPORT_INTERVAL = 1.0
 """Least seconds between two log lines about dropped messages of one reason."""
 
+FRAME_OVERHEAD = 64
+"""Bytes kept free in a frame for its tag and its header."""
+
 TAG_BYTES = 16
 """Bytes of the keyed tag in front of a message."""
 
@@ -55,25 +67,29 @@
 
 
 class EnvelopeCodec:
-    """Encodes envelopes, with a keyed tag if the fleet has a key.
+    """Encodes envelopes and frames of them, with a tag if the fleet has a key.
 
     The tag turns away processes without the key. It hides nothing and does not
-    detect that a message is repeated.
+    detect that a frame is repeated.
     """
 
     def __init__(self, *, fleet_key: bytes = b"") -> None:
         """Keep the key; an empty one stands for no tag."""
         self._key = hashlib.blake2b(fleet_key).digest() if fleet_key else b""
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._decoder = msgspec.msgpack.Decoder(list[Envelope])
 
     def encode(self, envelope: Envelope) -> bytes:
-        """Return the bytes to send."""
-        body = self._encoder.encode(envelope)
+        """Return an envelope's part of a frame."""
+        return self._encoder.encode(envelope)
+
+    def join(self, parts: list[bytes]) -> bytes:
+        """Return the frame of encoded envelopes."""
+        body = self._encoder.encode([msgspec.Raw(part) for part in parts])
         return self._tag(body) + body if self._key else body
 
-    def decode(self, data: bytes) -> Result[Envelope, str]:
-        """Return the envelope, or the reason for which the bytes are dropped."""
+    def decode(self, data: bytes) -> Result[list[Envelope], str]:
+        """Return a frame's envelopes, or the reason for which it is dropped."""
         if len(data) > MESSAGE_LIMIT:
             return Err("too_large")
         body = data
@@ -98,6 +114,8 @@
     socket: pynng.Push0 | None = None
     opened_at: float = 0.0
     used_at: float = 0.0
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
 
 
 class NngPeers(Peers):
@@ -138,7 +156,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self._emit = emit
-        pull = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER, recv_max_size=MESSAGE_LIMIT)
+        pull = pynng.Pull0(recv_max_size=MESSAGE_LIMIT)
         try:
             pull.listen(self._url)
         except pynng.NNGException as error:
@@ -164,25 +182,45 @@
         if link is None or self._loop is None:
             self._drop("unknown_vm", vm)
             return
-        data = self._codec.encode(envelope)
-        if len(data) > MESSAGE_LIMIT:
+        part = self._codec.encode(envelope)
+        if len(part) > MESSAGE_LIMIT - FRAME_OVERHEAD:
             self._drop("too_large", vm)
             return
+        if link.size + len(part) > MESSAGE_LIMIT - FRAME_OVERHEAD:
+            self._flush(vm)
+        if not link.parts:
+            self._loop.call_soon(self._flush, vm)
+        link.parts.append(part)
+        link.size += len(part)
+        if len(link.parts) >= BATCH_MESSAGES or link.size >= BATCH_BYTES:
+            self._flush(vm)
+
+    def _flush(self, vm: str) -> None:
+        link = self._links.get(vm)
+        if link is None or not link.parts:
+            return
+        count = len(link.parts)
+        data = self._codec.join(link.parts)
+        link.parts.clear()
+        link.size = 0
         link.used_at = self._loop.time()
         if link.socket is None and not self._open_link(link, vm):
             return
         try:
             link.socket.send(data, block=False)
         except pynng.NNGException:
-            self._drop("full", vm)
+            self._drop("full", vm, count)
             return
-        self.counters["sent"] += 1
+        self.counters["sent"] += count
         self.counters["sent_bytes"] += len(data)
 
     async def stop(self) -> None:
         """Close all connections."""
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        for vm in self._links:
+            self._flush(vm)
+        await asyncio.sleep(STOP_LINGER)
         for link in self._links.values():
             self._close_link(link)
         self._links.clear()
@@ -228,13 +266,13 @@
         if result.is_err():
             self._drop(result.err(), "")
             return
-        envelope = result.ok()
-        self.counters["received"] += 1
+        self.counters["received"] += len(result.ok())
         self.counters["received_bytes"] += len(data)
-        message = envelope.message
-        if isinstance(message, Probe) and message.suspect == self._vm:
-            self._renew(envelope.sender)
-        self._emit(PeerReceived(at=self._loop.time(), envelope=envelope))
+        for envelope in result.ok():
+            message = envelope.message
+            if isinstance(message, Probe) and message.suspect == self._vm:
+                self._renew(envelope.sender)
+            self._emit(PeerReceived(at=self._loop.time(), envelope=envelope))
 
     def _renew(self, vm: str) -> None:
         link = self._links.get(vm)
@@ -243,8 +281,8 @@
         if self._loop.time() - link.opened_at >= RENEW_INTERVAL:
             self._close_link(link)
 
-    def _drop(self, reason: str, vm: str) -> None:
-        self.counters[f"dropped_{reason}"] += 1
+    def _drop(self, reason: str, vm: str, count: int = 1) -> None:
+        self.counters[f"dropped_{reason}"] += count
         now = self._loop.time() if self._loop is not None else 0.0
         if now - self._reported.get(reason, -REPORT_INTERVAL) < REPORT_INTERVAL:
             return
