--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -39,6 +39,15 @@
 SUSPECT_AFTER = 1.5
 """Seconds of silence after which a VM is suspected and probed."""
 
+PROBE_TIME = 0.5
+"""Seconds before suspicion in which a silent VM is probed directly."""
+
+CONTACT_LIMIT = 1000
+"""Addresses kept to be tried; those noted longest ago are dropped.
+
+Regions can be parted for an hour, and find each other again through them.
+"""
+
 _RANK = {VmState.LIVE: 0, VmState.LEAVING: 1, VmState.GONE: 2}
 
 
@@ -125,14 +134,24 @@
 def watch_peer(node: NodeState, peer: Peer) -> None:
     """Let a VM's silence count from now on.
 
-    A VM of which nothing was expected before gets the time between suspicion
-    and loss to answer.
+    A VM of which nothing was expected before gets time to answer probes.
     """
     name = peer.view.address.name
     if name in node.membership.watched:
         return
     node.membership.watched[name] = None
-    peer.heard_at = max(peer.heard_at, node.now - SUSPECT_AFTER)
+    peer.watched_at = node.now - SUSPECT_AFTER + PROBE_TIME
+
+
+def note_contact(node: NodeState, address: VmAddress) -> None:
+    """Keep an address to be tried while no live VM is known there."""
+    contacts = node.membership.contacts
+    if address.name == node.identity.name:
+        return
+    contacts.pop(address.name, None)
+    contacts[address.name] = address
+    if len(contacts) > CONTACT_LIMIT:
+        del contacts[next(iter(contacts))]
 
 
 def change_state(
@@ -166,6 +185,7 @@
         mine.watched.pop(name, None)
         if name in mine.neighbours:
             mine.neighbours.remove(name)
+        note_contact(node, view.address)
     detail = (("peer", name), ("peer_incarnation", view.incarnation))
     record(out, f"vm_{view.state.value}", cause=cause, detail=detail)
 
@@ -174,7 +194,7 @@
     if view.state is VmState.GONE:
         return False
     name = view.address.name
-    peer = Peer(view=view, heard_at=node.now, direct_at=node.now)
+    peer = Peer(view=view, heard_at=node.now, probed_at=node.now)
     node.membership.peers[name] = peer
     _note_state(node, peer, cause, out)
     spread(node, name)
@@ -192,8 +212,10 @@
         spread(node, view.address.name)
     if view.state is VmState.GONE:
         return False
-    peer.heard_at = node.now
-    peer.suspected_at = None
+    # In a large fleet a view can be seconds old when it comes through others.
+    if restarted or is_small(node):
+        peer.heard_at = node.now
+        peer.suspected_at = None
     return True
 
 
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -5,13 +5,14 @@
 from ..effects import SendPeer
 from ..events import PeerReceived, ShutdownRequested, Started, VmListReported
 from ..messages import Heartbeat, Probe, ProbeAnswer, VmsPushed
-from ..model import VmAddress, VmState
+from ..model import VmState
 from ._gossip import (
     build_heartbeat,
     build_sync,
     choose_targets,
     find_address,
     merge_view,
+    note_contact,
     watch_peer,
 )
 from ._ownership import find_owner, is_watcher, list_live
@@ -53,7 +54,7 @@
 def _start(node: NodeState, event: Started, out: Effects) -> None:
     mine = node.membership
     for address in node.identity.seeds:
-        _note_contact(node, address)
+        note_contact(node, address)
     mine.beat_at = node.now
     mine.version += 1
     node.timers.schedule(node.now, BeatDue())
@@ -91,11 +92,6 @@
     return node.random.sample(absent, CONTACTS_PER_BEAT)
 
 
-def _note_contact(node: NodeState, address: VmAddress) -> None:
-    if address.name != node.identity.name:
-        node.membership.contacts[address.name] = address
-
-
 def _receive_heartbeat(node: NodeState, event: PeerReceived, out: Effects) -> None:
     envelope = event.envelope
     views = envelope.message.views
@@ -105,7 +101,6 @@
     for index, view in enumerate(views):
         cause = "heartbeat" if index == 0 else f"heartbeat of {sender}"
         merge_view(node, view, cause, out)
-    _note_contact(node, views[0].address)
     peer = node.membership.peers.get(sender)
     if peer is not None and peer.view.state is not VmState.GONE:
         watch_peer(node, peer)
@@ -127,7 +122,9 @@
 def _learn_list(node: NodeState, live, leaving, out: Effects) -> None:
     mine = node.membership
     for address in live:
-        _note_contact(node, address)
+        peer = mine.peers.get(address.name)
+        if peer is None or peer.view.state is VmState.GONE:
+            note_contact(node, address)
     names = frozenset(leaving)
     if names == mine.listed_leaving:
         return
@@ -142,6 +139,7 @@
 
 
 def _leave(node: NodeState, event: ShutdownRequested, out: Effects) -> None:
+    node.shutting_down = True
     _announce(node, VmState.LEAVING, "shutdown requested", out)
 
 
--- a/src/siskinhold/core/_spreading.py
+++ b/src/siskinhold/core/_spreading.py
@@ -71,13 +71,20 @@
 
 
 def answer_tickets(node: NodeState, event: PeerReceived, out: Effects) -> None:
-    """Send the tickets that a VM asks for; none if it has them all."""
+    """Send the tickets that a VM asks for; none if it has them all.
+
+    A VM that is not informed itself stays silent, so that the other one asks on.
+    """
+    if not is_informed(node):
+        return
     sender = event.envelope.sender
     _send_tickets(node, sender, event.envelope.message.first, out)
 
 
 def answer_terms(node: NodeState, event: PeerReceived, out: Effects) -> None:
-    """Send all records of terms."""
+    """Send all records of terms, unless this VM is not informed itself."""
+    if not is_informed(node):
+        return
     records = [node.config.records[name] for name in sorted(node.config.records)]
     for part in _split(records) or [()]:
         message = TermsPushed(records=tuple(part))
@@ -85,10 +92,17 @@
 
 
 def ask_at_start(node: NodeState, vms: list[str], out: Effects) -> None:
-    """Ask VMs for all tickets and records of terms."""
+    """Ask VMs for the tickets and records of terms that were not sent yet."""
     for vm in vms:
-        ask_for_tickets(node, vm, out)
-        out.append(SendPeer(vm=vm, message=TermsWanted()))
+        if not node.config.got_tickets:
+            ask_for_tickets(node, vm, out)
+        if not node.config.got_terms:
+            out.append(SendPeer(vm=vm, message=TermsWanted()))
+
+
+def is_informed(node: NodeState) -> bool:
+    """Return whether this VM got all that is in force, from peers or the store."""
+    return node.config.listed or (node.config.got_tickets and node.config.got_terms)
 
 
 def push_tickets(node: NodeState, tickets: list[ChangeTicket], out: Effects) -> None:
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -50,19 +50,21 @@
 
     Args:
         view: the newest view of it.
-        heard_at: when its beat last grew, directly or through others.
+        heard_at: when it last showed life, directly or through others.
         suspected_at: when it was first suspected, None if it is not.
         gone_at: when it was taken as gone, None if it is not.
         direct_at: when a message of it last arrived here.
         probed_at: when it was last probed for the lack of such messages.
+        watched_at: from when on its silence counts.
     """
 
     view: VmView
     heard_at: float
     suspected_at: float | None = None
     gone_at: float | None = None
-    direct_at: float = 0.0
+    direct_at: float = -math.inf
     probed_at: float = 0.0
+    watched_at: float = -math.inf
 
 
 @dataclass(slots=True, kw_only=True)
@@ -145,7 +147,9 @@
         watching: whether this VM watches the store.
         version: grows when `groups` or `records` change.
         started_at: when the process started.
-        answered: whether a peer answered since the start.
+        got_tickets: whether a peer sent its tickets since the start.
+        got_terms: whether a peer sent its records of terms since the start.
+        terms_at: when the records of terms are compared with a peer's again.
         listed: whether the store was listed since the start.
         listing: prefixes of lists under way.
         list_after: earliest time of the next list.
@@ -168,7 +172,9 @@
     watching: bool = False
     version: int = 0
     started_at: float = 0.0
-    answered: bool = False
+    got_tickets: bool = False
+    got_terms: bool = False
+    terms_at: float = 0.0
     listed: bool = False
     listing: set[str] = field(default_factory=set)
     list_after: float = 0.0
--- a/src/siskinhold/core/_suspicion.py
+++ b/src/siskinhold/core/_suspicion.py
@@ -4,7 +4,7 @@
 from ..events import PeerReceived
 from ..messages import Probe, ProbeAnswer
 from ..model import VmState
-from ._gossip import SUSPECT_AFTER, change_state, is_small, watch_peer
+from ._gossip import PROBE_TIME, SUSPECT_AFTER, change_state, is_small, watch_peer
 from ._ownership import list_live
 from ._state import Effects, NodeState, Peer, record
 
@@ -30,9 +30,6 @@
 They find a VM that is lost together with all VMs that it sent heartbeats to.
 """
 
-PROBE_TIME = 0.5
-"""Seconds that a randomly probed VM has to answer before it is suspected."""
-
 FORGET_AFTER = 600.0
 """Seconds for which a gone VM is remembered, so that old views don't revive it."""
 
@@ -52,14 +49,16 @@
         if peer is None or peer.view.state is VmState.GONE:
             del mine.watched[name]
             continue
-        silence = node.now - peer.heard_at
-        if silence < SUSPECT_AFTER:
+        silence = _measure_silence(node, peer)
+        if silence < SUSPECT_AFTER - PROBE_TIME:
             continue
-        if peer.suspected_at is None:
-            _suspect(node, peer, out)
-        elif silence >= limit:
+        if peer.suspected_at is not None and silence >= limit:
             cause = f"silent for {silence:.1f} s"
             change_state(node, peer, VmState.GONE, cause, out)
+            continue
+        if silence >= SUSPECT_AFTER and peer.suspected_at is None:
+            _suspect(node, peer, out)
+        _probe_silent(node, peer, out)
 
 
 def _check_connection(node: NodeState, peer: Peer, out: Effects) -> None:
@@ -81,7 +80,7 @@
     for name in mine.watched:
         peer = mine.peers.get(name)
         if peer is not None:
-            peer.heard_at = node.now
+            peer.watched_at = node.now
             peer.suspected_at = None
     pause = round(node.now - mine.beat_at, 3)
     record(out, "pause_noticed", cause="timer", detail=(("seconds", pause),))
@@ -98,7 +97,6 @@
     if peer is None:
         return
     watch_peer(node, peer)
-    peer.heard_at = max(peer.heard_at, node.now - SUSPECT_AFTER + PROBE_TIME)
     _send_probe(node, name, name, out)
 
 
@@ -134,7 +132,7 @@
     if peer is None:
         _answer(sender, probe, -1, out)
         return
-    silence = node.now - peer.heard_at
+    silence = node.now - peer.direct_at
     if silence < SUSPECT_AFTER and peer.view.state is not VmState.GONE:
         _answer(sender, probe, int(silence * 1000), out)
     askers = node.membership.relayed.setdefault(probe.suspect, {})
@@ -167,10 +165,17 @@
 def _suspect(node: NodeState, peer: Peer, out: Effects) -> None:
     name = peer.view.address.name
     peer.suspected_at = node.now
-    silence = round(node.now - peer.heard_at, 3)
+    silence = round(_measure_silence(node, peer), 3)
     detail = (("peer", name), ("silent_s", silence))
     record(out, "vm_suspected", cause="silence", detail=detail)
+
+
+def _probe_silent(node: NodeState, peer: Peer, out: Effects) -> None:
+    """Probe with each beat, as single probes get lost; through others if suspected."""
+    name = peer.view.address.name
     _send_probe(node, name, name, out)
+    if peer.suspected_at is None:
+        return
     live = [
         other
         for other in node.random.sample(
@@ -195,6 +200,10 @@
     out.append(SendPeer(vm=vm, message=answer))
 
 
+def _measure_silence(node: NodeState, peer: Peer) -> float:
+    return node.now - max(peer.heard_at, peer.watched_at)
+
+
 def _is_isolated(node: NodeState) -> bool:
     region = node.identity.address.region
     silent = {True: 0, False: 0}
@@ -204,7 +213,7 @@
         if peer is None:
             continue
         near = peer.view.address.region == region
-        counts = silent if node.now - peer.heard_at >= SUSPECT_AFTER else heard
+        counts = silent if _measure_silence(node, peer) >= SUSPECT_AFTER else heard
         counts[near] += 1
     if sum(silent.values()) <= sum(heard.values()):
         return False
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -8,6 +8,7 @@
 from ..messages import Heartbeat, TermsPushed, TermsWanted, TicketsPushed, TicketsWanted
 from ..model import ChangeTicket, Database, DatabaseGroup, TermRecord
 from ..store import TERM_PREFIX, TICKET_PREFIX, decode_record, decode_ticket
+from ._ownership import is_watcher
 from ._spreading import (
     answer_terms,
     answer_tickets,
@@ -158,7 +159,7 @@
         if result.is_err():
             detail = (("key", item.key), ("reason", result.err().reason))
             note(out, "object_unreadable", cause="store", detail=detail)
-    if node.config.watching:
+    if is_watcher(node):
         push_tickets(node, tickets, out)
         push_records(node, records, out)
 
@@ -174,7 +175,7 @@
 
 def _take_tickets(node: NodeState, event: PeerReceived, out: Effects) -> None:
     sender = event.envelope.sender
-    node.config.answered = True
+    node.config.got_tickets = True
     for ticket in event.envelope.message.tickets:
         learn_ticket(node, ticket, f"peer {sender}", out)
     peer = node.membership.peers.get(sender)
@@ -183,7 +184,7 @@
 
 
 def _take_records(node: NodeState, event: PeerReceived, out: Effects) -> None:
-    node.config.answered = True
+    node.config.got_terms = True
     fresh = []
     for item in event.envelope.message.records:
         if learn_record(node, item, 0, out):
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass
 
-from ..effects import CallStore, ReadVmList, UnwatchStore, WatchStore
+from ..effects import CallStore, ReadVmList, SendPeer, UnwatchStore, WatchStore
 from ..events import Started
+from ..messages import TermsWanted
 from ..model import VmState
 from ..store import TERM_PREFIX, TICKET_PREFIX, ListObjects, StoreResult
 from ._gossip import choose_targets
-from ._ownership import is_watcher
-from ._spreading import ask_at_start
+from ._ownership import WATCHER_KEY, find_owner, is_watcher
+from ._spreading import ask_at_start, is_informed
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
@@ -24,11 +25,26 @@
 ASK_AT_START = 2
 """Peers asked at a time by a starting VM."""
 
+TERMS_INTERVAL = 30.0
+"""Seconds between two comparisons of the records of terms with the watcher's."""
+
+TERMS_COMPARED = 300
+"""Most records that are compared; more would cost too many bytes."""
+
+LONE_WAIT = 5.0
+"""Seconds without an informed peer after which any VM lists the store."""
+
+LONE_RETRY_LIMIT = 60.0
+"""Most seconds between two lists of a VM that is not the watcher.
+
+All VMs of a fleet that starts during an outage of the store list it.
+"""
+
 LIST_RETRY = 0.5
 """Seconds before a failed list is repeated; doubled with each failure."""
 
 LIST_RETRY_LIMIT = 8.0
-"""Most seconds between two lists."""
+"""Most seconds between two lists of the watcher."""
 
 LIST_TIMEOUT = 5.0
 """Seconds that the store has to answer a list."""
@@ -75,14 +91,15 @@
     mine = node.config
     jitter = node.random.uniform(0.9, 1.1)
     node.timers.schedule(node.now + CATCH_UP_INTERVAL * jitter, CatchUpDue())
-    if not mine.answered:
+    if not is_informed(node):
         _ask_some(node, choose_targets(node) or list(node.membership.contacts), out)
     if node.now - mine.started_at < START_WAIT:
         return
     if not is_watcher(node):
         _lay_down_watch(node, out)
-        if not mine.answered and not mine.listed:
+        if not is_informed(node) and node.now - mine.started_at >= LONE_WAIT:
             _list_store(node, out)
+        _compare_terms(node, out)
         return
     if not mine.watching:
         _list_store(node, out)
@@ -127,6 +144,18 @@
     return True
 
 
+def _compare_terms(node: NodeState, out: Effects) -> None:
+    """Ask a peer for its records from time to time, as a push may be lost."""
+    mine = node.config
+    if node.now < mine.terms_at or len(mine.records) > TERMS_COMPARED:
+        return
+    mine.terms_at = node.now + TERMS_INTERVAL * node.random.uniform(0.8, 1.2)
+    region = node.identity.address.region
+    watcher = find_owner(node, WATCHER_KEY, region)
+    if watcher is not None:
+        out.append(SendPeer(vm=watcher, message=TermsWanted()))
+
+
 def _list_store(node: NodeState, out: Effects) -> None:
     mine = node.config
     if mine.listing or node.now < mine.list_after:
@@ -146,7 +175,8 @@
     if mine.list_failed:
         return
     mine.list_failed = True
-    delay = min(LIST_RETRY * 2**mine.list_failures, LIST_RETRY_LIMIT)
+    limit = LIST_RETRY_LIMIT if is_watcher(node) else LONE_RETRY_LIMIT
+    delay = min(LIST_RETRY * 2**mine.list_failures, limit)
     mine.list_failures = min(mine.list_failures + 1, 10)
     mine.list_after = node.now + delay * node.random.uniform(0.5, 1.0)
     retry = round(mine.list_after - node.now, 3)
