--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -42,6 +42,13 @@
 PROBE_TIME = 0.5
 """Seconds before suspicion in which a silent VM is probed directly."""
 
+REVIVE_BEATS = 12
+"""Beats by which the relayed view of a gone VM must be ahead to revive it.
+
+It takes 2.5 s of silence to be taken as gone, which is as many beats. A view
+that is less ahead can be one from before the loss.
+"""
+
 CONTACT_LIMIT = 1000
 """Addresses kept to be tried; those noted longest ago are dropped.
 
@@ -102,33 +109,40 @@
     changes.move_to_end(name, last=False)
 
 
-def merge_view(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+def merge_view(node: NodeState, view: VmView, sender: str, out: Effects) -> None:
     """Take over a view of another VM if it is newer.
 
-    Returns:
-        Whether the VM showed life: a higher incarnation or beat.
+    Args:
+        sender: the VM that sent it.
     """
     name = view.address.name
     if name == node.identity.name:
         _answer_view_of_self(node, view, out)
-        return False
+        return
+    cause = "heartbeat" if sender == name else f"heartbeat of {sender}"
     peer = node.membership.peers.get(name)
     if peer is None:
-        return _add(node, view, cause, out)
+        _add(node, view, cause, out)
+        return
     known = peer.view
     if view.incarnation != known.incarnation:
-        return view.incarnation > known.incarnation and _replace(
-            node, peer, view, cause, out
-        )
+        if view.incarnation > known.incarnation:
+            _replace(node, peer, view, cause, out)
+        return
     if view.beat > known.beat:
-        return _replace(node, peer, view, cause, out)
+        gone = known.state is VmState.GONE
+        if gone and sender != name and view.beat - known.beat < REVIVE_BEATS:
+            return
+        _replace(node, peer, view, cause, out)
+        if gone and view.state is not VmState.GONE:
+            watch_peer(node, peer)
+        return
     if view.beat == known.beat and _RANK[view.state] > _RANK[known.state]:
         change_state(node, peer, view.state, cause, out)
     elif view.state is VmState.GONE and known.state is not VmState.GONE:
         # The sender knows an older beat. Whether the VM is gone is found out
         # by listening for it.
         watch_peer(node, peer)
-    return False
 
 
 def watch_peer(node: NodeState, peer: Peer) -> None:
@@ -190,20 +204,19 @@
     record(out, f"vm_{view.state.value}", cause=cause, detail=detail)
 
 
-def _add(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+def _add(node: NodeState, view: VmView, cause: str, out: Effects) -> None:
     if view.state is VmState.GONE:
-        return False
+        return
     name = view.address.name
     peer = Peer(view=view, heard_at=node.now, probed_at=node.now)
     node.membership.peers[name] = peer
     _note_state(node, peer, cause, out)
     spread(node, name)
-    return True
 
 
 def _replace(
     node: NodeState, peer: Peer, view: VmView, cause: str, out: Effects
-) -> bool:
+) -> None:
     before = peer.view
     peer.view = view
     restarted = view.incarnation != before.incarnation
@@ -211,12 +224,11 @@
         _note_state(node, peer, cause, out)
         spread(node, view.address.name)
     if view.state is VmState.GONE:
-        return False
+        return
     # In a large fleet a view can be seconds old when it comes through others.
     if restarted or is_small(node):
         peer.heard_at = node.now
         peer.suspected_at = None
-    return True
 
 
 def _answer_view_of_self(node: NodeState, view: VmView, out: Effects) -> None:
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -98,9 +98,8 @@
     if not views or views[0].address.name != envelope.sender:
         return
     sender = envelope.sender
-    for index, view in enumerate(views):
-        cause = "heartbeat" if index == 0 else f"heartbeat of {sender}"
-        merge_view(node, view, cause, out)
+    for view in views:
+        merge_view(node, view, sender, out)
     peer = node.membership.peers.get(sender)
     if peer is not None and peer.view.state is not VmState.GONE:
         watch_peer(node, peer)
