--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -13,11 +13,20 @@
 FULL_TARGETS = 8
 """Other VMs in a fleet in which each VM sends heartbeats to all others."""
 
-TARGETS = 8
-"""VMs that get each heartbeat in a larger fleet."""
+CHOSEN_TARGETS = 4
+"""Randomly chosen VMs that get each heartbeat in a larger fleet."""
+
+RETURNED_TARGETS = 4
+"""Most VMs that get a heartbeat because theirs arrived lately.
+
+Without them a VM that nobody chose would hear nothing for seconds.
+"""
+
+RETURN_TIME = 1.0
+"""Seconds for which a VM's heartbeat is returned."""
 
 REMOTE_SHARE = 4
-"""One in this many targets is in another region."""
+"""One in this many chosen targets is in another region."""
 
 NEIGHBOUR_CHANGE = 5.0
 """Seconds after which one target is replaced by another random one.
@@ -29,8 +38,8 @@
 VIEWS_PER_HEARTBEAT = 3
 """Views of other VMs in a heartbeat.
 
-With 8 targets, 5 beats a second and about 75 bytes a view, a VM sends less than
-20 KB/s whatever the size of the fleet.
+With at most 8 targets, 5 beats a second and about 75 bytes a view, a VM sends
+less than 20 KB/s whatever the size of the fleet.
 """
 
 VIEWS_PER_SYNC = 200
@@ -289,18 +298,32 @@
         if mine.neighbours:
             mine.neighbours.pop(0)
     _fill_neighbours(node)
-    return list(mine.neighbours)
+    return mine.neighbours + _choose_returned(node)
+
+
+def _choose_returned(node: NodeState) -> list[str]:
+    mine = node.membership
+    names = []
+    for name in mine.watched:
+        peer = mine.peers.get(name)
+        if peer is None or name in mine.neighbours:
+            continue
+        if node.now - peer.direct_at <= RETURN_TIME:
+            names.append(name)
+    if len(names) <= RETURNED_TARGETS:
+        return names
+    return node.random.sample(names, RETURNED_TARGETS)
 
 
 def _fill_neighbours(node: NodeState) -> None:
     neighbours = node.membership.neighbours
     mine = node.identity.address.region
     live = list_live(node, None)
-    for _ in range(4 * TARGETS):
-        if len(neighbours) >= TARGETS:
+    for _ in range(4 * CHOSEN_TARGETS):
+        if len(neighbours) >= CHOSEN_TARGETS:
             return
         remote = [n for n in neighbours if _find_region(node, n) != mine]
-        want_remote = len(remote) < TARGETS // REMOTE_SHARE
+        want_remote = len(remote) < CHOSEN_TARGETS // REMOTE_SHARE
         has_remote = len(live) > len(list_live(node, mine))
         name = node.random.choice(live)
         for _ in range(8):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -30,7 +30,7 @@
         assert fleet.agree()
         fleet.stop("vm3")
         fleet.stop("vm35")
-        fleet.run(6)
+        fleet.run(4)
         assert fleet.agree()
 
     def test_no_false_loss_under_message_loss(self):
