Add a measure of short work's wait in simulated time

The policy is given as SchedulingRules in the state; the baseline serves first come first served over the same slots.

Found on the way: find_owner hashed text, which xxhash 4 rejects; the fake callers' inform() could not send a statement's kind.

--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -1,7 +1,19 @@
 """The reducer and its state."""
 
+from ._queue import Queue, Work
 from ._reducer import reduce
+from ._scheduling_state import SchedulingRules
 from ._state import Effects, Identity, NodeState
 from ._timers import TimerAction, Timers
 
-__all__ = ["Effects", "Identity", "NodeState", "TimerAction", "Timers", "reduce"]
+__all__ = [
+    "Effects",
+    "Identity",
+    "NodeState",
+    "Queue",
+    "SchedulingRules",
+    "TimerAction",
+    "Timers",
+    "Work",
+    "reduce",
+]
--- a/src/siskinhold/core/_owners.py
+++ b/src/siskinhold/core/_owners.py
@@ -52,7 +52,12 @@
         if pool is None and not owned:
             continue
         if pool is None:
-            pool = Pool(database=database.name, region=region, owned=False)
+            pool = Pool(
+                database=database.name,
+                region=region,
+                owned=False,
+                queue=node.scheduling.rules.make_queue(),
+            )
             node.pools.pools[(database.name, region)] = pool
         if owned and not pool.owned:
             record(out, "pool_taken", database=database.name, detail=_where(pool))
--- a/src/siskinhold/core/_ownership.py
+++ b/src/siskinhold/core/_ownership.py
@@ -70,7 +70,7 @@
 def _search(key: str, names, best: str = "", best_weight: int = -1) -> tuple[str, int]:
     digest = xxhash.xxh64_intdigest
     for name in names:
-        weight = digest(key + name)
+        weight = digest((key + name).encode())
         if weight > best_weight or (weight == best_weight and name < best):
             best, best_weight = name, weight
     return best, best_weight
--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..model import RequestId
-from ._queue import Work, WorkQueue
+from ._queue import Queue, Work, WorkQueue
 
 
 @dataclass(slots=True, kw_only=True)
@@ -46,7 +46,7 @@
     region: str
     owned: bool = True
     held: bool = False
-    queue: WorkQueue = field(default_factory=WorkQueue)
+    queue: Queue = field(default_factory=WorkQueue)
     pinned: list[Work] = field(default_factory=list)
 
 
--- a/src/siskinhold/core/_queue.py
+++ b/src/siskinhold/core/_queue.py
@@ -1,5 +1,6 @@
 """The queue of one pool: what waits, and what goes next."""
 
+import abc
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -71,8 +72,41 @@
     return 3
 
 
+class Queue(abc.ABC):
+    """Waiting work of one pool."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def push(self, work: Work) -> None:
+        """Add a work."""
+
+    @abc.abstractmethod
+    def take(
+        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+    ) -> Work | None:
+        """Remove and return the next work that `accept` allows, or None.
+
+        Args:
+            now: the time in seconds.
+            allow_long: whether long work may be taken.
+        """
+
+    @abc.abstractmethod
+    def remove(self, work: Work) -> None:
+        """Remove a work, if it waits."""
+
+    @abc.abstractmethod
+    def __iter__(self) -> Iterator[Work]:
+        """Iterate over the waiting work; the queue may change meanwhile."""
+
+    @abc.abstractmethod
+    def __len__(self) -> int:
+        """Return how many works wait."""
+
+
 @dataclass(slots=True, kw_only=True)
-class WorkQueue:
+class WorkQueue(Queue):
     """Waiting work by priority class, first come first served in each."""
 
     _classes: tuple[deque[Work], ...] = field(
@@ -83,7 +117,9 @@
         """Add a work."""
         self._classes[rank(work)].append(work)
 
-    def take(self, accept: Callable[[Work], bool], now: float) -> Work | None:
+    def take(
+        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+    ) -> Work | None:
         """Remove and return the next work that `accept` allows, or None."""
         for waiting in self._classes:
             for index, work in enumerate(waiting):
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -24,6 +24,7 @@
 from ._failover_state import FailoverState
 from ._health_state import HealthState
 from ._pool_state import PoolsState
+from ._scheduling_state import SchedulingState
 from ._session_state import SessionsState
 from ._timers import Timers
 
@@ -201,6 +202,7 @@
         health: state of `_health`.
         connections: state of `_connections`.
         pools: state of `_pools`.
+        scheduling: state of `_stragglers`, `_admission` and `_retries`.
         confirmation: state of `_confirmation`.
         sessions: state of `_sessions`.
         failover: state of `_failover` and `_promotion`.
@@ -222,6 +224,7 @@
     health: HealthState = field(default_factory=HealthState)
     connections: ConnectionsState = field(default_factory=ConnectionsState)
     pools: PoolsState = field(default_factory=PoolsState)
+    scheduling: SchedulingState = field(default_factory=SchedulingState)
     confirmation: ConfirmationState = field(default_factory=ConfirmationState)
     sessions: SessionsState = field(default_factory=SessionsState)
     failover: FailoverState = field(default_factory=FailoverState)
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -65,7 +65,7 @@
         )
         return caller
 
-    def inform(self, kind: type, **fields: object) -> None:
+    def inform(self, kind: type, /, **fields: object) -> None:
         """Emit an event after the delay."""
         self.world.later(
             self.delay,
--- /dev/null
+++ b/src/siskinhold_trial/load/_cell.py
@@ -0,0 +1,96 @@
+"""One VM with its pool, in simulated time."""
+
+import random
+
+from siskinhold.adapters import Recorder
+from siskinhold.core import Identity, NodeState, SchedulingRules
+from siskinhold.effects import Observe, Record
+from siskinhold.model import Acknowledge, ChangeTicket, DatabaseGroup, RoutingRules
+from siskinhold.runtime import Driver
+from siskinhold.store import WriteObject, encode_ticket, ticket_key
+from siskinhold_trial.fakes import (
+    FakeBackends,
+    FakeCallers,
+    FakeDatabase,
+    FakeNetwork,
+    FakePeers,
+    FakeStore,
+    FakeStoreClient,
+    FakeWorld,
+)
+
+from ._deployments import Deployment, make_database, make_vm
+
+START_TIME = 3.0
+"""Seconds until the VM has its ticket, its pool and its connections."""
+
+
+class _Records(Recorder):
+    """Keeps counters of what the VM observes."""
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], float] = {}
+
+    def record(self, effect: Record, *, clock: int) -> None:
+        """Drop a time-line record."""
+
+    def observe(self, effect: Observe) -> None:
+        """Count a metric."""
+        key = (effect.metric, effect.label)
+        self.counts[key] = self.counts.get(key, 0.0) + effect.value
+
+
+class Cell:
+    """One VM that owns the pool of one database.
+
+    Args:
+        world: time, chance and latencies.
+        deployment: the customer's sizes.
+        policy: scheduling rules of the VM.
+        seed: seed of the VM's own generator.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: FakeWorld,
+        deployment: Deployment,
+        policy: SchedulingRules,
+        seed: int,
+    ) -> None:
+        self.world = world
+        self.deployment = deployment
+        self.config = make_database(deployment)
+        self.vm = make_vm()
+        self.database = FakeDatabase(world=world, config=self.config)
+        self.callers = FakeCallers(world=world)
+        self.records = _Records()
+        self.store = FakeStore(world=world, place=self.vm)
+        self.node = NodeState(
+            identity=Identity(address=self.vm, incarnation=1),
+            random=random.Random(seed),
+        )
+        self.node.scheduling.rules = policy
+        self.driver = Driver(
+            node=self.node,
+            callers=self.callers,
+            backends=FakeBackends(world=world, vm=self.vm),
+            store=FakeStoreClient(store=self.store, vm=self.vm),
+            peers=FakePeers(network=FakeNetwork(world=world), vm=self.vm),
+            recorder=self.records,
+        )
+
+    async def start(self) -> None:
+        """Put the database's ticket in force and start the VM."""
+        rules = RoutingRules(acknowledge=Acknowledge.PRIMARY)
+        group = DatabaseGroup(name="group", databases=(self.config,), rules=rules)
+        ticket = ChangeTicket(number=1, author="load", identity="load", groups=(group,))
+        self.store.list_vm(self.vm)
+        self.store.carry_out(
+            WriteObject(
+                key=ticket_key(1),
+                value=encode_ticket(ticket).ok_value,
+                expected_version=0,
+            )
+        )
+        await self.driver.start()
--- /dev/null
+++ b/src/siskinhold_trial/load/_deployments.py
@@ -0,0 +1,55 @@
+"""The deployments that load is measured on, reduced to one pool each."""
+
+from dataclasses import dataclass
+
+from siskinhold.model import BackendServer, Database, VmAddress
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Deployment:
+    """A customer's sizes.
+
+    Args:
+        name: the customer.
+        slots: statements that one instance runs at once.
+        connections: connections that one instance allows.
+    """
+
+    name: str
+    slots: int
+    connections: int = 35
+
+
+CRANNOG = Deployment(name="crannog", slots=5)
+MALABAR = Deployment(name="malabar", slots=2)
+REPLICAS = 2
+"""Replicas in the pool. Reads run on them and writes on the primary."""
+
+
+def make_database(deployment: Deployment) -> Database:
+    """Return a database of three instances, one in each zone of one region."""
+    servers = []
+    for number in range(REPLICAS + 1):
+        servers.append(
+            BackendServer(
+                name=f"db-{number}",
+                host="127.0.0.1",
+                port=4000 + number,
+                region="home",
+                availability_zone=f"home-{number}",
+                slots=deployment.slots,
+                connections=deployment.connections,
+            )
+        )
+    return Database(name="db", primary="db-0", servers=tuple(servers))
+
+
+def make_vm() -> VmAddress:
+    """Return the VM that owns the pool, in the primary's zone."""
+    return VmAddress(
+        name="vm",
+        host="127.0.0.1",
+        peer_port=5000,
+        region="home",
+        availability_zone="home-0",
+    )
--- /dev/null
+++ b/src/siskinhold_trial/load/_policies.py
@@ -0,0 +1,54 @@
+"""The policies that are compared: the plain baseline and parts of the real one."""
+
+from collections.abc import Callable, Iterator
+
+from siskinhold.core import Queue, SchedulingRules, Work
+
+
+class FirstComeQueue(Queue):
+    """One queue for all: first come first served, without classes."""
+
+    __slots__ = ("_works",)
+
+    def __init__(self) -> None:
+        self._works: dict[object, Work] = {}
+
+    def push(self, work: Work) -> None:
+        """Add a work."""
+        self._works[work.id] = work
+
+    def take(
+        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+    ) -> Work | None:
+        """Remove and return the first work that `accept` allows, or None."""
+        for work in self._works.values():
+            if not accept(work):
+                continue
+            del self._works[work.id]
+            return work
+        return None
+
+    def remove(self, work: Work) -> None:
+        """Remove a work, if it waits."""
+        self._works.pop(work.id, None)
+
+    def __iter__(self) -> Iterator[Work]:
+        return iter(list(self._works.values()))
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+
+def make_policy() -> SchedulingRules:
+    """Return the policy in use."""
+    return SchedulingRules()
+
+
+def make_baseline() -> SchedulingRules:
+    """Return the baseline: first come first served over the same slots."""
+    return SchedulingRules(
+        make_queue=FirstComeQueue,
+        learn_shapes=False,
+        reserve_slots=False,
+        admit=False,
+    )
