Tell long work from short work and keep slots free of it

Cause of the waits: stragglers take slots that short work needs. A pool-wide limit on long work follows the measured demand of short work, at least one long work runs, and the oldest goes first after 1 s. Queues are fair between tenants by deficit round robin, earliest deadline first within one.

--- a/src/siskinhold/core/_answers.py
+++ b/src/siskinhold/core/_answers.py
@@ -21,6 +21,7 @@
 )
 from ._queue import Work
 from ._state import Effects, NodeState
+from ._stragglers import note_service
 
 READ_ONLY_ERROR = 1290
 """MySQL error of a write on a server that does not lead; it had no effect."""
@@ -73,6 +74,9 @@
 ) -> None:
     seconds = node.now - connection.since
     out.append(Observe(metric="service_seconds", value=seconds))
+    pool = find_pool(node, work.request.database, work.region) if work else None
+    if pool is not None:
+        note_service(node, pool, work, seconds)
 
 
 def _end_transaction_if_over(
--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -29,6 +29,19 @@
     used: float
 
 
+@dataclass(slots=True, kw_only=True)
+class Demand:
+    """Slot time of short work, a sum that decays.
+
+    Args:
+        seconds: the sum at the time `at`.
+        at: when it last changed.
+    """
+
+    seconds: float = 0.0
+    at: float = 0.0
+
+
 @dataclass(slots=True, kw_only=True)
 class Pool:
     """The queue of one database in one region.
@@ -40,6 +53,7 @@
         held: whether writes are held back because a switchover is under way.
         queue: the waiting work.
         pinned: waiting statements of open transactions.
+        demand: short work on the replicas and on the primary.
     """
 
     database: str
@@ -48,6 +62,7 @@
     held: bool = False
     queue: Queue = field(default_factory=WorkQueue)
     pinned: list[Work] = field(default_factory=list)
+    demand: tuple[Demand, Demand] = field(default_factory=lambda: (Demand(), Demand()))
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -31,6 +31,7 @@
 from ._pool_state import Pool, Transaction
 from ._queue import Work
 from ._state import Effects, NodeState, record
+from ._stragglers import allows_long, classify, demote_running
 from ._timers import TimerAction
 
 MAX_ATTEMPTS = 3
@@ -82,6 +83,7 @@
     if request.need is not None and is_lost(starts, request.need):
         refuse(node, work, NotRunReason.POSITION_LOST, out)
         return
+    classify(node, work)
     pool.queue.push(work)
     drain(node, pool, out)
 
@@ -199,7 +201,12 @@
         wanted = min(len(pool.queue), server.slots)
         connections.open_more(node, server, pool.database, wanted, out)
         return False
-    work = pool.queue.take(lambda item: _accepts(node, pool, health, item), node.now)
+    demote_running(node, server.name)
+    work = pool.queue.take(
+        lambda item: _accepts(node, pool, health, item),
+        node.now,
+        allow_long=allows_long(node, pool, health, list_servers(node, pool)),
+    )
     if work is None:
         return False
     _run(node, work, connection, health, out)
@@ -294,8 +301,9 @@
     work.connection = connection.number
     work.started = node.now
     work.term = health.status.term if health.status else 0
+    work.on_primary = health.status is not None and health.status.role is Role.PRIMARY
     out.append(Observe(metric="queue_seconds", value=node.now - work.arrived))
-    connections.occupy(node, connection, work.id, long=False)
+    connections.occupy(node, connection, work.id, long=work.long)
     if request.opens_transaction:
         _begin(node, work, connection, out)
         return
@@ -383,6 +391,7 @@
     if not pool.owned:
         redirect(node, work, cause, out)
         return True
+    classify(node, work)
     pool.queue.push(work)
     return True
 
--- a/src/siskinhold/core/_queue.py
+++ b/src/siskinhold/core/_queue.py
@@ -1,14 +1,24 @@
 """The queue of one pool: what waits, and what goes next."""
 
 import abc
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from sortedcontainers import SortedList
+
 from ..model import Outcome, Position, Request, RequestId, StatementKind
 
 CLASS_COUNT = 4
 """Priority classes: marked writes, other writes, strong reads, browsing reads."""
+SCAN_LIMIT = 64
+"""Works of a lane that are offered to one server, which bounds a take's cost."""
+SHORT_QUANTUM = 0.02
+"""Seconds of service that a tenant gets a turn for short work."""
+LONG_QUANTUM = 1.0
+"""Seconds of service that a tenant gets a turn for long work."""
+LONG_PATIENCE = 1.0
+"""Seconds that the oldest long work waits before it goes before short work."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +41,9 @@
         outcome: the server's answer while it waits for confirmation.
         position: position of a write, read after it ran.
         may_have_run: whether an earlier attempt may have had an effect.
+        expected: usual service time of its shape in seconds.
+        long: whether it counts as long work while it waits.
+        on_primary: whether the server it runs on leads.
     """
 
     request: Request
@@ -48,6 +61,9 @@
     outcome: Outcome | None = None
     position: Position | None = None
     may_have_run: bool = False
+    expected: float = 0.0
+    long: bool = False
+    on_primary: bool = False
 
     @property
     def id(self) -> RequestId:
@@ -106,38 +122,150 @@
 
 
 @dataclass(slots=True, kw_only=True)
+class Tenant:
+    """The waiting work of one tenant in one lane, earliest deadline first.
+
+    Args:
+        works: (deadline, push number, work).
+        deficit: seconds of service it may take before the next tenant's turn.
+    """
+
+    works: SortedList = field(default_factory=SortedList)
+    deficit: float = 0.0
+
+
+class Lane:
+    """Waiting work that only differs in tenant and deadline.
+
+    Deficit round robin over the tenants, by expected service time.
+
+    Args:
+        quantum: seconds of service that a tenant gets a turn; a single work's
+            cost counts up to that, so that each turn serves at least one.
+    """
+
+    __slots__ = ("_quantum", "_tenants")
+
+    def __init__(self, quantum: float) -> None:
+        self._quantum = quantum
+        self._tenants: OrderedDict[str, Tenant] = OrderedDict()
+
+    def push(self, work: Work, number: int) -> None:
+        """Add a work under its push number."""
+        tenant = self._tenants.setdefault(work.request.tenant, Tenant())
+        tenant.works.add((work.deadline, number, work))
+
+    def remove(self, work: Work, number: int) -> None:
+        """Remove a work that waits here."""
+        name = work.request.tenant
+        tenant = self._tenants[name]
+        tenant.works.remove((work.deadline, number, work))
+        if not tenant.works:
+            del self._tenants[name]
+
+    def take(self, accept: Callable[[Work], bool]) -> Work | None:
+        """Remove and return the next work that `accept` allows, or None.
+
+        At most `SCAN_LIMIT` works are offered. Tenants without an acceptable
+        one go to the end, so that the next call offers others.
+        """
+        left = SCAN_LIMIT
+        for _ in range(len(self._tenants)):
+            name, tenant = next(iter(self._tenants.items()))
+            for entry in tenant.works.islice(0, left):
+                left -= 1
+                if accept(entry[2]):
+                    return self._serve(name, tenant, entry)
+            self._tenants.move_to_end(name)
+            if left <= 0:
+                break
+        return None
+
+    def _serve(self, name: str, tenant: Tenant, entry: tuple) -> Work:
+        work = entry[2]
+        tenant.works.remove(entry)
+        if not tenant.works:
+            del self._tenants[name]
+            return work
+        cost = min(work.expected, self._quantum)
+        tenant.deficit -= cost
+        if tenant.deficit < cost:
+            tenant.deficit += self._quantum
+            self._tenants.move_to_end(name)
+        return work
+
+    def __iter__(self) -> Iterator[Work]:
+        for tenant in list(self._tenants.values()):
+            for _, _, work in list(tenant.works):
+                yield work
+
+    def __len__(self) -> int:
+        return len(self._tenants)
+
+
 class WorkQueue(Queue):
-    """Waiting work by priority class, first come first served in each."""
+    """Waiting work by priority class, fair between tenants in each.
 
-    _classes: tuple[deque[Work], ...] = field(
-        default_factory=lambda: tuple(deque() for _ in range(CLASS_COUNT))
-    )
+    A class has lanes for long and for short work, and for work that needs the
+    primary and other work. When the oldest long work has waited for
+    `LONG_PATIENCE` it goes first.
+    """
+
+    __slots__ = ("_lanes", "_places", "_longs", "_count")
+
+    def __init__(self) -> None:
+        self._lanes: dict[tuple[int, bool, bool], Lane] = {}
+        for priority in range(CLASS_COUNT):
+            for long in (False, True):
+                for primary in (True, False):
+                    quantum = LONG_QUANTUM if long else SHORT_QUANTUM
+                    self._lanes[priority, long, primary] = Lane(quantum)
+        self._places: dict[RequestId, tuple[Lane, int]] = {}
+        self._longs: dict[RequestId, Work] = {}
+        self._count = 0
 
     def push(self, work: Work) -> None:
         """Add a work."""
-        self._classes[rank(work)].append(work)
+        self._count += 1
+        lane = self._lanes[rank(work), work.long, work.needs_primary]
+        lane.push(work, self._count)
+        self._places[work.id] = (lane, self._count)
+        if work.long:
+            self._longs[work.id] = work
 
     def take(
         self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
     ) -> Work | None:
         """Remove and return the next work that `accept` allows, or None."""
-        for waiting in self._classes:
-            for index, work in enumerate(waiting):
-                if not accept(work):
-                    continue
-                del waiting[index]
+        if allow_long and self._longs:
+            oldest = next(iter(self._longs.values()))
+            if now - oldest.arrived > LONG_PATIENCE and accept(oldest):
+                self.remove(oldest)
+                return oldest
+        for (_, long, _), lane in self._lanes.items():
+            if not len(lane) or (long and not allow_long):
+                continue
+            work = lane.take(accept)
+            if work is not None:
+                self._forget(work)
                 return work
         return None
 
     def remove(self, work: Work) -> None:
         """Remove a work, if it waits."""
-        waiting = self._classes[rank(work)]
-        if work in waiting:
-            waiting.remove(work)
+        place = self._places.get(work.id)
+        if place is None:
+            return
+        place[0].remove(work, place[1])
+        self._forget(work)
+
+    def _forget(self, work: Work) -> None:
+        del self._places[work.id]
+        self._longs.pop(work.id, None)
 
     def __iter__(self) -> Iterator[Work]:
-        for waiting in self._classes:
-            yield from list(waiting)
+        for lane in self._lanes.values():
+            yield from lane
 
     def __len__(self) -> int:
-        return sum(len(waiting) for waiting in self._classes)
+        return len(self._places)
--- /dev/null
+++ b/src/siskinhold/core/_stragglers.py
@@ -0,0 +1,151 @@
+"""Long work: how it is told from short work, and how many slots it may hold."""
+
+import math
+
+from ..model import BackendServer, Role
+from . import _connections as connections
+from ._connection_state import ConnectionState
+from ._health import is_fit
+from ._health_state import ServerHealth
+from ._pool_state import Pool
+from ._queue import Work
+from ._scheduling_state import SchedulingState, ShapeTime
+from ._state import NodeState
+
+MAX_SHAPES = 2_048
+"""Shapes whose service times are kept; the least recently used one goes first."""
+FIRST_SHORT_SECONDS = 0.005
+"""Seconds that short work is taken to last before any was measured."""
+SHAPE_WEIGHT = 0.1
+"""Weight of the newest service time in a shape's average."""
+SHORT_WEIGHT = 0.01
+"""Weight of the newest service time in the average of short work."""
+LONG_FACTOR = 10
+"""Multiple of the average of short work from which work is long."""
+MIN_LONG_SECONDS = 0.03
+"""Work that is over sooner holds nobody up noticeably and is never long."""
+DEMAND_TIME = 2.0
+"""Time constant of the measured demand of short work, in seconds."""
+HEADROOM = 1.25
+"""Slots kept for short work, as a multiple of those it keeps busy."""
+
+
+def estimate(node: NodeState, shape: int) -> float:
+    """Return the usual service time of a shape in seconds.
+
+    It is the geometric mean, so that single stragglers among many short
+    statements of one shape don't make the shape long.
+    """
+    scheduling = node.scheduling
+    known = scheduling.shapes.get(shape)
+    if known is None or not scheduling.rules.learn_shapes:
+        return estimate_short(node)
+    return math.exp(known.log_mean)
+
+
+def estimate_short(node: NodeState) -> float:
+    """Return the usual service time of short work in seconds."""
+    return FIRST_SHORT_SECONDS * math.exp(node.scheduling.short_log_mean)
+
+
+def measure_threshold(node: NodeState) -> float:
+    """Return the seconds from which work counts as long."""
+    return max(MIN_LONG_SECONDS, LONG_FACTOR * estimate_short(node))
+
+
+def classify(node: NodeState, work: Work) -> None:
+    """Note a waiting work's usual service time and whether it is long."""
+    work.expected = estimate(node, work.shape)
+    work.long = work.expected > measure_threshold(node)
+
+
+def note_service(node: NodeState, pool: Pool, work: Work, seconds: float) -> None:
+    """Take a service time into the averages."""
+    scheduling = node.scheduling
+    log = math.log(max(seconds, 1e-5))
+    _note_shape(scheduling, work.shape, log, estimate_short(node))
+    if seconds > measure_threshold(node):
+        return
+    change = log - math.log(FIRST_SHORT_SECONDS) - scheduling.short_log_mean
+    scheduling.short_log_mean += SHORT_WEIGHT * change
+    _note_demand(node, pool, work, seconds)
+
+
+def _note_shape(
+    scheduling: SchedulingState, shape: int, log: float, short: float
+) -> None:
+    known = scheduling.shapes.get(shape)
+    if known is None:
+        known = scheduling.shapes[shape] = ShapeTime(log_mean=math.log(short))
+        if len(scheduling.shapes) > MAX_SHAPES:
+            scheduling.shapes.popitem(last=False)
+    scheduling.shapes.move_to_end(shape)
+    known.count += 1
+    # The first service times weigh more, so that a long shape is known soon.
+    weight = max(SHAPE_WEIGHT, 1 / (known.count + 1))
+    known.log_mean += weight * (log - known.log_mean)
+
+
+def _note_demand(node: NodeState, pool: Pool, work: Work, seconds: float) -> None:
+    """Add slot time to the demand, a sum that decays with `DEMAND_TIME`."""
+    demand = pool.demand[work.on_primary]
+    demand.seconds = measure_busy(node, pool, work.on_primary) * DEMAND_TIME + seconds
+    demand.at = node.now
+
+
+def measure_busy(node: NodeState, pool: Pool, primary: bool) -> float:
+    """Return how many slots short work keeps busy on average.
+
+    Args:
+        primary: on the primary instead of the replicas.
+    """
+    demand = pool.demand[primary]
+    decay = math.exp((demand.at - node.now) / DEMAND_TIME)
+    return demand.seconds * decay / DEMAND_TIME
+
+
+def limit_long(slots: int) -> int:
+    """Return how many of a server's slots long work may hold.
+
+    >>> limit_long(1), limit_long(2), limit_long(5)
+    (1, 1, 3)
+    """
+    return max(1, slots * 3 // 5)
+
+
+def allows_long(
+    node: NodeState, pool: Pool, health: ServerHealth, servers: list[BackendServer]
+) -> bool:
+    """Return whether a server may begin with another long work.
+
+    Args:
+        servers: the servers of the pool.
+    """
+    if not node.scheduling.rules.reserve_slots:
+        return True
+    known = connections.server_connections(node, health.server.name)
+    if known.running_long >= limit_long(health.server.slots):
+        return False
+    primary = health.status.role is Role.PRIMARY
+    slots = running = 0
+    for server in servers:
+        other = node.health.servers.get(server.name)
+        if other is None or not is_fit(node, other):
+            continue
+        if (other.status.role is Role.PRIMARY) is not primary:
+            continue
+        slots += server.slots
+        running += connections.server_connections(node, server.name).running_long
+    spare = int(slots - HEADROOM * measure_busy(node, pool, primary))
+    return running < max(1, spare)
+
+
+def demote_running(node: NodeState, server: str) -> None:
+    """Count statements that have run for long as long work from now on."""
+    threshold = measure_threshold(node)
+    for number in connections.server_connections(node, server).numbers:
+        connection = node.connections.connections[number]
+        if connection.state is not ConnectionState.BUSY or connection.long:
+            continue
+        if node.now - connection.since > threshold:
+            connections.mark_long(node, connection)
