--- /dev/null
+++ b/src/siskinhold_trial/measure/__init__.py
@@ -0,0 +1,6 @@
+"""Measurements of both deployments, with baselines, in simulated time."""
+
+from ._plan import Task, list_tasks
+from ._results import Measure, format_table, summarise
+
+__all__ = ["Measure", "Task", "format_table", "list_tasks", "summarise"]
--- /dev/null
+++ b/src/siskinhold_trial/measure/_results.py
@@ -0,0 +1,78 @@
+"""Results of measurements, their percentiles and their table."""
+
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+SCALE = 1_000_000
+"""Histogram units per unit of value: six decimal places."""
+HIGHEST = 10**13
+"""Largest recordable value in histogram units."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Measure:
+    """One measured quantity of one policy.
+
+    Args:
+        deployment: whose sizes were used.
+        measure: name of the quantity; its unit is the name's suffix.
+        policy: `siskinhold` or the baseline's name.
+        p50: median.
+        p99: 99th percentile.
+        max: largest value.
+        runs: number of values.
+        seed: first seed; the following ones were used as well.
+        note: what else must be known.
+    """
+
+    deployment: str
+    measure: str
+    policy: str
+    p50: float
+    p99: float
+    max: float
+    runs: int
+    seed: int
+    note: str = ""
+
+
+def summarise(
+    deployment: str,
+    measure: str,
+    policy: str,
+    values: list[float],
+    *,
+    seed: int,
+    note: str = "",
+) -> Measure:
+    """Return the percentiles of some values."""
+    histogram = HdrHistogram(1, HIGHEST, 3)
+    for value in values:
+        histogram.record_value(max(1, round(value * SCALE)))
+    return Measure(
+        deployment=deployment,
+        measure=measure,
+        policy=policy,
+        p50=round(histogram.get_value_at_percentile(50) / SCALE, 6) if values else 0,
+        p99=round(histogram.get_value_at_percentile(99) / SCALE, 6) if values else 0,
+        max=round(max(values), 6) if values else 0,
+        runs=len(values),
+        seed=seed,
+        note=note,
+    )
+
+
+def format_table(measures: list[Measure]) -> str:
+    """Return the measures as a table of fixed-width columns."""
+    lines = [
+        f"{'deployment':<11}{'measure':<28}{'policy':<24}"
+        f"{'p50':>12}{'p99':>12}{'max':>12}{'runs':>8}  note"
+    ]
+    for item in measures:
+        lines.append(
+            f"{item.deployment:<11}{item.measure:<28}{item.policy:<24}"
+            f"{item.p50:>12.4f}{item.p99:>12.4f}{item.max:>12.4f}{item.runs:>8}"
+            f"  {item.note}"
+        )
+    return "\n".join(lines)
