--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -43,7 +43,7 @@
 
 
 class AccessDenied(Exception):
-    """The caller did not authenticate; it was told so."""
+    """The caller did not authenticate and was told so; holds the user name."""
 
 
 class CallerConnection(Connection):
@@ -99,7 +99,7 @@
         self.session.username = None
         await super().authenticate(*args, **kwargs)
         if self.session.username is None:
-            raise AccessDenied()
+            raise AccessDenied(str(self.session.variables.get("external_user"))[:80])
 
     async def _authenticate_caller(self) -> None:
         try:
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -145,6 +145,8 @@
             OSError: if the address can't be bound.
         """
         self._emit = emit
+        # The library logs callers' names as they come, line breaks included.
+        logging.getLogger("mysql_mimic").setLevel(logging.ERROR)
         await self._server.start_server(host=self._host, port=self._port)
 
     def reply(self, effect: effects.ReplyCaller) -> None:
@@ -217,8 +219,8 @@
             )
         except (ConnectionClosed, ConnectionError):
             _log.debug("event=caller_disconnected session=%d", number)
-        except AccessDenied:
-            _log.warning("event=caller_denied session=%d", number)
+        except AccessDenied as error:
+            _log.warning("event=caller_denied session=%d user=%r", number, str(error))
         except TimeoutError:
             _log.warning("event=caller_handshake_timeout session=%d", number)
         except PacketMalformed as error:
--- a/src/siskinhold/settings/_keys.py
+++ b/src/siskinhold/settings/_keys.py
@@ -131,7 +131,10 @@
         unit="bytes",
         low=1_024,
         high=67_108_864,
-        description="Size of a statement; a larger one is refused as not run.",
+        description=(
+            "Size of a statement with its query attributes; a larger one is refused "
+            "as not run."
+        ),
     ),
     Key(
         section="callers",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -414,7 +414,7 @@
             assert caught.value.args[0] == 1045
         assert entry.events == []
 
-    async def test_refused_caller_runs_nothing(self):
+    async def test_refused_caller_runs_nothing(self, caplog):
         """A caller that ignores its refusal and sends a statement is cut off.
 
         mysql-mimic goes on to the command phase after a failed authentication.
@@ -424,12 +424,14 @@
             await reader.read(1_024)
             capabilities = 0x00088205  # protocol 4.1, secure, plugin, no database
             response = capabilities.to_bytes(4, "little") + b"\0\0\0\1\x2d" + bytes(23)
-            response += b"mill\0" + b"\x14" + b"z" * 20 + b"mysql_native_password\0"
+            response += b"mi\nll\0" + b"\x14" + b"z" * 20 + b"mysql_native_password\0"
             query = b"\x03DELETE FROM orders"
             writer.write(len(response).to_bytes(3, "little") + b"\1" + response)
             writer.write(len(query).to_bytes(3, "little") + b"\0" + query)
-            answer = await reader.read()
+            async with asyncio.timeout(2):
+                answer = await reader.read()
             assert answer[4] == 0xFF and answer[5:7] == (1045).to_bytes(2, "little")
+            assert "user='mi\\nll'" in caplog.text
             assert len(answer) == 4 + int.from_bytes(answer[:3], "little")
             writer.close()
         assert entry.events == []
@@ -536,7 +538,6 @@
         limits = CallerLimits(max_statement_bytes=1_000)
         async with Entry(limits=limits) as entry:
             connection = await entry.connect()
-            # The client adds two bytes of (empty) attributes at most.
             found = await fail(connection, "INSERT " + "a" * 100_000)
             assert found[0] == 5001
             assert found[1].startswith("not_run reason=statement_too_large")
@@ -608,3 +609,4 @@
             connection = await entry.connect()
             await connection.ping(reconnect=False)
             connection.close()
+        assert len(entry.of(CallerClosed)) == len(entry.of(CallerOpened)) == 31
