--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -8,6 +8,9 @@
 from ._peers import EnvelopeCodec, NngPeers
 from ._store import HttpStore
 from ._store_client import StoreClient
+from ._metrics import METRICS, Metric, MetricKind, Metrics
+from ._peers import EnvelopeCodec, NngPeers
+from ._recorder import KeyValueFormatter, TimelineRecorder
 
 __all__ = [
     "Backends",
@@ -20,6 +23,11 @@
     "HttpStore",
     "MysqlBackends",
     "MysqlCallers",
+    "KeyValueFormatter",
+    "METRICS",
+    "Metric",
+    "MetricKind",
+    "Metrics",
     "NngPeers",
     "OperatorServer",
     "OperatorStatus",
@@ -29,4 +37,5 @@
     "Store",
     "StoreClient",
     "VmReport",
+    "TimelineRecorder",
 ]
