Add the program siskinhold-proxy and its section of backend settings

Autocommit off begins a transaction with the first write only, so reads before it keep going to replicas. Switching it on commits only if it was off.

--- a/src/siskinhold/adapters/__init__.py
+++ b/src/siskinhold/adapters/__init__.py
@@ -3,14 +3,13 @@
 from ._backends import MysqlBackends
 from ._callers import CallerLimits, Credentials, MysqlCallers
 from ._interfaces import Backends, Callers, Emit, Peers, Recorder, Store
+from ._metrics import METRICS, Metric, MetricKind, Metrics
 from ._operator import OperatorServer
 from ._operator_status import DatabaseReport, OperatorStatus, ServerReport, VmReport
 from ._peers import EnvelopeCodec, NngPeers
+from ._recorder import KeyValueFormatter, TimelineRecorder
 from ._store import HttpStore
 from ._store_client import StoreClient
-from ._metrics import METRICS, Metric, MetricKind, Metrics
-from ._peers import EnvelopeCodec, NngPeers
-from ._recorder import KeyValueFormatter, TimelineRecorder
 
 __all__ = [
     "Backends",
--- a/src/siskinhold/adapters/_caller_session.py
+++ b/src/siskinhold/adapters/_caller_session.py
@@ -1,4 +1,13 @@
-"""One caller's session: what the entry VM answers itself and what it emits."""
+"""One caller's session: what the entry VM answers itself and what it emits.
+
+Stock clients switch autocommit off after connecting and expect their statements
+to form transactions. While it is off and no transaction is open, a write (a read
+that locks is one) is preceded by a BEGIN whose answer is awaited. Reads before
+the first write are not part of the transaction: they run on their own, so they
+may go to replicas and hold no backend connection. Each of them sees the newest
+data that its position and age allow, not one snapshot. Switching autocommit on
+again commits, as in MySQL.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -177,13 +186,17 @@
             outcome = await self._forward(StatementKind.COMMIT, "COMMIT", Marks())
             if not isinstance(outcome, Done):
                 return outcome
-        starts = not self.autocommit and not statement.commits
-        if starts and not self.in_transaction:
+        if self._needs_begin(statement):
             outcome = await self._forward(StatementKind.BEGIN, "BEGIN", Marks())
             if not isinstance(outcome, Done):
                 return outcome
         return await self._forward(kind, sql, statement.marks)
 
+    def _needs_begin(self, statement: statements.Forwarded) -> bool:
+        if self.autocommit or self.in_transaction or statement.commits:
+            return False
+        return statement.kind is StatementKind.WRITE
+
     async def _end_transaction(
         self, kind: StatementKind, sql: str, marks: Marks
     ) -> Outcome:
@@ -251,8 +264,9 @@
         return Done()
 
     async def _set_autocommit(self, enabled: bool) -> Outcome:
-        if enabled and self.in_transaction:
-            outcome = await self._forward(StatementKind.COMMIT, "COMMIT", Marks())
+        if enabled and not self.autocommit:
+            kind = StatementKind.COMMIT
+            outcome = await self._end_transaction(kind, "COMMIT", Marks())
             if not isinstance(outcome, Done):
                 return outcome
         self.autocommit = enabled
--- /dev/null
+++ b/src/siskinhold/programs/_proxy_service.py
@@ -0,0 +1,232 @@
+"""The proxy as a service of aiomisc: adapters, driver and signals."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import random
+import secrets
+import signal
+import ssl
+import time
+
+import aiomisc
+from prometheus_client import REGISTRY
+
+from ..adapters import (
+    CallerLimits,
+    HttpStore,
+    MysqlBackends,
+    MysqlCallers,
+    NngPeers,
+    OperatorServer,
+    TimelineRecorder,
+)
+from ..core import Identity, NodeState, find_owner
+from ..model import ServerStatus
+from ..runtime import AdapterFailed, Driver
+from ..settings import Settings
+from ..tokens import TokenCodec
+
+REGISTER_RETRY = 1.0
+"""Seconds until a failed entry in the platform's list is tried again."""
+
+_log = logging.getLogger(__name__)
+
+
+class FileUnusable(Exception):
+    """A file that the settings name can't be used.
+
+    Args:
+        place: section and key that name it.
+        detail: what is wrong.
+    """
+
+    def __init__(self, *, place: str, detail: str) -> None:
+        super().__init__(f"{place}: {detail}")
+        self.place = place
+        self.detail = detail
+
+
+class ProxyService(aiomisc.Service):
+    """One VM's proxy.
+
+    Args:
+        settings: the VM's settings.
+    """
+
+    def __init__(self, *, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._driver: Driver | None = None
+        self._operator: OperatorServer | None = None
+        self._recorder: TimelineRecorder | None = None
+        self._registration: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start all adapters and take part in the fleet.
+
+        Raises:
+            AdapterFailed: if an address can't be bound.
+            FileUnusable: if a file that the settings name can't be used.
+        """
+        settings = self._settings
+        incarnation = time.time_ns() // 1_000_000
+        node = _make_node(settings, incarnation)
+        store = HttpStore(url=settings.store.url)
+        callers = _make_callers(settings)
+        self._recorder = _make_recorder(settings, incarnation)
+        self._driver = Driver(
+            node=node,
+            callers=callers,
+            backends=_make_backends(settings),
+            store=store,
+            peers=_make_peers(settings),
+            recorder=self._recorder,
+        )
+        try:
+            await self._start_operator(node)
+            await self._driver.start()
+        except OSError:
+            await self._stop_all()
+            raise
+        self._registration = asyncio.create_task(self._register(store))
+        self._catch_signals()
+        _log.info(
+            "event=proxy_started vm=%s incarnation=%d pid=%d callers=%d peers=%d "
+            "operator=%d",
+            settings.vm.name,
+            incarnation,
+            os.getpid(),
+            settings.callers.port,
+            settings.peers.port,
+            settings.operator.port,
+        )
+
+    async def wait(self) -> None:
+        """Return when a graceful shutdown is complete."""
+        await self._driver.stopped.wait()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop all adapters."""
+        await self._stop_all()
+        _log.info("event=proxy_stopped vm=%s", self._settings.vm.name)
+
+    async def _start_operator(self, node: NodeState) -> None:
+        settings = self._settings
+        if settings.operator.port == 0:
+            return
+        self._operator = OperatorServer(
+            node=node,
+            host=settings.vm.host,
+            port=settings.operator.port,
+            find_owner=find_owner,
+            registry=REGISTRY,
+            read_status=lambda server: _read_status(node, server),
+        )
+        try:
+            await self._operator.start()
+        except OSError as error:
+            raise AdapterFailed(place="operator", error=error) from error
+
+    async def _register(self, store: HttpStore) -> None:
+        """Enter this VM in the platform's list, however long the store is down."""
+        while (failure := await store.register_vm(self._settings.address)) is not None:
+            _log.warning("event=register_failed failure=%s", failure.value)
+            await asyncio.sleep(REGISTER_RETRY)
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._begin_shutdown, number)
+
+    def _begin_shutdown(self, number: int) -> None:
+        if self._driver.node.shutting_down:
+            _log.warning("event=ended_at_once signal=%d", number)
+            # What is open is given up, so nothing is left to be cleaned up.
+            os._exit(128 + number)
+        _log.info("event=shutdown_requested signal=%d", number)
+        self._driver.request_shutdown()
+
+    async def _stop_all(self) -> None:
+        if self._registration is not None:
+            self._registration.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._registration
+        if self._driver is not None:
+            await self._driver.stop()
+        if self._operator is not None:
+            await self._operator.stop()
+        if self._recorder is not None:
+            self._recorder.close()
+
+
+def _make_node(settings: Settings, incarnation: int) -> NodeState:
+    identity = Identity(
+        address=settings.address,
+        incarnation=incarnation,
+        seeds=tuple(s for s in settings.peers.seeds if s.name != settings.vm.name),
+    )
+    return NodeState(identity=identity, random=random.Random(secrets.randbits(64)))
+
+
+def _make_callers(settings: Settings) -> MysqlCallers:
+    callers = settings.callers
+    return MysqlCallers(
+        host=settings.vm.host,
+        port=callers.port,
+        users=settings.users,
+        tokens=TokenCodec(keys=settings.fleet.key),
+        limits=CallerLimits(
+            max_sessions=callers.max_sessions,
+            max_statement_bytes=callers.max_statement_bytes,
+            handshake_timeout=callers.handshake_timeout_ms / 1000,
+        ),
+        ssl=_make_tls(settings),
+    )
+
+
+def _make_tls(settings: Settings) -> ssl.SSLContext | None:
+    callers = settings.callers
+    if not callers.tls_certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(callers.tls_certificate, callers.tls_key)
+    except OSError as error:
+        place = "[callers] tls_certificate"
+        raise FileUnusable(place=place, detail=str(error)) from error
+    return context
+
+
+def _make_backends(settings: Settings) -> MysqlBackends:
+    return MysqlBackends(
+        user=settings.backends.user,
+        password=settings.backends.password,
+        connect_timeout=settings.backends.connect_timeout_ms / 1000,
+    )
+
+
+def _make_peers(settings: Settings) -> NngPeers:
+    return NngPeers(
+        vm=settings.vm.name,
+        host=settings.vm.host,
+        port=settings.peers.port,
+        fleet_key=settings.fleet.key[0],
+    )
+
+
+def _make_recorder(settings: Settings, incarnation: int) -> TimelineRecorder:
+    try:
+        return TimelineRecorder(
+            vm=settings.vm.name, incarnation=incarnation, path=settings.timeline.path
+        )
+    except OSError as error:
+        raise FileUnusable(place="[timeline] path", detail=str(error)) from error
+
+
+def _read_status(node: NodeState, server: str) -> tuple[ServerStatus, float] | None:
+    health = node.health.servers.get(server)
+    if health is None or health.status is None:
+        return None
+    return health.status, health.started
--- /dev/null
+++ b/src/siskinhold/programs/proxy.py
@@ -0,0 +1,129 @@
+"""The process of a VM: `siskinhold-proxy`.
+
+Exit codes:
+
+    0    done: a graceful shutdown, or the check found no fault
+    1    an unexpected failure
+    2    wrong usage
+    3    the settings are invalid or can't be read; one line for each fault
+    4    an address can't be bound
+    5    a file that the settings name can't be used
+    130  ended at once by a second SIGINT; 143 by a second SIGTERM
+
+A failure at the start is one line on standard error that begins with `failure=`
+and names the place. The first SIGTERM or SIGINT begins a graceful shutdown: the
+VM takes no new callers, finishes what is open and exits.
+"""
+
+import enum
+import logging
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import aiomisc
+import cappa
+import uvloop
+from result import Err
+
+from .. import __version__
+from ..settings import Settings, SettingsReport, load_settings
+from ._proxy_service import FileUnusable, ProxyService
+
+_log = logging.getLogger(__name__)
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the program."""
+
+    DONE = 0
+    FAILED = 1
+    SETTINGS = 3
+    ADDRESS = 4
+    FILE = 5
+
+
+@cappa.command(name="siskinhold-proxy")
+@dataclass(slots=True, kw_only=True)
+class Options:
+    """Run the proxy of one VM.
+
+    Args:
+        settings: the INI file with the settings.
+        check: check the settings and exit.
+    """
+
+    settings: Annotated[str, cappa.Arg(value_name="FILE")]
+    check: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+def run(settings: Settings) -> None:
+    """Serve until a graceful shutdown is complete.
+
+    aiomisc runs the service and the event loop. Its handling of signals is
+    off: it stops the services and the loop at the first signal, which would
+    cut off statements in flight, and a second signal would not end the process
+    sooner. The service handles signals itself.
+
+    Raises:
+        OSError: if an address can't be bound; `place` names it.
+        FileUnusable: if a file that the settings name can't be used.
+    """
+    service = ProxyService(settings=settings)
+    with aiomisc.entrypoint(
+        service,
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        catch_signals=(),
+    ) as loop:
+        loop.run_until_complete(service.wait())
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the program and exit; `arguments` default to the command line.
+
+    Raises:
+        SystemExit: with one of the exit codes.
+    """
+    options = cappa.parse(Options, argv=arguments, version=__version__)
+    loaded = load_settings(options.settings)
+    if isinstance(loaded, Err):
+        _report_settings(loaded.err_value)
+        raise SystemExit(int(ExitCode.SETTINGS))
+    settings = loaded.ok_value
+    if options.check:
+        print(f"event=settings_valid file={options.settings!r}", flush=True)
+        raise SystemExit(int(ExitCode.DONE))
+    level = settings.vm.log_level.upper()
+    logging.basicConfig(level=level, format="level=%(levelname)s %(message)s")
+    raise SystemExit(int(_run_reported(settings)))
+
+
+def _run_reported(settings: Settings) -> ExitCode:
+    try:
+        run(settings)
+    except FileUnusable as error:
+        _report("file_unusable", error.place, error.detail)
+        return ExitCode.FILE
+    except OSError as error:
+        _report("address_unusable", getattr(error, "place", ""), str(error))
+        return ExitCode.ADDRESS
+    except Exception as error:
+        _log.debug("event=failed", exc_info=error)
+        _report("unexpected", "", f"{type(error).__name__}: {error}")
+        return ExitCode.FAILED
+    return ExitCode.DONE
+
+
+def _report_settings(report: SettingsReport) -> None:
+    for fault in report.faults:
+        _report("settings_invalid", fault.place, fault.reason)
+
+
+def _report(kind: str, place: str, detail: str) -> None:
+    line = f"failure={kind} place={place!r} detail={detail!r}"
+    print(line, file=sys.stderr, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/siskinhold/runtime/__init__.py
+++ b/src/siskinhold/runtime/__init__.py
@@ -1,5 +1,5 @@
-"""Runs the reducer: feeds it events and carries out its effects."""
+"""The runtime: feeds events to the reducer and carries out its effects."""
 
-from ._driver import Driver
+from ._driver import AdapterFailed, Driver
 
-__all__ = ["Driver"]
+__all__ = ["AdapterFailed", "Driver"]
--- a/src/siskinhold/runtime/_driver.py
+++ b/src/siskinhold/runtime/_driver.py
@@ -11,6 +11,19 @@
 from ..messages import Envelope
 
 
+class AdapterFailed(OSError):
+    """An adapter could not start.
+
+    Args:
+        place: which one, as the settings name it.
+        error: the failure.
+    """
+
+    def __init__(self, *, place: str, error: OSError) -> None:
+        super().__init__(str(error))
+        self.place = place
+
+
 class Driver:
     """Runs one VM's reducer on the running event loop.
 
@@ -79,12 +92,19 @@
         """Start the adapters, then the reducer.
 
         Raises:
-            OSError: if an address can't be bound.
+            AdapterFailed: if an address can't be bound.
         """
-        await self._backends.start(self.emit)
-        await self._store.start(self.emit)
-        await self._peers.start(self.emit)
-        await self._callers.start(self.emit)
+        adapters = {
+            "backends": self._backends,
+            "store": self._store,
+            "peers": self._peers,
+            "callers": self._callers,
+        }
+        for place, adapter in adapters.items():
+            try:
+                await adapter.start(self.emit)
+            except OSError as error:
+                raise AdapterFailed(place=place, error=error) from error
         self.emit(events.Started(at=self._loop.time()))
 
     async def stop(self) -> None:
--- a/src/siskinhold/settings/__init__.py
+++ b/src/siskinhold/settings/__init__.py
@@ -4,6 +4,7 @@
 from ._read import load_settings, parse_settings
 from ._reference import render_reference
 from ._types import (
+    BackendSettings,
     CallerSettings,
     FleetSettings,
     OperatorSettings,
@@ -19,6 +20,7 @@
 __all__ = [
     "KEYS",
     "USERS_SECTION",
+    "BackendSettings",
     "CallerSettings",
     "FleetSettings",
     "Key",
--- a/src/siskinhold/settings/_keys.py
+++ b/src/siskinhold/settings/_keys.py
@@ -15,6 +15,7 @@
     """The type of a key's value, as the reference page names it."""
 
     NAME = "name"
+    TEXT = "text"
     INTEGER = "integer"
     IP_ADDRESS = "IP address"
     CHOICE = "choice"
@@ -65,6 +66,7 @@
 
 _ALLOWED = {
     Kind.NAME: "1 to 64 letters, digits, dots, hyphens and underscores",
+    Kind.TEXT: "at most 64 printable characters",
     Kind.IP_ADDRESS: "an IPv4 or IPv6 address",
     Kind.PATH: "a file path, or empty",
     Kind.URL: "http://host:port or https://host:port",
@@ -182,6 +184,31 @@
         high=65_535,
         description="TCP port for operators, HTTP; 0 for none.",
     ),
+    Key(
+        section="backends",
+        name="user",
+        kind=Kind.NAME,
+        default="siskinhold",
+        description="User name on all backend servers.",
+    ),
+    Key(
+        section="backends",
+        name="password",
+        kind=Kind.TEXT,
+        default="",
+        secret=True,
+        description="Its password.",
+    ),
+    Key(
+        section="backends",
+        name="connect_timeout_ms",
+        kind=Kind.INTEGER,
+        default="2000",
+        unit="ms",
+        low=50,
+        high=60_000,
+        description="Time after which opening a connection has failed.",
+    ),
     Key(
         section="store",
         name="url",
--- a/src/siskinhold/settings/_read.py
+++ b/src/siskinhold/settings/_read.py
@@ -7,6 +7,7 @@
 
 from ._keys import KEYS, USERS_SECTION, Key
 from ._types import (
+    BackendSettings,
     CallerSettings,
     FleetSettings,
     OperatorSettings,
@@ -25,6 +26,7 @@
     "callers": CallerSettings,
     "peers": PeerSettings,
     "operator": OperatorSettings,
+    "backends": BackendSettings,
     "store": StoreSettings,
     "fleet": FleetSettings,
     "timeline": TimelineSettings,
--- a/src/siskinhold/settings/_types.py
+++ b/src/siskinhold/settings/_types.py
@@ -44,6 +44,15 @@
     port: int
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BackendSettings:
+    """Section `backends`: how this VM signs on to backend servers."""
+
+    user: str
+    password: str = field(repr=False)
+    connect_timeout_ms: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreSettings:
     """Section `store`: the platform's object store."""
@@ -78,6 +87,7 @@
     callers: CallerSettings
     peers: PeerSettings
     operator: OperatorSettings
+    backends: BackendSettings
     store: StoreSettings
     fleet: FleetSettings
     timeline: TimelineSettings
@@ -114,14 +124,25 @@
     problem: str
     allowed: str = ""
 
-    def __str__(self) -> str:
+    @property
+    def place(self) -> str:
+        """File, section and key."""
         place = self.file
         if self.section:
             place += f" [{self.section}]"
         if self.key:
             place += f" {self.key}"
-        text = f"{place}: {self.problem}"
-        return f"{text}; allowed: {self.allowed}" if self.allowed else text
+        return place
+
+    @property
+    def reason(self) -> str:
+        """What is wrong and what is allowed."""
+        if not self.allowed:
+            return self.problem
+        return f"{self.problem}; allowed: {self.allowed}"
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.reason}"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/siskinhold/settings/_values.py
+++ b/src/siskinhold/settings/_values.py
@@ -16,6 +16,7 @@
 _PROOF = re.compile(r"\*?([0-9a-fA-F]{40})\Z")
 _MAX_PORT = 65_535
 _MAX_USER_CHARACTERS = 32
+_MAX_TEXT_CHARACTERS = 64
 
 
 def parse_value(key: Key, text: str) -> object:
@@ -50,6 +51,12 @@
     return text
 
 
+def _parse_text(key: Key, text: str) -> str:
+    if len(text) > _MAX_TEXT_CHARACTERS or not text.isprintable():
+        raise ValueError("the text is too long or not printable")
+    return text
+
+
 def _parse_integer(key: Key, text: str) -> int:
     if not _INTEGER.match(text):
         raise ValueError(f"{_quote(text)} is not an integer")
@@ -138,6 +145,7 @@
 
 _PARSERS: dict[Kind, Callable[[Key, str], object]] = {
     Kind.NAME: _parse_name,
+    Kind.TEXT: _parse_text,
     Kind.INTEGER: _parse_integer,
     Kind.IP_ADDRESS: _parse_ip_address,
     Kind.CHOICE: _parse_choice,
--- a/tests/pump.py
+++ b/tests/pump.py
@@ -111,7 +111,7 @@
         for ticket in tickets:
             from siskinhold.store import encode_ticket, ticket_key
 
-            self.put(ticket_key(ticket.number), encode_ticket(ticket))
+            self.put(ticket_key(ticket.number), encode_ticket(ticket).unwrap())
 
     def put(self, key, value):
         version = 1 + sum(o.key == key for o in self.objects)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -293,6 +293,41 @@
             assert not connection.get_transaction_status()
             assert entry.sent() == ["BEGIN", "INSERT a", "SELECT 1", "COMMIT"]
 
+    async def test_reads_before_the_first_write(self):
+        """With autocommit off, only a write or a locking read begins.
+
+        Guards against reads that pin a connection of the primary.
+        """
+        async with Entry() as entry:
+            connection = await entry.connect(autocommit=False)
+            await run(connection, "SELECT 1")
+            assert not connection.get_transaction_status()
+            await run(connection, "SELECT 1 FOR UPDATE")
+            await run(connection, "SELECT 2")
+            assert entry.sent()[:2] == ["SELECT 1", "BEGIN"]
+            assert entry.sent()[2:] == ["SELECT 1 FOR UPDATE", "SELECT 2"]
+
+    async def test_autocommit_on_commits(self):
+        """Switching autocommit on commits, and tells of a lost transaction.
+
+        Guards against work that stays open, or that is taken as committed.
+        """
+        async with Entry() as entry:
+            connection = await entry.connect(autocommit=False)
+            await run(connection, "INSERT a")
+            await connection.autocommit(True)
+            assert entry.sent() == ["BEGIN", "INSERT a", "COMMIT"]
+            await connection.begin()
+            await run(connection, "SET autocommit = 1")
+            assert connection.get_transaction_status()
+            await connection.rollback()
+            await connection.autocommit(False)
+            lost = NotRun(reason=NotRunReason.TRANSACTION_LOST)
+            entry.replies["INSERT b"] = lost
+            await fail(connection, "INSERT b")
+            found = await fail(connection, "SET autocommit = 1")
+            assert found[1].startswith("not_run reason=transaction_lost")
+
     async def test_lost_transaction(self):
         """Statements after a loss are refused until the caller rolls back.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -114,7 +114,7 @@
     def test_bounds(self, key):
         """Each number is accepted at its bounds only; guards the table."""
         text = MINIMAL.replace("[store]", "[store]\n") + "[callers]\n[peers]\n"
-        text += "[operator]\n"
+        text += "[operator]\n[backends]\n"
         for number, wrong in [
             (key.low - 1, True),
             (key.low, False),
--- a/tests/test_ticket_spread.py
+++ b/tests/test_ticket_spread.py
@@ -12,7 +12,7 @@
 from siskinhold.core._tickets import find_database, fold_ticket, learn_record
 from siskinhold.messages import Envelope, TicketsPushed
 from siskinhold.model import DatabaseGroup, Reservation, TermRecord, TermStart
-from siskinhold.store import encode_record, encode_ticket, term_key, ticket_key
+from siskinhold.store import encode_term, encode_ticket, term_key, ticket_key
 
 
 def build_node() -> NodeState:
@@ -89,7 +89,7 @@
         node = build_node()
         fleet = Fleet(size=0)
         fleet.put("ticket/2", b"\xff{")
-        fleet.put(ticket_key(1), encode_ticket(build_ticket(1)))
+        fleet.put(ticket_key(1), encode_ticket(build_ticket(1)).unwrap())
         event = events.StoreChanged(at=0.0, objects=tuple(fleet.objects), revision=2)
         out = reduce(node, event)
         assert [effect.name for effect in out] == [
@@ -135,7 +135,7 @@
         fleet.run(4)
         assert len(fleet.watches) == 2
         fleet.accept(build_ticket(1))
-        fleet.put(term_key("db"), encode_record(build_record()))
+        fleet.put(term_key("db"), encode_term(build_record()).unwrap())
         fleet.run(0.5)
         assert applied(fleet) == {1}
         assert all("db" in node.config.records for node in fleet.nodes.values())
@@ -177,7 +177,7 @@
         fleet = Fleet(size=5)
         fleet.run(3)
         fleet.accept(build_ticket(1), build_ticket(2))
-        fleet.put(term_key("db"), encode_record(build_record()))
+        fleet.put(term_key("db"), encode_term(build_record()).unwrap())
         fleet.run(1)
         fleet.store_up = False
         for name in list(fleet.nodes):
