--- /dev/null
+++ b/src/siskinhold_trial/processes/__init__.py
@@ -0,0 +1,13 @@
+"""Real processes on loopback for the demo and for tests of the programs."""
+
+from ._deployment import Deployment, VmProcess
+from ._processes import Processes, ProcessFailed, RunningProcess, find_free_ports
+
+__all__ = [
+    "Deployment",
+    "ProcessFailed",
+    "Processes",
+    "RunningProcess",
+    "VmProcess",
+    "find_free_ports",
+]
--- /dev/null
+++ b/src/siskinhold_trial/processes/_processes.py
@@ -0,0 +1,177 @@
+"""Starts programs of this repository and ends each of them by its id."""
+
+import asyncio
+import ctypes
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+END_TIME = 3.0
+"""Seconds that a process may take to end after SIGTERM."""
+POLL_TIME = 0.02
+"""Seconds between two looks at a process."""
+_PR_SET_PDEATHSIG = 1
+
+
+class ProcessFailed(Exception):
+    """A process ended early, or did not become ready in time."""
+
+
+def find_free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return different TCP ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((host, 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningProcess:
+    """A started process.
+
+    Args:
+        name: its name in messages and of its log.
+        popen: the process.
+        log: file that takes its output.
+    """
+
+    name: str
+    popen: subprocess.Popen
+    log: Path
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless it has ended."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    async def wait(self, timeout: float) -> int:
+        """Return the exit code.
+
+        Raises:
+            ProcessFailed: if it does not end within `timeout` seconds.
+        """
+        deadline = time.monotonic() + timeout
+        while self.running:
+            if time.monotonic() > deadline:
+                raise ProcessFailed(f"{self.name} did not end in {timeout:g} s")
+            await asyncio.sleep(POLL_TIME)
+        return self.popen.returncode
+
+    async def wait_for_port(self, port: int, timeout: float = 10.0) -> None:
+        """Wait until the process listens.
+
+        Raises:
+            ProcessFailed: if it ends or does not listen within `timeout` seconds.
+        """
+        deadline = time.monotonic() + timeout
+        while not _listens(port):
+            if not self.running or time.monotonic() > deadline:
+                raise ProcessFailed(f"{self.name} is not ready: {self.tail()}")
+            await asyncio.sleep(POLL_TIME)
+
+    def tail(self) -> str:
+        """Return the end of its log."""
+        return self.log.read_text(errors="replace")[-500:].strip()
+
+
+class Processes:
+    """Starts modules as processes and ends those that it started.
+
+    The kernel ends them too when this process dies without `end`.
+
+    Args:
+        folder: where the logs go.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self._folder = folder
+        self._started: list[RunningProcess] = []
+        self._environment = os.environ | {"PYTHONPATH": _find_source()}
+
+    def start(self, name: str, module: str, *arguments: object) -> RunningProcess:
+        """Start a module's program; its output goes to a log."""
+        log = self._folder / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(
+                self._command(module, arguments),
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=self._environment,
+                preexec_fn=_die_with_parent,
+            )
+        process = RunningProcess(name=name, popen=popen, log=log)
+        self._started.append(process)
+        return process
+
+    async def run(self, module: str, *arguments: object) -> tuple[int, str, str]:
+        """Run a module's program to its end; return exit code and both outputs."""
+        child = await asyncio.create_subprocess_exec(
+            *self._command(module, arguments),
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env=self._environment,
+            preexec_fn=_die_with_parent,
+        )
+        try:
+            output, errors = await child.communicate()
+        except BaseException:
+            if child.returncode is None:
+                child.kill()
+            raise
+        return child.returncode, output.decode(), errors.decode()
+
+    def end(self) -> list[str]:
+        """End all processes that still run; return the names of those killed."""
+        for process in self._started:
+            # A second signal ends a proxy at once; SIGCONT wakes a stopped one.
+            process.signal(signal.SIGTERM)
+            process.signal(signal.SIGCONT)
+        deadline = time.monotonic() + END_TIME
+        killed = []
+        for process in self._started:
+            try:
+                process.popen.wait(max(0.0, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.popen.kill()
+                process.popen.wait()
+                killed.append(process.name)
+        return killed
+
+    def list_running(self) -> list[str]:
+        """Return the names of the processes that have not ended."""
+        return [process.name for process in self._started if process.running]
+
+    def _command(self, module: str, arguments: Sequence[object]) -> list[str]:
+        return [sys.executable, "-m", module, *(str(item) for item in arguments)]
+
+
+def _find_source() -> str:
+    return str(Path(__file__).resolve().parents[2])
+
+
+def _die_with_parent() -> None:
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def _listens(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.settimeout(0.5)
+        return probe.connect_ex(("127.0.0.1", port)) == 0
