Close idle sessions of a VM that drains, and answer their next statement

Callers that wrote without a pause kept a graceful shutdown from completing: in the demo it was not done after 20 s. A statement that crosses the close now gets the answer that it did not run.

The ticket tool looks for operator ports again while it waits, as the platform's list of VMs may name none at first.

--- a/scripts/_load.py
+++ b/scripts/_load.py
@@ -15,6 +15,7 @@
 PAUSE = 0.01
 """Seconds between two statements of one caller."""
 _REFUSED = (5001, 1053)
+_CLOSING = 1053
 _numbers = itertools.count(1_000)
 
 
@@ -27,8 +28,9 @@
         vm: the VM that they connect to.
         database: where they insert.
         reconnect: whether a caller whose connection ends opens another one.
-        outcomes: statements by what became of them: done, refused (an answer
-            that says so), unknown (likewise), cut (no answer).
+        outcomes: statements by what became of them: done, refused and
+            refused_at_close (not run, and the caller is told so), unknown (the
+            caller is told so), cut (no answer).
         done_at: loop time of each acknowledged write, in seconds.
         acknowledged: numbers of the acknowledged rows.
         refused: numbers of the rows that were refused as not run.
@@ -78,7 +80,7 @@
             number = next(_numbers)
             outcome = await self._insert(client, number)
             self.outcomes[outcome] += 1
-            if outcome == "cut" or client.closed:
+            if outcome in ("cut", "refused_at_close") or client.closed:
                 return
             await asyncio.sleep(PAUSE)
 
@@ -100,7 +102,7 @@
         code = error.args[0] if error.args else 0
         if code in _REFUSED:
             self.refused.add(number)
-            return "refused"
+            return "refused_at_close" if code == _CLOSING else "refused"
         if code == 5002:
             return "unknown"
         # Codes from 2000 to 2999 are the client's own: it has no answer.
--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -10,6 +10,7 @@
 from ..model import Done, Failed, NotRunReason
 from ._caller_packets import (
     BAD_HANDSHAKE,
+    FAREWELL,
     MALFORMED_PACKET,
     NOT_RUN,
     PASSED_THROUGH,
@@ -82,13 +83,33 @@
             try:
                 data = await self.stream.read()
             except PacketTooLarge:
+                if self.closing:
+                    return
                 await self._refuse_large(command_limit)
                 continue
-            if not data or data[0] == Commands.COM_QUIT:
+            if not data or data[0] == Commands.COM_QUIT or self.closing:
                 return
             self.busy = True
             await self._carry_out(data[0], data[1:])
             self.busy = False
+        await self._linger()
+
+    def say_farewell(self) -> None:
+        """Answer the caller's next command, which may be on its way, and close.
+
+        The answer carries the sequence number that an answer has, so a stock
+        client takes it for one: the command did not run.
+        """
+        self.stream.write_farewell(make_error(FAREWELL))
+
+    async def _linger(self) -> None:
+        """Take one more command unread, so that a reset can't overtake the answer."""
+        self.say_farewell()
+        self.stream.reset_seq()
+        try:
+            await self.stream.read()
+        except PacketTooLarge:
+            return
 
     async def authenticate(self, *args: object, **kwargs: object) -> None:
         """Check the caller's proof.
--- a/src/siskinhold/adapters/_caller_packets.py
+++ b/src/siskinhold/adapters/_caller_packets.py
@@ -22,6 +22,7 @@
 MALFORMED_PACKET = 1835
 UNKNOWN_COMMAND = 1047
 TOO_MANY_SESSIONS = 1040
+SHUTDOWN = 1053
 UNKNOWN_VARIABLE = 1193
 
 BAD_HANDSHAKE = Failed(code=1043, sqlstate="08S01", message="bad handshake")
@@ -32,6 +33,12 @@
 # Row values are sent as they are, whatever their column's type.
 PASSED_THROUGH = ResultColumn("", ColumnType.VAR_STRING)
 
+FAREWELL = Failed(
+    code=SHUTDOWN,
+    sqlstate="08S01",
+    message="not_run reason=shutdown the connection is closed",
+)
+
 
 def refuse(code: int, reason: str, detail: str = "") -> Failed:
     """Return the error of a statement that did not run."""
--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -144,6 +144,13 @@
         self._use(asyncio.StreamWriter(secure, plain, self.reader, loop))
         self._packets.seq.value = sequence
 
+    def write_farewell(self, packet: bytes) -> None:
+        """Write the answer to a command that is still to come; write no more."""
+        header = len(packet).to_bytes(3, "little") + b"\x01"
+        self.writer.write(header + packet)
+        if self.writer.can_write_eof():
+            self.writer.write_eof()
+
     def _use(self, writer: asyncio.StreamWriter) -> None:
         self.writer = writer
         self._packets = MysqlStream(self.reader, writer)
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -16,6 +16,7 @@
 | other command | 1047 | HY000 | `not_run reason=unsupported <detail>` |
 | unreadable command | 1835 | HY000 | `not_run reason=malformed <detail>` |
 | empty statement | 1065 | 42000 | plain text |
+| closed at a shutdown | 1053 | 08S01 | `not_run reason=shutdown <detail>` |
 | too many sessions | 1040 | 08004 | `not_run reason=overload max_sessions=...` |
 | unreadable handshake | 1043 | 08S01 | plain text |
 | access denied | 1045 | 28000 | plain text |
@@ -158,17 +159,22 @@
             )
 
     def close(self, effect: effects.CloseCaller) -> None:
-        """Close a caller's connection; a reply given before it is written."""
+        """Close a caller's connection; a reply given before it is written.
+
+        A caller whose statement is under way is cut off. Any other one is told
+        that its next statement did not run.
+        """
         connection = self._connections.get(effect.session)
-        if connection is None:
+        if connection is None or connection.closing:
             return
         _log.info(
             "event=caller_closing session=%d reason=%s", effect.session, effect.reason
         )
         connection.closing = True
-        replied = connection.busy and not connection.session.waiting
-        if not replied:
+        if connection.session.waiting:
             connection.stream.writer.close()
+        elif not connection.busy:
+            connection.say_farewell()
         transport = connection.stream.writer.transport
         asyncio.get_running_loop().call_later(_CLOSE_GRACE, transport.abort)
 
@@ -181,6 +187,8 @@
         self._server.close()
         tasks = list(self._tasks.values())
         for number, connection in list(self._connections.items()):
+            if connection.closing:
+                continue
             if connection.session.opened:
                 connection.stream.writer.close()
             else:
--- a/src/siskinhold/core/_session_state.py
+++ b/src/siskinhold/core/_session_state.py
@@ -40,6 +40,7 @@
         transaction: the open transaction.
         request: the statement under way.
         closed: whether the caller is gone.
+        closing: whether its connection is being closed; it sends no more.
     """
 
     number: int
@@ -50,6 +51,7 @@
     transaction: OpenTransaction | None = None
     request: RequestId | None = None
     closed: bool = False
+    closing: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -100,6 +100,9 @@
     identity = _next_id(node)
     session.request = identity
     out.append(Observe(metric="statements_total", label=event.kind.value))
+    if session.closing:
+        refuse_statement(session, identity, NotRunReason.SHUTDOWN, out)
+        return
     if event.kind is StatementKind.BEGIN:
         _begin(node, session, identity, out)
         return
--- a/src/siskinhold/core/_shutdown.py
+++ b/src/siskinhold/core/_shutdown.py
@@ -32,6 +32,8 @@
 
 def _check(node: NodeState, action: DrainCheck, out: Effects) -> None:
     elapsed = node.now - node.shutdown_began
+    if elapsed >= MIN_DRAIN_TIME:
+        _close_idle(node, out)
     waiting = elapsed < MIN_DRAIN_TIME or _count_in_flight(node) > 0
     if waiting and elapsed < MAX_DRAIN_TIME:
         node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
@@ -50,6 +52,21 @@
     out.append(Stop())
 
 
+def _close_idle(node: NodeState, out: Effects) -> None:
+    """Close the sessions that have nothing open.
+
+    Callers that send one statement after the other would otherwise keep the VM
+    from ever being idle, until the drain time cuts them off.
+    """
+    for session in node.sessions.sessions.values():
+        if session.closing or session.request is not None:
+            continue
+        if session.transaction is not None and not session.transaction.lost:
+            continue
+        session.closing = True
+        out.append(CloseCaller(session=session.number, reason="shutdown"))
+
+
 def _count_in_flight(node: NodeState) -> int:
     """Count statements, works and transactions, those held for others included."""
     count = len(node.pools.works) + len(node.pools.transactions)
--- a/src/siskinhold/programs/_ticket_status.py
+++ b/src/siskinhold/programs/_ticket_status.py
@@ -1,7 +1,7 @@
 """Reads the status of the fleet from the operator ports of VMs."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import msgspec
@@ -15,6 +15,7 @@
 # Enough for several thousand VMs and the greatest number of databases.
 MAX_STATUS_BYTES = 16_000_000
 
+FindUrls = Callable[[], Awaitable[list[str]]]
 ReportProgress = Callable[[str], None]
 
 
@@ -23,28 +24,42 @@
 
     Args:
         urls: operator ports, the preferred one first.
+        find: finds more of them when none answers; the platform's list of VMs
+            lags, so it may name none at first.
     """
 
-    def __init__(self, *, urls: list[str]) -> None:
+    def __init__(self, *, urls: list[str], find: FindUrls | None = None) -> None:
         self._urls = list(urls)
+        self._find = find
 
     async def read(self, *, databases: int) -> Result[OperatorStatus, str]:
         """Return a VM's status with at most that many databases.
 
         The error is a text for the operator.
         """
-        if not self._urls:
-            return Err("no operator port is known")
-        failures = []
-        for url in tuple(self._urls):
+        failures: list[str] = []
+        status = await self._read_any(databases, tuple(self._urls), failures)
+        if status is None and self._find is not None:
+            found = await self._find()
+            new = tuple(url for url in found if url not in self._urls)
+            self._urls.extend(new)
+            status = await self._read_any(databases, new, failures)
+        if status is not None:
+            return Ok(status)
+        return Err("; ".join(failures) or "no operator port is known")
+
+    async def _read_any(
+        self, databases: int, urls: tuple[str, ...], failures: list[str]
+    ) -> OperatorStatus | None:
+        for url in urls:
             try:
-                return Ok(await self._fetch(url, databases))
+                return await self._fetch(url, databases)
             except (aiohttp.ClientError, OSError, ValueError) as error:
                 failures.append(f"{url}: {type(error).__name__} {error}".strip())
             # A port that failed is asked last from now on.
             self._urls.remove(url)
             self._urls.append(url)
-        return Err("; ".join(failures))
+        return None
 
     async def _fetch(self, url: str, databases: int) -> OperatorStatus:
         timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_SECONDS)
--- a/src/siskinhold/programs/ticket.py
+++ b/src/siskinhold/programs/ticket.py
@@ -251,9 +251,10 @@
 
 async def _make_reader(options: Options, client: StoreClient | None) -> StatusReader:
     urls = [options.operator] if options.operator else []
-    if client is not None:
-        urls += await find_operator_urls(client)
-    return StatusReader(urls=urls)
+    if client is None:
+        return StatusReader(urls=urls)
+    urls += await find_operator_urls(client)
+    return StatusReader(urls=urls, find=lambda: find_operator_urls(client))
 
 
 def _read_ticket(path: Path) -> Result[ChangeTicket, Report]:
