--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -13,11 +13,20 @@
 FULL_TARGETS = 8
 """Other VMs in a fleet in which each VM sends heartbeats to all others."""
 
-TARGETS = 8
-"""VMs that get each heartbeat in a larger fleet."""
+CHOSEN_TARGETS = 4
+"""Randomly chosen VMs that get each heartbeat in a larger fleet."""
+
+RETURNED_TARGETS = 4
+"""Most VMs that get a heartbeat because theirs arrived lately.
+
+Without them a VM that nobody chose would hear nothing for seconds.
+"""
+
+RETURN_TIME = 1.0
+"""Seconds for which a VM's heartbeat is returned."""
 
 REMOTE_SHARE = 4
-"""One in this many targets is in another region."""
+"""One in this many chosen targets is in another region."""
 
 NEIGHBOUR_CHANGE = 5.0
 """Seconds after which one target is replaced by another random one.
@@ -29,8 +38,8 @@
 VIEWS_PER_HEARTBEAT = 3
 """Views of other VMs in a heartbeat.
 
-With 8 targets, 5 beats a second and about 75 bytes a view, a VM sends less than
-20 KB/s whatever the size of the fleet.
+With at most 8 targets, 5 beats a second and about 75 bytes a view, a VM sends
+less than 20 KB/s whatever the size of the fleet.
 """
 
 VIEWS_PER_SYNC = 200
@@ -39,6 +48,22 @@
 SUSPECT_AFTER = 1.5
 """Seconds of silence after which a VM is suspected and probed."""
 
+PROBE_TIME = 0.5
+"""Seconds before suspicion in which a silent VM is probed directly."""
+
+REVIVE_BEATS = 12
+"""Beats by which the relayed view of a gone VM must be ahead to revive it.
+
+It takes 2.5 s of silence to be taken as gone, which is as many beats. A view
+that is less ahead can be one from before the loss.
+"""
+
+CONTACT_LIMIT = 1000
+"""Addresses kept to be tried; those noted longest ago are dropped.
+
+Regions can be parted for an hour, and find each other again through them.
+"""
+
 _RANK = {VmState.LIVE: 0, VmState.LEAVING: 1, VmState.GONE: 2}
 
 
@@ -94,46 +119,63 @@
     changes.move_to_end(name, last=False)
 
 
-def merge_view(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+def merge_view(node: NodeState, view: VmView, sender: str, out: Effects) -> None:
     """Take over a view of another VM if it is newer.
 
-    Returns:
-        Whether the VM showed life: a higher incarnation or beat.
+    Args:
+        sender: the VM that sent it.
     """
     name = view.address.name
     if name == node.identity.name:
         _answer_view_of_self(node, view, out)
-        return False
+        return
+    cause = "heartbeat" if sender == name else f"heartbeat of {sender}"
     peer = node.membership.peers.get(name)
     if peer is None:
-        return _add(node, view, cause, out)
+        _add(node, view, cause, out)
+        return
     known = peer.view
     if view.incarnation != known.incarnation:
-        return view.incarnation > known.incarnation and _replace(
-            node, peer, view, cause, out
-        )
+        if view.incarnation > known.incarnation:
+            _replace(node, peer, view, cause, out)
+        return
     if view.beat > known.beat:
-        return _replace(node, peer, view, cause, out)
+        gone = known.state is VmState.GONE
+        if gone and sender != name and view.beat - known.beat < REVIVE_BEATS:
+            return
+        _replace(node, peer, view, cause, out)
+        if gone and view.state is not VmState.GONE:
+            watch_peer(node, peer)
+        return
     if view.beat == known.beat and _RANK[view.state] > _RANK[known.state]:
         change_state(node, peer, view.state, cause, out)
     elif view.state is VmState.GONE and known.state is not VmState.GONE:
         # The sender knows an older beat. Whether the VM is gone is found out
         # by listening for it.
         watch_peer(node, peer)
-    return False
 
 
 def watch_peer(node: NodeState, peer: Peer) -> None:
     """Let a VM's silence count from now on.
 
-    A VM of which nothing was expected before gets the time between suspicion
-    and loss to answer.
+    A VM of which nothing was expected before gets time to answer probes.
     """
     name = peer.view.address.name
     if name in node.membership.watched:
         return
     node.membership.watched[name] = None
-    peer.heard_at = max(peer.heard_at, node.now - SUSPECT_AFTER)
+    peer.watched_at = node.now - SUSPECT_AFTER + PROBE_TIME
+
+
+def note_contact(node: NodeState, address: VmAddress) -> None:
+    """Keep an address to be tried while no live VM is known there."""
+    contacts = node.membership.contacts
+    if address.name == node.identity.name:
+        return
+    contacts.pop(address.name, None)
+    contacts[address.name] = address
+    if len(contacts) > CONTACT_LIMIT:
+        del contacts[next(iter(contacts))]
 
 
 def change_state(
@@ -168,24 +210,24 @@
         mine.watched.pop(name, None)
         if name in mine.neighbours:
             mine.neighbours.remove(name)
+        note_contact(node, view.address)
     detail = (("peer", name), ("peer_incarnation", view.incarnation))
     record(out, f"vm_{view.state.value}", cause=cause, detail=detail)
 
 
-def _add(node: NodeState, view: VmView, cause: str, out: Effects) -> bool:
+def _add(node: NodeState, view: VmView, cause: str, out: Effects) -> None:
     if view.state is VmState.GONE:
-        return False
+        return
     name = view.address.name
-    peer = Peer(view=view, heard_at=node.now, direct_at=node.now)
+    peer = Peer(view=view, heard_at=node.now, probed_at=node.now)
     node.membership.peers[name] = peer
     _note_state(node, peer, cause, out)
     spread(node, name)
-    return True
 
 
 def _replace(
     node: NodeState, peer: Peer, view: VmView, cause: str, out: Effects
-) -> bool:
+) -> None:
     before = peer.view
     peer.view = view
     restarted = view.incarnation != before.incarnation
@@ -193,10 +235,11 @@
         _note_state(node, peer, cause, out)
         spread(node, view.address.name)
     if view.state is VmState.GONE:
-        return False
-    peer.heard_at = node.now
-    peer.suspected_at = None
-    return True
+        return
+    # In a large fleet a view can be seconds old when it comes through others.
+    if restarted or is_small(node):
+        peer.heard_at = node.now
+        peer.suspected_at = None
 
 
 def _answer_view_of_self(node: NodeState, view: VmView, out: Effects) -> None:
@@ -257,18 +300,32 @@
         if mine.neighbours:
             mine.neighbours.pop(0)
     _fill_neighbours(node)
-    return list(mine.neighbours)
+    return mine.neighbours + _choose_returned(node)
+
+
+def _choose_returned(node: NodeState) -> list[str]:
+    mine = node.membership
+    names = []
+    for name in mine.watched:
+        peer = mine.peers.get(name)
+        if peer is None or name in mine.neighbours:
+            continue
+        if node.now - peer.direct_at <= RETURN_TIME:
+            names.append(name)
+    if len(names) <= RETURNED_TARGETS:
+        return names
+    return node.random.sample(names, RETURNED_TARGETS)
 
 
 def _fill_neighbours(node: NodeState) -> None:
     neighbours = node.membership.neighbours
     mine = node.identity.address.region
     live = list_live(node, None)
-    for _ in range(4 * TARGETS):
-        if len(neighbours) >= TARGETS:
+    for _ in range(4 * CHOSEN_TARGETS):
+        if len(neighbours) >= CHOSEN_TARGETS:
             return
         remote = [n for n in neighbours if _find_region(node, n) != mine]
-        want_remote = len(remote) < TARGETS // REMOTE_SHARE
+        want_remote = len(remote) < CHOSEN_TARGETS // REMOTE_SHARE
         has_remote = len(live) > len(list_live(node, mine))
         name = node.random.choice(live)
         for _ in range(8):
