Test the real programs with bad input and faults, and fix what they show

A VM that drains closes each session as soon as it has nothing open; the membership no longer marks the shutdown before the drain has begun, which kept it from ever beginning. A VM that has just started holds statements until it knows the databases in force. Metrics carry the names that the core observes. Log lines of libraries are one line each.

--- a/src/siskinhold/adapters/_metrics.py
+++ b/src/siskinhold/adapters/_metrics.py
@@ -53,15 +53,19 @@
 
 METRICS: dict[str, Metric] = {
     "timeline_events": _count("Events of the time line by name.", "event"),
-    "requests": _count("Requests answered, by outcome.", "outcome"),
-    "request_seconds": _time("Time from statement to reply.", "kind"),
-    "reads": _count("Reads by the role of the server that ran them.", "role"),
-    "retries": _count("Requests run again, by reason.", "reason"),
-    "queue_seconds": _time("Time that a request waited in the queue.", "class"),
-    "failover_seconds": _time("Time from the loss of a primary to the next."),
-    "ticket_seconds": _time("Time from a ticket's arrival to its force."),
-    "peer_messages": _count("Messages between VMs, by fate.", "fate"),
-    "store_calls": _count("Calls to the store, by result.", "result"),
+    "statements_total": _count("Statements of callers, by kind.", "kind"),
+    "statement_seconds": _time("Time from statement to reply, by kind.", "kind"),
+    "served_total": _count("Statements done, by the role of the server.", "role"),
+    "request_seconds": _time("Time of a request at its pool owner."),
+    "refused_total": _count("Requests refused as not run, by reason.", "reason"),
+    "unknown_total": _count("Requests of unknown outcome, by reason.", "reason"),
+    "retries_total": _count("Requests run again, by cause.", "cause"),
+    "queue_seconds": _time("Time that a request waited in the queue."),
+    "service_seconds": _time("Time of a statement at the backend server."),
+    "confirmation_seconds": _time("Time until a write's term was confirmed."),
+    "promotion_seconds": _time("Time from the loss of a primary to the next."),
+    "status_queries_total": _count("Status queries to backend servers."),
+    "backend_connections_opened_total": _count("Connections opened to servers."),
 }
 """The metrics by name without the prefix."""
 
--- a/src/siskinhold/core/_entries.py
+++ b/src/siskinhold/core/_entries.py
@@ -1,6 +1,6 @@
 """Sessions and their statements under way, and how a statement is answered."""
 
-from ..effects import Observe, ReplyCaller, SendPeer
+from ..effects import CloseCaller, Observe, ReplyCaller, SendPeer
 from ..messages import Abandon
 from ..model import (
     Done,
@@ -105,3 +105,10 @@
             positions=session.positions,
         )
     )
+    close_if_drained(session, out)
+
+
+def close_if_drained(session: Session, out: Effects) -> None:
+    """Close a draining session's connection unless a transaction is open."""
+    if session.draining and not session.open_transaction:
+        out.append(CloseCaller(session=session.number, reason="shutdown"))
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -138,7 +138,6 @@
 
 
 def _leave(node: NodeState, event: ShutdownRequested, out: Effects) -> None:
-    node.shutting_down = True
     _announce(node, VmState.LEAVING, "shutdown requested", out)
 
 
--- a/src/siskinhold/core/_routes.py
+++ b/src/siskinhold/core/_routes.py
@@ -94,7 +94,9 @@
 def _choose_region(node: NodeState, entry: EntryRequest) -> str | None:
     request = entry.request
     primary = find_primary_region(node, request.database)
-    if request.kind is not StatementKind.READ or request.transaction is not None:
+    if primary is None or request.transaction is not None:
+        return primary
+    if request.kind is not StatementKind.READ:
         return primary
     group, database = node.config.databases[request.database]
     here = node.identity.address.region
--- a/src/siskinhold/core/_session_state.py
+++ b/src/siskinhold/core/_session_state.py
@@ -40,7 +40,7 @@
         transaction: the open transaction.
         request: the statement under way.
         closed: whether the caller is gone.
-        closing: whether its connection is being closed; it sends no more.
+        draining: whether its connection is closed once it has nothing open.
     """
 
     number: int
@@ -51,7 +51,12 @@
     transaction: OpenTransaction | None = None
     request: RequestId | None = None
     closed: bool = False
-    closing: bool = False
+    draining: bool = False
+
+    @property
+    def open_transaction(self) -> bool:
+        """Whether a transaction is open, be it without a statement yet."""
+        return self.transaction is not None and not self.transaction.lost
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -19,6 +19,7 @@
     Outcome,
     Request,
     RequestId,
+    RoutingRules,
     StatementKind,
     Unknown,
     UnknownReason,
@@ -26,6 +27,7 @@
 from . import _routes as routes
 from ._entries import finish, raise_position, refuse_statement, reply
 from ._session_state import EntryRequest, FloorWait, OpenTransaction, Session
+from ._spreading import is_informed
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
@@ -100,7 +102,7 @@
     identity = _next_id(node)
     session.request = identity
     out.append(Observe(metric="statements_total", label=event.kind.value))
-    if session.closing:
+    if session.draining and not session.open_transaction:
         refuse_statement(session, identity, NotRunReason.SHUTDOWN, out)
         return
     if event.kind is StatementKind.BEGIN:
@@ -114,13 +116,15 @@
         _reply_end(node, session, identity, event.kind, lost, out)
         return
     found = node.config.databases.get(session.database)
-    if found is None:
+    if found is None and is_informed(node):
         refuse_statement(session, identity, NotRunReason.UNKNOWN_DATABASE, out)
         return
     if lost:
         refuse_statement(session, identity, NotRunReason.TRANSACTION_LOST, out)
         return
-    entry = _make_entry(node, session, identity, event, found[0].rules)
+    # A VM that has just started learns the databases within the deadline.
+    rules = found[0].rules if found is not None else RoutingRules()
+    entry = _make_entry(node, session, identity, event, rules)
     node.sessions.requests[identity] = entry
     node.timers.schedule(entry.deadline + ANSWER_GRACE, EntryDeadline(identity))
     _send_or_seek_floor(node, session, entry, out)
--- a/src/siskinhold/core/_shutdown.py
+++ b/src/siskinhold/core/_shutdown.py
@@ -4,6 +4,7 @@
 
 from ..effects import CloseCaller, Stop, StopListening
 from ..events import ShutdownRequested
+from ._entries import close_if_drained
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
@@ -33,7 +34,7 @@
 def _check(node: NodeState, action: DrainCheck, out: Effects) -> None:
     elapsed = node.now - node.shutdown_began
     if elapsed >= MIN_DRAIN_TIME:
-        _close_idle(node, out)
+        _drain_sessions(node, out)
     waiting = elapsed < MIN_DRAIN_TIME or _count_in_flight(node) > 0
     if waiting and elapsed < MAX_DRAIN_TIME:
         node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
@@ -52,19 +53,18 @@
     out.append(Stop())
 
 
-def _close_idle(node: NodeState, out: Effects) -> None:
-    """Close the sessions that have nothing open.
+def _drain_sessions(node: NodeState, out: Effects) -> None:
+    """Close each session as soon as it has nothing open, so perhaps at once.
 
     Callers that send one statement after the other would otherwise keep the VM
     from ever being idle, until the drain time cuts them off.
     """
     for session in node.sessions.sessions.values():
-        if session.closing or session.request is not None:
+        if session.draining:
             continue
-        if session.transaction is not None and not session.transaction.lost:
-            continue
-        session.closing = True
-        out.append(CloseCaller(session=session.number, reason="shutdown"))
+        session.draining = True
+        if session.request is None:
+            close_if_drained(session, out)
 
 
 def _count_in_flight(node: NodeState) -> int:
--- a/src/siskinhold/programs/proxy.py
+++ b/src/siskinhold/programs/proxy.py
@@ -28,6 +28,7 @@
 
 from .. import __version__
 from ..settings import Settings, SettingsReport, load_settings
+from ._log import configure_log
 from ._proxy_service import FileUnusable, ProxyService
 
 _log = logging.getLogger(__name__)
@@ -94,8 +95,7 @@
     if options.check:
         print(f"event=settings_valid file={options.settings!r}", flush=True)
         raise SystemExit(int(ExitCode.DONE))
-    level = settings.vm.log_level.upper()
-    logging.basicConfig(level=level, format="level=%(levelname)s %(message)s")
+    configure_log(settings.vm.log_level)
     raise SystemExit(int(_run_reported(settings)))
 
 
--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,278 @@
+"""The real programs as processes: bad input and faults of whole processes."""
+
+import asyncio
+import signal
+import socket
+
+import pymysql
+import pytest
+import pytest_asyncio
+
+from siskinhold_trial.processes import Deployment, Processes, find_free_ports
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+PROXY = "siskinhold.programs.proxy"
+DATABASE = "orders"
+ZONES = ("leinster-a", "leinster-b", "munster-a")
+VMS = ONE, TWO, REMOTE = tuple(f"vm-{zone}" for zone in ZONES)
+
+
+@pytest_asyncio.fixture(loop_scope="module", scope="module")
+async def fleet(tmp_path_factory):
+    """Three VMs with one database, each part a process."""
+    folder = tmp_path_factory.mktemp("fleet")
+    processes = Processes(folder=folder)
+    deployment = Deployment(folder=folder, processes=processes)
+    try:
+        await deployment.start_store()
+        deployment.add_vms(ZONES)
+        for name in VMS:
+            deployment.start_vm(name)
+        await deployment.start_database(DATABASE)
+        for name in VMS:
+            await deployment.wait_for_vm(name)
+        path = deployment.write_ticket(1, "test")
+        code, output, errors = await deployment.run_ticket("apply", path, "--wait=10")
+        assert code == 0, output + errors
+        client = await deployment.connect(ONE, DATABASE)
+        await run(client, "CREATE TABLE t (v INT)")
+        client.close()
+        yield deployment
+    finally:
+        processes.end()
+
+
+async def run(client, sql):
+    async with client.cursor() as cursor:
+        await cursor.execute(sql)
+        return [row[0] for row in await cursor.fetchall()]
+
+
+async def fail(client, sql):
+    with pytest.raises(pymysql.err.MySQLError) as caught:
+        await run(client, sql)
+    return caught.value.args
+
+
+async def read_owner(fleet, through=ONE):
+    status = await fleet.read_status(through)
+    return status.databases[0].owners["leinster"]
+
+
+async def wait_until(condition, seconds=10.0):
+    async with asyncio.timeout(seconds):
+        while not await condition():
+            await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+def processes(tmp_path):
+    return Processes(folder=tmp_path)
+
+
+async def start_with(processes, folder, change, code):
+    """Run a proxy with altered settings to its end; return its lines."""
+    deployment = Deployment(folder=folder, processes=processes)
+    deployment.store_url = "http://127.0.0.1:1"
+    deployment.add_vms(("leinster-a",))
+    vm = deployment.vms[ONE]
+    vm.settings.write_bytes(change(vm.settings.read_text()).encode("latin-1"))
+    ended, output, errors = await processes.run(PROXY, vm.settings)
+    assert (ended, output) == (code, ""), errors
+    return errors.splitlines()
+
+
+class TestStart:
+    async def test_all_settings_faults(self, processes, tmp_path):
+        """Every fault is one line that names its place; guards a silent default."""
+        lines = await start_with(
+            processes,
+            tmp_path,
+            lambda text: text + "[store]\nurl = http://127.0.0.1:1\n"
+            "[callers]\ncolour = red\nmax_sessions = 0\n",
+            code=3,
+        )
+        shown = "\n".join(lines)
+        assert all(line.startswith("failure=settings_invalid place=") for line in lines)
+        assert "[callers] colour' detail='unknown key" in shown
+        assert "[callers] max_sessions' detail='0 is out of range" in shown
+        assert "[store]" in shown
+
+    async def test_unreadable_file(self, processes, tmp_path):
+        """Bytes that are no text are one line; guards against a traceback."""
+        (line,) = await start_with(processes, tmp_path, lambda text: "\xff\xfe", 3)
+        assert line.startswith("failure=settings_invalid place=")
+
+    @pytest.mark.parametrize("place", ["callers", "peers", "operator"])
+    async def test_port_in_use(self, processes, tmp_path, place):
+        """It is named; guards against a VM that serves without one of its ports."""
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            free = find_free_ports(1)[0]
+
+            def change(text):
+                head, _, rest = text.partition(f"[{place}]\nport = ")
+                return f"{head}[{place}]\nport = {port}\n{rest.partition(chr(10))[2]}"
+
+            assert free != port
+            lines = await start_with(processes, tmp_path, change, 4)
+        assert lines[-1].startswith(f"failure=address_unusable place='{place}'")
+        assert str(port) in lines[-1]
+
+    async def test_unusable_files(self, processes, tmp_path):
+        """A certificate that is none is named; guards against serving without."""
+        wrong = tmp_path / "wrong.pem"
+        wrong.write_text("no certificate")
+        keys = f"tls_certificate = {wrong}\ntls_key = {wrong}\n[peers]"
+        lines = await start_with(
+            processes, tmp_path, lambda text: text.replace("[peers]", keys), 5
+        )
+        assert lines[-1].startswith("failure=file_unusable place='[callers] tls")
+
+
+class TestTickets:
+    @pytest.mark.parametrize(
+        "old, new, fault",
+        [
+            ('"number"', "number", "malformed_text"),
+            ('"primary": "orders-1"', '"primary": "orders-9"', "unknown_primary"),
+        ],
+    )
+    async def test_bad_ticket(self, fleet, old, new, fault):
+        """It is refused by its kind; guards against a state nobody can serve."""
+        path = fleet.write_ticket(2, "bad")
+        text = path.read_text()
+        assert old in text
+        path.write_text(text.replace(old, new, 1))
+        code, output, _ = await fleet.run_ticket("apply", path)
+        assert code == 3
+        assert output.startswith(f"fault={fault} ") and output.count("\n") == 1
+        for name in VMS:
+            assert (await fleet.read_status(name)).ticket == 1
+
+
+class TestBadInput:
+    async def test_vm_keeps_serving(self, fleet):
+        """Nothing that one caller sends harms another.
+
+        Guards against a VM that restarts, or drops its callers, on bad bytes.
+        """
+        before = await fleet.read_status(ONE)
+        other = await fleet.connect(ONE, DATABASE)
+        client = await fleet.connect(ONE, DATABASE)
+        large = "SELECT '" + "x" * 1_100_000 + "'"
+        code, message = (await fail(client, large))[:2]
+        assert code == 5001 and "statement_too_large" in message
+        (token,) = await run(client, "SELECT @siskinhold_token")
+        altered = token[:-1] + ("A" if token[-1] != "A" else "B")
+        code, message = (await fail(client, f"SET @siskinhold_token = '{altered}'"))[:2]
+        assert code == 5003 and "token_invalid" in message
+        vm = fleet.vms[ONE]
+        for port in (vm.callers, vm.peers, vm.operator):
+            for garbage in (b"\xff" * 5_000, b"\0" * 5_000, b"GET / \r\n\r\n" * 9):
+                await send_garbage(port, garbage)
+        assert await run(other, "SELECT 1") == [1]
+        assert await run(client, "SELECT 1") == [1]
+        after = await fleet.read_status(ONE)
+        assert after.incarnation == before.incarnation
+        assert [vm.state.value for vm in after.vms] == ["live"] * len(VMS)
+        assert "Traceback" not in vm.process.log.read_text()
+        for opened in (client, other):
+            opened.close()
+
+
+async def send_garbage(port, garbage):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(garbage)
+        await writer.drain()
+        async with asyncio.timeout(0.2):
+            await reader.read()
+    except (ConnectionError, TimeoutError):
+        pass
+    finally:
+        writer.close()
+
+
+class TestFaults:
+    async def test_owner_paused(self, fleet):
+        """A paused owner is replaced, and its late work acknowledges nothing lost.
+
+        Guards against a VM that goes on with an old view after its pause.
+        """
+        owner = await read_owner(fleet)
+        other = TWO if owner == ONE else ONE
+        through_owner = await fleet.connect(owner, DATABASE)
+        through_other = await fleet.connect(other, DATABASE)
+        await run(through_owner, "INSERT INTO t VALUES (10)")
+        process = fleet.vms[owner].process
+        process.signal(signal.SIGSTOP)
+        try:
+            late = asyncio.create_task(run(through_owner, "INSERT INTO t VALUES (11)"))
+
+            async def write_succeeds():
+                try:
+                    await run(through_other, "INSERT INTO t VALUES (12)")
+                except pymysql.err.MySQLError:
+                    return False
+                return True
+
+            await wait_until(write_succeeds)
+            assert await read_owner(fleet, other) == other
+        finally:
+            process.signal(signal.SIGCONT)
+        await late
+        values = await run(through_other, "SELECT v FROM t ORDER BY v")
+        assert values.count(11) == 1 and values.count(12) >= 1
+
+        async def owner_is_back():
+            return await read_owner(fleet, other) == owner
+
+        await wait_until(owner_is_back)
+        assert await run(through_owner, "SELECT COUNT(*) FROM t WHERE v = 12") != [0]
+        through_owner.close()
+        through_other.close()
+
+    async def test_second_signal(self, fleet):
+        """It ends the process at once; guards a drain that waits for a caller."""
+        client = await fleet.connect(TWO, DATABASE)
+        await client.begin()
+        await run(client, "INSERT INTO t VALUES (20)")
+        process = fleet.vms[TWO].process
+        process.signal(signal.SIGTERM)
+        await asyncio.sleep(1.5)
+        await run(client, "INSERT INTO t VALUES (21)")
+        process.signal(signal.SIGTERM)
+        assert await process.wait(1.0) == 143
+        client.close()
+        fleet.start_vm(TWO)
+        await fleet.wait_for_vm(TWO)
+
+    async def test_killed_in_mid_transaction(self, fleet):
+        """The transaction is rolled back and its locks are free.
+
+        Guards against half a transaction, and against writes that wait for it.
+        """
+
+        async def all_are_live():
+            views = (await fleet.read_status(ONE)).vms
+            return [vm.state.value for vm in views] == ["live"] * len(VMS)
+
+        await wait_until(all_are_live)
+        client = await fleet.connect(TWO, DATABASE, autocommit=False)
+        await run(client, "INSERT INTO t VALUES (30)")
+        fleet.vms[TWO].process.signal(signal.SIGKILL)
+        await fail(client, "COMMIT")
+        other = await fleet.connect(ONE, DATABASE)
+
+        async def write_succeeds():
+            try:
+                await run(other, "INSERT INTO t VALUES (31)")
+            except pymysql.err.MySQLError:
+                return False
+            return True
+
+        await wait_until(write_succeeds)
+        assert await run(other, "SELECT v FROM t WHERE v IN (20, 21, 30)") == []
+        other.close()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,68 @@
+"""Graceful shutdown of a VM under load, on simulated time."""
+
+import asyncio
+
+import looptime
+
+from siskinhold.model import Done, NotRun, StatementKind
+from siskinhold_trial.fakes import CallerConnectionClosed
+from siskinhold_trial.fleet import CRANNOG, Fleet
+
+WRITE = "UPDATE kv SET v=CONCAT(v,',x') WHERE k='a'"
+
+
+def run(script):
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(script())
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def write_on(caller, outcomes):
+    """Write without a pause until the connection closes."""
+    while True:
+        try:
+            reply = await caller.run(StatementKind.WRITE, WRITE)
+        except CallerConnectionClosed:
+            return
+        outcomes.append(reply.outcome)
+
+
+class TestDrain:
+    def test_callers_that_write_without_a_pause(self):
+        """The drain completes in seconds and every answer is a success.
+
+        Guards against callers that keep a VM from ever being idle, so that the
+        end of the drain time cuts their statements off.
+        """
+
+        async def script():
+            fleet = Fleet(deployment=CRANNOG, vm_count=3, lag=0.2)
+            await fleet.start()
+            name, other, *_ = sorted(fleet.databases)
+            vm = fleet.find_owner(name)
+            outcomes = []
+            tasks = []
+            for _ in range(6):
+                caller = vm.callers.connect(database=name)
+                tasks.append(asyncio.create_task(write_on(caller, outcomes)))
+            open_ = vm.callers.connect(database=other)
+            await open_.run(StatementKind.BEGIN, "BEGIN")
+            await open_.run(StatementKind.WRITE, WRITE)
+            await asyncio.sleep(1.0)
+            shutdown = asyncio.create_task(vm.shut_down())
+            await asyncio.sleep(3.0)
+            assert not shutdown.done()
+            assert all(task.done() for task in tasks)
+            ended = await open_.run(StatementKind.COMMIT, "COMMIT")
+            assert isinstance(ended.outcome, Done)
+            await asyncio.wait_for(shutdown, 2.0)
+            assert outcomes
+            for outcome in outcomes:
+                assert isinstance(outcome, (Done, NotRun)), outcome
+            await fleet.stop()
+
+        run(script)
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -223,6 +223,15 @@
         assert report.code == 0
         assert report.lines[0].startswith("vm=vm1 ")
 
+    async def test_list_that_lags(self, desk, fleet):
+        """A VM that the list names later is asked then; guards a wait in vain."""
+        fleet.node.config.applied = 1
+        fleet.node.membership.peers["vm2"] = make_peer("vm2", 1)
+        applied = asyncio.create_task(desk.apply(make_ticket(1), wait=5.0))
+        await asyncio.sleep(0.3)
+        desk.server.vms.register(make_address("vm1", fleet.server.port), now=0.0)
+        assert (await applied).code == 0
+
     async def test_no_operator_port(self, desk):
         """Its own code; guards against confusing it with the store."""
         assert (await desk.run(tool.Status())).code == 7
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,12 +1,15 @@
 """Tests of the recorder and of the program that merges its logs."""
 
 import json
+import re
+from pathlib import Path
 
 import pytest
 from hypothesis import given, strategies as st
 from prometheus_client import CollectorRegistry
 
-from siskinhold.adapters import TimelineRecorder
+from siskinhold import core
+from siskinhold.adapters import METRICS, TimelineRecorder
 from siskinhold.effects import Observe, Record
 from siskinhold.model import RequestId
 from siskinhold.programs.timeline import main, merge_entries, parse_line
@@ -53,15 +56,25 @@
         guards against memory that grows with label values."""
         recorder = open_recorder(tmp_path / "log")
         for number in range(200):
-            recorder.observe(Observe(metric="requests", label=f"o{number}"))
+            recorder.observe(Observe(metric="refused_total", label=f"o{number}"))
             recorder.observe(Observe(metric="no_such"))
         values = recorder.metrics.registry
-        other = {"outcome": "other"}
-        assert values.get_sample_value("siskinhold_requests_total", other) == 150
+        other = {"reason": "other"}
+        assert values.get_sample_value("siskinhold_refused_total", other) == 150
         assert caplog.text.count("event=metric_refused metric=no_such") == 1
         recorder.close()
 
 
+class TestKnownMetrics:
+    def test_all_that_the_core_observes(self):
+        """Each is known; guards against values that are dropped by their name."""
+        folder = Path(core.__file__).parent
+        names = set()
+        for path in folder.glob("*.py"):
+            names.update(re.findall(r'metric="(\w+)"', path.read_text()))
+        assert names and names <= METRICS.keys()
+
+
 class TestMerge:
     """The order of merged logs."""
 
