--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -1,7 +1,9 @@
 """The reducer and its state."""
 
 from ._ownership import find_owner
+from ._queue import Queue, Work
 from ._reducer import reduce
+from ._scheduling_state import SchedulingRules
 from ._state import Effects, Identity, NodeState
 from ._timers import TimerAction, Timers
 
@@ -9,8 +11,11 @@
     "Effects",
     "Identity",
     "NodeState",
+    "Queue",
+    "SchedulingRules",
     "TimerAction",
     "Timers",
+    "Work",
     "find_owner",
     "reduce",
 ]
