--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -1,7 +1,26 @@
 """The reducer and its state."""
 
+from ._membership import (
+    find_address,
+    find_incarnation,
+    find_owner,
+    is_watcher,
+    list_live,
+)
 from ._reducer import reduce
 from ._state import Effects, Identity, NodeState
 from ._timers import TimerAction, Timers
 
-__all__ = ["Effects", "Identity", "NodeState", "TimerAction", "Timers", "reduce"]
+__all__ = [
+    "Effects",
+    "Identity",
+    "NodeState",
+    "TimerAction",
+    "Timers",
+    "find_address",
+    "find_incarnation",
+    "find_owner",
+    "is_watcher",
+    "list_live",
+    "reduce",
+]
--- a/src/siskinhold/core/_gossip.py
+++ b/src/siskinhold/core/_gossip.py
@@ -5,7 +5,17 @@
 itself by its next beat, which is higher.
 """
 
-from ..messages import Heartbeat
+from ..messages import (
+    Heartbeat,
+    Message,
+    Probe,
+    ProbeAnswer,
+    TermsPushed,
+    TermsWanted,
+    TicketsPushed,
+    TicketsWanted,
+    VmsPushed,
+)
 from ..model import VmAddress, VmState, VmView
 from ._ownership import list_live
 from ._state import Effects, NodeState, Peer, record
@@ -64,6 +74,17 @@
 Regions can be parted for an hour, and find each other again through them.
 """
 
+_FOR_ANY_INCARNATION = (
+    Heartbeat,
+    Probe,
+    ProbeAnswer,
+    TermsPushed,
+    TermsWanted,
+    TicketsPushed,
+    TicketsWanted,
+    VmsPushed,
+)
+
 _RANK = {VmState.LIVE: 0, VmState.LEAVING: 1, VmState.GONE: 2}
 
 
@@ -346,3 +367,15 @@
     if peer is not None:
         return peer.view.address
     return node.membership.contacts.get(vm)
+
+
+def find_incarnation(node: NodeState, vm: str, message: Message) -> int:
+    """Return the incarnation that a message to a VM is meant for, 0 for any.
+
+    Messages about membership and tickets are meant for any, so that a VM that
+    restarted unnoticed can be found again.
+    """
+    if isinstance(message, _FOR_ANY_INCARNATION):
+        return 0
+    peer = node.membership.peers.get(vm)
+    return peer.view.incarnation if peer is not None else 0
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -12,6 +12,7 @@
     build_sync,
     choose_targets,
     find_address,
+    find_incarnation,
     is_small,
     merge_view,
     note_contact,
@@ -31,7 +32,7 @@
 )
 from ._timers import TimerAction
 
-__all__ = ["find_address", "find_owner", "is_watcher", "list_live"]
+__all__ = ["find_address", "find_incarnation", "find_owner", "is_watcher", "list_live"]
 
 BEAT_INTERVAL = 0.2
 """Seconds between two heartbeats."""
--- a/tests/pump.py
+++ b/tests/pump.py
@@ -5,11 +5,16 @@
 import random
 
 from siskinhold import effects, events
-from siskinhold.core import Identity, NodeState, reduce
-from siskinhold.core._membership import list_live
+from siskinhold.core import Identity, NodeState, find_incarnation, list_live, reduce
 from siskinhold.messages import Envelope
 from siskinhold.model import ChangeTicket, Database, DatabaseGroup, VmAddress
-from siskinhold.store import StoredObject, StoreFailure, StoreResult
+from siskinhold.store import (
+    StoredObject,
+    StoreFailure,
+    StoreResult,
+    encode_ticket,
+    ticket_key,
+)
 
 
 def build_address(number: int, region: str) -> VmAddress:
@@ -94,7 +99,7 @@
         envelope = Envelope(
             sender=node.identity.name,
             incarnation=node.identity.incarnation,
-            receiver_incarnation=0,
+            receiver_incarnation=find_incarnation(node, effect.vm, effect.message),
             clock=node.clock,
             message=effect.message,
         )
@@ -109,8 +114,6 @@
 
     def accept(self, *tickets):
         for ticket in tickets:
-            from siskinhold.store import encode_ticket, ticket_key
-
             self.put(ticket_key(ticket.number), encode_ticket(ticket))
 
     def put(self, key, value):
