--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -10,10 +10,6 @@
     build_heartbeat,
     build_own_view,
     build_sync,
-    choose_targets,
-    find_address,
-    find_incarnation,
-    is_small,
     merge_view,
     note_contact,
     watch_peer,
@@ -30,6 +26,7 @@
     probe_random,
     take_probe_answer,
 )
+from ._targets import choose_targets, find_address, find_incarnation, is_small
 from ._timers import TimerAction
 
 __all__ = ["find_address", "find_incarnation", "find_owner", "is_watcher", "list_live"]
--- a/src/siskinhold/core/_suspicion.py
+++ b/src/siskinhold/core/_suspicion.py
@@ -4,9 +4,10 @@
 from ..events import PeerReceived
 from ..messages import Probe, ProbeAnswer
 from ..model import VmState
-from ._gossip import PROBE_TIME, SUSPECT_AFTER, change_state, is_small, watch_peer
+from ._gossip import PROBE_TIME, SUSPECT_AFTER, change_state, watch_peer
 from ._ownership import list_live
 from ._state import Effects, NodeState, Peer, record
+from ._targets import is_small
 
 GONE_AFTER = 2.5
 """Seconds of silence after which a suspected VM is taken as gone."""
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -7,10 +7,10 @@
 from ..messages import TermsWanted
 from ..model import VmState
 from ..store import TERM_PREFIX, TICKET_PREFIX, ListObjects, StoreResult
-from ._gossip import choose_targets
 from ._ownership import WATCHER_KEY, find_owner, is_watcher
 from ._spreading import ask_at_start, is_informed
 from ._state import Effects, NodeState, record
+from ._targets import choose_targets
 from ._timers import TimerAction
 
 CATCH_UP_INTERVAL = 0.5
