--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import warnings
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -386,6 +387,8 @@
 
 
 if __name__ == "__main__":
+    # The client shows the note of a repeated order, which a step checks itself.
+    warnings.filterwarnings("ignore", category=pymysql.Warning)
     try:
         sys.exit(uvloop.run(_main()))
     except asyncio.CancelledError:
--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -1,6 +1,12 @@
 """The reducer and its state."""
 
-from ._ownership import find_owner
+from ._membership import (
+    find_address,
+    find_incarnation,
+    find_owner,
+    is_watcher,
+    list_live,
+)
 from ._queue import Queue, Work
 from ._reducer import reduce
 from ._scheduling_state import SchedulingRules
@@ -16,6 +22,10 @@
     "TimerAction",
     "Timers",
     "Work",
+    "find_address",
+    "find_incarnation",
     "find_owner",
+    "is_watcher",
+    "list_live",
     "reduce",
 ]
