--- a/src/siskinhold/programs/proxy.py
+++ b/src/siskinhold/programs/proxy.py
@@ -8,7 +8,8 @@
     3    the settings are invalid or can't be read; one line for each fault
     4    an address can't be bound
     5    a file that the settings name can't be used
-    130  ended at once by a second SIGINT; 143 by a second SIGTERM
+    130  ended at once by a second SIGINT, or by one during the start; 143 by a
+         second SIGTERM
 
 A failure at the start is one line on standard error that begins with `failure=`
 and names the place. The first SIGTERM or SIGINT begins a graceful shutdown: the
@@ -42,6 +43,7 @@
     SETTINGS = 3
     ADDRESS = 4
     FILE = 5
+    INTERRUPTED = 130
 
 
 @cappa.command(name="siskinhold-proxy")
@@ -108,6 +110,9 @@
     except OSError as error:
         _report("address_unusable", getattr(error, "place", ""), str(error))
         return ExitCode.ADDRESS
+    except KeyboardInterrupt:
+        # Before the service catches signals, nothing is open.
+        return ExitCode.INTERRUPTED
     except Exception as error:
         _log.debug("event=failed", exc_info=error)
         _report("unexpected", "", f"{type(error).__name__}: {error}")
