--- a/src/siskinhold/core/_shutdown.py
+++ b/src/siskinhold/core/_shutdown.py
@@ -4,6 +4,7 @@
 
 from ..effects import CloseCaller, Stop, StopListening
 from ..events import ShutdownRequested
+from ._entries import close_if_drained
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
 
@@ -32,6 +33,8 @@
 
 def _check(node: NodeState, action: DrainCheck, out: Effects) -> None:
     elapsed = node.now - node.shutdown_began
+    if elapsed >= MIN_DRAIN_TIME:
+        _drain_sessions(node, out)
     waiting = elapsed < MIN_DRAIN_TIME or _count_in_flight(node) > 0
     if waiting and elapsed < MAX_DRAIN_TIME:
         node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
@@ -50,6 +53,20 @@
     out.append(Stop())
 
 
+def _drain_sessions(node: NodeState, out: Effects) -> None:
+    """Close each session as soon as it has nothing open, so perhaps at once.
+
+    Callers that send one statement after the other would otherwise keep the VM
+    from ever being idle, until the drain time cuts them off.
+    """
+    for session in node.sessions.sessions.values():
+        if session.draining:
+            continue
+        session.draining = True
+        if session.request is None:
+            close_if_drained(session, out)
+
+
 def _count_in_flight(node: NodeState) -> int:
     """Count statements, works and transactions, those held for others included."""
     count = len(node.pools.works) + len(node.pools.transactions)
--- /dev/null
+++ b/src/siskinhold_trial/processes/__init__.py
@@ -0,0 +1,14 @@
+"""Real processes on loopback for the demo and for tests of the programs."""
+
+from ._deployment import ZONES, Deployment, VmProcess
+from ._processes import Processes, ProcessFailed, RunningProcess, find_free_ports
+
+__all__ = [
+    "Deployment",
+    "ProcessFailed",
+    "Processes",
+    "RunningProcess",
+    "VmProcess",
+    "ZONES",
+    "find_free_ports",
+]
