Refuse work early that can't be served in time, and bound the queue

Expected wait is the queue ahead in the work's class and better ones, times the measured mean slot time, over the slots of fit servers that long work doesn't hold. Work that would end after its deadline isn't begun.

Long work: the demand of short reads counts them wherever they ran, because counting by server let the primary's help raise the limit on the replicas. The primary helps with reads at once while long work holds replicas' slots.

--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -35,10 +35,12 @@
 
     Args:
         seconds: the sum at the time `at`.
+        count: number of statements in the sum, which decays likewise.
         at: when it last changed.
     """
 
     seconds: float = 0.0
+    count: float = 0.0
     at: float = 0.0
 
 
@@ -53,7 +55,7 @@
         held: whether writes are held back because a switchover is under way.
         queue: the waiting work.
         pinned: waiting statements of open transactions.
-        demand: short work on the replicas and on the primary.
+        demand: short work that any server may run, and that of the primary.
     """
 
     database: str
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -26,6 +26,7 @@
 )
 from ..statements import shape
 from . import _connections as connections
+from ._admission import admits, is_too_late
 from ._health import find_primary, find_record, is_fit, measure_age
 from ._health_state import ServerHealth
 from ._pool_state import Pool, Transaction
@@ -75,8 +76,8 @@
         shape=measure_shape(request.sql),
     )
     node.pools.works[request.id] = work
-    node.timers.schedule(work.deadline, WorkDeadline(request.id))
     if request.transaction is not None and not request.opens_transaction:
+        node.timers.schedule(work.deadline, WorkDeadline(request.id))
         _submit_pinned(node, pool, work, out)
         return
     starts = find_record(node, pool.database).starts
@@ -84,6 +85,10 @@
         refuse(node, work, NotRunReason.POSITION_LOST, out)
         return
     classify(node, work)
+    if not admits(node, pool, work):
+        refuse(node, work, NotRunReason.OVERLOAD, out)
+        return
+    node.timers.schedule(work.deadline, WorkDeadline(request.id))
     pool.queue.push(work)
     drain(node, pool, out)
 
@@ -170,15 +175,24 @@
 
 def drain(node: NodeState, pool: Pool, out: Effects) -> None:
     """Give waiting work to the pool's servers as far as their slots allow."""
-    for server in list_servers(node, pool):
-        health = node.health.servers.get(server.name)
-        if health is None:
-            continue
+    for health in _order_servers(node, pool):
         while _dispatch_one(node, pool, health, out):
             continue
     _redirect_unservable(node, pool, out)
 
 
+def _order_servers(node: NodeState, pool: Pool) -> list[ServerHealth]:
+    """Return the pool's servers, the primary last: it helps with what is left."""
+    primary = find_record(node, pool.database).primary
+    ordered = []
+    last = []
+    for server in list_servers(node, pool):
+        health = node.health.servers.get(server.name)
+        if health is not None:
+            (last if server.name == primary else ordered).append(health)
+    return ordered + last
+
+
 def _dispatch_one(
     node: NodeState, pool: Pool, health: ServerHealth, out: Effects
 ) -> bool:
@@ -231,6 +245,8 @@
 
 
 def _accepts(node: NodeState, pool: Pool, health: ServerHealth, work: Work) -> bool:
+    if is_too_late(node, work):
+        return False
     is_primary = health.status.role is Role.PRIMARY
     if work.needs_primary:
         if not is_primary or pool.held:
@@ -243,8 +259,19 @@
     if not find_replica(node, pool, work):
         return True
     known = connections.server_connections(node, health.server.name)
+    if known.running > health.server.slots - 2:
+        return False
     waited = node.now - work.arrived
-    return waited > PRIMARY_HELP_AFTER and known.running <= health.server.slots - 2
+    return waited > PRIMARY_HELP_AFTER or _replicas_run_long(node, pool, health)
+
+
+def _replicas_run_long(node: NodeState, pool: Pool, primary: ServerHealth) -> bool:
+    """Return whether long work takes slots of replicas, for which the primary helps."""
+    for server in list_servers(node, pool):
+        known = connections.server_connections(node, server.name)
+        if server.name != primary.server.name and known.running_long:
+            return True
+    return False
 
 
 def can_read(node: NodeState, health: ServerHealth, work: Work) -> bool:
@@ -301,7 +328,6 @@
     work.connection = connection.number
     work.started = node.now
     work.term = health.status.term if health.status else 0
-    work.on_primary = health.status is not None and health.status.role is Role.PRIMARY
     out.append(Observe(metric="queue_seconds", value=node.now - work.arrived))
     connections.occupy(node, connection, work.id, long=work.long)
     if request.opens_transaction:
--- a/src/siskinhold/core/_queue.py
+++ b/src/siskinhold/core/_queue.py
@@ -43,7 +43,6 @@
         may_have_run: whether an earlier attempt may have had an effect.
         expected: usual service time of its shape in seconds.
         long: whether it counts as long work while it waits.
-        on_primary: whether the server it runs on leads.
     """
 
     request: Request
@@ -63,7 +62,6 @@
     may_have_run: bool = False
     expected: float = 0.0
     long: bool = False
-    on_primary: bool = False
 
     @property
     def id(self) -> RequestId:
@@ -112,6 +110,10 @@
     def remove(self, work: Work) -> None:
         """Remove a work, if it waits."""
 
+    @abc.abstractmethod
+    def count_ahead(self, work: Work) -> int:
+        """Return how many works would be served before a work pushed now."""
+
     @abc.abstractmethod
     def __iter__(self) -> Iterator[Work]:
         """Iterate over the waiting work; the queue may change meanwhile."""
@@ -144,19 +146,22 @@
             cost counts up to that, so that each turn serves at least one.
     """
 
-    __slots__ = ("_quantum", "_tenants")
+    __slots__ = ("_quantum", "_tenants", "_count")
 
     def __init__(self, quantum: float) -> None:
         self._quantum = quantum
         self._tenants: OrderedDict[str, Tenant] = OrderedDict()
+        self._count = 0
 
     def push(self, work: Work, number: int) -> None:
         """Add a work under its push number."""
+        self._count += 1
         tenant = self._tenants.setdefault(work.request.tenant, Tenant())
         tenant.works.add((work.deadline, number, work))
 
     def remove(self, work: Work, number: int) -> None:
         """Remove a work that waits here."""
+        self._count -= 1
         name = work.request.tenant
         tenant = self._tenants[name]
         tenant.works.remove((work.deadline, number, work))
@@ -172,27 +177,28 @@
         left = SCAN_LIMIT
         for _ in range(len(self._tenants)):
             name, tenant = next(iter(self._tenants.items()))
-            for entry in tenant.works.islice(0, left):
+            for index in range(min(left, len(tenant.works))):
                 left -= 1
-                if accept(entry[2]):
-                    return self._serve(name, tenant, entry)
+                work = tenant.works[index][2]
+                if accept(work):
+                    del tenant.works[index]
+                    self._serve(name, tenant, work)
+                    return work
             self._tenants.move_to_end(name)
             if left <= 0:
                 break
         return None
 
-    def _serve(self, name: str, tenant: Tenant, entry: tuple) -> Work:
-        work = entry[2]
-        tenant.works.remove(entry)
+    def _serve(self, name: str, tenant: Tenant, work: Work) -> None:
+        self._count -= 1
         if not tenant.works:
             del self._tenants[name]
-            return work
+            return
         cost = min(work.expected, self._quantum)
         tenant.deficit -= cost
         if tenant.deficit < cost:
             tenant.deficit += self._quantum
             self._tenants.move_to_end(name)
-        return work
 
     def __iter__(self) -> Iterator[Work]:
         for tenant in list(self._tenants.values()):
@@ -200,7 +206,7 @@
                 yield work
 
     def __len__(self) -> int:
-        return len(self._tenants)
+        return self._count
 
 
 class WorkQueue(Queue):
@@ -259,6 +265,13 @@
         place[0].remove(work, place[1])
         self._forget(work)
 
+    def count_ahead(self, work: Work) -> int:
+        """Return how many works of its class and better ones wait for its slots."""
+        count = 0
+        for priority in range(rank(work) + 1):
+            count += len(self._lanes[priority, work.long, work.needs_primary])
+        return count
+
     def _forget(self, work: Work) -> None:
         del self._places[work.id]
         self._longs.pop(work.id, None)
--- a/src/siskinhold/core/_stragglers.py
+++ b/src/siskinhold/core/_stragglers.py
@@ -26,7 +26,7 @@
 """Work that is over sooner holds nobody up noticeably and is never long."""
 DEMAND_TIME = 2.0
 """Time constant of the measured demand of short work, in seconds."""
-HEADROOM = 1.25
+HEADROOM = 1.75
 """Slots kept for short work, as a multiple of those it keeps busy."""
 
 
@@ -88,8 +88,10 @@
 
 def _note_demand(node: NodeState, pool: Pool, work: Work, seconds: float) -> None:
     """Add slot time to the demand, a sum that decays with `DEMAND_TIME`."""
-    demand = pool.demand[work.on_primary]
-    demand.seconds = measure_busy(node, pool, work.on_primary) * DEMAND_TIME + seconds
+    demand = pool.demand[work.needs_primary]
+    decay = math.exp((demand.at - node.now) / DEMAND_TIME)
+    demand.seconds = demand.seconds * decay + seconds
+    demand.count = demand.count * decay + 1
     demand.at = node.now
 
 
@@ -97,7 +99,7 @@
     """Return how many slots short work keeps busy on average.
 
     Args:
-        primary: on the primary instead of the replicas.
+        primary: work that only the primary may run, instead of other work.
     """
     demand = pool.demand[primary]
     decay = math.exp((demand.at - node.now) / DEMAND_TIME)
@@ -118,6 +120,8 @@
 ) -> bool:
     """Return whether a server may begin with another long work.
 
+    One long work may always run in a pool, so that long work goes on.
+
     Args:
         servers: the servers of the pool.
     """
@@ -126,22 +130,38 @@
     known = connections.server_connections(node, health.server.name)
     if known.running_long >= limit_long(health.server.slots):
         return False
-    primary = health.status.role is Role.PRIMARY
+    leads = health.status.role is Role.PRIMARY
+    spare, running = _measure_spare(node, pool, leads, servers)
+    if spare >= 1:
+        return running < spare
+    other_spare, other_running = _measure_spare(node, pool, not leads, servers)
+    return other_spare < 1 and not running and not other_running
+
+
+def _measure_spare(
+    node: NodeState, pool: Pool, primary: bool, servers: list[BackendServer]
+) -> tuple[int, int]:
+    """Return the slots that long work may hold, and those that it holds.
+
+    Args:
+        primary: on the primary instead of the replicas.
+    """
     slots = running = 0
     for server in servers:
-        other = node.health.servers.get(server.name)
-        if other is None or not is_fit(node, other):
+        health = node.health.servers.get(server.name)
+        if health is None or not is_fit(node, health):
             continue
-        if (other.status.role is Role.PRIMARY) is not primary:
+        if (health.status.role is Role.PRIMARY) is not primary:
             continue
         slots += server.slots
         running += connections.server_connections(node, server.name).running_long
-    spare = int(slots - HEADROOM * measure_busy(node, pool, primary))
-    return running < max(1, spare)
+    return int(slots - HEADROOM * measure_busy(node, pool, primary)), running
 
 
 def demote_running(node: NodeState, server: str) -> None:
     """Count statements that have run for long as long work from now on."""
+    if not node.scheduling.rules.reserve_slots:
+        return
     threshold = measure_threshold(node)
     for number in connections.server_connections(node, server).numbers:
         connection = node.connections.connections[number]
--- a/src/siskinhold_trial/load/__init__.py
+++ b/src/siskinhold_trial/load/__init__.py
@@ -1,17 +1,31 @@
 """Measures of scheduling under load: one VM's pool in simulated time."""
 
+from ._crest import Crest, measure_crest
 from ._deployments import CRANNOG, MALABAR, Deployment
-from ._policies import FirstComeQueue, make_baseline, make_policy
+from ._policies import (
+    FirstComeQueue,
+    make_baseline,
+    make_policy,
+    make_shapes_only,
+    make_slots_only,
+)
 from ._short_wait import ShortWait, Spread, measure_short_wait
+from ._take_cost import make_work, measure_take
 
 __all__ = [
     "CRANNOG",
     "MALABAR",
+    "Crest",
     "Deployment",
     "FirstComeQueue",
     "ShortWait",
     "Spread",
     "make_baseline",
     "make_policy",
+    "make_shapes_only",
+    "make_slots_only",
+    "measure_crest",
+    "make_work",
     "measure_short_wait",
+    "measure_take",
 ]
--- a/src/siskinhold_trial/load/_policies.py
+++ b/src/siskinhold_trial/load/_policies.py
@@ -32,6 +32,10 @@
         """Remove a work, if it waits."""
         self._works.pop(work.id, None)
 
+    def count_ahead(self, work: Work) -> int:
+        """Return how many works wait."""
+        return len(self._works)
+
     def __iter__(self) -> Iterator[Work]:
         return iter(list(self._works.values()))
 
@@ -44,6 +48,16 @@
     return SchedulingRules()
 
 
+def make_shapes_only() -> SchedulingRules:
+    """Return the policy that knows long work but keeps no slots free of it."""
+    return SchedulingRules(reserve_slots=False)
+
+
+def make_slots_only() -> SchedulingRules:
+    """Return the policy that tells long work only by how long it has run."""
+    return SchedulingRules(learn_shapes=False)
+
+
 def make_baseline() -> SchedulingRules:
     """Return the baseline: first come first served over the same slots."""
     return SchedulingRules(
--- /dev/null
+++ b/src/siskinhold_trial/load/_take_cost.py
@@ -0,0 +1,55 @@
+"""What taking a work from a long queue costs."""
+
+import statistics
+import time
+from collections.abc import Callable
+
+from siskinhold.core import Queue, Work
+from siskinhold.model import Request, RequestId, StatementKind
+
+TAKES = 100
+"""Works that are taken and pushed back for one measurement."""
+
+
+def make_work(number: int, *, tenant: str, deadline: float = 5.0, **fields) -> Work:
+    """Return a waiting read; `fields` are other fields of its request."""
+    request = Request(
+        id=RequestId("vm", 1, number),
+        database="db",
+        tenant=tenant,
+        kind=fields.pop("kind", StatementKind.READ),
+        sql="SELECT 1",
+        **fields,
+    )
+    return Work(
+        request=request,
+        origin="vm",
+        region="home",
+        arrived=0.0,
+        deadline=deadline,
+        expected=0.003,
+    )
+
+
+def measure_take(
+    make_queue: Callable[[], Queue], waiting: int, *, refused: bool = False
+) -> float:
+    """Return the median of the microseconds of a take while `waiting` works wait.
+
+    Args:
+        refused: whether the server accepts none of them.
+    """
+    queue = make_queue()
+    for number in range(waiting):
+        work = make_work(
+            number, tenant=f"t{number % 20}", deadline=1.0 + number * 7919 % waiting
+        )
+        queue.push(work)
+    spent = []
+    for _ in range(TAKES):
+        begin = time.perf_counter()
+        work = queue.take(lambda item: not refused, 0.5)
+        spent.append(time.perf_counter() - begin)
+        if work is not None:
+            queue.push(work)
+    return statistics.median(spent) * 1e6
