Find silent connections, renew old ones and bound retries

A read on a VM all of whose work connections went silent is answered within 1.5 s (test); before, it waited for its deadline. A read and a write of 20 s on healthy connections are never cut (test).

Retries take at most a tenth of the requests of the last second, or ten. Work whose owner was lost waits for the budget within its deadline.

The choice of a server moves to its own module.

--- a/src/siskinhold/core/_connection_state.py
+++ b/src/siskinhold/core/_connection_state.py
@@ -29,6 +29,8 @@
         long: whether the statement on it counts as long work.
         suspected: how often the server said that it is not executing.
         asked_activity: whether the server is being asked.
+        ask_at: earliest time of the next question about the statement.
+        ask_interval: seconds between the last two questions; 0 before the first.
     """
 
     number: int
@@ -40,6 +42,8 @@
     long: bool = False
     suspected: int = 0
     asked_activity: bool = False
+    ask_at: float = 0.0
+    ask_interval: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_connections.py
+++ b/src/siskinhold/core/_connections.py
@@ -67,6 +67,9 @@
     connection.long = long
     connection.since = node.now
     connection.suspected = 0
+    connection.asked_activity = False
+    connection.ask_at = 0.0
+    connection.ask_interval = 0.0
     known.running += 1
     known.running_long += long
 
--- /dev/null
+++ b/src/siskinhold/core/_placement.py
@@ -0,0 +1,90 @@
+"""Which server of a pool may run a work."""
+
+from ..model import BackendServer, Role, covers
+from . import _connections as connections
+from ._admission import is_too_late
+from ._health import find_record, is_fit, measure_age
+from ._health_state import ServerHealth
+from ._pool_state import Pool
+from ._queue import Work
+from ._state import NodeState
+
+PRIMARY_HELP_AFTER = 0.02
+"""Seconds a browsing read waits for a replica before the primary may help."""
+
+
+def list_servers(node: NodeState, pool: Pool) -> list[BackendServer]:
+    """Return the backend servers of a pool: those of its database and region."""
+    found = node.config.databases.get(pool.database)
+    if found is None:
+        return []
+    return [server for server in found[1].servers if server.region == pool.region]
+
+
+def order_servers(node: NodeState, pool: Pool) -> list[ServerHealth]:
+    """Return the pool's servers, the primary last: it helps with what is left."""
+    primary = find_record(node, pool.database).primary
+    ordered = []
+    last = []
+    for server in list_servers(node, pool):
+        health = node.health.servers.get(server.name)
+        if health is not None:
+            (last if server.name == primary else ordered).append(health)
+    return ordered + last
+
+
+def accepts(node: NodeState, pool: Pool, health: ServerHealth, work: Work) -> bool:
+    """Return whether a server may run a waiting work now."""
+    if is_too_late(node, work):
+        return False
+    is_primary = health.status.role is Role.PRIMARY
+    if work.needs_primary:
+        if not is_primary or pool.held:
+            return False
+        return work.request.need is None or can_read(node, health, work)
+    if not can_read(node, health, work):
+        return False
+    if not is_primary:
+        return True
+    if not find_replica(node, pool, work):
+        return True
+    known = connections.server_connections(node, health.server.name)
+    if known.running > health.server.slots - 2:
+        return False
+    waited = node.now - work.arrived
+    return waited > PRIMARY_HELP_AFTER or _replicas_run_long(node, pool, health)
+
+
+def _replicas_run_long(node: NodeState, pool: Pool, primary: ServerHealth) -> bool:
+    """Return whether long work takes slots of replicas, for which the primary helps."""
+    for server in list_servers(node, pool):
+        known = connections.server_connections(node, server.name)
+        if server.name != primary.server.name and known.running_long:
+            return True
+    return False
+
+
+def can_read(node: NodeState, health: ServerHealth, work: Work) -> bool:
+    """Return whether a server's data is new enough for a request."""
+    request = work.request
+    starts = find_record(node, request.database).starts
+    if request.need is not None:
+        if not covers(starts, health.status.position, request.need):
+            return False
+    if work.needs_primary:
+        return True
+    age = measure_age(node, health)
+    return age is not None and age * 1000 <= request.max_age_ms
+
+
+def find_replica(node: NodeState, pool: Pool, work: Work) -> ServerHealth | None:
+    """Return a replica of the pool that could serve a read if it had a slot."""
+    for server in list_servers(node, pool):
+        health = node.health.servers.get(server.name)
+        if health is None or not is_fit(node, health):
+            continue
+        if health.status.role is Role.PRIMARY:
+            continue
+        if can_read(node, health, work):
+            return health
+    return None
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -17,20 +17,20 @@
     Position,
     Request,
     RequestId,
-    Role,
     StatementKind,
     Unknown,
     UnknownReason,
-    covers,
     is_lost,
 )
 from ..statements import shape
 from . import _connections as connections
-from ._admission import admits, is_too_late
-from ._health import find_primary, find_record, is_fit, measure_age
+from ._admission import admits
+from ._health import find_primary, find_record, is_fit
 from ._health_state import ServerHealth
+from ._placement import accepts, find_replica, list_servers, order_servers
 from ._pool_state import Pool, Transaction
 from ._queue import Work
+from ._retries import note_request, spend_retry
 from ._state import Effects, NodeState, record
 from ._stragglers import allows_long, classify, demote_running
 from ._timers import TimerAction
@@ -39,8 +39,6 @@
 """Times one request is given to a connection: the first and two retries."""
 REDIRECT_AFTER = 0.05
 """Seconds a read waits in a region none of whose servers can serve it."""
-PRIMARY_HELP_AFTER = 0.02
-"""Seconds a browsing read waits for a replica before the primary may help."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,14 +48,6 @@
     request: RequestId
 
 
-def list_servers(node: NodeState, pool: Pool) -> list[BackendServer]:
-    """Return the backend servers of a pool: those of its database and region."""
-    found = node.config.databases.get(pool.database)
-    if found is None:
-        return []
-    return [server for server in found[1].servers if server.region == pool.region]
-
-
 def submit(
     node: NodeState, pool: Pool, request: Request, origin: str, out: Effects
 ) -> None:
@@ -76,6 +66,8 @@
         shape=measure_shape(request.sql),
     )
     node.pools.works[request.id] = work
+    if origin != node.identity.name:
+        note_request(node)
     if request.transaction is not None and not request.opens_transaction:
         node.timers.schedule(work.deadline, WorkDeadline(request.id))
         _submit_pinned(node, pool, work, out)
@@ -175,24 +167,12 @@
 
 def drain(node: NodeState, pool: Pool, out: Effects) -> None:
     """Give waiting work to the pool's servers as far as their slots allow."""
-    for health in _order_servers(node, pool):
+    for health in order_servers(node, pool):
         while _dispatch_one(node, pool, health, out):
             continue
     _redirect_unservable(node, pool, out)
 
 
-def _order_servers(node: NodeState, pool: Pool) -> list[ServerHealth]:
-    """Return the pool's servers, the primary last: it helps with what is left."""
-    primary = find_record(node, pool.database).primary
-    ordered = []
-    last = []
-    for server in list_servers(node, pool):
-        health = node.health.servers.get(server.name)
-        if health is not None:
-            (last if server.name == primary else ordered).append(health)
-    return ordered + last
-
-
 def _dispatch_one(
     node: NodeState, pool: Pool, health: ServerHealth, out: Effects
 ) -> bool:
@@ -217,7 +197,7 @@
         return False
     demote_running(node, server.name)
     work = pool.queue.take(
-        lambda item: _accepts(node, pool, health, item),
+        lambda item: accepts(node, pool, health, item),
         node.now,
         allow_long=allows_long(node, pool, health, list_servers(node, pool)),
     )
@@ -244,62 +224,6 @@
     return 0
 
 
-def _accepts(node: NodeState, pool: Pool, health: ServerHealth, work: Work) -> bool:
-    if is_too_late(node, work):
-        return False
-    is_primary = health.status.role is Role.PRIMARY
-    if work.needs_primary:
-        if not is_primary or pool.held:
-            return False
-        return work.request.need is None or can_read(node, health, work)
-    if not can_read(node, health, work):
-        return False
-    if not is_primary:
-        return True
-    if not find_replica(node, pool, work):
-        return True
-    known = connections.server_connections(node, health.server.name)
-    if known.running > health.server.slots - 2:
-        return False
-    waited = node.now - work.arrived
-    return waited > PRIMARY_HELP_AFTER or _replicas_run_long(node, pool, health)
-
-
-def _replicas_run_long(node: NodeState, pool: Pool, primary: ServerHealth) -> bool:
-    """Return whether long work takes slots of replicas, for which the primary helps."""
-    for server in list_servers(node, pool):
-        known = connections.server_connections(node, server.name)
-        if server.name != primary.server.name and known.running_long:
-            return True
-    return False
-
-
-def can_read(node: NodeState, health: ServerHealth, work: Work) -> bool:
-    """Return whether a server's data is new enough for a request."""
-    request = work.request
-    starts = find_record(node, request.database).starts
-    if request.need is not None:
-        if not covers(starts, health.status.position, request.need):
-            return False
-    if work.needs_primary:
-        return True
-    age = measure_age(node, health)
-    return age is not None and age * 1000 <= request.max_age_ms
-
-
-def find_replica(node: NodeState, pool: Pool, work: Work) -> ServerHealth | None:
-    """Return a replica of the pool that could serve a read if it had a slot."""
-    for server in list_servers(node, pool):
-        health = node.health.servers.get(server.name)
-        if health is None or not is_fit(node, health):
-            continue
-        if health.status.role is Role.PRIMARY:
-            continue
-        if can_read(node, health, work):
-            return health
-    return None
-
-
 def _redirect_unservable(node: NodeState, pool: Pool, out: Effects) -> None:
     """Send reads away that no server of a region without the primary can serve."""
     primary = find_record(node, pool.database).primary
@@ -396,11 +320,14 @@
     """Put a work that has had no effect back into its queue.
 
     Returns:
-        False if it has used up its attempts or its time; it is unchanged then.
+        False if it has used up its attempts or its time, or this VM its retry
+        budget; the work is unchanged then.
     """
     pool = find_pool(node, work.request.database, work.region)
     if pool is None or work.attempts >= MAX_ATTEMPTS or node.now >= work.deadline:
         return False
+    if not spend_retry(node):
+        return False
     record(
         out,
         "request_retried",
--- /dev/null
+++ b/src/siskinhold/core/_retries.py
@@ -0,0 +1,43 @@
+"""The retry budget: retries never multiply the load of a fault."""
+
+from ._scheduling_state import RetryWindow
+from ._state import NodeState
+
+RETRY_SHARE = 0.1
+"""Retries as a share of the requests of the last second."""
+MIN_RETRIES = 10
+"""Retries a second that are allowed however few requests there are."""
+
+
+def note_request(node: NodeState) -> None:
+    """Count a request that this VM took."""
+    window = _advance(node)
+    window.requests[1] += 1
+
+
+def spend_retry(node: NodeState) -> bool:
+    """Count a retry if the budget allows it; return whether it does.
+
+    The budget is weighed over the last second: the part of the calendar second
+    before that it still covers, and the one under way.
+    """
+    window = _advance(node)
+    covered = 1 - node.now % 1
+    requests = window.requests[0] * covered + window.requests[1]
+    retries = window.retries[0] * covered + window.retries[1]
+    if retries + 1 > max(MIN_RETRIES, RETRY_SHARE * requests):
+        return False
+    window.retries[1] += 1
+    return True
+
+
+def _advance(node: NodeState) -> RetryWindow:
+    window = node.scheduling.retries
+    second = int(node.now)
+    if second == window.second:
+        return window
+    follows = second == window.second + 1
+    window.requests = [window.requests[1] if follows else 0, 0]
+    window.retries = [window.retries[1] if follows else 0, 0]
+    window.second = second
+    return window
--- a/src/siskinhold/core/_routes.py
+++ b/src/siskinhold/core/_routes.py
@@ -19,6 +19,7 @@
 )
 from ._entries import finish
 from ._membership import find_owner
+from ._retries import note_request, spend_retry
 from ._session_state import EntryRequest, Session
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
@@ -78,6 +79,8 @@
     if owner is None:
         _send_later(node, entry)
         return
+    if not entry.sendings:
+        note_request(node)
     entry.owner = owner
     entry.incarnation = find_incarnation(node, owner)
     entry.region = region
@@ -176,6 +179,12 @@
     session = node.sessions.sessions.get(entry.session)
     if session is None:
         return
+    if entry.retry_pending:
+        if not spend_retry(node):
+            # It waits for the budget, within its deadline.
+            _send_later(node, entry)
+            return
+        entry.retry_pending = False
     send(node, session, entry, out)
 
 
@@ -194,6 +203,7 @@
         return
     if request.kind is StatementKind.READ or request.marks.key:
         entry.may_have_run = True
+        entry.retry_pending = True
         _send_later(node, entry)
         return
     finish(node, entry, Unknown(reason=UnknownReason.OWNER_LOST), out)
--- a/src/siskinhold/core/_session_state.py
+++ b/src/siskinhold/core/_session_state.py
@@ -67,6 +67,7 @@
         sendings: how often it was sent.
         may_have_run: whether an earlier sending may have had an effect.
         avoid_region: a region whose pool could not serve it.
+        retry_pending: whether its next sending counts as a retry.
     """
 
     request: Request
@@ -79,6 +80,7 @@
     sendings: int = 0
     may_have_run: bool = False
     avoid_region: str = ""
+    retry_pending: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_subjects.py
+++ b/src/siskinhold/core/_subjects.py
@@ -15,6 +15,7 @@
     _routes,
     _sessions,
     _shutdown,
+    _silence,
     _tickets,
 )
 from ._owners import drain_all, reconcile
@@ -25,6 +26,7 @@
     _tickets,
     _health,
     _answers,
+    _silence,
     _confirmation,
     _owners,
     _failover,
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,138 @@
+"""Silent connections, stragglers, old connections and the retry budget."""
+
+import asyncio
+import random
+
+import looptime
+
+from siskinhold.core import Identity, NodeState
+from siskinhold.core._retries import MIN_RETRIES, note_request, spend_retry
+from siskinhold.model import Done, Marks, StatementKind, Unknown
+from siskinhold_trial.fakes import FakeWorld
+from siskinhold_trial.load import MALABAR, make_policy
+from siskinhold_trial.load._cell import START_TIME, Cell
+from siskinhold_trial.load._deployments import make_vm
+
+READ = "SELECT v FROM kv WHERE k='a' /* cost_ms={} */"
+WRITE = "UPDATE kv SET v='1' WHERE k='a' /* cost_ms={} */"
+
+
+def play(script) -> None:
+    """Run `script(cell, caller)` on a started VM in simulated time."""
+    loop = looptime.new_event_loop(start=0, noop_cycles=0)
+
+    async def start() -> None:
+        cell = Cell(
+            world=FakeWorld(loop=loop, seed=1),
+            deployment=MALABAR,
+            policy=make_policy(),
+            seed=1,
+        )
+        await cell.start()
+        await asyncio.sleep(START_TIME)
+        caller = cell.callers.connect(database="db")
+        caller.present({})
+        await script(cell, caller)
+        await cell.driver.stop()
+
+    try:
+        loop.run_until_complete(start())
+    finally:
+        loop.close()
+
+
+def silence_work(cell: Cell) -> None:
+    """Make all open work connections silent; new ones work."""
+    for server in cell.database.servers.values():
+        for session in list(server.sessions.values()):
+            if not session.control:
+                server.silence_session(session)
+
+
+class TestSilentConnections:
+    def test_read_is_retried(self):
+        """Guards against a read that waits for its deadline or never ends."""
+
+        async def script(cell, caller):
+            silence_work(cell)
+            begin = cell.world.now()
+            reply = await caller.run(StatementKind.READ, READ.format(3))
+            assert isinstance(reply.outcome, Done)
+            assert cell.world.now() - begin < 1.5
+
+        play(script)
+
+    def test_write_is_unknown_and_a_keyed_one_runs_once(self):
+        """Guards against an unkeyed write that is run twice."""
+
+        async def script(cell, caller):
+            for marks, kind in ((Marks(), Unknown), (Marks(once=True, key="k"), Done)):
+                silence_work(cell)
+                begin = cell.world.now()
+                reply = await caller.run(StatementKind.WRITE, WRITE.format(3), marks)
+                assert isinstance(reply.outcome, kind)
+                assert cell.world.now() - begin < 1.5
+                await asyncio.sleep(1)
+            writes = [e for e in cell.database.executions if e.form == "set"]
+            assert len(writes) == 1
+
+        play(script)
+
+    def test_straggler_is_never_cut(self):
+        """Guards against taking a statement that runs as one that is lost."""
+
+        async def script(cell, caller):
+            marks = Marks(deadline_ms=60_000)
+            for kind, text in (
+                (StatementKind.READ, READ),
+                (StatementKind.WRITE, WRITE),
+            ):
+                reply = await caller.run(kind, text.format(20_000), marks)
+                assert isinstance(reply.outcome, Done)
+            slow = [e for e in cell.database.executions if e.form in ("read", "set")]
+            assert len(slow) == 2
+
+        play(script)
+
+    def test_old_idle_connections_are_replaced(self):
+        """Guards against trust in connections that nothing has used for long."""
+
+        async def script(cell, caller):
+            before = set(cell.node.connections.connections)
+            await asyncio.sleep(40)
+            after = cell.node.connections.connections
+            assert before and not before & set(after)
+            assert len(after) >= len(before)
+
+        play(script)
+
+
+class TestRetryBudget:
+    def make(self) -> NodeState:
+        """Return a VM's state."""
+        return NodeState(
+            identity=Identity(address=make_vm(), incarnation=1), random=random.Random(1)
+        )
+
+    def test_floor_and_share(self):
+        """Guards against retries that multiply, and against none at low load."""
+        node = self.make()
+        node.now = 10.5
+        assert [spend_retry(node) for _ in range(15)].count(True) == MIN_RETRIES
+        node.now = 20.0
+        for _ in range(500):
+            note_request(node)
+        assert [spend_retry(node) for _ in range(100)].count(True) == 50
+
+    def test_window_ends(self):
+        """Guards against a budget that stays spent or counts old requests."""
+        node = self.make()
+        node.now = 10.9
+        for _ in range(500):
+            note_request(node)
+        while spend_retry(node):
+            pass
+        node.now = 11.1
+        assert not spend_retry(node)
+        node.now = 13.0
+        assert [spend_retry(node) for _ in range(100)].count(True) == MIN_RETRIES
