--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -1,6 +1,6 @@
 """The reducer and its state."""
 
-from ._queue import Queue, Work
+from ._queue import Queue, Work, WorkQueue
 from ._reducer import reduce
 from ._scheduling_state import SchedulingRules
 from ._state import Effects, Identity, NodeState
@@ -15,5 +15,6 @@
     "TimerAction",
     "Timers",
     "Work",
+    "WorkQueue",
     "reduce",
 ]
