--- a/scripts/measure_scheduling.py
+++ b/scripts/measure_scheduling.py
@@ -80,6 +80,7 @@
         f"short_wait {head} stragglers={share} own_shape={own}"
         f" p50_ms={wait.p50:.2f} p99_ms={wait.p99:.2f} max_ms={wait.max:.0f}"
         f" runs={wait.runs} lost={result.short_lost}"
+        f" write_p99_ms={result.write_wait.p99:.2f}"
         f" long_p99_ms={long.p99:.0f} long_max_ms={long.max:.0f}"
         f" long_runs={long.runs} long_lost={result.long_lost}"
     )
--- a/src/siskinhold_trial/load/__init__.py
+++ b/src/siskinhold_trial/load/__init__.py
@@ -2,13 +2,7 @@
 
 from ._crest import Crest, measure_crest
 from ._deployments import CRANNOG, MALABAR, Deployment
-from ._policies import (
-    FirstComeQueue,
-    make_baseline,
-    make_policy,
-    make_shapes_only,
-    make_slots_only,
-)
+from ._policies import FirstComeQueue, make_baseline, make_policy
 from ._short_wait import ShortWait, Spread, measure_short_wait
 from ._take_cost import make_work, measure_take
 
@@ -22,8 +16,6 @@
     "Spread",
     "make_baseline",
     "make_policy",
-    "make_shapes_only",
-    "make_slots_only",
     "measure_crest",
     "make_work",
     "measure_short_wait",
--- a/src/siskinhold_trial/load/_cell.py
+++ b/src/siskinhold_trial/load/_cell.py
@@ -64,6 +64,7 @@
         self.vm = make_vm()
         self.database = FakeDatabase(world=world, config=self.config)
         self.callers = FakeCallers(world=world)
+        self.backends = FakeBackends(world=world, vm=self.vm)
         self.records = _Records()
         self.store = FakeStore(world=world, place=self.vm)
         self.node = NodeState(
@@ -74,7 +75,7 @@
         self.driver = Driver(
             node=self.node,
             callers=self.callers,
-            backends=FakeBackends(world=world, vm=self.vm),
+            backends=self.backends,
             store=FakeStoreClient(store=self.store, vm=self.vm),
             peers=FakePeers(network=FakeNetwork(world=world), vm=self.vm),
             recorder=self.records,
--- a/src/siskinhold_trial/load/_policies.py
+++ b/src/siskinhold_trial/load/_policies.py
@@ -48,16 +48,6 @@
     return SchedulingRules()
 
 
-def make_shapes_only() -> SchedulingRules:
-    """Return the policy that knows long work but keeps no slots free of it."""
-    return SchedulingRules(reserve_slots=False)
-
-
-def make_slots_only() -> SchedulingRules:
-    """Return the policy that tells long work only by how long it has run."""
-    return SchedulingRules(learn_shapes=False)
-
-
 def make_baseline() -> SchedulingRules:
     """Return the baseline: first come first served over the same slots."""
     return SchedulingRules(
--- a/src/siskinhold_trial/load/_short_wait.py
+++ b/src/siskinhold_trial/load/_short_wait.py
@@ -5,7 +5,7 @@
 from hdrh.histogram import HdrHistogram
 
 from siskinhold.core import SchedulingRules
-from siskinhold.model import Done
+from siskinhold.model import Done, StatementKind
 
 from ._cell import START_TIME
 from ._deployments import REPLICAS, Deployment
@@ -33,6 +33,7 @@
 
     Args:
         wait: time until a server began with a short read.
+        write_wait: the same of writes.
         long: time from sending a straggler to its answer, of those that ran.
         short_lost: short statements that weren't done.
         long_lost: stragglers that weren't done.
@@ -40,6 +41,7 @@
     """
 
     wait: Spread
+    write_wait: Spread
     long: Spread
     short_lost: int
     long_lost: int
@@ -100,7 +102,7 @@
 
 def summarise(samples: list[Sample], seed: int) -> ShortWait:
     """Return the result of a run."""
-    waits, longs = [], []
+    waits, writes, longs = [], [], []
     short_lost = long_lost = 0
     for sample in samples:
         done = isinstance(sample.outcome, Done)
@@ -110,10 +112,15 @@
                 longs.append(sample.ended - sample.sent)
             continue
         short_lost += not done
-        if sample.wait is not None and sample.statement.kind.value == "read":
+        if sample.wait is None:
+            continue
+        if sample.statement.kind is StatementKind.WRITE:
+            writes.append(sample.wait)
+        else:
             waits.append(sample.wait)
     return ShortWait(
         wait=measure_spread(waits),
+        write_wait=measure_spread(writes),
         long=measure_spread(longs),
         short_lost=short_lost,
         long_lost=long_lost,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,8 +5,10 @@
 
 import looptime
 
-from siskinhold.core import Identity, NodeState
+from siskinhold.core import Identity, NodeState, reduce
 from siskinhold.core._retries import MIN_RETRIES, note_request, spend_retry
+from siskinhold.effects import QueryStatus
+from siskinhold.events import ActivityReported
 from siskinhold.model import Done, Marks, StatementKind, Unknown
 from siskinhold_trial.fakes import FakeWorld
 from siskinhold_trial.load import MALABAR, make_policy
@@ -94,6 +96,30 @@
 
         play(script)
 
+    def test_unreachable_server_is_evidence_and_cuts_nothing(self):
+        """Guards against closing a connection because a question failed."""
+
+        async def script(cell, caller):
+            marks = Marks(deadline_ms=9_000)
+            call = asyncio.create_task(
+                caller.run(StatementKind.WRITE, WRITE.format(3_000), marks)
+            )
+            await asyncio.sleep(0.4)
+            connections = cell.node.connections.connections.values()
+            busy = next(c for c in connections if c.request is not None)
+            busy.asked_activity = True
+            cell.node.health.servers[busy.server].asked = None
+            event = ActivityReported(
+                at=cell.world.now(), connection=busy.number, executing=None
+            )
+            out = reduce(cell.node, event)
+            assert [effect.fresh for effect in out] == [True]
+            assert isinstance(out[0], QueryStatus)
+            cell.backends.perform(out[0])
+            assert isinstance((await call).outcome, Done)
+
+        play(script)
+
     def test_old_idle_connections_are_replaced(self):
         """Guards against trust in connections that nothing has used for long."""
 
@@ -108,6 +134,20 @@
 
 
 class TestRetryBudget:
+    def test_read_is_not_retried_without_budget(self):
+        """Guards against a budget that nothing asks."""
+
+        async def script(cell, caller):
+            silence_work(cell)
+            call = asyncio.create_task(caller.run(StatementKind.READ, READ.format(3)))
+            await asyncio.sleep(0.6)
+            while spend_retry(cell.node):
+                pass
+            assert isinstance((await call).outcome, Unknown)
+            assert cell.node.now < START_TIME + 1.5
+
+        play(script)
+
     def make(self) -> NodeState:
         """Return a VM's state."""
         return NodeState(
