Keep a drain cheap while thousands of works wait

In a region without the primary each event searched the whole queue for reads to send away: 8 ms a drain at 1,000 waiting reads, 76 ms at 10,000 (median machine, busy). Equal requirements are now judged once a search, and a queue of more than 100 is searched at intervals that grow with it; a search takes 1.5 and 20 ms. Servers that don't lead skip the lanes of work for the primary: with a primary held back, a drain at 10,000 waiting writes falls from 551 to 71 us.

--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -55,6 +55,8 @@
         held: whether writes are held back because a switchover is under way.
         queue: the waiting work.
         pinned: waiting statements of open transactions.
+        redirects_at: earliest time of the next search of a long queue for works
+            that no server here can serve.
         demand: short work that any server may run, and that of the primary.
     """
 
@@ -64,6 +66,7 @@
     held: bool = False
     queue: Queue = field(default_factory=WorkQueue)
     pinned: list[Work] = field(default_factory=list)
+    redirects_at: float = 0.0
     demand: tuple[Demand, Demand] = field(default_factory=lambda: (Demand(), Demand()))
 
 
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -17,6 +17,7 @@
     Position,
     Request,
     RequestId,
+    Role,
     StatementKind,
     Unknown,
     UnknownReason,
@@ -39,6 +40,12 @@
 """Times one request is given to a connection: the first and two retries."""
 REDIRECT_AFTER = 0.05
 """Seconds a read waits in a region none of whose servers can serve it."""
+REDIRECT_INTERVAL = 25e-6
+"""Seconds, for each waiting work, between two searches of a long queue for reads
+to send away. A search costs about 2 us a work, so searches take a tenth of a core
+at most."""
+SMALL_QUEUE = 100
+"""Waiting works up to which the queue is searched at each event."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -200,6 +207,7 @@
         lambda item: accepts(node, pool, health, item),
         node.now,
         allow_long=allows_long(node, pool, health, list_servers(node, pool)),
+        leads=health.status.role is Role.PRIMARY and not pool.held,
     )
     if work is None:
         return False
@@ -230,10 +238,18 @@
     for server in list_servers(node, pool):
         if server.name == primary:
             return
+    if len(pool.queue) > SMALL_QUEUE and node.now < pool.redirects_at:
+        return
+    pool.redirects_at = node.now + REDIRECT_INTERVAL * len(pool.queue)
+    servable: dict[tuple, bool] = {}
     for work in pool.queue:
         if not work.needs_primary and node.now - work.arrived < REDIRECT_AFTER:
             continue
-        if find_replica(node, pool, work):
+        request = work.request
+        key = (work.needs_primary, request.need, request.max_age_ms)
+        if key not in servable:
+            servable[key] = find_replica(node, pool, work) is not None
+        if servable[key]:
             continue
         pool.queue.remove(work)
         redirect(node, work, "no_server_covers_read", out)
--- a/src/siskinhold/core/_queue.py
+++ b/src/siskinhold/core/_queue.py
@@ -97,13 +97,19 @@
 
     @abc.abstractmethod
     def take(
-        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+        self,
+        accept: Callable[[Work], bool],
+        now: float,
+        *,
+        allow_long: bool = True,
+        leads: bool = True,
     ) -> Work | None:
         """Remove and return the next work that `accept` allows, or None.
 
         Args:
             now: the time in seconds.
             allow_long: whether long work may be taken.
+            leads: whether work that needs the primary may be taken.
         """
 
     @abc.abstractmethod
@@ -240,7 +246,12 @@
             self._longs[work.id] = work
 
     def take(
-        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+        self,
+        accept: Callable[[Work], bool],
+        now: float,
+        *,
+        allow_long: bool = True,
+        leads: bool = True,
     ) -> Work | None:
         """Remove and return the next work that `accept` allows, or None."""
         if allow_long and self._longs:
@@ -248,9 +259,11 @@
             if now - oldest.arrived > LONG_PATIENCE and accept(oldest):
                 self.remove(oldest)
                 return oldest
-        for (_, long, _), lane in self._lanes.items():
+        for (_, long, primary), lane in self._lanes.items():
             if not len(lane) or (long and not allow_long):
                 continue
+            if primary and not leads:
+                continue
             work = lane.take(accept)
             if work is not None:
                 self._forget(work)
--- a/src/siskinhold_trial/load/_policies.py
+++ b/src/siskinhold_trial/load/_policies.py
@@ -18,7 +18,12 @@
         self._works[work.id] = work
 
     def take(
-        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+        self,
+        accept: Callable[[Work], bool],
+        now: float,
+        *,
+        allow_long: bool = True,
+        leads: bool = True,
     ) -> Work | None:
         """Remove and return the first work that `accept` allows, or None."""
         for work in self._works.values():
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,12 @@
 """The measures of scheduling under load."""
 
-from siskinhold_trial.load import MALABAR, make_baseline, measure_short_wait
+from siskinhold_trial.load import (
+    CRANNOG,
+    MALABAR,
+    make_baseline,
+    make_policy,
+    measure_short_wait,
+)
 
 
 class TestShortWait:
@@ -15,3 +21,18 @@
         assert results[0] == results[1]
         assert results[0].wait.runs > 100
         assert results[0].short_lost == 0
+
+    def test_short_work_waits_little_beside_stragglers(self):
+        """Guards against stragglers that take the slots of short work.
+
+        The baseline's p99 rises eightfold here.
+        """
+        p99 = {}
+        for stragglers in (0.0, 0.003):
+            result = measure_short_wait(
+                CRANNOG, make_policy(), stragglers=stragglers, seconds=3.5, seed=1
+            )
+            p99[stragglers] = result.wait.p99
+            assert not result.short_lost and not result.long_lost
+        assert result.long.runs > 0
+        assert p99[0.003] <= 2 * p99[0.0]
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -15,7 +15,6 @@
     make_policy,
     make_work,
     measure_crest,
-    measure_short_wait,
 )
 from siskinhold_trial.load._deployments import make_vm
 
@@ -133,21 +132,6 @@
         assert len(node.scheduling.shapes) == MAX_SHAPES
         assert 0 not in node.scheduling.shapes
 
-    def test_short_work_waits_little_beside_stragglers(self):
-        """Guards against stragglers that take the slots of short work.
-
-        The baseline's p99 rises eightfold here.
-        """
-        p99 = {}
-        for stragglers in (0.0, 0.003):
-            result = measure_short_wait(
-                CRANNOG, make_policy(), stragglers=stragglers, seconds=3.5, seed=1
-            )
-            p99[stragglers] = result.wait.p99
-            assert not result.short_lost and not result.long_lost
-        assert result.long.runs > 0
-        assert p99[0.003] <= 2 * p99[0.0]
-
 
 class TestAdmission:
     def test_queue_is_bounded_and_marked_writes_come_later_to_the_bound(self):
