--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -21,15 +21,17 @@
     StatementKind,
     Unknown,
     UnknownReason,
-    covers,
     is_lost,
 )
 from ..statements import shape
 from . import _connections as connections
-from ._health import find_primary, find_record, is_fit, measure_age
+from ._admission import admits
+from ._health import find_primary, find_record, is_fit
 from ._health_state import ServerHealth
+from ._placement import accepts, find_replica, list_servers, order_servers
 from ._pool_state import Pool, Transaction
 from ._queue import Work
+from ._retries import note_request, spend_retry
 from ._state import Effects, NodeState, record
 from ._stragglers import allows_long, classify, demote_running
 from ._timers import TimerAction
@@ -38,8 +40,12 @@
 """Times one request is given to a connection: the first and two retries."""
 REDIRECT_AFTER = 0.05
 """Seconds a read waits in a region none of whose servers can serve it."""
-PRIMARY_HELP_AFTER = 0.02
-"""Seconds a browsing read waits for a replica before the primary may help."""
+REDIRECT_INTERVAL = 25e-6
+"""Seconds, for each waiting work, between two searches of a long queue for reads
+to send away. A search costs about 2 us a work, so searches take a tenth of a core
+at most."""
+SMALL_QUEUE = 100
+"""Waiting works up to which the queue is searched at each event."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,14 +55,6 @@
     request: RequestId
 
 
-def list_servers(node: NodeState, pool: Pool) -> list[BackendServer]:
-    """Return the backend servers of a pool: those of its database and region."""
-    found = node.config.databases.get(pool.database)
-    if found is None:
-        return []
-    return [server for server in found[1].servers if server.region == pool.region]
-
-
 def submit(
     node: NodeState, pool: Pool, request: Request, origin: str, out: Effects
 ) -> None:
@@ -75,8 +73,10 @@
         shape=measure_shape(request.sql),
     )
     node.pools.works[request.id] = work
-    node.timers.schedule(work.deadline, WorkDeadline(request.id))
+    if origin != node.identity.name:
+        note_request(node)
     if request.transaction is not None and not request.opens_transaction:
+        node.timers.schedule(work.deadline, WorkDeadline(request.id))
         _submit_pinned(node, pool, work, out)
         return
     starts = find_record(node, pool.database).starts
@@ -84,6 +84,10 @@
         refuse(node, work, NotRunReason.POSITION_LOST, out)
         return
     classify(node, work)
+    if not admits(node, pool, work):
+        refuse(node, work, NotRunReason.OVERLOAD, out)
+        return
+    node.timers.schedule(work.deadline, WorkDeadline(request.id))
     pool.queue.push(work)
     drain(node, pool, out)
 
@@ -170,10 +174,7 @@
 
 def drain(node: NodeState, pool: Pool, out: Effects) -> None:
     """Give waiting work to the pool's servers as far as their slots allow."""
-    for server in list_servers(node, pool):
-        health = node.health.servers.get(server.name)
-        if health is None:
-            continue
+    for health in order_servers(node, pool):
         while _dispatch_one(node, pool, health, out):
             continue
     _redirect_unservable(node, pool, out)
@@ -203,9 +204,10 @@
         return False
     demote_running(node, server.name)
     work = pool.queue.take(
-        lambda item: _accepts(node, pool, health, item),
+        lambda item: accepts(node, pool, health, item),
         node.now,
         allow_long=allows_long(node, pool, health, list_servers(node, pool)),
+        leads=health.status.role is Role.PRIMARY and not pool.held,
     )
     if work is None:
         return False
@@ -230,59 +232,24 @@
     return 0
 
 
-def _accepts(node: NodeState, pool: Pool, health: ServerHealth, work: Work) -> bool:
-    is_primary = health.status.role is Role.PRIMARY
-    if work.needs_primary:
-        if not is_primary or pool.held:
-            return False
-        return work.request.need is None or can_read(node, health, work)
-    if not can_read(node, health, work):
-        return False
-    if not is_primary:
-        return True
-    if not find_replica(node, pool, work):
-        return True
-    known = connections.server_connections(node, health.server.name)
-    waited = node.now - work.arrived
-    return waited > PRIMARY_HELP_AFTER and known.running <= health.server.slots - 2
-
-
-def can_read(node: NodeState, health: ServerHealth, work: Work) -> bool:
-    """Return whether a server's data is new enough for a request."""
-    request = work.request
-    starts = find_record(node, request.database).starts
-    if request.need is not None:
-        if not covers(starts, health.status.position, request.need):
-            return False
-    if work.needs_primary:
-        return True
-    age = measure_age(node, health)
-    return age is not None and age * 1000 <= request.max_age_ms
-
-
-def find_replica(node: NodeState, pool: Pool, work: Work) -> ServerHealth | None:
-    """Return a replica of the pool that could serve a read if it had a slot."""
-    for server in list_servers(node, pool):
-        health = node.health.servers.get(server.name)
-        if health is None or not is_fit(node, health):
-            continue
-        if health.status.role is Role.PRIMARY:
-            continue
-        if can_read(node, health, work):
-            return health
-    return None
-
-
 def _redirect_unservable(node: NodeState, pool: Pool, out: Effects) -> None:
     """Send reads away that no server of a region without the primary can serve."""
     primary = find_record(node, pool.database).primary
     for server in list_servers(node, pool):
         if server.name == primary:
             return
+    if len(pool.queue) > SMALL_QUEUE and node.now < pool.redirects_at:
+        return
+    pool.redirects_at = node.now + REDIRECT_INTERVAL * len(pool.queue)
+    servable: dict[tuple, bool] = {}
     for work in pool.queue:
         if not work.needs_primary and node.now - work.arrived < REDIRECT_AFTER:
             continue
-        if find_replica(node, pool, work):
+        request = work.request
+        key = (work.needs_primary, request.need, request.max_age_ms)
+        if key not in servable:
+            servable[key] = find_replica(node, pool, work) is not None
+        if servable[key]:
             continue
         pool.queue.remove(work)
         redirect(node, work, "no_server_covers_read", out)
@@ -301,7 +268,6 @@
     work.connection = connection.number
     work.started = node.now
     work.term = health.status.term if health.status else 0
-    work.on_primary = health.status is not None and health.status.role is Role.PRIMARY
     out.append(Observe(metric="queue_seconds", value=node.now - work.arrived))
     connections.occupy(node, connection, work.id, long=work.long)
     if request.opens_transaction:
@@ -370,11 +336,14 @@
     """Put a work that has had no effect back into its queue.
 
     Returns:
-        False if it has used up its attempts or its time; it is unchanged then.
+        False if it has used up its attempts or its time, or this VM its retry
+        budget; the work is unchanged then.
     """
     pool = find_pool(node, work.request.database, work.region)
     if pool is None or work.attempts >= MAX_ATTEMPTS or node.now >= work.deadline:
         return False
+    if not spend_retry(node):
+        return False
     record(
         out,
         "request_retried",
