--- /dev/null
+++ b/src/siskinhold_trial/capacity/_bench.py
@@ -0,0 +1,228 @@
+"""A few nodes on virtual time, with backend servers that always answer.
+
+It carries out effects at once and counts them. Only the time inside `reduce`
+is measured, so that the cost of the surroundings does not count.
+"""
+
+import heapq
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+
+from siskinhold import effects, events
+from siskinhold.core import NodeState, reduce
+from siskinhold.messages import Heartbeat, Probe, ProbeAnswer
+from siskinhold.model import Column, Done, Position, Role, ServerStatus
+
+from ._samples import make_view, wrap
+
+NEAR = 0.001
+"""One-way delay within a region in seconds."""
+FAR = 0.008
+"""One-way delay between regions in seconds."""
+CONNECTION_TIME = 0.012
+"""Seconds that a new backend connection takes."""
+
+
+class Bench:
+    """Runs nodes together.
+
+    Args:
+        nodes: the VMs that are simulated; messages to others are counted only.
+        service: seconds that a statement runs.
+        rows: rows of each answer.
+
+    Attributes:
+        seconds: processor time of `reduce` by VM.
+        sent: messages by (VM, type name).
+        sent_bytes: encoded bytes likewise.
+        queries: status queries by (VM, whether to another region).
+        on_reply: called with the VM and each answer to a caller.
+    """
+
+    def __init__(
+        self, *nodes: NodeState, service: float = 0.002, rows: int = 1
+    ) -> None:
+        self.nodes = {node.identity.name: node for node in nodes}
+        self.now = max(node.now for node in nodes)
+        self.seconds: Counter[str] = Counter()
+        self.sent: Counter[tuple[str, str]] = Counter()
+        self.sent_bytes: Counter[tuple[str, str]] = Counter()
+        self.queries: Counter[tuple[str, bool]] = Counter()
+        self.effects: Counter[str] = Counter()
+        self.on_reply: Callable[[str, effects.ReplyCaller], None] | None = None
+        self._service = service
+        row = (b"1", b"a short text")
+        self._done = Done(columns=(Column("id"), Column("name")), rows=(row,) * rows)
+        self._heap: list[tuple[float, int, Callable, tuple]] = []
+        self._count = 0
+        self._connections: dict[tuple[str, int], str] = {}
+        self._offsets: Counter[str] = Counter()
+
+    def later(self, delay: float, call: Callable, *arguments: object) -> None:
+        """Call after a delay in seconds."""
+        self._count += 1
+        heapq.heappush(self._heap, (self.now + delay, self._count, call, arguments))
+
+    def feed(self, vm: str, event_type: type, /, **fields: object) -> None:
+        """Reduce an event on a VM and carry out the effects."""
+        node = self.nodes[vm]
+        event = event_type(at=self.now, **fields)
+        started = time.perf_counter()
+        out = reduce(node, event)
+        self.seconds[vm] += time.perf_counter() - started
+        self.carry_out(vm, out)
+
+    def carry_out(self, vm: str, out: list) -> None:
+        """Carry out the effects of an event that was reduced."""
+        for effect in out:
+            self.effects[type(effect).__name__] += 1
+            handler = _HANDLERS.get(type(effect))
+            if handler is not None:
+                handler(self, vm, effect)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while True:
+            due, vm = self._find_timer()
+            at = self._heap[0][0] if self._heap else end
+            if min(due, at) >= end:
+                break
+            if due <= at:
+                self.now = max(self.now, due)
+                self.feed(vm, events.TimeAdvanced)
+                continue
+            self.now = max(self.now, at)
+            _, _, call, arguments = heapq.heappop(self._heap)
+            call(*arguments)
+        self.now = end
+
+    def reset(self) -> None:
+        """Set all counts to zero."""
+        for counts in (
+            self.seconds,
+            self.sent,
+            self.sent_bytes,
+            self.queries,
+            self.effects,
+        ):
+            counts.clear()
+
+    def _find_timer(self) -> tuple[float, str]:
+        earliest = (float("inf"), "")
+        for name, node in self.nodes.items():
+            due = node.timers.next_due()
+            if due is not None and due < earliest[0]:
+                earliest = (due, name)
+        return earliest
+
+    def _delay(self, vm: str, region: str) -> float:
+        return NEAR if self.nodes[vm].identity.address.region == region else FAR
+
+    def _send(self, vm: str, effect: effects.SendPeer) -> None:
+        envelope = wrap(vm, effect.message)
+        key = (vm, type(effect.message).__name__)
+        self.sent[key] += 1
+        self.sent_bytes[key] += len(msgspec.msgpack.encode(envelope))
+        if effect.vm in self.nodes:
+            region = self.nodes[effect.vm].identity.address.region
+            self.later(
+                self._delay(vm, region),
+                self._deliver,
+                effect.vm,
+                envelope,
+            )
+        elif isinstance(effect.message, Probe) and effect.message.suspect == effect.vm:
+            probe = effect.message
+            answer = ProbeAnswer(suspect=effect.vm, sequence=probe.sequence, heard_ms=0)
+            self.later(NEAR, self._deliver, vm, wrap(effect.vm, answer))
+
+    def _deliver(self, vm: str, envelope) -> None:
+        self.feed(vm, events.PeerReceived, envelope=envelope)
+
+    def _query(self, vm: str, effect: effects.QueryStatus) -> None:
+        server = effect.server
+        delay = self._delay(vm, server.region)
+        self.queries[vm, delay == FAR] += 1
+        self.later(delay, self._report, vm, server, effect.call, delay)
+
+    def _report(self, vm: str, server, call: int, delay: float) -> None:
+        database, _, number = server.name.rpartition("-")
+        status = ServerStatus(
+            term=1,
+            role=Role.PRIMARY if number == "0" else Role.REPLICA,
+            position=Position(1, self._offsets[database]),
+        )
+        fields = {"server": server.name, "call": call, "status": status}
+        self.later(delay, lambda: self.feed(vm, events.StatusReported, **fields))
+
+    def _open(self, vm: str, effect: effects.OpenBackend) -> None:
+        self._connections[vm, effect.connection] = effect.server.name
+        fields = {"connection": effect.connection}
+        self.later(
+            CONNECTION_TIME, lambda: self.feed(vm, events.BackendOpened, **fields)
+        )
+
+    def _run(self, vm: str, effect: effects.RunStatement) -> None:
+        self.later(self._service, self._answer, vm, effect)
+
+    def _answer(self, vm: str, effect: effects.RunStatement) -> None:
+        position = None
+        if effect.want_position:
+            server = self._connections[vm, effect.connection]
+            database = server.rpartition("-")[0]
+            self._offsets[database] += 1
+            position = Position(1, self._offsets[database])
+        self.feed(
+            vm,
+            events.BackendAnswered,
+            connection=effect.connection,
+            request=effect.request,
+            outcome=Done(affected_rows=1) if position else self._done,
+            position=position,
+        )
+
+    def _reply(self, vm: str, effect: effects.ReplyCaller) -> None:
+        if self.on_reply is not None:
+            self.on_reply(vm, effect)
+
+
+_HANDLERS: dict = {
+    effects.SendPeer: Bench._send,
+    effects.QueryStatus: Bench._query,
+    effects.OpenBackend: Bench._open,
+    effects.RunStatement: Bench._run,
+    effects.ReplyCaller: Bench._reply,
+}
+
+
+def add_heartbeats(
+    bench: Bench, vm: str, *, known: int, senders: int, views: int
+) -> None:
+    """Let `senders` VMs send their heartbeats to a VM, 5 a second each.
+
+    Args:
+        known: how many VMs there are.
+        senders: how many send to this one; they are not simulated otherwise.
+        views: views of others in each heartbeat.
+    """
+    others = [n for n in range(known) if make_view(n).address.name != vm]
+    sending = others[:senders]
+    node = bench.nodes[vm]
+
+    def beat(index: int) -> None:
+        number = int(bench.now * 5) + 2
+        seen = [make_view(index, number)]
+        if known > 2:
+            for other in node.random.sample(others, min(views, len(others))):
+                if other != index:
+                    seen.append(make_view(other, number - 1))
+        sender = seen[0].address.name
+        bench._deliver(vm, wrap(sender, Heartbeat(views=tuple(seen))))
+        bench.later(0.2, beat, index)
+
+    for place, index in enumerate(sending):
+        bench.later(0.2 * place / len(sending), beat, index)
--- /dev/null
+++ b/src/siskinhold_trial/capacity/_fleets.py
@@ -0,0 +1,166 @@
+"""Whole fleets on virtual time: store calls, traffic, spread, loss of VMs."""
+
+import asyncio
+from dataclasses import dataclass
+
+import looptime
+
+from siskinhold.model import RoutingRules, VmState
+from siskinhold_trial.fleet import CRANNOG, Fleet, FleetVm
+
+from ._series import Series
+
+VM_COUNTS = (3, 9, 30, 100)
+SETTLE_TIME = 3.0
+IDLE_TIME = 4.0
+STEP = 0.05
+"""Seconds between two looks at the views."""
+LIMIT = 30.0
+"""Seconds after which a spread or a loss counts as not complete."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetFigures:
+    """What one fleet showed, in seconds and rates per second."""
+
+    store_calls: float
+    messages: float
+    bytes_sent: float
+    link_bytes: float
+    ticket: float
+    one_lost: float
+    zone_lost: float
+
+
+def measure_fleets(counts: tuple[int, ...] = VM_COUNTS) -> list[Series]:
+    """Measure idle fleets with three databases, a ticket and losses of VMs."""
+    points: dict[str, list[tuple[float, float]]] = {}
+    for count in counts:
+        figures = run_fleet(count)
+        for name, _ in _NAMES:
+            points.setdefault(name, []).append((count, getattr(figures, name)))
+    titles = {
+        "store_calls": "store calls of the fleet",
+        "messages": "messages sent by a VM",
+        "bytes_sent": "bytes sent by a VM",
+        "link_bytes": "bytes across the link, fleet, both ways",
+        "ticket": "ticket in force on all VMs after",
+        "one_lost": "one lost VM known to all after",
+        "zone_lost": "a lost zone known to all after",
+    }
+    return [
+        Series(
+            measure="fleets", name=titles[n], size="VMs", unit=unit, points=points[n]
+        )
+        for n, unit in _NAMES
+    ]
+
+
+_NAMES = (
+    ("store_calls", "1/s"),
+    ("messages", "1/s"),
+    ("bytes_sent", "B/s"),
+    ("link_bytes", "B/s"),
+    ("ticket", "s"),
+    ("one_lost", "s"),
+    ("zone_lost", "s"),
+)
+
+
+def run_fleet(count: int) -> FleetFigures:
+    """Run one fleet of `count` VMs."""
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(_run(count))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def _run(count: int) -> FleetFigures:
+    fleet = Fleet(deployment=CRANNOG, seed=1, vm_count=count)
+    await fleet.start()
+    await asyncio.sleep(SETTLE_TIME)
+    idle = await _watch_idle(fleet, count)
+    ticket = await _spread_ticket(fleet)
+    one = await _lose(fleet, [_list_zone(fleet, "munster-a")[0]])
+    # The loss of one zone, the other region's only one.
+    zone = await _lose(fleet, _list_zone(fleet, "munster-a"))
+    await fleet.stop()
+    return FleetFigures(
+        store_calls=idle[0],
+        messages=idle[1],
+        bytes_sent=idle[2],
+        link_bytes=idle[3],
+        ticket=ticket,
+        one_lost=one,
+        zone_lost=zone,
+    )
+
+
+async def _watch_idle(fleet: Fleet, count: int) -> tuple[float, ...]:
+    calls = fleet.store.calls.total()
+    messages = fleet.network.messages.total()
+    sent = fleet.network.sent.total()
+    across = _count_link_bytes(fleet)
+    await asyncio.sleep(IDLE_TIME)
+    return (
+        (fleet.store.calls.total() - calls) / IDLE_TIME,
+        (fleet.network.messages.total() - messages) / count / IDLE_TIME,
+        (fleet.network.sent.total() - sent) / count / IDLE_TIME,
+        (_count_link_bytes(fleet) - across) / IDLE_TIME,
+    )
+
+
+def _count_link_bytes(fleet: Fleet) -> int:
+    total = 0
+    for (one, other), size in fleet.network.sent.items():
+        if one != other:
+            total += size
+    return total
+
+
+async def _spread_ticket(fleet: Fleet) -> float:
+    rules = RoutingRules(max_age_ms=1_500)
+    number = fleet.accept_ticket(fleet.deployment.make_group(rules))
+
+    def applied() -> bool:
+        return all(vm.node.config.applied >= number for vm in fleet.list_running())
+
+    return await _wait(fleet, applied)
+
+
+def _list_zone(fleet: Fleet, zone: str) -> list[FleetVm]:
+    running = fleet.list_running()
+    return [vm for vm in running if vm.address.availability_zone == zone]
+
+
+async def _lose(fleet: Fleet, lost: list[FleetVm]) -> float:
+    if not lost:
+        return 0.0
+    names = {vm.address.name for vm in lost}
+    for vm in lost:
+        await vm.kill()
+
+    def known() -> bool:
+        return all(_knows_loss(vm, names) for vm in fleet.list_running())
+
+    return await _wait(fleet, known)
+
+
+def _knows_loss(vm: FleetVm, names: set[str]) -> bool:
+    for name in names:
+        peer = vm.node.membership.peers.get(name)
+        if peer is not None and peer.view.state is not VmState.GONE:
+            return False
+    return True
+
+
+async def _wait(fleet: Fleet, condition) -> float:
+    started = fleet.world.now()
+    while not condition():
+        if fleet.world.now() - started > LIMIT:
+            return LIMIT
+        await asyncio.sleep(STEP)
+    return round(fleet.world.now() - started, 3)
--- /dev/null
+++ b/src/siskinhold_trial/capacity/_members.py
@@ -0,0 +1,200 @@
+"""Costs of the membership: heartbeats, views, ownership."""
+
+import msgspec
+
+from siskinhold.core import NodeState
+from siskinhold.core._membership import find_owner
+from siskinhold.messages import Heartbeat, TicketsPushed
+from siskinhold.model import VmState
+
+from ._bench import Bench, add_heartbeats
+from ._samples import (
+    VMS_PER_DATABASE,
+    add_databases,
+    add_peers,
+    make_groups,
+    make_node,
+    make_ticket,
+    make_view,
+    receive,
+)
+from ._series import Series, measure_bytes, measure_seconds
+
+VM_COUNTS = (3, 9, 100, 1_000, 5_300)
+DATABASE_COUNTS = (10, 100, 1_000, 9_400)
+TARGETS = 8
+VIEWS = 3
+SETTLE_TIME = 2.0
+
+
+def measure_heartbeats(
+    counts: tuple[int, ...] = VM_COUNTS, seconds: float = 20.0
+) -> list[Series]:
+    """Measure an idle VM without databases that hears `TARGETS` others."""
+    names = ("reducer time", "bytes sent", "messages sent", "bytes a heartbeat")
+    units = ("us/s", "B/s", "1/s", "B")
+    points: dict[str, list] = {name: [] for name in names}
+    for count in counts:
+        node = make_node()
+        add_peers(node, count)
+        bench = Bench(node)
+        vm = node.identity.name
+        senders = min(TARGETS, count - 1)
+        add_heartbeats(bench, vm, known=count, senders=senders, views=VIEWS)
+        bench.run(SETTLE_TIME)
+        bench.reset()
+        bench.run(seconds)
+        sent = bench.sent_bytes.total()
+        beats = bench.sent[vm, "Heartbeat"]
+        values = (
+            bench.seconds[vm] * 1e6 / seconds,
+            sent / seconds,
+            bench.sent.total() / seconds,
+            bench.sent_bytes[vm, "Heartbeat"] / max(beats, 1),
+        )
+        for name, value in zip(names, values):
+            points[name].append((count, value))
+    return [
+        Series(measure="heartbeats", name=n, size="VMs", unit=u, points=points[n])
+        for n, u in zip(names, units)
+    ]
+
+
+def measure_views(counts: tuple[int, ...] = VM_COUNTS) -> list[Series]:
+    """Measure the memory of the view of a fleet and the time to learn it."""
+    memory = []
+    learning = []
+    for count in counts:
+        memory.append((count, measure_bytes(lambda: _know(count))))
+        learning.append((count, measure_seconds(lambda: _know(count)) * 1e3))
+    size = len(msgspec.msgpack.encode(make_view(1)))
+    return [
+        Series(measure="views", name="memory", size="VMs", unit="B", points=memory),
+        Series(
+            measure="views",
+            name="time to learn",
+            size="VMs",
+            unit="ms",
+            points=learning,
+        ),
+        Series(
+            measure="views",
+            name="whole view encoded",
+            size="VMs",
+            unit="B",
+            points=[(count, count * size) for count in counts],
+        ),
+    ]
+
+
+def measure_ownership(counts: tuple[int, ...] = DATABASE_COUNTS) -> list[Series]:
+    """Measure reconciliation in fleets of the design sizes' ratio.
+
+    The time of an event that changes the membership or a ticket is the time
+    for which the VM does nothing else.
+    """
+    names = (
+        "first ticket (all owners searched)",
+        "ticket of one group",
+        "one VM gone",
+        "one VM joined",
+        "a quarter of the VMs gone, one event",
+        "find_owner, cached",
+    )
+    points: dict[str, list] = {name: [] for name in names}
+    for count in counts:
+        for name, value in zip(names, _time_ownership(count)):
+            points[name].append((count, value))
+    return [
+        Series(
+            measure="ownership",
+            name=name,
+            size="databases",
+            unit="us" if name == names[-1] else "ms",
+            points=points[name],
+        )
+        for name in names
+    ]
+
+
+def measure_moves(databases: int = 9_400, vms: int = 5_300) -> list[Series]:
+    """Count the pools that move when VMs are lost, by number of lost VMs."""
+    node = make_node()
+    add_peers(node, vms)
+    before = _list_owners(node, databases)
+    load: dict[str, int] = {}
+    for owner in before.values():
+        load[owner] = load.get(owner, 0) + 1
+    moved = []
+    most = []
+    for lost in (1, max(2, vms // 130), vms // 4):
+        trial = make_node()
+        add_peers(trial, vms)
+        # Every fourth VM, from the last on, lies in the same zone.
+        gone = [vms - 1 - 4 * place for place in range(lost) if vms > 4 * place + 1]
+        _lose(trial, gone)
+        after = _list_owners(trial, databases)
+        changed = [key for key in before if before[key] != after[key]]
+        gains: dict[str, int] = {}
+        for key in changed:
+            gains[after[key]] = gains.get(after[key], 0) + 1
+        moved.append((len(gone), len(changed)))
+        most.append((len(gone), max(gains.values(), default=0)))
+    heaviest = [(vms, max(load.values()))]
+    idle = [(vms, vms - len(load))]
+    return [
+        Series(measure="moves", name=n, size="VMs lost", unit="pools", points=p)
+        for n, p in (("pools moved", moved), ("most taken by one VM", most))
+    ] + [
+        Series(measure="moves", name=n, size="VMs", unit=u, points=p)
+        for n, u, p in (
+            ("most pools of one VM", "pools", heaviest),
+            ("VMs without a pool", "VMs", idle),
+        )
+    ]
+
+
+def _know(count: int) -> NodeState:
+    node = make_node()
+    add_peers(node, count)
+    return node
+
+
+def _list_owners(node: NodeState, databases: int) -> dict[tuple[str, str], str]:
+    owners = {}
+    for index in range(databases):
+        for region in ("east", "west"):
+            name = f"db-{index:04d}"
+            owners[name, region] = find_owner(node, name, region)
+    return owners
+
+
+def _lose(node: NodeState, indexes: list[int]) -> None:
+    """Let a node hear in one message that VMs are gone."""
+    views = [make_view(index, state=VmState.GONE) for index in indexes]
+    sender = make_view(1, beat=5)
+    receive(node, "vm-0001", Heartbeat(views=(sender, *views)))
+
+
+def _time_ownership(count: int) -> tuple[float, ...]:
+    vms = max(4, round(count * VMS_PER_DATABASE))
+    node = make_node()
+    add_peers(node, vms)
+    first = measure_seconds(lambda: add_databases(node, count)) * 1e3
+    ticket = measure_seconds(lambda: _apply_one(node, 2)) * 1e3
+    gone = measure_seconds(lambda: _lose(node, [vms - 1])) * 1e3
+    joined = measure_seconds(lambda: _join(node, vms)) * 1e3
+    lost = range(3, vms - 1, 4)
+    quarter = measure_seconds(lambda: _lose(node, list(lost))) * 1e3
+    cached = measure_seconds(lambda: _list_owners(node, count)) / (2 * count) * 1e6
+    return first, ticket, gone, joined, quarter, cached
+
+
+def _apply_one(node: NodeState, number: int) -> None:
+    ticket = make_ticket(number, make_groups(3))
+    receive(node, "vm-0001", TicketsPushed(tickets=(ticket,)))
+
+
+def _join(node: NodeState, index: int) -> None:
+    view = make_view(index)
+    receive(node, view.address.name, Heartbeat(views=(view, make_view(1, 9))))
--- /dev/null
+++ b/src/siskinhold_trial/capacity/_statements.py
@@ -0,0 +1,371 @@
+"""Costs of sessions, statements, status polls and confirmation rounds."""
+
+import itertools
+import random
+
+from siskinhold import events
+from siskinhold.core import NodeState, reduce
+from siskinhold.core._membership import find_owner
+from siskinhold.messages import Forward, Heartbeat
+from siskinhold.model import Marks, Position, Request, RequestId, StatementKind
+
+from ._bench import Bench
+from ._samples import add_databases, add_peers, make_node, make_view, receive
+from ._series import Series, measure_bytes, measure_seconds
+
+SESSION_COUNTS = (1_000, 10_000, 100_000)
+QUEUE_COUNTS = (100, 300, 1_000, 3_000)
+RATES = (100, 340, 1_000)
+CONCURRENCIES = (1, 8, 64)
+POLLED_COUNTS = (1, 3, 10)
+READ_SHARE = 0.8
+SETTLE_TIME = 3.0
+THINK_TIME = 0.004
+"""Longest pause of a writer, in seconds, so that writers don't keep step."""
+READ = "SELECT id, name FROM parts WHERE id = 123456 AND kind = 'hinge'"
+WRITE = "UPDATE parts SET stock = stock - 1 WHERE id = 123456"
+DATABASES = 20
+ENTRY_PEERS = 400
+"""VMs known to an entry, so many that it owns hardly any database itself."""
+ENTRY, REMOTE_ENTRY, OWNER = 4, 1, 2
+"""Indexes of VMs: the first and last are in the region east."""
+
+
+def measure_sessions(counts: tuple[int, ...] = SESSION_COUNTS) -> list[Series]:
+    """Measure memory of sessions and of statements under way."""
+    sessions = []
+    requests = []
+    for count in counts:
+        node = _make_entry()
+        sessions.append((count, measure_bytes(lambda: _open_sessions(node, count))))
+        requests.append((count, measure_bytes(lambda: _send_all(node, count))))
+    return [
+        Series(measure="sessions", name=n, size="sessions", unit="B", points=p)
+        for n, p in (
+            ("memory of idle sessions", sessions),
+            ("memory of one read under way in each", requests),
+        )
+    ]
+
+
+def measure_queue(counts: tuple[int, ...] = QUEUE_COUNTS) -> list[Series]:
+    """Measure an owner whose queue grows: none of its servers is reachable."""
+    memory = []
+    growing = []
+    remote = []
+    for count in counts:
+        node = _make_owner()
+        memory.append((count, measure_bytes(lambda: _queue(node, "east", count))))
+        for region, points in (("east", growing), ("west", remote)):
+            node = _make_owner()
+            spent = measure_seconds(lambda: _queue(node, region, count))
+            points.append((count, spent / count * 1e6))
+    return [
+        Series(
+            measure="queue",
+            name="memory of waiting work",
+            size="works",
+            unit="B",
+            points=memory,
+        ),
+        Series(
+            measure="queue",
+            name="reducer time to queue one, mean",
+            size="works",
+            unit="us",
+            points=growing,
+        ),
+        Series(
+            measure="queue",
+            name="the same in a region without the primary",
+            size="works",
+            unit="us",
+            points=remote,
+        ),
+    ]
+
+
+def measure_statements(
+    rates: tuple[int, ...] = RATES, seconds: float = 4.0
+) -> list[Series]:
+    """Measure reducers at open-loop load: four reads to one write."""
+    entry = []
+    owner = []
+    messages = []
+    idle = _run_load(0, seconds)
+    for rate in rates:
+        busy = _run_load(rate, seconds)
+        count = max(busy[0], 1)
+        entry.append((rate, (busy[1] - idle[1]) / count * 1e6))
+        owner.append((rate, (busy[2] - idle[2]) / count * 1e6))
+        messages.append((rate, (busy[3] - idle[3]) / count))
+    return [
+        Series(measure="statements", name=n, size="statements/s", unit=u, points=p)
+        for n, u, p in (
+            ("entry reducer time a statement", "us", entry),
+            ("owner reducer time a statement", "us", owner),
+            ("messages between VMs a statement", "1", messages),
+        )
+    ]
+
+
+def measure_polls(
+    counts: tuple[int, ...] = POLLED_COUNTS, seconds: float = 10.0
+) -> list[Series]:
+    """Measure an idle owner: a fleet of one VM owns all of its databases."""
+    near = []
+    far = []
+    spent = []
+    for count in counts:
+        node = make_node()
+        vm = node.identity.name
+        bench = Bench(node)
+        bench.carry_out(vm, add_databases(node, count))
+        bench.run(SETTLE_TIME)
+        bench.reset()
+        bench.run(seconds)
+        near.append((count, bench.queries[vm, False] / seconds))
+        far.append((count, bench.queries[vm, True] / seconds))
+        spent.append((count, bench.seconds[vm] / seconds * 1e6))
+    return [
+        Series(measure="polls", name=n, size="databases", unit=u, points=p)
+        for n, u, p in (
+            ("status queries within the region", "1/s", near),
+            ("status queries across the link", "1/s", far),
+            ("reducer time", "us/s", spent),
+        )
+    ]
+
+
+def measure_confirmations(
+    concurrencies: tuple[int, ...] = CONCURRENCIES, seconds: float = 3.0
+) -> list[Series]:
+    """Measure status queries a write when writers wait for their answers."""
+    queries = []
+    times = []
+    owner = []
+    for concurrency in concurrencies:
+        count, asked, spent = _run_writers(concurrency, seconds)
+        queries.append((concurrency, asked / max(count, 1)))
+        times.append((concurrency, concurrency * seconds / max(count, 1) * 1e3))
+        owner.append((concurrency, spent / max(count, 1) * 1e6))
+    return [
+        Series(measure="confirmations", name=n, size="writers", unit=u, points=p)
+        for n, u, p in (
+            ("status queries a write, polls included", "1", queries),
+            ("time of a write and a pause of 2 ms", "ms", times),
+            ("owner reducer time a write", "us", owner),
+        )
+    ]
+
+
+def measure_forwarding(
+    lengths: tuple[int, ...] = (64, 256, 1_024), rows: tuple[int, ...] = (1, 10, 100)
+) -> list[Series]:
+    """Measure what a statement of the other region sends across the link."""
+    by_length = [
+        (n, _send_across(WRITE.ljust(n), StatementKind.WRITE, 1)) for n in lengths
+    ]
+    by_rows = [(n, _send_across(READ, StatementKind.READ, n)) for n in rows]
+    return [
+        Series(
+            measure="forwarding",
+            name="bytes across the link a write",
+            size="bytes of SQL",
+            unit="B",
+            points=by_length,
+        ),
+        Series(
+            measure="forwarding",
+            name="bytes across the link a strong read",
+            size="rows",
+            unit="B",
+            points=by_rows,
+        ),
+    ]
+
+
+def _make_entry() -> NodeState:
+    node = make_node(ENTRY)
+    add_peers(node, ENTRY_PEERS)
+    add_databases(node, DATABASES)
+    return node
+
+
+def _make_owner() -> NodeState:
+    node = make_node(OWNER)
+    add_databases(node, DATABASES)
+    return node
+
+
+def _open_sessions(node: NodeState, count: int) -> None:
+    for number in range(1, count + 1):
+        database = f"db-{number % DATABASES:04d}"
+        opened = events.CallerOpened(
+            at=node.now, session=number, user=f"tenant-{number % 50}", database=database
+        )
+        reduce(node, opened)
+        positions = {database: Position(3, 1_000_000 + number)}
+        reduce(
+            node,
+            events.TokenPresented(at=node.now, session=number, positions=positions),
+        )
+
+
+def _send_all(node: NodeState, count: int) -> None:
+    for number in range(1, count + 1):
+        reduce(
+            node,
+            events.StatementReceived(
+                at=node.now,
+                session=number,
+                kind=StatementKind.READ,
+                sql=f"{READ} -- {number}",
+                marks=Marks(),
+            ),
+        )
+
+
+def _queue(node: NodeState, region: str, count: int) -> None:
+    for number in range(1, count + 1):
+        request = Request(
+            id=RequestId("vm-0001", 1_790_000_000, number),
+            database="db-0000",
+            tenant=f"tenant-{number % 50}",
+            kind=StatementKind.READ,
+            sql=f"{READ} -- {number}",
+        )
+        message = Forward(request=request, region=region, ticket=1)
+        receive(node, "vm-0001", message)
+
+
+def _make_pair(entry_index: int, slots: int = 5, **options):
+    """Return a bench of an entry VM and an owner, and a database of the owner."""
+    entry = make_node(entry_index)
+    owner = make_node(OWNER)
+    bench = Bench(entry, owner, **options)
+    for node, other in ((entry, OWNER), (owner, entry_index)):
+        _introduce(node, other)
+        effects = add_databases(node, DATABASES, slots=slots)
+        bench.carry_out(node.identity.name, effects)
+    for index in range(0, DATABASES, 2):
+        name = f"db-{index:04d}"
+        if find_owner(entry, name, "east") == owner.identity.name:
+            return bench, entry.identity.name, owner.identity.name, name
+    raise RuntimeError("no database has the wanted owner")
+
+
+def _introduce(node: NodeState, other: int) -> None:
+    view = make_view(other)
+    receive(node, view.address.name, Heartbeat(views=(view,)))
+
+
+def _open_caller(bench: Bench, vm: str, session: int, database: str) -> None:
+    bench.feed(
+        vm,
+        events.CallerOpened,
+        session=session,
+        user=f"tenant-{session % 20}",
+        database=database,
+    )
+    positions = {database: Position(1, 0)}
+    bench.feed(vm, events.TokenPresented, session=session, positions=positions)
+
+
+def _send(bench: Bench, vm: str, session: int, kind: StatementKind, sql: str) -> None:
+    bench.feed(
+        vm,
+        events.StatementReceived,
+        session=session,
+        kind=kind,
+        sql=sql,
+        marks=Marks(),
+    )
+
+
+def _run_load(rate: int, seconds: float) -> tuple[int, float, float, int]:
+    """Return statements answered, seconds of entry and owner, messages."""
+    bench, vm, owner, database = _make_pair(ENTRY)
+    chance = random.Random(1)
+    free = list(range(1, 401))
+    answered = itertools.count()
+    for session in free:
+        _open_caller(bench, vm, session, database)
+
+    def reply(_vm, effect):
+        free.append(effect.session)
+        next(answered)
+
+    def arrive():
+        bench.later(chance.expovariate(rate), arrive)
+        if not free:
+            return
+        read = chance.random() < READ_SHARE
+        kind = StatementKind.READ if read else StatementKind.WRITE
+        _send(bench, vm, free.pop(0), kind, READ if read else WRITE)
+
+    bench.on_reply = reply
+    bench.run(SETTLE_TIME)
+    if rate:
+        bench.later(0.0, arrive)
+        bench.run(1.0)
+    bench.reset()
+    before = next(answered)
+    bench.run(seconds)
+    count = next(answered) - before - 1
+    total = bench.sent.total()
+    return count, bench.seconds[vm], bench.seconds[owner], total
+
+
+def _run_writers(concurrency: int, seconds: float) -> tuple[int, int, float]:
+    """Return writes, status queries and the owner's seconds."""
+    bench, vm, owner, database = _make_pair(ENTRY, slots=64)
+    answered = itertools.count()
+    chance = random.Random(1)
+
+    def reply(_vm, effect):
+        next(answered)
+        session = effect.session
+        pause = chance.uniform(0.0, THINK_TIME)
+        bench.later(pause, _send, bench, vm, session, StatementKind.WRITE, WRITE)
+
+    bench.on_reply = reply
+    bench.run(SETTLE_TIME)
+    for session in range(1, concurrency + 1):
+        _open_caller(bench, vm, session, database)
+        bench.later(0.0, _send, bench, vm, session, StatementKind.WRITE, WRITE)
+    bench.run(1.0)
+    bench.reset()
+    before = next(answered)
+    bench.run(seconds)
+    count = next(answered) - before - 1
+    polled = [bench.queries[owner, far] for far in (False, True)]
+    idle = _count_idle_queries(bench, owner, database, seconds)
+    return count, sum(polled) - idle, bench.seconds[owner]
+
+
+def _count_idle_queries(bench: Bench, owner: str, database: str, seconds: float) -> int:
+    """Return the polls of the owner's other databases, which would hide the rest."""
+    node = bench.nodes[owner]
+    rate = 0.0
+    for health in node.health.servers.values():
+        if health.database == database:
+            continue
+        near = health.server.region == node.identity.address.region
+        rate += 1 / 0.1 if near else 1 / 0.25
+    return round(rate * seconds)
+
+
+def _send_across(sql: str, kind: StatementKind, rows: int) -> int:
+    """Return the bytes of messages for one statement from the other region."""
+    bench, vm, owner, database = _make_pair(REMOTE_ENTRY, rows=rows)
+    bench.run(SETTLE_TIME)
+    _open_caller(bench, vm, 1, database)
+    bench.reset()
+    if kind is StatementKind.READ:
+        # A statement that opens a transaction runs on the primary.
+        _send(bench, vm, 1, StatementKind.BEGIN, "BEGIN")
+    _send(bench, vm, 1, kind, sql)
+    bench.run(1.0)
+    names = ("Forward", "Answer")
+    return sum(bench.sent_bytes[node, name] for node in (vm, owner) for name in names)
