--- a/src/siskinhold_trial/capacity/_changes.py
+++ b/src/siskinhold_trial/capacity/_changes.py
@@ -11,7 +11,6 @@
     add_peers,
     make_groups,
     make_node,
-    make_records,
     make_ticket,
     measure_envelope,
     receive,
@@ -83,8 +82,7 @@
     for databases in DATABASE_COUNTS:
         node = make_node()
         add_peers(node, KNOWN_VMS)
-        pushed = TermsPushed(records=make_records(databases))
-        receive(node, "vm-0001", pushed)
+        add_databases(node, databases)
         record = TermsPushed(records=(_make_record(2),))
         spent = measure_seconds(lambda: receive(node, "vm-0001", record))
         learning.append((databases, spent * 1e6))
--- a/src/siskinhold_trial/capacity/_members.py
+++ b/src/siskinhold_trial/capacity/_members.py
@@ -128,17 +128,15 @@
     moved = []
     most = []
     for lost in (1, max(2, vms // 130), vms // 4):
-        trial = make_node()
-        add_peers(trial, vms)
         # Every fourth VM, from the last on, lies in the same zone.
         gone = [vms - 1 - 4 * place for place in range(lost) if vms > 4 * place + 1]
-        _lose(trial, gone)
-        after = _list_owners(trial, databases)
-        changed = [key for key in before if before[key] != after[key]]
+        _lose(node, gone)
+        after = _list_owners(node, databases)
         gains: dict[str, int] = {}
-        for key in changed:
-            gains[after[key]] = gains.get(after[key], 0) + 1
-        moved.append((len(gone), len(changed)))
+        for key, owner in before.items():
+            if after[key] != owner:
+                gains[after[key]] = gains.get(after[key], 0) + 1
+        moved.append((len(gone), sum(gains.values())))
         most.append((len(gone), max(gains.values(), default=0)))
     heaviest = [(vms, max(load.values()))]
     idle = [(vms, vms - len(load))]
--- a/src/siskinhold_trial/capacity/_statements.py
+++ b/src/siskinhold_trial/capacity/_statements.py
@@ -25,7 +25,7 @@
 READ = "SELECT id, name FROM parts WHERE id = 123456 AND kind = 'hinge'"
 WRITE = "UPDATE parts SET stock = stock - 1 WHERE id = 123456"
 DATABASES = 20
-ENTRY_PEERS = 400
+ENTRY_PEERS = 2_000
 """VMs known to an entry, so many that it owns hardly any database itself."""
 ENTRY, REMOTE_ENTRY, OWNER = 4, 1, 2
 """Indexes of VMs: the first and last are in the region east."""
@@ -92,6 +92,7 @@
     entry = []
     owner = []
     messages = []
+    queries = []
     idle = _run_load(0, seconds)
     for rate in rates:
         busy = _run_load(rate, seconds)
@@ -99,12 +100,14 @@
         entry.append((rate, (busy[1] - idle[1]) / count * 1e6))
         owner.append((rate, (busy[2] - idle[2]) / count * 1e6))
         messages.append((rate, (busy[3] - idle[3]) / count))
+        queries.append((rate, (busy[4] - idle[4]) / count))
     return [
         Series(measure="statements", name=n, size="statements/s", unit=u, points=p)
         for n, u, p in (
             ("entry reducer time a statement", "us", entry),
             ("owner reducer time a statement", "us", owner),
             ("messages between VMs a statement", "1", messages),
+            ("status queries a statement, beyond polls", "1", queries),
         )
     ]
 
@@ -283,8 +286,8 @@
     )
 
 
-def _run_load(rate: int, seconds: float) -> tuple[int, float, float, int]:
-    """Return statements answered, seconds of entry and owner, messages."""
+def _run_load(rate: int, seconds: float) -> tuple[int, float, float, int, int]:
+    """Return answers, seconds of entry and owner, messages, status queries."""
     bench, vm, owner, database = _make_pair(ENTRY)
     chance = random.Random(1)
     free = list(range(1, 401))
@@ -314,7 +317,8 @@
     bench.run(seconds)
     count = next(answered) - before - 1
     total = bench.sent.total()
-    return count, bench.seconds[vm], bench.seconds[owner], total
+    asked = bench.queries.total()
+    return count, bench.seconds[vm], bench.seconds[owner], total, asked
 
 
 def _run_writers(concurrency: int, seconds: float) -> tuple[int, int, float]:
