--- a/src/siskinhold/core/_ownership.py
+++ b/src/siskinhold/core/_ownership.py
@@ -58,13 +58,13 @@
     if entry is None or entry[2] < dropped:
         return _search(key, cache.live[scope])
     best, weight, seen = entry
-    candidates = []
+    candidates: set[str] = set()
     for joined, left in cache.changes[scope][seen - dropped :]:
         if best in left:
             return _search(key, cache.live[scope])
-        candidates.extend(joined)
-    live = set(cache.live[scope]) if candidates else ()
-    return _search(key, [n for n in candidates if n in live], best, weight)
+        candidates |= joined
+        candidates -= left
+    return _search(key, candidates, best, weight)
 
 
 def _search(key: str, names, best: str = "", best_weight: int = -1) -> tuple[str, int]:
