--- a/src/siskinhold_trial/capacity/__init__.py
+++ b/src/siskinhold_trial/capacity/__init__.py
@@ -14,13 +14,13 @@
     measure_views,
 )
 from ._series import Series, format_table, write_json
-from ._sockets import measure_backends, measure_callers, measure_peers
+from ._servers import measure_backends
+from ._sessions import measure_queue, measure_sessions
+from ._sockets import measure_callers, measure_peers
 from ._statements import (
     measure_confirmations,
     measure_forwarding,
     measure_polls,
-    measure_queue,
-    measure_sessions,
     measure_statements,
 )
 
--- /dev/null
+++ b/src/siskinhold_trial/capacity/_children.py
@@ -0,0 +1,52 @@
+"""A child process for the other side of a socket, and this one's memory."""
+
+import asyncio
+import multiprocessing
+import os
+from collections.abc import Callable
+
+TIMEOUT = 60.0
+"""Seconds after which a child that does not answer counts as failed."""
+
+_SPAWN = multiprocessing.get_context("spawn")
+
+
+def read_resident() -> int:
+    """Return the resident memory of this process in bytes."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+class Child:
+    """A child process at the other end of a pipe."""
+
+    def __init__(self, target: Callable, *arguments: object) -> None:
+        self._pipe, other = _SPAWN.Pipe()
+        self._process = _SPAWN.Process(
+            target=target, args=(other, *arguments), daemon=True
+        )
+        self._process.start()
+        other.close()
+
+    async def ask(self, *order: object) -> None:
+        """Send an order and wait until it is carried out."""
+        self._pipe.send(order)
+        await self.receive()
+
+    async def receive(self):
+        """Return what the child sends."""
+
+        def wait():
+            if not self._pipe.poll(TIMEOUT):
+                raise TimeoutError("the child process does not answer")
+            return self._pipe.recv()
+
+        return await asyncio.to_thread(wait)
+
+    def stop(self) -> None:
+        """Close the pipe and wait for the child's end."""
+        self._pipe.close()
+        self._process.join(5)
+        if self._process.is_alive():
+            self._process.terminate()
+            self._process.join()
--- a/src/siskinhold_trial/capacity/_members.py
+++ b/src/siskinhold_trial/capacity/_members.py
@@ -99,6 +99,7 @@
         "one VM gone",
         "one VM joined",
         "a quarter of the VMs gone, one event",
+        "a further quarter gone, three in an event",
         "find_owner, cached",
     )
     points: dict[str, list] = {name: [] for name in names}
@@ -184,8 +185,10 @@
     joined = measure_seconds(lambda: _join(node, vms)) * 1e3
     lost = range(3, vms - 1, 4)
     quarter = measure_seconds(lambda: _lose(node, list(lost))) * 1e3
+    parts = [list(range(n, min(n + 12, vms - 1), 4)) for n in range(2, vms - 1, 12)]
+    spread = measure_seconds(lambda: [_lose(node, part) for part in parts]) * 1e3
     cached = measure_seconds(lambda: _list_owners(node, count)) / (2 * count) * 1e6
-    return first, ticket, gone, joined, quarter, cached
+    return first, ticket, gone, joined, quarter, spread, cached
 
 
 def _apply_one(node: NodeState, number: int) -> None:
--- /dev/null
+++ b/src/siskinhold_trial/capacity/_servers.py
@@ -0,0 +1,188 @@
+"""The backends' adapter over loopback; the database runs in a child process."""
+
+import asyncio
+import contextlib
+import time
+import tracemalloc
+
+import uvloop
+
+from siskinhold import effects, events
+from siskinhold.adapters import MysqlBackends
+from siskinhold.model import BackendServer, RequestId
+from siskinhold_trial.database import Costs, TrialDatabase
+
+from ._children import Child
+from ._series import Series
+
+STATEMENT_COUNTS = (500, 1_000, 2_000)
+CONNECTION_COUNTS = (50, 200, 600)
+READ = "SELECT v FROM m WHERE id = 1"
+WRITE = "UPDATE m SET v = 'b' WHERE id = 1"
+REQUEST = RequestId("vm-1", 1, 1)
+
+
+def measure_backends(
+    statements: tuple[int, ...] = STATEMENT_COUNTS,
+    connections: tuple[int, ...] = CONNECTION_COUNTS,
+) -> list[Series]:
+    """Measure the backends' adapter: reads, writes, status queries, memory."""
+    return uvloop.run(_measure_backends(statements, connections))
+
+
+def serve_database(pipe) -> None:
+    """Serve a database without artificial costs until the pipe closes."""
+    uvloop.run(_serve_database(pipe))
+
+
+async def _serve_database(pipe) -> None:
+    costs = Costs(slots=64, connections=1_000, connection_cost=0.0, service_time=0.0)
+    database = TrialDatabase(costs=costs)
+    await database.start()
+    pipe.send([instance.port for instance in database.instances])
+    with contextlib.suppress(EOFError):
+        await asyncio.to_thread(pipe.recv)
+    await database.stop()
+
+
+class _Backends:
+    """The backends' adapter and the answers it gives."""
+
+    def __init__(self) -> None:
+        self._adapter = MysqlBackends(user="siskinhold")
+        self._answers: asyncio.Queue = asyncio.Queue()
+
+    async def start(self) -> None:
+        await self._adapter.start(self._answers.put_nowait)
+
+    async def stop(self) -> None:
+        await self._adapter.stop()
+
+    async def perform(self, effect: object) -> object:
+        """Carry out an effect and return its event."""
+        self._adapter.perform(effect)
+        event = await asyncio.wait_for(self._answers.get(), 5)
+        if isinstance(event, events.BackendLost | events.BackendClosed):
+            raise RuntimeError(f"connection lost: {event}")
+        return event
+
+    async def measure(self, effect: object, counts: tuple[int, ...]) -> list:
+        """Return the processor time in us of each number of repetitions."""
+        points = []
+        await self.perform(effect)
+        for count in counts:
+            cpu = time.process_time()
+            for _ in range(count):
+                await self.perform(effect)
+            points.append((count, (time.process_time() - cpu) * 1e6))
+        return points
+
+
+async def _measure_backends(statements, connections) -> list[Series]:
+    child = Child(serve_database)
+    backends = _Backends()
+    found = []
+    try:
+        ports = await child.receive()
+        await backends.start()
+        memory = await _measure_backend_memory(backends, ports[1], connections)
+        await _open_backend(backends, 1, ports[0])
+        await backends.perform(
+            _statement("CREATE TABLE m (id INT PRIMARY KEY, v TEXT)")
+        )
+        await backends.perform(_statement("INSERT INTO m VALUES (1, 'a')"))
+        status = effects.QueryStatus(server=_server(ports[0]), call=1)
+        for name, effect in (
+            ("time of all reads", _statement(READ)),
+            ("time of all writes", _statement(WRITE, want_position=True)),
+            ("time of all status queries", status),
+        ):
+            points = await backends.measure(effect, statements)
+            found.append(_series("backends", name, "repetitions", "us", points))
+        found.append(
+            _series("backends", "memory of Python objects", "connections", "B", memory)
+        )
+        sizes = await _measure_wire_bytes(ports[0])
+        found.append(_series("backends", "bytes of status queries", *sizes))
+    finally:
+        await backends.stop()
+        child.stop()
+    return found
+
+
+async def _measure_backend_memory(backends, port: int, counts) -> list:
+    """Return the bytes of Python objects; the loop's own memory is not counted."""
+    await _open_backend(backends, 1_000, port)
+    opened = 0
+    points = []
+    tracemalloc.start()
+    base = tracemalloc.get_traced_memory()[0]
+    for count in counts:
+        while opened < count:
+            opened += 1
+            await _open_backend(backends, 1_000 + opened, port)
+        points.append((count, tracemalloc.get_traced_memory()[0] - base))
+    tracemalloc.stop()
+    return points
+
+
+async def _measure_wire_bytes(port: int) -> tuple:
+    """Return the bytes of status queries through a relay that counts them."""
+    total = [0]
+    tasks = []
+
+    async def pass_on(reader, writer) -> None:
+        while data := await reader.read(65_536):
+            total[0] += len(data)
+            writer.write(data)
+        writer.close()
+
+    async def relay(reader, writer) -> None:
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+        tasks.append(asyncio.create_task(pass_on(far_reader, writer)))
+        await pass_on(reader, far_writer)
+
+    server = await asyncio.start_server(relay, "127.0.0.1", 0)
+    backends = _Backends()
+    await backends.start()
+    points = []
+    query = effects.QueryStatus(
+        server=_server(server.sockets[0].getsockname()[1]), call=1
+    )
+    await backends.perform(query)
+    total[0] = 0
+    done = 0
+    for count in (10, 20, 40):
+        while done < count:
+            await backends.perform(query)
+            done += 1
+        points.append((count, total[0]))
+    await backends.stop()
+    server.close()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return "queries", "B", points
+
+
+async def _open_backend(backends: _Backends, number: int, port: int) -> None:
+    server = _server(port)
+    opened = effects.OpenBackend(connection=number, server=server, database="trial")
+    await backends.perform(opened)
+
+
+def _server(port: int) -> BackendServer:
+    return BackendServer(
+        name=f"s{port}",
+        host="127.0.0.1",
+        port=port,
+        region="r",
+        availability_zone="z",
+        connections=1_000,
+    )
+
+
+def _statement(sql: str, **options: object) -> effects.RunStatement:
+    return effects.RunStatement(connection=1, request=REQUEST, sql=sql, **options)
+
+
+def _series(measure: str, name: str, size: str, unit: str, points: list) -> Series:
+    return Series(measure=measure, name=name, size=size, unit=unit, points=points)
