--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -76,3 +76,15 @@
         cited = set(re.findall(r"capacity\.py --only ([a-z]+)", text))
         assert cited == set(capacity.MEASURES)
         assert "make capacity" in text
+
+    def test_cited_code_exists(self):
+        """Each cited module exists and has the functions and classes cited after
+        it; guards against a page that names code that was renamed."""
+        root = PAGE.parent.parent / "src" / "siskinhold"
+        cited = r"`((?:core|adapters)/\w+\.py)`((?:,? `[\w.]+`)*)"
+        modules = re.findall(cited, PAGE.read_text())
+        assert modules
+        for module, names in modules:
+            text = (root / module).read_text()
+            for name in re.findall(r"[A-Za-z_]\w*", names):
+                assert re.search(rf"\b(def|class) {name}\b|^{name} =", text, re.M)
