Record a change of primary that the store's watch reports first

The order that followed the watch's news promoted the server; the attempt's own order was then refused, so neither the time line nor the metrics showed the change.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -36,6 +36,7 @@
 )
 READS = 20
 PROMOTION = " promotion_began "
+PRIMARY_CHANGED = " primary_changed "
 
 
 class StepFailed(Exception):
@@ -241,7 +242,9 @@
         lines = output.splitlines()
         began = [number for number, line in enumerate(lines) if PROMOTION in line]
         check(len(began) > 0, "the promotion is on the time line")
-        for line in lines[began[0] : began[0] + 6]:
+        changed = [line for line in lines if PRIMARY_CHANGED in line]
+        check(len(changed) == 1, f"one change of primary, {len(changed)} found")
+        for line in lines[began[0] : lines.index(changed[0]) + 1]:
             print(f"    {line}")
         return f"lines={len(lines)} logs={len(logs)}"
 
--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -14,7 +14,7 @@
 from ._health import StatusQuery, find_record, is_reachable, majority, request_status
 from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
-from ._promotion import begin_attempt, record_first_term
+from ._promotion import Promote, begin_attempt, record_first_term
 from ._state import Effects, NodeState
 from ._timers import TimerAction
 
@@ -260,7 +260,12 @@
     if server.name == known.primary:
         if status.term != known.term or status.role is not Role.FENCED:
             return
-        call = node.open_control_call(ServerOrder(server.name))
+        # The watch may report the attempt's record before the write is answered.
+        attempt = watch.attempt
+        purpose: object = ServerOrder(server.name)
+        if attempt is not None:
+            purpose = Promote(database.name, server.name, attempt.started)
+        call = node.open_control_call(purpose)
         out.append(PromoteServer(server=server, call=call, term=known.term))
         watch.orders[server.name] = node.now
         return
--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -51,8 +51,11 @@
         ahead_since: since when a server has shown a term above the record.
         switchover_since: since when a planned switchover has been wanted.
         orders: when each server was last sent an order.
+        promoted_term: the last term whose primary took the lead by order of
+            this VM.
     """
 
+    promoted_term: int = 0
     attempt: Attempt | None = None
     not_before: float = 0.0
     ahead_since: float | None = None
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -359,6 +359,10 @@
     request_status(node, promote.server, out)
     if event.status is None or event.status.role is not Role.PRIMARY:
         return
+    watch = node.failover.databases.get(promote.database)
+    if watch is None or watch.promoted_term >= event.status.term:
+        return
+    watch.promoted_term = event.status.term
     seconds = node.now - promote.started
     record(
         out,
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,6 +1,7 @@
 """The real programs as processes: bad input and faults of whole processes."""
 
 import asyncio
+import functools
 import signal
 import socket
 
@@ -8,7 +9,7 @@
 import pytest
 import pytest_asyncio
 
-from siskinhold_trial.processes import Deployment, Processes, find_free_ports
+from siskinhold_trial.processes import Deployment, Processes
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -83,6 +84,12 @@
     return errors.splitlines()
 
 
+def set_port(text, *, place, port):
+    head, _, rest = text.partition(f"[{place}]\nport = ")
+    _, _, rest = rest.partition("\n")
+    return f"{head}[{place}]\nport = {port}\n{rest}"
+
+
 class TestStart:
     async def test_all_settings_faults(self, processes, tmp_path):
         """Every fault is one line that names its place; guards a silent default."""
@@ -104,21 +111,22 @@
         (line,) = await start_with(processes, tmp_path, lambda text: "\xff\xfe", 3)
         assert line.startswith("failure=settings_invalid place=")
 
-    @pytest.mark.parametrize("place", ["callers", "peers", "operator"])
-    async def test_port_in_use(self, processes, tmp_path, place):
+    async def test_port_in_use(self, processes, tmp_path):
         """It is named; guards against a VM that serves without one of its ports."""
+        places = ("callers", "peers", "operator")
         with socket.create_server(("127.0.0.1", 0)) as taken:
             port = taken.getsockname()[1]
-            free = find_free_ports(1)[0]
 
-            def change(text):
-                head, _, rest = text.partition(f"[{place}]\nport = ")
-                return f"{head}[{place}]\nport = {port}\n{rest.partition(chr(10))[2]}"
+            async def start(place):
+                folder = tmp_path / place
+                folder.mkdir()
+                change = functools.partial(set_port, place=place, port=port)
+                return await start_with(processes, folder, change, 4)
 
-            assert free != port
-            lines = await start_with(processes, tmp_path, change, 4)
-        assert lines[-1].startswith(f"failure=address_unusable place='{place}'")
-        assert str(port) in lines[-1]
+            found = await asyncio.gather(*(start(place) for place in places))
+        for place, lines in zip(places, found):
+            assert lines[-1].startswith(f"failure=address_unusable place='{place}'")
+            assert str(port) in lines[-1]
 
     async def test_unusable_files(self, processes, tmp_path):
         """A certificate that is none is named; guards against serving without."""
