--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -44,7 +44,7 @@
 
 
 class AccessDenied(Exception):
-    """The caller did not authenticate; it was told so."""
+    """The caller did not authenticate and was told so; holds the user name."""
 
 
 class CallerConnection(Connection):
@@ -120,7 +120,7 @@
         self.session.username = None
         await super().authenticate(*args, **kwargs)
         if self.session.username is None:
-            raise AccessDenied()
+            raise AccessDenied(str(self.session.variables.get("external_user"))[:80])
 
     async def _authenticate_caller(self) -> None:
         try:
--- a/src/siskinhold/core/__init__.py
+++ b/src/siskinhold/core/__init__.py
@@ -7,7 +7,7 @@
     is_watcher,
     list_live,
 )
-from ._queue import Queue, Work
+from ._queue import Queue, Work, WorkQueue
 from ._reducer import reduce
 from ._scheduling_state import SchedulingRules
 from ._state import Effects, Identity, NodeState
@@ -22,6 +22,7 @@
     "TimerAction",
     "Timers",
     "Work",
+    "WorkQueue",
     "find_address",
     "find_incarnation",
     "find_owner",
--- a/src/siskinhold_trial/load/_policies.py
+++ b/src/siskinhold_trial/load/_policies.py
@@ -18,7 +18,12 @@
         self._works[work.id] = work
 
     def take(
-        self, accept: Callable[[Work], bool], now: float, *, allow_long: bool = True
+        self,
+        accept: Callable[[Work], bool],
+        now: float,
+        *,
+        allow_long: bool = True,
+        leads: bool = True,
     ) -> Work | None:
         """Remove and return the first work that `accept` allows, or None."""
         for work in self._works.values():
@@ -32,6 +37,10 @@
         """Remove a work, if it waits."""
         self._works.pop(work.id, None)
 
+    def count_ahead(self, work: Work) -> int:
+        """Return how many works wait."""
+        return len(self._works)
+
     def __iter__(self) -> Iterator[Work]:
         return iter(list(self._works.values()))
 
