--- a/src/siskinhold_trial/measure/_plan.py
+++ b/src/siskinhold_trial/measure/_plan.py
@@ -9,6 +9,7 @@
     MALABAR as MALABAR_LOAD,
     make_baseline,
     make_policy,
+    measure_crest,
     measure_short_wait,
 )
 
@@ -26,6 +27,8 @@
 """Losses of a primary for each kind of loss and policy."""
 SEEDS = (1, 2, 3)
 """Seeds of the other measures."""
+LOAD_TIME = 12.0
+"""Simulated seconds of each run of the wait of short work."""
 FLEET_SIZES = (3, 9, 27)
 """VMs in the measure of the store's calls."""
 
@@ -187,6 +190,7 @@
                 policy,
                 stragglers=stragglers,
                 own_shape=own_shape,
+                seconds=LOAD_TIME,
                 seed=seed,
             )
             waits.append(found.wait)
@@ -198,6 +202,31 @@
     return results
 
 
+def run_crest(name: str, baseline: bool) -> list[Measure]:
+    """Measure goodput at five times capacity, refusals and recovery."""
+    deployment = CRANNOG_LOAD if name == CRANNOG.name else MALABAR_LOAD
+    policy_name = "first_come_first_served" if baseline else "siskinhold"
+    found = []
+    for seed in SEEDS:
+        policy = make_baseline() if baseline else make_policy()
+        found.append(measure_crest(deployment, policy, seconds=2.0, seed=seed))
+    columns = {
+        "crest_goodput": [run.crest_goodput / run.capacity_goodput for run in found],
+        "crest_marked_refused": [run.marked_refused for run in found],
+        "crest_recovery_s": [run.recovery for run in found],
+    }
+    results = []
+    for measure, values in columns.items():
+        note = "at five times capacity"
+        if measure == "crest_goodput":
+            lowest = min(values)
+            note = f"share of goodput at capacity, lowest {lowest:.3f}"
+        results.append(
+            summarise(name, measure, policy_name, values, seed=SEEDS[0], note=note)
+        )
+    return results
+
+
 def _join_spreads(name: str, waits, baseline: bool, note: str) -> Measure:
     """Return the worst percentiles of several runs, in seconds."""
     return Measure(
@@ -228,6 +257,8 @@
                         "short_wait_s", name, run_short_wait, name, stragglers, baseline
                     )
                 )
+        for baseline in (False, True):
+            tasks.append(_task("crest", name, run_crest, name, baseline))
         for isolate in (False, True):
             for fixed in (False, True):
                 tasks.append(
