--- a/src/siskinhold_trial/history/_fleet.py
+++ b/src/siskinhold_trial/history/_fleet.py
@@ -100,6 +100,9 @@
         return False
     if ended is None:
         return life.ended_at is not None
+    if invocation.outcome is None and ended == invocation.called_at:
+        # The connection was closed before the statement was sent.
+        return False
     if isinstance(invocation.outcome, NotRun):
         if began > life.shutdown_at:
             return False
--- a/tests/trial/test_history.py
+++ b/tests/trial/test_history.py
@@ -277,6 +277,15 @@
             cut = call("w", None, at=4.0, answered_at=answered_at)
             assert self.check(cut) == [checks.CutOffByShutdown]
 
+    def test_statement_on_closed_connection(self):
+        """What is called after the close was never sent; what waits is cut off."""
+        sent = call("w", None, at=5.0)
+        sent.answered_at = 5.01
+        assert self.check(sent) == [checks.CutOffByShutdown]
+        unsent = call("w", None, at=5.0)
+        unsent.answered_at = unsent.called_at
+        assert self.check(unsent) == []
+
     def test_new_statement_may_be_refused(self):
         """What comes after the announcement may be refused as not run."""
         refused = NotRun(reason=NotRunReason.SHUTDOWN)
