Let one instance of a database join or leave in one ticket

Cause: a ticket could replace an instance, and VMs with the old and the new set could each find a majority without an instance in common, so a promotion and an acknowledgement could pass each other. Ruled out: a check in the reducer, which sees one set at a time. Before: {a, b, c} to {a, b, d} was accepted and an even number refused. After: the replacement is refused, one step at a time is accepted, even numbers included.

--- a/src/siskinhold/tickets/_check.py
+++ b/src/siskinhold/tickets/_check.py
@@ -37,6 +37,7 @@
     faults = list(_check_head(ticket, state))
     for group in ticket.groups:
         faults.extend(_check_group(group))
+        faults.extend(_check_instances(group, state))
     faults.extend(_check_unique(ticket, state))
     return faults
 
@@ -83,14 +84,41 @@
     if count < _MIN_INSTANCES:
         detail = f"{count} instances; at least {_MIN_INSTANCES} are needed"
         yield TicketFault(kind=Kind.INSTANCES_TOO_FEW, subject=subject, detail=detail)
-    if count and count % 2 == 0:
-        detail = f"{count} instances; the number must be odd"
-        yield TicketFault(kind=Kind.INSTANCES_EVEN, subject=subject, detail=detail)
     yield from _check_primary(subject, database)
     for server in database.servers:
         yield from _check_server(f"{subject}/{server.name}", server)
 
 
+def _check_instances(group: DatabaseGroup, state: TicketState) -> Iterator[TicketFault]:
+    """Allow one instance of a database to join or leave in one ticket.
+
+    Acknowledgements and promotions count majorities of the instances that
+    their VM knows. While a ticket spreads, VMs with the old and the new set
+    must have majorities that share an instance; with one difference they do,
+    with one instance replaced by another at once they need not.
+    """
+    before = {}
+    for known in state.groups.values():
+        for database in known.databases:
+            before[database.name] = _list_instances(database)
+    for database in group.databases:
+        if database.name not in before:
+            continue
+        changed = before[database.name] ^ _list_instances(database)
+        if len(changed) <= 1:
+            continue
+        names = " ".join(sorted({name for name, _ in changed}))
+        yield TicketFault(
+            kind=Kind.INSTANCES_CHANGED,
+            subject=f"{group.name}/{database.name}",
+            detail=f"{names}; one instance may join or leave in one ticket",
+        )
+
+
+def _list_instances(database: Database) -> set[tuple[str, tuple[str, int]]]:
+    return {(server.name, _address_of(server)) for server in database.servers}
+
+
 def _check_primary(subject: str, database: Database) -> Iterator[TicketFault]:
     names = {server.name for server in database.servers}
     if database.primary not in names:
--- a/src/siskinhold/tickets/_faults.py
+++ b/src/siskinhold/tickets/_faults.py
@@ -20,7 +20,7 @@
     DUPLICATE_SERVER = "duplicate_server"
     DUPLICATE_ADDRESS = "duplicate_address"
     UNKNOWN_PRIMARY = "unknown_primary"
-    INSTANCES_EVEN = "instances_even"
+    INSTANCES_CHANGED = "instances_changed"
     INSTANCES_TOO_FEW = "instances_too_few"
     HOST_NOT_IP = "host_not_ip"
     OUT_OF_RANGE = "out_of_range"
