Tell a session once that a promotion cut off its write

Ruled out: the covering rule, which was right for the position it was given. Now a write carries the session's position too; if it is lost the answer is position_lost with the position that survived, and the session goes on there.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -11,6 +11,7 @@
 import sys
 import time
 
+from siskinhold.model import Acknowledge
 from siskinhold_trial.proof import FAULTS, MUTANTS, Mutant, RunReport, run_seed
 
 WORKERS = 4
@@ -23,15 +24,20 @@
     parser.add_argument("--seeds", default="0:16", help="first:end of the seeds")
     parser.add_argument("--fault", action="append", default=[])
     parser.add_argument("--count", type=int, default=4, help="faults in a run")
+    parser.add_argument(
+        "--acknowledge", default="replica", choices=("replica", "primary")
+    )
     parser.add_argument("--mutants", action="store_true")
     return parser.parse_args()
 
 
-def run_whole(task: tuple[int, tuple[str, ...], int]) -> RunReport:
+def run_whole(task: tuple[int, tuple[str, ...], int, str]) -> RunReport:
     """Run one seed of the whole core."""
-    seed, names, count = task
+    seed, names, count, acknowledge = task
     faults = tuple(fault for fault in FAULTS if not names or fault.name in names)
-    return run_seed(seed, faults=faults, count=count)
+    return run_seed(
+        seed, faults=faults, count=count, acknowledge=Acknowledge(acknowledge)
+    )
 
 
 def run_mutant(task: tuple[str, tuple[int, ...]]) -> tuple[str, RunReport | None]:
@@ -63,11 +69,13 @@
         print(f"  stuck: {stuck}")
 
 
-def prove_whole(pool, seeds: tuple[int, ...], names: tuple[str, ...], count: int):
+def prove_whole(
+    pool, seeds: tuple[int, ...], names: tuple[str, ...], count: int, acknowledge: str
+) -> bool:
     """Run the whole core; return whether nothing was broken."""
     began = time.monotonic()
     reports = []
-    tasks = [(seed, names, count) for seed in seeds]
+    tasks = [(seed, names, count, acknowledge) for seed in seeds]
     for report in pool.imap(run_whole, tasks):
         print_report(report)
         reports.append(report)
@@ -112,7 +120,9 @@
             passed = prove_mutants(pool, seeds)
         else:
             names = tuple(arguments.fault)
-            passed = prove_whole(pool, seeds, names, arguments.count)
+            passed = prove_whole(
+                pool, seeds, names, arguments.count, arguments.acknowledge
+            )
     return 0 if passed else 1
 
 
--- a/src/siskinhold/core/_entries.py
+++ b/src/siskinhold/core/_entries.py
@@ -40,7 +40,10 @@
     session = node.sessions.sessions.get(entry.session)
     if session is None:
         return
-    if isinstance(outcome, NotRun) and entry.may_have_run:
+    lost = isinstance(outcome, NotRun) and outcome.reason is NotRunReason.POSITION_LOST
+    if lost and position is not None:
+        session.positions[entry.request.database] = position
+    elif isinstance(outcome, NotRun) and entry.may_have_run:
         outcome = Unknown(reason=UnknownReason.OWNER_LOST, detail=outcome.detail)
     if position is not None and isinstance(outcome, Done):
         raise_position(session, entry.request.database, position)
--- a/src/siskinhold/core/_owners.py
+++ b/src/siskinhold/core/_owners.py
@@ -21,7 +21,7 @@
 )
 from ._membership import find_owner
 from ._pool_state import Pool
-from ._pools import drain, list_servers, redirect, submit
+from ._pools import drain, list_servers, redirect, refuse_if_lost, submit
 from ._routes import find_incarnation, find_primary_region, lose_owner
 from ._state import Effects, NodeState, record
 
@@ -96,6 +96,12 @@
         connection = connections.close(node, work.connection, out)
         if connection is not None:
             lose_connection(node, connection, out, sent=True, cause="primary_replaced")
+    for pool in list(node.pools.pools.values()):
+        if pool.database != database.name:
+            continue
+        for work in list(pool.queue):
+            if refuse_if_lost(node, work, out):
+                pool.queue.remove(work)
     for transaction in list(node.pools.transactions.values()):
         stale = transaction.database == database.name
         if stale and transaction.server != known.primary and known.primary:
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -79,9 +79,7 @@
         node.timers.schedule(work.deadline, WorkDeadline(request.id))
         _submit_pinned(node, pool, work, out)
         return
-    starts = find_record(node, pool.database).starts
-    if request.need is not None and is_lost(starts, request.need):
-        refuse(node, work, NotRunReason.POSITION_LOST, out)
+    if refuse_if_lost(node, work, out):
         return
     classify(node, work)
     if not admits(node, pool, work):
@@ -92,6 +90,27 @@
     drain(node, pool, out)
 
 
+def refuse_if_lost(node: NodeState, work: Work, out: Effects) -> bool:
+    """Refuse a work if a promotion cut off a write that its session knows.
+
+    The answer carries the position up to which the session's writes survived,
+    so that the session is told once and goes on from there.
+    """
+    need = work.request.need
+    starts = find_record(node, work.request.database).starts
+    if need is None or not is_lost(starts, need):
+        return False
+    kept = min(start.offset for start in starts if start.term > need.term)
+    refuse(
+        node,
+        work,
+        NotRunReason.POSITION_LOST,
+        out,
+        position=Position(need.term, kept),
+    )
+    return True
+
+
 def _submit_pinned(node: NodeState, pool: Pool, work: Work, out: Effects) -> None:
     transaction = node.pools.transactions.get(work.request.transaction)
     if transaction is None:
@@ -128,13 +147,22 @@
 
 
 def refuse(
-    node: NodeState, work: Work, reason: NotRunReason, out: Effects, detail: str = ""
+    node: NodeState,
+    work: Work,
+    reason: NotRunReason,
+    out: Effects,
+    detail: str = "",
+    *,
+    position: Position | None = None,
 ) -> None:
     """Answer a work as not run, or as unknown if an earlier attempt may have run.
 
     The work must not be on a connection.
+
+    Args:
+        position: with `POSITION_LOST`, the position that the session keeps.
     """
-    if work.may_have_run and reason is not NotRunReason.POSITION_LOST:
+    if work.may_have_run and work.request.kind is not StatementKind.READ:
         give_unknown(node, work, UnknownReason.CONNECTION_LOST, out)
         return
     record(
@@ -146,7 +174,7 @@
         detail=(("waited_ms", round((node.now - work.arrived) * 1000)),),
     )
     out.append(Observe(metric="refused_total", label=reason.value))
-    answer(node, work, NotRun(reason=reason, detail=detail), out)
+    answer(node, work, NotRun(reason=reason, detail=detail), out, position=position)
 
 
 def give_unknown(
--- a/src/siskinhold/core/_routes.py
+++ b/src/siskinhold/core/_routes.py
@@ -118,8 +118,6 @@
     need = session.positions.get(entry.request.database)
     if entry.request.kind not in (StatementKind.READ, StatementKind.WRITE):
         need = None
-    if entry.request.kind is StatementKind.WRITE and not entry.request.transaction:
-        need = None
     request = msgspec.structs.replace(entry.request, need=need, budget_ms=budget)
     entry.request = request
     message = Forward(request=request, region=entry.region, ticket=node.config.applied)
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -6,7 +6,15 @@
 
 from siskinhold import effects, events
 from siskinhold.adapters import Callers, Emit
-from siskinhold.model import Marks, Outcome, Position, RequestId, StatementKind
+from siskinhold.model import (
+    Marks,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Position,
+    RequestId,
+    StatementKind,
+)
 
 from ._emitter import Emitter
 from ._world import FakeWorld
@@ -20,7 +28,7 @@
 class Reply:
     """What a caller got for a statement."""
 
-    request: RequestId
+    request: RequestId | None
     outcome: Outcome
     positions: dict[str, Position]
 
@@ -83,15 +91,21 @@
         self._listening = False
 
     def close(self, effect: effects.CloseCaller) -> None:
-        """Close a caller's connection, after replies sent before."""
-        self.world.later(self.delay, self._break, effect.session, effect.reason)
+        """Close a caller's connection, after replies sent before.
+
+        A statement still on its way to the VM is answered as not run, as the
+        MySQL adapter does.
+        """
+        self.world.later(
+            self.delay, self._break, effect.session, effect.reason, self.world.now()
+        )
 
     async def stop(self) -> None:
         """Close all connections, as the death of the process would."""
         await super().stop()
         self._listening = False
         for session in list(self._open):
-            self._break(session, "stopped")
+            self._break(session, "stopped", self.world.now())
 
     def _deliver(self, effect: effects.ReplyCaller) -> None:
         caller = self._open.get(effect.session)
@@ -110,14 +124,20 @@
                 )
             )
 
-    def _break(self, session: int, reason: str) -> None:
+    def _break(self, session: int, reason: str, at: float) -> None:
         caller = self._open.pop(session, None)
         if caller is None:
             return
         caller.closed = True
         self.inform(events.CallerClosed, session=session)
-        if caller.waiting is not None and not caller.waiting.done():
-            caller.waiting.set_exception(CallerConnectionClosed(reason))
+        if caller.waiting is None or caller.waiting.done():
+            return
+        if reason == "shutdown" and caller.sent_at + self.delay > at:
+            refused = NotRun(reason=NotRunReason.SHUTDOWN)
+            reply = Reply(request=None, outcome=refused, positions={})
+            caller.waiting.set_result(reply)
+            return
+        caller.waiting.set_exception(CallerConnectionClosed(reason))
 
 
 class FakeCaller:
@@ -126,6 +146,7 @@
     def __init__(self, *, callers: FakeCallers, session: int) -> None:
         self.session = session
         self.closed = False
+        self.sent_at = 0.0
         self.waiting: asyncio.Future[Reply] | None = None
         self._callers = callers
 
@@ -141,6 +162,7 @@
         if self.waiting is not None:
             raise RuntimeError("a statement is under way")
         self.waiting = self._callers.world.loop.create_future()
+        self.sent_at = self._callers.world.now()
         self._callers.inform(
             events.StatementReceived,
             session=self.session,
--- a/src/siskinhold_trial/fleet/_fleet.py
+++ b/src/siskinhold_trial/fleet/_fleet.py
@@ -149,7 +149,11 @@
         for vm in self.list_running():
             await vm.kill()
 
-    def check(self) -> list[Violation]:
-        """Return all violations of the guarantees in the run so far."""
+    def check(self, *, kept: bool = True) -> list[Violation]:
+        """Return all violations of the guarantees in the run so far.
+
+        Args:
+            kept: whether acknowledged writes must survive promotions.
+        """
         records = [read_database(database) for database in self.databases.values()]
-        return check_all(self.history, records)
+        return check_all(self.history, records, kept=kept)
--- a/src/siskinhold_trial/proof/_campaign.py
+++ b/src/siskinhold_trial/proof/_campaign.py
@@ -6,7 +6,14 @@
 
 import looptime
 
-from siskinhold.model import Done, NotRun, StatementKind, Unknown
+from siskinhold.model import (
+    Acknowledge,
+    Done,
+    NotRun,
+    RoutingRules,
+    StatementKind,
+    Unknown,
+)
 from siskinhold_trial.fleet import CRANNOG, MALABAR, Fleet
 from siskinhold_trial.history import Violation
 
@@ -63,6 +70,7 @@
     faults: tuple[Fault, ...] = FAULTS,
     count: int = 4,
     seconds: float = RUN_TIME,
+    acknowledge: Acknowledge = Acknowledge.REPLICA,
 ) -> RunReport:
     """Run one fleet under `count` faults chosen by the seed, and check it.
 
@@ -72,18 +80,24 @@
         faults: the faults to choose from.
         count: how many are chosen.
         seconds: time in which faults begin.
+        acknowledge: the group's rule; with `PRIMARY` acknowledged writes may be
+            lost, but no session may miss one without being told.
     """
     loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(_run(seed, faults, count, seconds))
+        return loop.run_until_complete(_run(seed, faults, count, seconds, acknowledge))
     finally:
         asyncio.set_event_loop(None)
         loop.close()
 
 
 async def _run(
-    seed: int, faults: tuple[Fault, ...], count: int, seconds: float
+    seed: int,
+    faults: tuple[Fault, ...],
+    count: int,
+    seconds: float,
+    acknowledge: Acknowledge,
 ) -> RunReport:
     chance = random.Random(seed)
     deployment = CRANNOG if seed % 2 == 0 else MALABAR
@@ -93,6 +107,7 @@
         seed=seed,
         vm_count=chance.choice((3, 6, 9)),
         lag=chance.choice((0.0, 0.02, 0.2)),
+        rules=RoutingRules(acknowledge=acknowledge),
         service=lambda random_: 0.001 + random_.expovariate(500),
     )
     await fleet.start()
@@ -109,7 +124,7 @@
     await _try_writes(fleet, report)
     await fleet.stop()
     _count(fleet, report)
-    report.violations = fleet.check()
+    report.violations = fleet.check(kept=acknowledge is Acknowledge.REPLICA)
     return report
 
 
