--- a/src/siskinhold/adapters/_metrics.py
+++ b/src/siskinhold/adapters/_metrics.py
@@ -63,7 +63,7 @@
     "queue_seconds": _time("Time that a request waited in the queue."),
     "service_seconds": _time("Time of a statement at the backend server."),
     "confirmation_seconds": _time("Time until a write's term was confirmed."),
-    "promotion_seconds": _time("Time from the loss of a primary to the next."),
+    "promotion_seconds": _time("Time from the start of a promotion to its end."),
     "status_queries_total": _count("Status queries to backend servers."),
     "backend_connections_opened_total": _count("Connections opened to servers."),
 }
