--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from siskinhold.adapters._metrics import METRICS, MetricKind
+from siskinhold.model import NotRunReason, UnknownReason, VmState
 
 ROOT = Path(__file__).parent.parent
 DOCS = ROOT / "docs"
@@ -41,6 +42,30 @@
         assert {name for name, _, _ in self.read_gauges()} == served
 
 
+class TestFaultsPage:
+    def read_table(self):
+        text = (DOCS / "operators/faults.md").read_text("utf-8")
+        rows = text.partition("\n| fault |")[2].splitlines()[2:]
+        return [row.split("|") for row in rows if row.startswith("| ")]
+
+    def test_names_events_and_metrics_of_the_code(self):
+        """Guards against an operator who looks for a name that never appears."""
+        core = (ROOT / "src/siskinhold/core").glob("*.py")
+        code = "".join(path.read_text("utf-8") for path in core)
+        known = set(re.findall(r'"([a-z_]+)"', code)) | set(METRICS)
+        known |= {f"vm_{state.value}" for state in VmState} | {"vms"}
+        named = set()
+        for row in self.read_table():
+            named |= set(re.findall(r"`(\w+)", row[3]))
+        assert named and named - known == set()
+
+    def test_lists_every_reason(self):
+        """Guards against a reason that a caller reads and the page lacks."""
+        text = (DOCS / "operators/faults.md").read_text("utf-8")
+        reasons = [*NotRunReason, *UnknownReason]
+        assert [r.value for r in reasons if f"`{r.value}`" not in text] == []
+
+
 class TestLinks:
     def test_lead_to_files(self):
         """Guards against a link to a page that was moved or never written."""
