Replace a primary that its replicas miss, and pass over one that leaves

Cause: a primary that was cut off from its replicas only answered its control connection, so no evidence of loss arose and every write ended as unknown for as long as the cut lasted. Let leave, it was promoted again every 2 s because it held the most entries. Ruled out: the confirmation, which was right to refuse the writes. Also: several fleet keys are accepted from peers, so that a key can be replaced VM by VM; a read that waits for a floor is refused at its deadline with the reason no_primary.

--- a/scripts/measure_membership.py
+++ b/scripts/measure_membership.py
@@ -148,8 +148,12 @@
 async def measure_messages(label: str, key: bytes, count: int = 20_000) -> None:
     ports = find_port(), find_port()
     seen: list = []
-    sender = NngPeers(vm="a", host="127.0.0.1", port=ports[0], fleet_key=key)
-    receiver = NngPeers(vm="b", host="127.0.0.1", port=ports[1], fleet_key=key)
+    sender = NngPeers(
+        vm="a", host="127.0.0.1", port=ports[0], fleet_keys=(key,) if key else ()
+    )
+    receiver = NngPeers(
+        vm="b", host="127.0.0.1", port=ports[1], fleet_keys=(key,) if key else ()
+    )
     await sender.start(seen.append)
     await receiver.start(seen.append)
     sender.learn("b", "127.0.0.1", ports[1])
@@ -165,7 +169,7 @@
             await asyncio.sleep(0)
     spent = time.perf_counter() - start
     cpu = time.process_time() - start_cpu
-    size = len(EnvelopeCodec(fleet_key=key).encode(envelope))
+    size = len(EnvelopeCodec(fleet_keys=(key,) if key else ()).encode(envelope))
     print(
         f"messages loop={label} key={bool(key)} bytes={size}",
         f"per_s={count / spent:.0f} us={spent / count * 1e6:.1f}",
--- a/src/siskinhold/adapters/_peers.py
+++ b/src/siskinhold/adapters/_peers.py
@@ -67,15 +67,16 @@
 
 
 class EnvelopeCodec:
-    """Encodes envelopes and frames of them, with a tag if the fleet has a key.
+    """Encodes envelopes and frames of them, with a tag if the fleet has keys.
 
-    The tag turns away processes without the key. It hides nothing and does not
-    detect that a frame is repeated.
+    The first key makes the tag and all are accepted, so that a key can be
+    replaced VM by VM. The tag turns away processes without a key. It hides
+    nothing and does not detect that a frame is repeated.
     """
 
-    def __init__(self, *, fleet_key: bytes = b"") -> None:
-        """Keep the key; an empty one stands for no tag."""
-        self._key = hashlib.blake2b(fleet_key).digest() if fleet_key else b""
+    def __init__(self, *, fleet_keys: tuple[bytes, ...] = ()) -> None:
+        """Keep the keys; none stands for no tag."""
+        self._keys = tuple(hashlib.blake2b(key).digest() for key in fleet_keys)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(list[Envelope])
 
@@ -86,24 +87,31 @@
     def join(self, parts: list[bytes]) -> bytes:
         """Return the frame of encoded envelopes."""
         body = self._encoder.encode([msgspec.Raw(part) for part in parts])
-        return self._tag(body) + body if self._key else body
+        return _tag(self._keys[0], body) + body if self._keys else body
 
     def decode(self, data: bytes) -> Result[list[Envelope], str]:
         """Return a frame's envelopes, or the reason for which it is dropped."""
         if len(data) > MESSAGE_LIMIT:
             return Err("too_large")
         body = data
-        if self._key:
+        if self._keys:
             body = data[TAG_BYTES:]
-            if not hmac.compare_digest(data[:TAG_BYTES], self._tag(body)):
+            if not self._is_genuine(data[:TAG_BYTES], body):
                 return Err("bad_tag")
         try:
             return Ok(self._decoder.decode(body))
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return Err("garbage")
 
-    def _tag(self, body: bytes) -> bytes:
-        return hashlib.blake2b(body, key=self._key, digest_size=TAG_BYTES).digest()
+    def _is_genuine(self, tag: bytes, body: bytes) -> bool:
+        for key in self._keys:
+            if hmac.compare_digest(tag, _tag(key, body)):
+                return True
+        return False
+
+
+def _tag(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, key=key, digest_size=TAG_BYTES).digest()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -128,19 +136,21 @@
     The connection to that VM may have gone silent, so it is replaced.
     """
 
-    def __init__(self, *, vm: str, host: str, port: int, fleet_key: bytes = b""):
+    def __init__(
+        self, *, vm: str, host: str, port: int, fleet_keys: tuple[bytes, ...] = ()
+    ):
         """Prepare to listen.
 
         Args:
             vm: the name of this VM.
             host: IP address to listen on.
             port: TCP port to listen on.
-            fleet_key: secret of the fleet; empty for none.
+            fleet_keys: secrets of the fleet, the one to send with first.
         """
         self.counters: Counter[str] = Counter()
         self._vm = vm
         self._url = _build_url(host, port)
-        self._codec = EnvelopeCodec(fleet_key=fleet_key)
+        self._codec = EnvelopeCodec(fleet_keys=fleet_keys)
         self._links: dict[str, _Link] = {}
         self._pull: pynng.Pull0 | None = None
         self._emit: Emit | None = None
--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -14,7 +14,13 @@
 from ._health import StatusQuery, find_record, is_reachable, majority, request_status
 from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
-from ._promotion import Promote, begin_attempt, record_first_term
+from ._promotion import (
+    PRIMARY_CUT_OFF,
+    PRIMARY_LEAVING,
+    Promote,
+    begin_attempt,
+    record_first_term,
+)
 from ._state import Effects, NodeState
 from ._timers import TimerAction
 
@@ -27,6 +33,9 @@
 PARTIAL_LOSS_FAILURES = 8
 """Failed queries needed besides, so that a VM that was paused does not take
 its own pause for a loss."""
+CUT_OFF_TIME = 1.0
+"""Seconds for which a majority of replicas must miss a primary that answers,
+so that a replica that reconnects after a change of primary is not taken for it."""
 UNFINISHED_TIME = 1.0
 """Seconds given to another VM to finish the promotion it began."""
 SWITCHOVER_PATIENCE = 2.0
@@ -102,6 +111,8 @@
         return "primary_removed"
     if is_lost(node, database, primary):
         return f"primary_{primary.failure.value}"
+    if _is_cut_off(node, database, primary, watch):
+        return PRIMARY_CUT_OFF
     return _consider_switchover(node, database, primary, watch, out)
 
 
@@ -129,6 +140,28 @@
     return witnesses > 0
 
 
+def _is_cut_off(
+    node: NodeState, database: Database, primary: ServerHealth, watch: Watch
+) -> bool:
+    """Return whether the primary answers, but has not reached its replicas lately.
+
+    Its writes can't be confirmed then. The replicas that say so must be a
+    majority by themselves, because one of them is to lead.
+    """
+    silent = 0
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is None or health is primary or not is_reachable(node, health):
+            continue
+        if health.status.source_silence_ms >= SOURCE_SILENCE_MS:
+            silent += 1
+    if silent < majority(database) or not is_reachable(node, primary):
+        watch.cut_off_since = None
+        return False
+    watch.cut_off_since = watch.cut_off_since or node.now
+    return node.now - watch.cut_off_since >= CUT_OFF_TIME
+
+
 def _consider_switchover(
     node: NodeState,
     database: Database,
@@ -151,7 +184,7 @@
     waited = node.now - watch.switchover_since
     ready = not _has_running_writes(node, database) and _caught_up(node, database)
     if ready or waited >= SWITCHOVER_PATIENCE:
-        return "primary_leaving"
+        return PRIMARY_LEAVING
     request_status(node, primary.server.name, out)
     return ""
 
--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -49,6 +49,8 @@
         attempt: the promotion under way.
         not_before: no new attempt before this time.
         ahead_since: since when a server has shown a term above the record.
+        cut_off_since: since when a majority of replicas has missed a primary
+            that answers.
         switchover_since: since when a planned switchover has been wanted.
         orders: when each server was last sent an order.
         promoted_term: the last term whose primary took the lead by order of
@@ -59,6 +61,7 @@
     attempt: Attempt | None = None
     not_before: float = 0.0
     ahead_since: float | None = None
+    cut_off_since: float | None = None
     switchover_since: float | None = None
     orders: dict[str, float] = field(default_factory=dict)
 
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -26,7 +26,7 @@
 from ..statements import shape
 from . import _connections as connections
 from ._admission import admits
-from ._health import find_primary, find_record, is_fit
+from ._health import find_primary, find_record, is_fit, is_reachable
 from ._health_state import ServerHealth
 from ._placement import accepts, find_replica, list_servers, order_servers
 from ._pool_state import Pool, Transaction
@@ -399,5 +399,6 @@
 
 
 def primary_is_known(node: NodeState, database: str) -> bool:
-    """Return whether a database has a primary that is known to lead."""
-    return find_primary(node, database) is not None
+    """Return whether a database has a primary that leads and answers."""
+    health = find_primary(node, database)
+    return health is not None and is_reachable(node, health)
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -126,7 +126,7 @@
     rules = found[0].rules if found is not None else RoutingRules()
     entry = _make_entry(node, session, identity, event, rules)
     node.sessions.requests[identity] = entry
-    node.timers.schedule(entry.deadline + ANSWER_GRACE, EntryDeadline(identity))
+    node.timers.schedule(entry.deadline, EntryDeadline(identity))
     _send_or_seek_floor(node, session, entry, out)
 
 
@@ -282,20 +282,31 @@
     routes.send_elsewhere(node, entry, message.reason, out)
 
 
+def _explain_wait(node: NodeState, entry: EntryRequest) -> NotRunReason:
+    """Return why a statement was not sent: its floor or its owner was missing."""
+    if routes.find_database_owner(node, entry.request.database) is None:
+        return NotRunReason.NO_OWNER
+    return NotRunReason.NO_PRIMARY
+
+
 def _pass_deadline(node: NodeState, action: EntryDeadline, out: Effects) -> None:
     entry = node.sessions.requests.get(action.request)
     if entry is None:
         return
+    if entry.owner and node.now < entry.deadline + ANSWER_GRACE:
+        later = entry.deadline + ANSWER_GRACE
+        node.timers.schedule(later, action)
+        return
     if entry.owner:
         outcome: Outcome = Unknown(reason=UnknownReason.DEADLINE)
         message = Abandon(request=entry.request.id)
         out.append(SendPeer(vm=entry.owner, message=message))
     else:
-        outcome = NotRun(reason=NotRunReason.NO_OWNER)
+        outcome = NotRun(reason=_explain_wait(node, entry))
     record(
         out,
         "request_deadline_passed",
-        cause="no answer from owner" if entry.owner else "no owner",
+        cause="no answer from owner" if entry.owner else outcome.reason.value,
         database=entry.request.database,
         request=entry.request.id,
         session=entry.session,
--- a/src/siskinhold/programs/_proxy_service.py
+++ b/src/siskinhold/programs/_proxy_service.py
@@ -214,7 +214,7 @@
         vm=settings.vm.name,
         host=settings.vm.host,
         port=settings.peers.port,
-        fleet_key=settings.fleet.key[0],
+        fleet_keys=tuple(settings.fleet.key),
     )
 
 
--- a/src/siskinhold_trial/capacity/_sockets.py
+++ b/src/siskinhold_trial/capacity/_sockets.py
@@ -123,8 +123,8 @@
 async def _measure_peers(messages, links) -> list[Series]:
     ports = [_find_port(), _find_port()]
     received = [0]
-    one = NngPeers(vm="a", host="127.0.0.1", port=ports[0], fleet_key=b"k" * 32)
-    other = NngPeers(vm="b", host="127.0.0.1", port=ports[1], fleet_key=b"k" * 32)
+    one = NngPeers(vm="a", host="127.0.0.1", port=ports[0], fleet_keys=(b"k" * 32,))
+    other = NngPeers(vm="b", host="127.0.0.1", port=ports[1], fleet_keys=(b"k" * 32,))
     envelope = wrap("a", Heartbeat(views=tuple(make_view(n) for n in range(4))))
 
     def count_one(event: object) -> None:
--- a/src/siskinhold_trial/proof/_faults.py
+++ b/src/siskinhold_trial/proof/_faults.py
@@ -133,6 +133,18 @@
         vm.life.cut_off.append((began, fleet.world.now()))
 
 
+async def isolate_primary_from_replicas(fleet: Fleet, chance: random.Random) -> None:
+    """Cut a primary off from its replicas only; VMs still reach it."""
+    database = fleet.databases[_pick_database(fleet, chance)]
+    name = database.find_primary().place.name
+    others = [other for other in database.servers if other != name]
+    for other in others:
+        fleet.world.cut(name, other)
+    await asyncio.sleep(chance.choice((0.8, 6.0)))
+    for other in others:
+        fleet.world.mend(name, other)
+
+
 async def cut_region_link(fleet: Fleet, chance: random.Random) -> None:
     """Cut the link between the two regions."""
     regions = sorted({region for region, _ in fleet.deployment.zones})
@@ -280,6 +292,7 @@
     Fault(name="kill_owner_in_promotion", run=kill_owner_in_promotion),
     Fault(name="isolate_primary", run=isolate_primary),
     Fault(name="isolate_primary_with_owner", run=isolate_primary_with_owner),
+    Fault(name="isolate_primary_from_replicas", run=isolate_primary_from_replicas),
     Fault(name="cut_region_link", run=cut_region_link),
     Fault(name="freeze_vm", run=freeze_vm),
     Fault(name="stop_store", run=stop_store),
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,152 @@
+"""Failover and switchover of a whole fleet on simulated time."""
+
+import asyncio
+
+import looptime
+import pytest
+
+from siskinhold.model import (
+    Done,
+    Marks,
+    NotRun,
+    NotRunReason,
+    ServerState,
+    StatementKind,
+)
+from siskinhold_trial.fleet import CRANNOG, Fleet
+from siskinhold_trial.proof._faults import _with_state
+
+FAILOVER_BOUND = 7.0
+"""Seconds from the loss of a primary until writes succeed again."""
+
+
+def run(scenario):
+    """Run a scenario of a started fleet of three VMs; return its result."""
+
+    async def play():
+        fleet = Fleet(deployment=CRANNOG, seed=3, vm_count=3)
+        await fleet.start()
+        await asyncio.sleep(1.0)
+        result = await scenario(fleet)
+        await fleet.stop()
+        return result
+
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
+    try:
+        return loop.run_until_complete(play())
+    finally:
+        loop.close()
+
+
+async def write(fleet, deadline_ms=20_000):
+    caller = fleet.vms["vm0"].callers.connect(database="bookings")
+    sql = "UPDATE kv SET v='x' WHERE k='a'"
+    reply = await caller.run(StatementKind.WRITE, sql, Marks(deadline_ms=deadline_ms))
+    return reply.outcome
+
+
+async def time_next_write(fleet):
+    """Return the seconds until a write is done; each try is given 0.5 s."""
+    began = fleet.world.now()
+    while not isinstance(await write(fleet, 500), Done):
+        continue
+    return fleet.world.now() - began
+
+
+class TestLoss:
+    @pytest.mark.parametrize("fault", ["kill", "freeze", "isolate", "cut_off"])
+    def test_writes_succeed_again(self, fault):
+        """Guards against a loss that nothing takes for one: refused, silent,
+        isolated, or cut off from its replicas while VMs still reach it."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            server = database.find_primary()
+            if fault == "kill":
+                server.kill()
+            elif fault == "freeze":
+                server.freeze()
+            else:
+                vms = None if fault == "isolate" else ()
+                database.isolate(server.place.name, vms=vms)
+            gap = await time_next_write(fleet)
+            return gap, database.find_primary() is server
+
+        gap, same = run(scenario)
+        assert gap < FAILOVER_BOUND
+        assert not same
+
+    def test_no_promotion_without_the_store(self):
+        """Guards against a promotion that is guessed at during an outage."""
+
+        async def scenario(fleet):
+            fleet.store.down = True
+            fleet.databases["bookings"].find_primary().kill()
+            outcome = await write(fleet, 5_000)
+            promotions = len(fleet.databases["bookings"].promotions)
+            fleet.store.restore()
+            return outcome, promotions, await time_next_write(fleet)
+
+        outcome, promotions, gap = run(scenario)
+        assert outcome == NotRun(reason=NotRunReason.NO_PRIMARY)
+        assert promotions == 1
+        assert gap < FAILOVER_BOUND
+
+    def test_slow_store_and_busy_primary(self):
+        """Guards against a false promotion without any loss."""
+
+        async def scenario(fleet):
+            fleet.store.latency = 2.0
+            sql = "SELECT v FROM kv WHERE k='a' /* cost_ms=4000 */"
+            callers = []
+            for number in range(30):
+                vm = fleet.vms[f"vm{number % 3}"]
+                caller = vm.callers.connect(database="bookings")
+                callers.append(asyncio.create_task(caller.run(StatementKind.READ, sql)))
+            await asyncio.sleep(6.0)
+            for task in callers:
+                task.cancel()
+            return len(fleet.databases["bookings"].promotions)
+
+        assert run(scenario) == 1
+
+
+class TestSwitchover:
+    @pytest.mark.parametrize("cut_off", [False, True])
+    def test_leaving_primary_hands_over(self, cut_off):
+        """Guards against a leaving primary that is promoted again because it
+        holds writes which its replicas lack."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            server = database.find_primary()
+            if cut_off:
+                database.isolate(server.place.name, vms=())
+                await write(fleet, 300)
+            name = server.place.name
+            fleet.accept_ticket(_with_state(fleet, name, ServerState.LEAVING))
+            await asyncio.sleep(6.0)
+            return database.find_primary().place.name != name, await write(fleet)
+
+        moved, outcome = run(scenario)
+        assert moved
+        assert isinstance(outcome, Done)
+
+
+class TestReadsWithoutPrimary:
+    def test_floor_wait_names_the_primary(self):
+        """A read that waits for a floor is refused at its deadline and told why."""
+
+        async def scenario(fleet):
+            fleet.store.down = True
+            fleet.databases["bookings"].find_primary().kill()
+            await asyncio.sleep(1.0)
+            caller = fleet.vms["vm0"].callers.connect(database="bookings")
+            began = fleet.world.now()
+            sql = "SELECT v FROM kv WHERE k='a'"
+            reply = await caller.run(StatementKind.READ, sql, Marks(deadline_ms=1_000))
+            return reply.outcome, fleet.world.now() - began
+
+        outcome, seconds = run(scenario)
+        assert outcome == NotRun(reason=NotRunReason.NO_PRIMARY)
+        assert seconds < 1.05
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -29,9 +29,11 @@
     )
 
 
-async def open_peers(vm, port, key=b"", learn=()):
+async def open_peers(vm, port, key=b"", learn=(), more=()):
     events = []
-    peers = NngPeers(vm=vm, host="127.0.0.1", port=port, fleet_key=key)
+    peers = NngPeers(
+        vm=vm, host="127.0.0.1", port=port, fleet_keys=((key, *more) if key else ())
+    )
     await peers.start(events.append)
     for name, other in learn:
         peers.learn(name, "127.0.0.1", other)
@@ -142,6 +144,17 @@
             await open_peers("b", port)
         await a.stop()
 
+    async def test_key_is_replaced_vm_by_vm(self):
+        """A VM that knows the old and the new key hears VMs that send with either;
+        guards against a fleet that parts while its key is replaced."""
+        port = find_port()
+        b, events = await open_peers("b", port, key=b"new", more=(b"old",))
+        a, _ = await open_peers("a", find_port(), key=b"old", learn=[("b", port)])
+        a.send("b", build(1))
+        await wait_for(lambda: events)
+        await a.stop()
+        await b.stop()
+
     async def test_probe_renews_connection(self, monkeypatch):
         """A probe of this VM replaces the connection to the asker; guards
         against a connection that stays silent for ever."""
