--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -36,7 +36,12 @@
     with multiprocessing.get_context("spawn").Pool(WORKERS) as pool:
         for found in pool.imap(run_task, tasks, chunksize=1):
             measures.extend(found)
+            save(measures)
     print(format_table(measures))
+
+
+def save(measures: list[Measure]) -> None:
+    """Write what has been measured so far."""
     OUTPUT.parent.mkdir(exist_ok=True)
     items = [dataclasses.asdict(measure) for measure in measures]
     OUTPUT.write_bytes(msgspec.json.format(msgspec.json.encode(items)))
