--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -53,7 +53,7 @@
             that answers.
         switchover_since: since when a planned switchover has been wanted.
         orders: when each server was last sent an order.
-        promoted_term: the last term whose primary took the lead by order of
+        promoted_term: the last term whose primary became primary by order of
             this VM.
     """
 
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -84,7 +84,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Promote:
-    """Purpose of a control call: the attempt's new primary takes the lead."""
+    """Purpose of a control call: the attempt's new primary becomes the primary."""
 
     database: str
     server: str
