--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -221,6 +221,8 @@
         sessions: state of `_sessions`.
         failover: state of `_failover` and `_promotion`.
         settled: versions of membership and config last reconciled with.
+        settle_after: earliest time of a reconciliation with the view alone.
+        settle_due: whether a timer for it is set.
         shutting_down: whether a graceful shutdown is under way.
         shutdown_began: when it began.
     """
@@ -243,6 +245,8 @@
     sessions: SessionsState = field(default_factory=SessionsState)
     failover: FailoverState = field(default_factory=FailoverState)
     settled: tuple[int, int] = (0, 0)
+    settle_after: float = 0.0
+    settle_due: bool = False
     shutting_down: bool = False
     shutdown_began: float = 0.0
 
--- a/src/siskinhold/core/_subjects.py
+++ b/src/siskinhold/core/_subjects.py
@@ -4,6 +4,8 @@
 evidence first, then what is decided from it.
 """
 
+from dataclasses import dataclass
+
 from . import (
     _answers,
     _confirmation,
@@ -20,6 +22,7 @@
 )
 from ._owners import drain_all, reconcile
 from ._state import Effects, NodeState
+from ._timers import TimerAction
 
 _SUBJECTS = (
     _membership,
@@ -37,6 +40,16 @@
 )
 
 
+SETTLE_INTERVAL = 0.1
+"""Seconds between two reconciliations with the view alone. Each looks at all
+databases, and the loss of a zone changes the view hundreds of times."""
+
+
+@dataclass(slots=True, frozen=True)
+class SettleDue(TimerAction):
+    """View changes wait to be reconciled with."""
+
+
 def _join(table: str) -> dict:
     joined: dict = {}
     for subject in _SUBJECTS:
@@ -57,6 +70,21 @@
     seen = (node.membership.version, node.config.version)
     if seen == node.settled:
         return
+    if seen[1] == node.settled[1] and node.now < node.settle_after:
+        if not node.settle_due:
+            node.settle_due = True
+            node.timers.schedule(node.settle_after, SettleDue())
+        return
     node.settled = seen
+    node.settle_after = node.now + SETTLE_INTERVAL
     reconcile(node, out)
     drain_all(node, out)
+
+
+def _allow_settling(node: NodeState, action: SettleDue, out: Effects) -> None:
+    """Let `settle` run for the view changes of the last interval."""
+    node.settle_due = False
+    node.settle_after = node.now
+
+
+TIMERS[SettleDue] = [_allow_settling]
--- a/src/siskinhold_trial/capacity/_members.py
+++ b/src/siskinhold_trial/capacity/_members.py
@@ -87,6 +87,12 @@
     ]
 
 
+APART = 1.0
+"""Seconds between events that are measured singly."""
+ZONE_LOSS_TIME = 4.0
+"""Seconds in which a VM hears of the loss of a zone, as in fleets of 100 VMs."""
+
+
 def measure_ownership(counts: tuple[int, ...] = DATABASE_COUNTS) -> list[Series]:
     """Measure reconciliation in fleets of the design sizes' ratio.
 
@@ -181,16 +187,30 @@
     add_peers(node, vms)
     first = measure_seconds(lambda: add_databases(node, count)) * 1e3
     ticket = measure_seconds(lambda: _apply_one(node, 2)) * 1e3
+    node.now += APART
     gone = measure_seconds(lambda: _lose(node, [vms - 1])) * 1e3
+    node.now += APART
     joined = measure_seconds(lambda: _join(node, vms)) * 1e3
+    node.now += APART
     lost = range(3, vms - 1, 4)
     quarter = measure_seconds(lambda: _lose(node, list(lost))) * 1e3
     parts = [list(range(n, min(n + 12, vms - 1), 4)) for n in range(2, vms - 1, 12)]
-    spread = measure_seconds(lambda: [_lose(node, part) for part in parts]) * 1e3
+    node.now += APART
+    pause = ZONE_LOSS_TIME / max(1, len(parts))
+    spread = measure_seconds(lambda: _lose_spread(node, parts, pause)) * 1e3
     cached = measure_seconds(lambda: _list_owners(node, count)) / (2 * count) * 1e6
     return first, ticket, gone, joined, quarter, spread, cached
 
 
+def _lose_spread(node: NodeState, parts: list[list[int]], pause: float) -> None:
+    """Let a node hear of losses one after the other, and reconcile at the end."""
+    for part in parts:
+        node.now += pause
+        _lose(node, part)
+    node.now += APART
+    receive(node, "vm-0001", Heartbeat(views=(make_view(1, beat=6),)))
+
+
 def _apply_one(node: NodeState, number: int) -> None:
     ticket = make_ticket(number, make_groups(3))
     receive(node, "vm-0001", TicketsPushed(tickets=(ticket,)))
