Remove the tombstone of a key, witness messages and other unused code

The core never asked for a key to be settled: a keyed write whose connection was lost runs again under its key.

--- a/src/siskinhold/adapters/_backends.py
+++ b/src/siskinhold/adapters/_backends.py
@@ -16,7 +16,6 @@
 logger = logging.getLogger(__name__)
 
 _Order = effects.FenceServer | effects.PromoteServer | effects.FollowServer
-_Work = effects.RunStatement | effects.SettleKey
 
 
 class MysqlBackends(Backends):
@@ -62,7 +61,6 @@
         self._handlers = {
             effects.OpenBackend: self._open_backend,
             effects.RunStatement: self._run_statement,
-            effects.SettleKey: self._settle_key,
             effects.CloseBackend: self._close_backend,
             effects.QueryStatus: self._query_status,
             effects.QueryActivity: self._query_activity,
@@ -137,20 +135,6 @@
             return
         self._occupy(effect.connection, work.run(effect))
 
-    def _settle_key(self, effect: effects.SettleKey) -> None:
-        work = self._idle(effect.connection)
-        if work is None:
-            self._emit(
-                events.KeySettled(
-                    at=self._loop.time(),
-                    connection=effect.connection,
-                    request=effect.request,
-                    ran=None,
-                )
-            )
-            return
-        self._occupy(effect.connection, work.settle(effect))
-
     def _idle(self, number: int) -> WorkConnection | None:
         if number in self._busy:
             logger.error("event=connection_busy connection=%d", number)
--- a/src/siskinhold/adapters/_interfaces.py
+++ b/src/siskinhold/adapters/_interfaces.py
@@ -55,7 +55,6 @@
         effect: (
             effects.OpenBackend
             | effects.RunStatement
-            | effects.SettleKey
             | effects.CloseBackend
             | effects.QueryStatus
             | effects.QueryActivity
--- a/src/siskinhold/adapters/_work_connections.py
+++ b/src/siskinhold/adapters/_work_connections.py
@@ -4,15 +4,7 @@
 import hashlib
 
 from .. import effects, events
-from ..model import (
-    ControlFailure,
-    Done,
-    Failed,
-    NotRun,
-    NotRunReason,
-    Outcome,
-    Position,
-)
+from ..model import ControlFailure, Done, Failed, Outcome, Position
 from ._interfaces import Emit
 from ._raw_connections import (
     AnswerTooLarge,
@@ -25,12 +17,8 @@
 DUPLICATE_KEY = 1062
 
 STATE_DONE = "done"
-STATE_TOMBSTONE = "tombstone"
 
 _TOO_LARGE = Failed(code=1153, sqlstate="08S01", message="The answer is too large")
-_SETTLED = NotRun(
-    reason=NotRunReason.DEADLINE, detail="the key was settled as not run before"
-)
 
 
 class WorkConnection:
@@ -82,27 +70,6 @@
             )
         )
 
-    async def settle(self, effect: effects.SettleKey) -> None:
-        """Insert a tombstone for a key; emits `KeySettled`."""
-        ran: bool | None = None
-        position: Position | None = None
-        try:
-            ran = await self._settle(effect.key)
-            position = await self._position(wanted=True)
-        except (ConnectionLost, AnswerTooLarge):
-            self._raw.abort()
-        except ServerRefusal:
-            pass
-        self._emit(
-            events.KeySettled(
-                at=self._loop.time(),
-                connection=self.number,
-                request=effect.request,
-                ran=ran,
-                position=position,
-            )
-        )
-
     def report_end(self) -> None:
         """Emit `BackendClosed` if the connection has ended."""
         if self._raw.usable:
@@ -153,9 +120,8 @@
     async def _run_transaction(self, effect: effects.RunStatement) -> Outcome:
         try:
             await self._raw.run("START TRANSACTION")
-            settled = await self._insert_key(effect)
-            if settled is not None:
-                return settled
+            if not await self._insert_key(effect):
+                return Done(repeated=True)
             done = await self._send(effect.sql)
             await self._raw.run("COMMIT")
         except ServerRefusal as refusal:
@@ -163,62 +129,43 @@
         return done
 
     async def _run_keyed_in_transaction(self, effect: effects.RunStatement) -> Outcome:
+        outcome: Outcome = Done(repeated=True)
         try:
-            settled = await self._insert_key(effect)
+            if await self._insert_key(effect):
+                return await self._run_plain(effect.sql)
         except ServerRefusal as refusal:
-            settled = _failed(refusal)
-        if settled is None:
-            return await self._run_plain(effect.sql)
+            outcome = _failed(refusal)
         await self._refresh_flags()
-        return settled
+        return outcome
 
-    async def _insert_key(self, effect: effects.RunStatement) -> Outcome | None:
-        """Insert the key; return an outcome if the statement must not run."""
+    async def _insert_key(self, effect: effects.RunStatement) -> bool:
+        """Insert the key; return False if its statement ran before."""
         digest = hashlib.blake2b(_encode(effect.sql), digest_size=16).hexdigest()
         try:
-            await self._raw.run(self._insertion(effect.key, digest, STATE_DONE))
+            await self._raw.run(self._insertion(effect.key, digest))
         except ServerRefusal as refusal:
             if refusal.code != DUPLICATE_KEY:
                 raise
-            state = await self._read_state(effect.key)
-            if state is None:
+            if not await self._has_key(effect.key):
                 raise refusal
-            if state == STATE_TOMBSTONE:
-                return _SETTLED
-            return Done(repeated=True)
-        return None
+            return False
+        return True
 
-    async def _settle(self, key: str) -> bool:
-        if not self._raw.usable:
-            raise ConnectionLost(ControlFailure.CLOSED)
-        try:
-            await self._raw.run(self._insertion(key, "", STATE_TOMBSTONE))
-        except ServerRefusal as refusal:
-            if refusal.code != DUPLICATE_KEY:
-                raise
-            state = await self._read_state(key)
-            if state is None:
-                raise refusal
-            return state != STATE_TOMBSTONE
-        return False
-
-    def _insertion(self, key: str, digest: str, state: str) -> str:
+    def _insertion(self, key: str, digest: str) -> str:
         key = self._raw.escape_string(key)
         return (
             "INSERT INTO siskinhold_request (request_key, digest, state, created_at)"
-            f" VALUES ('{key}', '{digest}', '{state}', NOW())"
+            f" VALUES ('{key}', '{digest}', '{STATE_DONE}', NOW())"
         )
 
-    async def _read_state(self, key: str) -> str | None:
+    async def _has_key(self, key: str) -> bool:
         # A plain read in a transaction may see a snapshot from before the row.
         key = self._raw.escape_string(key)
         done = await self._raw.run(
             "SELECT state FROM siskinhold_request"
             f" WHERE request_key = '{key}' FOR UPDATE"
         )
-        if not done.rows:
-            return None
-        return (done.rows[0][0] or b"").decode("utf-8", "replace")
+        return bool(done.rows)
 
     async def _send(self, sql: str) -> Done:
         if not self._raw.usable:
--- a/src/siskinhold/core/_connections.py
+++ b/src/siskinhold/core/_connections.py
@@ -96,13 +96,6 @@
     _make_idle(node, connection)
 
 
-def unpin(node: NodeState, connection: Connection) -> None:
-    """Give a connection whose transaction ended back to the pool."""
-    connection.transaction = None
-    if connection.state is ConnectionState.PINNED:
-        _make_idle(node, connection)
-
-
 def take_idle(node: NodeState, server: str) -> Connection | None:
     """Return an idle connection, the most recently used one, without removing it."""
     known = node.connections.servers.get(server)
--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -16,7 +16,6 @@
 from ._owners import drain_all, is_database_owner
 from ._promotion import Promote, begin_attempt, record_first_term
 from ._state import Effects, NodeState
-from ._timers import TimerAction
 
 SOURCE_SILENCE_MS = 500
 """Milliseconds without word from the primary after which a replica confirms
@@ -43,13 +42,6 @@
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class SwitchoverCheck(TimerAction):
-    """A planned switchover may have become possible."""
-
-    database: str
-
-
 def evaluate(node: NodeState, database: Database, out: Effects) -> None:
     """Compare a database's servers with its record and act on a difference."""
     watch = node.failover.databases.setdefault(database.name, Watch())
@@ -116,7 +108,7 @@
     lasting = node.now - primary.failing_since >= PARTIAL_LOSS_TIME
     if lasting and primary.failures >= PARTIAL_LOSS_FAILURES:
         return True
-    witnesses = 0
+    confirmations = 0
     for server in database.servers:
         health = node.health.servers.get(server.name)
         if health is None or health is primary or not is_reachable(node, health):
@@ -125,8 +117,8 @@
             return False
         if health.status.source_silence_ms < SOURCE_SILENCE_MS:
             return False
-        witnesses += 1
-    return witnesses > 0
+        confirmations += 1
+    return confirmations > 0
 
 
 def _consider_switchover(
@@ -201,13 +193,6 @@
             pool.held = held
 
 
-def release_hold(node: NodeState, database: str) -> None:
-    """Let writes go on after an attempt ended."""
-    for pool in node.pools.pools.values():
-        if pool.database == database:
-            pool.held = False
-
-
 def _can_promote(node: NodeState, database: Database) -> bool:
     """Return whether a majority of the instances answers this VM."""
     count = 0
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -333,7 +333,7 @@
 
 
 def requeue(node: NodeState, work: Work, out: Effects, *, cause: str) -> bool:
-    """Put a work that has had no effect back into its queue.
+    """Put a work that may safely run again back into its queue.
 
     Returns:
         False if it has used up its attempts or its time, or this VM its retry
--- a/src/siskinhold/effects/_effects.py
+++ b/src/siskinhold/effects/_effects.py
@@ -77,19 +77,6 @@
     want_position: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class SettleKey:
-    """Find out whether a keyed request committed, and make that final.
-
-    Inserts the key as a tombstone on an idle connection; answered by
-    `KeySettled`.
-    """
-
-    connection: int
-    request: RequestId
-    key: str
-
-
 @dataclass(slots=True, kw_only=True)
 class CloseBackend:
     """Close a backend connection, whatever is on it. No event follows."""
@@ -249,7 +236,6 @@
     | SendPeer
     | OpenBackend
     | RunStatement
-    | SettleKey
     | CloseBackend
     | QueryStatus
     | QueryActivity
--- a/src/siskinhold/events/_events.py
+++ b/src/siskinhold/events/_events.py
@@ -138,22 +138,6 @@
     in_transaction: bool = False
 
 
-@dataclass(slots=True, kw_only=True)
-class KeySettled:
-    """The tombstone for an idempotency key was tried.
-
-    Args:
-        ran: True if the key was there before, False if the tombstone took its
-            place, None if neither could be learnt.
-    """
-
-    at: float
-    connection: int
-    request: RequestId
-    ran: bool | None
-    position: Position | None = None
-
-
 @dataclass(slots=True, kw_only=True)
 class StatusReported:
     """A control connection answered a status query, or failed to.
@@ -268,7 +252,6 @@
     | BackendClosed
     | BackendLost
     | BackendAnswered
-    | KeySettled
     | StatusReported
     | ActivityReported
     | ControlAnswered
--- a/src/siskinhold/messages/__init__.py
+++ b/src/siskinhold/messages/__init__.py
@@ -17,8 +17,6 @@
     TicketsPushed,
     TicketsWanted,
     VmsPushed,
-    WitnessAnswer,
-    WitnessRequest,
 )
 
 __all__ = [
@@ -38,6 +36,4 @@
     "TicketsPushed",
     "TicketsWanted",
     "VmsPushed",
-    "WitnessAnswer",
-    "WitnessRequest",
 ]
--- a/src/siskinhold/messages/_messages.py
+++ b/src/siskinhold/messages/_messages.py
@@ -110,23 +110,6 @@
     heard_ms: int
 
 
-class WitnessRequest(Struct, frozen=True, kw_only=True, tag="witness_request"):
-    """Asks another VM to try a backend server over a fresh control connection."""
-
-    database: str
-    server: str
-    sequence: int
-
-
-class WitnessAnswer(Struct, frozen=True, kw_only=True, tag="witness_answer"):
-    """Answers a witness request."""
-
-    database: str
-    server: str
-    sequence: int
-    reachable: bool
-
-
 class TicketsWanted(Struct, frozen=True, kw_only=True, tag="tickets_wanted"):
     """Asks for tickets from a number on."""
 
@@ -166,8 +149,6 @@
     | Heartbeat
     | Probe
     | ProbeAnswer
-    | WitnessRequest
-    | WitnessAnswer
     | TicketsWanted
     | TicketsPushed
     | TermsWanted
--- a/src/siskinhold/runtime/_driver.py
+++ b/src/siskinhold/runtime/_driver.py
@@ -77,7 +77,6 @@
         for kind in (
             effects.OpenBackend,
             effects.RunStatement,
-            effects.SettleKey,
             effects.CloseBackend,
             effects.QueryStatus,
             effects.QueryActivity,
--- a/src/siskinhold/settings/_keys.py
+++ b/src/siskinhold/settings/_keys.py
@@ -39,7 +39,6 @@
         low: smallest integer accepted.
         high: largest integer accepted.
         choices: the accepted words.
-        secret: whether the value must not be shown.
     """
 
     section: str
@@ -51,7 +50,6 @@
     low: int = 0
     high: int = 0
     choices: tuple[str, ...] = ()
-    secret: bool = False
 
     @property
     def allowed(self) -> str:
@@ -199,7 +197,6 @@
         name="password",
         kind=Kind.TEXT,
         default="",
-        secret=True,
         description="Its password.",
     ),
     Key(
@@ -232,7 +229,6 @@
         section="fleet",
         name="key",
         kind=Kind.HEX_KEYS,
-        secret=True,
         description=(
             "Keys of session tokens, the same on all VMs. The first one signs, "
             "all are accepted."
