Split the promotion module and join two repeated functions

The first record of a database and the decisions about an attempt have modules of their own; holding back the works of a database and counting the bytes between regions stand once.

--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -10,11 +10,13 @@
 from ..effects import FollowServer, PromoteServer
 from ..events import ControlAnswered, StatusReported
 from ..model import Database, Role, ServerState, StatementKind, TermRecord, TermStart
+from ._attempts import hold_writes
 from ._failover_state import Watch
+from ._first_records import record_first_term
 from ._health import StatusQuery, find_record, is_reachable, majority, request_status
 from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
-from ._promotion import Promote, begin_attempt, record_first_term
+from ._promotion import Promote, begin_attempt
 from ._state import Effects, NodeState
 
 SOURCE_SILENCE_MS = 500
@@ -132,14 +134,14 @@
     if primary.server.state is not ServerState.LEAVING:
         if watch.switchover_since is not None:
             watch.switchover_since = None
-            _hold(node, database, False)
+            hold_writes(node, database.name, False)
             drain_all(node, out)
         return ""
     if not _has_successor(node, database):
         return ""
     if watch.switchover_since is None:
         watch.switchover_since = node.now
-    _hold(node, database, True)
+    hold_writes(node, database.name, True)
     waited = node.now - watch.switchover_since
     ready = not _has_running_writes(node, database) and _caught_up(node, database)
     if ready or waited >= SWITCHOVER_PATIENCE:
@@ -187,12 +189,6 @@
     return False
 
 
-def _hold(node: NodeState, database: Database, held: bool) -> None:
-    for pool in node.pools.pools.values():
-        if pool.database == database.name:
-            pool.held = held
-
-
 def _can_promote(node: NodeState, database: Database) -> bool:
     """Return whether a majority of the instances answers this VM."""
     count = 0
--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -65,6 +65,6 @@
 
 @dataclass(slots=True, kw_only=True)
 class FailoverState:
-    """State of `_failover` and `_promotion`: watches by database."""
+    """State of `_failover`, `_attempts` and `_promotion`: watches by database."""
 
     databases: dict[str, Watch] = field(default_factory=dict)
--- /dev/null
+++ b/src/siskinhold/core/_first_records.py
@@ -0,0 +1,86 @@
+"""The first term record of a database: it names the primary that leads already.
+
+Several VMs may try to write it; the store keeps the first one, and the others
+read it back.
+"""
+
+from dataclasses import dataclass
+
+from ..effects import CallStore
+from ..events import StoreAnswered
+from ..model import Database, TermRecord, TermStart
+from ..store import (
+    ReadObject,
+    StoreFailure,
+    WriteObject,
+    decode_term,
+    encode_term,
+    term_key,
+)
+from ._spreading import push_records
+from ._state import Effects, NodeState
+from ._tickets import learn_record
+
+
+@dataclass(slots=True, frozen=True)
+class FirstRecord:
+    """Purpose of a store call: the first record of a database."""
+
+    database: str
+    written: TermRecord
+
+
+@dataclass(slots=True, frozen=True)
+class FirstRecordRead:
+    """Purpose of a store call: read the record that another VM wrote first."""
+
+    database: str
+
+
+def record_first_term(
+    node: NodeState, database: Database, start: TermStart, out: Effects
+) -> None:
+    """Write a database's first record, naming the primary it already has."""
+    written = TermRecord(database=database.name, starts=(start,))
+    call = node.open_store_call(FirstRecord(database.name, written))
+    operation = WriteObject(
+        key=term_key(database.name),
+        value=encode_term(written).unwrap(),
+        expected_version=0,
+    )
+    out.append(CallStore(call=call, operation=operation))
+
+
+def _take_first_record(
+    node: NodeState, purpose: FirstRecord, event: StoreAnswered, out: Effects
+) -> None:
+    result = event.result
+    if result.failure is None:
+        learn_record(node, purpose.written, result.objects[0].version, out)
+        push_records(node, [purpose.written], out)
+        return
+    if result.failure is StoreFailure.CONFLICT:
+        call = node.open_store_call(FirstRecordRead(purpose.database))
+        operation = ReadObject(key=term_key(purpose.database))
+        out.append(CallStore(call=call, operation=operation))
+
+
+def _take_first_read(
+    node: NodeState, purpose: FirstRecordRead, event: StoreAnswered, out: Effects
+) -> None:
+    if event.result.failure is not None or not event.result.objects:
+        return
+    stored = event.result.objects[0]
+    decoded = decode_term(stored.key, stored.value)
+    if decoded.is_ok():
+        learn_record(node, decoded.unwrap(), stored.version, out)
+
+
+EVENTS: dict = {}
+MESSAGES: dict = {}
+TIMERS: dict = {}
+STORE_ANSWERS = {
+    FirstRecord: _take_first_record,
+    FirstRecordRead: _take_first_read,
+}
+CONTROL_ANSWERS: dict = {}
--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -52,7 +52,7 @@
         database: database name.
         region: region name.
         owned: whether this VM owns it; if not it only finishes what it has.
-        held: whether writes are held back because a switchover is under way.
+        held: whether works that need the primary wait for a switchover to end.
         queue: the waiting work.
         pinned: waiting statements of open transactions.
         redirects_at: earliest time of the next search of a long queue for works
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -11,15 +11,7 @@
 
 from ..effects import CallStore, FenceServer, Observe, PromoteServer
 from ..events import ControlAnswered, StoreAnswered
-from ..model import (
-    ControlFailure,
-    Database,
-    Reservation,
-    Role,
-    ServerState,
-    TermRecord,
-    TermStart,
-)
+from ..model import ControlFailure, Database, Reservation, Role, TermRecord, TermStart
 from ..store import (
     ReadObject,
     StoreFailure,
@@ -28,8 +20,15 @@
     encode_term,
     term_key,
 )
+from ._attempts import (
+    abandon_attempt,
+    choose_candidate,
+    find_attempt,
+    hold_writes,
+    is_needed,
+)
 from ._failover_state import Attempt, Phase
-from ._health import find_record, is_reachable, majority, request_status
+from ._health import find_record, majority, request_status
 from ._spreading import push_records
 from ._state import Effects, NodeState, record
 from ._tickets import learn_record
@@ -41,8 +40,6 @@
 """Seconds before the store is asked what became of an unanswered change."""
 ATTEMPT_LIFETIME = 3.0
 """Seconds after which an unfinished attempt is given up, outside store waits."""
-RETRY_DELAY = 0.5
-"""Seconds between an attempt that failed and the next one."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,14 +58,6 @@
     run: str
 
 
-@dataclass(slots=True, frozen=True)
-class FirstRecord:
-    """Purpose of a store call: the first record of a database."""
-
-    database: str
-    written: TermRecord
-
-
 @dataclass(slots=True, frozen=True)
 class Fence:
     """Purpose of a control call: the attempt `run` fences `server`."""
@@ -140,20 +129,6 @@
     _write_record(node, attempt, out)
 
 
-def record_first_term(
-    node: NodeState, database: Database, start: TermStart, out: Effects
-) -> None:
-    """Write a database's first record, naming the primary it already has."""
-    written = TermRecord(database=database.name, starts=(start,))
-    call = node.open_store_call(FirstRecord(database.name, written))
-    operation = WriteObject(
-        key=term_key(database.name),
-        value=encode_term(written).unwrap(),
-        expected_version=0,
-    )
-    out.append(CallStore(call=call, operation=operation))
-
-
 def _write_record(node: NodeState, attempt: Attempt, out: Effects) -> None:
     name = attempt.database.name
     call = node.open_store_call(RecordWrite(name, attempt.run))
@@ -165,17 +140,10 @@
     out.append(CallStore(call=call, operation=operation))
 
 
-def _find_attempt(node: NodeState, database: str, run: str) -> Attempt | None:
-    watch = node.failover.databases.get(database)
-    if watch is None or watch.attempt is None or watch.attempt.run != run:
-        return None
-    return watch.attempt
-
-
 def _take_write(
     node: NodeState, purpose: RecordWrite, event: StoreAnswered, out: Effects
 ) -> None:
-    attempt = _find_attempt(node, purpose.database, purpose.run)
+    attempt = find_attempt(node, purpose.database, purpose.run)
     if attempt is None:
         return
     failure = event.result.failure
@@ -189,7 +157,7 @@
 
 
 def _read_back(node: NodeState, action: ReadBackDue, out: Effects) -> None:
-    attempt = _find_attempt(node, action.database, action.run)
+    attempt = find_attempt(node, action.database, action.run)
     if attempt is None:
         return
     call = node.open_store_call(RecordRead(action.database, action.run))
@@ -201,7 +169,7 @@
 def _take_read(
     node: NodeState, purpose: RecordRead, event: StoreAnswered, out: Effects
 ) -> None:
-    attempt = _find_attempt(node, purpose.database, purpose.run)
+    attempt = find_attempt(node, purpose.database, purpose.run)
     if attempt is None:
         return
     result = event.result
@@ -242,7 +210,7 @@
 
 
 def _fence(node: NodeState, attempt: Attempt, out: Effects) -> None:
-    if not _still_needed(node, attempt):
+    if not is_needed(node, attempt):
         abandon_attempt(node, attempt, "primary_answers_again", out)
         return
     attempt.phase = Phase.FENCING
@@ -253,22 +221,10 @@
         attempt.asked += 1
 
 
-def _still_needed(node: NodeState, attempt: Attempt) -> bool:
-    """Return whether the loss that the attempt answers to has not healed.
-
-    A slow store can hold a reservation back for seconds.
-    """
-    if attempt.cause in ("primary_leaving", "unfinished_promotion", "primary_removed"):
-        return True
-    known = find_record(node, attempt.database.name)
-    primary = node.health.servers.get(known.primary or "")
-    return primary is None or not is_reachable(node, primary)
-
-
 def _take_fence(
     node: NodeState, fence: Fence, event: ControlAnswered, out: Effects
 ) -> None:
-    attempt = _find_attempt(node, fence.database, fence.run)
+    attempt = find_attempt(node, fence.database, fence.run)
     if attempt is None or attempt.phase is not Phase.FENCING:
         return
     attempt.asked -= 1
@@ -290,7 +246,7 @@
 
 
 def _pass_fence(node: NodeState, action: FenceDue, out: Effects) -> None:
-    attempt = _find_attempt(node, action.database, action.run)
+    attempt = find_attempt(node, action.database, action.run)
     if attempt is not None and attempt.phase is Phase.FENCING:
         _record_start(node, attempt, out)
 
@@ -310,40 +266,13 @@
     _write_record(node, attempt, out)
 
 
-def choose_candidate(node: NodeState, attempt: Attempt) -> str:
-    """Return the most advanced of the fenced servers.
-
-    Any majority holds every acknowledged write of `acknowledge=replica`, so
-    the most advanced of a fenced majority does too. Among equals an active
-    server in the region of the old primary is preferred.
-    """
-    known = find_record(node, attempt.database.name)
-    old = node.health.servers.get(known.primary or "")
-    home = old.server.region if old is not None else ""
-    best = ""
-    best_rank: tuple = ()
-    for server in attempt.database.servers:
-        status = attempt.fenced.get(server.name)
-        if status is None:
-            continue
-        rank = (
-            status.position,
-            server.state is ServerState.ACTIVE,
-            server.region == home,
-            server.name == known.primary,
-        )
-        if not best or rank > best_rank:
-            best, best_rank = server.name, rank
-    return best
-
-
 def _promote(node: NodeState, attempt: Attempt, out: Effects) -> None:
     start = attempt.written.starts[-1]
     watch = node.failover.databases[attempt.database.name]
     watch.attempt = None
     watch.switchover_since = None
     watch.ahead_since = None
-    _release(node, attempt.database.name)
+    hold_writes(node, attempt.database.name, False)
     for server in attempt.database.servers:
         if server.name != start.primary:
             continue
@@ -376,77 +305,19 @@
     out.append(Observe(metric="promotion_seconds", value=seconds))
 
 
-def abandon_attempt(
-    node: NodeState, attempt: Attempt, cause: str, out: Effects
-) -> None:
-    """Give up an attempt; the evidence is weighed anew after a delay."""
-    watch = node.failover.databases[attempt.database.name]
-    watch.attempt = None
-    delay = RETRY_DELAY * (0.5 + node.random.random())
-    watch.not_before = node.now + delay
-    _release(node, attempt.database.name)
-    record(
-        out,
-        "promotion_abandoned",
-        cause=cause,
-        database=attempt.database.name,
-        term=attempt.term,
-    )
-
-
-def _release(node: NodeState, database: str) -> None:
-    for pool in node.pools.pools.values():
-        if pool.database == database:
-            pool.held = False
-
-
 def _pass_lifetime(node: NodeState, action: AttemptDue, out: Effects) -> None:
-    attempt = _find_attempt(node, action.database, action.run)
+    attempt = find_attempt(node, action.database, action.run)
     if attempt is None:
         return
     if attempt.phase is Phase.FENCING:
         abandon_attempt(node, attempt, "fencing_took_too_long", out)
 
 
-def _take_first_record(
-    node: NodeState, purpose: FirstRecord, event: StoreAnswered, out: Effects
-) -> None:
-    result = event.result
-    if result.failure is None:
-        learn_record(node, purpose.written, result.objects[0].version, out)
-        push_records(node, [purpose.written], out)
-        return
-    if result.failure is StoreFailure.CONFLICT:
-        call = node.open_store_call(FirstRecordRead(purpose.database))
-        operation = ReadObject(key=term_key(purpose.database))
-        out.append(CallStore(call=call, operation=operation))
-
-
-@dataclass(slots=True, frozen=True)
-class FirstRecordRead:
-    """Purpose of a store call: read the record that another VM wrote first."""
-
-    database: str
-
-
-def _take_first_read(
-    node: NodeState, purpose: FirstRecordRead, event: StoreAnswered, out: Effects
-) -> None:
-    if event.result.failure is not None or not event.result.objects:
-        return
-    stored = event.result.objects[0]
-    decoded = decode_term(stored.key, stored.value)
-    if decoded.is_ok():
-        learn_record(node, decoded.unwrap(), stored.version, out)
-
-
 EVENTS: dict = {}
 MESSAGES: dict = {}
 TIMERS = {ReadBackDue: _read_back, FenceDue: _pass_fence, AttemptDue: _pass_lifetime}
 STORE_ANSWERS = {
     RecordWrite: _take_write,
     RecordRead: _take_read,
-    FirstRecord: _take_first_record,
-    FirstRecordRead: _take_first_read,
 }
 CONTROL_ANSWERS = {Fence: _take_fence, Promote: _take_promotion}
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -219,7 +219,7 @@
         scheduling: state of `_stragglers`, `_admission` and `_retries`.
         confirmation: state of `_confirmation`.
         sessions: state of `_sessions`.
-        failover: state of `_failover` and `_promotion`.
+        failover: state of `_failover`, `_attempts` and `_promotion`.
         settled: versions of membership and config last reconciled with.
         shutting_down: whether a graceful shutdown is under way.
         shutdown_began: when it began.
--- a/src/siskinhold_trial/capacity/_fleets.py
+++ b/src/siskinhold_trial/capacity/_fleets.py
@@ -103,24 +103,16 @@
     calls = fleet.store.calls.total()
     messages = fleet.network.messages.total()
     sent = fleet.network.sent.total()
-    across = _count_link_bytes(fleet)
+    across = fleet.network.count_link_bytes()
     await asyncio.sleep(IDLE_TIME)
     return (
         (fleet.store.calls.total() - calls) / IDLE_TIME,
         (fleet.network.messages.total() - messages) / count / IDLE_TIME,
         (fleet.network.sent.total() - sent) / count / IDLE_TIME,
-        (_count_link_bytes(fleet) - across) / IDLE_TIME,
+        (fleet.network.count_link_bytes() - across) / IDLE_TIME,
     )
 
 
-def _count_link_bytes(fleet: Fleet) -> int:
-    total = 0
-    for (one, other), size in fleet.network.sent.items():
-        if one != other:
-            total += size
-    return total
-
-
 async def _spread_ticket(fleet: Fleet) -> float:
     rules = RoutingRules(max_age_ms=1_500)
     number = fleet.accept_ticket(fleet.deployment.make_group(rules))
--- a/src/siskinhold_trial/fakes/_network.py
+++ b/src/siskinhold_trial/fakes/_network.py
@@ -36,6 +36,10 @@
         self.messages: Counter[tuple[str, str]] = Counter()
         self.listeners: dict[tuple[str, int], "FakePeers"] = {}
 
+    def count_link_bytes(self) -> int:
+        """Return the bytes sent so far from one region to another."""
+        return sum(size for (one, other), size in self.sent.items() if one != other)
+
     def carry(
         self, sender: VmAddress, address: tuple[str, int], envelope: Envelope
     ) -> None:
--- a/src/siskinhold_trial/measure/_fleet_runs.py
+++ b/src/siskinhold_trial/measure/_fleet_runs.py
@@ -274,7 +274,7 @@
         await asyncio.sleep(2.0)
         began = fleet.world.now()
         calls = sum(fleet.store.calls.values())
-        sent = _count_link_bytes(fleet)
+        sent = fleet.network.count_link_bytes()
         counter = ShareCounter(fleet)
         until = began + 20.0
         with _meter() as meter:
@@ -286,7 +286,7 @@
                 await asyncio.sleep(until - began)
         seconds = fleet.world.now() - began
         calls = sum(fleet.store.calls.values()) - calls
-        sent = _count_link_bytes(fleet) - sent
+        sent = fleet.network.count_link_bytes() - sent
         statements = max(1, counter.all / READ_SHARE)
         await fleet.stop()
         return calls / seconds, sent / seconds, meter[0] / statements * 1e6
@@ -310,14 +310,6 @@
         yield total
 
 
-def _count_link_bytes(fleet: Fleet) -> int:
-    total = 0
-    for (one, other), size in fleet.network.sent.items():
-        if one != other:
-            total += size
-    return total
-
-
 __all__ = [
     "detect_by_fixed_timeout",
     "measure_costs",
