--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -10,10 +10,10 @@
 from ..model import Done, Failed, NotRunReason
 from ._caller_packets import (
     BAD_HANDSHAKE,
-    FAREWELL,
     MALFORMED_PACKET,
     NOT_RUN,
     PASSED_THROUGH,
+    SHUTDOWN_ERROR,
     UNKNOWN_COMMAND,
     UNSUPPORTED_PREPARE,
     make_column,
@@ -92,19 +92,19 @@
             self.busy = True
             await self._carry_out(data[0], data[1:])
             self.busy = False
-        await self._linger()
+        await self._await_last_command()
 
-    def say_farewell(self) -> None:
+    def announce_close(self) -> None:
         """Answer the caller's next command, which may be on its way, and close.
 
         The answer carries the sequence number that an answer has, so a stock
         client takes it for one: the command did not run.
         """
-        self.stream.write_farewell(make_error(FAREWELL))
+        self.stream.write_last_answer(make_error(SHUTDOWN_ERROR))
 
-    async def _linger(self) -> None:
+    async def _await_last_command(self) -> None:
         """Take one more command unread, so that a reset can't overtake the answer."""
-        self.say_farewell()
+        self.announce_close()
         self.stream.reset_seq()
         try:
             await self.stream.read()
--- a/src/siskinhold/adapters/_caller_packets.py
+++ b/src/siskinhold/adapters/_caller_packets.py
@@ -33,7 +33,7 @@
 # Row values are sent as they are, whatever their column's type.
 PASSED_THROUGH = ResultColumn("", ColumnType.VAR_STRING)
 
-FAREWELL = Failed(
+SHUTDOWN_ERROR = Failed(
     code=SHUTDOWN,
     sqlstate="08S01",
     message="not_run reason=shutdown the connection is closed",
--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -144,7 +144,7 @@
         self._use(asyncio.StreamWriter(secure, plain, self.reader, loop))
         self._packets.seq.value = sequence
 
-    def write_farewell(self, packet: bytes) -> None:
+    def write_last_answer(self, packet: bytes) -> None:
         """Write the answer to a command that is still to come; write no more."""
         header = len(packet).to_bytes(3, "little") + b"\x01"
         self.writer.write(header + packet)
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -176,7 +176,7 @@
         if connection.session.waiting:
             connection.stream.writer.close()
         elif not connection.busy:
-            connection.say_farewell()
+            connection.announce_close()
         transport = connection.stream.writer.transport
         asyncio.get_running_loop().call_later(_CLOSE_GRACE, transport.abort)
 
--- a/src/siskinhold/core/_answers.py
+++ b/src/siskinhold/core/_answers.py
@@ -196,7 +196,7 @@
     give_unknown(node, work, UnknownReason.CONNECTION_LOST, out)
 
 
-def _pass_deadline(node: NodeState, action: WorkDeadline, out: Effects) -> None:
+def _expire_work(node: NodeState, action: WorkDeadline, out: Effects) -> None:
     work = node.pools.works.get(action.request)
     if work is None:
         return
@@ -265,6 +265,6 @@
     BackendLost: _take_loss,
 }
 MESSAGES = {Abandon: _take_abandon}
-TIMERS = {WorkDeadline: _pass_deadline}
+TIMERS = {WorkDeadline: _expire_work}
 STORE_ANSWERS: dict = {}
 CONTROL_ANSWERS: dict = {}
--- a/src/siskinhold/core/_membership.py
+++ b/src/siskinhold/core/_membership.py
@@ -21,9 +21,9 @@
     answer_probe,
     check_silence,
     forget_gone,
-    forgive_silence,
     note_message,
     probe_random,
+    restart_silence,
     take_probe_answer,
 )
 from ._targets import choose_targets, find_address, find_incarnation, is_small
@@ -86,7 +86,7 @@
 def _beat(node: NodeState, action: BeatDue, out: Effects) -> None:
     mine = node.membership
     if node.now - mine.beat_at > PAUSE_AFTER:
-        forgive_silence(node, out)
+        restart_silence(node, out)
     mine.beat_at = node.now
     jitter = node.random.uniform(0.95, 1.05)
     node.timers.schedule(node.now + BEAT_INTERVAL * jitter, BeatDue())
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -245,7 +245,7 @@
     _record_start(node, attempt, out)
 
 
-def _pass_fence(node: NodeState, action: FenceDue, out: Effects) -> None:
+def _end_fencing(node: NodeState, action: FenceDue, out: Effects) -> None:
     attempt = find_attempt(node, action.database, action.run)
     if attempt is not None and attempt.phase is Phase.FENCING:
         _record_start(node, attempt, out)
@@ -305,7 +305,7 @@
     out.append(Observe(metric="promotion_seconds", value=seconds))
 
 
-def _pass_lifetime(node: NodeState, action: AttemptDue, out: Effects) -> None:
+def _expire_attempt(node: NodeState, action: AttemptDue, out: Effects) -> None:
     attempt = find_attempt(node, action.database, action.run)
     if attempt is None:
         return
@@ -315,7 +315,7 @@
 
 EVENTS: dict = {}
 MESSAGES: dict = {}
-TIMERS = {ReadBackDue: _read_back, FenceDue: _pass_fence, AttemptDue: _pass_lifetime}
+TIMERS = {ReadBackDue: _read_back, FenceDue: _end_fencing, AttemptDue: _expire_attempt}
 STORE_ANSWERS = {
     RecordWrite: _take_write,
     RecordRead: _take_read,
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -282,7 +282,7 @@
     routes.send_elsewhere(node, entry, message.reason, out)
 
 
-def _pass_deadline(node: NodeState, action: EntryDeadline, out: Effects) -> None:
+def _expire_request(node: NodeState, action: EntryDeadline, out: Effects) -> None:
     entry = node.sessions.requests.get(action.request)
     if entry is None:
         return
@@ -315,6 +315,6 @@
     Redirect: _take_redirect,
     FloorAnswer: _take_floor,
 }
-TIMERS = {EntryDeadline: _pass_deadline, FloorRetry: _retry_floor}
+TIMERS = {EntryDeadline: _expire_request, FloorRetry: _retry_floor}
 STORE_ANSWERS: dict = {}
 CONTROL_ANSWERS: dict = {}
--- a/src/siskinhold/core/_suspicion.py
+++ b/src/siskinhold/core/_suspicion.py
@@ -75,7 +75,7 @@
     _send_probe(node, name, name, out)
 
 
-def forgive_silence(node: NodeState, out: Effects) -> None:
+def restart_silence(node: NodeState, out: Effects) -> None:
     """Start to measure silence anew after a pause of this process."""
     mine = node.membership
     for name in mine.watched:
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -96,7 +96,7 @@
     if node.now - mine.started_at < START_WAIT:
         return
     if not is_watcher(node):
-        _lay_down_watch(node, out)
+        _end_watch(node, out)
         if not is_informed(node) and node.now - mine.started_at >= LONE_WAIT:
             _list_store(node, out)
         _compare_terms(node, out)
@@ -184,7 +184,7 @@
     record(out, "store_list_failed", cause="store", detail=detail)
 
 
-def _lay_down_watch(node: NodeState, out: Effects) -> None:
+def _end_watch(node: NodeState, out: Effects) -> None:
     if not node.config.watching:
         return
     node.config.watching = False
--- a/src/siskinhold/runtime/_driver.py
+++ b/src/siskinhold/runtime/_driver.py
@@ -54,8 +54,8 @@
         self._recorder = recorder
         self._pending: deque[Event] = deque()
         self._running = False
-        self._alarm: asyncio.TimerHandle | None = None
-        self._alarm_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = 0.0
         self._loop = asyncio.get_running_loop()
         self.stopped = asyncio.Event()
         self._carry_out = self._make_table()
@@ -109,8 +109,8 @@
     async def stop(self) -> None:
         """Stop the adapters; events that still come are dropped."""
         self.stopped.set()
-        if self._alarm is not None:
-            self._alarm.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         await self._callers.stop()
         await self._peers.stop()
         await self._store.stop()
@@ -131,7 +131,7 @@
                 self._step(self._pending.popleft())
         finally:
             self._running = False
-        self._set_alarm()
+        self._set_timer()
 
     def _step(self, event: Event) -> None:
         if self.stopped.is_set():
@@ -169,18 +169,18 @@
         self.node.clock += 1
         self._recorder.record(effect, clock=self.node.clock)
 
-    def _set_alarm(self) -> None:
+    def _set_timer(self) -> None:
         due = self.node.timers.next_due()
         if due is None or self.stopped.is_set():
             return
-        if self._alarm is not None:
-            if self._alarm_at <= due:
+        if self._timer is not None:
+            if self._timer_due <= due:
                 return
-            self._alarm.cancel()
-        self._alarm_at = due
-        self._alarm = self._loop.call_at(due, self._ring)
+            self._timer.cancel()
+        self._timer_due = due
+        self._timer = self._loop.call_at(due, self._fire_timer)
 
-    def _ring(self) -> None:
-        self._alarm = None
+    def _fire_timer(self) -> None:
+        self._timer = None
         self.emit(events.TimeAdvanced(at=self._loop.time()))
-        self._set_alarm()
+        self._set_timer()
--- a/src/siskinhold_trial/fakes/_callers.py
+++ b/src/siskinhold_trial/fakes/_callers.py
@@ -156,12 +156,6 @@
             events.TokenPresented, session=self.session, positions=dict(positions)
         )
 
-    def select(self, database: str) -> None:
-        """Choose the default database."""
-        self._callers.inform(
-            events.DatabaseSelected, session=self.session, database=database
-        )
-
     def close(self) -> None:
         """Close the connection; a statement under way gets no answer."""
         if self.closed:
--- a/src/siskinhold_trial/fleet/_vms.py
+++ b/src/siskinhold_trial/fleet/_vms.py
@@ -80,7 +80,7 @@
         missed, self._missed = self._missed, []
         for event in missed:
             self.emit(event)
-        self._ring()
+        self._fire_timer()
 
     def emit(self, event: Event) -> None:
         """Reduce an event, or keep it while frozen."""
@@ -89,11 +89,11 @@
             return
         super().emit(event)
 
-    def _ring(self) -> None:
+    def _fire_timer(self) -> None:
         if self._frozen:
-            self._alarm = None
+            self._timer = None
             return
-        super()._ring()
+        super()._fire_timer()
 
 
 class FleetVm:
