--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -10,10 +10,13 @@
 from ..effects import FollowServer, PromoteServer
 from ..events import ControlAnswered, StatusReported
 from ..model import Database, Role, ServerState, StatementKind, TermRecord, TermStart
+from ._attempts import hold_writes
 from ._failover_state import Watch
+from ._first_records import record_first_term
 from ._health import StatusQuery, find_record, is_reachable, majority, request_status
 from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
+<<<<<<< HEAD
 from ._promotion import (
     PRIMARY_CUT_OFF,
     PRIMARY_LEAVING,
@@ -21,8 +24,10 @@
     begin_attempt,
     record_first_term,
 )
+=======
+from ._promotion import Promote, begin_attempt
+>>>>>>> cleanup
 from ._state import Effects, NodeState
-from ._timers import TimerAction
 
 SOURCE_SILENCE_MS = 500
 """Milliseconds without word from the primary after which a replica confirms
@@ -52,13 +57,6 @@
     server: str
 
 
-@dataclass(slots=True, frozen=True)
-class SwitchoverCheck(TimerAction):
-    """A planned switchover may have become possible."""
-
-    database: str
-
-
 def evaluate(node: NodeState, database: Database, out: Effects) -> None:
     """Compare a database's servers with its record and act on a difference."""
     watch = node.failover.databases.setdefault(database.name, Watch())
@@ -127,7 +125,7 @@
     lasting = node.now - primary.failing_since >= PARTIAL_LOSS_TIME
     if lasting and primary.failures >= PARTIAL_LOSS_FAILURES:
         return True
-    witnesses = 0
+    confirmations = 0
     for server in database.servers:
         health = node.health.servers.get(server.name)
         if health is None or health is primary or not is_reachable(node, health):
@@ -136,8 +134,8 @@
             return False
         if health.status.source_silence_ms < SOURCE_SILENCE_MS:
             return False
-        witnesses += 1
-    return witnesses > 0
+        confirmations += 1
+    return confirmations > 0
 
 
 def _is_cut_off(
@@ -173,14 +171,14 @@
     if primary.server.state is not ServerState.LEAVING:
         if watch.switchover_since is not None:
             watch.switchover_since = None
-            _hold(node, database, False)
+            hold_writes(node, database.name, False)
             drain_all(node, out)
         return ""
     if not _has_successor(node, database):
         return ""
     if watch.switchover_since is None:
         watch.switchover_since = node.now
-    _hold(node, database, True)
+    hold_writes(node, database.name, True)
     waited = node.now - watch.switchover_since
     ready = not _has_running_writes(node, database) and _caught_up(node, database)
     if ready or waited >= SWITCHOVER_PATIENCE:
@@ -228,19 +226,6 @@
     return False
 
 
-def _hold(node: NodeState, database: Database, held: bool) -> None:
-    for pool in node.pools.pools.values():
-        if pool.database == database.name:
-            pool.held = held
-
-
-def release_hold(node: NodeState, database: str) -> None:
-    """Let writes go on after an attempt ended."""
-    for pool in node.pools.pools.values():
-        if pool.database == database:
-            pool.held = False
-
-
 def _can_promote(node: NodeState, database: Database) -> bool:
     """Return whether a majority of the instances answers this VM."""
     count = 0
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -282,6 +282,7 @@
     routes.send_elsewhere(node, entry, message.reason, out)
 
 
+<<<<<<< HEAD
 def _explain_wait(node: NodeState, entry: EntryRequest) -> NotRunReason:
     """Return why a statement was not sent: its floor or its owner was missing."""
     if routes.find_database_owner(node, entry.request.database) is None:
@@ -290,6 +291,9 @@
 
 
 def _pass_deadline(node: NodeState, action: EntryDeadline, out: Effects) -> None:
+=======
+def _expire_request(node: NodeState, action: EntryDeadline, out: Effects) -> None:
+>>>>>>> cleanup
     entry = node.sessions.requests.get(action.request)
     if entry is None:
         return
@@ -326,6 +330,6 @@
     Redirect: _take_redirect,
     FloorAnswer: _take_floor,
 }
-TIMERS = {EntryDeadline: _pass_deadline, FloorRetry: _retry_floor}
+TIMERS = {EntryDeadline: _expire_request, FloorRetry: _retry_floor}
 STORE_ANSWERS: dict = {}
 CONTROL_ANSWERS: dict = {}
