Answer a refused keyed statement as unknown while its key is unsettled

The retry had not run, but the caller takes the answer for the order. Ruled out: the attempt counted per request (may_have_run), which does not see the earlier request with the same key.

--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -10,23 +10,19 @@
 from ..effects import FollowServer, PromoteServer
 from ..events import ControlAnswered, StatusReported
 from ..model import Database, Role, ServerState, StatementKind, TermRecord, TermStart
-from ._attempts import hold_writes
+from ._attempts import (
+    PRIMARY_CUT_OFF,
+    PRIMARY_LEAVING,
+    PRIMARY_REMOVED,
+    UNFINISHED,
+    hold_writes,
+)
 from ._failover_state import Watch
 from ._first_records import record_first_term
 from ._health import StatusQuery, find_record, is_reachable, majority, request_status
 from ._health_state import ServerHealth
 from ._owners import drain_all, is_database_owner
-<<<<<<< HEAD
-from ._promotion import (
-    PRIMARY_CUT_OFF,
-    PRIMARY_LEAVING,
-    Promote,
-    begin_attempt,
-    record_first_term,
-)
-=======
 from ._promotion import Promote, begin_attempt
->>>>>>> cleanup
 from ._state import Effects, NodeState
 
 SOURCE_SILENCE_MS = 500
@@ -101,12 +97,12 @@
     if _highest_term(node, database) > known.term:
         watch.ahead_since = watch.ahead_since or node.now
         if node.now - watch.ahead_since >= UNFINISHED_TIME:
-            return "unfinished_promotion"
+            return UNFINISHED
     else:
         watch.ahead_since = None
     primary = node.health.servers.get(known.primary)
     if primary is None:
-        return "primary_removed"
+        return PRIMARY_REMOVED
     if is_lost(node, database, primary):
         return f"primary_{primary.failure.value}"
     if _is_cut_off(node, database, primary, watch):
--- a/src/siskinhold/core/_owners.py
+++ b/src/siskinhold/core/_owners.py
@@ -60,6 +60,7 @@
             )
             node.pools.pools[(database.name, region)] = pool
         if owned and not pool.owned:
+            pool.taken = node.now
             record(out, "pool_taken", database=database.name, detail=_where(pool))
         pool.owned = owned
         owns_any = True
--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -51,6 +51,7 @@
     Args:
         database: database name.
         region: region name.
+        taken: when this VM took it over.
         owned: whether this VM owns it; if not it only finishes what it has.
         held: whether works that need the primary wait for a switchover to end.
         queue: the waiting work.
@@ -62,6 +63,7 @@
 
     database: str
     region: str
+    taken: float = 0.0
     owned: bool = True
     held: bool = False
     queue: Queue = field(default_factory=WorkQueue)
@@ -79,9 +81,12 @@
         works: all works that are not yet answered, by request.
         begun: works whose START TRANSACTION has not been answered.
         transactions: open transactions by identity.
+        unsettled: idempotency keys by database whose last attempt ended as
+            unknown, with the time until which they are remembered.
     """
 
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
     works: dict[RequestId, Work] = field(default_factory=dict)
     begun: set[RequestId] = field(default_factory=set)
     transactions: dict[RequestId, Transaction] = field(default_factory=dict)
+    unsettled: dict[tuple[str, str], float] = field(default_factory=dict)
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -38,6 +38,10 @@
 
 MAX_ATTEMPTS = 3
 """Times one request is given to a connection: the first and two retries."""
+KEY_MEMORY = 60.0
+"""Seconds for which a key whose attempt ended as unknown is remembered."""
+MAX_UNSETTLED = 10_000
+"""Keys remembered at most; about 2 MB."""
 REDIRECT_AFTER = 0.05
 """Seconds a read waits in a region none of whose servers can serve it."""
 REDIRECT_INTERVAL = 25e-6
@@ -165,6 +169,9 @@
     if work.may_have_run and work.request.kind is not StatementKind.READ:
         give_unknown(node, work, UnknownReason.CONNECTION_LOST, out)
         return
+    if _may_be_repeated(node, work):
+        give_unknown(node, work, UnknownReason.KEY_UNSETTLED, out)
+        return
     record(
         out,
         "request_refused",
@@ -177,10 +184,38 @@
     answer(node, work, NotRun(reason=reason, detail=detail), out, position=position)
 
 
+def _may_be_repeated(node: NodeState, work: Work) -> bool:
+    """Return whether a work may repeat a keyed request that has run.
+
+    Its caller would take "not run" for the fate of the key, and order anew. A
+    VM that has just taken the pool does not know what its predecessor did.
+    """
+    key = work.request.marks.key
+    if not key:
+        return False
+    pool = find_pool(node, work.request.database, work.region)
+    if pool is None or node.now - pool.taken < KEY_MEMORY:
+        return True
+    until = node.pools.unsettled.get((work.request.database, key), -1.0)
+    return node.now < until
+
+
+def _remember_unsettled(node: NodeState, work: Work) -> None:
+    key = work.request.marks.key
+    if not key:
+        return
+    unsettled = node.pools.unsettled
+    unsettled.pop((work.request.database, key), None)
+    unsettled[work.request.database, key] = node.now + KEY_MEMORY
+    while len(unsettled) > MAX_UNSETTLED:
+        del unsettled[next(iter(unsettled))]
+
+
 def give_unknown(
     node: NodeState, work: Work, reason: UnknownReason, out: Effects
 ) -> None:
     """Answer a work whose fate can't be known."""
+    _remember_unsettled(node, work)
     record(
         out,
         "request_unknown",
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -34,10 +34,6 @@
 from ._tickets import learn_record
 from ._timers import TimerAction
 
-PRIMARY_LEAVING = "primary_leaving"
-"""Cause of a promotion: a change ticket lets the primary leave."""
-PRIMARY_CUT_OFF = "primary_cut_off_from_replicas"
-"""Cause of a promotion: the primary answers but its replicas miss it."""
 FENCE_GRACE = 0.03
 """Seconds to wait for the fence answers of the rest once a majority answered."""
 READ_BACK_DELAY = 0.1
@@ -225,26 +221,6 @@
         attempt.asked += 1
 
 
-<<<<<<< HEAD
-def _still_needed(node: NodeState, attempt: Attempt) -> bool:
-    """Return whether the loss that the attempt answers to has not healed.
-
-    A slow store can hold a reservation back for seconds.
-    """
-    if attempt.cause in (
-        PRIMARY_LEAVING,
-        PRIMARY_CUT_OFF,
-        "unfinished_promotion",
-        "primary_removed",
-    ):
-        return True
-    known = find_record(node, attempt.database.name)
-    primary = node.health.servers.get(known.primary or "")
-    return primary is None or not is_reachable(node, primary)
-
-
-=======
->>>>>>> cleanup
 def _take_fence(
     node: NodeState, fence: Fence, event: ControlAnswered, out: Effects
 ) -> None:
@@ -290,55 +266,14 @@
     _write_record(node, attempt, out)
 
 
-<<<<<<< HEAD
-def choose_candidate(node: NodeState, attempt: Attempt) -> str:
-    """Return the most advanced of the fenced servers.
-
-    Any majority holds every acknowledged write of `acknowledge=replica`, so
-    the most advanced of a fenced majority does too. A primary that leaves or
-    has lost its replicas is passed over if the others are a majority without
-    it; it may hold more, but nothing that was acknowledged. Among equals an
-    active server in the region of the old primary is preferred.
-    """
-    known = find_record(node, attempt.database.name)
-    old = node.health.servers.get(known.primary or "")
-    home = old.server.region if old is not None else ""
-    passed_over = ""
-    if attempt.cause in (PRIMARY_LEAVING, PRIMARY_CUT_OFF):
-        others = attempt.fenced.keys() - {known.primary}
-        if len(others) >= majority(attempt.database):
-            passed_over = known.primary
-    best = ""
-    best_rank: tuple = ()
-    for server in attempt.database.servers:
-        status = attempt.fenced.get(server.name)
-        if status is None or server.name == passed_over:
-            continue
-        rank = (
-            status.position,
-            server.state is ServerState.ACTIVE,
-            server.region == home,
-            server.name == known.primary,
-        )
-        if not best or rank > best_rank:
-            best, best_rank = server.name, rank
-    return best
-
-
-=======
->>>>>>> cleanup
 def _promote(node: NodeState, attempt: Attempt, out: Effects) -> None:
     start = attempt.written.starts[-1]
     watch = node.failover.databases[attempt.database.name]
     watch.attempt = None
     watch.switchover_since = None
     watch.ahead_since = None
-<<<<<<< HEAD
     watch.cut_off_since = None
-    _release(node, attempt.database.name)
-=======
     hold_writes(node, attempt.database.name, False)
->>>>>>> cleanup
     for server in attempt.database.servers:
         if server.name != start.primary:
             continue
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -282,7 +282,6 @@
     routes.send_elsewhere(node, entry, message.reason, out)
 
 
-<<<<<<< HEAD
 def _explain_wait(node: NodeState, entry: EntryRequest) -> NotRunReason:
     """Return why a statement was not sent: its floor or its owner was missing."""
     if routes.find_database_owner(node, entry.request.database) is None:
@@ -290,10 +289,7 @@
     return NotRunReason.NO_PRIMARY
 
 
-def _pass_deadline(node: NodeState, action: EntryDeadline, out: Effects) -> None:
-=======
 def _expire_request(node: NodeState, action: EntryDeadline, out: Effects) -> None:
->>>>>>> cleanup
     entry = node.sessions.requests.get(action.request)
     if entry is None:
         return
@@ -307,6 +303,8 @@
         out.append(SendPeer(vm=entry.owner, message=message))
     else:
         outcome = NotRun(reason=_explain_wait(node, entry))
+        # An earlier request with the key may have run.
+        entry.may_have_run = entry.may_have_run or bool(entry.request.marks.key)
     record(
         out,
         "request_deadline_passed",
--- a/src/siskinhold/model/_outcomes.py
+++ b/src/siskinhold/model/_outcomes.py
@@ -28,6 +28,7 @@
     DEADLINE = "deadline"
     OWNER_LOST = "owner_lost"
     TERM_NOT_CONFIRMED = "term_not_confirmed"
+    KEY_UNSETTLED = "key_unsettled"
 
 
 class Column(Struct, frozen=True):
