--- a/src/siskinhold/core/_placement.py
+++ b/src/siskinhold/core/_placement.py
@@ -73,10 +73,17 @@
             return False
     if work.needs_primary:
         return True
+    if health.status.role is not Role.PRIMARY and not _allows_replicas(node, work):
+        return False
     age = measure_age(node, health)
     return age is not None and age * 1000 <= request.max_age_ms
 
 
+def _allows_replicas(node: NodeState, work: Work) -> bool:
+    found = node.config.databases.get(work.request.database)
+    return found is None or found[0].rules.replica_reads
+
+
 def find_replica(node: NodeState, pool: Pool, work: Work) -> ServerHealth | None:
     """Return a replica of the pool that could serve a read if it had a slot."""
     for server in list_servers(node, pool):
--- a/src/siskinhold_trial/proof/_mutants.py
+++ b/src/siskinhold_trial/proof/_mutants.py
@@ -20,7 +20,7 @@
     _routes,
     _shutdown,
 )
-from siskinhold.model import ServerState
+from siskinhold.model import NotRun, ServerState
 
 from ._faults import (
     FAULTS,
@@ -85,12 +85,16 @@
     """Answer "not run" although an earlier attempt may have run."""
 
     def refuse(node, work, reason, out, detail=""):
-        work.may_have_run = False
-        original(node, work, reason, out, detail)
+        _pools.answer(node, work, NotRun(reason=reason, detail=detail), out)
 
     return refuse
 
 
+def _forget_keys(original: Callable) -> Callable:
+    """Answer "not run" although an earlier request with the key may have run."""
+    return lambda node, work: False
+
+
 def _repeat_all(original: Callable) -> Callable:
     """Send any write again after its owner was lost."""
 
@@ -153,6 +157,13 @@
         replacement=_forget_attempt,
         faults=_pick(lose_answers),
     ),
+    Mutant(
+        name="key_unsettled",
+        target=_pools,
+        attribute="_may_be_repeated",
+        replacement=_forget_keys,
+        faults=_pick(lose_answers),
+    ),
     Mutant(
         name="unknown_after_lost_owner",
         target=_owners,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -4,12 +4,14 @@
 
 import looptime
 import pytest
+from msgspec.structs import replace
 
 from siskinhold.model import (
     Done,
     Marks,
     NotRun,
     NotRunReason,
+    RoutingRules,
     ServerState,
     StatementKind,
 )
@@ -133,6 +135,27 @@
         assert isinstance(outcome, Done)
 
 
+class TestRoutingRules:
+    def test_no_replica_reads(self):
+        """Guards against a replica that serves reads although the group's rules
+        forbid it; the pool of the primary's region holds replicas as well."""
+
+        async def scenario(fleet):
+            rules = RoutingRules(replica_reads=False)
+            fleet.accept_ticket(replace(fleet.group, rules=rules))
+            await asyncio.sleep(1.0)
+            caller = fleet.vms["vm0"].callers.connect(database="bookings")
+            sql = "SELECT v FROM kv WHERE k='a'"
+            for _ in range(10):
+                await caller.run(StatementKind.READ, sql)
+            database = fleet.databases["bookings"]
+            reads = [item for item in database.executions if item.form == "read"]
+            return {item.server for item in reads}, database.find_primary().place.name
+
+        servers, primary = run(scenario)
+        assert servers == {primary}
+
+
 class TestReadsWithoutPrimary:
     def test_floor_wait_names_the_primary(self):
         """A read that waits for a floor is refused at its deadline and told why."""
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -15,6 +15,7 @@
     "read_position": 0,
     "session_position": 0,
     "not_run_after_attempt": 0,
+    "key_unsettled": 0,
     "unknown_after_lost_owner": 3,
     "leaving_server_unfit": 0,
     "drain_before_stop": 1,
