--- a/src/siskinhold/adapters/_recorder.py
+++ b/src/siskinhold/adapters/_recorder.py
@@ -1,6 +1,5 @@
 """The time line as lines of key=value pairs, and the metrics."""
 
-import json
 import logging
 import sys
 import time
@@ -11,6 +10,7 @@
 from pythonjsonlogger.core import BaseJsonFormatter
 
 from .. import effects
+from ..observability import quote
 from ._interfaces import Recorder
 from ._metrics import METRICS, Metric, Metrics
 
@@ -45,7 +45,7 @@
 
     def jsonify_log_record(self, log_data: dict) -> str:
         """Return the line without its end."""
-        return " ".join(f"{key}={_quote(value)}" for key, value in log_data.items())
+        return " ".join(f"{key}={quote(value)}" for key, value in log_data.items())
 
 
 class TimelineRecorder(Recorder):
@@ -126,10 +126,3 @@
 def _format_time(seconds: float) -> str:
     moment = datetime.fromtimestamp(seconds, timezone.utc)
     return moment.isoformat(timespec="microseconds").replace("+00:00", "Z")
-
-
-def _quote(value: object) -> str:
-    text = str(value)
-    if text and text.isprintable() and not any(mark in text for mark in ' "='):
-        return text
-    return json.dumps(text)
--- /dev/null
+++ b/src/siskinhold/direct/_connections.py
@@ -0,0 +1,236 @@
+"""Connections to backend servers: how many, when opened, and what is sent."""
+
+from ._effects import CloseBackend, Log, Observe, OpenBackend, SendCommands
+from ._state import (
+    Connection,
+    ConnectionState,
+    DirectState,
+    Effects,
+    Pending,
+    Purpose,
+    Server,
+    Session,
+    Work,
+)
+from ._types import Command, CommandKind
+
+SPARE_SHARES = 2
+"""VMs beyond the registered ones that a server's connections must suffice for."""
+
+UNKNOWN_VMS = 9
+"""Number of VMs assumed before the store lists them: the larger deployment's."""
+
+LEAST_CONNECTIONS = 2
+"""Connections to a server that every VM may have: one for control, one for work."""
+
+RETRY_FIRST = 0.1
+"""Seconds until the second attempt to connect; doubled for each further one."""
+
+RETRY_MOST = 0.8
+"""Greatest number of seconds between two attempts to connect."""
+
+FULL_PAUSE = 1.0
+"""Seconds without new connections after a server had too many."""
+
+
+def limit_connections(state: DirectState, server: Server) -> int:
+    """Return how many connections this VM may have to a server.
+
+    All VMs share the server's limit evenly, with room for VMs that join.
+    """
+    configuration = state.configuration
+    if configuration is None:
+        return LEAST_CONNECTIONS
+    total = configuration.connections.get(server.entry.service, 0)
+    shares = (len(state.vms) or UNKNOWN_VMS) + SPARE_SHARES
+    return max(LEAST_CONNECTIONS, total // shares)
+
+
+def open_connection(
+    state: DirectState, server: Server, out: Effects, *, control: bool = False
+) -> None:
+    """Begin to open a connection, unless the server had none to spare lately."""
+    if state.now < server.retry_at or state.now < server.full_until:
+        return
+    number = state.take_number()
+    connection = Connection(
+        number=number, server=server, control=control, opened_at=state.now
+    )
+    server.connections[number] = connection
+    state.connections[number] = connection
+    out.append(
+        OpenBackend(
+            connection=number,
+            host=server.entry.host,
+            port=server.entry.port,
+            service=server.entry.service,
+            server=server.entry.server,
+        )
+    )
+    out.append(Observe(metric="backend_connections_opened_total"))
+
+
+def open_more(state: DirectState, server: Server, out: Effects) -> bool:
+    """Open a connection for work if the limit allows; return whether one is on its way.
+
+    Connections open one at a time, since each takes a slot of the server.
+    """
+    for connection in server.connections.values():
+        if connection.state is ConnectionState.OPENING:
+            return True
+    if len(server.connections) >= limit_connections(state, server):
+        return False
+    before = len(server.connections)
+    open_connection(state, server, out)
+    return len(server.connections) > before
+
+
+def ensure_control(state: DirectState, server: Server, out: Effects) -> None:
+    """Open the control connection of a server that has none."""
+    for connection in server.connections.values():
+        if connection.control:
+            return
+    open_connection(state, server, out, control=True)
+
+
+def find_control(server: Server) -> Connection | None:
+    """Return the control connection if it is open."""
+    for connection in server.connections.values():
+        if connection.control and connection.state is ConnectionState.OPEN:
+            return connection
+    return None
+
+
+def find_idle(server: Server, session: Session) -> Connection | None:
+    """Return an idle connection for work, best one that fits the session's values."""
+    found = None
+    for connection in server.connections.values():
+        if connection.control or not connection.idle:
+            continue
+        if connection.values == session.values:
+            return connection
+        found = connection
+    return found
+
+
+def remove_connection(state: DirectState, connection: Connection) -> None:
+    """Forget a connection that has ended."""
+    connection.server.connections.pop(connection.number, None)
+    state.connections.pop(connection.number, None)
+
+
+def close_connection(
+    state: DirectState, connection: Connection, out: Effects, reason: str
+) -> None:
+    """Close a connection; its transaction, if any, is rolled back by the server."""
+    remove_connection(state, connection)
+    out.append(CloseBackend(connection=connection.number))
+    out.append(
+        Log(
+            event="backend_closed",
+            fields=(("server", connection.server.entry.server), ("reason", reason)),
+        )
+    )
+
+
+def send(
+    state: DirectState,
+    connection: Connection,
+    command: Command,
+    purpose: Purpose,
+    out: Effects,
+    work: Work | None = None,
+) -> None:
+    """Send a command and remember what its answer is for."""
+    connection.pending.append(Pending(purpose=purpose, sent_at=state.now, work=work))
+    connection.used_at = state.now
+    if (
+        out
+        and isinstance(out[-1], SendCommands)
+        and out[-1].connection == connection.number
+    ):
+        last = out.pop()
+        out.append(
+            SendCommands(
+                connection=connection.number, commands=(*last.commands, command)
+            )
+        )
+        return
+    out.append(SendCommands(connection=connection.number, commands=(command,)))
+
+
+def adopt_session(
+    state: DirectState, connection: Connection, session: Session, out: Effects
+) -> None:
+    """Give a connection the session values of a caller before its statement runs."""
+    extra = [name for name in connection.values if name not in session.values]
+    if extra:
+        send(state, connection, Command(kind=CommandKind.RESET), Purpose.SETUP, out)
+        connection.values.clear()
+        connection.prepared.clear()
+    for name, value in session.values.items():
+        if connection.values.get(name) == value:
+            continue
+        command = Command(kind=CommandKind.SET, name=name, value=value)
+        send(state, connection, command, Purpose.SETUP, out)
+        connection.values[name] = value
+
+
+def prepare_shape(
+    state: DirectState,
+    connection: Connection,
+    writes: bool,
+    shape: str,
+    out: Effects,
+) -> str:
+    """Prepare a statement unless the connection has it; return its name there.
+
+    Callers' names collide, so the name follows from the statement.
+    """
+    name = f"{'w' if writes else 'r'}_{shape}"
+    if (writes, shape) not in connection.prepared:
+        command = Command(
+            kind=CommandKind.PREPARE, name=name, value=shape, writes=writes
+        )
+        send(state, connection, command, Purpose.SETUP, out)
+        connection.prepared.add((writes, shape))
+    return name
+
+
+def note_opened(state: DirectState, server: Server, out: Effects) -> None:
+    """Take a server as reachable after a connection was opened."""
+    server.failures = 0
+    server.retry_at = 0.0
+    if server.down_at is not None:
+        out.append(
+            Log(
+                event="server_regained",
+                fields=(
+                    ("server", server.entry.server),
+                    ("after_ms", round((state.now - server.down_at) * 1000)),
+                ),
+                essential=True,
+            )
+        )
+        server.down_at = None
+
+
+def note_open_failed(
+    state: DirectState, server: Server, reason: str, out: Effects
+) -> None:
+    """Count a failed attempt to connect and set the time of the next one."""
+    server.failures += 1
+    pause = min(RETRY_MOST, RETRY_FIRST * 2 ** min(server.failures - 1, 8))
+    server.retry_at = state.now + pause
+    for connection in server.connections.values():
+        if connection.state is ConnectionState.OPEN:
+            return
+    if server.down_at is None:
+        server.down_at = state.now
+        out.append(
+            Log(
+                event="server_lost",
+                fields=(("server", server.entry.server), ("reason", reason)),
+                essential=True,
+            )
+        )
--- /dev/null
+++ b/src/siskinhold/direct/_events.py
@@ -0,0 +1,192 @@
+"""Events of the direct core. Each carries `at`, in seconds of the runtime's clock."""
+
+import enum
+from dataclasses import dataclass
+
+from ._types import (
+    Answer,
+    Configuration,
+    LeaderRecord,
+    ServerEntry,
+    Statement,
+    Suspicion,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerOpened:
+    """A caller connected and named a database."""
+
+    at: float
+    session: int
+    database: str
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerStatement:
+    """A caller sent a statement; its previous one has been answered."""
+
+    at: float
+    session: int
+    statement: Statement
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerClosed:
+    """A caller's connection ended."""
+
+    at: float
+    session: int
+
+
+class LossReason(enum.Enum):
+    """Why a connection to a backend server could not be opened or ended."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+    CLOSED = "closed"
+    MISROUTED = "misrouted"
+    OVERLOAD = "overload"
+    GARBLED = "garbled"
+
+
+@dataclass(slots=True, kw_only=True)
+class BackendOpened:
+    """A connection is ready for commands."""
+
+    at: float
+    connection: int
+    answer: Answer
+
+
+@dataclass(slots=True, kw_only=True)
+class BackendAnswered:
+    """The oldest outstanding command of a connection was answered."""
+
+    at: float
+    connection: int
+    answer: Answer
+
+
+@dataclass(slots=True, kw_only=True)
+class BackendLost:
+    """A connection could not be opened, or it ended."""
+
+    at: float
+    connection: int
+    reason: LossReason
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigurationRead:
+    """The store reported a configuration."""
+
+    at: float
+    configuration: Configuration
+
+
+@dataclass(slots=True, kw_only=True)
+class ServersRead:
+    """The store listed the backend servers.
+
+    Args:
+        revision: store revision that the list reflects.
+        entries: all readable entries.
+    """
+
+    at: float
+    revision: int
+    entries: tuple[ServerEntry, ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class VmsRead:
+    """The store listed the VMs that have registered."""
+
+    at: float
+    names: tuple[str, ...]
+
+
+class StoreOutcome(enum.Enum):
+    """How a store call ended."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    ABSENT = "absent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, kw_only=True)
+class LeaderRecordAnswered:
+    """A call on a leader record was answered.
+
+    Args:
+        call: number of the call.
+        outcome: after `CONFLICT`, `record` is the one in the store.
+        record: the record, None if there is none or it is not readable.
+        revision: the record's revision; 0 if there is none.
+    """
+
+    at: float
+    call: int
+    outcome: StoreOutcome
+    record: LeaderRecord | None = None
+    revision: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class SuspicionsAnswered:
+    """The suspicions in the store were listed, None if the call failed."""
+
+    at: float
+    call: int
+    suspicions: tuple[Suspicion, ...] | None
+
+
+class PromotionOutcome(enum.Enum):
+    """How the platform answered an order of promotion."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, kw_only=True)
+class PromotionAnswered:
+    """An order of promotion was answered."""
+
+    at: float
+    call: int
+    outcome: PromotionOutcome
+
+
+@dataclass(slots=True, kw_only=True)
+class TimeAdvanced:
+    """A timer is due."""
+
+    at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class ShutdownRequested:
+    """The VM is asked to leave gracefully."""
+
+    at: float
+
+
+Event = (
+    CallerOpened
+    | CallerStatement
+    | CallerClosed
+    | BackendOpened
+    | BackendAnswered
+    | BackendLost
+    | ConfigurationRead
+    | ServersRead
+    | VmsRead
+    | LeaderRecordAnswered
+    | SuspicionsAnswered
+    | PromotionAnswered
+    | TimeAdvanced
+    | ShutdownRequested
+)
--- /dev/null
+++ b/src/siskinhold/direct/_evidence.py
@@ -0,0 +1,262 @@
+"""Proof that a primary led, from the positions that servers report.
+
+Every answer of a server carries the end of its log, whose term rises the moment
+the server is promoted. A primary of term T thus led at time t if every other
+member of its database answered a command sent at t or later with a term of at
+most T. No clock of another machine and no lease is involved, so a VM that was
+paused or cut off proves nothing by mistake. Where a member can't be asked, the
+database's leader record is read: it is written before a promotion is ordered.
+"""
+
+from ..model import Position
+from ._connections import find_control, send
+from ._effects import Log, ReadLeaderRecord
+from ._events import LeaderRecordAnswered, StoreOutcome
+from ._state import (
+    Database,
+    DirectState,
+    Effects,
+    Evidence,
+    Floor,
+    Leadership,
+    Purpose,
+    Server,
+)
+from ._types import Command, CommandKind, LeaderState
+
+MEMBER_MEMORY = 5.0
+"""Seconds for which a member that leaves or is gone is still asked for proof.
+
+Longer than a promotion under way can take, so that one which began while the
+member was listed has ended.
+"""
+
+FLOOR_SPACING = 0.05
+"""Least number of seconds between two floors that are kept."""
+
+FLOOR_COUNT = 64
+"""Floors kept for a database."""
+
+STORE_SPACING = 0.1
+"""Least number of seconds between two confirming reads of a leader record."""
+
+STORE_PATIENCE = 2.0
+"""Seconds after which a confirming read counts as lost."""
+
+
+def note_evidence(
+    state: DirectState,
+    server: Server,
+    sent_at: float,
+    position: Position | None,
+    out: Effects,
+) -> None:
+    """Take what an answer shows of a server's log."""
+    if position is None:
+        return
+    old = server.evidence
+    if old is not None and old.sent_at > sent_at:
+        return
+    server.evidence = Evidence(sent_at=sent_at, position=position)
+    database = state.databases.get(server.entry.service)
+    if database is None:
+        return
+    leader = database.leader
+    if leader is not None and position.term > leader.term:
+        drop_leader(state, database, "newer_term", out)
+    _add_floor(state, database)
+    if database.unconfirmed or database.queue:
+        state.unsettled.add(database.name)
+
+
+def drop_leader(
+    state: DirectState, database: Database, reason: str, out: Effects
+) -> None:
+    """Believe in no primary until one is found."""
+    if database.leader is None:
+        return
+    out.append(
+        Log(
+            event="leader_dropped",
+            fields=(
+                ("database", database.name),
+                ("server", database.leader.server),
+                ("term", database.leader.term),
+                ("reason", reason),
+            ),
+            essential=True,
+        )
+    )
+    database.leader = None
+    database.leaderless_at = state.now
+    database.probed_at = -1.0
+    state.unsettled.add(database.name)
+
+
+def take_leader(
+    state: DirectState, database: Database, server: Server, term: int, out: Effects
+) -> None:
+    """Believe in a primary that took a transaction for writing at a term."""
+    for member in state.members(database.name):
+        evidence = member.evidence
+        if evidence is not None and evidence.position.term > term:
+            return
+    old = database.leader
+    name = server.entry.server
+    if old is not None and (old.term > term or old.server == name and old.term == term):
+        return
+    database.leader = Leadership(server=name, term=term, since=state.now)
+    database.floors.clear()
+    database.confirmed_by_store = -1.0
+    state.unsettled.add(database.name)
+    out.append(
+        Log(
+            event="leader_found",
+            fields=(
+                ("database", database.name),
+                ("server", name),
+                ("term", term),
+                ("gap_ms", round((state.now - database.leaderless_at) * 1000)),
+            ),
+            essential=True,
+        )
+    )
+
+
+def list_witnesses(state: DirectState, database: Database) -> list[Server]:
+    """Return the members other than the primary whose terms count as proof."""
+    found = []
+    for member in state.members(database.name):
+        if database.leader is not None and member.entry.server == (
+            database.leader.server
+        ):
+            continue
+        left_at = member.gone_at if member.draining_at is None else member.draining_at
+        if left_at is not None and state.now - left_at >= MEMBER_MEMORY:
+            continue
+        found.append(member)
+    return found
+
+
+def find_confirmed(state: DirectState, database: Database) -> float:
+    """Return the latest time at which the believed primary is proved to have led.
+
+    -1 stands for no proof.
+    """
+    leader = database.leader
+    if leader is None:
+        return -1.0
+    oldest = state.now
+    for member in list_witnesses(state, database):
+        evidence = member.evidence
+        if evidence is None or evidence.position.term > leader.term:
+            oldest = -1.0
+            break
+        oldest = min(oldest, evidence.sent_at)
+    return max(oldest, database.confirmed_by_store)
+
+
+def find_floor(database: Database, since: float) -> Position | None:
+    """Return the lowest known position that holds all that was acknowledged by then."""
+    for floor in database.floors:
+        if floor.at >= since:
+            return floor.position
+    return None
+
+
+def ask_positions(
+    state: DirectState,
+    database: Database,
+    since: float,
+    out: Effects,
+    *,
+    leader_too: bool = False,
+) -> None:
+    """Ask the members for their positions unless newer ones are known or on the way."""
+    silent = False
+    for member in list_witnesses(state, database):
+        silent |= not _ask_position(state, member, since, out)
+    leader = state.leader_of(database)
+    if leader_too and leader is not None:
+        _ask_position(state, leader, since, out)
+    if silent:
+        _ask_store(state, database, since, out)
+
+
+def _ask_position(
+    state: DirectState, member: Server, since: float, out: Effects
+) -> bool:
+    """Ask one member; return whether an answer may be expected."""
+    evidence = member.evidence
+    if evidence is not None and evidence.sent_at >= since:
+        return True
+    control = find_control(member)
+    if control is None:
+        return False
+    if not control.pending:
+        command = Command(kind=CommandKind.RESET)
+        send(state, control, command, Purpose.POSITION, out)
+        return True
+    return state.now - control.pending[0].sent_at < 0.1
+
+
+def _ask_store(
+    state: DirectState, database: Database, since: float, out: Effects
+) -> None:
+    if database.confirmed_by_store >= since:
+        return
+    if database.store_call and state.now - database.store_sent_at < STORE_PATIENCE:
+        return
+    if state.now < database.store_retry_at:
+        return
+    call = state.take_number()
+    database.store_call = call
+    database.store_sent_at = state.now
+    database.store_retry_at = state.now + STORE_SPACING
+    state.calls[call] = ("confirm", database.name)
+    out.append(ReadLeaderRecord(call=call, service=database.name))
+
+
+def take_store_proof(
+    state: DirectState, database: Database, event: LeaderRecordAnswered, out: Effects
+) -> None:
+    """Take a leader record that was read to confirm the primary."""
+    if event.call != database.store_call:
+        return
+    database.store_call = 0
+    state.unsettled.add(database.name)
+    leader = database.leader
+    if leader is None or event.outcome is StoreOutcome.UNKNOWN:
+        database.store_retry_at = state.now + 2 * STORE_SPACING
+        return
+    record = event.record
+    if event.outcome is StoreOutcome.ABSENT:
+        confirmed = True
+    else:
+        confirmed = (
+            record is not None
+            and record.state is LeaderState.STABLE
+            and record.term <= leader.term
+        )
+        if record is not None and record.term > leader.term:
+            drop_leader(state, database, "record", out)
+    if confirmed:
+        database.confirmed_by_store = max(
+            database.confirmed_by_store, database.store_sent_at
+        )
+        _add_floor(state, database)
+
+
+def _add_floor(state: DirectState, database: Database) -> None:
+    leader = state.leader_of(database)
+    if leader is None or leader.evidence is None:
+        return
+    if leader.evidence.position.term != database.leader.term:
+        return
+    at = min(leader.evidence.sent_at, find_confirmed(state, database))
+    floors = database.floors
+    if at < 0 or floors and at < floors[-1].at + FLOOR_SPACING:
+        return
+    floors.append(Floor(at=at, position=leader.evidence.position))
+    while len(floors) > FLOOR_COUNT:
+        floors.popleft()
--- /dev/null
+++ b/src/siskinhold/direct/_placement.py
@@ -0,0 +1,96 @@
+"""Which backend server runs a statement.
+
+Answers the load of a normal day, where every server has room and the nearest one
+serves best, and that of a day on which servers are slow, lag or are lost, where
+the others take over what they can.
+"""
+
+from ..model import Position
+from ._evidence import find_floor
+from ._state import Database, DirectState, Server, Work
+
+REMOTE_PATIENCE = 0.03
+"""Seconds that a read waits for a server of its region: about two round trips to
+the other region, which it would spend there instead."""
+
+TRIED_PAUSE = 0.05
+"""Seconds until a server that did not run a statement is tried again."""
+
+LEAVING_LEADER_TIME = 3.0
+"""Seconds for which a primary that leaves still takes statements, unless another is
+promoted before: less than the time after which it may get none."""
+
+
+def takes_leader_work(state: DirectState, server: Server | None) -> bool:
+    """Return whether a primary may be sent statements, as far as its entry tells."""
+    if server is None:
+        return False
+    for left_at in (server.draining_at, server.gone_at):
+        if left_at is not None and state.now - left_at >= LEAVING_LEADER_TIME:
+            return False
+    return True
+
+
+def measure_distance(state: DirectState, server: Server) -> int:
+    """Return 0 for a server of this availability zone, 1 of this region, else 2."""
+    if server.entry.zone == state.zone:
+        return 0
+    if state.regions.get(server.entry.zone) == state.region:
+        return 1
+    return 2
+
+
+def find_need(database: Database, work: Work) -> Position | None:
+    """Return the position that a read must see, None if it is not known yet."""
+    floor = find_floor(database, work.since - work.route.staleness)
+    if floor is None:
+        return None
+    own = work.session.position
+    if own is not None and own > floor:
+        return own
+    return floor
+
+
+def list_candidates(state: DirectState, database: Database, work: Work) -> list[Server]:
+    """Return the servers that may run a statement, best first.
+
+    A statement for the primary has one candidate at most. A read prefers near
+    servers that keep up, and replicas to the primary.
+    """
+    leader = state.leader_of(database)
+    if work.leader_only:
+        return [leader] if takes_leader_work(state, leader) else []
+    ranked = []
+    for server in state.members(database.name):
+        if not server.usable or server.down_at is not None:
+            continue
+        tried_at = work.tried.get(server.entry.server)
+        if tried_at is not None and state.now - tried_at < TRIED_PAUSE:
+            continue
+        distance = measure_distance(state, server)
+        if distance == 2 and state.now - work.arrived_at < REMOTE_PATIENCE:
+            if tried_at is None and _has_near(state, database):
+                continue
+        lagging = state.now < server.lagging_until
+        slow = server.service_time > 4 * _fastest(state, database)
+        ranked.append((lagging, slow, distance, server is leader, server.entry.server))
+    ranked.sort()
+    return [state.servers[entry[-1]] for entry in ranked]
+
+
+def _has_near(state: DirectState, database: Database) -> bool:
+    for server in state.members(database.name):
+        if not server.usable or server.down_at is not None:
+            continue
+        if state.now < server.lagging_until:
+            continue
+        if measure_distance(state, server) < 2:
+            return True
+    return False
+
+
+def _fastest(state: DirectState, database: Database) -> float:
+    best = 10.0
+    for server in state.members(database.name):
+        best = min(best, server.service_time)
+    return max(best, 0.002)
--- /dev/null
+++ b/src/siskinhold/direct/_reducer.py
@@ -0,0 +1,170 @@
+"""The reducer of the direct core: events in, effects out."""
+
+from ._effects import AnnounceReadiness, Log
+from ._events import (
+    BackendAnswered,
+    BackendLost,
+    BackendOpened,
+    CallerClosed,
+    CallerOpened,
+    CallerStatement,
+    ConfigurationRead,
+    Event,
+    LeaderRecordAnswered,
+    PromotionAnswered,
+    ServersRead,
+    ShutdownRequested,
+    SuspicionsAnswered,
+    TimeAdvanced,
+    VmsRead,
+)
+from ._execution import abandon_transaction, expire_work, settle_database
+from ._failover import take_order, take_record, take_suspicions, watch_primaries
+from ._servers import (
+    maintain_servers,
+    take_answer,
+    take_lost,
+    take_opened,
+    take_servers,
+)
+from ._sessions import close_caller, open_caller, take_statement
+from ._shutdown import advance_shutdown, request_shutdown
+from ._state import DirectState, Effects, WorkState
+
+TICK_BUSY = 0.02
+"""Seconds between two ticks while statements wait or a promotion is under way."""
+
+TICK_CALM = 0.1
+"""Seconds between two ticks otherwise."""
+
+
+def reduce(state: DirectState, event: Event) -> Effects:
+    """Change `state` for `event` and return the effects, in order.
+
+    It neither blocks nor fails for any order of events.
+    """
+    out: Effects = []
+    state.now = max(state.now, event.at)
+    _HANDLERS[type(event)](state, event, out)
+    _settle(state, out)
+    return out
+
+
+def find_tick(state: DirectState) -> float:
+    """Return in how many seconds `TimeAdvanced` is due."""
+    for database in state.databases.values():
+        if database.queue or database.unconfirmed or database.promotion:
+            return TICK_BUSY
+        if database.leader is None:
+            return TICK_BUSY
+    return TICK_CALM
+
+
+def _settle(state: DirectState, out: Effects) -> None:
+    """Look at databases whose waiting statements may have become servable."""
+    rounds = 0
+    while state.unsettled and rounds < 4:
+        rounds += 1
+        names = state.unsettled
+        state.unsettled = set()
+        for name in names:
+            database = state.databases.get(name)
+            if database is not None:
+                settle_database(state, database, out)
+
+
+def _take_configuration(state: DirectState, event: ConfigurationRead, out) -> None:
+    configuration = event.configuration
+    old = state.configuration
+    if old is not None and configuration.version <= old.version:
+        return
+    state.configuration = configuration
+    state.unsettled.update(state.databases)
+    out.append(
+        Log(
+            event="configuration_applied",
+            fields=(
+                ("version", configuration.version),
+                ("before", old.version if old is not None else 0),
+                ("routes", len(configuration.routes)),
+            ),
+            essential=True,
+        )
+    )
+
+
+def _take_vms(state: DirectState, event: VmsRead, out: Effects) -> None:
+    state.vms = event.names
+
+
+def _tick(state: DirectState, event: TimeAdvanced, out: Effects) -> None:
+    maintain_servers(state, out)
+    watch_primaries(state, out)
+    _expire(state, out)
+    for database in state.databases.values():
+        busy = database.queue or database.unconfirmed
+        if busy or state.now - database.read_at < 2.0:
+            state.unsettled.add(database.name)
+    advance_shutdown(state, out)
+    _announce(state, out)
+
+
+def _expire(state: DirectState, out: Effects) -> None:
+    limit = 3.0
+    if state.configuration is not None:
+        limit = state.configuration.idle_transaction
+    for session in list(state.sessions.values()):
+        work = session.work
+        if work is not None:
+            if work.state is not WorkState.ENDED and state.now >= work.deadline:
+                expire_work(state, work, out)
+            continue
+        transaction = session.transaction
+        if transaction is None or transaction.failed or transaction.connection is None:
+            continue
+        if state.now - transaction.active_at >= limit:
+            out.append(
+                Log(
+                    event="transaction_idle",
+                    fields=(("session", session.number),),
+                    essential=True,
+                )
+            )
+            abandon_transaction(state, transaction, out)
+            transaction.untold = True
+
+
+def _announce(state: DirectState, out: Effects) -> None:
+    """Report readiness once the configuration and the servers are known."""
+    ready = (
+        state.leaving_at is None
+        and state.configuration is not None
+        and state.servers_known
+    )
+    if ready == state.ready:
+        return
+    state.ready = ready
+    out.append(AnnounceReadiness(ready=ready))
+    out.append(Log(event="readiness", fields=(("ready", ready),), essential=True))
+
+
+def _open(state: DirectState, event: CallerOpened, out: Effects) -> None:
+    open_caller(state, event, out)
+
+
+_HANDLERS = {
+    CallerOpened: _open,
+    CallerStatement: take_statement,
+    CallerClosed: close_caller,
+    BackendOpened: take_opened,
+    BackendAnswered: take_answer,
+    BackendLost: take_lost,
+    ConfigurationRead: _take_configuration,
+    ServersRead: take_servers,
+    VmsRead: _take_vms,
+    LeaderRecordAnswered: take_record,
+    SuspicionsAnswered: take_suspicions,
+    PromotionAnswered: take_order,
+    TimeAdvanced: _tick,
+    ShutdownRequested: lambda state, event, out: request_shutdown(state, out),
+}
--- /dev/null
+++ b/src/siskinhold/direct/_replies.py
@@ -0,0 +1,105 @@
+"""Replies to callers, with their log line and metrics."""
+
+from ._effects import CloseCaller, Log, Observe, ReplyCaller
+from ._state import DirectState, Effects, Session, Work, WorkState
+from ._types import Answer, Refusal, Statement
+
+DONE = Answer()
+"""Success of a statement that siskinhold answers itself."""
+
+
+def reply(state: DirectState, session: Session, answer: Answer, out: Effects) -> None:
+    """Answer the statement of a session with its transaction's state."""
+    session.active_at = state.now
+    out.append(
+        ReplyCaller(
+            session=session.number,
+            answer=Answer(
+                rows=answer.rows,
+                signature=answer.signature,
+                refusal=answer.refusal,
+                detail=answer.detail,
+                transaction=session.state,
+            ),
+        )
+    )
+    if session.closing and session.transaction is None:
+        out.append(CloseCaller(session=session.number))
+
+
+def refuse(
+    state: DirectState,
+    session: Session,
+    statement: Statement,
+    refusal: Refusal,
+    reason: str,
+    out: Effects,
+) -> None:
+    """Refuse a statement that no server was asked to run."""
+    out.append(
+        Log(
+            event="refused",
+            fields=(
+                ("request", statement.request),
+                ("session", session.number),
+                ("database", session.database),
+                ("outcome", refusal.value),
+                ("reason", reason),
+            ),
+        )
+    )
+    out.append(Observe(metric="refused_total", label=reason))
+    reply(state, session, Answer(refusal=refusal, detail=reason), out)
+
+
+def end_work(
+    state: DirectState, work: Work, answer: Answer, reason: str, out: Effects
+) -> None:
+    """Answer the caller of a statement that a server was, or was to be, asked to run.
+
+    Args:
+        reason: what decided the outcome.
+    """
+    if work.state is WorkState.ENDED:
+        return
+    work.state = WorkState.ENDED
+    session = work.session
+    if session.work is work:
+        session.work = None
+    refusal = answer.refusal
+    out.append(
+        Log(
+            event="answered",
+            fields=(
+                ("request", work.statement.request),
+                ("session", session.number),
+                ("route", work.route.database),
+                ("service", work.route.service),
+                ("kind", work.statement.kind.value),
+                ("server", work.server),
+                ("attempts", work.attempts),
+                ("took_ms", round((state.now - work.arrived_at) * 1000)),
+                ("position", _show_position(answer)),
+                ("outcome", "done" if refusal is None else refusal.value),
+                ("reason", reason),
+            ),
+            essential=refusal is not None,
+        )
+    )
+    out.append(
+        Observe(
+            metric="statement_seconds",
+            value=state.now - work.arrived_at,
+            label=work.statement.kind.value,
+        )
+    )
+    if refusal is not None:
+        out.append(Observe(metric="refused_total", label=reason))
+    if session.number in state.sessions:
+        reply(state, session, answer, out)
+
+
+def _show_position(answer: Answer) -> str:
+    if answer.position is None:
+        return "-"
+    return f"{answer.position.term}.{answer.position.offset}"
--- /dev/null
+++ b/src/siskinhold/direct/_servers.py
@@ -0,0 +1,238 @@
+"""What is known of backend servers: the platform's list and their connections."""
+
+from ._connections import (
+    close_connection,
+    ensure_control,
+    find_control,
+    note_open_failed,
+    note_opened,
+    remove_connection,
+    send,
+)
+from ._effects import Log
+from ._events import (
+    BackendAnswered,
+    BackendLost,
+    BackendOpened,
+    LossReason,
+    ServersRead,
+)
+from ._evidence import drop_leader, note_evidence, take_leader
+from ._execution import lose_connection, take_result, take_setup
+from ._failover import take_position, take_step_down
+from ._placement import takes_leader_work
+from ._state import ConnectionState, Database, DirectState, Effects, Purpose, Server
+from ._types import Command, CommandKind, ServerEntry, TransactionState
+
+FORGET_AFTER = 6.0
+"""Seconds after which a server that is gone is forgotten."""
+
+LEAVE_CLOSE_AFTER = 5.0
+"""Seconds after which connections to a server that leaves are closed; it takes no new
+work from the moment it is seen to leave."""
+
+LEAD_PROBE_INTERVAL = 0.08
+"""Seconds between two rounds that look for the primary."""
+
+CONTROL_SILENCE = 0.8
+"""Seconds after which an unanswered question on a control connection, which needs
+no slot of the server, shows that the connection is dead."""
+
+
+def take_servers(state: DirectState, event: ServersRead, out: Effects) -> None:
+    """Take over a list of servers, unless a newer one is known."""
+    if event.revision < state.servers_revision or state.configuration is None:
+        return
+    state.servers_revision = event.revision
+    state.servers_known = True
+    listed = set()
+    for entry in event.entries:
+        # Entries may come from other writers; those of no known service name nothing.
+        if entry.service not in state.configuration.connections:
+            continue
+        listed.add(entry.server)
+        _take_entry(state, entry, out)
+    for server in state.servers.values():
+        if server.entry.server in listed or server.gone_at is not None:
+            continue
+        server.gone_at = state.now
+        _log_server(state, "server_gone", server, out)
+        state.unsettled.add(server.entry.service)
+
+
+def _take_entry(state: DirectState, entry: ServerEntry, out: Effects) -> None:
+    server = state.servers.get(entry.server)
+    if server is None:
+        server = Server(entry=entry)
+        state.servers[entry.server] = server
+        if entry.service not in state.databases:
+            state.databases[entry.service] = Database(
+                name=entry.service, leaderless_at=state.now
+            )
+        _log_server(state, "server_found", server, out)
+        ensure_control(state, server, out)
+    old = server.entry
+    server.entry = entry
+    server.gone_at = None
+    if old.started != entry.started or (old.host, old.port) != (entry.host, entry.port):
+        server.retry_at = 0.0
+        server.evidence = None
+    if entry.draining and server.draining_at is None:
+        server.draining_at = state.now
+        _log_server(state, "server_draining", server, out)
+        state.unsettled.add(entry.service)
+    if not entry.draining and server.draining_at is not None:
+        server.draining_at = None
+        _log_server(state, "server_returned", server, out)
+
+
+def _log_server(state: DirectState, event: str, server: Server, out: Effects) -> None:
+    out.append(
+        Log(
+            event=event,
+            fields=(
+                ("server", server.entry.server),
+                ("service", server.entry.service),
+                ("zone", server.entry.zone),
+                ("leads", server.entry.leads),
+                ("revision", state.servers_revision),
+            ),
+            essential=True,
+        )
+    )
+
+
+def take_opened(state: DirectState, event: BackendOpened, out: Effects) -> None:
+    """Use a connection that is ready."""
+    connection = state.connections.get(event.connection)
+    if connection is None:
+        return
+    connection.state = ConnectionState.OPEN
+    server = connection.server
+    note_opened(state, server, out)
+    note_evidence(state, server, connection.opened_at, event.answer.position, out)
+    state.unsettled.add(server.entry.service)
+
+
+def take_lost(state: DirectState, event: BackendLost, out: Effects) -> None:
+    """Settle what ran on a lost connection, and connect again."""
+    connection = state.connections.get(event.connection)
+    if connection is None:
+        return
+    server = connection.server
+    remove_connection(state, connection)
+    opening = connection.state is ConnectionState.OPENING
+    if event.reason is LossReason.OVERLOAD:
+        server.full_until = state.now + 1.0
+    elif opening:
+        note_open_failed(state, server, event.reason.value, out)
+    out.append(
+        Log(
+            event="backend_lost",
+            fields=(
+                ("server", server.entry.server),
+                ("reason", event.reason.value),
+                ("opening", opening),
+                ("pending", len(connection.pending)),
+            ),
+            essential=True,
+        )
+    )
+    lose_connection(state, connection, out)
+    state.unsettled.add(server.entry.service)
+    if not opening and server.usable:
+        ensure_control(state, server, out)
+
+
+def take_answer(state: DirectState, event: BackendAnswered, out: Effects) -> None:
+    """Give an answer to what it was asked for."""
+    connection = state.connections.get(event.connection)
+    if connection is None or not connection.pending:
+        return
+    pending = connection.pending.popleft()
+    server = connection.server
+    answer = event.answer
+    note_evidence(state, server, pending.sent_at, answer.position, out)
+    state.unsettled.add(server.entry.service)
+    if pending.purpose is Purpose.WORK:
+        take_result(state, connection, pending, answer, out)
+    elif pending.purpose is Purpose.SETUP:
+        take_setup(state, connection, pending, answer, out)
+    elif pending.purpose is Purpose.LEAD_PROBE:
+        _take_lead_probe(state, server, answer, out)
+    elif pending.purpose is Purpose.PROBE:
+        take_position(state, server, answer)
+    elif pending.purpose is Purpose.STEP_DOWN:
+        take_step_down(state, server, answer)
+
+
+def _take_lead_probe(state: DirectState, server: Server, answer, out: Effects) -> None:
+    database = state.databases.get(server.entry.service)
+    if database is None or answer.position is None:
+        return
+    if answer.refusal is None and answer.transaction is TransactionState.OPEN:
+        take_leader(state, database, server, answer.position.term, out)
+        return
+    leader = database.leader
+    if leader is not None and leader.server == server.entry.server:
+        if answer.refusal is not None:
+            drop_leader(state, database, "read_only", out)
+
+
+def probe_lead(state: DirectState, server: Server, out: Effects) -> None:
+    """Ask a server whether it leads, by a transaction for writing that is rolled back.
+
+    It takes no slot. A replica refuses it.
+    """
+    control = find_control(server)
+    if control is None or control.pending:
+        return
+    begin = Command(kind=CommandKind.BEGIN)
+    send(state, control, begin, Purpose.LEAD_PROBE, out)
+    rollback = Command(kind=CommandKind.ROLLBACK)
+    send(state, control, rollback, Purpose.CLEANUP, out)
+
+
+def maintain_servers(state: DirectState, out: Effects) -> None:
+    """Keep control connections, drop those of leaving servers, look for primaries."""
+    for server in list(state.servers.values()):
+        _maintain(state, server, out)
+    for database in state.databases.values():
+        _look_for_leader(state, database, out)
+
+
+def _maintain(state: DirectState, server: Server, out: Effects) -> None:
+    control = find_control(server)
+    if control is not None and control.pending:
+        if state.now - control.pending[0].sent_at > CONTROL_SILENCE:
+            close_connection(state, control, out, "control_silent")
+            lose_connection(state, control, out)
+    left_at = server.draining_at if server.gone_at is None else server.gone_at
+    if left_at is None:
+        ensure_control(state, server, out)
+        return
+    if state.now - left_at > LEAVE_CLOSE_AFTER:
+        for connection in list(server.connections.values()):
+            if connection.transaction is None and not connection.pending:
+                close_connection(state, connection, out, "server_leaves")
+    if server.gone_at is not None and state.now - server.gone_at > FORGET_AFTER:
+        for connection in list(server.connections.values()):
+            close_connection(state, connection, out, "server_gone")
+            lose_connection(state, connection, out)
+        del state.servers[server.entry.server]
+        database = state.databases[server.entry.service]
+        if database.leader and database.leader.server == server.entry.server:
+            drop_leader(state, database, "gone", out)
+
+
+def _look_for_leader(state: DirectState, database: Database, out: Effects) -> None:
+    leader = state.leader_of(database)
+    if leader is not None and leader.down_at is None:
+        if takes_leader_work(state, leader) and leader.draining_at is None:
+            return
+    if state.now - database.probed_at < LEAD_PROBE_INTERVAL:
+        return
+    database.probed_at = state.now
+    for server in state.members(database.name):
+        if server is not leader:
+            probe_lead(state, server, out)
--- /dev/null
+++ b/src/siskinhold/direct/_settings.py
@@ -0,0 +1,34 @@
+"""Settings of a VM that runs the direct core."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class VmSettings:
+    """Where a VM stands and what it may use.
+
+    Args:
+        name: the VM's name.
+        zone: its availability zone.
+        regions: region by availability zone.
+        host: IP address to listen on.
+        caller_port: port for callers.
+        ready_port: port of the load balancer's readiness probe.
+        metrics_port: port of the metrics, 0 for none.
+        store: host and port of the platform's store.
+        promotion: host and port that take orders of promotion.
+        grace: time from SIGTERM to SIGKILL, in seconds.
+        descriptors: greatest number of callers' connections.
+    """
+
+    name: str
+    zone: str
+    regions: dict[str, str]
+    host: str
+    caller_port: int
+    ready_port: int
+    metrics_port: int
+    store: str
+    promotion: str
+    grace: float
+    descriptors: int
--- /dev/null
+++ b/src/siskinhold/direct/_shutdown.py
@@ -0,0 +1,59 @@
+"""A graceful shutdown: nothing that a caller has open is cut off."""
+
+from ._effects import AnnounceReadiness, Log, Stop
+from ._execution import abandon_transaction
+from ._sessions import close_idle
+from ._state import DirectState, Effects
+
+NOTICE_TIME = 2.3
+"""Seconds until idle sessions are closed: the load balancer needs two misses, one a
+second, before it sends callers elsewhere."""
+
+TRANSACTION_SHARE = 0.5
+"""Share of the grace that open transactions have to end."""
+
+LAST_MARGIN = 0.4
+"""Seconds before the end of the grace at which the process ends in any case."""
+
+
+def request_shutdown(state: DirectState, out: Effects) -> None:
+    """Begin to leave."""
+    if state.leaving_at is not None:
+        return
+    state.leaving_at = state.now
+    state.ready = False
+    out.append(AnnounceReadiness(ready=False))
+    out.append(
+        Log(
+            event="shutdown_requested",
+            fields=(("sessions", len(state.sessions)),),
+            essential=True,
+        )
+    )
+
+
+def advance_shutdown(state: DirectState, out: Effects) -> None:
+    """Close what is idle and stop once nothing is open; called at each tick."""
+    if state.leaving_at is None:
+        return
+    elapsed = state.now - state.leaving_at
+    if elapsed >= state.grace * TRANSACTION_SHARE:
+        _end_transactions(state, out)
+    if elapsed >= min(NOTICE_TIME, state.grace * TRANSACTION_SHARE):
+        for session in list(state.sessions.values()):
+            session.closing = True
+            if session.work is None and session.transaction is None:
+                close_idle(state, session, out)
+        if not state.sessions:
+            out.append(Stop())
+    if elapsed >= state.grace - LAST_MARGIN:
+        out.append(Stop())
+
+
+def _end_transactions(state: DirectState, out: Effects) -> None:
+    for session in state.sessions.values():
+        transaction = session.transaction
+        if transaction is None or transaction.failed or session.work is not None:
+            continue
+        abandon_transaction(state, transaction, out)
+        transaction.untold = True
--- /dev/null
+++ b/src/siskinhold/direct/_state.py
@@ -0,0 +1,398 @@
+"""The state of one VM's direct core."""
+
+import enum
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..model import Position
+from ._effects import Effect
+from ._types import (
+    Answer,
+    Configuration,
+    Route,
+    ServerEntry,
+    Statement,
+    TransactionState,
+)
+
+Effects = list[Effect]
+
+
+class Purpose(enum.Enum):
+    """What the answer to a command is for."""
+
+    WORK = "work"
+    SETUP = "setup"
+    PROBE = "probe"
+    LEAD_PROBE = "lead_probe"
+    CLEANUP = "cleanup"
+    POSITION = "position"
+    STEP_DOWN = "step_down"
+
+
+@dataclass(slots=True, kw_only=True)
+class Pending:
+    """A command that awaits its answer."""
+
+    purpose: Purpose
+    sent_at: float
+    work: "Work | None" = None
+
+
+class ConnectionState(enum.Enum):
+    """Whether a connection may be used."""
+
+    OPENING = "opening"
+    OPEN = "open"
+
+
+@dataclass(slots=True, kw_only=True)
+class Connection:
+    """A connection to a backend server.
+
+    Args:
+        number: never reused.
+        control: whether it is kept free of callers' statements.
+        values: session values that were set on it.
+        prepared: statements prepared on it: whether they write, and shape.
+        pending: commands without an answer yet, in order of sending.
+        transaction: the caller's transaction that it serves.
+        used_at: when a command was last sent.
+    """
+
+    number: int
+    server: "Server"
+    control: bool
+    opened_at: float
+    state: ConnectionState = ConnectionState.OPENING
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: set[tuple[bool, str]] = field(default_factory=set)
+    pending: deque[Pending] = field(default_factory=deque)
+    transaction: "Transaction | None" = None
+    used_at: float = 0.0
+
+    @property
+    def idle(self) -> bool:
+        """Whether a new statement may be sent on it."""
+        return (
+            self.state is ConnectionState.OPEN
+            and not self.pending
+            and self.transaction is None
+        )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Evidence:
+    """What an answer showed of a server.
+
+    Args:
+        sent_at: when its command was sent; the server was so at some later time.
+        position: end of the server's applied log.
+    """
+
+    sent_at: float
+    position: Position
+
+
+@dataclass(slots=True, kw_only=True)
+class Server:
+    """A backend server and this VM's connections to it.
+
+    Args:
+        evidence: from the newest answer.
+        draining_at: when it was first seen to leave.
+        gone_at: when its entry was first missing.
+        down_at: since when no connection can be opened.
+        retry_at: earliest time of the next attempt to connect.
+        failures: failed attempts in a row.
+        lagging_until: until when reads prefer other servers.
+        service_time: moving average of the time of a statement, in seconds.
+        full_until: until when no further connections are opened.
+    """
+
+    entry: ServerEntry
+    connections: dict[int, Connection] = field(default_factory=dict)
+    evidence: Evidence | None = None
+    draining_at: float | None = None
+    gone_at: float | None = None
+    down_at: float | None = None
+    retry_at: float = 0.0
+    failures: int = 0
+    lagging_until: float = 0.0
+    service_time: float = 0.02
+    full_until: float = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may be sent to it."""
+        return self.draining_at is None and self.gone_at is None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Leadership:
+    """This VM's belief about a database's primary.
+
+    Args:
+        since: when it was established, in seconds of the runtime's clock.
+    """
+
+    server: str
+    term: int
+    since: float
+
+
+class PromotionStep(enum.Enum):
+    """What a promotion waits for."""
+
+    SUSPECTING = "suspecting"
+    WAITING = "waiting"
+    READING = "reading"
+    CLAIMING = "claiming"
+    ENDING_LEAD = "ending_lead"
+    COMPARING = "comparing"
+    ORDERING = "ordering"
+    TAKING_EFFECT = "taking_effect"
+
+
+@dataclass(slots=True, kw_only=True)
+class Promotion:
+    """A promotion of this VM, or its preparation.
+
+    Args:
+        leader: the primary to be replaced, empty if none is known.
+        term: its term.
+        cause: why it is replaced.
+        began_at: when the cause was seen.
+        step_at: when the present step began.
+        token: fence token, once the record is claimed.
+        attempt: random identity.
+        candidate: the server to be promoted, once chosen.
+        positions: log positions received, by server.
+        call: number of the call under way, 0 for none.
+        repeat_at: when the present step is repeated.
+    """
+
+    leader: str
+    term: int
+    cause: str
+    began_at: float
+    step: PromotionStep
+    step_at: float
+    token: int = 0
+    attempt: str = ""
+    candidate: str = ""
+    positions: dict[str, Position] = field(default_factory=dict)
+    call: int = 0
+    repeat_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Floor:
+    """A log position that held every commit acknowledged before `at`."""
+
+    at: float
+    position: Position
+
+
+@dataclass(slots=True, kw_only=True)
+class Database:
+    """A replicated database, called service on its servers.
+
+    Args:
+        leader: the believed primary.
+        leaderless_at: since when none is known.
+        floors: in ascending order of time.
+        queue: statements that wait for a connection.
+        unconfirmed: answers that wait for proof that the primary led.
+        confirmed_by_store: the leader's term was current at this time.
+        store_call: number of the confirming store call, 0 for none.
+        store_retry_at: earliest time of the next one.
+        probed_at: when servers were last asked who leads.
+        round_at: when positions were last asked for.
+        promotion: this VM's promotion of it.
+        record_seen: revision of the leader record while another VM promotes.
+        record_seen_at: when that revision was first seen.
+    """
+
+    name: str
+    leader: Leadership | None = None
+    leaderless_at: float = 0.0
+    floors: deque[Floor] = field(default_factory=deque)
+    queue: list["Work"] = field(default_factory=list)
+    unconfirmed: list["Work"] = field(default_factory=list)
+    confirmed_by_store: float = -1.0
+    store_call: int = 0
+    store_sent_at: float = 0.0
+    store_retry_at: float = 0.0
+    probed_at: float = -1.0
+    round_at: float = -1.0
+    read_at: float = -100.0
+    lagging_at: float = -100.0
+    promotion: Promotion | None = None
+    record_seen: int = -1
+    record_seen_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Transaction:
+    """A caller's open transaction.
+
+    Args:
+        began_at: when its first byte arrived.
+        connection: the one it runs on, None before its first statement.
+        failed: whether it can only be ended.
+        untold: whether its caller has yet to learn that it failed.
+        wrote: whether a write was sent.
+        checked: whether the primary was shown to lead since `began_at`.
+    """
+
+    session: "Session"
+    route: Route
+    read_only: bool
+    began_at: float
+    active_at: float
+    connection: Connection | None = None
+    failed: bool = False
+    untold: bool = False
+    wrote: bool = False
+    checked: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Session:
+    """A caller's connection.
+
+    Args:
+        values: session values that were acknowledged.
+        prepared: prepared statements by the caller's name.
+        position: the session's last acknowledged commit.
+        work: the statement under way.
+    """
+
+    number: int
+    database: str
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, tuple[bool, str]] = field(default_factory=dict)
+    position: Position | None = None
+    transaction: Transaction | None = None
+    work: "Work | None" = None
+    closing: bool = False
+    active_at: float = 0.0
+
+    @property
+    def state(self) -> TransactionState:
+        """State of its transaction, as the caller is told."""
+        if self.transaction is None:
+            return TransactionState.NONE
+        if self.transaction.failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+
+class WorkState(enum.Enum):
+    """Where a statement stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    UNCONFIRMED = "unconfirmed"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, kw_only=True)
+class Work:
+    """A statement that a backend server has to run.
+
+    Args:
+        arrived_at: when it arrived; its transaction's time if it belongs to one.
+        deadline: when its caller is answered at the latest.
+        writes: whether it may change data, a commit included.
+        leader_only: whether only the primary may run it.
+        tried: servers that did not run it, with the refusal.
+        sent_at: when it was last sent.
+        answer: the server's answer while it awaits proof.
+        proof_from: the primary must be shown to lead at this time or later.
+        hedge: connections beside the first one on which a read runs.
+    """
+
+    session: Session
+    statement: Statement
+    route: Route
+    arrived_at: float
+    since: float
+    deadline: float
+    writes: bool
+    leader_only: bool
+    commits: bool = False
+    state: WorkState = WorkState.QUEUED
+    tried: dict[str, float] = field(default_factory=dict)
+    attempts: int = 0
+    connections: list[Connection] = field(default_factory=list)
+    sent_at: float = 0.0
+    offered: bool = False
+    hedged: bool = False
+    answer: Answer | None = None
+    server: str = ""
+    proof_from: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class DirectState:
+    """All that one VM's direct core remembers.
+
+    Args:
+        vm: this VM's name.
+        zone: its availability zone.
+        regions: region by availability zone.
+        grace: time from the request to leave to the kill, in seconds.
+        random: seeded generator for every random choice.
+        vms: names of registered VMs.
+        servers_revision: store revision of the newest list of servers.
+        unsettled: databases whose waiting statements are looked at again.
+    """
+
+    vm: str
+    zone: str
+    regions: dict[str, str]
+    grace: float
+    random: random.Random
+    now: float = 0.0
+    configuration: Configuration | None = None
+    servers: dict[str, Server] = field(default_factory=dict)
+    servers_revision: int = -1
+    servers_known: bool = False
+    databases: dict[str, Database] = field(default_factory=dict)
+    sessions: dict[int, Session] = field(default_factory=dict)
+    connections: dict[int, Connection] = field(default_factory=dict)
+    calls: dict[int, tuple[str, str]] = field(default_factory=dict)
+    next_number: int = 1
+    vms: tuple[str, ...] = ()
+    vms_asked_at: float = -100.0
+    ready: bool = False
+    leaving_at: float | None = None
+    unsettled: set[str] = field(default_factory=set)
+
+    @property
+    def region(self) -> str:
+        """The region of this VM."""
+        return self.regions.get(self.zone, "")
+
+    def take_number(self) -> int:
+        """Return a number for a connection or call, never used before."""
+        number = self.next_number
+        self.next_number += 1
+        return number
+
+    def members(self, service: str) -> list[Server]:
+        """Return the known servers of a database, leaving ones included."""
+        found = []
+        for server in self.servers.values():
+            if server.entry.service == service:
+                found.append(server)
+        return found
+
+    def leader_of(self, database: Database) -> Server | None:
+        """Return the believed primary if its server is known."""
+        if database.leader is None:
+            return None
+        return self.servers.get(database.leader.server)
--- /dev/null
+++ b/src/siskinhold/direct/_types.py
@@ -0,0 +1,255 @@
+"""Statements, commands and answers of the line protocol, free of wire names."""
+
+import enum
+from dataclasses import dataclass
+
+from ..model import Position
+
+
+class StatementKind(enum.Enum):
+    """What a caller's statement does."""
+
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    READ = "read"
+    WRITE = "write"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    DEALLOCATE = "deallocate"
+    MALFORMED = "malformed"
+
+
+class Refusal(enum.Enum):
+    """Why a statement has no result."""
+
+    BUSY = "busy"
+    ABORTED = "aborted"
+    LAGGING = "lagging"
+    READ_ONLY = "read_only"
+    MISROUTED = "misrouted"
+    OVERLOAD = "overload"
+    NO_STATEMENT = "no_statement"
+    NO_DATABASE = "no_database"
+    MALFORMED = "malformed"
+    FAILED = "failed"
+    TIMEOUT = "timeout"
+    IN_DOUBT = "in_doubt"
+    UNRECOGNIZED = "unrecognized"
+
+
+NOT_RUN = frozenset(
+    {
+        Refusal.BUSY,
+        Refusal.LAGGING,
+        Refusal.READ_ONLY,
+        Refusal.MISROUTED,
+        Refusal.OVERLOAD,
+    }
+)
+"""Refusals by a backend server after which the statement may be sent again."""
+
+
+class TransactionState(enum.Enum):
+    """Whether a connection is in a transaction."""
+
+    NONE = "none"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Statement:
+    """A caller's statement.
+
+    Args:
+        request: the caller's id of it.
+        text: the text as the caller sent it.
+        name: variable of `SET`, else name of a prepared statement.
+        value: value of `SET`, else arguments of `EXECUTE`.
+        shape: shape of a statement to prepare.
+        writes: whether it writes; for `PREPARE`, whether its statement does.
+        read_only: whether a transaction that begins only reads.
+    """
+
+    request: str
+    kind: StatementKind
+    text: str
+    name: str = ""
+    value: str = ""
+    shape: str = ""
+    writes: bool = False
+    read_only: bool = False
+
+
+class CommandKind(enum.Enum):
+    """What a command asks of a backend server."""
+
+    RUN = "run"
+    EXECUTE = "execute"
+    BEGIN = "begin"
+    BEGIN_READ = "begin_read"
+    ROLLBACK = "rollback"
+    RESET = "reset"
+    SET = "set"
+    PREPARE = "prepare"
+    STATUS = "status"
+    STEP_DOWN = "step_down"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Command:
+    """A command to a backend server.
+
+    Args:
+        request: the caller's id; empty for a command of siskinhold's own.
+        text: for `RUN`, the caller's text.
+        name: variable, or name of a prepared statement on this connection.
+        value: value of the variable, arguments, or shape to prepare.
+        writes: for `PREPARE`, whether the statement writes.
+        after: log position that the server must have applied.
+        term: for `STEP_DOWN`, the term that ends the server's lead.
+    """
+
+    kind: CommandKind
+    request: str = ""
+    text: str = ""
+    name: str = ""
+    value: str = ""
+    writes: bool = False
+    after: Position | None = None
+    term: int = 0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Answer:
+    """A whole answer, from a backend server or to a caller.
+
+    Args:
+        rows: the rows as sent.
+        signature: the server's proof that it ran the statement.
+        refusal: None on success.
+        detail: text beside the refusal.
+        transaction: state of the connection after the answer.
+        position: end of the server's applied log.
+        received: end of the log that the server has received; only for `STATUS`.
+    """
+
+    rows: tuple[str, ...] = ()
+    signature: str = "-"
+    refusal: Refusal | None = None
+    detail: str = ""
+    transaction: TransactionState = TransactionState.NONE
+    position: Position | None = None
+    received: Position | None = None
+
+
+class Consistency(enum.Enum):
+    """What the reads of a route must see."""
+
+    PRIMARY = "primary"
+    BOUNDED_STALENESS = "bounded_staleness"
+    READ_YOUR_WRITES = "read_your_writes"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Route:
+    """How statements on one database name are handled.
+
+    Args:
+        database: the name that callers connect to.
+        service: the replicated database that serves it.
+        timeout: bound of a single statement, in seconds.
+        target: latency that callers hope for, in seconds.
+        priority: 0 is the most urgent.
+        staleness: greatest age of what a read may miss, in seconds.
+    """
+
+    database: str
+    service: str
+    consistency: Consistency
+    timeout: float
+    target: float
+    priority: int
+    staleness: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Configuration:
+    """The configuration in force.
+
+    Args:
+        version: grows with each change.
+        routes: the routes by database name.
+        connections: greatest number of connections to one server, by service.
+        idle_transaction: time after which an idle transaction may be ended, in
+            seconds.
+    """
+
+    version: int
+    routes: dict[str, Route]
+    connections: dict[str, int]
+    idle_transaction: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ServerEntry:
+    """A backend server as it describes itself to the platform.
+
+    Args:
+        server: its id.
+        service: the database whose instance it is.
+        host: its IP address.
+        port: its port.
+        zone: its availability zone.
+        slots: statements that it runs at once.
+        draining: whether it is about to leave.
+        leads: whether it regards itself as the primary.
+        started: when it started, in milliseconds since the epoch.
+    """
+
+    server: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    draining: bool
+    leads: bool
+    started: int
+
+
+class LeaderState(enum.Enum):
+    """Progress of the newest promotion of a database."""
+
+    STABLE = "stable"
+    PROMOTING = "promoting"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LeaderRecord:
+    """The record of a database's newest promotion in the store.
+
+    Args:
+        server: the primary, or the server to be promoted.
+        term: the primary's term; while promoting, the term to be left.
+        vm: the VM that wrote the record.
+        attempt: random identity of the promotion.
+    """
+
+    state: LeaderState
+    server: str
+    term: int
+    vm: str
+    attempt: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Suspicion:
+    """One VM's statement that it can't reach a primary."""
+
+    service: str
+    server: str
+    term: int
+    vm: str
--- /dev/null
+++ b/src/siskinhold/lines/_driver.py
@@ -0,0 +1,219 @@
+"""Feeds events to the direct core and carries out its effects."""
+
+import asyncio
+from collections import deque
+
+from ..direct import (
+    AnnounceReadiness,
+    CloseBackend,
+    CloseCaller,
+    DirectState,
+    Event,
+    GreetCaller,
+    LeaderRecordAnswered,
+    ListSuspicions,
+    ListVms,
+    Log,
+    Observe,
+    OpenBackend,
+    OrderPromotion,
+    PromotionAnswered,
+    PublishSuspicion,
+    ReadLeaderRecord,
+    RefuseCaller,
+    ReplyCaller,
+    SendCommands,
+    ShutdownRequested,
+    Stop,
+    SuspicionsAnswered,
+    TimeAdvanced,
+    VmsRead,
+    WriteLeaderRecord,
+    find_tick,
+    reduce,
+)
+from ..observability import Metrics
+from ._backends import LineBackends
+from ._callers import LineCallers
+from ._client import PlatformClient, StoreUnavailable
+from ._clock import read_clock
+from ._log import DecisionLog
+from ._probe import ProbeServer
+
+
+class DirectDriver:
+    """Runs the direct core on the running event loop.
+
+    Args:
+        state: the core's state; only the driver changes it, through the reducer.
+        callers: connections of callers.
+        backends: connections to backend servers.
+        client: the platform's services.
+        probe: the readiness probe.
+        log: takes the lines on decisions.
+        metrics: take the values observed.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: DirectState,
+        callers: LineCallers,
+        backends: LineBackends,
+        client: PlatformClient,
+        probe: ProbeServer,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        self.state = state
+        self._client = client
+        self._probe = probe
+        self._log = log
+        self._metrics = metrics
+        self._pending: deque[Event] = deque()
+        self._running = False
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self.stopped = asyncio.Event()
+        self._carry_out = {
+            GreetCaller: callers.greet,
+            RefuseCaller: callers.refuse,
+            ReplyCaller: callers.reply,
+            CloseCaller: callers.close,
+            OpenBackend: backends.open,
+            SendCommands: backends.send,
+            CloseBackend: backends.close,
+            ReadLeaderRecord: self._read_leader,
+            WriteLeaderRecord: self._write_leader,
+            PublishSuspicion: self._publish,
+            ListSuspicions: self._list_suspicions,
+            ListVms: self._list_vms,
+            OrderPromotion: self._order,
+            AnnounceReadiness: self._announce,
+            Log: self._write_line,
+            Observe: self._observe,
+            Stop: lambda effect: self.stopped.set(),
+        }
+
+    def start(self) -> None:
+        """Begin to let time advance."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Drop what is under way."""
+        self.stopped.set()
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    def request_shutdown(self) -> None:
+        """Begin a graceful shutdown; `stopped` is set when it is complete."""
+        self.emit(ShutdownRequested(at=read_clock()))
+
+    def emit(self, event: Event) -> None:
+        """Reduce an event and carry out its effects; events never nest."""
+        self._pending.append(event)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._pending and not self.stopped.is_set():
+                for effect in reduce(self.state, self._pending.popleft()):
+                    self._carry_out[type(effect)](effect)
+        finally:
+            self._running = False
+
+    def _tick(self) -> None:
+        if self.stopped.is_set():
+            return
+        self.emit(TimeAdvanced(at=read_clock()))
+        self._timer = self._loop.call_later(find_tick(self.state), self._tick)
+
+    def _spawn(self, work) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _read_leader(self, effect: ReadLeaderRecord) -> None:
+        self._spawn(
+            self._report_leader(effect.call, self._client.read_leader(effect.service))
+        )
+
+    def _write_leader(self, effect: WriteLeaderRecord) -> None:
+        call = self._client.write_leader(effect.service, effect.record, effect.revision)
+        self._spawn(self._report_leader(effect.call, call))
+
+    async def _report_leader(self, number: int, call) -> None:
+        result = await call
+        self.emit(
+            LeaderRecordAnswered(
+                at=read_clock(),
+                call=number,
+                outcome=result.outcome,
+                record=result.record,
+                revision=result.revision,
+            )
+        )
+
+    def _publish(self, effect: PublishSuspicion) -> None:
+        self._spawn(self._try_publish(effect))
+
+    async def _try_publish(self, effect: PublishSuspicion) -> None:
+        try:
+            await self._client.publish_suspicion(effect.suspicion)
+        except StoreUnavailable as error:
+            self._write_failure("suspicion_unpublished", error)
+
+    def _list_suspicions(self, effect: ListSuspicions) -> None:
+        self._spawn(self._report_suspicions(effect))
+
+    async def _report_suspicions(self, effect: ListSuspicions) -> None:
+        try:
+            suspicions = await self._client.list_suspicions(effect.service)
+        except StoreUnavailable as error:
+            self._write_failure("suspicions_unread", error)
+            suspicions = None
+        self.emit(
+            SuspicionsAnswered(at=read_clock(), call=effect.call, suspicions=suspicions)
+        )
+
+    def _list_vms(self, effect: ListVms) -> None:
+        self._spawn(self._report_vms())
+
+    async def _report_vms(self) -> None:
+        try:
+            names = await self._client.list_vms()
+        except StoreUnavailable as error:
+            self._write_failure("vms_unread", error)
+            return
+        self.emit(VmsRead(at=read_clock(), names=names))
+
+    def _order(self, effect: OrderPromotion) -> None:
+        self._spawn(self._report_order(effect))
+
+    async def _report_order(self, effect: OrderPromotion) -> None:
+        outcome = await self._client.order_promotion(
+            effect.service,
+            effect.server,
+            vm=self.state.vm,
+            token=effect.token,
+            timeout=max(0.05, effect.deadline - read_clock()),
+        )
+        self.emit(PromotionAnswered(at=read_clock(), call=effect.call, outcome=outcome))
+
+    def _announce(self, effect: AnnounceReadiness) -> None:
+        self._probe.ready = effect.ready
+
+    def _write_line(self, effect: Log) -> None:
+        self._log.write(effect, read_clock())
+
+    def _write_failure(self, event: str, error: Exception) -> None:
+        self._log.write(
+            Log(event=event, fields=(("error", str(error)),), essential=True),
+            read_clock(),
+        )
+
+    def _observe(self, effect: Observe) -> None:
+        self._metrics.observe(effect.metric, effect.value, effect.label)
--- /dev/null
+++ b/src/siskinhold/lines/_feeds.py
@@ -0,0 +1,103 @@
+"""What the store says, read at the least cost that keeps it fresh enough."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from ..direct import ConfigurationRead, Event, ServersRead
+from ._client import HistoryGone, PlatformClient, StoreUnavailable
+from ._clock import read_clock
+
+WATCH_TIME = 2.5
+"""Seconds that a watch on the configuration waits. A watch that was silently cut off is
+noticed that soon, within the time that a configuration has to be in force."""
+
+POLL_INTERVAL = 1.0
+"""Seconds between two reads of the list of servers. A server that leaves is reported
+seconds before it goes."""
+
+RETRY_FIRST = 0.1
+"""Seconds until a failed read is tried again; doubled for each further failure."""
+
+RETRY_MOST = 1.0
+"""Greatest number of seconds until a failed read is tried again."""
+
+_log = logging.getLogger(__name__)
+
+
+class _Retries:
+    """Pauses after failures, and one log line when a dependency is lost or is back."""
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+        self._failures = 0
+
+    async def pause(self, error: Exception) -> None:
+        """Wait after a failure."""
+        if self._failures == 0:
+            _log.warning("event=feed_lost feed=%s error=%s", self._name, error)
+        delay = min(RETRY_MOST, RETRY_FIRST * 2 ** min(self._failures, 8))
+        self._failures += 1
+        await asyncio.sleep(delay)
+
+    def succeed(self) -> None:
+        """Note an answer."""
+        if self._failures:
+            _log.warning(
+                "event=feed_regained feed=%s failures=%d", self._name, self._failures
+            )
+        self._failures = 0
+
+
+async def follow_configuration(
+    client: PlatformClient, emit: Callable[[Event], None]
+) -> None:
+    """Report each configuration as soon as the store tells of it; never returns."""
+    retries = _Retries(name="configuration")
+    revision = None
+    while True:
+        try:
+            if revision is None:
+                revision, configuration = await client.read_configuration()
+            else:
+                revision, configuration = await client.watch_configuration(
+                    revision, WATCH_TIME
+                )
+        except HistoryGone:
+            revision = None
+            continue
+        except StoreUnavailable as error:
+            await retries.pause(error)
+            continue
+        retries.succeed()
+        if configuration is not None:
+            emit(ConfigurationRead(at=read_clock(), configuration=configuration))
+
+
+async def follow_servers(client: PlatformClient, emit: Callable[[Event], None]) -> None:
+    """Report the list of servers again and again; never returns."""
+    retries = _Retries(name="servers")
+    fresh = True
+    while True:
+        try:
+            revision, entries = await client.list_servers(fresh=fresh)
+        except StoreUnavailable as error:
+            await retries.pause(error)
+            continue
+        retries.succeed()
+        fresh = not entries
+        emit(ServersRead(at=read_clock(), revision=revision, entries=entries))
+        await asyncio.sleep(POLL_INTERVAL)
+
+
+async def register_vm(client: PlatformClient, name: str) -> None:
+    """Enter this VM in the list of VMs, however long the store is away."""
+    retries = _Retries(name="registration")
+    while True:
+        try:
+            await client.register_vm(name)
+        except StoreUnavailable as error:
+            await retries.pause(error)
+            continue
+        retries.succeed()
+        return
--- /dev/null
+++ b/src/siskinhold/lines/_log.py
@@ -0,0 +1,109 @@
+"""Structured logs on standard output, bounded and never blocking."""
+
+import logging
+import os
+
+from ..direct import Log
+from ..observability import quote
+
+LINES_PER_SECOND = 60
+"""Lines a second, on average, that are not essential."""
+
+LINES_BURST = 200
+"""Lines that are not essential in a burst."""
+
+ESSENTIAL_PER_SECOND = 200
+"""Essential lines a second, on average."""
+
+ESSENTIAL_BURST = 1000
+"""Essential lines in a burst."""
+
+
+class _Budget:
+    """A token bucket of lines."""
+
+    __slots__ = ("_rate", "_most", "_left", "_at", "left_out")
+
+    def __init__(self, *, rate: float, most: float) -> None:
+        self._rate = rate
+        self._most = most
+        self._left = most
+        self._at = 0.0
+        self.left_out = 0
+
+    def take(self, now: float) -> bool:
+        """Return whether a line may be written."""
+        self._left = min(self._most, self._left + (now - self._at) * self._rate)
+        self._at = now
+        if self._left < 1:
+            self.left_out += 1
+            return False
+        self._left -= 1
+        return True
+
+
+class DecisionLog:
+    """Writes one line of key=value pairs for each decision.
+
+    Lines over the budget are counted, and the count is written with the next line. A
+    line that standard output does not take at once is counted likewise.
+
+    Args:
+        vm: name of the VM, written on each line.
+        descriptor: where lines are written.
+    """
+
+    def __init__(self, *, vm: str, descriptor: int = 1) -> None:
+        self._vm = vm
+        self._descriptor = descriptor
+        os.set_blocking(descriptor, False)
+        self._lines = _Budget(rate=LINES_PER_SECOND, most=LINES_BURST)
+        self._essential = _Budget(rate=ESSENTIAL_PER_SECOND, most=ESSENTIAL_BURST)
+        self._lost = 0
+
+    def write(self, entry: Log, now: float) -> None:
+        """Write a line unless there were too many.
+
+        Args:
+            now: seconds of the runtime's clock.
+        """
+        budget = self._essential if entry.essential else self._lines
+        if not budget.take(now):
+            return
+        parts = [f"at={now:.3f} vm={self._vm} event={entry.event}"]
+        for key, value in entry.fields:
+            parts.append(f"{key}={quote(value)}")
+        left_out = self._lines.left_out + self._essential.left_out + self._lost
+        if left_out:
+            parts.append(f"left_out={left_out}")
+        if self._put(" ".join(parts)):
+            self._lines.left_out = 0
+            self._essential.left_out = 0
+            self._lost = 0
+
+    def _put(self, line: str) -> bool:
+        try:
+            os.write(self._descriptor, line.encode() + b"\n")
+        except OSError:
+            # There is nowhere to report it; the next line that is written says so.
+            self._lost += 1
+            return False
+        return True
+
+
+class LineHandler(logging.Handler):
+    """Passes records of the standard library's loggers on to a `DecisionLog`."""
+
+    def __init__(self, *, log: DecisionLog, clock) -> None:
+        super().__init__()
+        self._log = log
+        self._clock = clock
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as one line."""
+        fields = [("level", record.levelname), ("text", record.getMessage())]
+        if record.exc_info and record.exc_info[1] is not None:
+            fields.append(("error", repr(record.exc_info[1])))
+        self._log.write(
+            Log(event="log", fields=tuple(fields), essential=True), self._clock()
+        )
--- /dev/null
+++ b/src/siskinhold/lines/_metrics.py
@@ -0,0 +1,17 @@
+"""The metrics of a VM that runs the direct core."""
+
+from ..observability import Metric, define_count, define_time
+
+METRICS: dict[str, Metric] = {
+    "statements_total": define_count("Statements of callers, by kind.", "kind"),
+    "statement_seconds": define_time("Time from statement to reply, by kind.", "kind"),
+    "refused_total": define_count("Statements without a result, by reason.", "reason"),
+    "retries_total": define_count("Statements sent again, by cause.", "cause"),
+    "service_seconds": define_time("Time of a statement at the backend server."),
+    "confirmation_seconds": define_time("Time until a primary was proved to lead."),
+    "promotion_seconds": define_time("Time from the claim of a promotion to its end."),
+    "backend_connections_opened_total": define_count(
+        "Connections opened to backend servers."
+    ),
+}
+"""The metrics by name without the prefix."""
--- /dev/null
+++ b/src/siskinhold/lines/_protocol.py
@@ -0,0 +1,73 @@
+"""Lines over a TCP connection."""
+
+import asyncio
+import socket
+
+from ._codec import LINE_LIMIT
+
+KEEPALIVE_IDLE = 2
+"""Seconds of silence until the first keep-alive probe."""
+
+KEEPALIVE_INTERVAL = 1
+"""Seconds between keep-alive probes."""
+
+KEEPALIVE_COUNT = 3
+"""Unanswered probes after which a connection counts as lost."""
+
+
+class LineProtocol(asyncio.Protocol):
+    """Splits what arrives into lines.
+
+    Args:
+        user_timeout: time without an acknowledgement from the other end after
+            which the connection is lost, in seconds.
+    """
+
+    def __init__(self, *, user_timeout: float) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._user_timeout = user_timeout
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set the socket's options."""
+        self.transport = transport
+        connection = transport.get_extra_info("socket")
+        options = (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+            (
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(self._user_timeout * 1000),
+            ),
+        )
+        for level, name, value in options:
+            connection.setsockopt(level, name, value)
+
+    def data_received(self, data: bytes) -> None:
+        """Take the lines that are complete."""
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while (end := buffer.find(b"\n", start)) >= 0:
+            line = bytes(buffer[start:end])
+            start = end + 1
+            if line.endswith(b"\r"):
+                line = line[:-1]
+            self.take_line(line)
+            if self.transport is None or self.transport.is_closing():
+                break
+        del buffer[:start]
+        if len(buffer) > LINE_LIMIT:
+            buffer.clear()
+            self.take_overflow()
+
+    def take_line(self, line: bytes) -> None:
+        """Take a line without its end."""
+        raise NotImplementedError
+
+    def take_overflow(self) -> None:
+        """Handle a line that is too long."""
+        raise NotImplementedError
