Prove writes by refusals, and take a new primary's term from its status

The positions of a new primary show its term only after its first commit, and a whole restart with connections refused as too many led to the promotion of a healthy database after 1.2 s. Ruled out: a lease, as a paused VM passes any check of one. Now a write also needs each other member to refuse a transaction for writing, an outdated primary is told to step down, and a database without a known primary is promoted only when every reachable member has refused.

--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -1,6 +1,7 @@
 """Connections to backend servers: how many, when opened, and what is sent."""
 
 from ._effects import CloseBackend, Log, Observe, OpenBackend, SendCommands
+from ._events import LossReason
 from ._state import (
     Connection,
     ConnectionState,
@@ -29,8 +30,9 @@
 RETRY_MOST = 0.8
 """Greatest number of seconds between two attempts to connect."""
 
-FULL_PAUSE = 1.0
-"""Seconds without new connections after a server had too many."""
+FULL_PAUSE = 0.3
+"""Seconds without new connections after a server had too many: a server drops those of
+VMs that lost power only after a while."""
 
 
 def limit_connections(state: DirectState, server: Server) -> int:
@@ -101,11 +103,17 @@
     return None
 
 
-def find_idle(server: Server, session: Session) -> Connection | None:
-    """Return an idle connection for work, best one that fits the session's values."""
+def find_idle(
+    state: DirectState, server: Server, session: Session
+) -> Connection | None:
+    """Return an idle connection for work, best one that fits the session's values.
+
+    While a server takes no more connections, the control connection also works.
+    """
     found = None
+    full = state.now < server.full_until + FULL_PAUSE
     for connection in server.connections.values():
-        if connection.control or not connection.idle:
+        if connection.control and not full or not connection.idle:
             continue
         if connection.values == session.values:
             return connection
@@ -225,12 +233,34 @@
     for connection in server.connections.values():
         if connection.state is ConnectionState.OPEN:
             return
-    if server.down_at is None:
-        server.down_at = state.now
-        out.append(
-            Log(
-                event="server_lost",
-                fields=(("server", server.entry.server), ("reason", reason)),
-                essential=True,
-            )
+    _note_down(state, server, reason, out)
+
+
+def note_lost(
+    state: DirectState, server: Server, reason: LossReason, out: Effects
+) -> None:
+    """Take a server as lost until a connection opens again.
+
+    After a silence its idle connections are dropped as well: they would only be found
+    dead when a statement is sent on them.
+    """
+    if reason is LossReason.SILENT:
+        for connection in list(server.connections.values()):
+            if connection.state is ConnectionState.OPEN and connection.idle:
+                close_connection(state, connection, out, "server_silent")
+    elif any(c.state is ConnectionState.OPEN for c in server.connections.values()):
+        return
+    _note_down(state, server, reason.value, out)
+
+
+def _note_down(state: DirectState, server: Server, reason: str, out: Effects) -> None:
+    if server.down_at is not None:
+        return
+    server.down_at = state.now
+    out.append(
+        Log(
+            event="server_lost",
+            fields=(("server", server.entry.server), ("reason", reason)),
+            essential=True,
         )
+    )
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -1,13 +1,19 @@
-"""Proof that a primary led, from the positions that servers report.
-
-Every answer of a server carries the end of its log, whose term rises the moment
-the server is promoted. A primary of term T thus led at time t if every other
-member of its database answered a command sent at t or later with a term of at
-most T. No clock of another machine and no lease is involved, so a VM that was
-paused or cut off proves nothing by mistake. Where a member can't be asked, the
-database's leader record is read: it is written before a promotion is ordered.
+"""Proof that a primary led, from what the other servers of its database answer.
+
+Every answer of a server carries the end of its applied log, whose term rises before
+any commit of a new term is acknowledged. So a primary of term T held every
+acknowledged commit at time t if every other member of its database answered a
+command sent at t or later with a term of at most T. That suffices for reads. A new
+primary may take writes a little before its log shows the new term, so a write also
+needs every other member to have refused a transaction for writing.
+
+No clock of another machine and no lease is involved, so a VM that was paused or cut
+off proves nothing by mistake. Where a member can't be asked, the database's leader
+record is read: it is written before a promotion is ordered.
 """
 
+import enum
+
 from ..model import Position
 from ._connections import find_control, send
 from ._effects import Log, ReadLeaderRecord
@@ -22,7 +28,7 @@
     Purpose,
     Server,
 )
-from ._types import Command, CommandKind, LeaderState
+from ._types import Answer, Command, CommandKind, LeaderState, Refusal, TransactionState
 
 MEMBER_MEMORY = 5.0
 """Seconds for which a member that leaves or is gone is still asked for proof.
@@ -37,6 +43,10 @@
 FLOOR_COUNT = 64
 """Floors kept for a database."""
 
+CONTROL_PATIENCE = 0.1
+"""Seconds for which an answer on a control connection is waited for before the store
+is asked as well: several round trips to the other region."""
+
 STORE_SPACING = 0.1
 """Least number of seconds between two confirming reads of a leader record."""
 
@@ -63,14 +73,35 @@
         return
     leader = database.leader
     if leader is not None and position.term > leader.term:
-        drop_leader(state, database, "newer_term", out)
+        drop_leader(state, database, DropReason.NEWER_TERM, out)
     _add_floor(state, database)
     if database.unconfirmed or database.queue:
         state.unsettled.add(database.name)
 
 
+class DropReason(enum.Enum):
+    """Why a primary is no longer believed in."""
+
+    NEWER_TERM = "newer_term"
+    OTHER_LEADS = "other_leads"
+    READ_ONLY = "read_only"
+    RECORD = "record"
+    GONE = "gone"
+
+
+EXPECTED_TIMES = {
+    DropReason.NEWER_TERM: 0.2,
+    DropReason.OTHER_LEADS: 0.4,
+    DropReason.READ_ONLY: 0.8,
+    DropReason.RECORD: 0.8,
+    DropReason.GONE: 1.0,
+}
+"""Seconds until the next primary is known, as a rule: it only has to be found, has to
+apply what it received, or has to be promoted."""
+
+
 def drop_leader(
-    state: DirectState, database: Database, reason: str, out: Effects
+    state: DirectState, database: Database, reason: DropReason, out: Effects
 ) -> None:
     """Believe in no primary until one is found."""
     if database.leader is None:
@@ -82,13 +113,15 @@
                 ("database", database.name),
                 ("server", database.leader.server),
                 ("term", database.leader.term),
-                ("reason", reason),
+                ("reason", reason.value),
             ),
             essential=True,
         )
     )
+    database.past = database.leader
     database.leader = None
     database.leaderless_at = state.now
+    database.expected_at = state.now + EXPECTED_TIMES[reason]
     database.probed_at = -1.0
     state.unsettled.add(database.name)
 
@@ -96,14 +129,14 @@
 def take_leader(
     state: DirectState, database: Database, server: Server, term: int, out: Effects
 ) -> None:
-    """Believe in a primary that took a transaction for writing at a term."""
+    """Believe in a primary of a term, unless a newer term is known."""
     for member in state.members(database.name):
         evidence = member.evidence
         if evidence is not None and evidence.position.term > term:
             return
-    old = database.leader
+    old = database.leader or database.past
     name = server.entry.server
-    if old is not None and (old.term > term or old.server == name and old.term == term):
+    if old is not None and old.term > term:
         return
     database.leader = Leadership(server=name, term=term, since=state.now)
     database.floors.clear()
@@ -138,10 +171,15 @@
     return found
 
 
-def find_confirmed(state: DirectState, database: Database) -> float:
+def find_confirmed(
+    state: DirectState, database: Database, *, strict: bool = False
+) -> float:
     """Return the latest time at which the believed primary is proved to have led.
 
     -1 stands for no proof.
+
+    Args:
+        strict: whether no other server may have taken writes at that time.
     """
     leader = database.leader
     if leader is None:
@@ -152,7 +190,7 @@
         if evidence is None or evidence.position.term > leader.term:
             oldest = -1.0
             break
-        oldest = min(oldest, evidence.sent_at)
+        oldest = min(oldest, member.refused_at if strict else evidence.sent_at)
     return max(oldest, database.confirmed_by_store)
 
 
@@ -171,33 +209,113 @@
     out: Effects,
     *,
     leader_too: bool = False,
+    strict: bool = False,
 ) -> None:
-    """Ask the members for their positions unless newer ones are known or on the way."""
+    """Ask the members for proof unless it is known or on the way.
+
+    Args:
+        leader_too: whether the primary's position is needed as well.
+        strict: whether the other members must refuse a transaction for writing.
+    """
     silent = False
     for member in list_witnesses(state, database):
-        silent |= not _ask_position(state, member, since, out)
+        silent |= not _ask_member(state, member, since, strict, out)
     leader = state.leader_of(database)
     if leader_too and leader is not None:
-        _ask_position(state, leader, since, out)
+        _ask_member(state, leader, since, False, out)
     if silent:
         _ask_store(state, database, since, out)
 
 
-def _ask_position(
-    state: DirectState, member: Server, since: float, out: Effects
+def _ask_member(
+    state: DirectState, member: Server, since: float, strict: bool, out: Effects
 ) -> bool:
     """Ask one member; return whether an answer may be expected."""
     evidence = member.evidence
-    if evidence is not None and evidence.sent_at >= since:
+    if strict:
+        known = member.refused_at >= since
+    else:
+        known = evidence is not None and evidence.sent_at >= since
+    if known:
         return True
     control = find_control(member)
     if control is None:
         return False
-    if not control.pending:
+    if control.pending:
+        return state.now - control.pending[0].sent_at < CONTROL_PATIENCE
+    if strict:
+        probe_lead(state, member, out)
+    else:
         command = Command(kind=CommandKind.RESET)
         send(state, control, command, Purpose.POSITION, out)
-        return True
-    return state.now - control.pending[0].sent_at < 0.1
+    return True
+
+
+def probe_lead(state: DirectState, server: Server, out: Effects) -> None:
+    """Ask a server whether it leads, by a transaction for writing that is rolled back.
+
+    It takes no slot. A replica refuses it.
+    """
+    control = find_control(server)
+    if control is None or control.pending:
+        return
+    begin = Command(kind=CommandKind.BEGIN)
+    send(state, control, begin, Purpose.LEAD_PROBE, out)
+    rollback = Command(kind=CommandKind.ROLLBACK)
+    send(state, control, rollback, Purpose.CLEANUP, out)
+
+
+def take_lead_probe(
+    state: DirectState, server: Server, sent_at: float, answer: Answer, out: Effects
+) -> None:
+    """Take the answer to `probe_lead`."""
+    database = state.databases.get(server.entry.service)
+    if database is None or answer.position is None:
+        return
+    leader = database.leader
+    name = server.entry.server
+    if answer.refusal is not None:
+        if answer.refusal is Refusal.READ_ONLY:
+            server.refused_at = max(server.refused_at, sent_at)
+            if leader is not None and leader.server == name:
+                drop_leader(state, database, DropReason.READ_ONLY, out)
+        return
+    if answer.transaction is not TransactionState.OPEN:
+        return
+    if leader is not None and leader.server == name:
+        return
+    # Positions may show an older term until the first commit of a newer one.
+    control = find_control(server)
+    status = Command(kind=CommandKind.STATUS)
+    send(state, control, status, Purpose.ROLE, out)
+
+
+def take_role(
+    state: DirectState, server: Server, sent_at: float, answer: Answer, out: Effects
+) -> None:
+    """Take what a server that took a transaction for writing says of itself.
+
+    It is believed in once it has applied all that it had received: until then its reads
+    lack commits that were acknowledged before it was promoted. A primary of an older
+    term, which does not know that it was replaced, is told to step down.
+    """
+    database = state.databases.get(server.entry.service)
+    status = answer.status
+    if database is None or status is None or answer.position is None:
+        return
+    leader = database.leader
+    if not status.leads:
+        server.refused_at = max(server.refused_at, sent_at)
+        return
+    if leader is not None and status.term < leader.term:
+        control = find_control(server)
+        command = Command(kind=CommandKind.STEP_DOWN, term=leader.term)
+        send(state, control, command, Purpose.ROLE, out)
+        return
+    if leader is not None and leader.server != server.entry.server:
+        drop_leader(state, database, DropReason.OTHER_LEADS, out)
+    if answer.position >= status.received:
+        take_leader(state, database, server, status.term, out)
 
 
 def _ask_store(
@@ -239,7 +357,7 @@
             and record.term <= leader.term
         )
         if record is not None and record.term > leader.term:
-            drop_leader(state, database, "record", out)
+            drop_leader(state, database, DropReason.RECORD, out)
     if confirmed:
         database.confirmed_by_store = max(
             database.confirmed_by_store, database.store_sent_at
@@ -251,7 +369,7 @@
     leader = state.leader_of(database)
     if leader is None or leader.evidence is None:
         return
-    if leader.evidence.position.term != database.leader.term:
+    if leader.evidence.position.term > database.leader.term:
         return
     at = min(leader.evidence.sent_at, find_confirmed(state, database))
     floors = database.floors
--- a/src/siskinhold/direct/_execution.py
+++ b/src/siskinhold/direct/_execution.py
@@ -9,7 +9,7 @@
     send,
 )
 from ._effects import Log, Observe
-from ._evidence import ask_positions, drop_leader, find_confirmed
+from ._evidence import DropReason, ask_positions, drop_leader, find_confirmed
 from ._placement import find_need, list_candidates
 from ._queue import list_hopeless, order_queue
 from ._replies import end_work
@@ -91,7 +91,7 @@
             return False
     wanted = None
     for server in list_candidates(state, database, work):
-        connection = find_idle(server, work.session)
+        connection = find_idle(state, server, work.session)
         if connection is None:
             wanted = wanted or server
             continue
@@ -250,6 +250,7 @@
     single_write = work.writes and transaction is None
     if single_write or work.commits:
         work.proof_from = state.now
+        work.proof_strict = True
     elif transaction is not None and transaction.checked:
         _deliver(state, work, answer, out)
         return
@@ -283,17 +284,22 @@
     leader = database.leader
     if leader is None:
         return
-    confirmed = find_confirmed(state, database)
+    confirmed = {
+        strict: find_confirmed(state, database, strict=strict)
+        for strict in (False, True)
+    }
     waiting = database.unconfirmed
     database.unconfirmed = []
     for work in waiting:
         if work.state is not WorkState.UNCONFIRMED:
             continue
         answer = work.answer
-        same = leader.server == work.server and answer.position.term == leader.term
+        same = leader.server == work.server and answer.position.term <= leader.term
+        if work.proof_strict:
+            same = same and answer.position.term == leader.term
         if not same:
             _reject_unconfirmed(state, work, out)
-        elif confirmed >= work.proof_from:
+        elif confirmed[work.proof_strict] >= work.proof_from:
             out.append(
                 Observe(
                     metric="confirmation_seconds",
@@ -330,11 +336,14 @@
 
 
 def _seek_proof(state: DirectState, database: Database, out: Effects) -> None:
-    needed = -1.0
+    needed = {False: -1.0, True: -1.0}
     for work in database.unconfirmed:
-        needed = max(needed, work.proof_from)
-    if needed >= 0 and database.leader is not None:
-        ask_positions(state, database, needed, out)
+        strict = work.proof_strict
+        needed[strict] = max(needed[strict], work.proof_from)
+    if database.leader is not None:
+        for strict, since in needed.items():
+            if since >= 0:
+                ask_positions(state, database, since, out, strict=strict)
     refresh = FLOOR_REFRESH
     if state.now - database.lagging_at < LAGGING_MEMORY:
         refresh = FLOOR_REFRESH_LAGGING
@@ -360,7 +369,7 @@
         database.lagging_at = state.now
     if refusal is Refusal.READ_ONLY and database.leader is not None:
         if database.leader.server == server.entry.server:
-            drop_leader(state, database, "read_only", out)
+            drop_leader(state, database, DropReason.READ_ONLY, out)
 
 
 def _requeue(
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -28,7 +28,7 @@
     StoreOutcome,
     SuspicionsAnswered,
 )
-from ._evidence import drop_leader, take_store_proof
+from ._evidence import DropReason, drop_leader, take_store_proof
 from ._state import (
     Database,
     DirectState,
@@ -112,6 +112,9 @@
             return None
         if state.now - database.leaderless_at < LEADERLESS_TIME:
             return None
+        for member in state.members(database.name):
+            if member.down_at is None and member.refused_at < database.leaderless_at:
+                return None
         return "leaderless", database.leaderless_at
     server = state.leader_of(database)
     if server is None:
@@ -283,7 +286,7 @@
         if state.now - database.record_seen_at < CLAIM_TIME:
             return
     elif record is not None and record.term > promotion.term:
-        drop_leader(state, database, "record", out)
+        drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
     _enter(state, promotion, PromotionStep.CLAIMING)
@@ -354,9 +357,9 @@
     """Note the position that a candidate has received."""
     database = state.databases.get(server.entry.service)
     promotion = database.promotion if database is not None else None
-    if promotion is None or answer.received is None:
+    if promotion is None or answer.status is None:
         return
-    promotion.positions[server.entry.server] = answer.received
+    promotion.positions[server.entry.server] = answer.status.received
 
 
 def _compare(state, database: Database, promotion: Promotion, out: Effects) -> None:
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -69,11 +69,11 @@
     leader = state.leader_of(database)
     if takes_leader_work(state, leader) and leader.down_at is None:
         return state.now
-    since = database.leaderless_at
-    if leader is not None:
-        since = state.now
-        for moment in (leader.down_at, leader.draining_at, leader.gone_at):
-            if moment is not None:
-                since = min(since, moment)
+    if leader is None:
+        return max(database.expected_at, state.now + OVERDUE_TIME)
+    since = state.now
+    for moment in (leader.down_at, leader.draining_at, leader.gone_at):
+        if moment is not None:
+            since = min(since, moment)
     expected = since + DETECTION_TIME + PROMOTION_TIME
     return max(expected, state.now + OVERDUE_TIME)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -1,9 +1,11 @@
 """What is known of backend servers: the platform's list and their connections."""
 
 from ._connections import (
+    FULL_PAUSE,
     close_connection,
     ensure_control,
     find_control,
+    note_lost,
     note_open_failed,
     note_opened,
     remove_connection,
@@ -17,12 +19,19 @@
     LossReason,
     ServersRead,
 )
-from ._evidence import drop_leader, note_evidence, take_leader
+from ._evidence import (
+    DropReason,
+    drop_leader,
+    note_evidence,
+    probe_lead,
+    take_lead_probe,
+    take_role,
+)
 from ._execution import lose_connection, take_result, take_setup
 from ._failover import take_position, take_step_down
 from ._placement import takes_leader_work
 from ._state import ConnectionState, Database, DirectState, Effects, Purpose, Server
-from ._types import Command, CommandKind, ServerEntry, TransactionState
+from ._types import Command, CommandKind, ServerEntry
 
 FORGET_AFTER = 6.0
 """Seconds after which a server that is gone is forgotten."""
@@ -34,6 +43,9 @@
 LEAD_PROBE_INTERVAL = 0.08
 """Seconds between two rounds that look for the primary."""
 
+PING_INTERVAL = 0.5
+"""Seconds without an answer of a primary after which it is asked for its position."""
+
 CONTROL_SILENCE = 0.8
 """Seconds after which an unanswered question on a control connection, which needs
 no slot of the server, shows that the connection is dead."""
@@ -123,9 +135,11 @@
     remove_connection(state, connection)
     opening = connection.state is ConnectionState.OPENING
     if event.reason is LossReason.OVERLOAD:
-        server.full_until = state.now + 1.0
+        server.full_until = state.now + FULL_PAUSE
     elif opening:
         note_open_failed(state, server, event.reason.value, out)
+    else:
+        note_lost(state, server, event.reason, out)
     out.append(
         Log(
             event="backend_lost",
@@ -159,46 +173,22 @@
     elif pending.purpose is Purpose.SETUP:
         take_setup(state, connection, pending, answer, out)
     elif pending.purpose is Purpose.LEAD_PROBE:
-        _take_lead_probe(state, server, answer, out)
+        take_lead_probe(state, server, pending.sent_at, answer, out)
+    elif pending.purpose is Purpose.ROLE:
+        take_role(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.PROBE:
         take_position(state, server, answer)
     elif pending.purpose is Purpose.STEP_DOWN:
         take_step_down(state, server, answer)
 
 
-def _take_lead_probe(state: DirectState, server: Server, answer, out: Effects) -> None:
-    database = state.databases.get(server.entry.service)
-    if database is None or answer.position is None:
-        return
-    if answer.refusal is None and answer.transaction is TransactionState.OPEN:
-        take_leader(state, database, server, answer.position.term, out)
-        return
-    leader = database.leader
-    if leader is not None and leader.server == server.entry.server:
-        if answer.refusal is not None:
-            drop_leader(state, database, "read_only", out)
-
-
-def probe_lead(state: DirectState, server: Server, out: Effects) -> None:
-    """Ask a server whether it leads, by a transaction for writing that is rolled back.
-
-    It takes no slot. A replica refuses it.
-    """
-    control = find_control(server)
-    if control is None or control.pending:
-        return
-    begin = Command(kind=CommandKind.BEGIN)
-    send(state, control, begin, Purpose.LEAD_PROBE, out)
-    rollback = Command(kind=CommandKind.ROLLBACK)
-    send(state, control, rollback, Purpose.CLEANUP, out)
-
-
 def maintain_servers(state: DirectState, out: Effects) -> None:
     """Keep control connections, drop those of leaving servers, look for primaries."""
     for server in list(state.servers.values()):
         _maintain(state, server, out)
     for database in state.databases.values():
         _look_for_leader(state, database, out)
+        _ping_leader(state, database, out)
 
 
 def _maintain(state: DirectState, server: Server, out: Effects) -> None:
@@ -222,7 +212,21 @@
         del state.servers[server.entry.server]
         database = state.databases[server.entry.service]
         if database.leader and database.leader.server == server.entry.server:
-            drop_leader(state, database, "gone", out)
+            drop_leader(state, database, DropReason.GONE, out)
+
+
+def _ping_leader(state: DirectState, database: Database, out: Effects) -> None:
+    """Ask a primary that nobody uses, so that its loss is noticed early."""
+    leader = state.leader_of(database)
+    if leader is None or leader.down_at is not None:
+        return
+    evidence = leader.evidence
+    if evidence is not None and state.now - evidence.sent_at < PING_INTERVAL:
+        return
+    control = find_control(leader)
+    if control is not None and not control.pending:
+        command = Command(kind=CommandKind.RESET)
+        send(state, control, command, Purpose.POSITION, out)
 
 
 def _look_for_leader(state: DirectState, database: Database, out: Effects) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -26,6 +26,7 @@
     SETUP = "setup"
     PROBE = "probe"
     LEAD_PROBE = "lead_probe"
+    ROLE = "role"
     CLEANUP = "cleanup"
     POSITION = "position"
     STEP_DOWN = "step_down"
@@ -101,6 +102,8 @@
 
     Args:
         evidence: from the newest answer.
+        refused_at: when the newest transaction for writing was sent that it refused,
+            as only a primary takes one.
         draining_at: when it was first seen to leave.
         gone_at: when its entry was first missing.
         down_at: since when no connection can be opened.
@@ -114,6 +117,7 @@
     entry: ServerEntry
     connections: dict[int, Connection] = field(default_factory=dict)
     evidence: Evidence | None = None
+    refused_at: float = -1.0
     draining_at: float | None = None
     gone_at: float | None = None
     down_at: float | None = None
@@ -201,7 +205,9 @@
 
     Args:
         leader: the believed primary.
+        past: the last believed primary once `leader` was dropped.
         leaderless_at: since when none is known.
+        expected_at: when the next one is expected, while none is known.
         floors: in ascending order of time.
         queue: statements that wait for a connection.
         unconfirmed: answers that wait for proof that the primary led.
@@ -217,7 +223,9 @@
 
     name: str
     leader: Leadership | None = None
+    past: Leadership | None = None
     leaderless_at: float = 0.0
+    expected_at: float = 0.0
     floors: deque[Floor] = field(default_factory=deque)
     queue: list["Work"] = field(default_factory=list)
     unconfirmed: list["Work"] = field(default_factory=list)
@@ -312,6 +320,7 @@
         sent_at: when it was last sent.
         answer: the server's answer while it awaits proof.
         proof_from: the primary must be shown to lead at this time or later.
+        proof_strict: whether it must be shown that no other server took writes then.
         hedge: connections beside the first one on which a read runs.
     """
 
@@ -334,6 +343,7 @@
     answer: Answer | None = None
     server: str = ""
     proof_from: float = 0.0
+    proof_strict: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -133,7 +133,7 @@
         detail: text beside the refusal.
         transaction: state of the connection after the answer.
         position: end of the server's applied log.
-        received: end of the log that the server has received; only for `STATUS`.
+        status: what the server says of itself; only for `STATUS` and `STEP_DOWN`.
     """
 
     rows: tuple[str, ...] = ()
@@ -142,7 +142,23 @@
     detail: str = ""
     transaction: TransactionState = TransactionState.NONE
     position: Position | None = None
-    received: Position | None = None
+    status: "ServerReport | None" = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ServerReport:
+    """What a backend server says of itself.
+
+    Args:
+        leads: whether it is the primary.
+        term: its term. A new primary's applied log shows an older one until it has
+            applied all that it had received.
+        received: end of the log that it has received.
+    """
+
+    leads: bool
+    term: int
+    received: Position
 
 
 class Consistency(enum.Enum):
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -25,7 +25,7 @@
 """Seconds until an attempt to connect is given up: many times the round trip to the
 other region and the time that a server takes for a connection."""
 
-USER_TIMEOUT = 0.8
+USER_TIMEOUT = 0.6
 """Seconds without an acknowledgement after which a connection is lost. The kernel of a
 server that is merely busy acknowledges at once."""
 
@@ -192,9 +192,9 @@
         rows = tuple(self._rows)
         self._rows = []
         self._end = None
-        received = None
+        status = None
         if self.outstanding.popleft() in (CommandKind.STATUS, CommandKind.STEP_DOWN):
-            received = self._backends.codec.read_received(rows)
+            status = self._backends.codec.read_report(rows)
         answer = Answer(
             rows=rows,
             signature=end.text if end.refusal is None else "-",
@@ -202,7 +202,7 @@
             detail=end.text if end.refusal is not None else "",
             transaction=ready.transaction,
             position=ready.position,
-            received=received,
+            status=status,
         )
         self._backends.emit(
             BackendAnswered(at=read_clock(), connection=self._number, answer=answer)
--- a/src/siskinhold/lines/_codec.py
+++ b/src/siskinhold/lines/_codec.py
@@ -4,7 +4,7 @@
 import enum
 from dataclasses import dataclass
 
-from ..direct import Answer, Command, Refusal, Statement, TransactionState
+from ..direct import Answer, Command, Refusal, ServerReport, Statement, TransactionState
 from ..model import Position
 
 LINE_LIMIT = 1 << 20
@@ -90,5 +90,5 @@
         """Return what a line of a backend server's answer says."""
 
     @abc.abstractmethod
-    def read_received(self, rows: tuple[str, ...]) -> Position | None:
-        """Return the end of the received log from the rows of a status answer."""
+    def read_report(self, rows: tuple[str, ...]) -> ServerReport | None:
+        """Return what a server says of itself in the rows of a status answer."""
--- /dev/null
+++ b/tests/direct/test_direct_failover.py
@@ -0,0 +1,182 @@
+"""The direct core: replacement of primaries and proof that they lead."""
+
+from siskinhold.direct import Refusal
+from siskinhold.model import Position
+
+from .world import World
+
+
+def start(**options) -> World:
+    """Return a world whose VMs know the primary."""
+    world = World(**options)
+    world.advance(2.0)
+    assert all(s.databases["db"].leader is not None for s in world.states.values())
+    return world
+
+
+class TestLostPrimary:
+    def test_is_replaced_and_writes_succeed_again(self):
+        """Guards against a primary's loss that stops writes for over 2.5 s."""
+        world = start()
+        world.connect("vm1", 1)
+        world.servers["s1"].down = True
+        began = world.now
+        answer = None
+        while world.now - began < 5:
+            answer = world.ask("vm1", 1, "WRITE x 1", wait=1.1)
+            if answer is not None and answer.refusal is None:
+                break
+            world.advance(0.05)
+        assert answer.refusal is None
+        assert world.now - began < 2.5
+        assert len({token for _, _, _, token in world.orders}) == 1
+
+    def test_most_advanced_replica_is_chosen(self):
+        """Guards against commits lost to a replica that had received fewer."""
+        world = start()
+        world.connect("vm1", 1)
+        world.servers["s2"].frozen = True
+        for item in range(5):
+            assert world.ask("vm1", 1, f"WRITE x {item}").refusal is None
+        world.servers["s1"].down = True
+        world.advance(3)
+        assert [server for _, _, server, _ in world.orders] == ["s3"]
+
+    def test_cut_from_one_vm_alone_is_kept(self):
+        """Guards against the loss of a healthy primary that one VM can't reach."""
+        world = start(vms=8)
+        world.servers["s1"].dark_for = {"vm3"}
+        world.advance(6)
+        assert world.orders == []
+
+    def test_lost_answer_to_the_order_is_repeated_with_the_same_token(self):
+        """Guards against a second claim when the platform's answer is lost."""
+        world = start()
+        world.order_lost = 1
+        world.servers["s1"].down = True
+        world.advance(4)
+        tokens = {token for _, _, _, token in world.orders}
+        assert len(tokens) == 1
+        assert world.states["vm1"].databases["db"].leader.server != "s1"
+
+
+class TestHealthyPrimary:
+    def test_is_kept_when_all_vms_restart_before_servers_take_connections(self):
+        """Guards against a promotion because connections are refused as too many.
+
+        After a loss of power a server counts the old connections for seconds more.
+        """
+        world = start(vms=2)
+        state = world.states["vm1"]
+        database = state.databases["db"]
+        for server in state.servers.values():
+            server.full_until = world.now + 3
+            for connection in list(server.connections.values()):
+                state.connections.pop(connection.number)
+                server.connections.clear()
+        database.leader = None
+        database.leaderless_at = world.now
+        world.states["vm2"].databases["db"].leader = None
+        world.advance(2.5)
+        assert world.orders == []
+
+    def test_is_kept_while_the_store_is_slow(self):
+        """Guards against a promotion that a slow store brings about."""
+        world = start()
+        world.store_delay = 0.3
+        world.advance(10)
+        assert world.orders == []
+
+
+class TestReplacedPrimary:
+    def test_write_at_the_old_primary_is_not_acknowledged(self):
+        """Guards against an acknowledged write that the new primary lacks."""
+        world = start()
+        world.connect("vm1", 1)
+        world.promote("s2")
+        answer = world.ask("vm1", 1, "WRITE x 1")
+        written = [s.name for s in world.servers.values() if s.commits]
+        assert answer.refusal is not None or written == ["s2"]
+
+    def test_write_is_not_acknowledged_before_the_new_log_shows_its_term(self):
+        """Guards against proof by the applied log, which a new primary shows late."""
+        world = start()
+        world.connect("vm1", 1)
+        assert world.ask("vm1", 1, "WRITE x 0").refusal is None
+        world.promote("s2")
+        answer = world.ask("vm1", 1, "WRITE x 1", wait=1.5)
+        assert answer.refusal is Refusal.IN_DOUBT
+
+    def test_new_one_is_used_before_its_first_commit(self):
+        """Guards against waiting for a term that only a commit would show."""
+        world = start()
+        world.connect("vm1", 1)
+        assert world.ask("vm1", 1, "WRITE x 0").refusal is None
+        world.servers["s1"].down = True
+        world.advance(3)
+        leader = world.states["vm1"].databases["db"].leader
+        assert leader is not None and leader.term == 2
+
+    def test_new_one_is_not_read_before_it_applied_what_it_received(self):
+        """Guards against a read that lacks commits which the new primary holds."""
+        world = start()
+        world.connect("vm1", 1)
+        assert world.ask("vm1", 1, "WRITE x 0").refusal is None
+        world.advance(0.1)
+        new = world.servers["s2"]
+        world.servers["s1"].down = True
+        new.applied = Position(1, 0)
+        world.servers["s3"].frozen = True
+        world.promote("s2")
+        world.advance(2)
+        assert world.states["vm1"].databases["db"].leader is None
+        new.applied = new.received
+        world.advance(0.5)
+        assert world.states["vm1"].databases["db"].leader.server == "s2"
+
+    def test_paused_vm_does_not_read_from_it(self):
+        """Guards against a stale read by a VM that slept through a promotion."""
+        world = start()
+        world.connect("vm3", 1)
+        world.connect("vm1", 2)
+        world.paused.add("vm3")
+        world.promote("s2")
+        world.advance(0.5)
+        world.ask("vm1", 2, "WRITE x 0")
+        assert world.ask("vm1", 2, "WRITE x 1").refusal is None
+        world.paused.discard("vm3")
+        world.ask("vm3", 1, "READ x")
+        world.advance(1)
+        reads = [r for s in world.servers.values() for r in s.ran if "READ" in r[2]]
+        answers = [a for _, a in world.replies["vm3", 1] if a.refusal is None]
+        assert reads and answers
+        assert all(a.signature.startswith("s2") for a in answers)
+
+    def test_vm_that_reaches_the_old_primary_alone_refuses(self):
+        """Guards against a stale read behind a partition, without the store."""
+        world = start()
+        world.connect("vm3", 1)
+        for name in ("s2", "s3"):
+            world.servers[name].dark_for = {"vm3"}
+        world.store_down = {"vm3"}
+        world.promote("s2")
+        answer = world.ask("vm3", 1, "READ x", wait=1.5)
+        assert answer.refusal is not None
+
+
+class TestLeavingPrimary:
+    def test_hands_over_without_losing_a_commit(self):
+        """Guards against commits that a planned replacement loses."""
+        world = start()
+        world.connect("vm1", 1)
+        for server in world.servers.values():
+            server.lag = 0.05
+        for item in range(4):
+            assert world.ask("vm1", 1, f"WRITE x {item}").refusal is None
+        last = world.servers["s1"].received
+        world.servers["s1"].state = "draining"
+        world.advance(3)
+        leader = world.states["vm1"].databases["db"].leader
+        assert leader.server != "s1"
+        assert world.servers[leader.server].received >= last
+        assert world.ask("vm1", 1, "WRITE x 9").refusal is None
--- /dev/null
+++ b/tests/direct/world.py
@@ -0,0 +1,565 @@
+"""Several VMs' direct cores with backend servers and a store, on simulated time."""
+
+import heapq
+import random
+
+from siskinhold.direct import (
+    Answer,
+    BackendAnswered,
+    BackendLost,
+    BackendOpened,
+    CallerClosed,
+    CallerOpened,
+    CallerStatement,
+    CloseBackend,
+    CloseCaller,
+    CommandKind,
+    Configuration,
+    ConfigurationRead,
+    Consistency,
+    DirectState,
+    LeaderRecordAnswered,
+    ListSuspicions,
+    ListVms,
+    Log,
+    LossReason,
+    OpenBackend,
+    OrderPromotion,
+    PromotionAnswered,
+    PromotionOutcome,
+    PublishSuspicion,
+    ReadLeaderRecord,
+    Refusal,
+    RefuseCaller,
+    ReplyCaller,
+    Route,
+    SendCommands,
+    ServerEntry,
+    ServerReport,
+    ServersRead,
+    ShutdownRequested,
+    Statement,
+    StatementKind,
+    Stop,
+    StoreOutcome,
+    SuspicionsAnswered,
+    TimeAdvanced,
+    TransactionState,
+    VmsRead,
+    WriteLeaderRecord,
+    find_tick,
+    reduce,
+)
+from siskinhold.model import Position
+
+LATENCY = 0.001
+"""Seconds from a VM to a server or the store, one way."""
+
+PROMOTE_TIME = 0.3
+"""Seconds from the order of a promotion until it takes effect."""
+
+ZONES = ("a", "b", "c")
+
+
+class FakeServer:
+    """A backend server of the database `db`.
+
+    Args:
+        slots: statements that it runs at once; more wait in order.
+    """
+
+    def __init__(self, *, world, name, zone, leads, slots=4, work=0.01):
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.leads = leads
+        self.slots = slots
+        self.work = work
+        self.term = 1
+        self.received = Position(1, 0)
+        self.applied = Position(1, 0)
+        self.lag = 0.002
+        self.frozen = False
+        self.dark_for: set[str] = set()
+        self.down = False
+        self.state = "ready"
+        self.listed = True
+        self.free_at = [0.0] * slots
+        self.ran: list[tuple[float, str, str]] = []
+        self.commits: list[tuple[float, int, int]] = []
+        self.lose_answers = 0
+        self.answer_busy = 0
+
+    def reaches(self, vm: str) -> bool:
+        """Whether a VM's packets arrive."""
+        return not self.down and vm not in self.dark_for
+
+    def entry(self) -> ServerEntry:
+        """Return the server's entry in the store."""
+        return ServerEntry(
+            server=self.name,
+            service="db",
+            host="10.0.0.1",
+            port=1,
+            zone=self.zone,
+            slots=self.slots,
+            draining=self.state == "draining",
+            leads=self.leads,
+            started=1,
+        )
+
+    def take_slot(self, now: float, work: float) -> float:
+        """Return when work that begins in the next free slot ends."""
+        index = min(range(self.slots), key=lambda i: self.free_at[i])
+        end = max(now, self.free_at[index]) + work
+        self.free_at[index] = end
+        return end
+
+    def run(self, connection, command, now):
+        """Return the answer to a command and when it is ready."""
+        kind = command.kind
+        end = now
+        rows = ()
+        refusal = None
+        status = None
+        after = command.after
+        if after is not None and self.applied < after:
+            refusal = Refusal.LAGGING
+        elif kind is CommandKind.BEGIN:
+            if self.leads:
+                connection.open = "write"
+            else:
+                refusal = Refusal.READ_ONLY
+        elif kind is CommandKind.BEGIN_READ:
+            connection.open = "read"
+        elif kind is CommandKind.ROLLBACK:
+            connection.open = ""
+            connection.wrote = False
+        elif kind in (CommandKind.STATUS, CommandKind.STEP_DOWN):
+            if kind is CommandKind.STEP_DOWN and command.term > self.term:
+                self.leads = False
+            status = ServerReport(
+                leads=self.leads, term=self.term, received=self.received
+            )
+        elif kind is CommandKind.RESET:
+            connection.values = {}
+        elif kind is CommandKind.SET:
+            connection.values[command.name] = command.value
+        elif kind in (CommandKind.RUN, CommandKind.EXECUTE):
+            end, refusal, rows = self._run_statement(connection, command, now)
+        open_state = TransactionState.OPEN if connection.open else TransactionState.NONE
+        position = self.applied
+        if refusal is None and connection.committed is not None:
+            position = connection.committed
+            connection.committed = None
+        answer = Answer(
+            rows=rows,
+            signature=f"{self.name}:{command.request}",
+            refusal=refusal,
+            transaction=open_state,
+            position=position,
+            status=status,
+        )
+        return end, answer
+
+    def _run_statement(self, connection, command, now):
+        text = command.text
+        word = text.split(" ")[0]
+        writes = word == "WRITE"
+        if self.answer_busy:
+            self.answer_busy -= 1
+            return now, Refusal.BUSY, ()
+        if writes and not self.leads:
+            return now, Refusal.READ_ONLY, ()
+        end = self.take_slot(now, self.work)
+        self.ran.append((now, command.request, text))
+        if writes and connection.open:
+            connection.wrote = True
+        commits = writes and not connection.open or word == "COMMIT"
+        if word == "COMMIT":
+            commits = connection.wrote
+            connection.open = ""
+            connection.wrote = False
+        if commits:
+            position = Position(self.term, self.received.offset + 1)
+            self.received = position
+            self.applied = position
+            connection.committed = position
+            self.commits.append((now, position.term, position.offset))
+            self.world.replicate(self, position)
+        return end, None, ("row",)
+
+
+class FakeConnection:
+    """A connection of a VM to a server."""
+
+    def __init__(self, *, vm, number, server):
+        self.vm = vm
+        self.number = number
+        self.server = server
+        self.values: dict[str, str] = {}
+        self.open = ""
+        self.wrote = False
+        self.committed = None
+        self.ready_at = 0.0
+
+
+class World:
+    """VMs, servers and a store; time advances from event to event.
+
+    Args:
+        vms: number of VMs.
+        work: seconds that a statement takes.
+    """
+
+    def __init__(self, *, vms=3, work=0.01, slots=4, seed=1):
+        self.now = 100.0
+        self.heap = []
+        self.order = 0
+        self.servers = {}
+        for index, zone in enumerate(ZONES):
+            name = f"s{index + 1}"
+            self.servers[name] = FakeServer(
+                world=self,
+                name=name,
+                zone=zone,
+                leads=index == 0,
+                slots=slots,
+                work=work,
+            )
+        self.states = {}
+        self.replies = {}
+        self.logs = []
+        self.closed = []
+        self.stopped = set()
+        self.paused = set()
+        self.connections = {}
+        self.record = None
+        self.revision = 10
+        self.record_revision = 0
+        self.suspicions = {}
+        self.store_down = set()
+        self.store_delay = LATENCY
+        self.orders = []
+        self.order_lost = 0
+        self.version = 1
+        self.timeout = 1.0
+        names = tuple(f"vm{i + 1}" for i in range(vms))
+        for index, name in enumerate(names):
+            self.add_vm(name, ZONES[index % 3], names, seed + index)
+
+    def add_vm(self, name, zone, names, seed):
+        """Start a VM."""
+        state = DirectState(
+            vm=name,
+            zone=zone,
+            regions={"a": "east", "b": "east", "c": "west"},
+            grace=6.0,
+            random=random.Random(seed),
+        )
+        state.vms = names
+        state.now = self.now
+        self.states[name] = state
+        self.give(name, ConfigurationRead(at=self.now, configuration=self.configure()))
+        self.at(self.now, lambda: self.tick(name))
+        self.at(self.now, lambda: self.list_servers(name))
+
+    def configure(self):
+        """Return a configuration with one route of each kind."""
+        kinds = {
+            "orders": (Consistency.PRIMARY, 0.0, 1),
+            "views": (Consistency.BOUNDED_STALENESS, 1.5, 2),
+            "crew": (Consistency.READ_YOUR_WRITES, 2.5, 2),
+        }
+        routes = {}
+        for name, (consistency, staleness, priority) in kinds.items():
+            routes[name] = Route(
+                database=name,
+                service="db",
+                consistency=consistency,
+                timeout=self.timeout,
+                target=0.4,
+                priority=priority,
+                staleness=staleness,
+            )
+        return Configuration(
+            version=self.version,
+            routes=routes,
+            connections={"db": 34},
+            idle_transaction=3.0,
+        )
+
+    def at(self, time, action):
+        """Run an action at a time."""
+        self.order += 1
+        heapq.heappush(self.heap, (time, self.order, action))
+
+    def advance(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.heap and self.heap[0][0] <= until:
+            time, _, action = heapq.heappop(self.heap)
+            self.now = max(self.now, time)
+            action()
+        self.now = until
+
+    def tick(self, vm):
+        """Let a VM's time advance, again and again."""
+        if vm not in self.paused:
+            self.give(vm, TimeAdvanced(at=self.now))
+        self.at(self.now + find_tick(self.states[vm]), lambda: self.tick(vm))
+
+    def list_servers(self, vm):
+        """Tell a VM of the servers once a second."""
+        if vm not in self.store_down and vm not in self.paused:
+            entries = tuple(s.entry() for s in self.servers.values() if s.listed)
+            self.give(
+                vm, ServersRead(at=self.now, revision=self.revision, entries=entries)
+            )
+        self.at(self.now + 1.0, lambda: self.list_servers(vm))
+
+    def give(self, vm, event):
+        """Have a VM reduce an event; a paused VM does so when it wakes."""
+        if vm in self.stopped:
+            return
+        if vm in self.paused:
+            self.at(self.now + 0.01, lambda: self.give_later(vm, event))
+            return
+        for effect in reduce(self.states[vm], event):
+            self.perform(vm, effect)
+
+    def give_later(self, vm, event):
+        """Deliver what arrived while a VM was paused."""
+        if vm in self.paused:
+            self.at(self.now + 0.01, lambda: self.give_later(vm, event))
+            return
+        event.at = self.now
+        self.give(vm, event)
+
+    def perform(self, vm, effect):
+        """Carry out an effect."""
+        if isinstance(effect, ReplyCaller):
+            self.replies.setdefault((vm, effect.session), []).append(
+                (self.now, effect.answer)
+            )
+        elif isinstance(effect, RefuseCaller):
+            self.closed.append((vm, effect.session, effect.refusal))
+        elif isinstance(effect, CloseCaller):
+            self.closed.append((vm, effect.session, None))
+            self.at(self.now, lambda: self.hang_up(vm, effect.session))
+        elif isinstance(effect, OpenBackend):
+            self.open(vm, effect)
+        elif isinstance(effect, SendCommands):
+            for command in effect.commands:
+                self.send(vm, effect.connection, command)
+        elif isinstance(effect, CloseBackend):
+            connection = self.connections.pop((vm, effect.connection), None)
+            if connection is not None:
+                connection.open = ""
+        elif isinstance(effect, Log):
+            self.logs.append((self.now, vm, effect.event, dict(effect.fields)))
+        elif isinstance(effect, Stop):
+            self.stopped.add(vm)
+        else:
+            self.call_store(vm, effect)
+
+    def open(self, vm, effect):
+        """Open a connection, or let the attempt fail."""
+        server = self.servers[effect.server]
+        number = effect.connection
+        if not server.reaches(vm):
+            lost = BackendLost(at=0, connection=number, reason=LossReason.SILENT)
+            self.deliver(vm, self.now + 0.7, lost)
+            return
+        connection = FakeConnection(vm=vm, number=number, server=server)
+        self.connections[vm, number] = connection
+        answer = Answer(position=server.applied)
+        opened = BackendOpened(at=0, connection=number, answer=answer)
+        self.deliver(vm, self.now + 0.012, opened)
+
+    def deliver(self, vm, time, event):
+        """Give a VM an event at a time."""
+
+        def act():
+            event.at = self.now
+            self.give(vm, event)
+
+        self.at(time, act)
+
+    def send(self, vm, number, command):
+        """Carry a command to its server and the answer back."""
+        connection = self.connections.get((vm, number))
+        if connection is None:
+            return
+        server = connection.server
+
+        def lose():
+            if self.connections.pop((vm, number), None) is not None:
+                reason = LossReason.SILENT
+                self.deliver(
+                    vm, self.now, BackendLost(at=0, connection=number, reason=reason)
+                )
+
+        def arrive():
+            if (vm, number) not in self.connections:
+                return
+            if not server.reaches(vm):
+                self.at(self.now + 0.8, lose)
+                return
+            end, answer = server.run(connection, command, self.now)
+            connection.ready_at = max(connection.ready_at, end)
+            if command.request and server.lose_answers:
+                server.lose_answers -= 1
+                return
+            self.at(connection.ready_at + LATENCY, lambda: respond(answer))
+
+        def respond(answer):
+            if (vm, number) not in self.connections:
+                return
+            if not server.reaches(vm):
+                self.at(self.now + 0.8, lose)
+                return
+            event = BackendAnswered(at=self.now, connection=number, answer=answer)
+            self.give(vm, event)
+
+        self.at(self.now + LATENCY, arrive)
+
+    def replicate(self, leader, position):
+        """Bring a commit to the replicas."""
+        for server in self.servers.values():
+            if server is leader:
+                continue
+            self.at(self.now + server.lag, lambda s=server: self.receive(s, position))
+
+    def receive(self, server, position):
+        """Let a replica receive and apply a commit."""
+        if server.frozen or server.leads or position.term < server.term:
+            return
+        server.received = max(server.received, position)
+        server.applied = server.received
+
+    def promote(self, name):
+        """Make a server the primary of the next term.
+
+        Positions show the term only once something is committed in it.
+        """
+        server = self.servers[name]
+        term = max(s.term for s in self.servers.values()) + 1
+        server.term = term
+        server.leads = True
+        for other in self.servers.values():
+            if other is server or other.leads:
+                continue
+            other.term = term
+            other.received = min(other.received, server.received)
+            other.applied = min(other.applied, server.received)
+
+    def call_store(self, vm, effect):
+        """Answer calls of the store and of promotions."""
+        down = vm in self.store_down
+        later = self.now + 2 * self.store_delay
+        if isinstance(effect, ListVms):
+            if not down:
+                self.deliver(vm, later, VmsRead(at=0, names=tuple(self.states)))
+        elif isinstance(effect, PublishSuspicion):
+            if not down:
+                self.suspicions[vm] = effect.suspicion
+        elif isinstance(effect, ListSuspicions):
+            found = None if down else tuple(self.suspicions.values())
+            event = SuspicionsAnswered(at=0, call=effect.call, suspicions=found)
+            self.deliver(vm, later, event)
+        elif isinstance(effect, (ReadLeaderRecord, WriteLeaderRecord)):
+            self.deliver(vm, later, self.answer_record(down, effect))
+        elif isinstance(effect, OrderPromotion):
+            self.orders.append((self.now, vm, effect.server, effect.token))
+            self.at(self.now + PROMOTE_TIME, lambda: self.promote(effect.server))
+            outcome = PromotionOutcome.ACCEPTED
+            if self.order_lost:
+                self.order_lost -= 1
+                outcome = PromotionOutcome.UNKNOWN
+            event = PromotionAnswered(at=0, call=effect.call, outcome=outcome)
+            self.deliver(vm, later, event)
+
+    def answer_record(self, down, effect):
+        """Return the answer to a call on the leader record."""
+        outcome = StoreOutcome.DONE
+        if down:
+            return LeaderRecordAnswered(
+                at=0, call=effect.call, outcome=StoreOutcome.UNKNOWN
+            )
+        if isinstance(effect, WriteLeaderRecord):
+            if effect.revision != self.record_revision:
+                outcome = StoreOutcome.CONFLICT
+            else:
+                self.revision += 1
+                self.record = effect.record
+                self.record_revision = self.revision
+        elif self.record is None:
+            outcome = StoreOutcome.ABSENT
+        return LeaderRecordAnswered(
+            at=0,
+            call=effect.call,
+            outcome=outcome,
+            record=self.record,
+            revision=self.record_revision,
+        )
+
+    def connect(self, vm, session, database="orders"):
+        """Open a caller's session."""
+        self.give(vm, CallerOpened(at=self.now, session=session, database=database))
+
+    def say(self, vm, session, text, request=None):
+        """Have a caller send a statement."""
+        self.order += 1
+        request = request or f"r{self.order}"
+        statement = make_statement(request, text)
+        self.give(
+            vm, CallerStatement(at=self.now, session=session, statement=statement)
+        )
+        return request
+
+    def ask(self, vm, session, text, wait=2.0):
+        """Have a caller send a statement; return its answer, None within the wait."""
+        before = len(self.replies.get((vm, session), ()))
+        self.say(vm, session, text)
+        for _ in range(int(wait / 0.005)):
+            self.advance(0.005)
+            replies = self.replies.get((vm, session), ())
+            if len(replies) > before:
+                return replies[-1][1]
+        return None
+
+    def hang_up(self, vm, session):
+        """End a caller's session."""
+        self.give(vm, CallerClosed(at=self.now, session=session))
+
+    def shut_down(self, vm):
+        """Ask a VM to leave."""
+        self.give(vm, ShutdownRequested(at=self.now))
+
+    def find_logs(self, event):
+        """Return the log lines of an event."""
+        return [entry for entry in self.logs if entry[2] == event]
+
+
+def make_statement(request, text):
+    """Return a statement as the wire would decode it."""
+    word, _, rest = text.partition(" ")
+    kind = {
+        "BEGIN": StatementKind.BEGIN,
+        "COMMIT": StatementKind.COMMIT,
+        "ROLLBACK": StatementKind.ROLLBACK,
+        "READ": StatementKind.READ,
+        "WRITE": StatementKind.WRITE,
+        "SET": StatementKind.SET,
+    }[word]
+    name, _, value = rest.partition(" ")
+    return Statement(
+        request=request,
+        kind=kind,
+        text=text,
+        name=name,
+        value=value,
+        writes=kind is StatementKind.WRITE,
+        read_only=kind is StatementKind.BEGIN and rest == "READ",
+    )
