--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-export PYTHONPATH := $(CURDIR)/src
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)/platform
 export PYTHONHASHSEED := 0
 
 .PHONY: test demo lint format prove measure capacity
@@ -17,13 +17,13 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/.installed
-	$(BIN)/black --check --quiet src tests scripts
-	$(BIN)/isort --check --quiet src tests scripts
-	$(BIN)/flake8 src tests scripts
+	$(BIN)/black --check --quiet src platform tests scripts
+	$(BIN)/isort --check --quiet src platform tests scripts
+	$(BIN)/flake8 src platform tests scripts
 
 format: $(VENV)/.installed
-	$(BIN)/isort --quiet src tests scripts
-	$(BIN)/black --quiet src tests scripts
+	$(BIN)/isort --quiet src platform tests scripts
+	$(BIN)/black --quiet src platform tests scripts
 
 demo: $(VENV)/.installed
 	$(BIN)/python scripts/demo.py
--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -108,10 +108,11 @@
 ) -> Connection | None:
     """Return an idle connection for work, best one that fits the session's values.
 
-    While a server takes no more connections, the control connection also works.
+    While a server takes no more connections, the control connection also works, but for
+    transactions: questions on it would break into them.
     """
     found = None
-    full = state.now < server.full_until + FULL_PAUSE
+    full = state.now < server.full_until + FULL_PAUSE and session.transaction is None
     for connection in server.connections.values():
         if connection.control and not full or not connection.idle:
             continue
@@ -152,6 +153,9 @@
     """Send a command and remember what its answer is for."""
     connection.pending.append(Pending(purpose=purpose, sent_at=state.now, work=work))
     connection.used_at = state.now
+    if command.kind is CommandKind.RESET:
+        connection.values.clear()
+        connection.prepared.clear()
     if (
         out
         and isinstance(out[-1], SendCommands)
@@ -174,8 +178,6 @@
     extra = [name for name in connection.values if name not in session.values]
     if extra:
         send(state, connection, Command(kind=CommandKind.RESET), Purpose.SETUP, out)
-        connection.values.clear()
-        connection.prepared.clear()
     for name, value in session.values.items():
         if connection.values.get(name) == value:
             continue
--- a/src/siskinhold/direct/_execution.py
+++ b/src/siskinhold/direct/_execution.py
@@ -10,6 +10,7 @@
 )
 from ._effects import Log, Observe
 from ._evidence import DropReason, ask_positions, drop_leader, find_confirmed
+from ._hedging import earn_hedge, list_overdue
 from ._placement import find_need, list_candidates
 from ._queue import list_hopeless, order_queue
 from ._replies import end_work
@@ -164,9 +165,48 @@
     work.sent_at = state.now
     if transaction is None:
         work.attempts += 1
+    earn_hedge(state.databases[work.route.service])
     send(state, connection, command, Purpose.WORK, out, work)
 
 
+def hedge_reads(state: DirectState, database: Database, out: Effects) -> None:
+    """Send reads whose answer is overdue to another server or on another connection."""
+    for work in list_overdue(state, database):
+        first = work.connections[0]
+        after = None
+        if not work.leader_only:
+            after = find_need(database, work)
+            if after is None:
+                continue
+        candidates = list_candidates(state, database, work)
+        others = [server for server in candidates if server is not first.server]
+        if first.server in candidates:
+            others.append(first.server)
+        for server in others:
+            connection = find_idle(state, server, work.session)
+            if connection is None:
+                continue
+            work.hedged = True
+            database.hedges -= 1
+            adopt_session(state, connection, work.session, out)
+            _run(state, work, connection, out, after)
+            out.append(
+                Log(
+                    event="hedged",
+                    fields=(
+                        ("request", work.statement.request),
+                        ("first", first.server.entry.server),
+                        ("second", server.entry.server),
+                        ("usual_ms", round(first.server.service_time * 1000)),
+                    ),
+                )
+            )
+            out.append(Observe(metric="hedges_total"))
+            break
+        if not work.hedged and others:
+            open_more(state, others[0], out)
+
+
 def take_setup(
     state: DirectState, connection: Connection, pending: Pending, answer: Answer, out
 ) -> None:
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -18,7 +18,7 @@
     TimeAdvanced,
     VmsRead,
 )
-from ._execution import abandon_transaction, expire_work, settle_database
+from ._execution import abandon_transaction, expire_work, hedge_reads, settle_database
 from ._failover import take_order, take_record, take_suspicions, watch_primaries
 from ._servers import (
     maintain_servers,
@@ -119,6 +119,7 @@
     if state.ungreeted:
         greet_waiting(state, out)
     for database in state.databases.values():
+        hedge_reads(state, database, out)
         busy = database.queue or database.unconfirmed
         if busy or state.now - database.read_at < 2.0:
             state.unsettled.add(database.name)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -30,7 +30,15 @@
 from ._execution import lose_connection, take_result, take_setup
 from ._failover import take_position, take_step_down
 from ._placement import takes_leader_work
-from ._state import ConnectionState, Database, DirectState, Effects, Purpose, Server
+from ._state import (
+    ConnectionState,
+    Database,
+    DirectState,
+    Effects,
+    Purpose,
+    Server,
+    WorkState,
+)
 from ._types import Command, CommandKind, ServerEntry
 
 FORGET_AFTER = 6.0
@@ -49,6 +57,10 @@
 LEADER_PING_INTERVAL = 0.5
 """The same for a primary, whose loss stops writes."""
 
+STUCK_TIME = 1.5
+"""Seconds after which a connection is given up whose statement has been answered from
+another one, or whose caller has left."""
+
 CONTROL_SILENCE = 0.8
 """Seconds after which an unanswered question on a control connection, which needs
 no slot of the server, shows that the connection is dead."""
@@ -195,9 +207,11 @@
 def _maintain(state: DirectState, server: Server, out: Effects) -> None:
     control = find_control(server)
     if control is not None and control.pending:
-        if state.now - control.pending[0].sent_at > CONTROL_SILENCE:
+        oldest = control.pending[0]
+        if oldest.work is None and state.now - oldest.sent_at > CONTROL_SILENCE:
             close_connection(state, control, out, "control_silent")
             lose_connection(state, control, out)
+    _close_stuck(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
         ensure_control(state, server, out)
@@ -217,6 +231,19 @@
             drop_leader(state, database, DropReason.GONE, out)
 
 
+def _close_stuck(state: DirectState, server: Server, out: Effects) -> None:
+    """Close connections whose answer nobody waits for any more and that never came."""
+    for connection in list(server.connections.values()):
+        if not connection.pending:
+            continue
+        oldest = connection.pending[0]
+        if oldest.work is None or oldest.work.state is not WorkState.ENDED:
+            continue
+        if state.now - oldest.sent_at >= STUCK_TIME:
+            close_connection(state, connection, out, "answer_lost")
+            lose_connection(state, connection, out)
+
+
 def _ping(state: DirectState, server: Server, out: Effects) -> None:
     """Ask a server that nobody uses, so that its loss is noticed early."""
     if server.down_at is not None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -216,6 +216,7 @@
         expected_at: when the next one is expected, while none is known.
         floors: in ascending order of time.
         queue: statements that wait for a connection.
+        hedges: reads that may be sent a second time now.
         unconfirmed: answers that wait for proof that the primary led.
         confirmed_by_store: the leader's term was current at this time.
         store_call: number of the confirming store call, 0 for none.
@@ -236,6 +237,7 @@
     expected_at: float = 0.0
     floors: deque[Floor] = field(default_factory=deque)
     queue: list["Work"] = field(default_factory=list)
+    hedges: float = 2.0
     unconfirmed: list["Work"] = field(default_factory=list)
     confirmed_by_store: float = -1.0
     store_call: int = 0
--- a/src/siskinhold/lines/__init__.py
+++ b/src/siskinhold/lines/__init__.py
@@ -11,6 +11,7 @@
     LineCodec,
     PartKind,
 )
+from ._http import HttpAnswer, HttpClient, HttpFailure
 from ._service import DirectService
 
 __all__ = [
@@ -21,6 +22,9 @@
     "Goodbye",
     "Hello",
     "HistoryGone",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpFailure",
     "LINE_LIMIT",
     "LeaderResult",
     "LineCodec",
--- /dev/null
+++ b/src/siskinhold/lines/_http.py
@@ -0,0 +1,236 @@
+"""HTTP/1.1 with `h11`: a client that keeps connections, and a small server.
+
+A larger HTTP library would triple the time that a process takes to start, and with it
+the time without service after a crash.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+CHUNK = 1 << 16
+"""Bytes read at once."""
+
+IDLE_TIME = 20.0
+"""Seconds after which an idle connection is not used again."""
+
+REQUEST_TIME = 5.0
+"""Seconds in which a client of the server has to send its request."""
+
+
+class HttpFailure(Exception):
+    """A request had no whole answer; it may have been carried out."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HttpAnswer:
+    """An answer: its status and body."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Requests to one address; made on a running event loop.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+    """
+
+    def __init__(self, *, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._idle: list[_Connection] = []
+        self._clock = asyncio.get_running_loop().time
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+        timeout: float,
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Args:
+            timeout: greatest time until the whole answer, in seconds.
+
+        Raises:
+            HttpFailure: without a whole answer in time.
+        """
+        fields = [("Host", f"{self._host}:{self._port}"), *headers]
+        if body or method != "GET":
+            fields.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=path, headers=fields)
+        connection = None
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._take()
+                answer = await connection.exchange(request, body)
+        except TimeoutError:
+            # Other connections to the same address may be dead as well.
+            self._drop(connection)
+            raise HttpFailure(f"no answer within {timeout} s") from None
+        except (OSError, h11.ProtocolError, EOFError) as error:
+            self._drop(connection)
+            raise HttpFailure(repr(error)) from error
+        except asyncio.CancelledError:
+            self._drop(connection)
+            raise
+        if connection.reusable:
+            connection.idle_since = self._clock()
+            self._idle.append(connection)
+        else:
+            connection.abort()
+        return answer
+
+    async def _take(self) -> "_Connection":
+        while self._idle:
+            connection = self._idle.pop()
+            fresh = self._clock() - connection.idle_since < IDLE_TIME
+            if fresh and not connection.closed:
+                return connection
+            connection.abort()
+        reader, writer = await asyncio.open_connection(self._host, self._port)
+        return _Connection(reader=reader, writer=writer)
+
+    def _drop(self, connection: "_Connection | None") -> None:
+        if connection is not None:
+            connection.abort()
+        for other in self._idle:
+            other.abort()
+        self._idle.clear()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._drop(None)
+
+
+class _Connection:
+    """A connection of the client."""
+
+    def __init__(
+        self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._state = h11.Connection(our_role=h11.CLIENT)
+        self.idle_since = 0.0
+
+    @property
+    def closed(self) -> bool:
+        """Whether the other end has closed it."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow."""
+        if self._state.our_state is not h11.DONE:
+            return False
+        if self._state.their_state is not h11.DONE:
+            return False
+        self._state.start_next_cycle()
+        return True
+
+    async def exchange(self, request: h11.Request, body: bytes) -> HttpAnswer:
+        """Send a request and return its answer."""
+        data = self._state.send(request)
+        if body:
+            data += self._state.send(h11.Data(data=body))
+        data += self._state.send(h11.EndOfMessage())
+        self._writer.write(data)
+        status = 0
+        content = []
+        while True:
+            event = self._state.next_event()
+            if event is h11.NEED_DATA:
+                received = await self._reader.read(CHUNK)
+                if not received and not status:
+                    raise EOFError("connection closed without an answer")
+                self._state.receive_data(received)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                content.append(bytes(event.data))
+            elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
+                return HttpAnswer(status=status, body=b"".join(content))
+
+    def abort(self) -> None:
+        """End the connection at once; what was not sent is not sent later."""
+        self._writer.transport.abort()
+
+
+class HttpServer:
+    """Answers `GET` requests on one port, one request a connection at a time.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port.
+        answer: returns the answer for a path, None if there is nothing.
+    """
+
+    def __init__(
+        self, *, host: str, port: int, answer: Callable[[str], HttpAnswer | None]
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Start to listen.
+
+        Raises:
+            OSError: if the address can't be bound.
+        """
+        self._server = await asyncio.start_server(self._serve, self._host, self._port)
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        state = h11.Connection(our_role=h11.SERVER)
+        try:
+            while await self._serve_one(state, reader, writer):
+                state.start_next_cycle()
+        except (OSError, TimeoutError):
+            # The prober has left or is stuck; it asks again on its own.
+            return
+        except h11.RemoteProtocolError:
+            writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+        finally:
+            writer.close()
+
+    async def _serve_one(self, state, reader, writer) -> bool:
+        """Answer one request; return whether another may follow."""
+        path = None
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(REQUEST_TIME):
+                    state.receive_data(await reader.read(CHUNK))
+            elif isinstance(event, h11.Request):
+                path = event.target.decode("ascii").partition("?")[0]
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                return False
+        answer = self._answer(path) or HttpAnswer(status=404, body=b"")
+        headers = [
+            ("Content-Length", str(len(answer.body))),
+            ("Content-Type", "text/plain; charset=utf-8"),
+        ]
+        data = state.send(h11.Response(status_code=answer.status, headers=headers))
+        data += state.send(h11.Data(data=answer.body))
+        data += state.send(h11.EndOfMessage())
+        writer.write(data)
+        return state.our_state is h11.DONE and state.their_state is h11.DONE
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -7,6 +7,7 @@
     "statement_seconds": define_time("Time from statement to reply, by kind.", "kind"),
     "refused_total": define_count("Statements without a result, by reason.", "reason"),
     "retries_total": define_count("Statements sent again, by cause.", "cause"),
+    "hedges_total": define_count("Reads sent a second time."),
     "service_seconds": define_time("Time of a statement at the backend server."),
     "confirmation_seconds": define_time("Time until a primary was proved to lead."),
     "promotion_seconds": define_time("Time from the claim of a promotion to its end."),
--- a/src/siskinhold/lines/_probe.py
+++ b/src/siskinhold/lines/_probe.py
@@ -1,8 +1,12 @@
 """The readiness probe of the load balancer, and the metrics."""
 
-from aiohttp import web
 from prometheus_client import CollectorRegistry, generate_latest
 
+from ._http import HttpAnswer, HttpServer
+
+METRICS_PATH = "/metrics"
+"""Path of the metrics."""
+
 
 class ProbeServer:
     """Answers the readiness probe on one port and serves metrics on another.
@@ -24,13 +28,16 @@
         metrics_port: int,
         registry: CollectorRegistry,
     ) -> None:
-        self._host = host
+        self.ready = False
         self._ready_path = ready_path
-        self._ready_port = ready_port
-        self._metrics_port = metrics_port
         self._registry = registry
-        self._runners: list[web.AppRunner] = []
-        self.ready = False
+        self._servers = [
+            HttpServer(host=host, port=ready_port, answer=self._answer_ready)
+        ]
+        if metrics_port:
+            self._servers.append(
+                HttpServer(host=host, port=metrics_port, answer=self._answer_metrics)
+            )
 
     async def start(self) -> None:
         """Start to listen.
@@ -38,27 +45,20 @@
         Raises:
             OSError: if an address can't be bound.
         """
-        await self._serve(self._ready_port, self._ready_path, self._answer_ready)
-        if self._metrics_port:
-            await self._serve(self._metrics_port, "/metrics", self._answer_metrics)
-
-    async def _serve(self, port: int, path: str, handler) -> None:
-        application = web.Application()
-        application.router.add_get(path, handler)
-        runner = web.AppRunner(application, access_log=None, handle_signals=False)
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, self._host, port, shutdown_timeout=0.1).start()
-
-    async def _answer_ready(self, request: web.Request) -> web.Response:
-        return web.Response(status=200 if self.ready else 503)
-
-    async def _answer_metrics(self, request: web.Request) -> web.Response:
-        return web.Response(
-            body=generate_latest(self._registry), content_type="text/plain"
-        )
+        for server in self._servers:
+            await server.start()
 
     async def stop(self) -> None:
         """Stop to listen."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._servers:
+            await server.stop()
+
+    def _answer_ready(self, path: str) -> HttpAnswer | None:
+        if path != self._ready_path:
+            return None
+        return HttpAnswer(status=200 if self.ready else 503, body=b"")
+
+    def _answer_metrics(self, path: str) -> HttpAnswer | None:
+        if path != METRICS_PATH:
+            return None
+        return HttpAnswer(status=200, body=generate_latest(self._registry))
--- /dev/null
+++ b/tests/direct/test_direct_sessions.py
@@ -0,0 +1,210 @@
+"""The direct core: sessions, transactions and what their callers are told."""
+
+from siskinhold.direct import Refusal, TransactionState
+
+from .world import World
+
+
+def start(**options) -> World:
+    """Return a world whose VMs know the primary."""
+    world = World(**options)
+    world.advance(2.0)
+    return world
+
+
+class TestTransactions:
+    def test_statement_waits_for_begin(self):
+        """Guards against a statement that runs alone because `BEGIN` was refused."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.servers["s1"].leads = False
+        world.say("vm1", 1, "WRITE x 1")
+        world.advance(0.3)
+        assert not world.servers["s1"].ran
+
+    def test_lost_connection_before_commit_is_aborted(self):
+        """Guards against an outcome in doubt where nothing can be kept."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is None
+        world.servers["s1"].down = True
+        answer = world.ask("vm1", 1, "WRITE x 2")
+        assert answer.refusal is Refusal.ABORTED
+        assert answer.transaction is TransactionState.FAILED
+        assert not world.servers["s1"].commits
+        ended = world.ask("vm1", 1, "ROLLBACK")
+        assert ended.transaction is TransactionState.NONE
+
+    def test_lost_connection_at_commit_is_in_doubt(self):
+        """Guards against "not run" for a commit that may have been made."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.ask("vm1", 1, "WRITE x 1")
+        world.servers["s1"].lose_answers = 1
+        answer = world.ask("vm1", 1, "COMMIT")
+        assert world.servers["s1"].commits
+        assert answer.refusal is Refusal.IN_DOUBT
+        assert answer.transaction is TransactionState.NONE
+
+    def test_idle_one_is_ended_and_its_caller_told(self):
+        """Guards against a caller that holds a connection by resting."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.ask("vm1", 1, "WRITE x 1")
+        world.advance(3.5)
+        state = world.states["vm1"]
+        assert all(c.transaction is None for c in state.connections.values())
+        assert world.ask("vm1", 1, "READ x").refusal is Refusal.ABORTED
+        assert world.ask("vm1", 1, "READ x").refusal is Refusal.MALFORMED
+        assert world.ask("vm1", 1, "COMMIT").transaction is TransactionState.NONE
+
+    def test_commit_after_a_failure_is_refused(self):
+        """Guards against a commit that succeeds though its transaction failed."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.servers["s1"].answer_busy = 1
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is Refusal.ABORTED
+        assert world.ask("vm1", 1, "COMMIT").refusal is Refusal.ABORTED
+        assert not world.servers["s1"].commits
+
+    def test_caller_that_leaves_is_rolled_back(self):
+        """Guards against a transaction whose connection is given to another caller."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.ask("vm1", 1, "WRITE x 1")
+        world.hang_up("vm1", 1)
+        world.advance(0.1)
+        opened = [c.open for c in world.connections.values()]
+        assert not any(opened)
+        assert not world.servers["s1"].commits
+
+    def test_caller_that_leaves_while_a_statement_runs_is_rolled_back(self):
+        """Guards against a connection that stays in a transaction for good."""
+        world = start(work=0.05)
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.say("vm1", 1, "WRITE x 1")
+        world.advance(0.02)
+        world.hang_up("vm1", 1)
+        world.advance(0.5)
+        assert not any(c.open for c in world.connections.values())
+        state = world.states["vm1"]
+        assert all(c.transaction is None for c in state.connections.values())
+
+
+class TestValues:
+    def test_follow_the_session_over_connections(self):
+        """Guards against a statement that runs with another caller's values."""
+        world = start()
+        for session, value in ((1, "a"), (2, "b")):
+            world.connect("vm1", session)
+            world.ask("vm1", session, f"SET v {value}")
+        for _ in range(3):
+            for session, value in ((1, "a"), (2, "b")):
+                world.ask("vm1", session, "READ x")
+                used = [
+                    c.values.get("v")
+                    for c in world.states["vm1"].connections.values()
+                    if c.used_at >= world.now - 0.03 and not c.control
+                ]
+                assert value in used
+
+
+    def test_are_set_again_after_a_question_on_the_control_connection(self):
+        """Guards against values that a question for a position has cleared.
+
+        While a server takes no more connections, statements use the control connection.
+        """
+        world = start()
+        state = world.states["vm1"]
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "SET v a")
+        for server in state.servers.values():
+            server.full_until = world.now + 10
+        assert world.ask("vm1", 1, "READ x").refusal is None
+        world.advance(3)
+        assert world.ask("vm1", 1, "READ x").refusal is None
+        ran = [c for c in world.connections.values() if c.vm == "vm1"]
+        values = [c.values.get("v") for c in ran if c.server.name == "s1"]
+        assert "a" in values
+
+
+class TestWrites:
+    def test_refused_by_the_server_is_sent_again(self):
+        """Guards against a refusal that the caller need not have seen."""
+        world = start()
+        world.connect("vm1", 1)
+        world.servers["s1"].answer_busy = 1
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is None
+        assert len(world.servers["s1"].commits) == 1
+
+    def test_without_an_answer_is_not_sent_again(self):
+        """Guards against a write that takes effect twice."""
+        world = start()
+        world.connect("vm1", 1)
+        world.servers["s1"].lose_answers = 1
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is Refusal.IN_DOUBT
+        assert len(world.servers["s1"].commits) == 1
+
+
+class TestReads:
+    def test_replica_that_lacks_the_sessions_commit_is_passed_over(self):
+        """Guards against a session that does not see its own write."""
+        world = start()
+        world.connect("vm2", 1, "crew")
+        for server in ("s2", "s3"):
+            world.servers[server].frozen = True
+        assert world.ask("vm2", 1, "WRITE x 1").refusal is None
+        answer = world.ask("vm2", 1, "READ x")
+        assert answer.signature.startswith("s1")
+
+    def test_near_server_is_preferred(self):
+        """Guards against reads that cross the region link without need."""
+        world = start()
+        world.connect("vm3", 1, "views")
+        for _ in range(5):
+            assert world.ask("vm3", 1, "READ x").signature.startswith("s3")
+
+    def test_lost_answer_is_asked_for_elsewhere(self):
+        """Guards against a read that waits for its timeout though others could answer.
+
+        The server ran it and lost the answer.
+        """
+        world = start()
+        world.connect("vm3", 1, "views")
+        world.ask("vm3", 1, "READ x")
+        world.servers["s3"].lose_answers = 1
+        began = world.now
+        assert world.ask("vm3", 1, "READ x").refusal is None
+        assert world.now - began < 0.5
+
+
+class TestShutdown:
+    def test_open_work_ends_first(self):
+        """Guards against a shutdown that cuts off a statement or transaction."""
+        world = start(work=0.1)
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is None
+        world.shut_down("vm1")
+        world.advance(2.0)
+        assert world.ask("vm1", 1, "COMMIT").refusal is None
+        world.advance(1.0)
+        assert "vm1" in world.stopped
+
+    def test_ends_within_the_grace(self):
+        """Guards against a process that the platform has to kill."""
+        world = start()
+        world.connect("vm1", 1)
+        world.ask("vm1", 1, "BEGIN")
+        world.ask("vm1", 1, "WRITE x 1")
+        world.shut_down("vm1")
+        world.advance(5.8)
+        assert "vm1" in world.stopped
+        assert not world.servers["s1"].commits
--- /dev/null
+++ b/tests/users_platform/standins.py
@@ -0,0 +1,539 @@
+"""Stand-ins for the users' platform: instances, object store and promotions.
+
+They speak the published wire on loopback, all in one process and event loop.
+"""
+
+import asyncio
+import json
+
+from aiohttp import web
+
+CODES_NOT_RUN = ("BUSY", "LAGGING", "READONLY")
+
+
+class Log:
+    """The replicated log of one service: positions as (term, number)."""
+
+    def __init__(self, *, lag: float) -> None:
+        self.lag = lag
+        self.instances: list["Instance"] = []
+
+    def commit(self, leader: "Instance") -> tuple[int, int]:
+        """Append a commit at the leader and send it to the replicas."""
+        position = (leader.term, leader.applied[1] + 1)
+        leader.received = leader.applied = position
+        loop = asyncio.get_running_loop()
+        for instance in self.instances:
+            if instance is not leader:
+                loop.call_later(self.lag, instance.receive, position)
+        return position
+
+    def promote(self, leader: "Instance") -> None:
+        """Make an instance the primary of the next term."""
+        leader.term = max(i.term for i in self.instances) + 1
+        leader.leads = True
+        leader.applied = leader.received
+        for instance in self.instances:
+            if instance is leader or not instance.running:
+                continue
+            asyncio.get_running_loop().call_later(0.3, instance.follow, leader)
+
+
+class Instance:
+    """One instance: a TCP server that speaks the wire.
+
+    Args:
+        service: name of its service.
+        name: its id.
+        work: seconds that a read, write or commit takes.
+        limit: connections that it takes.
+    """
+
+    def __init__(self, *, log, service, name, zone, leads, work=0.002, limit=34):
+        self.log = log
+        log.instances.append(self)
+        self.service = service
+        self.name = name
+        self.zone = zone
+        self.leads = leads
+        self.work = work
+        self.limit = limit
+        self.term = 1
+        self.received = (1, 0)
+        self.applied = (1, 0)
+        self.port = 0
+        self.running = False
+        self.state = "ready"
+        self.slots = asyncio.Semaphore(4)
+        self.ran: list[tuple[str, str]] = []
+        self.errors: list[str] = []
+        self.data: dict[str, str] = {}
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen, on the port it had before if it had one."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, limit=1 << 21
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.running = True
+
+    async def stop(self) -> None:
+        """End as a crash does."""
+        self.running = False
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def receive(self, position) -> None:
+        """Take a commit of the primary."""
+        if self.running and not self.leads and position[0] >= self.term:
+            self.received = self.applied = position
+
+    def follow(self, leader: "Instance") -> None:
+        """Become a replica of a newer primary."""
+        if self.term < leader.term:
+            self.term = leader.term
+            self.leads = False
+            self.received = self.applied = min(self.applied, leader.applied)
+
+    def entry(self) -> dict:
+        """Return the entry that the instance writes to the store."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": self.state,
+            "seq_num": 1,
+            "warmup_left_ms": 0,
+            "born": 1,
+            "db_role": "primary" if self.leads else "replica",
+        }
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            await self._talk(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _talk(self, reader, writer) -> None:
+        hello = (await reader.readline()).decode().split()
+        if len(hello) < 3 or hello[0] != "CONNECT" or hello[1] != self.service:
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        if len(hello) > 3 and hello[3] != self.name:
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        if len(self._writers) > self.limit:
+            writer.write(b"ERROR OVERLOAD -\r\n")
+            return
+        session = _Session()
+        writer.write(self._ready(session))
+        while line := await reader.readline():
+            word, request, text = line.decode().rstrip("\r\n").split(" ", 2)
+            assert word == "QUERY"
+            answer = await self._run(session, request, text)
+            writer.write(answer + self._ready(session))
+
+    def _ready(self, session) -> bytes:
+        term, number = self.applied
+        return f"READY {session.state} {term}.{number}\r\n".encode()
+
+    async def _run(self, session, request, text) -> bytes:
+        words = text.split(" ")
+        if words[0] == "AFTER":
+            term, number = words[1].split(".")
+            if self.applied < (int(term), int(number)):
+                return f"ERROR LAGGING {self.name}\r\n".encode()
+            words = words[2:]
+        verb = words[0]
+        if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            return await self._work(session, request, verb, words)
+        return self._control(session, verb, words)
+
+    def _control(self, session, verb, words) -> bytes:
+        done = b"COMPLETE -\r\n"
+        if verb == "BEGIN":
+            if len(words) == 1 and not self.leads:
+                return f"ERROR READONLY {self.name}\r\n".encode()
+            session.state = "T"
+            session.plain = len(words) == 1
+        elif verb == "ROLLBACK":
+            session.state = "I"
+            session.written.clear()
+        elif verb == "RESET":
+            session.values.clear()
+            session.prepared.clear()
+        elif verb == "SET":
+            session.values[words[1]] = words[2]
+        elif verb == "PREPARE":
+            session.prepared[words[1]] = (words[2], words[3])
+        elif verb in ("STATUS", "STEPDOWN"):
+            if verb == "STEPDOWN" and int(words[1]) > self.term:
+                self.leads = False
+            role = "primary" if self.leads else "replica"
+            term, number = self.received
+            row = f"ROW {role} {self.term} {term}.{number} 0 0 0 1\r\n"
+            return row.encode() + done
+        return done
+
+    async def _work(self, session, request, verb, words) -> bytes:
+        writes = verb == "WRITE"
+        if verb == "EXECUTE":
+            mode, _ = session.prepared.get(words[1], ("", ""))
+            if not mode:
+                return b"ERROR NOSTMT -\r\n"
+            writes = mode == "WRITE"
+            words = words[1:]
+        if writes and not self.leads:
+            return f"ERROR READONLY {self.name}\r\n".encode()
+        async with self.slots:
+            await asyncio.sleep(self.work)
+        self.ran.append((request, " ".join(words)))
+        row = b""
+        if writes:
+            session.written[words[1]] = words[2] if len(words) > 2 else ""
+            if session.state == "I":
+                self._commit(session)
+        elif verb == "COMMIT":
+            if session.written:
+                if not self.leads:
+                    session.state = "I"
+                    session.written.clear()
+                    return f"ERROR READONLY {self.name}\r\n".encode()
+                self._commit(session)
+            session.state = "I"
+        else:
+            value = session.written.get(words[1], self.data.get(words[1], "none"))
+            row = f"ROW {value}\r\n".encode()
+        return row + f"COMPLETE {self.name}.{request}\r\n".encode()
+
+    def _commit(self, session) -> None:
+        for instance in self.log.instances:
+            instance.data.update(session.written)
+        session.written.clear()
+        self.log.commit(self)
+
+
+class _Session:
+    def __init__(self) -> None:
+        self.state = "I"
+        self.plain = False
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, tuple[str, str]] = {}
+        self.written: dict[str, str] = {}
+
+
+class Store:
+    """The object store and the promotions, over HTTP.
+
+    Args:
+        instances: those whose entries the store holds and that it may promote.
+    """
+
+    def __init__(self, *, instances: list[Instance]) -> None:
+        self.instances = instances
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.history: list[tuple[int, str, dict]] = []
+        self.changed = asyncio.Event()
+        self.calls: list[tuple[str, str]] = []
+        self.promotions: list[tuple[str, str, str, int]] = []
+        self.down = False
+        self.forget = False
+        self.port = 0
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        application = web.Application()
+        application.router.add_get("/-/objects/{kind}", self._list)
+        application.router.add_post("/-/objects/{kind}", self._create)
+        application.router.add_get("/-/objects/{kind}/{name}", self._read)
+        application.router.add_put("/-/objects/{kind}/{name}", self._replace)
+        application.router.add_post("/promotion", self._promote)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", self.port, shutdown_timeout=0.1)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        await self._runner.cleanup()
+
+    def put(self, kind: str, name: str, spec: object) -> dict:
+        """Write an object as the operator or an instance does."""
+        self.revision += 1
+        old = self.objects.get((kind, name))
+        created = old["meta"]["create_rev"] if old else self.revision
+        item = {
+            "meta": {
+                "name": name,
+                "revision": self.revision,
+                "create_rev": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self.objects[kind, name] = item
+        self.history.append((self.revision, kind, item))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return item
+
+    def refresh(self) -> None:
+        """Let the instances write their entries."""
+        for instance in self.instances:
+            key = ("servers", instance.name)
+            if not instance.running:
+                if self.objects.pop(key, None) is not None:
+                    self.revision += 1
+                continue
+            old = self.objects.get(key)
+            if old is None or old["spec"] != instance.entry():
+                self.put("servers", instance.name, instance.entry())
+
+    async def _list(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        self.calls.append(("GET", kind))
+        if self.down:
+            return web.Response(status=503)
+        if kind == "servers":
+            self.refresh()
+        if "watch" in request.query:
+            return await self._watch(request, kind)
+        items = [item for (k, _), item in self.objects.items() if k == kind]
+        items.sort(key=lambda item: item["meta"]["name"])
+        after = request.query.get("after", "")
+        items = [item for item in items if item["meta"]["name"] > after]
+        page = items[:4]
+        return web.json_response(
+            {
+                "items": page,
+                "has_more": len(items) > len(page),
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request, kind: str) -> web.Response:
+        since = int(request.query["watch"])
+        wait = int(request.query["wait_ms"]) / 1000
+        if self.forget:
+            return web.Response(status=410)
+        deadline = asyncio.get_running_loop().time() + wait
+        while True:
+            events = []
+            for revision, k, item in self.history:
+                if revision > since and k == kind:
+                    events.append({"object": item, "deleted": False})
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "store_revision": self.revision}
+                )
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    async def _read(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        self.calls.append(("GET", kind))
+        if self.down:
+            return web.Response(status=503)
+        item = self.objects.get((kind, name))
+        if item is None:
+            return web.Response(status=404)
+        return web.json_response(item)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        self.calls.append(("POST", kind))
+        if self.down:
+            return web.Response(status=503)
+        body = await request.json()
+        name = body["meta"]["name"]
+        if (kind, name) in self.objects:
+            return web.json_response(self.objects[kind, name], status=409)
+        return web.json_response(self.put(kind, name, body["spec"]))
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        self.calls.append(("PUT", kind))
+        if self.down:
+            return web.Response(status=503)
+        body = await request.json()
+        item = self.objects.get((kind, name))
+        if item is None:
+            return web.Response(status=404)
+        expected = body["meta"].get("revision")
+        if expected is not None and expected != item["meta"]["revision"]:
+            return web.json_response(item, status=409)
+        return web.json_response(self.put(kind, name, body["spec"]))
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = json.loads(await request.text())
+        self.promotions.append(
+            (
+                request.headers["X-Siskinhold-Duty-Holder"],
+                body["service"],
+                body["id"],
+                int(request.headers["X-Siskinhold-Fence-Token"]),
+            )
+        )
+        for instance in self.instances:
+            if instance.name != body["id"]:
+                continue
+            if not instance.running:
+                return web.Response(status=409)
+            if not instance.leads:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.2, instance.log.promote, instance)
+            return web.json_response({})
+        return web.Response(status=409)
+
+
+def make_configuration(version: int, routes: dict[str, str]) -> dict:
+    """Return the operator's configuration with one route for each name and type."""
+    listed = []
+    for host, kind in routes.items():
+        listed.append(
+            {
+                "name": f"r-{host}",
+                "host": host,
+                "path_prefix": "/",
+                "route_type": kind,
+                "timeout_ms": 1000,
+                "target_latency_ms": 400,
+                "priority": 1,
+                "service": "db",
+                "max_attempts": 2,
+                "max_staleness_ms": 1500,
+            }
+        )
+    return {
+        "version": version,
+        "routes": listed,
+        "services": [
+            {
+                "name": "db",
+                "health_path": "/health",
+                "max_connections": 34,
+                "protocol": "h1",
+                "tls": False,
+                "sync_replicas": 0,
+            }
+        ],
+        "limits": {"tx_idle_ms": 3000},
+    }
+
+
+class Deployment:
+    """Three instances and a store, with settings for VMs in front of them."""
+
+    def __init__(self) -> None:
+        log = Log(lag=0.005)
+        self.instances = []
+        for index, zone in enumerate(("a", "b", "c")):
+            self.instances.append(
+                Instance(
+                    log=log,
+                    service="db",
+                    name=f"i-{index}",
+                    zone=zone,
+                    leads=index == 0,
+                )
+            )
+        self.store = Store(instances=self.instances)
+
+    async def start(self) -> None:
+        """Start all, and write the first configuration."""
+        for instance in self.instances:
+            await instance.start()
+        await self.store.start()
+        self.store.refresh()
+        routes = {
+            "orders": "primary",
+            "views": "bounded_staleness",
+            "crew": "read_own_writes",
+        }
+        self.store.put("config", "main", make_configuration(1, routes))
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for instance in self.instances:
+            if instance.running:
+                await instance.stop()
+        await self.store.stop()
+
+    def write_settings(self, name: str, ports: tuple[int, int, int]) -> dict:
+        """Return the fields of a VM's settings file.
+
+        Args:
+            ports: those for callers, readiness and metrics.
+        """
+        return {
+            "node_name": name,
+            "zone": "a",
+            "zones": {"a": "east", "b": "east", "c": "west"},
+            "listen": {
+                "front": f"127.0.0.1:{ports[0]}",
+                "ready": f"127.0.0.1:{ports[1]}",
+            },
+            "internal_ports": [ports[2], ports[2] + 5],
+            "limits": {"max_fds": 1024},
+            "bounds": {"grace_s": 6},
+            "platform": {"address": f"127.0.0.1:{self.store.port}"},
+            "cloud_api": {"address": f"127.0.0.1:{self.store.port}"},
+            "a_field_of_the_future": 1,
+        }
+
+
+class Client:
+    """A caller of the wire."""
+
+    def __init__(self, *, reader, writer) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._requests = 0
+
+    @classmethod
+    async def connect(cls, port: int, database: str) -> tuple["Client", str]:
+        """Connect; return the client and the first line of the answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"CONNECT {database} u1\r\n".encode())
+        line = await asyncio.wait_for(reader.readline(), 5)
+        return cls(reader=reader, writer=writer), line.decode().rstrip()
+
+    async def ask(self, text: str) -> list[str]:
+        """Send a statement; return the lines of its answer."""
+        self._requests += 1
+        request = f"{id(self):x}{self._requests:x}"
+        self._writer.write(f"QUERY {request} {text}\r\n".encode())
+        lines = []
+        while True:
+            line = await asyncio.wait_for(self._reader.readline(), 5)
+            if not line:
+                return lines
+            lines.append(line.decode().rstrip())
+            if lines[-1].startswith("READY"):
+                return lines
+
+    async def send_raw(self, data: bytes) -> bytes:
+        """Send bytes; return all that comes until the end of the connection."""
+        self._writer.write(data)
+        return await asyncio.wait_for(self._reader.read(), 5)
+
+    def close(self) -> None:
+        """End the connection."""
+        self._writer.close()
--- /dev/null
+++ b/tests/users_platform/test_objects.py
@@ -0,0 +1,153 @@
+"""Decoding of settings and of the store's objects."""
+
+import platform
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import yaml
+
+from siskinhold.direct import Consistency, LeaderRecord, LeaderState
+from siskinhold_platform import SettingsUnreadable, load_settings
+from siskinhold_platform._objects import (
+    Unreadable,
+    decode_configuration,
+    decode_leader,
+    decode_server,
+    encode_leader,
+)
+
+from .standins import Deployment, make_configuration
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def make_entry(**changes):
+    entry = {
+        "service": "db",
+        "address": "10.128.0.9:8080",
+        "zone": "a",
+        "version": "v1",
+        "slots": 5,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "db_role": "replica",
+        "seq_num": 4,
+        "born": 1771274425960,
+    }
+    entry.update(changes)
+    return entry
+
+
+class TestServers:
+    def test_entry_of_the_pages(self):
+        """Guards against a published field that is read wrongly."""
+        entry = decode_server("i-1", make_entry(state="draining", db_role="primary"))
+        assert (entry.host, entry.port) == ("10.128.0.9", 8080)
+        assert entry.draining and entry.leads
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": 7},
+            {"address": "nowhere"},
+            {"address": "example.org:80"},
+            {"state": "sleeping"},
+            {"db_role": "king"},
+            {"service": None},
+            {"slots": "many"},
+            {"born": 1.5},
+            {"born": True},
+            {"zone": 3},
+        ],
+    )
+    def test_entry_of_another_writer_is_unreadable(self, changes):
+        """Guards against work for a server that no server's entry names."""
+        with pytest.raises(Unreadable):
+            decode_server("i-1", make_entry(**changes))
+
+    @pytest.mark.parametrize("spec", [None, 7, "text", [], {}, {"service": "db"}])
+    def test_other_content_is_unreadable(self, spec):
+        """Guards against content of another shape that ends the process."""
+        with pytest.raises(Unreadable):
+            decode_server("i-1", spec)
+
+
+class TestConfiguration:
+    def test_routes_by_database(self):
+        """Guards against times in the wrong unit."""
+        spec = make_configuration(7, {"orders": "primary", "views": "read_own_writes"})
+        configuration = decode_configuration(spec)
+        assert configuration.version == 7
+        route = configuration.routes["views"]
+        assert route.consistency is Consistency.READ_YOUR_WRITES
+        assert (route.timeout, route.staleness) == (1.0, 1.5)
+
+    @pytest.mark.parametrize("spec", [None, {}, {"routes": 3}, {"version": "x"}])
+    def test_other_content_is_unreadable(self, spec):
+        """Guards against a broken object that ends the process."""
+        with pytest.raises(Unreadable):
+            decode_configuration(spec)
+
+
+class TestLeaderRecords:
+    def test_come_back_as_written(self):
+        """Guards against a claim that its own VM can't recognize."""
+        record = LeaderRecord(
+            state=LeaderState.PROMOTING, server="i-1", term=3, vm="vm", attempt="a1"
+        )
+        assert decode_leader(encode_leader(record)) == record
+
+
+class TestSettings:
+    def write(self, tmp_path, fields):
+        path = tmp_path / "settings.yaml"
+        path.write_text(yaml.safe_dump(fields))
+        return str(path)
+
+    def test_unknown_fields_are_ignored(self, tmp_path):
+        """Guards against settings of a newer platform that stop the start."""
+        fields = Deployment().write_settings("vm-1", (5001, 5002, 5003))
+        settings = load_settings(self.write(tmp_path, fields))
+        assert settings.name == "vm-1"
+        assert (settings.caller_port, settings.metrics_port) == (5001, 5003)
+
+    @pytest.mark.parametrize("missing", ["node_name", "listen", "platform", "bounds"])
+    def test_missing_field_is_named(self, tmp_path, missing):
+        """Guards against an error that doesn't say where."""
+        fields = Deployment().write_settings("vm-1", (5001, 5002, 5003))
+        del fields[missing]
+        with pytest.raises(SettingsUnreadable, match=missing):
+            load_settings(self.write(tmp_path, fields))
+
+    @pytest.mark.parametrize("text", ["", "[", "\x00", "- 1", "listen: 3"])
+    def test_broken_file_is_one_line(self, tmp_path, text):
+        """Guards against a traceback in place of an error."""
+        path = tmp_path / "settings.yaml"
+        path.write_text(text)
+        with pytest.raises(SettingsUnreadable) as caught:
+            load_settings(str(path))
+        assert "\n" not in str(caught.value)
+
+
+class TestFolder:
+    def test_standard_library_is_still_found(self):
+        """Guards against a folder that hides the standard library's `platform`."""
+        assert platform.python_version()
+        code = "import platform; print(platform.python_version())"
+        done = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+        )
+        assert done.stdout.strip() == platform.python_version()
+
+    @pytest.mark.parametrize(
+        "word", ["X-Siskinhold-", "/-/objects", "db_role", "STEPDOWN", "max_staleness"]
+    )
+    def test_product_does_not_know_the_platforms_names(self, word):
+        """Guards against names of the platform that spread through the product."""
+        found = []
+        for path in (ROOT / "src").rglob("*.py"):
+            if word in path.read_text("utf-8"):
+                found.append(str(path))
+        assert found == []
--- /dev/null
+++ b/tests/users_platform/test_service.py
@@ -0,0 +1,305 @@
+"""The whole path on sockets: callers, a VM, stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+import yaml
+
+from .standins import Client, Deployment, make_configuration
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def find_ports() -> tuple[int, int, int]:
+    """Return three ports that are free now."""
+    sockets = [socket.socket() for _ in range(3)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = tuple(each.getsockname()[1] for each in sockets)
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Vm:
+    """A VM's program as a process of its own."""
+
+    def __init__(self, *, process, ports, path, output) -> None:
+        self.process = process
+        self.ports = ports
+        self.path = path
+        self.output = output
+
+    async def wait_ready(self, wanted: int = 200) -> None:
+        """Return once the readiness probe has a status."""
+        for _ in range(200):
+            with contextlib.suppress(OSError):
+                if await self.probe() == wanted:
+                    return
+            await asyncio.sleep(0.05)
+        raise AssertionError(self.read_output())
+
+    async def probe(self) -> int:
+        """Return the status of the readiness probe."""
+        return int((await self.get(self.ports[1], "/-/readiness")).split()[1])
+
+    async def get(self, port: int, path: str) -> str:
+        """Return the answer to an HTTP request."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        request = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        writer.write(request.encode())
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return answer.decode()
+
+    def read_output(self) -> str:
+        """Return what the process has written."""
+        return self.output.read_text()
+
+
+@contextlib.asynccontextmanager
+async def run_deployment(tmp_path, vms: int = 1):
+    """Run stand-ins and VMs; yield the deployment and the VMs."""
+    deployment = Deployment()
+    await deployment.start()
+    started = []
+    try:
+        for index in range(vms):
+            ports = find_ports()
+            path = tmp_path / f"vm-{index}.yaml"
+            settings = deployment.write_settings(f"vm-{index}", ports)
+            path.write_text(yaml.safe_dump(settings))
+            output = tmp_path / f"vm-{index}.log"
+            with output.open("wb") as file:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "siskinhold_platform",
+                    "--settings",
+                    str(path),
+                    stdout=file,
+                    stderr=file,
+                    env={
+                        "PATH": os.environ["PATH"],
+                        "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
+                    },
+                )
+            started.append(Vm(process=process, ports=ports, path=path, output=output))
+        for vm in started:
+            await vm.wait_ready()
+        yield deployment, started
+    finally:
+        for vm in started:
+            if vm.process.returncode is None:
+                vm.process.kill()
+                await vm.process.wait()
+        await deployment.stop()
+
+
+async def ask_until_done(client: Client, text: str, seconds: float) -> list[str]:
+    """Send a statement until it succeeds; return the last answer."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    while True:
+        lines = await client.ask(text)
+        done = any(line.startswith("COMPLETE") for line in lines)
+        if done or asyncio.get_running_loop().time() > deadline:
+            return lines
+        await asyncio.sleep(0.05)
+
+
+class TestStatements:
+    async def test_reads_see_the_sessions_writes(self, tmp_path):
+        """Guards against a read from a replica that lacks the caller's write."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, hello = await Client.connect(vm.ports[0], "crew")
+            assert hello == "READY I -"
+            for number in range(20):
+                written = await client.ask(f"WRITE x {number}")
+                assert written[0].startswith("COMPLETE i-0.")
+                assert (await client.ask("READ x"))[0] == f"ROW {number}"
+
+    async def test_transaction_with_prepared_statement_and_values(self, tmp_path):
+        """Guards against a statement that runs outside its transaction or values."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            assert await client.ask("SET v1 618") == ["COMPLETE -", "READY I -"]
+            await client.ask("PREPARE s1 WRITE q2c")
+            assert (await client.ask("BEGIN"))[-1] == "READY T -"
+            done = await client.ask("EXECUTE s1 1a4 xkq")
+            assert done[0].startswith("COMPLETE i-0.") and done[-1] == "READY T -"
+            assert (await client.ask("READ 1a4"))[0] == "ROW xkq"
+            committed = await client.ask("COMMIT")
+            assert committed[0].startswith("COMPLETE i-0.")
+            assert committed[-1] == "READY I -"
+
+    async def test_caller_that_leaves_midway_commits_nothing(self, tmp_path):
+        """Guards against a transaction that goes on in another caller's session."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            await client.ask("BEGIN")
+            await client.ask("WRITE x lost")
+            client.close()
+            await asyncio.sleep(0.2)
+            other, _ = await Client.connect(vm.ports[0], "orders")
+            assert (await other.ask("READ x"))[0] == "ROW none"
+
+    async def test_unknown_database_is_refused(self, tmp_path):
+        """Guards against a caller that waits for a database which does not exist."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            _, hello = await Client.connect(vm.ports[0], "nothing")
+            assert hello.startswith("ERROR NODB")
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"\x00\xff\xfe garbage\r\n",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"QUERY 1 READ x\r\n",
+            b"x" * ((1 << 20) + 2),
+        ],
+    )
+    async def test_garbage_ends_the_connection_only(self, tmp_path, data):
+        """Guards against a caller's garbage that harms others."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[0])
+            writer.write(data)
+            with contextlib.suppress(ConnectionError):
+                answer = await asyncio.wait_for(reader.read(), 5)
+                assert answer.startswith(b"ERROR MALFORMED")
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            assert (await client.ask("READ x"))[0] == "ROW none"
+            assert "caller_line_rejected" in vm.read_output()
+
+    async def test_unreadable_objects_are_logged_and_ignored(self, tmp_path):
+        """Guards against foreign objects that stop the others from counting."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            deployment.store.put("servers", "i-bad", {"service": 7})
+            deployment.store.put("config", "main", {"version": "none"})
+            await asyncio.sleep(1.5)
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            assert (await client.ask("READ x"))[0] == "ROW none"
+            assert "object_unreadable" in vm.read_output()
+
+    async def test_unusable_settings_are_reported_on_one_line(self, tmp_path):
+        """Guards against a start that fails without naming the place."""
+        path = tmp_path / "bad.yaml"
+        path.write_text("node_name: vm-1\n")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "siskinhold_platform",
+            "--check",
+            "--settings",
+            str(path),
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                "PATH": os.environ["PATH"],
+                "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
+            },
+        )
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert errors.decode().count("\n") == 1
+        assert "listen" in errors.decode()
+
+
+class TestConfiguration:
+    async def test_new_version_is_in_force_at_once(self, tmp_path):
+        """Guards against a configuration that takes longer than 3 s."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            deployment.store.put(
+                "config", "main", make_configuration(5, {"fresh": "primary"})
+            )
+            await asyncio.sleep(0.5)
+            _, hello = await Client.connect(vm.ports[0], "fresh")
+            assert hello == "READY I -"
+            _, hello = await Client.connect(vm.ports[0], "orders")
+            assert hello.startswith("ERROR NODB")
+
+    async def test_lost_history_is_read_anew(self, tmp_path):
+        """Guards against a VM that hears nothing more once history is dropped."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            deployment.store.forget = True
+            deployment.store.put(
+                "config", "main", make_configuration(6, {"late": "primary"})
+            )
+            await asyncio.sleep(3.5)
+            _, hello = await Client.connect(vm.ports[0], "late")
+            assert hello == "READY I -"
+
+
+class TestFailover:
+    async def test_crashed_primary_is_replaced(self, tmp_path):
+        """Guards against writes that stay refused after a primary's crash."""
+        async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+            client, _ = await Client.connect(vms[0].ports[0], "orders")
+            assert (await client.ask("WRITE x 1"))[0].startswith("COMPLETE")
+            await deployment.instances[0].stop()
+            lines = await ask_until_done(client, "WRITE x 2", 6)
+            assert lines[0].startswith("COMPLETE")
+            tokens = {token for _, _, _, token in deployment.store.promotions}
+            assert len(tokens) == 1
+            assert "event=promotion_done" in "".join(v.read_output() for v in vms)
+
+    async def test_write_by_an_outdated_primary_is_not_acknowledged(self, tmp_path):
+        """Guards against an acknowledgement by a primary that was replaced."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            old, new = deployment.instances[0], deployment.instances[1]
+            await client.ask("WRITE x 1")
+            old.log.promote(new)
+            lines = await client.ask("WRITE x 2")
+            assert lines[0].startswith("ERROR") or "i-1." in lines[0]
+
+
+class TestSignals:
+    async def test_graceful_end_cuts_off_nothing(self, tmp_path):
+        """Guards against a transaction that a shutdown cuts off."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            await client.ask("BEGIN")
+            await client.ask("WRITE x 1")
+            vm.process.send_signal(signal.SIGTERM)
+            await vm.wait_ready(503)
+            assert (await client.ask("COMMIT"))[0].startswith("COMPLETE")
+            assert await asyncio.wait_for(vm.process.wait(), 6) == 0
+            assert "event=stopped" in vm.read_output()
+
+    async def test_reload_names_what_changed(self, tmp_path):
+        """Guards against a reload that ends the process or goes unseen."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            fields = yaml.safe_load(vm.path.read_text())
+            fields["bounds"]["grace_s"] = 9
+            vm.path.write_text(yaml.safe_dump(fields))
+            vm.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert "event=reloaded changed=grace" in vm.read_output()
+            vm.path.write_text("[")
+            vm.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert "event=reload_failed" in vm.read_output()
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            assert (await client.ask("READ x"))[0] == "ROW none"
+
+
+class TestExplaining:
+    async def test_request_is_found_in_log_and_metrics(self, tmp_path):
+        """Guards against a failed request that leaves no trace."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            await client.ask("COMMIT")
+            await client.ask("WRITE x 1")
+            output = vm.read_output()
+            assert "event=refused" in output and "reason=no_transaction" in output
+            assert "event=answered" in output and "outcome=done" in output
+            metrics = await vm.get(vm.ports[2], "/metrics")
+            assert "siskinhold_statements_total" in metrics
+            assert "siskinhold_statement_seconds_bucket" in metrics
--- /dev/null
+++ b/tests/users_platform/test_wire.py
@@ -0,0 +1,112 @@
+"""The codec of the users' wire against the published examples."""
+
+import pytest
+from hypothesis import given, strategies
+
+from siskinhold.direct import (
+    Answer,
+    Command,
+    CommandKind,
+    Refusal,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from siskinhold.lines import Garbled, Goodbye, Hello, PartKind
+from siskinhold.model import Position
+from siskinhold_platform import WireCodec
+
+CODEC = WireCodec()
+
+
+class TestCallerLines:
+    def test_hello_names_the_database(self):
+        """Guards against the field on who connects being taken as the name."""
+        assert CODEC.parse_caller(b"CONNECT lepu270 u3f1") == Hello(database="lepu270")
+
+    def test_execute_keeps_its_arguments(self):
+        """Guards against data with blanks that is cut."""
+        statement = CODEC.parse_caller(b"QUERY 5c EXECUTE s1 1a4 x k q")
+        assert statement.kind is StatementKind.EXECUTE
+        assert (statement.name, statement.value) == ("s1", "1a4 x k q")
+
+    def test_release_ends_the_session(self):
+        """Guards against a session that stays open."""
+        assert CODEC.parse_caller(b"RELEASE") == Goodbye()
+
+    @pytest.mark.parametrize(
+        "text",
+        ["AFTER 3.1 READ x", "BEGIN WRITE", "READ", "PREPARE s1 DROP q", "SET a", "X"],
+    )
+    def test_unknown_statements_are_malformed(self, text):
+        """Guards against a statement that reaches a server by mistake."""
+        statement = CODEC.parse_caller(f"QUERY 5c {text}".encode())
+        assert statement.kind is StatementKind.MALFORMED
+
+    @given(strategies.binary(max_size=200))
+    def test_any_bytes_are_a_message(self, line):
+        """Guards against garbage that ends the process."""
+        message = CODEC.parse_caller(line)
+        assert isinstance(message, (Hello, Goodbye, Garbled, Statement))
+
+
+class TestServerLines:
+    def test_read_after_a_position(self):
+        """Guards against a changed text of the caller's statement."""
+        command = Command(
+            kind=CommandKind.RUN,
+            request="5c0e",
+            text="READ 1a4",
+            after=Position(3, 1207),
+        )
+        assert CODEC.encode_command(command) == b"QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
+
+    def test_own_commands_have_no_id(self):
+        """Guards against a statement that no caller sent being counted as one."""
+        command = Command(kind=CommandKind.STEP_DOWN, term=4)
+        assert CODEC.encode_command(command) == b"QUERY - STEPDOWN 4\r\n"
+
+    def test_ready_has_state_and_position(self):
+        """Guards against a term read as a number of the log."""
+        part = CODEC.parse_part(b"READY E 3.1209")
+        assert part.transaction is TransactionState.FAILED
+        assert part.position == Position(3, 1209)
+
+    def test_unknown_error_code_is_a_refusal_of_its_own(self):
+        """Guards against an unknown code that is taken for "not run"."""
+        part = CODEC.parse_part(b"ERROR FUTURE x")
+        assert part.refusal is Refusal.UNRECOGNIZED
+
+    def test_status_row(self):
+        """Guards against fields of a status that are mixed up."""
+        report = CODEC.read_report(("replica 3 3.1209 0 12 2 17",))
+        assert not report.leads
+        assert report.term == 3
+        assert report.received == Position(3, 1209)
+
+    @given(strategies.binary(max_size=200))
+    def test_any_bytes_are_a_part(self, line):
+        """Guards against garbage of a server that ends the process."""
+        assert CODEC.parse_part(line).kind in PartKind
+
+
+class TestAnswers:
+    def test_rows_and_signature_pass_unchanged(self):
+        """Guards against an answer that lost its proof."""
+        answer = Answer(rows=("qhzk wmt",), signature="7.1f3.c")
+        expected = b"ROW qhzk wmt\r\nCOMPLETE 7.1f3.c\r\nREADY I -\r\n"
+        assert CODEC.encode_answer(answer) == expected
+
+    def test_refusal_keeps_the_state(self):
+        """Guards against a caller that believes its transaction ended."""
+        answer = Answer(
+            refusal=Refusal.ABORTED,
+            detail="timeout",
+            transaction=TransactionState.FAILED,
+        )
+        assert CODEC.encode_answer(answer) == b"ERROR ABORTED timeout\r\nREADY E -\r\n"
+
+    @pytest.mark.parametrize("refusal", Refusal)
+    def test_every_refusal_has_a_code(self, refusal):
+        """Guards against an outcome that can't be told to a caller."""
+        assert CODEC.encode_answer(Answer(refusal=refusal)).startswith(b"ERROR ")
