Excuse only a member whose machine refuses connections

As a partition heals, a VM reaches a lagging replica before the new primary, which it still takes as lost, while its reads of the store have just failed. Ruled out: an old answer of the store, which is matched by its call; a list of servers without the new primary, as it was known. A member that is only silent is no longer excused. The test fails without the change.

--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -222,13 +222,12 @@
 def _is_excused(state: DirectState, database: Database, member: Server) -> bool:
     """Return whether a lost member need not prove anything while the store is away.
 
-    A member can't be promoted until it runs again, and none is promoted within
-    `SETTLE_TIME` of being reached again. Within that time this VM reaches it too and
-    asks it, unless a partition lies between. A VM that is cut off from the store and
-    hears only a minority excuses nobody, and a VM that reaches only a minority promotes
-    nobody.
+    Its machine must answer that no process listens: a member that is only silent may
+    lead on the other side of a partition. It can't be promoted until it runs again, and
+    none is promoted within `SETTLE_TIME` of being reached again. Within that time this
+    VM reaches it too and asks it.
     """
-    if member.down_at is None or state.now - member.failed_at >= SETTLE_TIME:
+    if member.down_at is None or state.now - member.absent_at >= SETTLE_TIME:
         return False
     if state.now - database.store_failed_at < STORE_FAILED_TIME:
         return True
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -151,7 +151,7 @@
     if event.reason is LossReason.OVERLOAD:
         server.full_until = state.now + FULL_PAUSE
     elif opening:
-        note_open_failed(state, server, connection.opened_at, event.reason.value, out)
+        note_open_failed(state, server, connection.opened_at, event.reason, out)
     else:
         note_lost(state, server, event.reason, out)
     out.append(
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -108,7 +108,8 @@
         draining_at: when it was first seen to leave.
         gone_at: when its entry was first missing.
         down_at: since when no connection can be opened.
-        failed_at: when the newest attempt to connect began, if it failed.
+        absent_at: when the newest attempt to connect began, if the server's machine
+            refused it because no process listens.
         up_at: when it was last reached again after a loss.
         retry_at: earliest time of the next attempt to connect.
         failures: failed attempts in a row.
@@ -124,7 +125,7 @@
     draining_at: float | None = None
     gone_at: float | None = None
     down_at: float | None = None
-    failed_at: float = -1.0
+    absent_at: float = -1.0
     up_at: float = -100.0
     retry_at: float = 0.0
     failures: int = 0
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -73,8 +73,10 @@
                 await protocol.opened.wait()
         except TimeoutError:
             reason = LossReason.SILENT
-        except OSError:
+        except ConnectionRefusedError:
             reason = LossReason.REFUSED
+        except OSError:
+            reason = LossReason.SILENT
         finally:
             self._opening.pop(effect.connection, None)
         if reason is not None:
@@ -170,7 +172,7 @@
                 Refusal.MISROUTED: LossReason.MISROUTED,
                 Refusal.OVERLOAD: LossReason.OVERLOAD,
             }
-            self.lose(reasons.get(part.refusal, LossReason.REFUSED))
+            self.lose(reasons.get(part.refusal, LossReason.CLOSED))
             return
         if part.kind is not PartKind.READY:
             self.lose(LossReason.GARBLED)
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -191,7 +191,7 @@
         world = start()
         world.connect("vm1", 1)
         world.store_down = set(world.states)
-        world.servers["s3"].down = True
+        world.servers["s3"].absent = True
         world.advance(3)
         assert world.ask("vm1", 1, "WRITE x 1").refusal is None
         assert world.ask("vm1", 1, "READ x").refusal is None
@@ -210,15 +210,36 @@
         assert world.ask("vm3", 1, "READ x").refusal is not None
         assert world.ask("vm3", 1, "WRITE x 1").refusal is not None
 
+    def test_silent_member_is_not_excused_when_a_lagging_one_answers(self):
+        """Guards against a stale read as a partition heals.
+
+        The VM reaches a replica that lags before it reaches the new primary.
+        """
+        world = start()
+        world.connect("vm3", 1)
+        world.store_down = {"vm3"}
+        world.servers["s2"].dark_for = {"vm3"}
+        world.servers["s3"].dark_for = {"vm3"}
+        world.servers["s3"].frozen = True
+        world.advance(3)
+        world.promote("s2")
+        world.connect("vm1", 2)
+        world.ask("vm1", 2, "WRITE x 0")
+        assert world.ask("vm1", 2, "WRITE x 1").refusal is None
+        world.servers["s3"].dark_for = set()
+        world.advance(1)
+        answer = world.ask("vm3", 1, "READ x")
+        assert answer.refusal is not None or answer.signature.startswith("s2")
+
     def test_suspended_vm_does_not_trust_an_old_loss(self):
         """Guards against a stale read by a VM that slept while a server came back."""
         world = start()
         world.connect("vm3", 1)
         world.store_down = {"vm3"}
-        world.servers["s2"].down = True
+        world.servers["s2"].absent = True
         world.advance(2)
         world.paused.add("vm3")
-        world.servers["s2"].down = False
+        world.servers["s2"].absent = False
         world.advance(3)
         world.promote("s2")
         world.connect("vm1", 2)
--- a/tests/direct/test_direct_sessions.py
+++ b/tests/direct/test_direct_sessions.py
@@ -115,7 +115,6 @@
                 ]
                 assert value in used
 
-
     def test_are_set_again_after_a_question_on_the_control_connection(self):
         """Guards against values that a question for a position has cleared.
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -82,6 +82,7 @@
         self.frozen = False
         self.dark_for: set[str] = set()
         self.down = False
+        self.absent = False
         self.state = "ready"
         self.listed = True
         self.free_at = [0.0] * slots
@@ -92,7 +93,7 @@
 
     def reaches(self, vm: str) -> bool:
         """Whether a VM's packets arrive."""
-        return not self.down and vm not in self.dark_for
+        return not self.down and not self.absent and vm not in self.dark_for
 
     def entry(self) -> ServerEntry:
         """Return the server's entry in the store."""
@@ -368,8 +369,10 @@
         server = self.servers[effect.server]
         number = effect.connection
         if not server.reaches(vm):
-            lost = BackendLost(at=0, connection=number, reason=LossReason.SILENT)
-            self.deliver(vm, self.now + 0.7, lost)
+            refused = server.absent and vm not in server.dark_for
+            reason = LossReason.REFUSED if refused else LossReason.SILENT
+            lost = BackendLost(at=0, connection=number, reason=reason)
+            self.deliver(vm, self.now + (0.002 if refused else 0.7), lost)
             return
         connection = FakeConnection(vm=vm, number=number, server=server)
         self.connections[vm, number] = connection
@@ -404,7 +407,7 @@
             if (vm, number) not in self.connections:
                 return
             if not server.reaches(vm):
-                self.at(self.now + 0.8, lose)
+                self.at(self.now + (0.001 if server.absent else 0.8), lose)
                 return
             end, answer = server.run(connection, command, self.now)
             connection.ready_at = max(connection.ready_at, end)
