Fence a majority before a promotion and let a majority vouch

A promotion now suspends a majority for its term first, and a VM that can reach neither a member nor the store asks a majority for the terms they know of. Ruled out: excusing members by how connections to them fail, as a partition can look alike.

--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -211,7 +211,6 @@
     """Take a server as reachable after a connection was opened."""
     server.failures = 0
     server.retry_at = 0.0
-    server.absent_at = -1.0
     if server.down_at is not None:
         out.append(
             Log(
@@ -224,19 +223,16 @@
             )
         )
         server.down_at = None
-        server.up_at = state.now
 
 
 def note_open_failed(
     state: DirectState,
     server: Server,
-    began_at: float,
     reason: LossReason,
     out: Effects,
 ) -> None:
     """Count a failed attempt to connect and set the time of the next one."""
     server.failures += 1
-    server.absent_at = began_at if reason is LossReason.REFUSED else -1.0
     pause = min(RETRY_MOST, RETRY_FIRST * 2 ** min(server.failures - 1, 8))
     server.retry_at = state.now + pause
     for connection in server.connections.values():
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -7,9 +7,12 @@
 primary may take writes a little before its log shows the new term, so a write also
 needs every other member to have refused a transaction for writing.
 
+Where a member can't be asked, the database's leader record is read: it is written
+before a promotion is ordered. And where the store can't be asked either, a majority of
+the members vouches: before a promotion is ordered, a majority is told of its term.
+
 No clock of another machine and no lease is involved, so a VM that was paused or cut
-off proves nothing by mistake. Where a member can't be asked, the database's leader
-record is read: it is written before a promotion is ordered.
+off proves nothing by mistake.
 """
 
 import enum
@@ -47,10 +50,6 @@
 """Seconds for which an answer on a control connection is waited for before the store
 is asked as well: several round trips to the other region."""
 
-SETTLE_TIME = 2.0
-"""Seconds for which a server that is reached again is not promoted: longer than a VM
-that lost it waits until it tries again, the attempt's timeout included."""
-
 STORE_FAILED_TIME = 1.0
 """Seconds for which the store counts as away after a failed read."""
 
@@ -169,14 +168,10 @@
     )
 
 
-def list_witnesses(state: DirectState, database: Database) -> list[Server]:
-    """Return the members other than the primary whose terms count as proof."""
+def list_members(state: DirectState, database: Database) -> list[Server]:
+    """Return the servers of a database, without those that left a while ago."""
     found = []
     for member in state.members(database.name):
-        if database.leader is not None and member.entry.server == (
-            database.leader.server
-        ):
-            continue
         left_at = member.gone_at if member.draining_at is None else member.draining_at
         if left_at is not None and state.now - left_at >= MEMBER_MEMORY:
             continue
@@ -184,6 +179,12 @@
     return found
 
 
+def list_witnesses(state: DirectState, database: Database) -> list[Server]:
+    """Return the members other than the primary, whose answers count as proof."""
+    leader = state.leader_of(database)
+    return [m for m in list_members(state, database) if m is not leader]
+
+
 def find_confirmed(
     state: DirectState, database: Database, *, strict: bool = False
 ) -> float:
@@ -198,20 +199,14 @@
     if leader is None:
         return -1.0
     oldest = state.now
-    witnesses = list_witnesses(state, database)
-    heard = 1
-    for member in witnesses:
-        if _is_excused(state, database, member):
-            continue
-        heard += 1
+    for member in list_witnesses(state, database):
         evidence = member.evidence
         if evidence is None or evidence.position.term > leader.term:
             oldest = -1.0
             break
         oldest = min(oldest, member.refused_at if strict else evidence.sent_at)
-    if heard < count_majority(len(witnesses) + 1):
-        oldest = -1.0
-    return max(oldest, database.confirmed_by_store)
+    vouched = _find_vouched(state, database, leader)
+    return max(oldest, vouched, database.confirmed_by_store)
 
 
 def count_majority(members: int) -> int:
@@ -219,16 +214,30 @@
     return members // 2 + 1
 
 
-def _is_excused(state: DirectState, database: Database, member: Server) -> bool:
-    """Return whether a lost member need not prove anything while the store is away.
+def _find_vouched(state: DirectState, database: Database, leader: Leadership) -> float:
+    """Return the latest time for which a majority vouches for the primary.
 
-    Its machine must answer that no process listens: a member that is only silent may
-    lead on the other side of a partition. It can't be promoted until it runs again, and
-    none is promoted within `SETTLE_TIME` of being reached again. Within that time this
-    VM reaches it too and asks it.
+    A promotion fences a majority before it is ordered, so one of those that vouch would
+    have known of it.
     """
-    if member.down_at is None or state.now - member.absent_at >= SETTLE_TIME:
-        return False
+    server = state.leader_of(database)
+    if server is None:
+        return -1.0
+    witnesses = list_witnesses(state, database)
+    times = []
+    for member in witnesses:
+        if member.vouched_term <= leader.term:
+            times.append(member.vouched_at)
+    needed = count_majority(len(witnesses) + 1) - 1
+    if needed == 0:
+        return server.led_at
+    if len(times) < needed:
+        return -1.0
+    times.sort(reverse=True)
+    return min(server.led_at, times[needed - 1])
+
+
+def _is_store_away(state: DirectState, database: Database) -> bool:
     if state.now - database.store_failed_at < STORE_FAILED_TIME:
         return True
     waited = state.now - database.store_sent_at
@@ -264,8 +273,41 @@
     leader = state.leader_of(database)
     if leader_too and leader is not None:
         _ask_member(state, leader, since, False, out)
-    if silent:
-        _ask_store(state, database, since, out)
+    if not silent:
+        return
+    _ask_store(state, database, since, out)
+    if _is_store_away(state, database):
+        _ask_majority(state, database, since, out)
+
+
+def _ask_majority(
+    state: DirectState, database: Database, since: float, out: Effects
+) -> None:
+    """Ask the members that can be reached whether they know of a newer primary."""
+    leader = state.leader_of(database)
+    if leader is not None and leader.led_at < since:
+        probe_lead(state, leader, out)
+    for member in list_witnesses(state, database):
+        control = find_control(member)
+        if control is None or control.pending or member.vouched_at >= since:
+            continue
+        status = Command(kind=CommandKind.STATUS)
+        send(state, control, status, Purpose.VOUCH, out)
+
+
+def take_vouch(
+    state: DirectState, server: Server, sent_at: float, answer: Answer, out: Effects
+) -> None:
+    """Take what a server that was not believed to lead says of itself."""
+    status = answer.status
+    if status is None or answer.position is None:
+        return
+    if status.leads:
+        take_role(state, server, sent_at, answer, out)
+        return
+    server.refused_at = max(server.refused_at, sent_at)
+    server.vouched_at = sent_at
+    server.vouched_term = max(status.term, status.held)
 
 
 def _ask_member(
@@ -324,6 +366,7 @@
     if answer.transaction is not TransactionState.OPEN:
         return
     if leader is not None and leader.server == name:
+        server.led_at = max(server.led_at, sent_at)
         return
     # Positions may show an older term until the first commit of a newer one.
     control = find_control(server)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -29,10 +29,10 @@
     SuspicionsAnswered,
 )
 from ._evidence import (
-    SETTLE_TIME,
     DropReason,
     count_majority,
     drop_leader,
+    list_members,
     take_store_proof,
 )
 from ._state import (
@@ -84,6 +84,13 @@
 COMPARE_TIME = 0.3
 """Seconds to wait for the positions of the candidates."""
 
+FENCE_TIME = 0.2
+"""Seconds to wait for candidates beyond the majority that must be fenced."""
+
+RESUME_TIME = 6.0
+"""Seconds after which a suspended server receives again, whatever became of the
+promotion: no order is carried out later than that."""
+
 CATCH_UP_TIME = 0.6
 """Seconds to wait until a candidate holds all that the old primary acknowledged."""
 
@@ -181,6 +188,8 @@
         return
     if promotion.token and state.now - promotion.began_at > ATTEMPT_TIME:
         _log(state, database, "promotion_dropped", out, reason="attempt_over")
+        if not promotion.ordered:
+            _end_suspensions(state, database)
         database.promotion = None
         return
     _STEPS[promotion.step](state, database, promotion, out)
@@ -357,6 +366,9 @@
         return
     if answer.position is not None:
         promotion.positions[server.entry.server] = answer.position
+    if answer.status is not None and not answer.status.leads:
+        # It leads no more, which a VM that asks it learns as well.
+        promotion.fenced.add(server.entry.server)
     _enter(state, promotion, PromotionStep.COMPARING)
 
 
@@ -378,8 +390,6 @@
             if control is not None and not control.pending:
                 status = Command(kind=CommandKind.STATUS)
                 send(state, control, status, Purpose.PROBE, out)
-    if not _reaches_enough(state, database):
-        return
     waited = state.now - promotion.step_at
     needed = promotion.positions.get(promotion.leader)
     known = [s for s in candidates if s.entry.server in promotion.positions]
@@ -391,26 +401,46 @@
         return
     if not known:
         return
-    best = max(known, key=lambda s: _weigh_candidate(state, promotion, s))
+    _enter(state, promotion, PromotionStep.FENCING)
+    _fence(state, database, promotion, out)
+
+
+def _fence(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    """Have a majority know of the new term, then order the promotion."""
+    if state.now >= promotion.repeat_at:
+        promotion.repeat_at = state.now + REPEAT_TIME / 2
+        for server in state.members(database.name):
+            control = find_control(server)
+            if control is None or control.pending:
+                continue
+            if server.entry.server in promotion.fenced:
+                continue
+            command = Command(kind=CommandKind.SUSPEND, term=promotion.term + 1)
+            send(state, control, command, Purpose.FENCE, out)
+            server.suspended_until = state.now + RESUME_TIME
+    if len(promotion.fenced) < count_majority(len(list_members(state, database))):
+        return
+    waited = state.now - promotion.step_at
+    candidates = _list_candidates(state, database, promotion)
+    fenced = [s for s in candidates if s.entry.server in promotion.fenced]
+    if not fenced or len(fenced) < len(candidates) and waited < FENCE_TIME:
+        return
+    best = max(fenced, key=lambda s: _weigh_candidate(state, promotion, s))
     promotion.candidate = best.entry.server
     _enter(state, promotion, PromotionStep.ORDERING)
     _order(state, database, promotion, out)
 
 
-def _reaches_enough(state: DirectState, database: Database) -> bool:
-    """Return whether this VM reaches a majority of the servers that are still listed.
-
-    Otherwise VMs on the other side of a partition could rely on the others.
-    """
-    reached = 0
-    listed = 0
-    for server in state.members(database.name):
-        if server.gone_at is not None and state.now - server.gone_at >= GONE_TIME:
-            continue
-        listed += 1
-        if server.down_at is None:
-            reached += 1
-    return reached >= count_majority(listed)
+def take_fence(state: DirectState, server: Server, answer: Answer) -> None:
+    """Note a server that takes nothing from older primaries any more."""
+    database = state.databases.get(server.entry.service)
+    promotion = database.promotion if database is not None else None
+    status = answer.status
+    if promotion is None or status is None or status.leads:
+        return
+    if max(status.term, status.held) > promotion.term:
+        promotion.fenced.add(server.entry.server)
+    promotion.positions[server.entry.server] = status.received
 
 
 def _list_candidates(state, database: Database, promotion: Promotion) -> list[Server]:
@@ -420,8 +450,7 @@
             continue
         if not server.usable or server.down_at is not None:
             continue
-        if state.now - server.up_at >= SETTLE_TIME:
-            found.append(server)
+        found.append(server)
     return found
 
 
@@ -438,6 +467,7 @@
     if promotion.call or state.now < promotion.repeat_at:
         return
     promotion.call = _call(state, "promotion", database)
+    promotion.ordered = True
     _log(
         state,
         database,
@@ -490,6 +520,7 @@
     database.promotion = None
     if not promotion.token:
         return
+    _end_suspensions(state, database)
     out.append(Observe(metric="promotion_seconds", value=took))
     record = LeaderRecord(
         state=LeaderState.STABLE,
@@ -508,6 +539,12 @@
     )
 
 
+def _end_suspensions(state: DirectState, database: Database) -> None:
+    for server in state.members(database.name):
+        if server.suspended_until is not None:
+            server.suspended_until = state.now
+
+
 _STEPS = {
     PromotionStep.SUSPECTING: _suspect,
     PromotionStep.WAITING: _wait,
@@ -515,6 +552,7 @@
     PromotionStep.CLAIMING: _claim,
     PromotionStep.ENDING_LEAD: _end_lead,
     PromotionStep.COMPARING: _compare,
+    PromotionStep.FENCING: _fence,
     PromotionStep.ORDERING: _order,
     PromotionStep.TAKING_EFFECT: _await_effect,
 }
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -26,9 +26,10 @@
     probe_lead,
     take_lead_probe,
     take_role,
+    take_vouch,
 )
 from ._execution import lose_connection, take_result, take_setup
-from ._failover import take_position, take_step_down
+from ._failover import take_fence, take_position, take_step_down
 from ._placement import takes_leader_work
 from ._state import (
     ConnectionState,
@@ -151,7 +152,7 @@
     if event.reason is LossReason.OVERLOAD:
         server.full_until = state.now + FULL_PAUSE
     elif opening:
-        note_open_failed(state, server, connection.opened_at, event.reason, out)
+        note_open_failed(state, server, event.reason, out)
     else:
         note_lost(state, server, event.reason, out)
     out.append(
@@ -190,8 +191,12 @@
         take_lead_probe(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.ROLE:
         take_role(state, server, pending.sent_at, answer, out)
+    elif pending.purpose is Purpose.VOUCH:
+        take_vouch(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.PROBE:
         take_position(state, server, answer)
+    elif pending.purpose is Purpose.FENCE:
+        take_fence(state, server, answer)
     elif pending.purpose is Purpose.STEP_DOWN:
         take_step_down(state, server, answer)
 
@@ -212,6 +217,7 @@
             close_connection(state, control, out, "control_silent")
             lose_connection(state, control, out)
     _close_stuck(state, server, out)
+    _resume(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
         ensure_control(state, server, out)
@@ -244,6 +250,18 @@
             lose_connection(state, connection, out)
 
 
+def _resume(state: DirectState, server: Server, out: Effects) -> None:
+    """Let a server that was suspended for a promotion receive again."""
+    if server.suspended_until is None or state.now < server.suspended_until:
+        return
+    control = find_control(server)
+    if control is None or control.pending:
+        return
+    server.suspended_until = None
+    command = Command(kind=CommandKind.RESUME)
+    send(state, control, command, Purpose.VOUCH, out)
+
+
 def _ping(state: DirectState, server: Server, out: Effects) -> None:
     """Ask a server that nobody uses, so that its loss is noticed early."""
     if server.down_at is not None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -31,6 +31,8 @@
     CLEANUP = "cleanup"
     POSITION = "position"
     STEP_DOWN = "step_down"
+    FENCE = "fence"
+    VOUCH = "vouch"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -108,9 +110,10 @@
         draining_at: when it was first seen to leave.
         gone_at: when its entry was first missing.
         down_at: since when no connection can be opened.
-        absent_at: when the newest attempt to connect began, if the server's machine
-            refused it because no process listens.
-        up_at: when it was last reached again after a loss.
+        vouched_at: when the newest question was sent that it answered as a replica.
+        vouched_term: the newest term that it then knew of or was suspended for.
+        led_at: when the newest question was sent that it answered as the primary.
+        suspended_until: when it is told to receive again, after this VM suspended it.
         retry_at: earliest time of the next attempt to connect.
         failures: failed attempts in a row.
         lagging_until: until when reads prefer other servers.
@@ -125,8 +128,10 @@
     draining_at: float | None = None
     gone_at: float | None = None
     down_at: float | None = None
-    absent_at: float = -1.0
-    up_at: float = -100.0
+    vouched_at: float = -1.0
+    vouched_term: int = 0
+    led_at: float = -1.0
+    suspended_until: float | None = None
     retry_at: float = 0.0
     failures: int = 0
     lagging_until: float = 0.0
@@ -160,6 +165,7 @@
     READING = "reading"
     CLAIMING = "claiming"
     ENDING_LEAD = "ending_lead"
+    FENCING = "fencing"
     COMPARING = "comparing"
     ORDERING = "ordering"
     TAKING_EFFECT = "taking_effect"
@@ -179,6 +185,8 @@
         attempt: random identity.
         candidate: the server to be promoted, once chosen.
         positions: log positions received, by server.
+        fenced: servers that take nothing from older primaries any more.
+        ordered: whether an order was sent.
         call: number of the call under way, 0 for none.
         repeat_at: when the present step is repeated.
     """
@@ -193,6 +201,8 @@
     attempt: str = ""
     candidate: str = ""
     positions: dict[str, Position] = field(default_factory=dict)
+    fenced: set[str] = field(default_factory=set)
+    ordered: bool = False
     call: int = 0
     repeat_at: float = 0.0
 
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -96,6 +96,8 @@
     PREPARE = "prepare"
     STATUS = "status"
     STEP_DOWN = "step_down"
+    SUSPEND = "suspend"
+    RESUME = "resume"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -109,7 +111,7 @@
         value: value of the variable, arguments, or shape to prepare.
         writes: for `PREPARE`, whether the statement writes.
         after: log position that the server must have applied.
-        term: for `STEP_DOWN`, the term that ends the server's lead.
+        term: for `STEP_DOWN` and `SUSPEND`, the term of the primary to come.
     """
 
     kind: CommandKind
@@ -133,7 +135,8 @@
         detail: text beside the refusal.
         transaction: state of the connection after the answer.
         position: end of the server's applied log.
-        status: what the server says of itself; only for `STATUS` and `STEP_DOWN`.
+        status: what the server says of itself; only for `STATUS`, `STEP_DOWN`,
+            `SUSPEND` and `RESUME`.
     """
 
     rows: tuple[str, ...] = ()
@@ -154,11 +157,13 @@
         term: its term. A new primary's applied log shows an older one until it has
             applied all that it had received.
         received: end of the log that it has received.
+        held: term for which it stopped to receive from older primaries, 0 for none.
     """
 
     leads: bool
     term: int
     received: Position
+    held: int = 0
 
 
 class Consistency(enum.Enum):
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -29,6 +29,16 @@
 """Seconds without an acknowledgement after which a connection is lost. The kernel of a
 server that is merely busy acknowledges at once."""
 
+REPORTING = frozenset(
+    {
+        CommandKind.STATUS,
+        CommandKind.STEP_DOWN,
+        CommandKind.SUSPEND,
+        CommandKind.RESUME,
+    }
+)
+"""Commands whose answer is what a server says of itself."""
+
 Emit = Callable[[Event], None]
 
 
@@ -195,7 +205,7 @@
         self._rows = []
         self._end = None
         status = None
-        if self.outstanding.popleft() in (CommandKind.STATUS, CommandKind.STEP_DOWN):
+        if self.outstanding.popleft() in REPORTING:
             status = self._backends.codec.read_report(rows)
         answer = Answer(
             rows=rows,
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -191,7 +191,7 @@
         world = start()
         world.connect("vm1", 1)
         world.store_down = set(world.states)
-        world.servers["s3"].absent = True
+        world.servers["s3"].down = True
         world.advance(3)
         assert world.ask("vm1", 1, "WRITE x 1").refusal is None
         assert world.ask("vm1", 1, "READ x").refusal is None
@@ -210,6 +210,29 @@
         assert world.ask("vm3", 1, "READ x").refusal is not None
         assert world.ask("vm3", 1, "WRITE x 1").refusal is not None
 
+    def test_new_primary_serves_while_the_old_one_is_dark(self):
+        """Guards against a database that stops after a failover.
+
+        The old primary can't be asked, and the store goes away right after the claim.
+        """
+        world = start()
+        world.connect("vm1", 1)
+        assert world.ask("vm1", 1, "WRITE x 0").refusal is None
+        world.servers["s1"].down = True
+        while not world.orders:
+            world.advance(0.01)
+        world.store_down = set(world.states)
+        world.advance(2)
+        assert world.ask("vm1", 1, "WRITE x 1").refusal is None
+        assert world.ask("vm1", 1, "READ x").refusal is None
+
+    def test_suspended_replicas_receive_again(self):
+        """Guards against replicas that a promotion leaves behind for good."""
+        world = start()
+        world.servers["s1"].down = True
+        world.advance(10)
+        assert all(s.held == 0 for s in world.servers.values())
+
     def test_silent_member_is_not_excused_when_a_lagging_one_answers(self):
         """Guards against a stale read as a partition heals.
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -58,6 +58,13 @@
 PROMOTE_TIME = 0.3
 """Seconds from the order of a promotion until it takes effect."""
 
+REPORTING = (
+    CommandKind.STATUS,
+    CommandKind.STEP_DOWN,
+    CommandKind.SUSPEND,
+    CommandKind.RESUME,
+)
+
 ZONES = ("a", "b", "c")
 
 
@@ -80,6 +87,7 @@
         self.applied = Position(1, 0)
         self.lag = 0.002
         self.frozen = False
+        self.held = 0
         self.dark_for: set[str] = set()
         self.down = False
         self.absent = False
@@ -136,11 +144,19 @@
         elif kind is CommandKind.ROLLBACK:
             connection.open = ""
             connection.wrote = False
-        elif kind in (CommandKind.STATUS, CommandKind.STEP_DOWN):
+        elif kind in REPORTING:
             if kind is CommandKind.STEP_DOWN and command.term > self.term:
                 self.leads = False
+            elif kind is CommandKind.SUSPEND and not self.leads:
+                if command.term > self.term:
+                    self.held = command.term
+            elif kind is CommandKind.RESUME:
+                self.held = 0
             status = ServerReport(
-                leads=self.leads, term=self.term, received=self.received
+                leads=self.leads,
+                term=self.term,
+                received=self.received,
+                held=self.held,
             )
         elif kind is CommandKind.RESET:
             connection.values = {}
@@ -438,6 +454,8 @@
         """Let a replica receive and apply a commit."""
         if server.frozen or server.leads or position.term < server.term:
             return
+        if server.held > position.term:
+            return
         server.received = max(server.received, position)
         server.applied = server.received
 
@@ -450,10 +468,12 @@
         term = max(s.term for s in self.servers.values()) + 1
         server.term = term
         server.leads = True
+        server.held = 0
         for other in self.servers.values():
             if other is server or other.leads:
                 continue
             other.term = term
+            other.held = 0
             other.received = min(other.received, server.received)
             other.applied = min(other.applied, server.received)
 
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -32,6 +32,7 @@
         """Make an instance the primary of the next term."""
         leader.term = max(i.term for i in self.instances) + 1
         leader.leads = True
+        leader.held = 0
         leader.applied = leader.received
         for instance in self.instances:
             if instance is leader or not instance.running:
@@ -59,6 +60,7 @@
         self.work = work
         self.limit = limit
         self.term = 1
+        self.held = 0
         self.received = (1, 0)
         self.applied = (1, 0)
         self.port = 0
@@ -88,6 +90,8 @@
 
     def receive(self, position) -> None:
         """Take a commit of the primary."""
+        if self.held > position[0]:
+            return
         if self.running and not self.leads and position[0] >= self.term:
             self.received = self.applied = position
 
@@ -95,6 +99,7 @@
         """Become a replica of a newer primary."""
         if self.term < leader.term:
             self.term = leader.term
+            self.held = 0
             self.leads = False
             self.received = self.applied = min(self.applied, leader.applied)
 
@@ -175,12 +180,16 @@
             session.values[words[1]] = words[2]
         elif verb == "PREPARE":
             session.prepared[words[1]] = (words[2], words[3])
-        elif verb in ("STATUS", "STEPDOWN"):
+        elif verb in ("STATUS", "STEPDOWN", "SUSPEND", "RESUME"):
             if verb == "STEPDOWN" and int(words[1]) > self.term:
                 self.leads = False
+            elif verb == "SUSPEND" and not self.leads:
+                self.held = max(self.held, int(words[1]))
+            elif verb == "RESUME":
+                self.held = 0
             role = "primary" if self.leads else "replica"
             term, number = self.received
-            row = f"ROW {role} {self.term} {term}.{number} 0 0 0 1\r\n"
+            row = f"ROW {role} {self.term} {term}.{number} {self.held} 0 0 1\r\n"
             return row.encode() + done
         return done
 
