Relay callers to VMs that hold connections

Now two VMs of each availability zone, the largest, hold connections where a pool on each does not fit; the others pass their callers' lines on. Fleets of 8 and 9 VMs hold everywhere as before. Ruled out: relaying single statements, as sessions have values and transactions.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -1,4 +1,4 @@
-"""The core for deployments in which each VM connects to backend servers itself.
+"""The core for deployments in which VMs connect to backend servers themselves.
 
 It serves the line protocol of `lines`, and differs from `core` in how a primary is
 proved to lead: see `_evidence`.
@@ -9,6 +9,7 @@
     CloseBackend,
     CloseCaller,
     Effect,
+    EndRelays,
     GreetCaller,
     ListSuspicions,
     ListVms,
@@ -19,6 +20,7 @@
     PublishSuspicion,
     ReadLeaderRecord,
     RefuseCaller,
+    RelayCaller,
     ReplyCaller,
     SendCommands,
     Stop,
@@ -33,6 +35,7 @@
     CallerStatement,
     ConfigurationRead,
     Event,
+    HoldersLost,
     LeaderRecordAnswered,
     LossReason,
     PromotionAnswered,
@@ -48,7 +51,6 @@
 from ._settings import VmSettings
 from ._state import DirectState
 from ._types import (
-    NOT_RUN,
     Answer,
     Command,
     CommandKind,
@@ -64,6 +66,7 @@
     StatementKind,
     Suspicion,
     TransactionState,
+    VmEntry,
 )
 
 __all__ = [
@@ -84,8 +87,10 @@
     "Consistency",
     "DirectState",
     "Effect",
+    "EndRelays",
     "Event",
     "GreetCaller",
+    "HoldersLost",
     "LeaderRecord",
     "LeaderRecordAnswered",
     "LeaderState",
@@ -93,7 +98,6 @@
     "ListVms",
     "Log",
     "LossReason",
-    "NOT_RUN",
     "Observe",
     "OpenBackend",
     "OrderPromotion",
@@ -103,6 +107,7 @@
     "ReadLeaderRecord",
     "Refusal",
     "RefuseCaller",
+    "RelayCaller",
     "ReplyCaller",
     "Route",
     "SendCommands",
@@ -118,6 +123,7 @@
     "SuspicionsAnswered",
     "TimeAdvanced",
     "TransactionState",
+    "VmEntry",
     "VmSettings",
     "VmsRead",
     "WriteLeaderRecord",
--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -2,6 +2,7 @@
 
 from ._effects import CloseBackend, Log, Observe, OpenBackend, SendCommands
 from ._events import LossReason
+from ._holders import share_connections
 from ._state import (
     Connection,
     ConnectionState,
@@ -44,8 +45,8 @@
     if configuration is None:
         return LEAST_CONNECTIONS
     total = configuration.connections.get(server.entry.service, 0)
-    shares = (len(state.vms) or UNKNOWN_VMS) + SPARE_SHARES
-    return max(LEAST_CONNECTIONS, total // shares)
+    share = share_connections(state, total, SPARE_SHARES, UNKNOWN_VMS)
+    return max(LEAST_CONNECTIONS, share)
 
 
 def open_connection(
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ._types import Answer, Command, LeaderRecord, Refusal, Suspicion
+from ._types import Answer, Command, LeaderRecord, Refusal, Suspicion, VmEntry
 
 
 @dataclass(slots=True, kw_only=True)
@@ -12,6 +12,19 @@
     session: int
 
 
+@dataclass(slots=True, kw_only=True)
+class RelayCaller:
+    """Relay a caller's connection to the first holder that can be reached."""
+
+    session: int
+    holders: tuple[VmEntry, ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class EndRelays:
+    """End the relays on which neither a statement nor a transaction is open."""
+
+
 @dataclass(slots=True, kw_only=True)
 class RefuseCaller:
     """Refuse a caller's connection and close it."""
@@ -158,6 +171,8 @@
 
 Effect = (
     GreetCaller
+    | RelayCaller
+    | EndRelays
     | RefuseCaller
     | ReplyCaller
     | CloseCaller
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -10,16 +10,22 @@
     ServerEntry,
     Statement,
     Suspicion,
+    VmEntry,
 )
 
 
 @dataclass(slots=True, kw_only=True)
 class CallerOpened:
-    """A caller connected and named a database."""
+    """A caller connected and named a database.
+
+    Args:
+        relayed: whether another VM relays it.
+    """
 
     at: float
     session: int
     database: str
+    relayed: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -104,7 +110,21 @@
     """The store listed the VMs that have registered."""
 
     at: float
-    names: tuple[str, ...]
+    vms: tuple[VmEntry, ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class HoldersLost:
+    """Holders could not be reached for a caller.
+
+    Args:
+        vms: their names.
+        session: the caller, if no holder was reached for it; else 0.
+    """
+
+    at: float
+    vms: tuple[str, ...]
+    session: int
 
 
 class StoreOutcome(enum.Enum):
@@ -184,6 +204,7 @@
     | ConfigurationRead
     | ServersRead
     | VmsRead
+    | HoldersLost
     | LeaderRecordAnswered
     | SuspicionsAnswered
     | PromotionAnswered
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -100,16 +100,26 @@
 EFFECT_TIME = 2.0
 """Seconds until an accepted promotion that shows no effect is ordered again."""
 
+START_TIME = 4.0
+"""Seconds after the start in which the list of VMs is read more often, as VMs that
+start together register one after the other."""
+
+VMS_RETRY = 0.7
+"""Seconds between two reads of the list of VMs in that time, or while it is unknown."""
+
 VMS_INTERVAL = 10.0
 """Seconds between two reads of the list of VMs."""
 
 
 def watch_primaries(state: DirectState, out: Effects) -> None:
     """Begin, carry on or drop promotions; called at each tick."""
-    if state.now - state.vms_asked_at > VMS_INTERVAL:
+    interval = VMS_INTERVAL if state.vms_known else VMS_RETRY
+    if state.now - state.started_at < START_TIME:
+        interval = VMS_RETRY
+    if state.now - state.vms_asked_at > interval:
         state.vms_asked_at = state.now
         out.append(ListVms())
-    if state.leaving_at is not None:
+    if state.leaving_at is not None or not state.serves:
         return
     for database in state.databases.values():
         if database.promotion is None:
@@ -229,7 +239,7 @@
         if suspicion.term == promotion.term and suspicion.service == database.name:
             voters.add(suspicion.vm)
     share = QUORUM if state.now - promotion.began_at < LATE_TIME else LATE_QUORUM
-    known = max(len(state.vms), 1)
+    known = max(len(state.holders), 1)
     if len(voters) < min(2, known) or len(voters) < share * known:
         return
     _log(state, database, "primary_missed", out, voters=len(voters), vms=known)
@@ -251,8 +261,8 @@
 
     mine = weigh(state.vm)
     rank = 0
-    for vm in state.vms:
-        if vm != state.vm and weigh(vm) < mine:
+    for vm in state.holders:
+        if vm.name != state.vm and weigh(vm.name) < mine:
             rank += 1
     return rank
 
--- /dev/null
+++ b/src/siskinhold/direct/_holders.py
@@ -0,0 +1,104 @@
+"""Which VMs hold connections to backend servers.
+
+Answers a fleet with more VMs than a server takes connections from. A few VMs in each
+availability zone then hold the connections, and the others relay their callers to one
+of them. A VM with few connections would refuse statements that the servers have room
+for.
+"""
+
+import hashlib
+
+from ._state import DirectState
+from ._types import VmEntry
+
+POOL_LEAST = 3
+"""Connections to a server below which a VM can't hold a pool: one for control, two for
+statements."""
+
+HOLDER_POOL = 4
+"""Connections to a server that each of a few holders should have at least."""
+
+HOLDERS_PER_ZONE = 2
+"""Holders in each availability zone, so that the loss of one leaves another near."""
+
+SPARE_HOLDERS = 1
+"""Holders beyond the chosen ones that a server's connections must suffice for."""
+
+DOWN_TIME = 2.0
+"""Seconds for which a holder that can't be reached is passed over."""
+
+TARGETS = 3
+"""Holders that are tried for one caller."""
+
+
+def count_connections(state: DirectState) -> int:
+    """Return the least number of connections that a server takes, 0 if unknown."""
+    if state.configuration is None or not state.configuration.connections:
+        return 0
+    return min(state.configuration.connections.values())
+
+
+def rank_holders(vms: tuple[VmEntry, ...], connections: int) -> list[VmEntry]:
+    """Return the VMs that hold connections; all VMs with the same list agree.
+
+    The largest VMs of each availability zone come first.
+    """
+    if len(vms) * POOL_LEAST <= connections:
+        return list(vms)
+    zones: dict[str, list[VmEntry]] = {}
+    for vm in vms:
+        zones.setdefault(vm.zone, []).append(vm)
+    most = max(1, connections // HOLDER_POOL - SPARE_HOLDERS)
+    found = []
+    for members in zones.values():
+        members.sort(key=lambda vm: (-vm.size, _hash(vm.name)))
+    for place in range(HOLDERS_PER_ZONE):
+        for zone in sorted(zones):
+            if place < len(zones[zone]) and len(found) < most:
+                found.append(zones[zone][place])
+    return found
+
+
+def update_holding(state: DirectState) -> None:
+    """Decide anew whether this VM holds connections."""
+    connections = count_connections(state)
+    if not state.vms or not connections:
+        return
+    state.holders = rank_holders(state.vms, connections)
+    state.holds = any(vm.name == state.vm for vm in state.holders)
+
+
+def choose_targets(state: DirectState, session: int) -> list[VmEntry]:
+    """Return the holders to which a caller is relayed, best first."""
+    ranked = []
+    for vm in state.holders:
+        if state.now < state.down_holders.get(vm.name, 0.0):
+            continue
+        if vm.zone == state.zone:
+            distance = 0
+        elif state.regions.get(vm.zone) == state.region:
+            distance = 1
+        else:
+            distance = 2
+        ranked.append((distance, _hash(f"{state.vm}/{session}/{vm.name}"), vm))
+    ranked.sort(key=lambda entry: entry[:2])
+    return [vm for _, _, vm in ranked[:TARGETS]]
+
+
+def share_connections(state: DirectState, total: int, spare: int, unknown: int) -> int:
+    """Return this VM's share of a server's connections.
+
+    Args:
+        total: connections that the server takes.
+        spare: shares kept for VMs that join a fleet in which all hold.
+        unknown: number of VMs assumed while it is not known.
+    """
+    if not state.holders:
+        return total // (unknown + spare)
+    if len(state.holders) == len(state.vms):
+        return total // (len(state.vms) + spare)
+    return total // (len(state.holders) + SPARE_HOLDERS)
+
+
+def _hash(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -10,6 +10,7 @@
     CallerStatement,
     ConfigurationRead,
     Event,
+    HoldersLost,
     LeaderRecordAnswered,
     PromotionAnswered,
     ServersRead,
@@ -20,6 +21,7 @@
 )
 from ._execution import abandon_transaction, expire_work, hedge_reads, settle_database
 from ._failover import take_order, take_record, take_suspicions, watch_primaries
+from ._holders import update_holding
 from ._servers import (
     maintain_servers,
     take_answer,
@@ -27,7 +29,13 @@
     take_opened,
     take_servers,
 )
-from ._sessions import close_caller, greet_waiting, open_caller, take_statement
+from ._sessions import (
+    close_caller,
+    greet_waiting,
+    lose_holders,
+    open_caller,
+    take_statement,
+)
 from ._shutdown import advance_shutdown, request_shutdown
 from ._state import Database, DirectState, Effects, WorkState
 
@@ -49,6 +57,7 @@
     """
     out: Effects = []
     state.now = max(state.now, event.at)
+    state.started_at = state.started_at or state.now
     _HANDLERS[type(event)](state, event, out)
     _settle(state, out)
     return out
@@ -105,11 +114,28 @@
     if state.early_servers is not None:
         take_servers(state, state.early_servers, out)
         state.early_servers = None
+    update_holding(state)
     greet_waiting(state, out)
 
 
 def _take_vms(state: DirectState, event: VmsRead, out: Effects) -> None:
-    state.vms = event.names
+    state.vms = event.vms
+    state.vms_known = True
+    before = state.holds
+    update_holding(state)
+    greet_waiting(state, out)
+    if before != state.holds:
+        out.append(
+            Log(
+                event="holding",
+                fields=(
+                    ("holds", state.holds),
+                    ("holders", len(state.holders)),
+                    ("vms", len(state.vms)),
+                ),
+                essential=True,
+            )
+        )
 
 
 def _tick(state: DirectState, event: TimeAdvanced, out: Effects) -> None:
@@ -157,7 +183,7 @@
     ready = (
         state.leaving_at is None
         and state.configuration is not None
-        and state.servers_known
+        and (state.servers_known or not state.serves)
     )
     if ready == state.ready:
         return
@@ -180,6 +206,7 @@
     ConfigurationRead: _take_configuration,
     ServersRead: take_servers,
     VmsRead: _take_vms,
+    HoldersLost: lose_holders,
     LeaderRecordAnswered: take_record,
     SuspicionsAnswered: take_suspicions,
     PromotionAnswered: take_order,
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -58,6 +58,9 @@
 LEADER_PING_INTERVAL = 0.5
 """The same for a primary, whose loss stops writes."""
 
+VMS_TIME = 1.0
+"""Seconds after the start for which connections wait until the VMs are known."""
+
 STUCK_TIME = 1.5
 """Seconds after which a connection is given up whose statement has been answered from
 another one, or whose caller has left."""
@@ -97,7 +100,8 @@
         server = Server(entry=entry)
         state.servers[entry.server] = server
         _log_server(state, "server_found", server, out)
-        ensure_control(state, server, out)
+        if state.serves and state.vms_known:
+            ensure_control(state, server, out)
     old = server.entry
     server.entry = entry
     server.gone_at = None
@@ -203,12 +207,25 @@
 
 def maintain_servers(state: DirectState, out: Effects) -> None:
     """Keep control connections, drop those of leaving servers, look for primaries."""
+    if not state.serves:
+        _let_go(state, out)
+        return
     for server in list(state.servers.values()):
         _maintain(state, server, out)
     for database in state.databases.values():
         _look_for_leader(state, database, out)
 
 
+def _let_go(state: DirectState, out: Effects) -> None:
+    """Close all connections of a VM that relays its callers."""
+    for connection in list(state.connections.values()):
+        if connection.transaction is None and not connection.pending:
+            close_connection(state, connection, out, "not_a_holder")
+    for database in state.databases.values():
+        database.leader = None
+        database.leaderless_at = state.now
+
+
 def _maintain(state: DirectState, server: Server, out: Effects) -> None:
     control = find_control(server)
     if control is not None and control.pending:
@@ -220,7 +237,8 @@
     _resume(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
-        ensure_control(state, server, out)
+        if state.vms_known or state.now - state.started_at >= VMS_TIME:
+            ensure_control(state, server, out)
         _ping(state, server, out)
         return
     if state.now - left_at > LEAVE_CLOSE_AFTER:
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,12 +1,16 @@
 """Callers' sessions: which statements siskinhold answers and which a server runs."""
 
-from ._effects import CloseCaller, GreetCaller, Log, Observe, RefuseCaller
-from ._events import CallerClosed, CallerOpened, CallerStatement
+from ._effects import CloseCaller, GreetCaller, Log, Observe, RefuseCaller, RelayCaller
+from ._events import CallerClosed, CallerOpened, CallerStatement, HoldersLost
 from ._execution import abandon_transaction, start_work
+from ._holders import DOWN_TIME, choose_targets
 from ._replies import DONE, refuse, reply
 from ._state import DirectState, Effects, Session, Transaction, Work, WorkState
 from ._types import Consistency, Refusal, Route, Statement, StatementKind
 
+VMS_TIME = 1.0
+"""Seconds after the start for which the list of VMs is waited for."""
+
 GREETING_TIME = 1.5
 """Seconds for which a caller may wait for its greeting; callers give up after 2 s."""
 
@@ -16,16 +20,19 @@
 
     Before the configuration is known, the caller waits for `GREETING_TIME` at most.
     """
-    if state.configuration is None:
+    if state.configuration is None or not _knows_vms(state):
         state.ungreeted[event.session] = (event.database, state.now)
         return
+    if event.relayed:
+        _serve(state, event.session, event.database, out)
+        return
     _greet(state, event.session, event.database, out)
 
 
 def greet_waiting(state: DirectState, out: Effects) -> None:
     """Accept callers that waited for the configuration, or refuse them in time."""
     for session, (database, since) in list(state.ungreeted.items()):
-        if state.configuration is not None:
+        if state.configuration is not None and _knows_vms(state):
             del state.ungreeted[session]
             _greet(state, session, database, out)
         elif state.now - since >= GREETING_TIME:
@@ -35,7 +42,36 @@
             )
 
 
+def _knows_vms(state: DirectState) -> bool:
+    """Return whether it is known who holds connections, or waited for long enough."""
+    return state.vms_known or state.now - state.started_at >= VMS_TIME
+
+
 def _greet(state: DirectState, session: int, database: str, out: Effects) -> None:
+    if not state.holds:
+        targets = choose_targets(state, session)
+        if targets:
+            state.relayed.add(session)
+            out.append(RelayCaller(session=session, holders=tuple(targets)))
+            return
+    _serve(state, session, database, out)
+
+
+def lose_holders(state: DirectState, event: HoldersLost, out: Effects) -> None:
+    """Pass over holders that can't be reached; serve a caller that has none."""
+    for vm in event.vms:
+        state.down_holders[vm] = state.now + DOWN_TIME
+        out.append(Log(event="holder_lost", fields=(("holder", vm),), essential=True))
+    if event.session in state.relayed:
+        state.relayed.discard(event.session)
+        out.append(
+            RefuseCaller(
+                session=event.session, refusal=Refusal.OVERLOAD, detail="no_holder"
+            )
+        )
+
+
+def _serve(state: DirectState, session: int, database: str, out: Effects) -> None:
     if _find_route(state, database) is None:
         _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
         return
@@ -72,6 +108,7 @@
 def close_caller(state: DirectState, event: CallerClosed, out: Effects) -> None:
     """Forget a session; what it left open is rolled back."""
     state.ungreeted.pop(event.session, None)
+    state.relayed.discard(event.session)
     session = state.sessions.pop(event.session, None)
     if session is None:
         return
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -15,6 +15,8 @@
         caller_port: port for callers.
         ready_port: port of the load balancer's readiness probe.
         metrics_port: port of the metrics, 0 for none.
+        relay_port: port for callers that other VMs relay.
+        size: the VM's processor share, in thousandths of a core.
         store: host and port of the platform's store.
         promotion: host and port that take orders of promotion.
         grace: time from SIGTERM to SIGKILL, in seconds.
@@ -28,6 +30,8 @@
     caller_port: int
     ready_port: int
     metrics_port: int
+    relay_port: int
+    size: int
     store: str
     promotion: str
     grace: float
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,6 +1,6 @@
 """A graceful shutdown: nothing that a caller has open is cut off."""
 
-from ._effects import AnnounceReadiness, Log, Stop
+from ._effects import AnnounceReadiness, EndRelays, Log, Stop
 from ._execution import abandon_transaction
 from ._sessions import close_idle
 from ._state import DirectState, Effects
@@ -44,7 +44,9 @@
             session.closing = True
             if session.work is None and session.transaction is None:
                 close_idle(state, session, out)
-        if not state.sessions:
+        if state.relayed:
+            out.append(EndRelays())
+        if not state.sessions and not state.relayed:
             out.append(Stop())
     if elapsed >= state.grace - LAST_MARGIN:
         out.append(Stop())
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -15,6 +15,7 @@
     ServerEntry,
     Statement,
     TransactionState,
+    VmEntry,
 )
 
 Effects = list[Effect]
@@ -378,7 +379,11 @@
         regions: region by availability zone.
         grace: time from the request to leave to the kill, in seconds.
         random: seeded generator for every random choice.
-        vms: names of registered VMs.
+        vms: the registered VMs.
+        holders: those that hold connections to backend servers.
+        holds: whether this VM does.
+        down_holders: until when holders that can't be reached are passed over.
+        relayed: sessions that are relayed to a holder.
         servers_revision: store revision of the newest list of servers.
         early_servers: a list of servers that came before the configuration.
         ungreeted: sessions that wait for the configuration, with their databases
@@ -392,6 +397,7 @@
     grace: float
     random: random.Random
     now: float = 0.0
+    started_at: float = 0.0
     configuration: Configuration | None = None
     servers: dict[str, Server] = field(default_factory=dict)
     servers_revision: int = -1
@@ -403,7 +409,12 @@
     connections: dict[int, Connection] = field(default_factory=dict)
     calls: dict[int, tuple[str, str]] = field(default_factory=dict)
     next_number: int = 1
-    vms: tuple[str, ...] = ()
+    vms: tuple[VmEntry, ...] = ()
+    vms_known: bool = False
+    holders: list[VmEntry] = field(default_factory=list)
+    holds: bool = True
+    down_holders: dict[str, float] = field(default_factory=dict)
+    relayed: set[int] = field(default_factory=set)
     vms_asked_at: float = -100.0
     ready: bool = False
     leaving_at: float | None = None
@@ -420,6 +431,11 @@
         self.next_number += 1
         return number
 
+    @property
+    def serves(self) -> bool:
+        """Whether this VM needs backend servers itself."""
+        return self.holds or bool(self.sessions)
+
     def members(self, service: str) -> list[Server]:
         """Return the known servers of a database, leaving ones included."""
         found = []
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -241,6 +241,24 @@
     started: int
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class VmEntry:
+    """A VM as it registers itself.
+
+    Args:
+        host: its IP address.
+        relay_port: port for callers that other VMs relay.
+        zone: its availability zone.
+        size: its processor share, in thousandths of a core.
+    """
+
+    name: str
+    host: str
+    relay_port: int
+    zone: str
+    size: int
+
+
 class LeaderState(enum.Enum):
     """Progress of the newest promotion of a database."""
 
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -1,6 +1,7 @@
 """Callers that speak the line protocol."""
 
 import asyncio
+import functools
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -13,14 +14,17 @@
     CloseCaller,
     Event,
     GreetCaller,
+    HoldersLost,
     Refusal,
     RefuseCaller,
+    RelayCaller,
     ReplyCaller,
     Statement,
 )
 from ._clock import read_clock
 from ._codec import Garbled, Goodbye, Hello, LineCodec
 from ._protocol import LineProtocol
+from ._relay import RelayProtocol, open_relay
 
 USER_TIMEOUT = 10.0
 """Seconds without an acknowledgement after which a caller counts as gone: longer than
@@ -43,18 +47,24 @@
     Args:
         host: IP address to listen on.
         port: port to listen on.
+        relay_port: port for callers that other VMs relay, 0 for none.
         codec: the wire.
         limit: greatest number of connections.
     """
 
-    def __init__(self, *, host: str, port: int, codec: LineCodec, limit: int) -> None:
+    def __init__(
+        self, *, host: str, port: int, relay_port: int, codec: LineCodec, limit: int
+    ) -> None:
         self._host = host
-        self._port = port
+        self._ports = [port]
+        if relay_port:
+            self._ports.append(relay_port)
         self.codec = codec
         self.limit = limit
         self.connections: dict[int, _CallerProtocol] = {}
         self._next = 1
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task] = set()
         self.emit: Emit | None = None
 
     async def start(self, emit: Emit) -> None:
@@ -65,12 +75,15 @@
         """
         self.emit = emit
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _CallerProtocol(callers=self),
-            self._host,
-            self._port,
-            backlog=BACKLOG,
-        )
+        for port in self._ports:
+            relayed = port != self._ports[0]
+            server = await loop.create_server(
+                functools.partial(_CallerProtocol, callers=self, relayed=relayed),
+                self._host,
+                port,
+                backlog=BACKLOG,
+            )
+            self._servers.append(server)
 
     def take_number(self) -> int:
         """Return the number of a new session."""
@@ -84,6 +97,25 @@
         if connection is not None:
             connection.write(self.codec.encode_greeting())
 
+    def relay(self, effect: RelayCaller) -> None:
+        """Relay a caller's connection to a holder."""
+        connection = self.connections.get(effect.session)
+        if connection is None:
+            return
+        task = asyncio.get_running_loop().create_task(connection.relay(effect))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def end_relays(self) -> None:
+        """End the relays on which nothing is open."""
+        for connection in list(self.connections.values()):
+            connection.end_relay()
+
+    def stop_relays(self) -> None:
+        """Take no more callers that other VMs relay."""
+        for server in self._servers[1:]:
+            server.close()
+
     def refuse(self, effect: RefuseCaller) -> None:
         """Refuse a caller's connection and close it."""
         connection = self.connections.pop(effect.session, None)
@@ -105,8 +137,8 @@
 
     async def stop(self) -> None:
         """Stop to listen and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         for connection in list(self.connections.values()):
             connection.close()
 
@@ -114,12 +146,17 @@
 class _CallerProtocol(LineProtocol):
     """One caller's connection; its statements are handed on one at a time."""
 
-    def __init__(self, *, callers: LineCallers) -> None:
+    def __init__(self, *, callers: LineCallers, relayed: bool) -> None:
         super().__init__(user_timeout=USER_TIMEOUT)
         self._callers = callers
+        self._relayed = relayed
         self._session = 0
         self._busy = False
         self._waiting: deque[Statement] = deque()
+        self._hello = b""
+        self._relay: RelayProtocol | None = None
+        self._relaying = False
+        self._early: list[bytes] = []
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection, or close it if there are too many."""
@@ -132,6 +169,8 @@
         """Tell that the caller has left."""
         self.transport = None
         self._waiting.clear()
+        if self._relay is not None:
+            self._relay.close()
         if not self._session:
             return
         self._callers.connections.pop(self._session, None)
@@ -139,11 +178,18 @@
         self._callers.emit(CallerClosed(at=at, session=self._session))
 
     def take_line(self, line: bytes) -> None:
-        """Act on a line of the caller."""
+        """Act on a line of the caller, or relay it."""
+        if self._relaying:
+            if self._relay is None:
+                self._early.append(line)
+            else:
+                self._relay.pass_on(line)
+            return
         message = self._callers.codec.parse_caller(line)
         if isinstance(message, Goodbye):
             self.close()
         elif isinstance(message, Hello):
+            self._hello = line
             self._open(message)
         elif isinstance(message, Garbled) or not self._session:
             reason = getattr(message, "reason", "statement_before_hello")
@@ -171,9 +217,43 @@
                 at=read_clock(),
                 session=self._session,
                 database=message.database,
+                relayed=self._relayed,
+            )
+        )
+
+    async def relay(self, effect: RelayCaller) -> None:
+        """Relay the connection to the first holder that can be reached."""
+        self._relaying = True
+        targets = tuple((vm.name, vm.host, vm.relay_port) for vm in effect.holders)
+        relay, failed = await open_relay(targets, self._hello, self._make_relay)
+        if failed:
+            self._callers.emit(
+                HoldersLost(
+                    at=read_clock(),
+                    vms=failed,
+                    session=self._session if relay is None else 0,
+                )
             )
+        if relay is None:
+            return
+        if self.transport is None:
+            relay.close()
+            return
+        self._relay = relay
+        for line in self._early:
+            relay.pass_on(line)
+        self._early.clear()
+
+    def _make_relay(self) -> RelayProtocol:
+        return RelayProtocol(
+            codec=self._callers.codec, write=self.write, lost=self.close
         )
 
+    def end_relay(self) -> None:
+        """Close the connection if it is relayed and nothing is open on it."""
+        if self._relay is not None and self._relay.idle:
+            self.close()
+
     def _hand_on(self, statement: Statement) -> None:
         self._busy = True
         self._callers.emit(
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -10,6 +10,7 @@
     ServerEntry,
     StoreOutcome,
     Suspicion,
+    VmEntry,
 )
 
 
@@ -39,9 +40,14 @@
     """Calls of the platform. None decides, repeats or remembers anything."""
 
     @abc.abstractmethod
-    async def read_configuration(self) -> tuple[int, Configuration | None]:
+    async def read_configuration(
+        self, *, fresh: bool
+    ) -> tuple[int, Configuration | None]:
         """Return the store's revision and the configuration, None if there is none.
 
+        Args:
+            fresh: whether it must be up to date; if not, it costs less.
+
         Raises:
             StoreUnavailable: without a usable answer.
         """
@@ -101,7 +107,7 @@
         """
 
     @abc.abstractmethod
-    async def register_vm(self, name: str) -> None:
+    async def register_vm(self, entry: VmEntry) -> None:
         """Enter a VM in the list of VMs.
 
         Raises:
@@ -109,8 +115,8 @@
         """
 
     @abc.abstractmethod
-    async def list_vms(self) -> tuple[str, ...]:
-        """Return the names of the registered VMs.
+    async def list_vms(self, *, fresh: bool) -> tuple[VmEntry, ...]:
+        """Return the registered VMs.
 
         Raises:
             StoreUnavailable: without a usable answer.
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -8,6 +8,7 @@
     CloseBackend,
     CloseCaller,
     DirectState,
+    EndRelays,
     Event,
     GreetCaller,
     LeaderRecordAnswered,
@@ -21,6 +22,7 @@
     PublishSuspicion,
     ReadLeaderRecord,
     RefuseCaller,
+    RelayCaller,
     ReplyCaller,
     SendCommands,
     ShutdownRequested,
@@ -72,12 +74,15 @@
         self._metrics = metrics
         self._pending: deque[Event] = deque()
         self._running = False
+        self._callers = callers
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
         self.stopped = asyncio.Event()
         self._carry_out = {
             GreetCaller: callers.greet,
+            RelayCaller: callers.relay,
+            EndRelays: lambda effect: callers.end_relays(),
             RefuseCaller: callers.refuse,
             ReplyCaller: callers.reply,
             CloseCaller: callers.close,
@@ -110,6 +115,7 @@
 
     def request_shutdown(self) -> None:
         """Begin a graceful shutdown; `stopped` is set when it is complete."""
+        self._callers.stop_relays()
         self.emit(ShutdownRequested(at=read_clock()))
 
     def emit(self, event: Event) -> None:
@@ -184,11 +190,11 @@
 
     async def _report_vms(self) -> None:
         try:
-            names = await self._client.list_vms()
+            vms = await self._client.list_vms(fresh=not self.state.vms_known)
         except StoreUnavailable as error:
             self._write_failure("vms_unread", error)
             return
-        self.emit(VmsRead(at=read_clock(), names=names))
+        self.emit(VmsRead(at=read_clock(), vms=vms))
 
     def _order(self, effect: OrderPromotion) -> None:
         self._spawn(self._report_order(effect))
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from ..direct import ConfigurationRead, Event, ServersRead
+from ..direct import ConfigurationRead, Event, ServersRead, VmEntry
 from ._client import HistoryGone, PlatformClient, StoreUnavailable
 from ._clock import read_clock
 
@@ -16,6 +16,12 @@
 """Seconds between two reads of the list of servers. A server that leaves is reported
 seconds before it goes."""
 
+UNWANTED_INTERVAL = 4.0
+"""Seconds between two reads of a configuration that only tells who holds a pool."""
+
+WANTED_INTERVAL = 0.2
+"""Seconds until a VM that relays its callers looks again whether it needs servers."""
+
 RETRY_FIRST = 0.1
 """Seconds until a failed read is tried again; doubled for each further failure."""
 
@@ -50,15 +56,25 @@
 
 
 async def follow_configuration(
-    client: PlatformClient, emit: Callable[[Event], None]
+    client: PlatformClient,
+    emit: Callable[[Event], None],
+    is_wanted: Callable[[], bool],
 ) -> None:
-    """Report each configuration as soon as the store tells of it; never returns."""
+    """Report each configuration as soon as the store tells of it; never returns.
+
+    Args:
+        is_wanted: whether it is needed at once; else it is read now and then.
+    """
     retries = _Retries(name="configuration")
     revision = None
     while True:
         try:
-            if revision is None:
-                revision, configuration = await client.read_configuration()
+            if revision is not None and not is_wanted():
+                await asyncio.sleep(UNWANTED_INTERVAL)
+                _, configuration = await client.read_configuration(fresh=False)
+                revision = revision if not is_wanted() else None
+            elif revision is None:
+                revision, configuration = await client.read_configuration(fresh=True)
             else:
                 revision, configuration = await client.watch_configuration(
                     revision, WATCH_TIME
@@ -74,11 +90,22 @@
             emit(ConfigurationRead(at=read_clock(), configuration=configuration))
 
 
-async def follow_servers(client: PlatformClient, emit: Callable[[Event], None]) -> None:
-    """Report the list of servers again and again; never returns."""
+async def follow_servers(
+    client: PlatformClient,
+    emit: Callable[[Event], None],
+    is_wanted: Callable[[], bool],
+) -> None:
+    """Report the list of servers again and again; never returns.
+
+    Args:
+        is_wanted: whether it is needed.
+    """
     retries = _Retries(name="servers")
     fresh = True
     while True:
+        if not is_wanted():
+            await asyncio.sleep(WANTED_INTERVAL)
+            continue
         try:
             revision, entries = await client.list_servers(fresh=fresh)
         except StoreUnavailable as error:
@@ -90,12 +117,12 @@
         await asyncio.sleep(POLL_INTERVAL)
 
 
-async def register_vm(client: PlatformClient, name: str) -> None:
+async def register_vm(client: PlatformClient, entry: VmEntry) -> None:
     """Enter this VM in the list of VMs, however long the store is away."""
     retries = _Retries(name="registration")
     while True:
         try:
-            await client.register_vm(name)
+            await client.register_vm(entry)
         except StoreUnavailable as error:
             await retries.pause(error)
             continue
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -11,7 +11,7 @@
 import aiomisc
 from prometheus_client import CollectorRegistry
 
-from ..direct import DirectState, Log, VmSettings
+from ..direct import DirectState, Log, VmEntry, VmSettings
 from ..observability import Metrics
 from ._backends import LineBackends
 from ._callers import LineCallers
@@ -71,6 +71,7 @@
         self._callers = LineCallers(
             host=settings.host,
             port=settings.caller_port,
+            relay_port=settings.relay_port,
             codec=self._codec,
             limit=max(1, settings.descriptors - RESERVED_DESCRIPTORS),
         )
@@ -96,9 +97,9 @@
         await self._probe.start()
         self.driver.start()
         for follower in (
-            follow_configuration(self._client, self.driver.emit),
-            follow_servers(self._client, self.driver.emit),
-            register_vm(self._client, settings.name),
+            register_vm(self._client, _make_entry(settings)),
+            follow_configuration(self._client, self.driver.emit, self._is_serving),
+            follow_servers(self._client, self.driver.emit, self._is_serving),
         ):
             self._tasks.append(loop.create_task(follower))
         loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
@@ -130,6 +131,9 @@
         await self._client.close()
         self._say("stopped")
 
+    def _is_serving(self) -> bool:
+        return self.driver.state.serves
+
     def _begin_shutdown(self) -> None:
         self.driver.request_shutdown()
 
@@ -154,6 +158,16 @@
         self._log.write(entry, now)
 
 
+def _make_entry(settings: VmSettings) -> VmEntry:
+    return VmEntry(
+        name=settings.name,
+        host=settings.host,
+        relay_port=settings.relay_port,
+        zone=settings.zone,
+        size=settings.size,
+    )
+
+
 def _make_state(settings: VmSettings) -> DirectState:
     return DirectState(
         vm=settings.name,
--- /dev/null
+++ b/tests/direct/test_direct_holders.py
@@ -0,0 +1,125 @@
+"""The direct core: which VMs hold connections, and relays to them."""
+
+import random
+
+from siskinhold.direct import (
+    CallerOpened,
+    Configuration,
+    ConfigurationRead,
+    DirectState,
+    HoldersLost,
+    OpenBackend,
+    RelayCaller,
+    ServerEntry,
+    ServersRead,
+    TimeAdvanced,
+    VmEntry,
+    VmsRead,
+    reduce,
+)
+from siskinhold.direct._holders import rank_holders
+
+ZONES = ("a", "b", "c", "d", "e", "f")
+
+
+def make_fleet(count, large=0):
+    """Return VMs over six availability zones; the first ones are large."""
+    fleet = []
+    for index in range(count):
+        fleet.append(
+            VmEntry(
+                name=f"vm{index}",
+                host=f"10.0.0.{index}",
+                relay_port=7441,
+                zone=ZONES[index % 6],
+                size=2000 if index < large else 500,
+            )
+        )
+    return tuple(fleet)
+
+
+def start(fleet, name, connections=53):
+    """Return the state of a VM that knows the fleet, and its effects so far."""
+    entry = next(vm for vm in fleet if vm.name == name)
+    state = DirectState(
+        vm=name,
+        zone=entry.zone,
+        regions={zone: "east" if zone < "d" else "west" for zone in ZONES},
+        grace=6.0,
+        random=random.Random(1),
+    )
+    configuration = Configuration(
+        version=1, routes={}, connections={"db": connections}, idle_transaction=3.0
+    )
+    server = ServerEntry(
+        server="s1",
+        service="db",
+        host="10.1.0.1",
+        port=1,
+        zone="a",
+        slots=6,
+        draining=False,
+        leads=True,
+        started=1,
+    )
+    out = reduce(state, ConfigurationRead(at=1.0, configuration=configuration))
+    out += reduce(state, ServersRead(at=1.1, revision=1, entries=(server,)))
+    out += reduce(state, VmsRead(at=1.2, vms=fleet))
+    out += reduce(state, TimeAdvanced(at=1.3))
+    return state, out
+
+
+class TestChoice:
+    def test_small_fleet_holds_everywhere(self):
+        """Guards against relays where each VM can hold a pool."""
+        fleet = make_fleet(9)
+        assert rank_holders(fleet, 34) == list(fleet)
+
+    def test_large_fleet_has_two_large_vms_in_each_zone(self):
+        """Guards against holders that a server takes no connections from."""
+        holders = rank_holders(make_fleet(86, large=12), 53)
+        assert len(holders) == 12
+        assert all(vm.size == 2000 for vm in holders)
+        assert sorted(vm.zone for vm in holders) == sorted(ZONES * 2)
+
+    def test_does_not_depend_on_the_order_of_the_list(self):
+        """Guards against VMs that disagree on the holders."""
+        fleet = make_fleet(86)
+        mixed = tuple(reversed(fleet))
+        assert set(rank_holders(fleet, 53)) == set(rank_holders(mixed, 53))
+
+    def test_connections_suffice_for_all_holders(self):
+        """Guards against more connections than a server takes."""
+        for count in (5, 9, 17, 18, 30, 86, 300):
+            for connections in (8, 34, 53, 104):
+                holders = rank_holders(make_fleet(count), connections)
+                assert holders
+                assert len(holders) * 2 <= connections
+
+
+class TestRelays:
+    def test_go_to_a_holder_of_the_zone_first(self):
+        """Guards against bytes between availability zones without need."""
+        state, out = start(make_fleet(86, large=12), "vm84")
+        assert not state.holds
+        assert not [e for e in out if isinstance(e, OpenBackend)]
+        out = reduce(state, CallerOpened(at=2.0, session=1, database="x"))
+        relay = next(e for e in out if isinstance(e, RelayCaller))
+        assert relay.holders[0].zone == state.zone
+        assert len(relay.holders) > 1
+
+    def test_pass_over_a_lost_holder(self):
+        """Guards against callers that wait for a dead holder, one after the other."""
+        state, _ = start(make_fleet(86, large=12), "vm84")
+        out = reduce(state, CallerOpened(at=2.0, session=1, database="x"))
+        first = next(e for e in out if isinstance(e, RelayCaller)).holders[0]
+        reduce(state, HoldersLost(at=2.1, vms=(first.name,), session=0))
+        out = reduce(state, CallerOpened(at=2.2, session=2, database="x"))
+        relay = next(e for e in out if isinstance(e, RelayCaller))
+        assert first not in relay.holders
+
+    def test_relayed_callers_are_not_relayed_again(self):
+        """Guards against a caller that goes in circles."""
+        state, _ = start(make_fleet(86, large=12), "vm84")
+        out = reduce(state, CallerOpened(at=2.0, session=1, database="x", relayed=True))
+        assert not [e for e in out if isinstance(e, RelayCaller)]
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -45,6 +45,7 @@
     SuspicionsAnswered,
     TimeAdvanced,
     TransactionState,
+    VmEntry,
     VmsRead,
     WriteLeaderRecord,
     find_tick,
@@ -261,9 +262,18 @@
         self.order_lost = 0
         self.version = 1
         self.timeout = 1.0
-        names = tuple(f"vm{i + 1}" for i in range(vms))
-        for index, name in enumerate(names):
-            self.add_vm(name, ZONES[index % 3], names, seed + index)
+        self.entries = []
+        for index in range(vms):
+            entry = VmEntry(
+                name=f"vm{index + 1}",
+                host=f"10.0.1.{index}",
+                relay_port=1,
+                zone=ZONES[index % 3],
+                size=1000,
+            )
+            self.entries.append(entry)
+        for index, entry in enumerate(self.entries):
+            self.add_vm(entry.name, entry.zone, tuple(self.entries), seed + index)
 
     def add_vm(self, name, zone, names, seed):
         """Start a VM."""
@@ -274,7 +284,9 @@
             grace=6.0,
             random=random.Random(seed),
         )
+        state.vms_known = True
         state.vms = names
+        state.holders = list(names)
         state.now = self.now
         self.states[name] = state
         self.give(name, ConfigurationRead(at=self.now, configuration=self.configure()))
@@ -483,7 +495,7 @@
         later = self.now + 2 * self.store_delay
         if isinstance(effect, ListVms):
             if not down:
-                self.deliver(vm, later, VmsRead(at=0, names=tuple(self.states)))
+                self.deliver(vm, later, VmsRead(at=0, vms=tuple(self.entries)))
         elif isinstance(effect, PublishSuspicion):
             if not down:
                 self.suspicions[vm] = effect.suspicion
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -500,7 +500,7 @@
                 "ready": f"127.0.0.1:{ports[1]}",
             },
             "internal_ports": [ports[2], ports[2] + 5],
-            "limits": {"max_fds": 1024},
+            "limits": {"max_fds": 1024, "cpu_share": 0.5, "cores": 2},
             "bounds": {"grace_s": 6},
             "platform": {"address": f"127.0.0.1:{self.store.port}"},
             "cloud_api": {"address": f"127.0.0.1:{self.store.port}"},
