--- a/src/siskinhold/direct/_execution.py
+++ b/src/siskinhold/direct/_execution.py
@@ -244,10 +244,14 @@
     out.append(Observe(metric="service_seconds", value=elapsed))
     transaction = work.session.transaction
     in_transaction = connection.transaction is not None
-    if work.state is WorkState.ENDED:
+    if work.state is not WorkState.RUNNING or connection not in work.connections:
+        # Its caller has left or has been answered from another connection.
         if in_transaction:
             finish_transaction(state, connection, out)
         return
+    if answer.refusal is not None and len(work.connections) > 1:
+        work.connections.remove(connection)
+        return
     if answer.refusal in NOT_RUN or answer.refusal is Refusal.NO_STATEMENT:
         _note_refusal(state, server, answer.refusal, out)
         connection.prepared.clear()
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -119,6 +119,9 @@
 
 
 def _take_vms(state: DirectState, event: VmsRead, out: Effects) -> None:
+    if not any(vm.name == state.vm for vm in event.vms):
+        # The list may be seconds old; one without this VM is older than its start.
+        return
     state.vms = event.vms
     state.vms_known = True
     before = state.holds
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -190,7 +190,7 @@
 
     async def _report_vms(self) -> None:
         try:
-            vms = await self._client.list_vms(fresh=not self.state.vms_known)
+            vms = await self._client.list_vms(fresh=False)
         except StoreUnavailable as error:
             self._write_failure("vms_unread", error)
             return
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -16,7 +16,7 @@
 """Seconds between two reads of the list of servers. A server that leaves is reported
 seconds before it goes."""
 
-UNWANTED_INTERVAL = 4.0
+UNWANTED_INTERVAL = 15.0
 """Seconds between two reads of a configuration that only tells who holds a pool."""
 
 WANTED_INTERVAL = 0.2
@@ -67,20 +67,22 @@
     """
     retries = _Retries(name="configuration")
     revision = None
+    fresh = False
     while True:
+        if revision is not None and not is_wanted():
+            await _wait_until(is_wanted, UNWANTED_INTERVAL)
+            revision = None
         try:
-            if revision is not None and not is_wanted():
-                await asyncio.sleep(UNWANTED_INTERVAL)
-                _, configuration = await client.read_configuration(fresh=False)
-                revision = revision if not is_wanted() else None
-            elif revision is None:
-                revision, configuration = await client.read_configuration(fresh=True)
+            if revision is None:
+                revision, configuration = await client.read_configuration(fresh=fresh)
+                fresh = False
             else:
                 revision, configuration = await client.watch_configuration(
                     revision, WATCH_TIME
                 )
         except HistoryGone:
-            revision = None
+            # A read that may be old could lead to the same gap again.
+            revision, fresh = None, True
             continue
         except StoreUnavailable as error:
             await retries.pause(error)
@@ -90,6 +92,13 @@
             emit(ConfigurationRead(at=read_clock(), configuration=configuration))
 
 
+async def _wait_until(is_wanted: Callable[[], bool], seconds: float) -> None:
+    """Wait until something is wanted, or for some time at most."""
+    deadline = read_clock() + seconds
+    while not is_wanted() and read_clock() < deadline:
+        await asyncio.sleep(WANTED_INTERVAL)
+
+
 async def follow_servers(
     client: PlatformClient,
     emit: Callable[[Event], None],
@@ -104,7 +113,7 @@
     fresh = True
     while True:
         if not is_wanted():
-            await asyncio.sleep(WANTED_INTERVAL)
+            await _wait_until(is_wanted, UNWANTED_INTERVAL)
             continue
         try:
             revision, entries = await client.list_servers(fresh=fresh)
--- a/tests/direct/test_direct_sessions.py
+++ b/tests/direct/test_direct_sessions.py
@@ -183,6 +183,31 @@
         assert world.ask("vm3", 1, "READ x").refusal is None
         assert world.now - began < 0.5
 
+    def test_second_run_that_is_refused_leaves_the_first_one(self):
+        """Guards against a read that is answered twice.
+
+        The second run is refused while the first one still goes on.
+        """
+        world = start()
+        world.connect("vm3", 1, "views")
+        world.ask("vm3", 1, "READ x")
+        world.servers["s3"].work = 0.3
+        for name in ("s1", "s2"):
+            world.servers[name].answer_busy = 5
+        world.say("vm3", 1, "READ x")
+        world.advance(3)
+        assert len(world.replies["vm3", 1]) == 2
+
+    def test_answer_after_another_one_is_dropped(self):
+        """Guards against a second answer when both runs of a read succeed."""
+        world = start()
+        world.connect("vm3", 1)
+        world.ask("vm3", 1, "READ x")
+        world.servers["s1"].work = 0.2
+        world.say("vm3", 1, "READ x")
+        world.advance(3)
+        assert len(world.replies["vm3", 1]) == 2
+
 
 class TestShutdown:
     def test_open_work_ends_first(self):
