--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,42 @@
+"""Runs VMs as processes against stand-ins of the platform while faults are injected.
+
+    python scripts/soak.py --seeds 0:50 --seconds 20
+
+Each seed runs on its own. It exits with 1 if a promise was broken.
+"""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path[:0] = [str(ROOT / part) for part in ("src", "platform", "tests")]
+
+from users_platform.soak import Soak  # noqa: E402
+
+
+def main() -> None:
+    """Run the seeds of the command line and print what each found."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", default="0:3", help="first and last, as A:B")
+    parser.add_argument("--seconds", type=float, default=15.0, help="of faults a seed")
+    parser.add_argument("--vms", type=int, default=3)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition(":")
+    broken = 0
+    for seed in range(int(first), int(last or int(first) + 1)):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        soak = Soak(seed=seed, vms=options.vms, folder=folder)
+        report = asyncio.run(soak.run(options.seconds))
+        print(f"seed={seed} {report} logs={folder}", flush=True)
+        for violation in soak.violations:
+            print(f"  {violation}", flush=True)
+        broken += bool(soak.violations)
+    print(f"seeds_broken={broken}", flush=True)
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/siskinhold/direct/_execution.py
+++ b/src/siskinhold/direct/_execution.py
@@ -12,7 +12,7 @@
 from ._evidence import DropReason, ask_positions, drop_leader, find_confirmed
 from ._hedging import earn_hedge, list_overdue
 from ._placement import find_need, list_candidates
-from ._queue import list_hopeless, order_queue
+from ._queue import estimate_leader, list_hopeless, order_queue
 from ._replies import end_work
 from ._state import (
     Connection,
@@ -67,13 +67,17 @@
     _release(state, database, out)
     if database.queue:
         _dispatch(state, database, out)
+    if not database.queue:
+        database.queued_since = state.now
     _seek_proof(state, database, out)
 
 
 def _dispatch(state: DirectState, database: Database, out: Effects) -> None:
     for work, reason in list_hopeless(state, database):
         database.queue.remove(work)
-        fail_work(state, work, Refusal.OVERLOAD, reason, out)
+        wait = max(0.0, estimate_leader(state, database) - state.now)
+        detail = f"{reason} retry_after_ms={round(wait * 1000)}"
+        fail_work(state, work, Refusal.OVERLOAD, reason, out, detail=detail)
     if not database.queue:
         return
     kept = []
@@ -90,16 +94,17 @@
         after = find_need(database, work)
         if after is None:
             return False
-    wanted = None
+    full = []
     for server in list_candidates(state, database, work):
         connection = find_idle(state, server, work.session)
         if connection is None:
-            wanted = wanted or server
+            full.append(server)
             continue
         _begin(state, work, connection, after, out)
         return True
-    if wanted is not None:
-        open_more(state, wanted, out)
+    for server in full:
+        if open_more(state, server, out):
+            break
     return False
 
 
@@ -441,24 +446,36 @@
 
 
 def fail_work(
-    state: DirectState, work: Work, refusal: Refusal, reason: str, out: Effects
+    state: DirectState,
+    work: Work,
+    refusal: Refusal,
+    reason: str,
+    out: Effects,
+    *,
+    detail: str = "",
 ) -> None:
-    """Refuse a statement that did not run, ending its transaction if it has one."""
+    """Refuse a statement that did not run, ending its transaction if it has one.
+
+    Args:
+        detail: what the caller is told beside the refusal; the reason by default.
+    """
+    detail = detail or reason
     if work.session.transaction is not None:
-        _fail_transaction(state, work, reason, out)
+        _fail_transaction(state, work, reason, out, detail=detail)
         return
-    end_work(state, work, Answer(refusal=refusal, detail=reason), reason, out)
+    end_work(state, work, Answer(refusal=refusal, detail=detail), reason, out)
 
 
 def _fail_transaction(
-    state: DirectState, work: Work, reason: str, out: Effects
+    state: DirectState, work: Work, reason: str, out: Effects, *, detail: str = ""
 ) -> None:
     """Give up a transaction before its commit; nothing of it is kept."""
     transaction = work.session.transaction
     abandon_transaction(state, transaction, out)
     if work.commits:
         work.session.transaction = None
-    end_work(state, work, Answer(refusal=Refusal.ABORTED, detail=reason), reason, out)
+    answer = Answer(refusal=Refusal.ABORTED, detail=detail or reason)
+    end_work(state, work, answer, reason, out)
 
 
 def abandon_transaction(
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -16,6 +16,18 @@
 PROMOTION_TIME = 0.8
 """Seconds from the order until a promotion has taken effect, as a rule."""
 
+HOPELESS_TIME = 1.5
+"""Seconds overdue after which no primary is expected soon: it can't be arranged."""
+
+RUN_MARGIN = 1.5
+"""Multiple of the usual time of a statement that must be left for it to begin."""
+
+LEAST_TIME = 0.001
+"""Seconds that a statement takes at least, as far as estimates go."""
+
+CREST_TIME = 1.0
+"""Seconds for which a queue may stand until it counts as more than a crest."""
+
 OVERDUE_TIME = 0.5
 """Seconds that a primary is still waited for when the usual time is over."""
 
@@ -40,16 +52,31 @@
             continue
         if leader_at > state.now:
             continue
+        slot, usual = _measure_service(state, database, work.leader_only)
         wait = waits.get(work.leader_only, 0.0)
-        if state.now + wait > work.deadline:
+        if state.now + wait + RUN_MARGIN * usual > _find_limit(state, database, work):
             found.append((work, "queue_full"))
             continue
-        waits[work.leader_only] = wait + _slot_time(state, database, work.leader_only)
+        waits[work.leader_only] = wait + slot
     return found
 
 
-def _slot_time(state: DirectState, database: Database, leader_only: bool) -> float:
-    """Return the mean time between two statements that begin, in seconds."""
+def _find_limit(state: DirectState, database: Database, work: Work) -> float:
+    """Return when a statement must have ended.
+
+    A short crest is served late rather than not at all. When the queue stands for
+    longer, statements that would be late give way to those that would not.
+    """
+    if state.now - database.queued_since < CREST_TIME:
+        return work.deadline
+    return min(work.deadline, work.arrived_at + work.route.target)
+
+
+def _measure_service(
+    state: DirectState, database: Database, leader_only: bool
+) -> tuple[float, float]:
+    """Return the time between two starts and the time of a statement, in seconds."""
+    times = []
     rate = 0.0
     for server in state.members(database.name):
         if leader_only:
@@ -58,10 +85,12 @@
         elif not server.usable or server.down_at is not None:
             continue
         connections = max(1, limit_connections(state, server) - 1)
-        rate += connections / max(server.service_time, 0.001)
-    if rate <= 0:
-        return 0.0
-    return 1.0 / rate
+        time = max(server.service_time, LEAST_TIME)
+        times.append(time)
+        rate += connections / time
+    if not times:
+        return 0.0, 0.0
+    return 1.0 / rate, min(times)
 
 
 def estimate_leader(state: DirectState, database: Database) -> float:
@@ -70,10 +99,16 @@
     if takes_leader_work(state, leader) and leader.down_at is None:
         return state.now
     if leader is None:
-        return max(database.expected_at, state.now + OVERDUE_TIME)
+        return _find_expected(state, database.expected_at)
     since = state.now
     for moment in (leader.down_at, leader.draining_at, leader.gone_at):
         if moment is not None:
             since = min(since, moment)
-    expected = since + DETECTION_TIME + PROMOTION_TIME
+    return _find_expected(state, since + DETECTION_TIME + PROMOTION_TIME)
+
+
+def _find_expected(state: DirectState, expected: float) -> float:
+    """Return the expected time of the next primary, later if it is overdue."""
+    if state.now - expected >= HOPELESS_TIME:
+        return state.now + HOPELESS_TIME
     return max(expected, state.now + OVERDUE_TIME)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -228,6 +228,7 @@
         expected_at: when the next one is expected, while none is known.
         floors: in ascending order of time.
         queue: statements that wait for a connection.
+        queued_since: since when there were always some.
         hedges: reads that may be sent a second time now.
         unconfirmed: answers that wait for proof that the primary led.
         confirmed_by_store: the leader's term was current at this time.
@@ -249,6 +250,7 @@
     expected_at: float = 0.0
     floors: deque[Floor] = field(default_factory=deque)
     queue: list["Work"] = field(default_factory=list)
+    queued_since: float = 0.0
     hedges: float = 2.0
     unconfirmed: list["Work"] = field(default_factory=list)
     confirmed_by_store: float = -1.0
--- /dev/null
+++ b/tests/direct/test_direct_load.py
@@ -0,0 +1,142 @@
+"""The direct core under load: what callers get when more arrives than fits."""
+
+from siskinhold.direct import Refusal
+
+from .world import World
+
+WORK = 0.02
+"""Seconds that a statement takes at a server."""
+
+
+class Outcome:
+    """What became of one caller's statement."""
+
+    def __init__(self, *, asked_at):
+        self.asked_at = asked_at
+        self.answer = None
+        self.took = None
+
+
+def play(world, *, rate, seconds, database="orders", text="WRITE x 1", vm="vm1"):
+    """Have statements arrive evenly, each from a caller of its own."""
+    outcomes = {}
+    count = int(rate * seconds)
+    for index in range(count):
+        session = 1000 + index
+        at = world.now + index / rate
+
+        def arrive(session=session):
+            world.connect(vm, session, database)
+            outcomes[session] = Outcome(asked_at=world.now)
+            world.say(vm, session, text)
+
+        world.at(at, arrive)
+    world.advance(seconds + 3)
+    for session, outcome in outcomes.items():
+        replies = world.replies.get((vm, session), [])
+        assert len(replies) == 1, "each statement has one answer"
+        at, outcome.answer = replies[0]
+        outcome.took = at - outcome.asked_at
+    return list(outcomes.values())
+
+
+def start(**options):
+    """Return a world whose VMs know the primary."""
+    world = World(work=WORK, **options)
+    world.advance(2)
+    return world
+
+
+class TestOverload:
+    def test_servers_stay_busy_with_work_that_counts(self):
+        """Guards against slots that are lost to statements nobody waits for.
+
+        Load: twice what the primary runs, for 4 s.
+        """
+        world = start(slots=2)
+        capacity = 2 / WORK
+        outcomes = play(world, rate=2 * capacity, seconds=4)
+        done = [o for o in outcomes if o.answer.refusal is None]
+        assert len(done) >= 0.85 * capacity * 4
+        assert all(o.took <= world.timeout for o in done)
+
+    def test_what_does_not_fit_is_refused_before_its_time_is_up(self):
+        """Guards against callers that wait in vain until their timeout.
+
+        Load: three times what the primary runs, for 4 s.
+        """
+        world = start(slots=2)
+        outcomes = play(world, rate=3 * 2 / WORK, seconds=4)
+        refused = [o for o in outcomes if o.answer.refusal is not None]
+        assert refused
+        assert all(o.answer.refusal is Refusal.OVERLOAD for o in refused)
+        late = [o for o in refused if o.took > 0.9 * world.timeout]
+        assert len(late) <= 0.1 * len(refused)
+
+    def test_refused_writes_did_not_run(self):
+        """Guards against "not run" for a write that a server has made."""
+        world = start(slots=2)
+        outcomes = play(world, rate=3 * 2 / WORK, seconds=2)
+        done = [o for o in outcomes if o.answer.refusal is None]
+        doubtful = [o for o in outcomes if o.answer.refusal is Refusal.IN_DOUBT]
+        commits = len(world.servers["s1"].commits)
+        assert len(done) <= commits <= len(done) + len(doubtful)
+
+    def test_crest_is_followed_by_prompt_answers(self):
+        """Guards against a queue that outlives the crest.
+
+        Load: three times what fits for 2 s, then a third of it.
+        """
+        world = start(slots=2)
+        play(world, rate=3 * 2 / WORK, seconds=2)
+        outcomes = play(world, rate=2 / WORK / 3, seconds=1, vm="vm2")
+        assert all(o.answer.refusal is None for o in outcomes)
+        assert max(o.took for o in outcomes) < 0.2
+
+
+class TestWithoutPrimary:
+    def test_writes_wait_for_the_next_one_if_it_comes_in_time(self):
+        """Guards against refusals where a short wait would serve.
+
+        Load: a tenth of what fits, while the primary is replaced.
+        """
+        world = start(slots=2)
+        world.servers["s1"].down = True
+        outcomes = play(world, rate=10, seconds=4)
+        late = [o for o in outcomes if o.asked_at > outcomes[0].asked_at + 1.8]
+        assert all(o.answer.refusal is None for o in late)
+
+    def test_hopeless_ones_are_refused_at_once(self):
+        """Guards against writes that are held though no primary can come in time.
+
+        Load: a tenth of what fits, well after the usual time of a failover, without a
+        store that could arrange one.
+        """
+        world = start(slots=2)
+        world.store_down = set(world.states)
+        world.servers["s1"].down = True
+        world.advance(6)
+        outcomes = play(world, rate=10, seconds=2)
+        refused = [o for o in outcomes if o.answer.refusal is not None]
+        assert len(refused) == len(outcomes)
+        assert max(o.took for o in refused) < 0.25 * world.timeout
+
+
+class TestReads:
+    def test_spread_over_servers_when_the_near_one_is_full(self):
+        """Guards against reads that queue at one server while others are idle.
+
+        Load: twice what the server of the availability zone runs, and as much as the
+        servers of the region run.
+        """
+        world = start(slots=2)
+        outcomes = play(
+            world,
+            rate=2 * 2 / WORK,
+            seconds=3,
+            database="views",
+            text="READ x",
+            vm="vm2",
+        )
+        assert all(o.answer.refusal is None for o in outcomes)
+        assert all(len(world.servers[name].ran) > 100 for name in ("s1", "s2"))
--- /dev/null
+++ b/tests/users_platform/soak.py
@@ -0,0 +1,403 @@
+"""A fault soak: real VM processes, stand-ins, faults from outside, and checks."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+import yaml
+
+from .standins import Client, Deployment, find_ports
+
+ROOT = Path(__file__).parent.parent.parent
+
+NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
+"""Answers that promise that nothing of a statement is kept."""
+
+KEYS = 6
+"""Keys; each has one writer."""
+
+
+class Link:
+    """A loopback proxy whose connections can be delayed, reset, cut or silenced.
+
+    Args:
+        port: where it passes connections on to.
+    """
+
+    def __init__(self, *, port: int) -> None:
+        self.target = port
+        self.port = 0
+        self.delay = 0.0
+        self.blocked = {"up": False, "down": False}
+        self.refuse = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Pass everything on again; what was silenced stays lost."""
+        if any(self.blocked.values()):
+            self.reset()
+        self.delay = 0.0
+        self.refuse = False
+        self.blocked = {"up": False, "down": False}
+
+    async def stop(self) -> None:
+        """Stop to listen."""
+        self._server.close()
+        self.reset()
+
+    async def _serve(self, reader, writer) -> None:
+        if self.refuse:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pass_on(reader, far_writer, "up"),
+            self._pass_on(far_reader, writer, "down"),
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _pass_on(self, reader, writer, way: str) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(1 << 16):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if not self.blocked[way]:
+                    writer.write(data)
+        writer.close()
+
+
+class VmProcess:
+    """A VM's program, started again whenever it has ended."""
+
+    def __init__(self, *, name: str, path: Path, ports: tuple, output: Path) -> None:
+        self.name = name
+        self.path = path
+        self.ports = ports
+        self.output = output
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the program."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
+            "SISKINHOLD_SETTINGS": str(self.path),
+        }
+        with self.output.open("ab") as file:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "siskinhold_platform",
+                stdout=file,
+                stderr=file,
+                env=environment,
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self) -> None:
+        """Kill the process."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+
+class Soak:
+    """One seeded run.
+
+    Args:
+        seed: decides the faults and their times.
+        vms: number of VM processes.
+        folder: takes settings and logs.
+    """
+
+    def __init__(self, *, seed: int, vms: int, folder: Path) -> None:
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._deployment = Deployment()
+        self._count = vms
+        self._vms: list[VmProcess] = []
+        self._links: list[Link] = []
+        self._store_links: list[Link] = []
+        self._running = True
+        self._acked: dict[str, int] = {}
+        self._next = [0] * KEYS
+        self.violations: list[str] = []
+        self.counts = {"done": 0, "refused": 0, "in_doubt": 0, "faults": 0}
+        self._promised: dict[tuple[str, int], str] = {}
+
+    async def run(self, seconds: float) -> str:
+        """Run faults for some time, then check; return a line with counts."""
+        await self._start()
+        tasks = [asyncio.create_task(self._write(i)) for i in range(KEYS)]
+        tasks += [asyncio.create_task(self._read(i)) for i in range(KEYS)]
+        tasks.append(asyncio.create_task(self._keep_running()))
+        injected = asyncio.create_task(self._inject())
+        await asyncio.sleep(seconds)
+        injected.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await injected
+        await self._heal()
+        await self._check_recovery()
+        self._running = False
+        await asyncio.wait(tasks, timeout=8)
+        for task in tasks:
+            task.cancel()
+        self._check_promises()
+        await self._stop()
+        return " ".join(f"{key}={value}" for key, value in self.counts.items())
+
+    async def _start(self) -> None:
+        deployment = self._deployment
+        for instance in deployment.instances:
+            await instance.start()
+            link = Link(port=instance.port)
+            await link.start()
+            instance.address_port = link.port
+            self._links.append(link)
+        await deployment.store.start()
+        deployment.group.promoted = self._note_promotion
+        deployment.publish()
+        for index in range(self._count):
+            link = Link(port=deployment.store.port)
+            await link.start()
+            self._store_links.append(link)
+            ports = find_ports()
+            fields = deployment.write_settings(f"vm-{index}", ports)
+            fields["zone"] = "abc"[index % 3]
+            address = f"127.0.0.1:{link.port}"
+            fields["platform"]["address"] = address
+            fields["cloud_api"]["address"] = address
+            path = self._folder / f"vm-{index}.yaml"
+            path.write_text(yaml.safe_dump(fields))
+            vm = VmProcess(
+                name=f"vm-{index}",
+                path=path,
+                ports=ports,
+                output=self._folder / f"vm-{index}.log",
+            )
+            await vm.start()
+            self._vms.append(vm)
+        await asyncio.sleep(3)
+
+    async def _stop(self) -> None:
+        for vm in self._vms:
+            await vm.stop()
+        for link in self._links + self._store_links:
+            await link.stop()
+        await self._deployment.stop()
+
+    async def _keep_running(self) -> None:
+        while self._running:
+            for vm in self._vms:
+                if vm.process.returncode is not None:
+                    await vm.start()
+            await asyncio.sleep(0.2)
+
+    async def _inject(self) -> None:
+        faults = (
+            self._signal_vm,
+            self._signal_vm,
+            self._pause_vm,
+            self._disturb_link,
+            self._disturb_link,
+            self._disturb_store,
+            self._crash_instance,
+        )
+        running: set[asyncio.Task] = set()
+        try:
+            while True:
+                fault = self._random.choice(faults)
+                self.counts["faults"] += 1
+                running.add(asyncio.create_task(fault()))
+                await asyncio.sleep(self._random.uniform(0.3, 2.5))
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _signal_vm(self) -> None:
+        numbers = (signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
+        self._random.choice(self._vms).send(self._random.choice(numbers))
+
+    async def _pause_vm(self) -> None:
+        vm = self._random.choice(self._vms)
+        vm.send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self._random.uniform(0.2, 4.0))
+        finally:
+            vm.send(signal.SIGCONT)
+
+    async def _disturb_link(self) -> None:
+        await self._disturb(self._random.choice(self._links))
+
+    async def _disturb_store(self) -> None:
+        await self._disturb(self._random.choice(self._store_links))
+
+    async def _disturb(self, link: Link) -> None:
+        way = self._random.choice(("delay", "reset", "up", "down", "both", "refuse"))
+        if way == "reset":
+            link.reset()
+            return
+        if way == "delay":
+            link.delay = self._random.uniform(0.01, 0.3)
+        elif way == "refuse":
+            link.refuse = True
+            link.reset()
+        else:
+            for each in ("up", "down") if way == "both" else (way,):
+                link.blocked[each] = True
+        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        link.heal()
+
+    async def _crash_instance(self) -> None:
+        instance = self._random.choice(self._deployment.instances)
+        if not instance.running:
+            return
+        await instance.stop()
+        try:
+            await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        finally:
+            await instance.start()
+
+    async def _heal(self) -> None:
+        for link in self._links + self._store_links:
+            link.heal()
+        for vm in self._vms:
+            vm.send(signal.SIGCONT)
+        await asyncio.sleep(1)
+        for instance in self._deployment.instances:
+            if not instance.running:
+                await instance.start()
+
+    async def _check_recovery(self) -> None:
+        before = self.counts["done"]
+        await asyncio.sleep(12)
+        if self.counts["done"] - before < 10:
+            self.violations.append("recovery: hardly anything is served after 12 s")
+
+    def _note_promotion(self, leader) -> None:
+        # Commits that the new primary lacks are rolled back and count no more.
+        for key in list(self._acked):
+            self._acked[key] = int(leader.data.get(key, "-1"))
+
+    async def _connect(self, database: str) -> Client | None:
+        vm = self._random.choice(self._vms)
+        try:
+            client, hello = await Client.connect(vm.ports[0], database)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.1)
+            return None
+        if hello.startswith("READY"):
+            return client
+        client.close()
+        await asyncio.sleep(0.1)
+        return None
+
+    async def _write(self, index: int) -> None:
+        """Write growing numbers to one key, and read them back in the session."""
+        key = f"k{index}"
+        while self._running:
+            client = await self._connect(("orders", "crew")[index % 2])
+            if client is None:
+                continue
+            with contextlib.suppress(OSError, TimeoutError):
+                while self._running and await self._write_once(client, key, index):
+                    await asyncio.sleep(self._random.uniform(0.01, 0.1))
+            client.close()
+
+    async def _write_once(self, client: Client, key: str, index: int) -> bool:
+        number = self._next[index]
+        self._next[index] += 1
+        in_transaction = self._random.random() < 0.3
+        statements = [f"WRITE {key} {number}"]
+        if in_transaction:
+            statements = ["BEGIN", *statements, "COMMIT"]
+        for text in statements:
+            lines = await client.ask(text)
+            if not lines:
+                self.counts["in_doubt"] += 1
+                return False
+            if not lines[0].startswith("ERROR"):
+                continue
+            code = lines[0].split(" ")[1]
+            if code in NOT_RUN:
+                self.counts["refused"] += 1
+                self._promised[key, number] = code
+            else:
+                self.counts["in_doubt"] += 1
+            if lines[-1].startswith("READY I"):
+                return True
+            await client.ask("ROLLBACK")
+            return True
+        request = lines[0].rpartition(".")[2]
+        if request in self._deployment.group.outdated:
+            self.violations.append(f"{key}={number}: acknowledged by an old primary")
+        self.counts["done"] += 1
+        leader = self._deployment.group.leader
+        self._acked[key] = min(number, int(leader.data.get(key, number)))
+        return True
+
+    async def _read(self, index: int) -> None:
+        """Read a key through another VM; it must be as new as what was acknowledged."""
+        key = f"k{index}"
+        while self._running:
+            client = await self._connect("orders")
+            if client is None:
+                continue
+            with contextlib.suppress(OSError, TimeoutError):
+                while self._running:
+                    if not await self._read_once(client, key):
+                        break
+                    await asyncio.sleep(self._random.uniform(0.01, 0.1))
+            client.close()
+
+    async def _read_once(self, client: Client, key: str) -> bool:
+        known = self._acked.get(key, -1)
+        lines = await client.ask(f"READ {key}")
+        if not lines:
+            return False
+        if lines[0].startswith("ROW"):
+            value = lines[0].split(" ")[1]
+            seen = -1 if value == "none" else int(value)
+            if seen < min(known, self._acked.get(key, known)):
+                self.violations.append(f"{key}: read {seen} after {known} was written")
+            self.counts["done"] += 1
+        return True
+
+    def _check_promises(self) -> None:
+        found: dict[tuple[str, int], int] = {}
+        for _, _, items in self._deployment.group.leader.log:
+            for key, value in items.items():
+                place = (key, int(value))
+                found[place] = found.get(place, 0) + 1
+        for place, times in found.items():
+            if times > 1:
+                self.violations.append(f"{place}: took effect {times} times")
+            if place in self._promised:
+                code = self._promised[place]
+                self.violations.append(f"{place}: kept in spite of {code}")
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -4,40 +4,57 @@
 """
 
 import asyncio
+import contextlib
 import json
+import socket
 
 from aiohttp import web
 
 CODES_NOT_RUN = ("BUSY", "LAGGING", "READONLY")
 
 
-class Log:
-    """The replicated log of one service: positions as (term, number)."""
+class Group:
+    """The instances of one service, and what became of their commits.
+
+    Args:
+        lag: seconds until a replica has a commit.
+    """
 
     def __init__(self, *, lag: float) -> None:
         self.lag = lag
         self.instances: list["Instance"] = []
-
-    def commit(self, leader: "Instance") -> tuple[int, int]:
-        """Append a commit at the leader and send it to the replicas."""
-        position = (leader.term, leader.applied[1] + 1)
-        leader.received = leader.applied = position
+        self.outdated: set[str] = set()
+        self.promoted = None
+
+    @property
+    def leader(self) -> "Instance":
+        """The instance that leads the newest term."""
+        return max(self.instances, key=lambda i: (i.leads, i.term))
+
+    def commit(self, leader: "Instance", request: str, items: dict[str, str]) -> None:
+        """Append a commit at a primary and send it to the replicas."""
+        if leader.term < max(i.term for i in self.instances):
+            self.outdated.add(request)
+        number = leader.applied[1] + 1
+        leader.append((leader.term, number, dict(items)))
         loop = asyncio.get_running_loop()
         for instance in self.instances:
             if instance is not leader:
-                loop.call_later(self.lag, instance.receive, position)
-        return position
+                loop.call_later(self.lag, instance.receive, leader)
 
     def promote(self, leader: "Instance") -> None:
         """Make an instance the primary of the next term."""
+        if not leader.running or leader.leads:
+            return
         leader.term = max(i.term for i in self.instances) + 1
         leader.leads = True
         leader.held = 0
-        leader.applied = leader.received
+        if self.promoted is not None:
+            self.promoted(leader)
         for instance in self.instances:
-            if instance is leader or not instance.running:
-                continue
-            asyncio.get_running_loop().call_later(0.3, instance.follow, leader)
+            if instance is not leader and instance.running:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.3, instance.follow, leader)
 
 
 class Instance:
@@ -50,9 +67,9 @@
         limit: connections that it takes.
     """
 
-    def __init__(self, *, log, service, name, zone, leads, work=0.002, limit=34):
-        self.log = log
-        log.instances.append(self)
+    def __init__(self, *, group, service, name, zone, leads, work=0.002, limit=34):
+        self.group = group
+        group.instances.append(self)
         self.service = service
         self.name = name
         self.zone = zone
@@ -61,25 +78,30 @@
         self.limit = limit
         self.term = 1
         self.held = 0
-        self.received = (1, 0)
-        self.applied = (1, 0)
+        self.log: list[tuple[int, int, dict[str, str]]] = []
         self.port = 0
+        self.address_port = 0
         self.running = False
         self.state = "ready"
         self.slots = asyncio.Semaphore(4)
         self.ran: list[tuple[str, str]] = []
-        self.errors: list[str] = []
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen, on the port it had before if it had one."""
+        """Listen, on the port it had before if it had one.
+
+        One that crashed comes back as a replica if another leads by now.
+        """
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, limit=1 << 21
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.running = True
+        for other in self.group.instances:
+            if other.leads and other.term > self.term:
+                self.follow(other)
 
     async def stop(self) -> None:
         """End as a crash does."""
@@ -88,26 +110,44 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def receive(self, position) -> None:
-        """Take a commit of the primary."""
-        if self.held > position[0]:
+    @property
+    def applied(self) -> tuple[int, int]:
+        """Position of the newest entry of its log."""
+        return self.log[-1][:2] if self.log else (1, 0)
+
+    def append(self, entry) -> None:
+        """Add an entry to its log."""
+        self.log.append(entry)
+        self.data.update(entry[2])
+
+    def receive(self, leader: "Instance") -> None:
+        """Take what a primary has committed, unless a newer one is known."""
+        if not self.running or self.leads or leader.term < self.term:
+            return
+        if self.held > leader.term or not leader.running:
             return
-        if self.running and not self.leads and position[0] >= self.term:
-            self.received = self.applied = position
+        self.copy(leader)
+
+    def copy(self, leader: "Instance") -> None:
+        """Take over a primary's log and roll back what it lacks."""
+        self.log = list(leader.log)
+        self.data = {}
+        for _, _, items in self.log:
+            self.data.update(items)
 
     def follow(self, leader: "Instance") -> None:
         """Become a replica of a newer primary."""
-        if self.term < leader.term:
+        if self.running and leader.running and self.term < leader.term:
             self.term = leader.term
-            self.held = 0
             self.leads = False
-            self.received = self.applied = min(self.applied, leader.applied)
+            self.held = 0
+            self.copy(leader)
 
     def entry(self) -> dict:
         """Return the entry that the instance writes to the store."""
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.address_port or self.port}",
             "zone": self.zone,
             "version": "v1",
             "slots": 4,
@@ -188,7 +228,7 @@
             elif verb == "RESUME":
                 self.held = 0
             role = "primary" if self.leads else "replica"
-            term, number = self.received
+            term, number = self.applied
             row = f"ROW {role} {self.term} {term}.{number} {self.held} 0 0 1\r\n"
             return row.encode() + done
         return done
@@ -210,25 +250,23 @@
         if writes:
             session.written[words[1]] = words[2] if len(words) > 2 else ""
             if session.state == "I":
-                self._commit(session)
+                self._commit(session, request)
         elif verb == "COMMIT":
             if session.written:
                 if not self.leads:
                     session.state = "I"
                     session.written.clear()
                     return f"ERROR READONLY {self.name}\r\n".encode()
-                self._commit(session)
+                self._commit(session, request)
             session.state = "I"
         else:
             value = session.written.get(words[1], self.data.get(words[1], "none"))
             row = f"ROW {value}\r\n".encode()
         return row + f"COMPLETE {self.name}.{request}\r\n".encode()
 
-    def _commit(self, session) -> None:
-        for instance in self.log.instances:
-            instance.data.update(session.written)
+    def _commit(self, session, request) -> None:
+        self.group.commit(self, request, session.written)
         session.written.clear()
-        self.log.commit(self)
 
 
 class _Session:
@@ -407,7 +445,7 @@
                 return web.Response(status=409)
             if not instance.leads:
                 loop = asyncio.get_running_loop()
-                loop.call_later(0.2, instance.log.promote, instance)
+                loop.call_later(0.2, instance.group.promote, instance)
             return web.json_response({})
         return web.Response(status=409)
 
@@ -451,12 +489,12 @@
     """Three instances and a store, with settings for VMs in front of them."""
 
     def __init__(self) -> None:
-        log = Log(lag=0.005)
+        self.group = Group(lag=0.005)
         self.instances = []
         for index, zone in enumerate(("a", "b", "c")):
             self.instances.append(
                 Instance(
-                    log=log,
+                    group=self.group,
                     service="db",
                     name=f"i-{index}",
                     zone=zone,
@@ -470,6 +508,10 @@
         for instance in self.instances:
             await instance.start()
         await self.store.start()
+        self.publish()
+
+    def publish(self) -> None:
+        """Write the entries of the instances and the first configuration."""
         self.store.refresh()
         routes = {
             "orders": "primary",
@@ -546,3 +588,18 @@
     def close(self) -> None:
         """End the connection."""
         self._writer.close()
+
+
+def find_ports() -> tuple[int, int, int]:
+    """Return ports for callers and readiness, and the first of two between VMs."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            found = []
+            for _ in range(3):
+                each = stack.enter_context(socket.socket())
+                each.bind(("127.0.0.1", 0))
+                found.append(each.getsockname()[1])
+            neighbour = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                neighbour.bind(("127.0.0.1", found[2] + 1))
+                return tuple(found)
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -4,29 +4,17 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 
 import pytest
 import yaml
 
-from .standins import Client, Deployment, make_configuration
+from .standins import Client, Deployment, find_ports, make_configuration
 
 ROOT = Path(__file__).parent.parent.parent
 
 
-def find_ports() -> tuple[int, int, int]:
-    """Return three ports that are free now."""
-    sockets = [socket.socket() for _ in range(3)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = tuple(each.getsockname()[1] for each in sockets)
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Vm:
     """A VM's program as a process of its own."""
 
@@ -255,7 +243,7 @@
             client, _ = await Client.connect(vm.ports[0], "orders")
             old, new = deployment.instances[0], deployment.instances[1]
             await client.ask("WRITE x 1")
-            old.log.promote(new)
+            old.group.promote(new)
             lines = await client.ask("WRITE x 2")
             assert lines[0].startswith("ERROR") or "i-1." in lines[0]
 
