--- /dev/null
+++ b/src/siskinhold/direct/_claims.py
@@ -0,0 +1,116 @@
+"""Claims of a database's leader record, which give the right to promote."""
+
+from ._connections import find_control, send
+from ._effects import ReadLeaderRecord, WriteLeaderRecord
+from ._events import LeaderRecordAnswered, StoreOutcome
+from ._evidence import take_store_proof
+from ._leaders import DropReason, drop_leader
+from ._promotion_state import Promotion, PromotionStep
+from ._promotion_steps import (
+    REPEAT_TIME,
+    enter_step,
+    find_promotion,
+    log_promotion,
+    open_call,
+)
+from ._state import Database, DirectState, Effects, Purpose
+from ._types import Command, CommandKind, LeaderRecord, LeaderState
+
+CLAIM_TIME = 4.5
+"""Seconds after which an unchanged claim may be replaced by another VM."""
+
+
+def read_record(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    if promotion.call and state.now - promotion.step_at < 1.0:
+        return
+    if state.now < promotion.repeat_at:
+        return
+    promotion.step_at = state.now
+    promotion.call = open_call(state, "promotion", database)
+    out.append(ReadLeaderRecord(call=promotion.call, service=database.name))
+
+
+def take_record(state: DirectState, event: LeaderRecordAnswered, out: Effects) -> None:
+    """Take the answer to a call on a leader record."""
+    purpose, name = state.calls.get(event.call, ("", ""))
+    database = state.databases.get(name)
+    if purpose == "confirm" and database is not None:
+        del state.calls[event.call]
+        take_store_proof(state, database, event, out)
+        return
+    found = find_promotion(state, event.call)
+    if found is None:
+        return
+    database, promotion = found
+    promotion.call = 0
+    if promotion.step is PromotionStep.CLAIMING:
+        _take_claim(state, database, promotion, event, out)
+    elif promotion.step is PromotionStep.READING:
+        _take_read(state, database, promotion, event, out)
+
+
+def _take_read(state, database, promotion, event, out: Effects) -> None:
+    promotion.repeat_at = state.now + REPEAT_TIME
+    if event.outcome is StoreOutcome.UNKNOWN:
+        return
+    record = event.record
+    if record is not None and record.state is LeaderState.PROMOTING:
+        if record.attempt == promotion.attempt:
+            _take_token(state, database, promotion, event.revision, out)
+            return
+        if event.revision != database.record_seen:
+            database.record_seen = event.revision
+            database.record_seen_at = state.now
+        if state.now - database.record_seen_at < CLAIM_TIME:
+            return
+    elif record is not None and record.term > promotion.term:
+        database.least_term = record.term
+        drop_leader(state, database, DropReason.RECORD, out)
+        promotion.term = record.term
+        return
+    enter_step(state, promotion, PromotionStep.CLAIMING)
+    promotion.call = open_call(state, "promotion", database)
+    claim = LeaderRecord(
+        state=LeaderState.PROMOTING,
+        server=promotion.leader,
+        term=promotion.term,
+        vm=state.vm,
+        attempt=promotion.attempt,
+    )
+    out.append(
+        WriteLeaderRecord(
+            call=promotion.call,
+            service=database.name,
+            record=claim,
+            revision=event.revision,
+        )
+    )
+
+
+def await_claim(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    """Read the record again if the answer to the claim stays away."""
+    if state.now - promotion.step_at >= 1.0:
+        enter_step(state, promotion, PromotionStep.READING)
+
+
+def _take_claim(state, database, promotion, event, out: Effects) -> None:
+    if event.outcome is StoreOutcome.DONE:
+        _take_token(state, database, promotion, event.revision, out)
+        return
+    enter_step(state, promotion, PromotionStep.READING)
+    promotion.repeat_at = state.now + REPEAT_TIME / 2
+
+
+def _take_token(state, database, promotion, revision: int, out: Effects) -> None:
+    promotion.token = revision
+    # The attempt's time runs from the sending of the claim, not from its answer.
+    promotion.began_at = promotion.step_at
+    log_promotion(state, database, "promotion_claimed", out, token=revision)
+    enter_step(state, promotion, PromotionStep.ENDING_LEAD)
+    leader = state.servers.get(promotion.leader)
+    control = find_control(leader) if leader is not None else None
+    if control is None or leader.down_at is not None:
+        enter_step(state, promotion, PromotionStep.COMPARING)
+        return
+    command = Command(kind=CommandKind.STEP_DOWN, term=promotion.term + 1)
+    send(state, control, command, Purpose.STEP_DOWN, out)
--- /dev/null
+++ b/src/siskinhold/direct/_promotion.py
@@ -0,0 +1,212 @@
+"""The promotion itself: the old primary, the candidates, a majority, the order."""
+
+from ..model import Position
+from ._connections import find_control, send
+from ._effects import OrderPromotion
+from ._events import PromotionAnswered, PromotionOutcome
+from ._evidence import count_majority, list_members
+from ._promotion_state import Promotion, PromotionStep
+from ._promotion_steps import (
+    REPEAT_TIME,
+    enter_step,
+    find_promotion,
+    log_promotion,
+    open_call,
+)
+from ._state import Database, DirectState, Effects, Purpose, Server
+from ._types import Answer, Command, CommandKind
+
+ATTEMPT_TIME = 3.0
+"""Seconds after a claim in which its VM may order promotions."""
+
+STEP_DOWN_TIME = 0.3
+"""Seconds to wait until a primary that is to be replaced has stepped down."""
+
+COMPARE_TIME = 0.3
+"""Seconds to wait for the positions of the candidates."""
+
+FENCE_TIME = 0.2
+"""Seconds to wait for candidates beyond the majority that must be fenced."""
+
+RESUME_TIME = 6.0
+"""Seconds after which a suspended server receives again, whatever became of the
+promotion: no order is carried out later than that."""
+
+CATCH_UP_TIME = 0.6
+"""Seconds to wait until a candidate holds all that the old primary acknowledged."""
+
+EFFECT_TIME = 2.0
+"""Seconds until an accepted promotion that shows no effect is ordered again."""
+
+
+def end_lead(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    if state.now - promotion.step_at >= STEP_DOWN_TIME:
+        enter_step(state, promotion, PromotionStep.COMPARING)
+
+
+def take_step_down(state: DirectState, server: Server, answer: Answer) -> None:
+    """Note the last position of a primary that has stepped down."""
+    database = state.databases.get(server.entry.service)
+    promotion = database.promotion if database is not None else None
+    if promotion is None or promotion.step is not PromotionStep.ENDING_LEAD:
+        return
+    if answer.position is not None:
+        promotion.positions[server.entry.server] = answer.position
+    if answer.status is not None and not answer.status.leads:
+        # It leads no more, which a VM that asks it learns as well.
+        promotion.fenced.add(server.entry.server)
+    enter_step(state, promotion, PromotionStep.COMPARING)
+
+
+def take_position(state: DirectState, server: Server, answer: Answer) -> None:
+    """Note the position that a candidate has received."""
+    database = state.databases.get(server.entry.service)
+    promotion = database.promotion if database is not None else None
+    if promotion is None or answer.status is None:
+        return
+    promotion.positions[server.entry.server] = answer.status.received
+
+
+def compare_candidates(
+    state, database: Database, promotion: Promotion, out: Effects
+) -> None:
+    candidates = _list_candidates(state, database, promotion)
+    if state.now >= promotion.repeat_at:
+        promotion.repeat_at = state.now + REPEAT_TIME / 4
+        for server in candidates:
+            control = find_control(server)
+            if control is not None and not control.pending:
+                status = Command(kind=CommandKind.STATUS)
+                send(state, control, status, Purpose.PROBE, out)
+    waited = state.now - promotion.step_at
+    needed = promotion.positions.get(promotion.leader)
+    known = [s for s in candidates if s.entry.server in promotion.positions]
+    if needed is not None:
+        caught_up = [s for s in known if promotion.positions[s.entry.server] >= needed]
+        if not caught_up and waited < CATCH_UP_TIME:
+            return
+    elif len(known) < len(candidates) and waited < COMPARE_TIME:
+        return
+    if not known:
+        return
+    enter_step(state, promotion, PromotionStep.FENCING)
+    fence_majority(state, database, promotion, out)
+
+
+def fence_majority(
+    state, database: Database, promotion: Promotion, out: Effects
+) -> None:
+    """Have a majority know of the new term, then order the promotion."""
+    if state.now >= promotion.repeat_at:
+        promotion.repeat_at = state.now + REPEAT_TIME / 2
+        for server in state.members(database.name):
+            control = find_control(server)
+            if control is None or control.pending:
+                continue
+            if server.entry.server in promotion.fenced:
+                continue
+            command = Command(kind=CommandKind.SUSPEND, term=promotion.term + 1)
+            send(state, control, command, Purpose.FENCE, out)
+            server.suspended_until = state.now + RESUME_TIME
+    if len(promotion.fenced) < count_majority(len(list_members(state, database))):
+        return
+    waited = state.now - promotion.step_at
+    candidates = _list_candidates(state, database, promotion)
+    fenced = [s for s in candidates if s.entry.server in promotion.fenced]
+    if not fenced or len(fenced) < len(candidates) and waited < FENCE_TIME:
+        return
+    best = max(fenced, key=lambda s: _weigh_candidate(state, promotion, s))
+    promotion.candidate = best.entry.server
+    enter_step(state, promotion, PromotionStep.ORDERING)
+    order_promotion(state, database, promotion, out)
+
+
+def take_fence(state: DirectState, server: Server, answer: Answer) -> None:
+    """Note a server that takes nothing from older primaries any more."""
+    database = state.databases.get(server.entry.service)
+    promotion = database.promotion if database is not None else None
+    status = answer.status
+    if promotion is None or status is None or status.leads:
+        return
+    if max(status.term, status.held) > promotion.term:
+        promotion.fenced.add(server.entry.server)
+    promotion.positions[server.entry.server] = status.received
+
+
+def _list_candidates(state, database: Database, promotion: Promotion) -> list[Server]:
+    found = []
+    for server in state.members(database.name):
+        if server.entry.server == promotion.leader:
+            continue
+        if not server.usable or server.down_at is not None:
+            continue
+        found.append(server)
+    return found
+
+
+def _weigh_candidate(state, promotion: Promotion, server: Server) -> tuple:
+    """Rank by the log received, then by nearness to the old primary."""
+    old = state.servers.get(promotion.leader)
+    zone = old.entry.zone if old is not None else state.zone
+    near = state.regions.get(server.entry.zone) == state.regions.get(zone)
+    position = promotion.positions.get(server.entry.server, Position(0, 0))
+    return (position, near, server.entry.server)
+
+
+def order_promotion(
+    state, database: Database, promotion: Promotion, out: Effects
+) -> None:
+    if promotion.call or state.now < promotion.repeat_at:
+        return
+    promotion.call = open_call(state, "promotion", database)
+    promotion.ordered = True
+    log_promotion(
+        state,
+        database,
+        "promotion_ordered",
+        out,
+        server=promotion.candidate,
+        token=promotion.token,
+        position=promotion.positions.get(promotion.candidate),
+    )
+    out.append(
+        OrderPromotion(
+            call=promotion.call,
+            service=database.name,
+            server=promotion.candidate,
+            token=promotion.token,
+            deadline=min(promotion.began_at + ATTEMPT_TIME, state.now + 1.0),
+        )
+    )
+
+
+def take_order(state: DirectState, event: PromotionAnswered, out: Effects) -> None:
+    """Take the platform's answer to an order of promotion."""
+    found = find_promotion(state, event.call)
+    if found is None:
+        return
+    database, promotion = found
+    promotion.call = 0
+    if promotion.step is not PromotionStep.ORDERING:
+        return
+    log_promotion(
+        state, database, "promotion_answered", out, outcome=event.outcome.value
+    )
+    if event.outcome is PromotionOutcome.ACCEPTED:
+        enter_step(state, promotion, PromotionStep.TAKING_EFFECT)
+    elif event.outcome is PromotionOutcome.REJECTED:
+        promotion.positions.pop(promotion.candidate, None)
+        enter_step(state, promotion, PromotionStep.COMPARING)
+    else:
+        promotion.repeat_at = state.now + REPEAT_TIME
+
+
+def await_effect(state, database: Database, promotion: Promotion, out) -> None:
+    if state.now - promotion.step_at >= EFFECT_TIME:
+        enter_step(state, promotion, PromotionStep.COMPARING)
+
+
+def end_suspensions(state: DirectState, database: Database) -> None:
+    for server in state.members(database.name):
+        if server.suspended_until is not None:
+            server.suspended_until = state.now
--- /dev/null
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -0,0 +1,54 @@
+"""What the steps of a promotion share."""
+
+from ._effects import Log
+from ._promotion_state import Promotion, PromotionStep
+from ._state import Database, DirectState, Effects
+
+GONE_TIME = 2.5
+"""Seconds until a primary whose entry is missing is replaced; entries that lapse with
+the store are back about two seconds after its return."""
+
+REPEAT_TIME = 0.2
+"""Seconds between two attempts at a step that failed."""
+
+
+def enter_step(state: DirectState, promotion: Promotion, step: PromotionStep) -> None:
+    promotion.step = step
+    promotion.step_at = state.now
+    promotion.repeat_at = 0.0
+    promotion.call = 0
+
+
+def open_call(state: DirectState, purpose: str, database: Database) -> int:
+    number = state.take_number()
+    state.calls[number] = (purpose, database.name)
+    return number
+
+
+def find_promotion(state: DirectState, call: int) -> tuple[Database, Promotion] | None:
+    """Return the promotion that waits for a call's answer."""
+    purpose, name = state.calls.pop(call, ("", ""))
+    database = state.databases.get(name)
+    if not purpose or database is None or database.promotion is None:
+        return None
+    if database.promotion.call != call:
+        return None
+    return database, database.promotion
+
+
+def to_milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
+def log_promotion(
+    state, database: Database, event: str, out: Effects, **fields
+) -> None:
+    promotion = database.promotion
+    common = (
+        ("database", database.name),
+        ("old", promotion.leader),
+        ("term", promotion.term),
+        ("cause", promotion.cause),
+        ("after_ms", to_milliseconds(state.now - promotion.began_at)),
+    )
+    out.append(Log(event=event, fields=(*common, *fields.items()), essential=True))
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -1,5 +1,7 @@
 """The reducer of the direct core: events in, effects out."""
 
+from ._claims import take_record
+from ._dispatch import hedge_reads, settle_database
 from ._effects import AnnounceReadiness, Log
 from ._events import (
     BackendAnswered,
@@ -19,9 +21,11 @@
     TimeAdvanced,
     VmsRead,
 )
-from ._execution import abandon_transaction, expire_work, hedge_reads, settle_database
-from ._failover import take_order, take_record, take_suspicions, watch_primaries
+from ._failover import take_suspicions, watch_primaries
 from ._holders import update_holding
+from ._losses import expire_work
+from ._promotion import take_order
+from ._runs import abandon_transaction
 from ._servers import (
     maintain_servers,
     take_answer,
@@ -45,7 +49,6 @@
 TICK_CALM = 0.1
 """Seconds between two ticks otherwise."""
 
-
 START_TIME = 0.6
 """Seconds from the start until primaries are known, as a rule."""
 
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -19,18 +19,19 @@
     LossReason,
     ServersRead,
 )
-from ._evidence import (
+from ._evidence import note_evidence
+from ._leaders import (
     DropReason,
     drop_leader,
-    note_evidence,
     probe_lead,
     take_lead_probe,
     take_role,
     take_vouch,
 )
-from ._execution import lose_connection, take_result, take_setup
-from ._failover import take_fence, take_position, take_step_down
+from ._losses import lose_connection
 from ._placement import takes_leader_work
+from ._promotion import take_fence, take_position, take_step_down
+from ._results import take_result, take_setup
 from ._state import (
     ConnectionState,
     Database,
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,10 +1,11 @@
 """Callers' sessions: which statements siskinhold answers and which a server runs."""
 
+from ._dispatch import start_work
 from ._effects import CloseCaller, GreetCaller, Log, Observe, RefuseCaller, RelayCaller
 from ._events import CallerClosed, CallerOpened, CallerStatement, HoldersLost
-from ._execution import abandon_transaction, start_work
 from ._holders import DOWN_TIME, choose_targets
 from ._replies import DONE, refuse, reply
+from ._runs import abandon_transaction
 from ._state import DirectState, Effects, Session, Transaction, Work, WorkState
 from ._types import Consistency, Refusal, Route, Statement, StatementKind
 
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,7 +1,7 @@
 """A graceful shutdown: nothing that a caller has open is cut off."""
 
 from ._effects import AnnounceReadiness, EndRelays, Log, Stop
-from ._execution import abandon_transaction
+from ._runs import abandon_transaction
 from ._sessions import close_idle
 from ._state import DirectState, Effects
 
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -8,6 +8,7 @@
 from ..model import Position
 from ._effects import Effect
 from ._events import ServersRead
+from ._promotion_state import Promotion
 from ._types import (
     Answer,
     Configuration,
@@ -158,56 +159,6 @@
     since: float
 
 
-class PromotionStep(enum.Enum):
-    """What a promotion waits for."""
-
-    SUSPECTING = "suspecting"
-    WAITING = "waiting"
-    READING = "reading"
-    CLAIMING = "claiming"
-    ENDING_LEAD = "ending_lead"
-    FENCING = "fencing"
-    COMPARING = "comparing"
-    ORDERING = "ordering"
-    TAKING_EFFECT = "taking_effect"
-
-
-@dataclass(slots=True, kw_only=True)
-class Promotion:
-    """A promotion of this VM, or its preparation.
-
-    Args:
-        leader: the primary to be replaced, empty if none is known.
-        term: its term.
-        cause: why it is replaced.
-        began_at: when the cause was seen.
-        step_at: when the present step began.
-        token: fence token, once the record is claimed.
-        attempt: random identity.
-        candidate: the server to be promoted, once chosen.
-        positions: log positions received, by server.
-        fenced: servers that take nothing from older primaries any more.
-        ordered: whether an order was sent.
-        call: number of the call under way, 0 for none.
-        repeat_at: when the present step is repeated.
-    """
-
-    leader: str
-    term: int
-    cause: str
-    began_at: float
-    step: PromotionStep
-    step_at: float
-    token: int = 0
-    attempt: str = ""
-    candidate: str = ""
-    positions: dict[str, Position] = field(default_factory=dict)
-    fenced: set[str] = field(default_factory=set)
-    ordered: bool = False
-    call: int = 0
-    repeat_at: float = 0.0
-
-
 @dataclass(slots=True, kw_only=True)
 class Floor:
     """A log position that held every commit acknowledged before `at`."""
