Let a VM without the store learn from others

A VM whose reads fail now asks two holders for what is newer. Ruled out: holders that step back when they lose the store, as all would in an outage.

--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -247,7 +247,8 @@
 
     Args:
         host: its IP address.
-        relay_port: port for callers that other VMs relay.
+        relay_port: port for callers that other VMs relay; the one before it serves the
+            metrics and what other VMs ask for.
         zone: its availability zone.
         size: its processor share, in thousandths of a core.
     """
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -25,23 +25,44 @@
 RETRY_FIRST = 0.1
 """Seconds until a failed read is tried again; doubled for each further failure."""
 
-RETRY_MOST = 1.0
+RETRY_MOST = 2.0
 """Greatest number of seconds until a failed read is tried again."""
 
 _log = logging.getLogger(__name__)
 
 
+class StoreHealth:
+    """Which feeds of the store fail at present."""
+
+    def __init__(self) -> None:
+        self._failing: set[str] = set()
+
+    @property
+    def failing(self) -> bool:
+        """Whether any feed fails."""
+        return bool(self._failing)
+
+    def note(self, feed: str, *, fails: bool) -> None:
+        """Take over the state of a feed."""
+        if fails:
+            self._failing.add(feed)
+        else:
+            self._failing.discard(feed)
+
+
 class _Retries:
     """Pauses after failures, and one log line when a dependency is lost or is back."""
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(self, *, name: str, health: StoreHealth) -> None:
         self._name = name
+        self._health = health
         self._failures = 0
 
     async def pause(self, error: Exception) -> None:
         """Wait after a failure."""
         if self._failures == 0:
             _log.warning("event=feed_lost feed=%s error=%s", self._name, error)
+            self._health.note(self._name, fails=True)
         delay = min(RETRY_MOST, RETRY_FIRST * 2 ** min(self._failures, 8))
         self._failures += 1
         await asyncio.sleep(delay)
@@ -52,6 +73,7 @@
             _log.warning(
                 "event=feed_regained feed=%s failures=%d", self._name, self._failures
             )
+            self._health.note(self._name, fails=False)
         self._failures = 0
 
 
@@ -59,13 +81,15 @@
     client: PlatformClient,
     emit: Callable[[Event], None],
     is_wanted: Callable[[], bool],
+    health: StoreHealth,
 ) -> None:
     """Report each configuration as soon as the store tells of it; never returns.
 
     Args:
         is_wanted: whether it is needed at once; else it is read now and then.
+        health: learns whether the store can be read.
     """
-    retries = _Retries(name="configuration")
+    retries = _Retries(name="configuration", health=health)
     revision = None
     fresh = False
     while True:
@@ -103,13 +127,15 @@
     client: PlatformClient,
     emit: Callable[[Event], None],
     is_wanted: Callable[[], bool],
+    health: StoreHealth,
 ) -> None:
     """Report the list of servers again and again; never returns.
 
     Args:
         is_wanted: whether it is needed.
+        health: learns whether the store can be read.
     """
-    retries = _Retries(name="servers")
+    retries = _Retries(name="servers", health=health)
     fresh = True
     while True:
         if not is_wanted():
@@ -126,9 +152,11 @@
         await asyncio.sleep(POLL_INTERVAL)
 
 
-async def register_vm(client: PlatformClient, entry: VmEntry) -> None:
+async def register_vm(
+    client: PlatformClient, entry: VmEntry, health: StoreHealth
+) -> None:
     """Enter this VM in the list of VMs, however long the store is away."""
-    retries = _Retries(name="registration")
+    retries = _Retries(name="registration", health=health)
     while True:
         try:
             await client.register_vm(entry)
--- a/src/siskinhold/lines/_probe.py
+++ b/src/siskinhold/lines/_probe.py
@@ -1,4 +1,6 @@
-"""The readiness probe of the load balancer, and the metrics."""
+"""The readiness probe of the load balancer, the metrics, and what other VMs ask for."""
+
+from collections.abc import Callable
 
 from prometheus_client import CollectorRegistry, generate_latest
 
@@ -29,6 +31,7 @@
         registry: CollectorRegistry,
     ) -> None:
         self.ready = False
+        self.tell: Callable[[str], HttpAnswer | None] | None = None
         self._ready_path = ready_path
         self._registry = registry
         self._servers = [
@@ -60,5 +63,5 @@
 
     def _answer_metrics(self, path: str) -> HttpAnswer | None:
         if path != METRICS_PATH:
-            return None
+            return self.tell(path) if self.tell is not None else None
         return HttpAnswer(status=200, body=generate_latest(self._registry))
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import os
 import random
@@ -19,10 +20,11 @@
 from ._clock import read_clock
 from ._codec import LineCodec
 from ._driver import DirectDriver
-from ._feeds import follow_configuration, follow_servers, register_vm
+from ._feeds import StoreHealth, follow_configuration, follow_servers, register_vm
 from ._log import DecisionLog, LineHandler
 from ._metrics import METRICS
 from ._probe import ProbeServer
+from ._sharing import answer_knowledge, ask_others
 
 RESERVED_DESCRIPTORS = 400
 """Descriptors kept for files, backend servers and the store."""
@@ -92,14 +94,24 @@
             log=self._log,
             metrics=Metrics(METRICS, registry),
         )
+        self._probe.tell = functools.partial(answer_knowledge, self.driver.state)
+        health = StoreHealth()
         self._backends.start(self.driver.emit)
         await self._callers.start(self.driver.emit)
         await self._probe.start()
         self.driver.start()
         for follower in (
-            register_vm(self._client, _make_entry(settings)),
-            follow_configuration(self._client, self.driver.emit, self._is_serving),
-            follow_servers(self._client, self.driver.emit, self._is_serving),
+            register_vm(self._client, _make_entry(settings), health),
+            follow_configuration(
+                self._client, self.driver.emit, self._is_serving, health
+            ),
+            follow_servers(self._client, self.driver.emit, self._is_serving, health),
+            ask_others(
+                self.driver.state,
+                self.driver.emit,
+                lambda: health.failing,
+                self._write_line,
+            ),
         ):
             self._tasks.append(loop.create_task(follower))
         loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
@@ -152,6 +164,9 @@
         self._settings = settings
         self._say("reloaded", changed=",".join(changed) or "nothing")
 
+    def _write_line(self, entry: Log) -> None:
+        self._log.write(entry, read_clock())
+
     def _say(self, event: str, **fields) -> None:
         now = read_clock()
         entry = Log(event=event, fields=tuple(fields.items()), essential=True)
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -2,17 +2,13 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import signal
-import sys
 from pathlib import Path
 
 import yaml
 
-from .standins import Client, Deployment, find_ports
-
-ROOT = Path(__file__).parent.parent.parent
+from .standins import Client, Deployment, find_ports, spawn_vm
 
 NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Answers that promise that nothing of a statement is kept."""
@@ -100,20 +96,7 @@
 
     async def start(self) -> None:
         """Start the program."""
-        environment = {
-            "PATH": os.environ["PATH"],
-            "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
-            "SISKINHOLD_SETTINGS": str(self.path),
-        }
-        with self.output.open("ab") as file:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "siskinhold_platform",
-                stdout=file,
-                stderr=file,
-                env=environment,
-            )
+        self.process = await spawn_vm(self.path, self.output)
 
     def send(self, number: int) -> None:
         """Send a signal, if the process still runs."""
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -6,11 +6,14 @@
 import asyncio
 import contextlib
 import json
+import os
 import socket
+import sys
+from pathlib import Path
 
 from aiohttp import web
 
-CODES_NOT_RUN = ("BUSY", "LAGGING", "READONLY")
+ROOT = Path(__file__).parent.parent.parent
 
 
 class Group:
@@ -603,3 +606,21 @@
             with contextlib.suppress(OSError):
                 neighbour.bind(("127.0.0.1", found[2] + 1))
                 return tuple(found)
+
+
+async def spawn_vm(path: Path, output: Path) -> asyncio.subprocess.Process:
+    """Start a VM's program with a settings file; its output is appended to a file."""
+    environment = {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
+        "SISKINHOLD_SETTINGS": str(path),
+    }
+    with output.open("ab") as file:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "siskinhold_platform",
+            stdout=file,
+            stderr=file,
+            env=environment,
+        )
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -10,7 +10,8 @@
 import pytest
 import yaml
 
-from .standins import Client, Deployment, find_ports, make_configuration
+from .soak import Link
+from .standins import Client, Deployment, find_ports, make_configuration, spawn_vm
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -46,6 +47,14 @@
         writer.close()
         return answer.decode()
 
+    async def restart(self, fields: dict) -> None:
+        """Kill the process and start it with other settings."""
+        self.process.kill()
+        await self.process.wait()
+        self.path.write_text(yaml.safe_dump(fields))
+        self.process = await spawn_vm(self.path, self.output)
+        await self.wait_ready()
+
     def read_output(self) -> str:
         """Return what the process has written."""
         return self.output.read_text()
@@ -64,20 +73,7 @@
             settings = deployment.write_settings(f"vm-{index}", ports)
             path.write_text(yaml.safe_dump(settings))
             output = tmp_path / f"vm-{index}.log"
-            with output.open("wb") as file:
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    "-m",
-                    "siskinhold_platform",
-                    "--settings",
-                    str(path),
-                    stdout=file,
-                    stderr=file,
-                    env={
-                        "PATH": os.environ["PATH"],
-                        "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
-                    },
-                )
+            process = await spawn_vm(path, output)
             started.append(Vm(process=process, ports=ports, path=path, output=output))
         for vm in started:
             await vm.wait_ready()
@@ -224,6 +220,30 @@
             assert hello == "READY I -"
 
 
+class TestCutOff:
+    async def test_configuration_comes_from_another_vm(self, tmp_path):
+        """Guards against callers that a VM without the store serves by old routes."""
+        async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+            await asyncio.sleep(1.5)
+            link = Link(port=deployment.store.port)
+            await link.start()
+            fields = yaml.safe_load(vms[1].path.read_text())
+            fields["platform"]["address"] = f"127.0.0.1:{link.port}"
+            await vms[1].restart(fields)
+            await asyncio.sleep(1.5)
+            link.refuse = True
+            link.reset()
+            await asyncio.sleep(0.3)
+            deployment.store.put(
+                "config", "main", make_configuration(9, {"later": "primary"})
+            )
+            await asyncio.sleep(3)
+            _, hello = await Client.connect(vms[1].ports[0], "later")
+            assert hello == "READY I -"
+            assert "event=knowledge_taken" in vms[1].read_output()
+            await link.stop()
+
+
 class TestFailover:
     async def test_crashed_primary_is_replaced(self, tmp_path):
         """Guards against writes that stay refused after a primary's crash."""
