--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -21,6 +21,7 @@
 
 
 def read_record(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    """Read the leader record, again if an answer stays away."""
     if promotion.call and state.now - promotion.step_at < 1.0:
         return
     if state.now < promotion.repeat_at:
--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -8,7 +8,7 @@
 from ._queue import estimate_leader, list_hopeless, order_queue
 from ._replies import end_work
 from ._results import deliver_result
-from ._runs import begin_transaction, fail_transaction, fail_work, run_statement
+from ._runs import begin_work, fail_transaction, fail_work, run_statement
 from ._state import Database, DirectState, Effects, Work, WorkState
 from ._types import Answer, Refusal
 
@@ -78,7 +78,7 @@
         if connection is None:
             full.append(server)
             continue
-        begin_transaction(state, work, connection, after, out)
+        begin_work(state, work, connection, after, out)
         return True
     for server in full:
         if open_more(state, server, out):
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -11,8 +11,6 @@
     state: DirectState,
     connection: Connection,
     out: Effects,
-    *,
-    already_removed: bool = False,
 ) -> None:
     """Settle what ran on a connection that has ended."""
     transaction = connection.transaction
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -40,6 +40,7 @@
 
 
 def end_lead(state, database: Database, promotion: Promotion, out: Effects) -> None:
+    """Go on without the old primary if it does not answer that it stepped down."""
     if state.now - promotion.step_at >= STEP_DOWN_TIME:
         enter_step(state, promotion, PromotionStep.COMPARING)
 
@@ -70,6 +71,7 @@
 def compare_candidates(
     state, database: Database, promotion: Promotion, out: Effects
 ) -> None:
+    """Ask the candidates for their positions until one holds enough."""
     candidates = _list_candidates(state, database, promotion)
     if state.now >= promotion.repeat_at:
         promotion.repeat_at = state.now + REPEAT_TIME / 4
@@ -156,6 +158,7 @@
 def order_promotion(
     state, database: Database, promotion: Promotion, out: Effects
 ) -> None:
+    """Have the platform promote the candidate."""
     if promotion.call or state.now < promotion.repeat_at:
         return
     promotion.call = open_call(state, "promotion", database)
@@ -202,11 +205,13 @@
 
 
 def await_effect(state, database: Database, promotion: Promotion, out) -> None:
+    """Begin anew if an accepted order shows no effect."""
     if state.now - promotion.step_at >= EFFECT_TIME:
         enter_step(state, promotion, PromotionStep.COMPARING)
 
 
 def end_suspensions(state: DirectState, database: Database) -> None:
+    """Have the suspended servers receive again soon."""
     for server in state.members(database.name):
         if server.suspended_until is not None:
             server.suspended_until = state.now
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -13,6 +13,7 @@
 
 
 def enter_step(state: DirectState, promotion: Promotion, step: PromotionStep) -> None:
+    """Go on to a step; an answer that the last one waited for is dropped."""
     promotion.step = step
     promotion.step_at = state.now
     promotion.repeat_at = 0.0
@@ -20,6 +21,7 @@
 
 
 def open_call(state: DirectState, purpose: str, database: Database) -> int:
+    """Return the number of a call, whose answer is handled by its purpose."""
     number = state.take_number()
     state.calls[number] = (purpose, database.name)
     return number
@@ -37,12 +39,14 @@
 
 
 def to_milliseconds(seconds: float) -> int:
+    """Return seconds as whole milliseconds."""
     return round(seconds * 1000)
 
 
 def log_promotion(
     state, database: Database, event: str, out: Effects, **fields
 ) -> None:
+    """Write a line about the promotion under way, with its cause and age."""
     promotion = database.promotion
     common = (
         ("database", database.name),
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -160,9 +160,9 @@
 
 
 def _expire(state: DirectState, out: Effects) -> None:
-    limit = 3.0
-    if state.configuration is not None:
-        limit = state.configuration.idle_transaction
+    if state.configuration is None:
+        return
+    limit = state.configuration.idle_transaction
     for session in list(state.sessions.values()):
         work = session.work
         if work is not None:
@@ -198,12 +198,8 @@
     out.append(Log(event="readiness", fields=(("ready", ready),), essential=True))
 
 
-def _open(state: DirectState, event: CallerOpened, out: Effects) -> None:
-    open_caller(state, event, out)
-
-
 _HANDLERS = {
-    CallerOpened: _open,
+    CallerOpened: open_caller,
     CallerStatement: take_statement,
     CallerClosed: close_caller,
     BackendOpened: take_opened,
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -26,7 +26,7 @@
     if work is None:
         if answer.refusal is not None:
             close_connection(state, connection, out, "setup_refused")
-            lose_connection(state, connection, out, already_removed=True)
+            lose_connection(state, connection, out)
         return
     if work.state is WorkState.ENDED:
         finish_transaction(state, connection, out)
@@ -69,10 +69,10 @@
         if in_transaction:
             fail_transaction(state, work, answer.refusal.value, out)
             return
-        _drop_other_runs(state, work, connection, out)
         requeue_work(state, work, server, answer.refusal.value, out)
         return
-    _drop_other_runs(state, work, connection, out)
+    # Other runs of the same read end by themselves.
+    work.connections = [connection]
     if work.commits:
         connection.transaction = None
         if transaction is not None:
@@ -88,11 +88,6 @@
     _finish(state, work, answer, out)
 
 
-def _drop_other_runs(state, work: Work, kept: Connection, out: Effects) -> None:
-    """Leave other connections that run the same read to end by themselves."""
-    work.connections = [kept]
-
-
 def _finish(state: DirectState, work: Work, answer: Answer, out: Effects) -> None:
     """Release a result, or hold it until the primary is proved to have led."""
     transaction = work.session.transaction
@@ -121,6 +116,7 @@
 def deliver_result(
     state: DirectState, work: Work, answer: Answer, out: Effects
 ) -> None:
+    """Answer the caller with a result that needs no more proof."""
     session = work.session
     transaction = session.transaction
     if transaction is not None and not work.commits:
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -1,5 +1,6 @@
 """Statements on connections: sending them, sending them again, giving them up."""
 
+from ..model import Position
 from ._connections import adopt_session, close_connection, prepare_shape, send
 from ._effects import Log, Observe
 from ._hedging import earn_hedge
@@ -21,9 +22,18 @@
 """Seconds for which reads prefer other servers to one whose log was too short."""
 
 
-def begin_transaction(
-    state: DirectState, work: Work, connection: Connection, after, out
+def begin_work(
+    state: DirectState,
+    work: Work,
+    connection: Connection,
+    after: Position | None,
+    out: Effects,
 ) -> None:
+    """Give a connection to a statement, or to the transaction that it is the first of.
+
+    Args:
+        after: log position that the server must have applied.
+    """
     session = work.session
     adopt_session(state, connection, session, out)
     transaction = session.transaction
@@ -54,8 +64,9 @@
     work: Work,
     connection: Connection,
     out: Effects,
-    after=None,
+    after: Position | None = None,
 ) -> None:
+    """Send a statement on a connection that it, or its transaction, was given."""
     session = work.session
     transaction = session.transaction
     statement = work.statement
@@ -92,6 +103,7 @@
 def note_refusal(
     state: DirectState, server: Server, refusal: Refusal, out: Effects
 ) -> None:
+    """Take what a server's refusal tells of its log and of its lead."""
     database = state.databases[server.entry.service]
     if refusal is Refusal.LAGGING:
         server.lagging_until = state.now + LAGGING_PAUSE
