Keep the platform's error words in its folder

The refusal of a connection to the wrong server and the kind of reads with a bound on their age had the platform's words in the core. The test of names now covers error words too.

--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -51,7 +51,7 @@
     REFUSED = "refused"
     SILENT = "silent"
     CLOSED = "closed"
-    MISROUTED = "misrouted"
+    WRONG_SERVER = "wrong_server"
     OVERLOAD = "overload"
     GARBLED = "garbled"
 
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -28,7 +28,7 @@
     ABORTED = "aborted"
     LAGGING = "lagging"
     READ_ONLY = "read_only"
-    MISROUTED = "misrouted"
+    WRONG_SERVER = "wrong_server"
     OVERLOAD = "overload"
     NO_STATEMENT = "no_statement"
     NO_DATABASE = "no_database"
@@ -44,7 +44,7 @@
         Refusal.BUSY,
         Refusal.LAGGING,
         Refusal.READ_ONLY,
-        Refusal.MISROUTED,
+        Refusal.WRONG_SERVER,
         Refusal.OVERLOAD,
     }
 )
@@ -170,7 +170,7 @@
     """What the reads of a route must see."""
 
     PRIMARY = "primary"
-    BOUNDED_STALENESS = "bounded_staleness"
+    BOUNDED_AGE = "bounded_age"
     READ_YOUR_WRITES = "read_your_writes"
 
 
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -179,7 +179,7 @@
     def _open(self, part: AnswerPart) -> None:
         if part.kind is PartKind.REFUSED:
             reasons = {
-                Refusal.MISROUTED: LossReason.MISROUTED,
+                Refusal.WRONG_SERVER: LossReason.WRONG_SERVER,
                 Refusal.OVERLOAD: LossReason.OVERLOAD,
             }
             self.lose(reasons.get(part.refusal, LossReason.CLOSED))
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -297,7 +297,7 @@
         """Return a configuration with one route of each kind."""
         kinds = {
             "orders": (Consistency.PRIMARY, 0.0, 1),
-            "views": (Consistency.BOUNDED_STALENESS, 1.5, 2),
+            "views": (Consistency.BOUNDED_AGE, 1.5, 2),
             "crew": (Consistency.READ_YOUR_WRITES, 2.5, 2),
         }
         routes = {}
--- a/tests/users_platform/test_objects.py
+++ b/tests/users_platform/test_objects.py
@@ -142,7 +142,18 @@
         assert done.stdout.strip() == platform.python_version()
 
     @pytest.mark.parametrize(
-        "word", ["X-Siskinhold-", "/-/objects", "db_role", "STEPDOWN", "max_staleness"]
+        "word",
+        [
+            "X-Siskinhold-",
+            "/-/objects",
+            "db_role",
+            "STEPDOWN",
+            "max_staleness",
+            "MISROUTED",
+            "READONLY",
+            "INDOUBT",
+            "NOSTMT",
+        ],
     )
     def test_product_does_not_know_the_platforms_names(self, word):
         """Guards against names of the platform that spread through the product."""
