--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -300,8 +300,9 @@
         assert world.ask("vm1", 2, "WRITE x 1").refusal is None
         world.servers["s2"].dark_for = {"vm3"}
         world.paused.discard("vm3")
-        world.ask("vm3", 1, "READ x", wait=0.3)
+        world.ask("vm3", 1, "READ x")
         answers = [a for _, a in world.replies.get(("vm3", 1), ())]
+        assert answers
         assert all(a.refusal is not None or "s2" in a.signature for a in answers)
 
 
