Listen for callers before the program is loaded

Cause: after a restart of the whole fleet a VM refused connections until all of its modules were loaded, a second after the start of its process; callers used up their retries. A third of that second was spent in site packages that no program needs and in the YAML library.

Ruled out: loading fewer libraries alone, as callers are refused for what remains; an early relay port, since a VM that relays should go on to another holder.

--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
     ReplyCaller,
     Statement,
 )
+from ..listener import BACKLOG, open_listener
 from ._clock import read_clock
 from ._codec import Garbled, Goodbye, Hello, LineCodec
 from ._protocol import LineProtocol
@@ -33,9 +35,6 @@
 QUEUE_LIMIT = 64
 """Statements that a caller may send ahead of the answers."""
 
-BACKLOG = 1024
-"""Connections that may wait to be accepted."""
-
 _log = logging.getLogger(__name__)
 
 Emit = Callable[[Event], None]
@@ -50,15 +49,23 @@
         relay_port: port for callers that other VMs relay, 0 for none.
         codec: the wire.
         limit: greatest number of connections.
+        listener: listens on the port already; by default a socket is opened.
     """
 
     def __init__(
-        self, *, host: str, port: int, relay_port: int, codec: LineCodec, limit: int
+        self,
+        *,
+        host: str,
+        port: int,
+        relay_port: int,
+        codec: LineCodec,
+        limit: int,
+        listener: socket.socket | None = None,
     ) -> None:
         self._host = host
-        self._ports = [port]
-        if relay_port:
-            self._ports.append(relay_port)
+        self._port = port
+        self._relay_port = relay_port
+        self._listener = listener
         self.codec = codec
         self.limit = limit
         self.connections: dict[int, _CallerProtocol] = {}
@@ -74,16 +81,20 @@
             OSError: if the address can't be bound.
         """
         self.emit = emit
-        loop = asyncio.get_running_loop()
-        for port in self._ports:
-            relayed = port != self._ports[0]
-            server = await loop.create_server(
-                functools.partial(_CallerProtocol, callers=self, relayed=relayed),
-                self._host,
-                port,
-                backlog=BACKLOG,
-            )
-            self._servers.append(server)
+        if self._listener is None:
+            self._listener = open_listener(self._host, self._port)
+        await self._serve(self._listener, relayed=False)
+        if self._relay_port:
+            listener = open_listener(self._host, self._relay_port)
+            await self._serve(listener, relayed=True)
+
+    async def _serve(self, listener: socket.socket, *, relayed: bool) -> None:
+        server = await asyncio.get_running_loop().create_server(
+            functools.partial(_CallerProtocol, callers=self, relayed=relayed),
+            sock=listener,
+            backlog=BACKLOG,
+        )
+        self._servers.append(server)
 
     def take_number(self) -> int:
         """Return the number of a new session."""
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -8,6 +8,7 @@
 import random
 import secrets
 import signal
+import socket
 
 import aiomisc
 from prometheus_client import CollectorRegistry
@@ -41,12 +42,21 @@
         make_client: makes the client of the platform on the running loop.
         ready_path: path of the load balancer's readiness probe.
         reload: reads the settings again and returns them, None if unreadable.
+        listener: listens for callers already; by default a socket is opened.
     """
 
     def __init__(
-        self, *, settings: VmSettings, codec: LineCodec, make_client, ready_path, reload
+        self,
+        *,
+        settings: VmSettings,
+        codec: LineCodec,
+        make_client,
+        ready_path,
+        reload,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
+        self._listener = listener
         self._settings = settings
         self._codec = codec
         self._make_client = make_client
@@ -74,6 +84,7 @@
             host=settings.host,
             port=settings.caller_port,
             relay_port=settings.relay_port,
+            listener=self._listener,
             codec=self._codec,
             limit=max(1, settings.descriptors - RESERVED_DESCRIPTORS),
         )
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -564,10 +564,20 @@
     @classmethod
     async def connect(cls, port: int, database: str) -> tuple["Client", str]:
         """Connect; return the client and the first line of the answer."""
+        client = await cls.open(port, database)
+        return client, await client.read_line()
+
+    @classmethod
+    async def open(cls, port: int, database: str) -> "Client":
+        """Connect without waiting for an answer."""
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(f"CONNECT {database} u1\r\n".encode())
-        line = await asyncio.wait_for(reader.readline(), 5)
-        return cls(reader=reader, writer=writer), line.decode().rstrip()
+        return cls(reader=reader, writer=writer)
+
+    async def read_line(self) -> str:
+        """Return the next line."""
+        line = await asyncio.wait_for(self._reader.readline(), 5)
+        return line.decode().rstrip()
 
     async def ask(self, text: str) -> list[str]:
         """Send a statement; return the lines of its answer."""
@@ -608,11 +618,20 @@
                 return tuple(found)
 
 
-async def spawn_vm(path: Path, output: Path) -> asyncio.subprocess.Process:
-    """Start a VM's program with a settings file; its output is appended to a file."""
+async def spawn_vm(
+    path: Path, output: Path, first: Path | None = None
+) -> asyncio.subprocess.Process:
+    """Start a VM's program with a settings file; its output is appended to a file.
+
+    Args:
+        first: folder whose modules go before all others.
+    """
+    folders = [ROOT / "src", ROOT / "platform"]
+    if first is not None:
+        folders.insert(0, first)
     environment = {
         "PATH": os.environ["PATH"],
-        "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
+        "PYTHONPATH": ":".join(str(folder) for folder in folders),
         "SISKINHOLD_SETTINGS": str(path),
     }
     with output.open("ab") as file:
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import sys
@@ -13,6 +14,16 @@
 from .soak import Link
 from .standins import Client, Deployment, find_ports, make_configuration, spawn_vm
 
+SLOW_MODULE = """
+import os, sys, time
+while not os.path.exists({gate!r}):
+    time.sleep(0.01)
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["uvloop"]
+import uvloop
+"""
+"""A module that loads only once a file exists, and then is the real one."""
+
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -140,6 +151,42 @@
             assert hello.startswith("ERROR NODB")
 
 
+class TestStart:
+    async def test_caller_that_comes_while_the_program_loads_waits(self, tmp_path):
+        """Guards against callers refused for as long as a restarted VM loads."""
+        gate = tmp_path / "gate"
+        modules = tmp_path / "modules"
+        modules.mkdir()
+        (modules / "uvloop.py").write_text(SLOW_MODULE.format(gate=str(gate)))
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            vm.process.kill()
+            await vm.process.wait()
+            before = vm.read_output().count("event=started")
+            vm.process = await spawn_vm(vm.path, vm.output, modules)
+            async with asyncio.timeout(5):
+                client = None
+                while client is None:
+                    await asyncio.sleep(0.01)
+                    with contextlib.suppress(ConnectionRefusedError):
+                        client = await Client.open(vm.ports[0], "orders")
+            assert vm.read_output().count("event=started") == before
+            gate.touch()
+            assert await client.read_line() == "READY I -"
+            assert (await client.ask("READ x"))[0] == "ROW none"
+
+    async def test_settings_in_json_are_taken(self, tmp_path):
+        """Guards against a rendered template that the program can't read."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            fields = yaml.safe_load(vm.path.read_text())
+            vm.path.write_text(json.dumps(fields) + "\n")
+            vm.process.kill()
+            await vm.process.wait()
+            vm.process = await spawn_vm(vm.path, vm.output)
+            await vm.wait_ready()
+            client, _ = await Client.connect(vm.ports[0], "orders")
+            assert (await client.ask("READ x"))[0] == "ROW none"
+
+
 class TestBadInput:
     @pytest.mark.parametrize(
         "data",
