Start VMs that relay without the configuration

The reads of all VMs of the far region took longer over the link than the time limit of a call, were given up and begun anew, and filled the link for 16 s. VMs there had no configuration, and servers there were lost to the others.

Ruled out: a longer time limit alone, as the reads still take the link for seconds; reads by one VM for its region, which needs a way to choose it anew when it fails.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -17,6 +17,7 @@
     Observe,
     OpenBackend,
     OrderPromotion,
+    PublishConnections,
     PublishSuspicion,
     ReadLeaderRecord,
     RefuseCaller,
@@ -47,6 +48,7 @@
     TimeAdvanced,
     VmsRead,
 )
+from ._holders import wants_servers
 from ._reducer import find_tick, reduce
 from ._settings import VmSettings
 from ._state import DirectState
@@ -103,6 +105,7 @@
     "OrderPromotion",
     "PromotionAnswered",
     "PromotionOutcome",
+    "PublishConnections",
     "PublishSuspicion",
     "ReadLeaderRecord",
     "Refusal",
@@ -129,4 +132,5 @@
     "WriteLeaderRecord",
     "find_tick",
     "reduce",
+    "wants_servers",
 ]
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -117,6 +117,13 @@
     """Read the registered VMs."""
 
 
+@dataclass(slots=True, kw_only=True)
+class PublishConnections:
+    """Write the least number of connections that a server takes beside the VMs."""
+
+    connections: int
+
+
 @dataclass(slots=True, kw_only=True)
 class OrderPromotion:
     """Have the platform promote a server.
@@ -184,6 +191,7 @@
     | PublishSuspicion
     | ListSuspicions
     | ListVms
+    | PublishConnections
     | OrderPromotion
     | AnnounceReadiness
     | Log
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -107,10 +107,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class VmsRead:
-    """The store listed the VMs that have registered."""
+    """The store listed the VMs that have registered.
+
+    Args:
+        connections: least number of connections that a server takes, 0 if no VM has
+            published it.
+    """
 
     at: float
     vms: tuple[VmEntry, ...]
+    connections: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -12,6 +12,7 @@
 from ._claims import await_claim, read_record
 from ._effects import ListSuspicions, ListVms, Observe, PublishSuspicion
 from ._events import SuspicionsAnswered
+from ._holders import wants_servers
 from ._promotion import (
     ATTEMPT_TIME,
     await_effect,
@@ -83,7 +84,7 @@
     if state.now - state.vms_asked_at > interval:
         state.vms_asked_at = state.now
         out.append(ListVms())
-    if state.leaving_at is not None or not state.serves:
+    if state.leaving_at is not None or not wants_servers(state):
         return
     for database in state.databases.values():
         if database.promotion is None:
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -8,7 +8,8 @@
 
 import hashlib
 
-from ._state import DirectState
+from ._effects import PublishConnections
+from ._state import DirectState, Effects
 from ._types import VmEntry
 
 POOL_LEAST = 3
@@ -24,6 +25,10 @@
 SPARE_HOLDERS = 1
 """Holders beyond the chosen ones that a server's connections must suffice for."""
 
+PUBLISH_SPACING = 5.0
+"""Seconds between two publications of the servers' connections: reads that may be old
+show the last one within that time."""
+
 DOWN_TIME = 2.0
 """Seconds for which a holder that can't be reached is passed over."""
 
@@ -39,11 +44,16 @@
     return state.vms_known or state.now - state.started_at >= VMS_TIME
 
 
-def count_connections(state: DirectState) -> int:
-    """Return the least number of connections that a server takes, 0 if unknown."""
-    if state.configuration is None or not state.configuration.connections:
-        return 0
-    return min(state.configuration.connections.values())
+def wants_servers(state: DirectState) -> bool:
+    """Return whether this VM needs the configuration and the backend servers.
+
+    A VM that relays its callers does not, unless it has some that no holder takes. The
+    configuration is large, and VMs that all start at once and read it fill the link
+    between regions.
+    """
+    if not knows_vms(state):
+        return False
+    return state.holds or bool(state.sessions) or bool(state.ungreeted)
 
 
 def rank_holders(vms: tuple[VmEntry, ...], connections: int) -> list[VmEntry]:
@@ -69,13 +79,30 @@
 
 def update_holding(state: DirectState) -> None:
     """Decide anew whether this VM holds connections."""
-    connections = count_connections(state)
-    if not state.vms or not connections:
+    if not state.vms or not state.connections_limit:
         return
-    state.holders = rank_holders(state.vms, connections)
+    state.holders = rank_holders(state.vms, state.connections_limit)
     state.holds = any(vm.name == state.vm for vm in state.holders)
 
 
+def publish_connections(state: DirectState, known: int, out: Effects) -> None:
+    """Have the first holder publish the servers' connections if others don't know them.
+
+    VMs that only relay need no more of the configuration.
+
+    Args:
+        known: the published number.
+    """
+    if state.configuration is None or known == state.connections_limit:
+        return
+    if not state.holders or state.holders[0].name != state.vm:
+        return
+    if state.now - state.published_at < PUBLISH_SPACING:
+        return
+    state.published_at = state.now
+    out.append(PublishConnections(connections=state.connections_limit))
+
+
 def choose_targets(state: DirectState, session: int) -> list[VmEntry]:
     """Return the holders to which a caller is relayed, best first."""
     ranked = []
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -22,7 +22,7 @@
     VmsRead,
 )
 from ._failover import take_suspicions, watch_primaries
-from ._holders import update_holding
+from ._holders import knows_vms, publish_connections, update_holding
 from ._losses import expire_work
 from ._promotion import take_order
 from ._runs import abandon_transaction
@@ -102,6 +102,8 @@
                 leaderless_at=state.now,
                 expected_at=state.now + START_TIME,
             )
+    if configuration.connections:
+        state.connections_limit = min(configuration.connections.values())
     state.unsettled.update(state.databases)
     out.append(
         Log(
@@ -127,8 +129,11 @@
         return
     state.vms = event.vms
     state.vms_known = True
+    if state.configuration is None:
+        state.connections_limit = event.connections
     before = state.holds
     update_holding(state)
+    publish_connections(state, event.connections, out)
     greet_waiting(state, out)
     if before != state.holds:
         out.append(
@@ -185,12 +190,10 @@
 
 
 def _announce(state: DirectState, out: Effects) -> None:
-    """Report readiness once the configuration and the servers are known."""
-    ready = (
-        state.leaving_at is None
-        and state.configuration is not None
-        and (state.servers_known or not state.serves)
-    )
+    """Report readiness once callers can be served, or relayed."""
+    ready = state.leaving_at is None and knows_vms(state)
+    if state.holds:
+        ready = ready and state.configuration is not None and state.servers_known
     if ready == state.ready:
         return
     state.ready = ready
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -20,7 +20,7 @@
     ServersRead,
 )
 from ._evidence import note_evidence
-from ._holders import knows_vms
+from ._holders import knows_vms, wants_servers
 from ._leaders import (
     DropReason,
     drop_leader,
@@ -99,7 +99,7 @@
         server = Server(entry=entry)
         state.servers[entry.server] = server
         _log_server(state, "server_found", server, out)
-        if state.serves and state.vms_known:
+        if state.vms_known and wants_servers(state):
             ensure_control(state, server, out)
     old = server.entry
     server.entry = entry
@@ -206,7 +206,7 @@
 
 def maintain_servers(state: DirectState, out: Effects) -> None:
     """Keep control connections, drop those of leaving servers, look for primaries."""
-    if not state.serves:
+    if not wants_servers(state):
         _let_go(state, out)
         return
     for server in list(state.servers.values()):
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -6,7 +6,7 @@
 from ._holders import DOWN_TIME, choose_targets, knows_vms
 from ._replies import DONE, refuse, reply
 from ._runs import abandon_transaction
-from ._state import DirectState, Effects, Session, Transaction, Work, WorkState
+from ._state import Arrival, DirectState, Effects, Session, Transaction, Work, WorkState
 from ._types import Consistency, Refusal, Route, Statement, StatementKind
 
 GREETING_TIME = 1.5
@@ -14,40 +14,46 @@
 
 
 def open_caller(state: DirectState, event: CallerOpened, out: Effects) -> None:
-    """Accept a caller whose database has a route.
+    """Accept or relay a caller.
 
-    Before the configuration is known, the caller waits for `GREETING_TIME` at most.
+    While it is not known who serves it, the caller waits for `GREETING_TIME` at most.
     """
-    if state.configuration is None or not knows_vms(state):
-        state.ungreeted[event.session] = (event.database, state.now)
-        return
-    if event.relayed:
-        _serve(state, event.session, event.database, out)
-        return
-    _greet(state, event.session, event.database, out)
+    arrival = Arrival(database=event.database, at=state.now, relayed=event.relayed)
+    if not _greet(state, event.session, arrival, out):
+        state.ungreeted[event.session] = arrival
 
 
 def greet_waiting(state: DirectState, out: Effects) -> None:
-    """Accept callers that waited for the configuration, or refuse them in time."""
-    for session, (database, since) in list(state.ungreeted.items()):
-        if state.configuration is not None and knows_vms(state):
+    """Accept or relay callers that wait, or refuse them in time."""
+    for session, arrival in list(state.ungreeted.items()):
+        if _greet(state, session, arrival, out):
             del state.ungreeted[session]
-            _greet(state, session, database, out)
-        elif state.now - since >= GREETING_TIME:
+        elif state.now - arrival.at >= GREETING_TIME:
             del state.ungreeted[session]
             _refuse_caller(
-                state, session, database, Refusal.OVERLOAD, "no_configuration", out
+                state,
+                session,
+                arrival.database,
+                Refusal.OVERLOAD,
+                "no_configuration",
+                out,
             )
 
 
-def _greet(state: DirectState, session: int, database: str, out: Effects) -> None:
-    if not state.holds:
+def _greet(state: DirectState, session: int, arrival: Arrival, out: Effects) -> bool:
+    """Accept or relay a caller; return whether it is known who serves it."""
+    if not knows_vms(state):
+        return False
+    if not state.holds and not arrival.relayed:
         targets = choose_targets(state, session)
         if targets:
             state.relayed.add(session)
             out.append(RelayCaller(session=session, holders=tuple(targets)))
-            return
-    _serve(state, session, database, out)
+            return True
+    if state.configuration is None:
+        return False
+    _serve(state, session, arrival.database, out)
+    return True
 
 
 def lose_holders(state: DirectState, event: HoldersLost, out: Effects) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -321,6 +321,20 @@
     proof_strict: bool = False
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Arrival:
+    """A caller that has not been greeted yet.
+
+    Args:
+        at: when it connected.
+        relayed: whether another VM relays it.
+    """
+
+    database: str
+    at: float
+    relayed: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class DirectState:
     """All that one VM's direct core remembers.
@@ -338,8 +352,10 @@
         relayed: sessions that are relayed to a holder.
         servers_revision: store revision of the newest list of servers.
         early_servers: a list of servers that came before the configuration.
-        ungreeted: sessions that wait for the configuration, with their databases
-            and the time of their arrival.
+        connections_limit: least number of connections that a server takes, 0 if it is
+            not known.
+        published_at: when this VM last published that number.
+        ungreeted: callers that wait until it is known who serves them.
         unsettled: databases whose waiting statements are looked at again.
     """
 
@@ -355,7 +371,9 @@
     servers_revision: int = -1
     servers_known: bool = False
     early_servers: ServersRead | None = None
-    ungreeted: dict[int, tuple[str, float]] = field(default_factory=dict)
+    connections_limit: int = 0
+    published_at: float = -100.0
+    ungreeted: dict[int, Arrival] = field(default_factory=dict)
     databases: dict[str, Database] = field(default_factory=dict)
     sessions: dict[int, Session] = field(default_factory=dict)
     connections: dict[int, Connection] = field(default_factory=dict)
@@ -383,11 +401,6 @@
         self.next_number += 1
         return number
 
-    @property
-    def serves(self) -> bool:
-        """Whether this VM needs backend servers itself."""
-        return self.holds or bool(self.sessions)
-
     def members(self, service: str) -> list[Server]:
         """Return the known servers of a database, leaving ones included."""
         found = []
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -115,8 +115,18 @@
         """
 
     @abc.abstractmethod
-    async def list_vms(self, *, fresh: bool) -> tuple[VmEntry, ...]:
-        """Return the registered VMs.
+    async def list_vms(self, *, fresh: bool) -> tuple[tuple[VmEntry, ...], int]:
+        """Return the registered VMs and the published number of connections.
+
+        The number is 0 if none was published.
+
+        Raises:
+            StoreUnavailable: without a usable answer.
+        """
+
+    @abc.abstractmethod
+    async def publish_connections(self, connections: int) -> None:
+        """Write the least number of connections that a server takes, for all VMs.
 
         Raises:
             StoreUnavailable: without a usable answer.
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -19,6 +19,7 @@
     OpenBackend,
     OrderPromotion,
     PromotionAnswered,
+    PublishConnections,
     PublishSuspicion,
     ReadLeaderRecord,
     RefuseCaller,
@@ -94,6 +95,7 @@
             PublishSuspicion: self._publish,
             ListSuspicions: self._list_suspicions,
             ListVms: self._list_vms,
+            PublishConnections: self._publish_connections,
             OrderPromotion: self._order,
             AnnounceReadiness: self._announce,
             Log: self._write_line,
@@ -190,11 +192,20 @@
 
     async def _report_vms(self) -> None:
         try:
-            vms = await self._client.list_vms(fresh=False)
+            vms, connections = await self._client.list_vms(fresh=False)
         except StoreUnavailable as error:
             self._write_failure("vms_unread", error)
             return
-        self.emit(VmsRead(at=read_clock(), vms=vms))
+        self.emit(VmsRead(at=read_clock(), vms=vms, connections=connections))
+
+    def _publish_connections(self, effect: PublishConnections) -> None:
+        self._spawn(self._try_publish_connections(effect))
+
+    async def _try_publish_connections(self, effect: PublishConnections) -> None:
+        try:
+            await self._client.publish_connections(effect.connections)
+        except StoreUnavailable as error:
+            self._write_failure("connections_unpublished", error)
 
     def _order(self, effect: OrderPromotion) -> None:
         self._spawn(self._report_order(effect))
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -16,11 +16,12 @@
 """Seconds between two reads of the list of servers. A server that leaves is reported
 seconds before it goes."""
 
-UNWANTED_INTERVAL = 15.0
-"""Seconds between two reads of a configuration that only tells who holds a pool."""
+WANTED_FIRST = 0.01
+"""Seconds until a VM that needs no servers looks again whether it does; doubled for
+each further look, as the answer changes soon after the start, if ever."""
 
-WANTED_INTERVAL = 0.2
-"""Seconds until a VM that relays its callers looks again whether it needs servers."""
+WANTED_MOST = 0.2
+"""Greatest number of seconds between two such looks."""
 
 RETRY_FIRST = 0.1
 """Seconds until a failed read is tried again; doubled for each further failure."""
@@ -86,15 +87,15 @@
     """Report each configuration as soon as the store tells of it; never returns.
 
     Args:
-        is_wanted: whether it is needed at once; else it is read now and then.
+        is_wanted: whether it is needed.
         health: learns whether the store can be read.
     """
     retries = _Retries(name="configuration", health=health)
     revision = None
     fresh = False
     while True:
-        if revision is not None and not is_wanted():
-            await _wait_until(is_wanted, UNWANTED_INTERVAL)
+        if not is_wanted():
+            await _wait_until(is_wanted)
             revision = None
         try:
             if revision is None:
@@ -116,11 +117,12 @@
             emit(ConfigurationRead(at=read_clock(), configuration=configuration))
 
 
-async def _wait_until(is_wanted: Callable[[], bool], seconds: float) -> None:
-    """Wait until something is wanted, or for some time at most."""
-    deadline = read_clock() + seconds
-    while not is_wanted() and read_clock() < deadline:
-        await asyncio.sleep(WANTED_INTERVAL)
+async def _wait_until(is_wanted: Callable[[], bool]) -> None:
+    """Wait until something is wanted."""
+    pause = WANTED_FIRST
+    while not is_wanted():
+        await asyncio.sleep(pause)
+        pause = min(WANTED_MOST, 2 * pause)
 
 
 async def follow_servers(
@@ -139,7 +141,7 @@
     fresh = True
     while True:
         if not is_wanted():
-            await _wait_until(is_wanted, UNWANTED_INTERVAL)
+            await _wait_until(is_wanted)
             continue
         try:
             revision, entries = await client.list_servers(fresh=fresh)
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -16,6 +16,10 @@
 IDLE_TIME = 20.0
 """Seconds after which an idle connection is not used again."""
 
+ANSWER_TIME = 12.0
+"""Seconds in which a whole answer must have come. The configuration of a large
+deployment takes seconds over a slow link on which many VMs read it at once."""
+
 REQUEST_TIME = 5.0
 """Seconds in which a client of the server has to send its request."""
 
@@ -58,7 +62,9 @@
         """Send a request and return its answer.
 
         Args:
-            timeout: greatest time until the whole answer, in seconds.
+            timeout: greatest time until the answer begins, and between two parts of
+                it, in seconds. A request that is given up while its answer arrives
+                and then made again would load a slow link still more.
 
         Raises:
             HttpFailure: without a whole answer in time.
@@ -69,9 +75,9 @@
         request = h11.Request(method=method, target=path, headers=fields)
         connection = None
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 connection = await self._take()
-                answer = await connection.exchange(request, body)
+                answer = await connection.exchange(request, body, limit, timeout)
         except TimeoutError:
             # Other connections to the same address may be dead as well.
             self._drop(connection)
@@ -137,8 +143,21 @@
         self._state.start_next_cycle()
         return True
 
-    async def exchange(self, request: h11.Request, body: bytes) -> HttpAnswer:
-        """Send a request and return its answer."""
+    async def exchange(
+        self,
+        request: h11.Request,
+        body: bytes,
+        limit: asyncio.Timeout,
+        patience: float,
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Args:
+            limit: the time limit, which is put off with each part of the answer.
+            patience: seconds by which it is put off.
+        """
+        clock = asyncio.get_running_loop().time
+        end = clock() + max(patience, ANSWER_TIME)
         data = self._state.send(request)
         if body:
             data += self._state.send(h11.Data(data=body))
@@ -150,6 +169,7 @@
             event = self._state.next_event()
             if event is h11.NEED_DATA:
                 received = await self._reader.read(CHUNK)
+                limit.reschedule(min(end, clock() + patience))
                 if not received and not status:
                     raise EOFError("connection closed without an answer")
                 self._state.receive_data(received)
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -13,7 +13,7 @@
 import aiomisc
 from prometheus_client import CollectorRegistry
 
-from ..direct import DirectState, Log, VmEntry, VmSettings
+from ..direct import DirectState, Log, VmEntry, VmSettings, wants_servers
 from ..observability import Metrics
 from ._backends import LineBackends
 from ._callers import LineCallers
@@ -120,7 +120,7 @@
             ask_others(
                 self.driver.state,
                 self.driver.emit,
-                lambda: health.failing,
+                lambda: health.failing and self._is_serving(),
                 self._write_line,
             ),
         ):
@@ -155,7 +155,7 @@
         self._say("stopped")
 
     def _is_serving(self) -> bool:
-        return self.driver.state.serves
+        return wants_servers(self.driver.state)
 
     def _begin_shutdown(self) -> None:
         self.driver.request_shutdown()
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -3,12 +3,15 @@
 import random
 
 from siskinhold.direct import (
+    AnnounceReadiness,
     CallerOpened,
     Configuration,
     ConfigurationRead,
     DirectState,
     HoldersLost,
     OpenBackend,
+    PublishConnections,
+    RefuseCaller,
     RelayCaller,
     ServerEntry,
     ServersRead,
@@ -16,6 +19,7 @@
     VmEntry,
     VmsRead,
     reduce,
+    wants_servers,
 )
 from siskinhold.direct._holders import rank_holders
 
@@ -38,16 +42,21 @@
     return tuple(fleet)
 
 
-def start(fleet, name, connections=53):
-    """Return the state of a VM that knows the fleet, and its effects so far."""
+def make_state(fleet, name):
+    """Return the state of a VM that has just started."""
     entry = next(vm for vm in fleet if vm.name == name)
-    state = DirectState(
+    return DirectState(
         vm=name,
         zone=entry.zone,
         regions={zone: "east" if zone < "d" else "west" for zone in ZONES},
         grace=6.0,
         random=random.Random(1),
     )
+
+
+def start(fleet, name, connections=53):
+    """Return the state of a VM that knows the fleet, and its effects so far."""
+    state = make_state(fleet, name)
     configuration = Configuration(
         version=1, routes={}, connections={"db": connections}, idle_transaction=3.0
     )
@@ -97,6 +106,70 @@
                 assert len(holders) * 2 <= connections
 
 
+class TestStartWithoutConfiguration:
+    """The configuration of a large deployment fills a slow link if all VMs read it."""
+
+    def start(self, name, connections=53):
+        """Return the state of a VM that knows only the fleet, and its effects."""
+        fleet = make_fleet(86, large=12)
+        state = make_state(fleet, name)
+        out = reduce(state, TimeAdvanced(at=1.0))
+        out += reduce(state, VmsRead(at=1.1, vms=fleet, connections=connections))
+        out += reduce(state, TimeAdvanced(at=1.2))
+        return state, out
+
+    def test_vm_that_relays_does_without(self):
+        """Guards against a configuration read by VMs that only relay."""
+        state, out = self.start("vm84")
+        assert not wants_servers(state)
+        assert AnnounceReadiness(ready=True) in out
+        out = reduce(state, CallerOpened(at=2.0, session=1, database="x"))
+        assert [e for e in out if isinstance(e, RelayCaller)]
+
+    def test_holder_needs_it(self):
+        """Guards against a holder that is ready before it knows the routes."""
+        state, out = self.start("vm0")
+        assert wants_servers(state)
+        assert AnnounceReadiness(ready=True) not in out
+        reduce(state, CallerOpened(at=2.0, session=1, database="x"))
+        assert 1 in state.ungreeted
+
+    def test_all_read_it_while_nothing_is_published(self):
+        """Guards against a first start in which nobody reads the configuration."""
+        state, _ = self.start("vm84", connections=0)
+        assert wants_servers(state)
+
+    def test_vm_whose_holders_are_all_lost_reads_it(self):
+        """Guards against callers refused as if their database did not exist."""
+        state, _ = self.start("vm84")
+        lost = tuple(vm.name for vm in state.holders)
+        reduce(state, HoldersLost(at=2.0, vms=lost, session=0))
+        out = reduce(state, CallerOpened(at=2.1, session=1, database="x"))
+        assert not [e for e in out if isinstance(e, RefuseCaller)]
+        assert wants_servers(state)
+
+    def test_relayed_caller_that_waits_is_not_relayed_again(self):
+        """Guards against a caller that goes in circles once its wait is over."""
+        state, _ = self.start("vm84")
+        reduce(state, CallerOpened(at=2.0, session=1, database="x", relayed=True))
+        out = reduce(state, TimeAdvanced(at=2.1))
+        assert not [e for e in out if isinstance(e, RelayCaller)]
+        assert 1 in state.ungreeted
+
+    def test_first_holder_publishes_the_connections_once(self):
+        """Guards against a fleet that never learns them, or writes them without end."""
+        fleet = make_fleet(86, large=12)
+        written = []
+        for vm in fleet:
+            state, out = start(fleet, vm.name)
+            out += reduce(state, VmsRead(at=1.5, vms=fleet))
+            found = [e for e in out if isinstance(e, PublishConnections)]
+            written.extend((vm.name, e.connections) for e in found)
+            later = reduce(state, VmsRead(at=9.0, vms=fleet, connections=53))
+            assert not [e for e in later if isinstance(e, PublishConnections)]
+        assert written == [(rank_holders(fleet, 53)[0].name, 53)]
+
+
 class TestRelays:
     def test_go_to_a_holder_of_the_zone_first(self):
         """Guards against bytes between availability zones without need."""
