Search on for a holder that greets a caller

Cause: read in the code. A caller was relayed to the first holder that could be connected to. One whose process was frozen or still starting kept the caller until it gave up, and one that refused connections because it restarted was passed over for 2 s.

Ruled out: a shorter pause for all, as callers would then wait for a dark holder again and again.

The tests show a frozen holder and one without room.

--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -121,16 +121,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class HoldersLost:
-    """Holders could not be reached for a caller.
+    """Holders did not take a caller.
 
     Args:
-        vms: their names.
-        session: the caller, if no holder was reached for it; else 0.
+        silent: names of those that did not answer.
+        refused: names of those that refused.
+        session: the caller, if no holder took it; else 0.
     """
 
     at: float
-    vms: tuple[str, ...]
-    session: int
+    silent: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
+    session: int = 0
 
 
 class StoreOutcome(enum.Enum):
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -30,12 +30,16 @@
 show the last one within that time."""
 
 DOWN_TIME = 2.0
-"""Seconds for which a holder that can't be reached is passed over."""
+"""Seconds for which a holder that does not answer is passed over."""
+
+REFUSED_TIME = 0.3
+"""Seconds for which a holder that refuses is passed over: about the time in which its
+process starts."""
 
 VMS_TIME = 1.0
 """Seconds after the start for which the list of VMs is waited for."""
 
-TARGETS = 3
+TARGETS = 5
 """Holders that are tried for one caller."""
 
 
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -3,7 +3,7 @@
 from ._dispatch import start_work
 from ._effects import CloseCaller, GreetCaller, Log, Observe, RefuseCaller, RelayCaller
 from ._events import CallerClosed, CallerOpened, CallerStatement, HoldersLost
-from ._holders import DOWN_TIME, choose_targets, knows_vms
+from ._holders import DOWN_TIME, REFUSED_TIME, choose_targets, knows_vms
 from ._replies import DONE, refuse, reply
 from ._runs import abandon_transaction
 from ._state import Arrival, DirectState, Effects, Session, Transaction, Work, WorkState
@@ -57,10 +57,11 @@
 
 
 def lose_holders(state: DirectState, event: HoldersLost, out: Effects) -> None:
-    """Pass over holders that can't be reached; serve a caller that has none."""
-    for vm in event.vms:
-        state.down_holders[vm] = state.now + DOWN_TIME
-        out.append(Log(event="holder_lost", fields=(("holder", vm),), essential=True))
+    """Pass over holders that took no caller, and refuse a caller that none took."""
+    for vm in event.silent:
+        _pass_over(state, vm, "silent", DOWN_TIME, out)
+    for vm in event.refused:
+        _pass_over(state, vm, "refused", REFUSED_TIME, out)
     if event.session in state.relayed:
         state.relayed.discard(event.session)
         out.append(
@@ -70,6 +71,14 @@
         )
 
 
+def _pass_over(
+    state: DirectState, vm: str, reason: str, seconds: float, out: Effects
+) -> None:
+    state.down_holders[vm] = state.now + seconds
+    fields = (("holder", vm), ("reason", reason))
+    out.append(Log(event="holder_lost", fields=fields, essential=True))
+
+
 def _serve(state: DirectState, session: int, database: str, out: Effects) -> None:
     if _find_route(state, database) is None:
         _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -235,13 +235,14 @@
     async def relay(self, effect: RelayCaller) -> None:
         """Relay the connection to the first holder that can be reached."""
         self._relaying = True
-        targets = tuple((vm.name, vm.host, vm.relay_port) for vm in effect.holders)
-        relay, failed = await open_relay(targets, self._hello, self._make_relay)
-        if failed:
+        search = await open_relay(effect.holders, self._hello, self._make_relay)
+        relay = search.relay
+        if search.silent or search.refused:
             self._callers.emit(
                 HoldersLost(
                     at=read_clock(),
-                    vms=failed,
+                    silent=tuple(search.silent),
+                    refused=tuple(search.refused),
                     session=self._session if relay is None else 0,
                 )
             )
@@ -251,6 +252,7 @@
             relay.close()
             return
         self._relay = relay
+        relay.choose()
         for line in self._early:
             relay.pass_on(line)
         self._early.clear()
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -1,13 +1,21 @@
 """Relays of callers to a VM that holds connections to backend servers."""
 
 import asyncio
+from dataclasses import dataclass, field
 
-from ..direct import TransactionState
+from ..direct import Refusal, TransactionState, VmEntry
 from ._codec import LineCodec, PartKind
 from ._protocol import LineProtocol
 
-OPEN_TIME = 0.5
-"""Seconds until the next holder is tried: many round trips to the other region."""
+OPEN_TIME = 0.25
+"""Seconds until the next holder is tried: ten round trips to the other region."""
+
+GREETING_TIME = 0.6
+"""Seconds until the next holder is tried when a connected one greets nobody, as a VM
+that is frozen or starts."""
+
+SEARCH_TIME = 1.6
+"""Seconds until the search for a holder ends; callers give up after 2 s."""
 
 USER_TIMEOUT = 1.0
 """Seconds without an acknowledgement after which a holder counts as lost."""
@@ -19,10 +27,12 @@
 class RelayProtocol(LineProtocol):
     """The connection to a holder; passes on its lines unchanged.
 
+    Until it is chosen, what the holder sends is kept back.
+
     Args:
         codec: the wire.
         write: takes bytes for the caller.
-        lost: called once when the connection has ended.
+        lost: called once when the connection has ended after it was chosen.
     """
 
     def __init__(self, *, codec: LineCodec, write, lost) -> None:
@@ -30,8 +40,31 @@
         self._codec = codec
         self._write = write
         self._lost = lost
+        self._chosen = False
+        self._early: list[bytes] = []
         self._outstanding = 1
         self._state = TransactionState.NONE
+        self.answered = asyncio.Event()
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the holder's first line is an answer to pass on to the caller.
+
+        A holder that has no room or does not know the configuration refuses as not run.
+        """
+        if not self._early:
+            return False
+        part = self._codec.parse_part(self._early[0])
+        return part.kind is PartKind.READY or part.refusal is not Refusal.OVERLOAD
+
+    def choose(self) -> None:
+        """Pass on what the holder sends, and what it has sent already."""
+        self._chosen = True
+        early, self._early = self._early, []
+        for line in early:
+            self.take_line(line)
+        if self.transport is None:
+            self._lost()
 
     @property
     def idle(self) -> bool:
@@ -49,6 +82,10 @@
 
     def take_line(self, line: bytes) -> None:
         """Send a line of the holder to the caller."""
+        if not self._chosen:
+            self._early.append(line)
+            self.answered.set()
+            return
         self._write(line + b"\r\n")
         part = self._codec.parse_part(line)
         if part.kind is PartKind.READY:
@@ -62,7 +99,9 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Tell that the holder is gone."""
         self.transport = None
-        self._lost()
+        self.answered.set()
+        if self._chosen:
+            self._lost()
 
     def close(self) -> None:
         """End the connection."""
@@ -70,28 +109,74 @@
             self.transport.close()
 
 
+@dataclass(slots=True, kw_only=True)
+class RelaySearch:
+    """How the search for a holder ended.
+
+    Args:
+        relay: the connection to the holder, None if there is none.
+        silent: holders that did not answer.
+        refused: holders that refused, as their process is not there or not ready.
+    """
+
+    relay: RelayProtocol | None = None
+    silent: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+
+
 async def open_relay(
-    targets: tuple[tuple[str, str, int], ...], hello: bytes, make_protocol
-) -> tuple[RelayProtocol | None, tuple[str, ...]]:
-    """Connect to the first holder that can be reached.
+    holders: tuple[VmEntry, ...], hello: bytes, make_protocol
+) -> RelaySearch:
+    """Connect to the first holder that accepts a caller.
 
     Args:
-        targets: name, host and port of the holders, best first.
+        holders: the holders, best first.
         hello: the caller's first line.
         make_protocol: makes a `RelayProtocol`.
-
-    Returns:
-        The relay, None if no holder can be reached, and the names of those that can't.
     """
+    search = RelaySearch()
+    try:
+        async with asyncio.timeout(SEARCH_TIME):
+            for holder in holders:
+                relay = await _try_holder(holder, hello, make_protocol, search)
+                if relay is not None:
+                    search.relay = relay
+                    break
+    except TimeoutError:
+        # The caller is refused while it still waits.
+        return search
+    return search
+
+
+async def _try_holder(
+    holder: VmEntry, hello: bytes, make_protocol, search: RelaySearch
+) -> RelayProtocol | None:
+    """Return the connection to a holder that accepts the caller."""
     loop = asyncio.get_running_loop()
-    failed = []
-    for name, host, port in targets:
-        try:
-            async with asyncio.timeout(OPEN_TIME):
-                _, protocol = await loop.create_connection(make_protocol, host, port)
-        except (OSError, TimeoutError):
-            failed.append(name)
-            continue
+    protocol = make_protocol()
+    try:
+        async with asyncio.timeout(OPEN_TIME):
+            await loop.create_connection(
+                lambda: protocol, holder.host, holder.relay_port
+            )
+        if protocol.transport is None:
+            raise ConnectionResetError
         protocol.transport.write(hello + b"\r\n")
-        return protocol, tuple(failed)
-    return None, tuple(failed)
+        async with asyncio.timeout(GREETING_TIME):
+            await protocol.answered.wait()
+    except ConnectionError:
+        search.refused.append(holder.name)
+        return None
+    except (OSError, TimeoutError):
+        search.silent.append(holder.name)
+        protocol.close()
+        return None
+    except asyncio.CancelledError:
+        search.silent.append(holder.name)
+        protocol.close()
+        raise
+    if protocol.accepted:
+        return protocol
+    search.refused.append(holder.name)
+    protocol.close()
+    return None
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -143,7 +143,7 @@
         """Guards against callers refused as if their database did not exist."""
         state, _ = self.start("vm84")
         lost = tuple(vm.name for vm in state.holders)
-        reduce(state, HoldersLost(at=2.0, vms=lost, session=0))
+        reduce(state, HoldersLost(at=2.0, silent=lost))
         out = reduce(state, CallerOpened(at=2.1, session=1, database="x"))
         assert not [e for e in out if isinstance(e, RefuseCaller)]
         assert wants_servers(state)
@@ -186,7 +186,7 @@
         state, _ = start(make_fleet(86, large=12), "vm84")
         out = reduce(state, CallerOpened(at=2.0, session=1, database="x"))
         first = next(e for e in out if isinstance(e, RelayCaller)).holders[0]
-        reduce(state, HoldersLost(at=2.1, vms=(first.name,), session=0))
+        reduce(state, HoldersLost(at=2.1, silent=(first.name,)))
         out = reduce(state, CallerOpened(at=2.2, session=2, database="x"))
         relay = next(e for e in out if isinstance(e, RelayCaller))
         assert first not in relay.holders
--- /dev/null
+++ b/tests/users_platform/test_relay.py
@@ -0,0 +1,113 @@
+"""The search for a holder that takes a caller."""
+
+import asyncio
+import contextlib
+
+from siskinhold.direct import VmEntry
+from siskinhold.lines._relay import RelayProtocol, open_relay
+from siskinhold_platform import WireCodec
+
+HELLO = b"CONNECT orders u1"
+"""A caller's first line."""
+
+
+@contextlib.asynccontextmanager
+async def run_holder(name: str, greeting: bytes | None):
+    """Answer each connection with a greeting, or not at all; yield its entry."""
+
+    async def answer(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readline()
+            if greeting is not None:
+                writer.write(greeting)
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    try:
+        port = server.sockets[0].getsockname()[1]
+        yield VmEntry(name=name, host="127.0.0.1", relay_port=port, zone="a", size=1000)
+    finally:
+        server.close()
+
+
+class Caller:
+    """Collects what a relay writes."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.lost = 0
+
+    def make_relay(self) -> RelayProtocol:
+        """Return a connection to a holder for this caller."""
+        return RelayProtocol(codec=WireCodec(), write=self._write, lost=self._lose)
+
+    def _write(self, data: bytes) -> None:
+        self.written += data
+
+    def _lose(self) -> None:
+        self.lost += 1
+
+
+class TestSearch:
+    async def test_frozen_holder_is_passed_over(self):
+        """Guards against callers that wait for a holder whose process is frozen."""
+        caller = Caller()
+        async with (
+            run_holder("a", None) as frozen,
+            run_holder("b", b"READY I -\r\n") as well,
+        ):
+            search = await open_relay((frozen, well), HELLO, caller.make_relay)
+            assert search.silent == ["a"]
+            search.relay.choose()
+            assert caller.written == b"READY I -\r\n"
+            search.relay.close()
+
+    async def test_holder_without_room_is_passed_over(self):
+        """Guards against callers refused while another holder has room."""
+        caller = Caller()
+        async with (
+            run_holder("a", b"ERROR OVERLOAD x\r\n") as full,
+            run_holder("b", b"READY I -\r\n") as well,
+        ):
+            search = await open_relay((full, well), HELLO, caller.make_relay)
+            assert search.refused == ["a"]
+            search.relay.choose()
+            assert caller.written == b"READY I -\r\n"
+            search.relay.close()
+
+    async def test_unknown_database_is_not_asked_for_elsewhere(self):
+        """Guards against a final refusal that takes as long as a search."""
+        caller = Caller()
+        async with (
+            run_holder("a", b"ERROR NODB x\r\n") as first,
+            run_holder("b", b"READY I -\r\n") as second,
+        ):
+            search = await open_relay((first, second), HELLO, caller.make_relay)
+            search.relay.choose()
+            assert caller.written == b"ERROR NODB x\r\n"
+            search.relay.close()
+
+    async def test_search_ends_while_the_caller_waits(self):
+        """Guards against callers that give up before they are refused."""
+        caller = Caller()
+        clock = asyncio.get_running_loop().time
+        async with contextlib.AsyncExitStack() as stack:
+            frozen = []
+            for name in ("a", "b", "c", "d"):
+                holder = run_holder(name, None)
+                frozen.append(await stack.enter_async_context(holder))
+            began = clock()
+            search = await open_relay(tuple(frozen), HELLO, caller.make_relay)
+            assert search.relay is None
+            assert clock() - began < 2.0
+
+    async def test_lost_holder_ends_the_caller_once(self):
+        """Guards against a caller that waits for an answer of a holder that is gone."""
+        caller = Caller()
+        async with run_holder("a", b"READY I -\r\n") as holder:
+            search = await open_relay((holder,), HELLO, caller.make_relay)
+            search.relay.choose()
+            search.relay.transport.abort()
+            await asyncio.sleep(0.05)
+            assert caller.lost == 1
