Leave room at the servers for VMs that lost power

Cause: a server counts the connections of VMs that lost power for 3 s. All VMs together keep up to 27 of 34 open, so that those that start first take the room that is left, and the others refuse or hold statements until the server drops the old ones.

Ruled out: fewer connections at all times, as transactions hold them during pauses.

--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -36,13 +36,27 @@
 VMs that lost power only after a while."""
 
 
+STARTING_TIME = 2.0
+"""Seconds after the start in which a VM takes no more than `LEAST_CONNECTIONS`: servers
+drop the connections of VMs that lost power after 3 s, of which the start takes one.
+Until then there is room for few from each VM."""
+
+IDLE_TIME = 1.5
+"""Seconds after which a connection beyond the kept ones is closed: longer than the gaps
+between statements at a load that needs it."""
+
+KEPT_CONNECTIONS = 1
+"""Connections for work to a server that stay open while they are idle."""
+
+
 def limit_connections(state: DirectState, server: Server) -> int:
     """Return how many connections this VM may have to a server.
 
-    All VMs share the server's limit evenly, with room for VMs that join.
+    All VMs share the server's limit evenly, with room for VMs that join. A VM that has
+    just started takes fewer.
     """
     configuration = state.configuration
-    if configuration is None:
+    if configuration is None or state.now - state.started_at < STARTING_TIME:
         return LEAST_CONNECTIONS
     total = configuration.connections.get(server.entry.service, 0)
     share = share_connections(state, total, SPARE_SHARES, UNKNOWN_VMS)
@@ -123,6 +137,22 @@
     return found
 
 
+def close_idle(state: DirectState, server: Server, out: Effects) -> None:
+    """Close connections for work that the load does not need.
+
+    A server drops the connections of VMs that lost power only after seconds, so what
+    all VMs keep open decides whether they find room when they start again.
+    """
+    work = [c for c in server.connections.values() if not c.control]
+    surplus = len(work) - KEPT_CONNECTIONS
+    for connection in work:
+        if surplus <= 0:
+            return
+        if connection.idle and state.now - connection.used_at >= IDLE_TIME:
+            close_connection(state, connection, out, "idle")
+            surplus -= 1
+
+
 def remove_connection(state: DirectState, connection: Connection) -> None:
     """Forget a connection that has ended."""
     connection.server.connections.pop(connection.number, None)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -3,6 +3,7 @@
 from ._connections import (
     FULL_PAUSE,
     close_connection,
+    close_idle,
     ensure_control,
     find_control,
     note_lost,
@@ -138,6 +139,7 @@
     if connection is None:
         return
     connection.state = ConnectionState.OPEN
+    connection.used_at = state.now
     server = connection.server
     note_opened(state, server, out)
     note_evidence(state, server, connection.opened_at, event.answer.position, out)
@@ -238,6 +240,7 @@
     if left_at is None:
         if knows_vms(state):
             ensure_control(state, server, out)
+        close_idle(state, server, out)
         _ping(state, server, out)
         return
     if state.now - left_at > LEAVE_CLOSE_AFTER:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -64,7 +64,7 @@
         prepared: statements prepared on it: whether they write, and shape.
         pending: commands without an answer yet, in order of sending.
         transaction: the caller's transaction that it serves.
-        used_at: when a command was last sent.
+        used_at: when a command was last sent, or it was opened.
     """
 
     number: int
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -94,6 +94,59 @@
         assert max(o.took for o in outcomes) < 0.2
 
 
+def count_connections(world, vm, server):
+    """Return how many connections a VM has to a server."""
+    found = [c for c in world.connections.values() if c.server.name == server]
+    return len([c for c in found if c.vm == vm])
+
+
+class TestConnections:
+    def test_those_of_a_crest_are_closed_after_it(self):
+        """Guards against a fleet that lost power and finds all connections taken.
+
+        Load: twice what the primary runs, for 1 s.
+        """
+        world = start(slots=2)
+        play(world, rate=2 * 2 / WORK, seconds=1)
+        assert count_connections(world, "vm1", "s1") == 2
+
+    def test_vm_that_starts_takes_few(self):
+        """Guards against VMs that find no room, as others start a little earlier.
+
+        Load: twice what the primary runs, in the first second.
+        """
+        world = World(work=WORK, slots=2)
+        world.advance(0.3)
+        seen = []
+        world.at(world.now + 0.9, lambda: seen.append(count_connections(*near)))
+        near = (world, "vm1", "s1")
+        play(world, rate=2 * 2 / WORK, seconds=1)
+        assert seen == [2]
+
+    def test_those_in_use_stay_open(self):
+        """Guards against connections opened anew all the time.
+
+        Load: half of what the primary runs, for 4 s.
+        """
+        world = start(slots=2)
+        world.at(world.now + 3.9, lambda: seen.append(dict(world.connections)))
+        seen = []
+        before = set(world.connections)
+        play(world, rate=2 / WORK / 2, seconds=4)
+        assert len(set(seen[0]) - before) <= 3
+
+    def test_that_of_an_idle_transaction_stays_open(self):
+        """Guards against a transaction that is cut off between two statements."""
+        world = start(slots=2)
+        for session in (1, 2, 3):
+            world.connect("vm1", session)
+            assert world.ask("vm1", session, "BEGIN").refusal is None
+            assert world.ask("vm1", session, "WRITE x 1").refusal is None
+        world.advance(2.5)
+        for session in (1, 2, 3):
+            assert world.ask("vm1", session, "COMMIT").refusal is None
+
+
 class TestWithoutPrimary:
     def test_writes_wait_for_the_next_one_if_it_comes_in_time(self):
         """Guards against refusals where a short wait would serve.
