Ask a lagging replica by one read at a time

The lagging replicas were also counted on when it was estimated whether a read could be served, so reads were held and then refused.

Ruled out: reads served by lagging replicas with older floors.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -4,7 +4,7 @@
 from ._effects import Log, Observe
 from ._evidence import ask_positions, find_confirmed
 from ._hedging import list_overdue
-from ._placement import find_need, list_candidates
+from ._placement import find_need, list_candidates, note_trial
 from ._queue import estimate_leader, list_hopeless, order_queue
 from ._replies import end_work
 from ._results import deliver_result
@@ -73,11 +73,12 @@
         if after is None:
             return False
     full = []
-    for server in list_candidates(state, database, work):
+    for server in list_candidates(state, database, work, after):
         connection = find_idle(state, server, work.session)
         if connection is None:
             full.append(server)
             continue
+        note_trial(state, server, after)
         begin_work(state, work, connection, after, out)
         return True
     for server in full:
@@ -95,7 +96,7 @@
             after = find_need(database, work)
             if after is None:
                 continue
-        candidates = list_candidates(state, database, work)
+        candidates = list_candidates(state, database, work, after)
         others = [server for server in candidates if server is not first.server]
         if first.server in candidates:
             others.append(first.server)
--- a/src/siskinhold/direct/_placement.py
+++ b/src/siskinhold/direct/_placement.py
@@ -16,6 +16,12 @@
 TRIED_PAUSE = 0.05
 """Seconds until a server that did not run a statement is tried again."""
 
+LAGGING_PAUSE = 0.15
+"""Seconds for which reads that need more than a replica has shown pass it over."""
+
+LAGGING_RECENTLY = 1.0
+"""Seconds after such a pause in which a replica gets one such read at a time."""
+
 LEAVING_LEADER_TIME = 3.0
 """Seconds for which a primary that leaves still takes statements, unless another is
 promoted before: less than the time after which it may get none."""
@@ -51,11 +57,35 @@
     return floor
 
 
-def list_candidates(state: DirectState, database: Database, work: Work) -> list[Server]:
+def keeps_up(state: DirectState, server: Server, after: Position | None) -> bool:
+    """Return whether a server may hold a log position, as far as it was seen lately.
+
+    A replica that lags is asked again now and then only: asked for each statement, it
+    would refuse thousands of times a second on a busy day.
+    """
+    if after is None or state.now >= server.lagging_until or server.evidence is None:
+        return True
+    return server.evidence.position >= after
+
+
+def note_trial(state: DirectState, server: Server, after: Position | None) -> None:
+    """Let one statement find out whether a replica that lagged lately has caught up."""
+    if after is None or server.evidence is None or server.evidence.position >= after:
+        return
+    if state.now - server.lagging_until < LAGGING_RECENTLY:
+        server.lagging_until = state.now + LAGGING_PAUSE
+
+
+def list_candidates(
+    state: DirectState, database: Database, work: Work, after: Position | None
+) -> list[Server]:
     """Return the servers that may run a statement, best first.
 
     A statement for the primary has one candidate at most. A read prefers near
     servers that keep up, and replicas to the primary.
+
+    Args:
+        after: log position that the server must have applied.
     """
     leader = state.leader_of(database)
     if work.leader_only:
@@ -67,6 +97,8 @@
         tried_at = work.tried.get(server.entry.server)
         if tried_at is not None and state.now - tried_at < TRIED_PAUSE:
             continue
+        if not keeps_up(state, server, after):
+            continue
         distance = measure_distance(state, server)
         if distance == 2 and state.now - work.arrived_at < REMOTE_PATIENCE:
             if tried_at is None and _has_near(state, database):
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -8,7 +8,7 @@
 
 from ._connections import limit_connections
 from ._placement import takes_leader_work
-from ._state import Database, DirectState, Work
+from ._state import Database, DirectState, Server, Work
 
 DETECTION_TIME = 0.9
 """Seconds from the loss of a primary until its promotion is ordered, as a rule."""
@@ -28,6 +28,10 @@
 CREST_TIME = 1.0
 """Seconds for which a queue may stand until it counts as more than a crest."""
 
+SERVED_RECENTLY = 0.3
+"""Seconds after a result in which a replica that lags counts as running reads: it holds
+enough for some of them."""
+
 OVERDUE_TIME = 0.5
 """Seconds that a primary is still waited for when the usual time is over."""
 
@@ -82,7 +86,7 @@
         if leader_only:
             if server is not state.leader_of(database):
                 continue
-        elif not server.usable or server.down_at is not None:
+        elif not _serves_reads(state, server):
             continue
         connections = max(1, limit_connections(state, server) - 1)
         time = max(server.service_time, LEAST_TIME)
@@ -93,6 +97,15 @@
     return 1.0 / rate, min(times)
 
 
+def _serves_reads(state: DirectState, server: Server) -> bool:
+    """Return whether a server adds to what is expected to run reads."""
+    if not server.usable or server.down_at is not None:
+        return False
+    if state.now >= server.lagging_until:
+        return True
+    return state.now - server.served_at < SERVED_RECENTLY
+
+
 def estimate_leader(state: DirectState, database: Database) -> float:
     """Return when the primary will take statements, as far as can be told."""
     leader = state.leader_of(database)
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -85,6 +85,7 @@
             work.session.transaction = None
         end_work(state, work, answer, "server", out)
         return
+    server.served_at = state.now
     _finish(state, work, answer, out)
 
 
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -5,6 +5,7 @@
 from ._effects import Log, Observe
 from ._hedging import earn_hedge
 from ._leaders import DropReason, drop_leader
+from ._placement import LAGGING_PAUSE
 from ._replies import end_work
 from ._state import (
     Connection,
@@ -18,9 +19,6 @@
 )
 from ._types import Answer, Command, CommandKind, Refusal, StatementKind
 
-LAGGING_PAUSE = 0.15
-"""Seconds for which reads prefer other servers to one whose log was too short."""
-
 
 def begin_work(
     state: DirectState,
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -118,7 +118,8 @@
         suspended_until: when it is told to receive again, after this VM suspended it.
         retry_at: earliest time of the next attempt to connect.
         failures: failed attempts in a row.
-        lagging_until: until when reads prefer other servers.
+        lagging_until: until when reads that need more than `evidence` pass it over.
+        served_at: when it last ran a statement with success.
         service_time: moving average of the time of a statement, in seconds.
         full_until: until when no further connections are opened.
     """
@@ -137,6 +138,7 @@
     retry_at: float = 0.0
     failures: int = 0
     lagging_until: float = 0.0
+    served_at: float = -100.0
     service_time: float = 0.02
     full_until: float = 0.0
 
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -175,6 +175,39 @@
         assert max(o.took for o in refused) < 0.25 * world.timeout
 
 
+class TestLaggingReplicas:
+    def play(self):
+        """Return the world and the outcomes of reads that only the primary can run.
+
+        Load: twice what it runs, for 3 s, while both replicas apply nothing.
+        """
+        world = start(slots=2)
+        world.connect("vm2", 1)
+        for name in ("s2", "s3"):
+            world.servers[name].frozen = True
+        assert world.ask("vm2", 1, "WRITE x 1").refusal is None
+        world.advance(2)
+        return world, play(
+            world, rate=2 * 2 / WORK, seconds=3, database="views", text="READ x"
+        )
+
+    def test_are_not_asked_again_for_each_read(self):
+        """Guards against replicas that refuse thousands of statements a second."""
+        world, outcomes = self.play()
+        refused = [e for e in world.find_logs("retried") if e[3]["reason"] == "lagging"]
+        assert len(refused) < 0.25 * len(outcomes)
+
+    def test_reads_beyond_the_primary_are_refused_early(self):
+        """Guards against reads held for servers that can't run them."""
+        world, outcomes = self.play()
+        done = [o for o in outcomes if o.answer.refusal is None]
+        refused = [o for o in outcomes if o.answer.refusal is not None]
+        assert len(done) >= 0.85 * 3 * 2 / WORK
+        assert refused
+        late = [o for o in refused if o.took > 0.6 * world.timeout]
+        assert len(late) <= 0.1 * len(refused)
+
+
 class TestReads:
     def test_spread_over_servers_when_the_near_one_is_full(self):
         """Guards against reads that queue at one server while others are idle.
