Complete the leader record, and let a majority vouch while it is open

Cause: the store went down while a promotion took effect, and the write that completes the leader record was made once. When the store was back, its record still showed a promotion under way, which proves nothing; and as the store answered, no majority was asked. Until the dead primary was forgotten, 9 s later, writes were left in doubt and reads held.

Ruled out: taking the open record as proof once its term is passed, as its VM may repeat the order.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -16,9 +16,12 @@
     open_call,
     write_record,
 )
-from ._state import Database, DirectState, Effects, Leadership, Purpose
+from ._state import Database, DirectState, Effects, Purpose
 from ._types import Command, CommandKind, LeaderState
 
+COMPLETE_INTERVAL = 1.0
+"""Seconds between two attempts to complete a record."""
+
 CLAIM_TIME = 4.5
 """Seconds after which an unchanged claim may be replaced by another VM."""
 
@@ -40,6 +43,10 @@
         del state.calls[event.call]
         take_store_proof(state, database, event, out)
         return
+    if purpose == "complete" and database is not None:
+        del state.calls[event.call]
+        _take_completion(state, database, event)
+        return
     found = find_promotion(state, event.call)
     if found is None:
         return
@@ -75,8 +82,9 @@
     write_record(
         state,
         database,
-        promotion,
-        Leadership(server=promotion.leader, term=promotion.term, since=state.now),
+        server=promotion.leader,
+        term=promotion.term,
+        attempt=promotion.attempt,
         call=promotion.call,
         progress=LeaderState.PROMOTING,
         revision=event.revision,
@@ -98,6 +106,38 @@
     promotion.repeat_at = state.now + REPEAT_TIME / 2
 
 
+def complete_record(state: DirectState, database: Database, out: Effects) -> None:
+    """Record the primary that this VM had promoted, again until the store answers.
+
+    An open record keeps the other VMs from proving by the store that the primary leads.
+    """
+    completion = database.completion
+    if completion is None or state.now < completion.repeat_at:
+        return
+    completion.call = open_call(state, "complete", database)
+    completion.repeat_at = state.now + COMPLETE_INTERVAL
+    write_record(
+        state,
+        database,
+        server=completion.server,
+        term=completion.term,
+        attempt=completion.attempt,
+        call=completion.call,
+        progress=LeaderState.STABLE,
+        revision=completion.token,
+        out=out,
+    )
+
+
+def _take_completion(state: DirectState, database: Database, event) -> None:
+    completion = database.completion
+    if completion is None or completion.call != event.call:
+        return
+    if event.outcome is not StoreOutcome.UNKNOWN:
+        # It is complete, or belongs to a later promotion.
+        database.completion = None
+
+
 def _take_token(state, database, promotion, revision: int, out: Effects) -> None:
     promotion.token = revision
     # The attempt's time runs from the sending of the claim, not from its answer.
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -8,8 +8,9 @@
 needs every other member to have refused a transaction for writing.
 
 Where a member can't be asked, the database's leader record is read: it is written
-before a promotion is ordered. And where the store can't be asked either, a majority of
-the members vouches: before a promotion is ordered, a majority is told of its term.
+before a promotion is ordered. And where the store can't be asked either, or its record
+shows a promotion under way, a majority of the members vouches: before a promotion is
+ordered, a majority is told of its term.
 
 No clock of another machine and no lease is involved, so a VM that was paused or cut
 off proves nothing by mistake.
@@ -157,7 +158,14 @@
     return min(server.led_at, times[needed - 1])
 
 
-def _is_store_away(state: DirectState, database: Database) -> bool:
+def _is_store_unable(state: DirectState, database: Database) -> bool:
+    """Return whether the store can't prove that a primary leads.
+
+    It is away, or its record shows a promotion that was not completed, as when a VM
+    ends or loses the store after its order.
+    """
+    if state.now - database.record_open_at < STORE_FAILED_TIME:
+        return True
     if state.now - database.store_failed_at < STORE_FAILED_TIME:
         return True
     waited = state.now - database.store_sent_at
@@ -196,7 +204,7 @@
     if not silent:
         return
     _ask_store(state, database, since, out)
-    if _is_store_away(state, database):
+    if _is_store_unable(state, database):
         _ask_majority(state, database, since, out)
 
 
@@ -280,6 +288,8 @@
             and record.state is LeaderState.STABLE
             and record.term <= leader.term
         )
+        if record is not None and record.state is LeaderState.PROMOTING:
+            database.record_open_at = state.now
         if record is not None and record.term > leader.term:
             database.least_term = record.term
             drop_leader(state, database, DropReason.RECORD, out)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -9,7 +9,7 @@
 
 import hashlib
 
-from ._claims import await_claim, read_record
+from ._claims import await_claim, complete_record, read_record
 from ._effects import ListSuspicions, ListVms, Observe, PublishSuspicion
 from ._events import SuspicionsAnswered
 from ._holders import wants_servers
@@ -22,7 +22,7 @@
     fence_majority,
     order_promotion,
 )
-from ._promotion_state import Promotion, PromotionStep
+from ._promotion_state import Completion, Promotion, PromotionStep
 from ._promotion_steps import (
     GONE_TIME,
     REPEAT_TIME,
@@ -32,10 +32,9 @@
     may_call,
     open_call,
     to_milliseconds,
-    write_record,
 )
 from ._state import Database, DirectState, Effects
-from ._types import LeaderState, Suspicion
+from ._types import Suspicion
 
 SUSPECT_TIME = 0.3
 """Seconds without a connection to a primary until this VM suspects that it is lost."""
@@ -87,6 +86,7 @@
     if state.leaving_at is not None or not wants_servers(state):
         return
     for database in state.databases.values():
+        complete_record(state, database, out)
         if database.promotion is None:
             _consider(state, database, out)
         if database.promotion is not None:
@@ -256,16 +256,13 @@
         return
     end_suspensions(state, database)
     out.append(Observe(metric="promotion_seconds", value=took))
-    write_record(
-        state,
-        database,
-        promotion,
-        leader,
-        call=state.take_number(),
-        progress=LeaderState.STABLE,
-        revision=promotion.token,
-        out=out,
+    database.completion = Completion(
+        server=leader.server,
+        term=leader.term,
+        token=promotion.token,
+        attempt=promotion.attempt,
     )
+    complete_record(state, database, out)
 
 
 _STEPS = {
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -54,3 +54,24 @@
     ordered: bool = False
     call: int = 0
     repeat_at: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Completion:
+    """A leader record that this VM has yet to complete after its promotion.
+
+    Args:
+        server: the new primary.
+        term: its term.
+        token: the promotion's fence token, which is the record's revision.
+        attempt: the promotion's identity.
+        call: number of the call under way, 0 for none.
+        repeat_at: earliest time of the next call.
+    """
+
+    server: str
+    term: int
+    token: int
+    attempt: str
+    call: int = 0
+    repeat_at: float = 0.0
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -2,7 +2,7 @@
 
 from ._effects import Log, WriteLeaderRecord
 from ._promotion_state import Promotion, PromotionStep
-from ._state import Database, DirectState, Effects, Leadership
+from ._state import Database, DirectState, Effects
 from ._types import LeaderRecord, LeaderState
 
 GONE_TIME = 2.5
@@ -73,9 +73,10 @@
 def write_record(
     state: DirectState,
     database: Database,
-    promotion: Promotion,
-    leader: Leadership,
     *,
+    server: str,
+    term: int,
+    attempt: str,
     call: int,
     progress: LeaderState,
     revision: int,
@@ -84,16 +85,18 @@
     """Write the leader record in the name of a promotion.
 
     Args:
-        leader: the primary, or the one to be replaced.
+        server: the primary, or the one to be replaced.
+        term: its term.
+        attempt: the promotion's identity.
         call: number of the call.
         revision: the record's expected revision, 0 for none.
     """
     record = LeaderRecord(
         state=progress,
-        server=leader.server,
-        term=leader.term,
+        server=server,
+        term=term,
         vm=state.vm,
-        attempt=promotion.attempt,
+        attempt=attempt,
     )
     out.append(
         WriteLeaderRecord(
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -8,7 +8,7 @@
 from ..model import Position
 from ._effects import Effect
 from ._events import ServersRead
-from ._promotion_state import Promotion
+from ._promotion_state import Completion, Promotion
 from ._types import (
     Answer,
     Configuration,
@@ -190,7 +190,9 @@
         store_retry_at: earliest time of the next one.
         probed_at: when servers were last asked who leads.
         round_at: when positions were last asked for.
+        record_open_at: when the record was last read while a promotion was under way.
         promotion: this VM's promotion of it.
+        completion: the record of this VM's last promotion until it is complete.
         record_seen: revision of the leader record while another VM promotes.
         record_seen_at: when that revision was first seen.
     """
@@ -215,7 +217,9 @@
     round_at: float = -1.0
     read_at: float = -100.0
     lagging_at: float = -100.0
+    record_open_at: float = -100.0
     promotion: Promotion | None = None
+    completion: Completion | None = None
     record_seen: int = -1
     record_seen_at: float = 0.0
 
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -1,6 +1,6 @@
 """The direct core: replacement of primaries and proof that they lead."""
 
-from siskinhold.direct import Refusal
+from siskinhold.direct import LeaderState, Refusal
 from siskinhold.model import Position
 
 from .world import World
@@ -256,6 +256,40 @@
         assert world.ask("vm1", 1, "WRITE x 1").refusal is None
         assert world.ask("vm1", 1, "READ x").refusal is None
 
+    def promote_without_store(self):
+        """Return a world whose store went away during a promotion, and the promoter."""
+        world = start()
+        world.connect("vm1", 1)
+        assert world.ask("vm1", 1, "WRITE x 0").refusal is None
+        world.servers["s1"].down = True
+        while not world.orders:
+            world.advance(0.01)
+        world.store_down = set(world.states)
+        world.advance(2)
+        return world, world.orders[-1][1]
+
+    def test_record_is_completed_once_the_store_is_back(self):
+        """Guards against a record that stays open, so that the store proves nothing."""
+        world, _ = self.promote_without_store()
+        assert world.record.state is LeaderState.PROMOTING
+        world.store_down = set()
+        world.advance(2.5)
+        assert world.record.state is LeaderState.STABLE
+        assert world.record.server == world.orders[-1][2]
+
+    def test_new_primary_serves_when_the_record_stays_open(self):
+        """Guards against writes in doubt after the VM that promoted has ended."""
+        world, promoter = self.promote_without_store()
+        world.stopped.add(promoter)
+        world.store_down = set()
+        vm = next(name for name in world.states if name != promoter)
+        world.connect(vm, 5)
+        world.advance(1.5)
+        for item in range(3):
+            answer = world.ask(vm, 5, f"WRITE x {item}")
+            assert answer is not None and answer.refusal is None
+        assert world.record.state is LeaderState.PROMOTING
+
     def test_suspended_replicas_receive_again(self):
         """Guards against replicas that a promotion leaves behind for good."""
         world = start()
