Let few VMs replace a primary that its replicas lost as well

Cause: in a partition that left two of nine VMs with the store and the replicas, these alone could miss the primary and say so. A quarter of the VMs was needed, so the database stopped on both sides for the 7 s of the partition.

Ruled out: two voters in any case. VMs that are cut off by themselves would then replace a primary that serves the others, and commits that no replica has received would be lost. For that reason a quarter no longer suffices after 2.5 s either.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -15,11 +15,13 @@
 from ._holders import wants_servers
 from ._promotion import (
     ATTEMPT_TIME,
+    ask_receptions,
     await_effect,
     compare_candidates,
     end_lead,
     end_suspensions,
     fence_majority,
+    is_cut_off,
     order_promotion,
 )
 from ._promotion_state import Completion, Promotion, PromotionStep
@@ -46,11 +48,8 @@
 QUORUM = 0.4
 """Share of the VMs that must suspect a primary before it is replaced."""
 
-LATE_QUORUM = 0.25
-"""The same once the primary has been suspected for `LATE_TIME`."""
-
-LATE_TIME = 2.5
-"""Seconds of suspicion after which `LATE_QUORUM` is enough."""
+LEAST_VOTERS = 2
+"""VMs that must suspect a primary from which the replicas receive nothing either."""
 
 RANK_DELAY = 0.12
 """Seconds by which each VM waits for the one ranked before it."""
@@ -195,6 +194,7 @@
     if not may_call(state, promotion):
         return
     promotion.step_at = state.now
+    ask_receptions(state, database, out)
     promotion.call = open_call(state, "suspicions", database)
     out.append(ListSuspicions(call=promotion.call, service=database.name))
 
@@ -215,14 +215,34 @@
     for suspicion in event.suspicions:
         if suspicion.term == promotion.term and suspicion.service == database.name:
             voters.add(suspicion.vm)
-    share = QUORUM if state.now - promotion.began_at < LATE_TIME else LATE_QUORUM
     known = max(len(state.holders), 1)
-    if len(voters) < min(2, known) or len(voters) < share * known:
+    if len(voters) < _find_quorum(state, database, known):
         return
-    log_promotion(state, database, "primary_missed", out, voters=len(voters), vms=known)
+    log_promotion(
+        state,
+        database,
+        "primary_missed",
+        out,
+        voters=len(voters),
+        vms=known,
+        cut_off=is_cut_off(state, database),
+    )
     enter_step(state, promotion, PromotionStep.WAITING)
 
 
+def _find_quorum(state: DirectState, database: Database, known: int) -> float:
+    """Return how many VMs must miss a primary.
+
+    VMs on the primary's side of a partition can't tell, as they don't reach the store.
+    A few VMs on the other side suffice if the replicas were cut off as well. Otherwise
+    the primary may still serve the others, and its replacement would lose commits.
+    """
+    least = min(LEAST_VOTERS, known)
+    if is_cut_off(state, database):
+        return least
+    return max(least, QUORUM * known)
+
+
 def _wait(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Let VMs of a lower rank go first."""
     rank = _rank(state, database, promotion.term)
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,7 +5,7 @@
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
 from ._evidence import count_majority, list_members
-from ._promotion_state import Promotion, PromotionStep
+from ._promotion_state import Promotion, PromotionStep, Reception
 from ._promotion_steps import (
     REPEAT_TIME,
     enter_step,
@@ -28,6 +28,13 @@
 FENCE_TIME = 0.2
 """Seconds to wait for candidates beyond the majority that must be fenced."""
 
+STILL_TIME = 1.5
+"""Seconds without anything received after which replicas count as cut off from a
+suspected primary: many times the gap between two commits on a day of normal load."""
+
+FRESH_TIME = 1.0
+"""Seconds for which what a replica said of its log counts."""
+
 RESUME_TIME = 6.0
 """Seconds after which a suspended server receives again, whatever became of the
 promotion: no order is carried out later than that."""
@@ -80,10 +87,50 @@
     promotion = database.promotion if database is not None else None
     if promotion is None or answer.status is None:
         return
+    if promotion.step is PromotionStep.SUSPECTING:
+        _note_reception(state, promotion, server, answer.status.received)
+        return
     _raise_term(state, promotion, answer.status.term)
     promotion.positions[server.entry.server] = answer.status.received
 
 
+def _note_reception(
+    state: DirectState, promotion: Promotion, server: Server, position: Position
+) -> None:
+    name = server.entry.server
+    known = promotion.receptions.get(name)
+    if known is None or known.position != position:
+        promotion.receptions[name] = Reception(
+            position=position, since=state.now, seen_at=state.now
+        )
+        return
+    known.seen_at = state.now
+
+
+def ask_receptions(state: DirectState, database: Database, out: Effects) -> None:
+    """Ask the replicas for what they have received from a suspected primary."""
+    for server in _list_candidates(state, database, database.promotion):
+        control = find_control(server)
+        if control is not None and not control.pending:
+            status = Command(kind=CommandKind.STATUS)
+            send(state, control, status, Purpose.PROBE, out)
+
+
+def is_cut_off(state: DirectState, database: Database) -> bool:
+    """Return whether the replicas seem to receive nothing from a suspected primary.
+
+    A majority of the servers, the primary not counted, must have received nothing for
+    `STILL_TIME`. Then the primary can't be proved to lead by its servers either, and a
+    promotion loses no commit that was made meanwhile and received.
+    """
+    still = 0
+    for reception in database.promotion.receptions.values():
+        fresh = state.now - reception.seen_at < FRESH_TIME
+        if fresh and reception.seen_at - reception.since >= STILL_TIME:
+            still += 1
+    return still >= count_majority(len(list_members(state, database)))
+
+
 def compare_candidates(
     state, database: Database, promotion: Promotion, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -20,6 +20,21 @@
     TAKING_EFFECT = "taking_effect"
 
 
+@dataclass(slots=True, kw_only=True)
+class Reception:
+    """What a replica received while the primary is suspected to be lost.
+
+    Args:
+        position: end of the log that it has received.
+        since: when that position was first seen.
+        seen_at: when it was last seen.
+    """
+
+    position: Position
+    since: float
+    seen_at: float
+
+
 @dataclass(slots=True, kw_only=True)
 class Promotion:
     """A promotion of this VM, or its preparation.
@@ -33,6 +48,7 @@
         token: fence token, once the record is claimed.
         attempt: random identity.
         candidate: the server to be promoted, once chosen.
+        receptions: what replicas received before the claim, by server.
         positions: log positions received, by server.
         fenced: servers that take nothing from older primaries any more.
         ordered: whether an order was sent.
@@ -49,6 +65,7 @@
     token: int = 0
     attempt: str = ""
     candidate: str = ""
+    receptions: dict[str, Reception] = field(default_factory=dict)
     positions: dict[str, Position] = field(default_factory=dict)
     fenced: set[str] = field(default_factory=set)
     ordered: bool = False
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -49,6 +49,35 @@
         world.advance(6)
         assert world.orders == []
 
+    def test_isolated_one_is_replaced_by_few_vms(self):
+        """Guards against a database that stops on both sides of a partition.
+
+        The primary and six of eight VMs reach neither the replicas nor the store.
+        """
+        world = start(vms=8)
+        near = {f"vm{number}" for number in range(1, 7)}
+        far = set(world.states) - near
+        world.store_down = near
+        world.servers["s1"].dark_for = far
+        for name in ("s2", "s3"):
+            world.servers[name].dark_for = near
+            world.servers[name].frozen = True
+        world.advance(4.5)
+        assert world.orders
+        vm = min(far)
+        world.connect(vm, 1)
+        assert world.ask(vm, 1, "WRITE x 1").refusal is None
+
+    def test_working_one_is_kept_though_few_vms_miss_it(self):
+        """Guards against commits lost by the replacement of a primary that works."""
+        world = start(vms=8)
+        world.servers["s1"].dark_for = {"vm7", "vm8"}
+        world.connect("vm1", 1)
+        for item in range(30):
+            assert world.ask("vm1", 1, f"WRITE x {item}").refusal is None
+            world.advance(0.25)
+        assert world.orders == []
+
     def test_lost_answer_to_the_order_is_repeated_with_the_same_token(self):
         """Guards against a second claim when the platform's answer is lost."""
         world = start()
