Refuse at once what can't be proved

Cause: on the smaller side of a partition a VM ran writes at the old primary, could not prove that it led, and left them in doubt after their time limit. Reads that needed a newer position were held for as long.

Ruled out: readiness that follows proof, as the load balancer uses all VMs of an availability zone once fewer than half are ready.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -2,10 +2,10 @@
 
 from ._connections import adopt_session, find_idle, open_more
 from ._effects import Log, Observe
-from ._evidence import ask_positions, find_confirmed
+from ._evidence import STORE_FAILED_TIME, ask_positions, can_prove, find_confirmed
 from ._hedging import list_overdue
 from ._placement import find_need, list_candidates, note_trial
-from ._queue import estimate_leader, list_hopeless, order_queue
+from ._queue import NO_PROOF, estimate_leader, list_hopeless, order_queue
 from ._replies import end_work
 from ._results import deliver_result
 from ._runs import begin_work, fail_transaction, fail_work, run_statement
@@ -27,10 +27,14 @@
     """Run a statement as soon as a connection is free for it."""
     work.session.work = work
     transaction = work.session.transaction
+    database = state.databases.get(work.route.service)
     if transaction is not None and transaction.connection is not None:
+        if work.commits and transaction.wrote and not can_prove(state, database):
+            # Its outcome would stay in doubt; nothing is kept of it so far.
+            fail_transaction(state, work, NO_PROOF, out)
+            return
         run_statement(state, work, transaction.connection, out)
         return
-    database = state.databases.get(work.route.service)
     if database is None:
         fail_work(state, work, Refusal.OVERLOAD, "no_servers", out)
         return
@@ -54,6 +58,8 @@
     for work, reason in list_hopeless(state, database):
         database.queue.remove(work)
         wait = max(0.0, estimate_leader(state, database) - state.now)
+        if reason == NO_PROOF:
+            wait = STORE_FAILED_TIME
         detail = f"{reason} retry_after_ms={round(wait * 1000)}"
         fail_work(state, work, Refusal.OVERLOAD, reason, out, detail=detail)
     if not database.queue:
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -51,7 +51,8 @@
 is asked as well: several round trips to the other region."""
 
 STORE_FAILED_TIME = 1.0
-"""Seconds for which the store counts as away after a failed read."""
+"""Seconds for which the store counts as no help after a read that failed or proved
+nothing."""
 
 STORE_SILENT_TIME = 0.35
 """Seconds without an answer after which the store counts as away: a store that is as
@@ -208,6 +209,21 @@
         _ask_majority(state, database, since, out)
 
 
+def can_prove(state: DirectState, database: Database) -> bool:
+    """Return whether a primary may be proved to lead, as far as can be told now.
+
+    It can't while too few of the servers are reached and the store is no help, as on
+    the smaller side of a partition.
+    """
+    witnesses = list_witnesses(state, database)
+    reached = [w for w in witnesses if w.down_at is None and find_control(w)]
+    if len(reached) == len(witnesses):
+        return True
+    if len(reached) + 1 >= count_majority(len(witnesses) + 1):
+        return True
+    return not _is_store_unable(state, database)
+
+
 def _ask_majority(
     state: DirectState, database: Database, since: float, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -7,7 +7,8 @@
 """
 
 from ._connections import limit_connections
-from ._placement import takes_leader_work
+from ._evidence import can_prove
+from ._placement import find_need, takes_leader_work
 from ._state import Database, DirectState, Server, Work
 
 DETECTION_TIME = 0.9
@@ -36,6 +37,10 @@
 """Seconds that a primary is still waited for when the usual time is over."""
 
 
+NO_PROOF = "no_proof"
+"""Reason to refuse what needs a primary that can't be proved to lead."""
+
+
 def order_queue(queue: list[Work]) -> list[Work]:
     """Return waiting statements in the order in which they are placed."""
     return sorted(queue, key=_rank)
@@ -49,6 +54,7 @@
     """Return waiting statements that can't be served in time, with the reason."""
     found = []
     leader_at = estimate_leader(state, database)
+    provable = can_prove(state, database)
     waits: dict[bool, float] = {}
     for work in order_queue(database.queue):
         if work.leader_only and leader_at > work.deadline:
@@ -56,6 +62,9 @@
             continue
         if leader_at > state.now:
             continue
+        if not provable and (work.leader_only or find_need(database, work) is None):
+            found.append((work, NO_PROOF))
+            continue
         slot, usual = _measure_service(state, database, work.leader_only)
         wait = waits.get(work.leader_only, 0.0)
         if state.now + wait + RUN_MARGIN * usual > _find_limit(state, database, work):
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -269,6 +269,46 @@
         assert world.ask("vm3", 1, "READ x").refusal is not None
         assert world.ask("vm3", 1, "WRITE x 1").refusal is not None
 
+    def test_what_can_not_be_proved_is_refused_without_being_run(self):
+        """Guards against orders in doubt on the smaller side of a partition."""
+        world = start()
+        world.connect("vm3", 1)
+        world.connect("vm3", 2, "views")
+        world.store_down = {"vm3"}
+        for name in ("s2", "s3"):
+            world.servers[name].dark_for = {"vm3"}
+        world.ask("vm3", 2, "READ x")
+        world.advance(3)
+        world.ask("vm3", 2, "READ x")
+        world.advance(0.5)
+        before = len(world.servers["s1"].ran)
+        for session in (1, 2, 1):
+            began = world.now
+            text = "WRITE x 1" if session == 1 else "READ x"
+            answer = world.ask("vm3", session, text)
+            assert answer.refusal is Refusal.OVERLOAD
+            assert world.now - began < 0.1
+        assert len(world.servers["s1"].ran) == before
+
+    def test_commit_that_can_not_be_proved_is_aborted(self):
+        """Guards against a transaction in doubt where nothing of it need be kept."""
+        world = start()
+        world.connect("vm3", 1)
+        assert world.ask("vm3", 1, "BEGIN").refusal is None
+        assert world.ask("vm3", 1, "WRITE x 1").refusal is None
+        world.connect("vm3", 2, "views")
+        world.store_down = {"vm3"}
+        for name in ("s2", "s3"):
+            world.servers[name].dark_for = {"vm3"}
+        for _ in range(8):
+            world.ask("vm3", 2, "READ x", wait=0.6)
+            world.say("vm3", 1, "SET a 1")
+            world.advance(0.2)
+        answer = world.ask("vm3", 1, "COMMIT")
+        assert answer.refusal is Refusal.ABORTED
+        world.advance(0.5)
+        assert world.servers["s1"].commits == []
+
     def test_new_primary_serves_while_the_old_one_is_dark(self):
         """Guards against a database that stops after a failover.
 
