Read the settings again when their file changes

Cause: the platform may change the file without a signal, and only SIGHUP was acted on. The test fails before.

--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -27,6 +27,9 @@
 from ._probe import ProbeServer
 from ._sharing import answer_knowledge, ask_others
 
+SETTINGS_INTERVAL = 2.0
+"""Seconds between two looks whether the file of the settings has changed."""
+
 RESERVED_DESCRIPTORS = 400
 """Descriptors kept for files, backend servers and the store."""
 
@@ -42,6 +45,7 @@
         make_client: makes the client of the platform on the running loop.
         ready_path: path of the load balancer's readiness probe.
         reload: reads the settings again and returns them, None if unreadable.
+        stamp: returns a value that changes with the settings' file, None if unreadable.
         listener: listens for callers already; by default a socket is opened.
     """
 
@@ -53,6 +57,7 @@
         make_client,
         ready_path,
         reload,
+        stamp,
         listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
@@ -62,6 +67,7 @@
         self._make_client = make_client
         self._ready_path = ready_path
         self._reload = reload
+        self._stamp = stamp
         self._tasks: list[asyncio.Task] = []
         self._client: PlatformClient | None = None
 
@@ -112,6 +118,7 @@
         await self._probe.start()
         self.driver.start()
         for follower in (
+            self._watch_settings(),
             register_vm(self._client, _make_entry(settings), health),
             follow_configuration(
                 self._client, self.driver.emit, self._is_serving, health
@@ -160,6 +167,20 @@
     def _begin_shutdown(self) -> None:
         self.driver.request_shutdown()
 
+    async def _watch_settings(self) -> None:
+        """Read the settings again whenever their file changes; never returns.
+
+        The file may change without a signal.
+        """
+        known = self._stamp()
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL)
+            stamp = self._stamp()
+            if stamp is None or stamp == known:
+                continue
+            known = stamp
+            self._reload_settings()
+
     def _reload_settings(self) -> None:
         settings = self._reload()
         if settings is None:
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -328,6 +328,18 @@
             assert await asyncio.wait_for(vm.process.wait(), 6) == 0
             assert "event=stopped" in vm.read_output()
 
+    async def test_file_that_changes_without_a_signal_is_read(self, tmp_path):
+        """Guards against settings that come into force only at the next start."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            fields = yaml.safe_load(vm.path.read_text())
+            fields["bounds"]["grace_s"] = 4
+            vm.path.write_text(yaml.safe_dump(fields))
+            for _ in range(100):
+                await asyncio.sleep(0.05)
+                if "event=reloaded changed=grace" in vm.read_output():
+                    break
+            assert "event=reloaded changed=grace" in vm.read_output()
+
     async def test_reload_names_what_changed(self, tmp_path):
         """Guards against a reload that ends the process or goes unseen."""
         async with run_deployment(tmp_path) as (deployment, (vm,)):
