--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -16,7 +16,8 @@
     open_call,
     write_record,
 )
-from ._state import Database, DirectState, Effects, Purpose
+from ._server_state import Purpose
+from ._state import Database, DirectState, Effects
 from ._types import Command, CommandKind, LeaderState
 
 COMPLETE_INTERVAL = 1.0
--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -3,17 +3,8 @@
 from ._effects import CloseBackend, Log, Observe, OpenBackend, SendCommands
 from ._events import LossReason
 from ._holders import share_connections
-from ._state import (
-    Connection,
-    ConnectionState,
-    DirectState,
-    Effects,
-    Pending,
-    Purpose,
-    Server,
-    Session,
-    Work,
-)
+from ._server_state import Connection, ConnectionState, Pending, Purpose, Server
+from ._state import DirectState, Effects, Session, Work
 from ._types import Command, CommandKind
 
 SPARE_SHARES = 2
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -21,16 +21,8 @@
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._leaders import DropReason, drop_leader, probe_lead
-from ._state import (
-    Database,
-    DirectState,
-    Effects,
-    Evidence,
-    Floor,
-    Leadership,
-    Purpose,
-    Server,
-)
+from ._server_state import Evidence, Purpose, Server
+from ._state import Database, DirectState, Effects, Floor, Leadership
 from ._types import Command, CommandKind, LeaderState
 
 MEMBER_MEMORY = 5.0
--- a/src/siskinhold/direct/_hedging.py
+++ b/src/siskinhold/direct/_hedging.py
@@ -6,7 +6,8 @@
 when all servers are slow.
 """
 
-from ._state import Database, DirectState, Server, Work, WorkState
+from ._server_state import Server
+from ._state import Database, DirectState, Work, WorkState
 
 HEDGE_FACTOR = 8.0
 """Multiple of a server's usual time after which a read is sent a second time."""
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -4,7 +4,8 @@
 
 from ._connections import find_control, send
 from ._effects import Log
-from ._state import Database, DirectState, Effects, Leadership, Purpose, Server
+from ._server_state import Purpose, Server
+from ._state import Database, DirectState, Effects, Leadership
 from ._types import Answer, Command, CommandKind, Refusal, TransactionState
 
 
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -3,7 +3,8 @@
 from ._connections import close_connection
 from ._replies import end_work
 from ._runs import fail_transaction, fail_work, requeue_work
-from ._state import Connection, DirectState, Effects, Work, WorkState
+from ._server_state import Connection
+from ._state import DirectState, Effects, Work, WorkState
 from ._types import Answer, Refusal
 
 
--- a/src/siskinhold/direct/_placement.py
+++ b/src/siskinhold/direct/_placement.py
@@ -7,7 +7,8 @@
 
 from ..model import Position
 from ._evidence import find_floor
-from ._state import Database, DirectState, Server, Work
+from ._server_state import Server
+from ._state import Database, DirectState, Work
 
 REMOTE_PATIENCE = 0.03
 """Seconds that a read waits for a server of its region: about two round trips to
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -13,7 +13,8 @@
     log_promotion,
     open_call,
 )
-from ._state import Database, DirectState, Effects, Purpose, Server
+from ._server_state import Purpose, Server
+from ._state import Database, DirectState, Effects
 from ._types import Answer, Command, CommandKind
 
 ATTEMPT_TIME = 3.0
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -9,7 +9,8 @@
 from ._connections import limit_connections
 from ._evidence import can_prove
 from ._placement import find_need, takes_leader_work
-from ._state import Database, DirectState, Server, Work
+from ._server_state import Server
+from ._state import Database, DirectState, Work
 
 DETECTION_TIME = 0.9
 """Seconds from the loss of a primary until its promotion is ordered, as a rule."""
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -11,7 +11,8 @@
     requeue_work,
     run_statement,
 )
-from ._state import Connection, DirectState, Effects, Pending, Work, WorkState
+from ._server_state import Connection, Pending
+from ._state import DirectState, Effects, Work, WorkState
 from ._types import NOT_RUN, Answer, Refusal
 
 AVERAGE_WEIGHT = 0.1
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -7,16 +7,8 @@
 from ._leaders import DropReason, drop_leader
 from ._placement import LAGGING_PAUSE
 from ._replies import end_work
-from ._state import (
-    Connection,
-    DirectState,
-    Effects,
-    Purpose,
-    Server,
-    Transaction,
-    Work,
-    WorkState,
-)
+from ._server_state import Connection, Purpose, Server
+from ._state import DirectState, Effects, Transaction, Work, WorkState
 from ._types import Answer, Command, CommandKind, Refusal, StatementKind
 
 
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -34,15 +34,8 @@
 from ._placement import takes_leader_work
 from ._promotion import take_fence, take_position, take_step_down
 from ._results import take_result, take_setup
-from ._state import (
-    ConnectionState,
-    Database,
-    DirectState,
-    Effects,
-    Purpose,
-    Server,
-    WorkState,
-)
+from ._server_state import ConnectionState, Purpose, Server
+from ._state import Database, DirectState, Effects, WorkState
 from ._types import Command, CommandKind, ServerEntry
 
 FORGET_AFTER = 6.0
