Pause reading while a caller's TLS handshake is set up

Cause: the request for TLS was read, and until the event loop had put the TLS protocol in place, what arrived went to the plain reader.

Ruled out: load alone, as the timeout is 10 s.

A test with a late set-up fails before and passes after.

--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -123,8 +123,10 @@
             ssl.SSLError: if the TLS handshake failed.
         """
         loop = asyncio.get_running_loop()
-        excess = self.reader.take_excess()
         transport = self.writer.transport
+        # What arrives before the TLS protocol is in place would go to the plain reader.
+        transport.pause_reading()
+        excess = self.reader.take_excess()
         plain = transport.get_protocol()
         start = asyncio.create_task(
             loop.start_tls(transport, plain, ssl, server_side=True)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -519,6 +519,24 @@
 
 
 class TestTlsRequest:
+    async def say_hello(self, entry, client, cut):
+        """Send a request for TLS and a hello in two parts; check the answer."""
+        incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        hello = client.wrap_bio(incoming, outgoing, server_hostname="127.0.0.1")
+        with pytest.raises(ssl.SSLWantReadError):
+            hello.do_handshake()
+        reader, writer = await entry.open_socket()
+        await reader.read(1_024)
+        request = (0x00088A05).to_bytes(4, "little") + b"\0\0\0\1\x2d"
+        text = b"\x20\0\0\1" + request + bytes(23) + outgoing.read()
+        writer.write(text[:cut])
+        await asyncio.sleep(0.01)
+        writer.write(text[len(text[:cut]) :])
+        async with asyncio.timeout(2):
+            answer = await reader.readexactly(3)
+        assert answer[:2] == b"\x16\x03"
+        writer.close()
+
     @pytest.mark.parametrize("factory", [asyncio.new_event_loop, uvloop.new_event_loop])
     @pytest.mark.parametrize("cut", [3, 30, 36, 50, None])
     def test_hello_with_request(self, tmp_path, factory, cut):
@@ -530,25 +548,29 @@
 
         async def main():
             async with Entry(ssl=server) as entry:
-                incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
-                hello = client.wrap_bio(incoming, outgoing, server_hostname="127.0.0.1")
-                with pytest.raises(ssl.SSLWantReadError):
-                    hello.do_handshake()
-                reader, writer = await entry.open_socket()
-                await reader.read(1_024)
-                request = (0x00088A05).to_bytes(4, "little") + b"\0\0\0\1\x2d"
-                text = b"\x20\0\0\1" + request + bytes(23) + outgoing.read()
-                writer.write(text[:cut])
-                await asyncio.sleep(0.01)
-                writer.write(text[len(text[:cut]) :])
-                async with asyncio.timeout(2):
-                    answer = await reader.readexactly(3)
-                assert answer[:2] == b"\x16\x03"
-                writer.close()
+                await self.say_hello(entry, client, cut)
 
         with asyncio.Runner(loop_factory=factory) as runner:
             runner.run(main())
 
+    async def test_hello_before_the_handshake_begins(self, tmp_path, monkeypatch):
+        """A TLS hello that arrives while the handshake is being set up is answered.
+
+        Guards against a hello that the plain reader takes, which stalled the handshake
+        on a busy machine until the timeout.
+        """
+        server, client = make_contexts(tmp_path)
+        loop = asyncio.get_running_loop()
+        start = loop.start_tls
+
+        async def start_late(*arguments, **options):
+            await asyncio.sleep(0.1)
+            return await start(*arguments, **options)
+
+        monkeypatch.setattr(loop, "start_tls", start_late)
+        async with Entry(ssl=server) as entry:
+            await self.say_hello(entry, client, cut=36)
+
 
 class TestUvloop:
     def test_blocking_client(self, tmp_path):
