Count lagging replicas again when a read's chance is estimated

What a read needs is fixed when it arrives, so a replica a little behind serves it after a short wait; reads were refused that were served before.

One read at a time still finds out whether a replica has caught up, now every 75 ms.

--- a/src/siskinhold/direct/_placement.py
+++ b/src/siskinhold/direct/_placement.py
@@ -17,7 +17,7 @@
 TRIED_PAUSE = 0.05
 """Seconds until a server that did not run a statement is tried again."""
 
-LAGGING_PAUSE = 0.15
+LAGGING_PAUSE = 0.075
 """Seconds for which reads that need more than a replica has shown pass it over."""
 
 LAGGING_RECENTLY = 1.0
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -9,7 +9,6 @@
 from ._connections import limit_connections
 from ._evidence import can_prove
 from ._placement import find_need, takes_leader_work
-from ._server_state import Server
 from ._state import Database, DirectState, Work
 
 DETECTION_TIME = 0.9
@@ -30,10 +29,6 @@
 CREST_TIME = 1.0
 """Seconds for which a queue may stand until it counts as more than a crest."""
 
-SERVED_RECENTLY = 0.3
-"""Seconds after a result in which a replica that lags counts as running reads: it holds
-enough for some of them."""
-
 OVERDUE_TIME = 0.5
 """Seconds that a primary is still waited for when the usual time is over."""
 
@@ -96,7 +91,7 @@
         if leader_only:
             if server is not state.leader_of(database):
                 continue
-        elif not _serves_reads(state, server):
+        elif not server.usable or server.down_at is not None:
             continue
         connections = max(1, limit_connections(state, server) - 1)
         time = max(server.service_time, LEAST_TIME)
@@ -107,15 +102,6 @@
     return 1.0 / rate, min(times)
 
 
-def _serves_reads(state: DirectState, server: Server) -> bool:
-    """Return whether a server adds to what is expected to run reads."""
-    if not server.usable or server.down_at is not None:
-        return False
-    if state.now >= server.lagging_until:
-        return True
-    return state.now - server.served_at < SERVED_RECENTLY
-
-
 def estimate_leader(state: DirectState, database: Database) -> float:
     """Return when the primary will take statements, as far as can be told."""
     leader = state.leader_of(database)
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -86,7 +86,6 @@
             work.session.transaction = None
         end_work(state, work, answer, "server", out)
         return
-    server.served_at = state.now
     _finish(state, work, answer, out)
 
 
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -109,7 +109,6 @@
         retry_at: earliest time of the next attempt to connect.
         failures: failed attempts in a row.
         lagging_until: until when reads that need more than `evidence` pass it over.
-        served_at: when it last ran a statement with success.
         service_time: moving average of the time of a statement, in seconds.
         full_until: until when no further connections are opened.
     """
@@ -128,7 +127,6 @@
     retry_at: float = 0.0
     failures: int = 0
     lagging_until: float = 0.0
-    served_at: float = -100.0
     service_time: float = 0.02
     full_until: float = 0.0
 
