Admit statements to a server whose average time is old

Cause: statements are refused when the server's usual time leaves no room in their own.

Ruled out: overload, as the primary ran nothing; a lost primary, as no VM suspected it.

The test fails before and passes after.

--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -94,7 +94,7 @@
         elif not server.usable or server.down_at is not None:
             continue
         connections = max(1, limit_connections(state, server) - 1)
-        time = max(server.service_time, LEAST_TIME)
+        time = max(server.estimate_time(state.now), LEAST_TIME)
         times.append(time)
         rate += connections / time
     if not times:
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -15,9 +15,6 @@
 from ._state import DirectState, Effects, Work, WorkState
 from ._types import NOT_RUN, Answer, Refusal
 
-AVERAGE_WEIGHT = 0.1
-"""Weight of a new value in the moving average of the service time."""
-
 
 def take_setup(
     state: DirectState, connection: Connection, pending: Pending, answer: Answer, out
@@ -52,7 +49,7 @@
     work = pending.work
     server = connection.server
     elapsed = state.now - pending.sent_at
-    server.service_time += AVERAGE_WEIGHT * (elapsed - server.service_time)
+    server.note_time(state.now, elapsed)
     out.append(Observe(metric="service_seconds", value=elapsed))
     transaction = work.session.transaction
     in_transaction = connection.transaction is not None
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -12,6 +12,17 @@
     from ._state import Transaction, Work
 
 
+AVERAGE_WEIGHT = 0.1
+"""Weight of a new value in the moving average of the service time."""
+
+UNKNOWN_TIME = 0.02
+"""Seconds that a statement is taken to need while no recent one tells: that of a usual
+one at a server that is well."""
+
+ESTIMATE_TIME = 1.0
+"""Seconds after which the time of the last statement tells nothing of the next one."""
+
+
 class Purpose(enum.Enum):
     """What the answer to a command is for."""
 
@@ -110,6 +121,7 @@
         failures: failed attempts in a row.
         lagging_until: until when reads that need more than `evidence` pass it over.
         service_time: moving average of the time of a statement, in seconds.
+        timed_at: when the average last took a value.
         full_until: until when no further connections are opened.
     """
 
@@ -127,9 +139,27 @@
     retry_at: float = 0.0
     failures: int = 0
     lagging_until: float = 0.0
-    service_time: float = 0.02
+    service_time: float = UNKNOWN_TIME
+    timed_at: float = -100.0
     full_until: float = 0.0
 
+    def note_time(self, now: float, seconds: float) -> None:
+        """Take the time of a statement into the average."""
+        if now - self.timed_at >= ESTIMATE_TIME:
+            self.service_time = seconds
+        else:
+            self.service_time += AVERAGE_WEIGHT * (seconds - self.service_time)
+        self.timed_at = now
+
+    def estimate_time(self, now: float) -> float:
+        """Return how long a statement takes, as far as recent ones tell.
+
+        An old average must not decide: while it lets no statement run, it stays.
+        """
+        if now - self.timed_at >= ESTIMATE_TIME:
+            return min(self.service_time, UNKNOWN_TIME)
+        return self.service_time
+
     @property
     def usable(self) -> bool:
         """Whether new work may be sent to it."""
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -22,7 +22,8 @@
     outcomes = {}
     count = int(rate * seconds)
     for index in range(count):
-        session = 1000 + index
+        world.order += 1
+        session = 1000 + world.order
         at = world.now + index / rate
 
         def arrive(session=session):
@@ -94,6 +95,21 @@
         assert max(o.took for o in outcomes) < 0.2
 
 
+class TestSlowServer:
+    def test_is_used_again_once_it_is_well(self):
+        """Guards against an estimate that refuses all statements and never improves.
+
+        Load: a third of what the primary runs, after it was so slow that none would end
+        in time.
+        """
+        world = start(slots=2)
+        world.states["vm1"].servers["s1"].service_time = 0.8 * world.timeout
+        world.advance(1.5)
+        outcomes = play(world, rate=2 / WORK / 3, seconds=2)
+        done = [o for o in outcomes if o.answer.refusal is None]
+        assert len(done) > 0.95 * len(outcomes)
+
+
 def count_connections(world, vm, server):
     """Return how many connections a VM has to a server."""
     found = [c for c in world.connections.values() if c.server.name == server]
