End the wait for other VMs once a suspected primary's entry lapses

The entry of the primary lapsed 2.5 s later, which needs no other VM's word, but a suspicion once raised kept its cause.

The test fails before and passes after.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -177,12 +177,15 @@
     if replaced or leader is not None and leader.term > promotion.term:
         _finish(state, database, promotion, out)
         return
-    if promotion.token == 0 and _find_cause(state, database) is None:
+    cause = _find_cause(state, database)
+    if promotion.token == 0 and cause is None:
         log_promotion(state, database, "promotion_dropped", out, reason="primary_well")
         if promotion.cause in SUSPECTED_CAUSES:
             _withdraw(state, database, out)
         database.promotion = None
         return
+    if promotion.step is PromotionStep.SUSPECTING:
+        _note_cause(state, promotion, cause[0])
     if promotion.token and state.now - promotion.began_at > ATTEMPT_TIME:
         log_promotion(state, database, "promotion_dropped", out, reason="attempt_over")
         if not promotion.ordered:
@@ -192,6 +195,14 @@
     _STEPS[promotion.step](state, database, promotion, out)
 
 
+def _note_cause(state: DirectState, promotion: Promotion, cause: str) -> None:
+    """Ask no other VMs any more once the list of servers shows the cause as well."""
+    if cause in SUSPECTED_CAUSES:
+        return
+    promotion.cause = cause
+    enter_step(state, promotion, PromotionStep.WAITING)
+
+
 def _suspect(state, database: Database, promotion: Promotion, out: Effects) -> None:
     if not may_call(state, promotion):
         return
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -68,6 +68,17 @@
         world.connect(vm, 1)
         assert world.ask(vm, 1, "WRITE x 1").refusal is None
 
+    def test_one_whose_entry_lapses_is_replaced_by_one_vm(self):
+        """Guards against a suspicion that waits for VMs which can't publish theirs."""
+        world = start(vms=8)
+        world.store_down = set(world.states) - {"vm8"}
+        world.servers["s1"].down = True
+        world.advance(2)
+        assert world.orders == []
+        world.servers["s1"].listed = False
+        world.advance(5)
+        assert {vm for _, vm, _, _ in world.orders} == {"vm8"}
+
     def test_working_one_is_kept_though_few_vms_miss_it(self):
         """Guards against commits lost by the replacement of a primary that works."""
         world = start(vms=8)
