Let a VM that starts in a store outage learn from seeds

The list of VMs is in the store too. Change: the role serves the control address; the seeds of the settings are asked there for configuration, servers and the list of VMs.

--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -16,6 +16,9 @@
         ready_port: port of the load balancer's readiness probe.
         metrics_port: port of the metrics, 0 for none.
         relay_port: port for callers that other VMs relay.
+        control_port: port that seeds are asked at, 0 for none.
+        seeds: host and control port of VMs that may know what the store holds; they may
+            be gone.
         size: the VM's CPU share, in thousandths of a core.
         store: host and port of the platform's store.
         promotion: host and port of the service that takes promotion orders.
@@ -31,6 +34,8 @@
     ready_port: int
     metrics_port: int
     relay_port: int
+    control_port: int
+    seeds: tuple[tuple[str, int], ...]
     size: int
     store: str
     promotion: str
--- a/src/siskinhold/lines/_probe.py
+++ b/src/siskinhold/lines/_probe.py
@@ -18,6 +18,7 @@
         ready_path: path of the readiness probe.
         ready_port: port of the readiness probe.
         metrics_port: port of `/metrics` and of requests from other VMs, 0 for none.
+        control_port: port at which VMs that don't know the others yet ask, 0 for none.
         registry: the metrics to serve.
     """
 
@@ -28,6 +29,7 @@
         ready_path: str,
         ready_port: int,
         metrics_port: int,
+        control_port: int,
         registry: CollectorRegistry,
     ) -> None:
         self.ready = False
@@ -41,6 +43,10 @@
             self._servers.append(
                 HttpServer(host=host, port=metrics_port, answer=self._answer_metrics)
             )
+        if control_port:
+            self._servers.append(
+                HttpServer(host=host, port=control_port, answer=self._answer_other_vm)
+            )
 
     async def start(self) -> None:
         """Start listening.
@@ -65,5 +71,9 @@
     def _answer_metrics(self, path: str) -> HttpAnswer | None:
         """Return the metrics, or the answer to another VM's request."""
         if path != METRICS_PATH:
-            return self.answer_peer(path) if self.answer_peer is not None else None
+            return self._answer_other_vm(path)
         return HttpAnswer(status=200, body=generate_latest(self._registry))
+
+    def _answer_other_vm(self, path: str) -> HttpAnswer | None:
+        """Return the answer to another VM's request, None for an unknown path."""
+        return self.answer_peer(path) if self.answer_peer is not None else None
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -101,6 +101,7 @@
             ready_path=self._ready_path,
             ready_port=settings.ready_port,
             metrics_port=settings.metrics_port,
+            control_port=settings.control_port,
             registry=registry,
         )
         self.driver = DirectDriver(
@@ -130,7 +131,8 @@
             request_snapshots(
                 self.driver.state,
                 self.driver.emit,
-                lambda: health.failing and self._needs_store_data(),
+                lambda: self._settings.seeds,
+                lambda: health.failing,
                 self._write_line,
             ),
         ):
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -2,7 +2,8 @@
 
 A VM that can't read the store requests a newer configuration and server list from
 connection holders. Otherwise it would use an outdated configuration for callers that
-are relayed to it by VMs that can read the store.
+are relayed to it by VMs that can read the store. A VM that starts while it can't read
+the store knows no holders; it asks the seeds of its settings for the list of VMs too.
 """
 
 import asyncio
@@ -19,6 +20,9 @@
     Log,
     ServerEntry,
     ServersRead,
+    VmEntry,
+    VmsRead,
+    needs_servers,
 )
 from ._clock import read_clock
 from ._http import HttpAnswer, HttpClient, HttpFailure
@@ -30,18 +34,23 @@
 REQUEST_INTERVAL = 0.7
 """Seconds between two rounds of requests while the store can't be read."""
 
+STARTUP_REQUEST_INTERVAL = 0.15
+"""The same while the VM lacks what it needs to serve callers."""
+
 REQUEST_TIMEOUT = 0.5
 """Seconds until a request to another VM fails."""
 
 PEERS_PER_ROUND = 2
-"""Randomly selected connection holders that are queried in each round."""
+"""Randomly selected connection holders or seeds that are queried in each round."""
 
 
 class StoreSnapshot(msgspec.Struct, kw_only=True, frozen=True):
-    """A VM's cached copy of the store's configuration and server list.
+    """A VM's cached copy of the store's configuration and lists of servers and VMs.
 
     Args:
         configuration: the configuration in force, None if the requester has it.
+        vms: the VMs, empty if they are unknown or the requester has a configuration.
+        connections: lowest connection limit of any server, 0 if it is unknown.
         revision: store revision of the list of servers.
         servers: the entries, empty if the requester has the list.
     """
@@ -49,6 +58,8 @@
     configuration: Configuration | None = None
     revision: int = -1
     servers: tuple[ServerEntry, ...] = ()
+    vms: tuple[VmEntry, ...] = ()
+    connections: int = 0
 
 
 def answer_snapshot(state: DirectState, path: str) -> HttpAnswer | None:
@@ -67,10 +78,15 @@
     entries = ()
     if state.servers_revision > revision:
         entries = tuple(s.entry for s in state.servers.values() if s.gone_at is None)
-    if configuration is None and not entries:
+    vms = () if version else state.vms
+    if configuration is None and not entries and not vms:
         return HttpAnswer(status=204, body=b"")
     snapshot = StoreSnapshot(
-        configuration=configuration, revision=state.servers_revision, servers=entries
+        configuration=configuration,
+        revision=state.servers_revision,
+        servers=entries,
+        vms=vms,
+        connections=state.connections_limit,
     )
     return HttpAnswer(status=200, body=msgspec.json.encode(snapshot))
 
@@ -78,41 +94,58 @@
 async def request_snapshots(
     state: DirectState,
     emit: Callable[[Event], None],
+    get_seeds: Callable[[], tuple[tuple[str, int], ...]],
     is_store_unreadable: Callable[[], bool],
     write_line: Callable[[Log], None],
 ) -> None:
-    """Request snapshots from other connection holders while the store can't be read.
+    """Request snapshots from other VMs while the store can't be read.
 
-    Never returns.
+    Connection holders are asked, and the seeds while no holder is known. Never returns.
 
     Args:
         state: the core's state, which is only read.
         emit: takes the events with newer data.
+        get_seeds: returns the host and control port of each seed.
         is_store_unreadable: returns whether the store can't be read now.
         write_line: takes log entries.
     """
     generator = random.Random(state.vm)
     while True:
-        await asyncio.sleep(REQUEST_INTERVAL)
-        peers = [vm for vm in state.holders if vm.name != state.vm]
-        if not is_store_unreadable() or not peers:
+        starting = not state.vms_known or state.configuration is None
+        await asyncio.sleep(STARTUP_REQUEST_INTERVAL if starting else REQUEST_INTERVAL)
+        if not is_store_unreadable():
+            continue
+        if state.vms_known and not needs_servers(state):
             continue
-        for vm in generator.sample(peers, min(PEERS_PER_ROUND, len(peers))):
-            snapshot = await _request_snapshot(state, vm.host, vm.information_port)
+        peers = _list_peers(state, get_seeds())
+        for host, port in generator.sample(peers, min(PEERS_PER_ROUND, len(peers))):
+            snapshot = await _request_snapshot(state, host, port)
             if snapshot is None:
                 continue
             write_line(
                 Log(
                     event="store_snapshot_received",
                     fields=(
-                        ("from", vm.name),
+                        ("from", host),
                         ("revision", snapshot.revision),
                         ("configuration", snapshot.configuration is not None),
+                        ("vms", len(snapshot.vms)),
                     ),
                     essential=True,
                 )
             )
-            _emit_snapshot(snapshot, emit)
+            _emit_snapshot(state, snapshot, emit)
+
+
+def _list_peers(
+    state: DirectState, seeds: tuple[tuple[str, int], ...]
+) -> list[tuple[str, int]]:
+    """Return the addresses of the VMs to ask: holders, or seeds without holders."""
+    peers = []
+    for vm in state.holders:
+        if vm.name != state.vm:
+            peers.append((vm.host, vm.information_port))
+    return peers or list(seeds)
 
 
 async def _request_snapshot(
@@ -134,9 +167,16 @@
         client.close()
 
 
-def _emit_snapshot(snapshot: StoreSnapshot, emit: Callable[[Event], None]) -> None:
-    """Emit the configuration and the list of servers in a snapshot."""
+def _emit_snapshot(
+    state: DirectState, snapshot: StoreSnapshot, emit: Callable[[Event], None]
+) -> None:
+    """Emit the configuration and the lists of servers and VMs in a snapshot.
+
+    The list of VMs has no version, so it is used only by a VM that has none.
+    """
     now = read_clock()
+    if snapshot.vms and not state.vms_known:
+        emit(VmsRead(at=now, vms=snapshot.vms, connections=snapshot.connections))
     if snapshot.configuration is not None:
         emit(ConfigurationRead(at=now, configuration=snapshot.configuration))
     if snapshot.servers:
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -290,6 +290,28 @@
             assert "event=store_snapshot_received" in vms[1].read_output()
             await link.stop()
 
+    async def test_restarted_vm_learns_all_from_a_seed(self, tmp_path):
+        """Guards against a VM that serves nobody if it restarts in an outage."""
+        async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+            control = find_ports()[0]
+            fields = yaml.safe_load(vms[0].path.read_text())
+            fields["listen"]["control"] = f"127.0.0.1:{control}"
+            await vms[0].restart(fields)
+            client, _ = await Client.connect(vms[0].ports[0], "orders")
+            assert (await client.execute("WRITE x 1"))[0].startswith("COMPLETE")
+            link = Link(port=deployment.store.port)
+            await link.start()
+            link.refuse = True
+            fields = yaml.safe_load(vms[1].path.read_text())
+            fields["platform"]["address"] = f"127.0.0.1:{link.port}"
+            fields["seeds"] = [f"127.0.0.1:{control}", "127.0.0.1:1"]
+            await vms[1].restart(fields)
+            client, first_line = await Client.connect(vms[1].ports[0], "orders")
+            assert first_line == "READY I -"
+            lines = await execute_until_done(client, "READ x", 3)
+            assert lines[0] == "ROW 1"
+            await link.stop()
+
 
 class TestFailover:
     async def test_crashed_primary_is_replaced(self, tmp_path):
