Refuse reads at once that no lagging replica will take over

Change: refusals don't count as service times; a lagging replica counts only if it will have applied what a read needs in time; jobs that the same servers run wait for each other; a refusal says when the queue will have been served.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -2,15 +2,10 @@
 
 from ._connections import apply_session_values, find_idle_connection, grow_pool
 from ._effects import Log, Observe
-from ._evidence import (
-    STORE_UNAVAILABLE_PERIOD,
-    can_prove,
-    find_confirmed_time,
-    request_proof,
-)
+from ._evidence import can_prove, find_confirmed_time, request_proof
 from ._hedging import list_overdue_reads
 from ._placement import find_required_position, list_candidates, postpone_next_trial
-from ._queue import NO_PROOF, estimate_leader_time, list_unservable, order_queue
+from ._queue import NO_PROOF, list_unservable, order_queue
 from ._replies import end_job
 from ._results import deliver_result
 from ._runs import begin_job, fail_job, fail_transaction, run_statement
@@ -70,11 +65,8 @@
 
 def _refuse_or_place_jobs(state: DirectState, database: Database, out: Effects) -> None:
     """Refuse jobs that can't be served in time, then send those that can run now."""
-    for job, reason in list_unservable(state, database):
+    for job, reason, wait in list_unservable(state, database):
         database.queue.remove(job)
-        wait = max(0.0, estimate_leader_time(state, database) - state.now)
-        if reason == NO_PROOF:
-            wait = STORE_UNAVAILABLE_PERIOD
         detail = f"{reason} retry_after_ms={round(wait * 1000)}"
         fail_job(state, job, Refusal.OVERLOAD, reason, out, detail=detail)
     if not database.queue:
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -6,8 +6,10 @@
 """
 
 from ._connections import compute_connection_limit
-from ._evidence import can_prove
+from ._evidence import STORE_UNAVAILABLE_PERIOD, can_prove
+from ._lag import estimate_catch_up
 from ._placement import accepts_leader_jobs, find_required_position
+from ._server_state import Server
 from ._state import Database, DirectState, Job
 
 EXPECTED_DETECTION_TIME = 0.9
@@ -47,37 +49,42 @@
     return (job.route.priority, job.deadline)
 
 
-def list_unservable(state: DirectState, database: Database) -> list[tuple[Job, str]]:
-    """Return the waiting jobs that can't be served in time, with the reason.
+def list_unservable(
+    state: DirectState, database: Database
+) -> list[tuple[Job, str, float]]:
+    """Return the waiting jobs that can't be served in time.
 
     These are jobs for the primary that it can't run before their deadline, jobs that
     need a proof which seems impossible, and jobs that would wait too long in the queue.
+
+    Returns:
+        each job with the reason, and the seconds after which a retry may succeed.
     """
     found = []
     leader_at = estimate_leader_time(state, database)
     provable = can_prove(state, database)
-    waits: dict[bool, float] = {}
+    waits: dict[tuple[str, ...], float] = {}
     for job in order_queue(database.queue):
         if job.leader_only and leader_at > job.deadline:
-            found.append((job, "no_primary"))
+            found.append((job, "no_primary", leader_at - state.now))
             continue
         if leader_at > state.now:
             continue
         if not provable and (
             job.leader_only or find_required_position(database, job) is None
         ):
-            found.append((job, NO_PROOF))
+            found.append((job, NO_PROOF, STORE_UNAVAILABLE_PERIOD))
             continue
-        start_interval, service_time = _estimate_service(
-            state, database, job.leader_only
-        )
-        wait = waits.get(job.leader_only, 0.0)
-        if state.now + wait + SERVICE_TIME_MARGIN * service_time > _find_latest_end(
-            state, database, job
-        ):
-            found.append((job, "queue_full"))
+        latest_end = _find_latest_end(state, database, job)
+        servers = _list_servers_in_time(state, database, job, latest_end)
+        start_interval, service_time = _estimate_service(state, servers)
+        # Jobs that the same servers have to run wait for each other.
+        key = tuple(server.entry.server for server in servers)
+        wait = waits.get(key, 0.0)
+        if state.now + wait + SERVICE_TIME_MARGIN * service_time > latest_end:
+            found.append((job, "queue_full", wait))
             continue
-        waits[job.leader_only] = wait + start_interval
+        waits[key] = wait + start_interval
     return found
 
 
@@ -93,21 +100,36 @@
     return min(job.deadline, job.arrived_at + job.route.target)
 
 
-def _estimate_service(
-    state: DirectState, database: Database, leader_only: bool
-) -> tuple[float, float]:
+def _list_servers_in_time(
+    state: DirectState, database: Database, job: Job, latest_end: float
+) -> list[Server]:
+    """Return the servers that a job may wait for.
+
+    A replica that lags counts if it will probably have applied what a read needs by
+    `latest_end`.
+    """
+    if job.leader_only:
+        leader = state.leader_of(database)
+        return [leader] if leader is not None else []
+    after = find_required_position(database, job)
+    found = []
+    for server in state.members(database.name):
+        if not server.usable or server.down_at is not None:
+            continue
+        catch_up = estimate_catch_up(state, database, server, after)
+        if state.now + catch_up <= latest_end:
+            found.append(server)
+    return found
+
+
+def _estimate_service(state: DirectState, servers: list[Server]) -> tuple[float, float]:
     """Return the interval between two starts, and the service time, in seconds.
 
-    Both are estimated for all servers that may run such jobs, and are 0 without one.
+    Both are estimated for the servers together, and are 0 without one.
     """
     times = []
     rate = 0.0
-    for server in state.members(database.name):
-        if leader_only:
-            if server is not state.leader_of(database):
-                continue
-        elif not server.usable or server.down_at is not None:
-            continue
+    for server in servers:
         connections = max(1, compute_connection_limit(state, server) - 1)
         time = max(server.estimate_service_time(state.now), MIN_SERVICE_TIME)
         times.append(time)
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -66,8 +66,10 @@
     job = pending.work
     server = connection.server
     elapsed = state.now - pending.sent_at
-    server.record_service_time(state.now, elapsed)
-    out.append(Observe(metric="service_seconds", value=elapsed))
+    if answer.refusal not in NOT_RUN and answer.refusal is not Refusal.NO_STATEMENT:
+        # Refusals are quick; counted, they would make a lagging replica look fast.
+        server.record_service_time(state.now, elapsed)
+        out.append(Observe(metric="service_seconds", value=elapsed))
     transaction = job.session.transaction
     in_transaction = connection.transaction is not None
     if job.state is not JobState.RUNNING or connection not in job.connections:
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -227,6 +227,22 @@
         late = [o for o in refused if o.duration > 0.6 * world.timeout]
         assert len(late) <= 0.1 * len(refused)
 
+    def test_reads_beyond_the_primary_are_refused_at_once(self):
+        """Guards against reads held until their time is up that nothing could run.
+
+        A caller that hears at once that its read did not run has time for a retry.
+        """
+        world, outcomes = self.run_load()
+        refused = sorted(o.duration for o in outcomes if o.answer.refusal is not None)
+        assert refused
+        assert refused[len(refused) // 2] <= 0.1 * world.timeout
+
+    def test_refusals_do_not_count_as_service_time(self):
+        """Guards against a lagging replica that looks fast as it refuses quickly."""
+        world, _ = self.run_load()
+        for name in ("s2", "s3"):
+            assert world.states["vm1"].servers[name].service_time >= STATEMENT_TIME
+
 
 class TestReads:
     def test_spread_over_servers_when_the_near_one_is_full(self):
