End sessions after an answer in a planned stop; give up silent holders

Change: sessions and relays end right after an answer, idle ones only after 0.7 of the grace. A relay checks a holder that owes an answer for 0.5 s by two connection attempts; if both time out, callers that can repeat what they have under way are set free, and a write or commit under way is waited for.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -60,6 +60,7 @@
 )
 from ._holders import needs_servers
 from ._reducer import compute_tick_delay, reduce
+from ._relays import RelayActivity, find_silent_holders, may_give_up
 from ._settings import VmSettings
 from ._state import DirectState
 from ._types import (
@@ -120,6 +121,7 @@
     "ReadLeaderRecord",
     "Refusal",
     "RefuseCaller",
+    "RelayActivity",
     "RelayCaller",
     "ReplyCaller",
     "Route",
@@ -142,5 +144,7 @@
     "WriteLeaderRecord",
     "compute_tick_delay",
     "reduce",
+    "find_silent_holders",
+    "may_give_up",
     "needs_servers",
 ]
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -22,7 +22,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class CloseIdleRelays:
-    """Close the relays without a running statement or an open transaction."""
+    """Close the relays without a running statement or an open transaction.
+
+    Args:
+        answered_only: whether to close each one only right after its next answer.
+    """
+
+    answered_only: bool
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -6,8 +6,12 @@
 from ._state import DirectState, Effects
 
 DRAIN_NOTICE_PERIOD = 2.3
-"""Seconds until idle sessions are closed: the load balancer needs two failed probes, at
-one per second, before it sends new callers elsewhere."""
+"""Seconds until sessions are closed after their next answer: the load balancer needs
+two failed probes, at one per second, before it sends new callers elsewhere."""
+
+IDLE_CLOSE_RATIO = 0.7
+"""Share of the grace period after which sessions that stayed idle are closed. A
+statement that is on its way at that moment gets no answer, so it comes late."""
 
 TRANSACTION_GRACE_RATIO = 0.5
 """Share of the grace period after which idle open transactions are aborted."""
@@ -35,10 +39,11 @@
 def advance_shutdown(state: DirectState, out: Effects) -> None:
     """Advance a graceful shutdown; called at each tick.
 
-    Idle sessions and relays are closed once the load balancer has had time to notice,
-    and open transactions without a running statement are aborted after half of the
-    grace period. The process stops once no session is open, and in any case shortly
-    before the period ends.
+    Once the load balancer has had time to notice, sessions and relays are closed right
+    after an answer, so that no statement crosses with the end of its connection. Those
+    that stay idle are closed later. Open transactions without a running statement are
+    aborted after half of the grace period. The process stops once no session is open,
+    and in any case shortly before the period ends.
     """
     if state.shutdown_at is None:
         return
@@ -46,12 +51,14 @@
     if elapsed >= state.grace * TRANSACTION_GRACE_RATIO:
         _abort_idle_transactions(state, out)
     if elapsed >= min(DRAIN_NOTICE_PERIOD, state.grace * TRANSACTION_GRACE_RATIO):
+        closes_idle = elapsed >= state.grace * IDLE_CLOSE_RATIO
         for session in list(state.sessions.values()):
             session.closing = True
-            if session.work is None and session.transaction is None:
+            idle = session.work is None and session.transaction is None
+            if closes_idle and idle:
                 close_idle_session(state, session, out)
         if state.relayed:
-            out.append(CloseIdleRelays())
+            out.append(CloseIdleRelays(answered_only=not closes_idle))
         if not state.sessions and not state.relayed:
             out.append(Stop())
     if elapsed >= state.grace - STOP_MARGIN:
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -14,6 +14,7 @@
     CallerOpened,
     CallerStatement,
     CloseCaller,
+    CloseIdleRelays,
     Event,
     HoldersUnavailable,
     Refusal,
@@ -21,12 +22,14 @@
     RelayCaller,
     ReplyCaller,
     Statement,
+    VmEntry,
+    find_silent_holders,
 )
 from ..listener import BACKLOG, open_listener
 from ._clock import read_clock
 from ._codec import ConnectRequest, DisconnectRequest, LineCodec, MalformedLine
 from ._protocol import LineProtocol
-from ._relay import RelayProtocol, open_relay
+from ._relay import RelayProtocol, is_reachable, open_relay
 
 USER_TIMEOUT = 10.0
 """Seconds that sent data may stay unacknowledged before a caller counts as lost: longer
@@ -35,6 +38,9 @@
 MAX_QUEUED_STATEMENTS = 64
 """Statements of one caller that may wait while another one runs."""
 
+RELAY_CHECK_INTERVAL = 0.2
+"""Seconds between two searches for holders that owe an answer."""
+
 _log = logging.getLogger(__name__)
 
 Emit = Callable[[Event], None]
@@ -121,10 +127,46 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def close_idle_relays(self) -> None:
-        """Close the relays without a running statement or an open transaction."""
+    def close_idle_relays(self, effect: CloseIdleRelays) -> None:
+        """Close relays without a running statement or an open transaction.
+
+        With `answered_only`, each is closed right after its next answer: a caller
+        whose statement is under way at that moment would get none.
+        """
         for connection in list(self.connections.values()):
-            connection.close_idle_relay()
+            connection.close_idle_relay(answered_only=effect.answered_only)
+
+    async def watch_relays(self) -> None:
+        """Give up the relays of holders that don't answer; never returns."""
+        while True:
+            await asyncio.sleep(RELAY_CHECK_INTERVAL)
+            relays = []
+            for connection in self.connections.values():
+                if connection.relay_connection is not None:
+                    relays.append(connection.relay_connection)
+            holders = {relay.holder.name: relay.holder for relay in relays}
+            activities = [relay.activity for relay in relays]
+            silent = find_silent_holders(activities, read_clock())
+            checks = [self._check_holder(holders[name]) for name in silent]
+            await asyncio.gather(*checks)
+
+    async def _check_holder(self, holder: VmEntry) -> None:
+        """Give up the relays of a silent holder if its machine can't be reached."""
+        if await is_reachable(holder):
+            return
+        self.emit(HoldersUnavailable(at=read_clock(), silent=(holder.name,)))
+        ended = kept = 0
+        for connection in list(self.connections.values()):
+            relay = connection.relay_connection
+            if relay is None or relay.holder.name != holder.name:
+                continue
+            if relay.give_up():
+                ended += 1
+            else:
+                kept += 1
+        _log.warning(
+            "event=relays_given_up holder=%s ended=%d kept=%d", holder.name, ended, kept
+        )
 
     def stop_accepting_relays(self) -> None:
         """Accept no more callers that other VMs relay."""
@@ -275,9 +317,22 @@
             codec=self._callers.codec, write=self.write, lost=self.close
         )
 
-    def close_idle_relay(self) -> None:
-        """Close the connection if it is relayed and the relay is idle."""
-        if self._relay is not None and self._relay.idle:
+    @property
+    def relay_connection(self) -> RelayProtocol | None:
+        """The relay's open connection to a holder, None without one."""
+        return self._relay
+
+    def close_idle_relay(self, *, answered_only: bool) -> None:
+        """Close a relayed connection once it is idle.
+
+        Args:
+            answered_only: whether to wait for the next answer in any case.
+        """
+        if self._relay is None:
+            return
+        if answered_only or not self._relay.idle:
+            self._relay.close_after_answer()
+        else:
             self.close()
 
     def _submit_statement(self, statement: Statement) -> None:
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -83,7 +83,7 @@
         self._handlers = {
             AcceptCaller: callers.accept,
             RelayCaller: callers.relay,
-            CloseIdleRelays: lambda effect: callers.close_idle_relays(),
+            CloseIdleRelays: callers.close_idle_relays,
             RefuseCaller: callers.refuse,
             ReplyCaller: callers.reply,
             CloseCaller: callers.close,
--- a/src/siskinhold/lines/_protocol.py
+++ b/src/siskinhold/lines/_protocol.py
@@ -5,7 +5,7 @@
 
 from ._codec import LINE_LIMIT
 
-KEEPALIVE_IDLE = 2
+KEEPALIVE_IDLE = 1
 """Idle seconds until the first keep-alive probe."""
 
 KEEPALIVE_INTERVAL = 1
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -3,7 +3,15 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from ..direct import Refusal, TransactionState, VmEntry
+from ..direct import (
+    Refusal,
+    RelayActivity,
+    Statement,
+    TransactionState,
+    VmEntry,
+    may_give_up,
+)
+from ._clock import read_clock
 from ._codec import AnswerLineKind, LineCodec
 from ._protocol import LineProtocol
 
@@ -22,6 +30,10 @@
 USER_TIMEOUT = 1.0
 """Seconds that sent data may stay unacknowledged before a holder counts as lost."""
 
+CHECK_ATTEMPTS = 2
+"""Connection attempts to a silent holder, each with `CONNECT_TIMEOUT`, until it counts
+as lost: a single packet may get lost."""
+
 MAX_WRITE_BUFFER = 1 << 20
 """Unsent bytes above which a relay is aborted, as the holder doesn't read."""
 
@@ -46,6 +58,11 @@
         self._buffered_lines: list[bytes] = []
         self._outstanding = 1
         self._state = TransactionState.NONE
+        self._last_line = b""
+        self._sent_at = 0.0
+        self._received_at = 0.0
+        self._closing = False
+        self.holder: VmEntry | None = None
         self.answered = asyncio.Event()
 
     @property
@@ -77,11 +94,39 @@
         """Whether neither a statement nor a transaction is open."""
         return self._outstanding <= 0 and self._state is TransactionState.NONE
 
+    @property
+    def activity(self) -> RelayActivity:
+        """Recent traffic, by which a silent holder is found."""
+        return RelayActivity(
+            holder=self.holder.name,
+            waiting_since=self._sent_at if self._outstanding > 0 else None,
+            received_at=self._received_at,
+        )
+
+    def give_up(self) -> bool:
+        """Close the relay of a lost holder if its caller can repeat its statement.
+
+        Returns:
+            whether it was closed.
+        """
+        statement = None
+        if self._outstanding > 0:
+            message = self._codec.parse_caller_line(self._last_line)
+            statement = message if isinstance(message, Statement) else None
+        if not may_give_up(statement, self._state):
+            return False
+        if self.transport is not None:
+            self.transport.abort()
+        return True
+
     def forward(self, line: bytes) -> None:
         """Forward a line of the caller to the holder."""
         if self.transport is None or self.transport.is_closing():
             return
+        if self._outstanding <= 0:
+            self._sent_at = read_clock()
         self._outstanding += 1
+        self._last_line = line
         self.transport.write(line + b"\r\n")
         if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
             self.transport.abort()
@@ -94,9 +139,12 @@
             return
         self._write(line + b"\r\n")
         answer_line = self._codec.parse_answer_line(line)
+        self._received_at = read_clock()
         if answer_line.kind is AnswerLineKind.READY:
             self._outstanding -= 1
             self._state = answer_line.transaction
+            if self._closing and self.idle:
+                self.close()
 
     def handle_overflow(self) -> None:
         """Abort a relay whose holder sends a line that exceeds the limit."""
@@ -109,6 +157,10 @@
         if self._forwarding:
             self._lost()
 
+    def close_after_answer(self) -> None:
+        """Close the connection right after the next answer that leaves it idle."""
+        self._closing = True
+
     def close(self) -> None:
         """Close the connection."""
         if self.transport is not None:
@@ -165,6 +217,7 @@
     """
     loop = asyncio.get_running_loop()
     protocol = make_protocol()
+    protocol.holder = holder
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT):
             await loop.create_connection(
@@ -191,3 +244,26 @@
     search.refused.append(holder.name)
     protocol.close()
     return None
+
+
+async def is_reachable(holder: VmEntry) -> bool:
+    """Return whether a holder's machine answers connection attempts.
+
+    A refused connection is an answer: the holder may be shutting down and still answer
+    the callers that it has.
+    """
+    loop = asyncio.get_running_loop()
+    for _ in range(CHECK_ATTEMPTS):
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, holder.host, holder.relay_port
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            # Counted: after the last attempt the caller logs the loss.
+            continue
+        transport.abort()
+        return True
+    return False
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -121,6 +121,7 @@
         self.driver.start()
         for follower in (
             self._watch_settings(),
+            self._callers.watch_relays(),
             register_vm(self._client, _make_vm_entry(settings), health),
             follow_configuration(
                 self._client, self.driver.emit, self._needs_store_data, health
