Limit an unexpected error to the connection whose event raised it

Cause: an exception in a handler of the reducer ended the driver's loop; one malformed message or bad state took the whole process's work down. Change: the reducer logs the error with its place, keeps the effects so far and closes the caller's or server's connection that the event came from.

--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -1,6 +1,7 @@
 """Reducer of the direct core: maps events to effects."""
 
 from ._claims import handle_leader_record
+from ._containment import contain_failure
 from ._dispatch import hedge_reads, reconcile_database
 from ._effects import AnnounceReadiness, Log
 from ._events import (
@@ -61,8 +62,11 @@
     out: Effects = []
     state.now = max(state.now, event.at)
     state.started_at = state.started_at or state.now
-    _HANDLERS[type(event)](state, event, out)
-    _reconcile(state, out)
+    try:
+        _HANDLERS[type(event)](state, event, out)
+        _reconcile(state, out)
+    except Exception as error:
+        contain_failure(state, event, error, out)
     return out
 
 
