Keep a VM's tasks, votes and orders correct through errors and pauses

Change: tasks are started again and errors logged; first reads and those while an entry is missing are fresh; one suspicion of a database is published at a time, the newest last, with its revision; orders carry the deadline on a clock that counts suspended time, and nothing is sent after it.

--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -97,6 +97,8 @@
     async def publish_suspicion(self, suspicion: Suspicion) -> None:
         """Write a suspicion, replacing this VM's older one of the same database.
 
+        A call that is carried out late does not replace a newer one.
+
         Raises:
             StoreUnavailable: without a usable answer.
         """
@@ -143,14 +145,14 @@
 
     @abc.abstractmethod
     async def order_promotion(
-        self, service: str, server: str, *, vm: str, token: int, timeout: float
+        self, service: str, server: str, *, vm: str, token: int, deadline: float
     ) -> PromotionOutcome:
         """Request the promotion of a server.
 
         Args:
             vm: the VM that requests it.
             token: fence token.
-            timeout: maximum time until the answer, in seconds.
+            deadline: time of the runtime's clock after which nothing may be sent.
         """
 
     @abc.abstractmethod
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -1,6 +1,7 @@
 """Feeds events to the direct core and carries out its effects."""
 
 import asyncio
+import logging
 from collections import deque
 
 from ..direct import (
@@ -10,6 +11,7 @@
     CloseCaller,
     CloseIdleRelays,
     DirectState,
+    Effect,
     Event,
     LeaderRecordAnswered,
     ListSuspicions,
@@ -28,6 +30,7 @@
     SendCommands,
     ShutdownRequested,
     Stop,
+    Suspicion,
     SuspicionsAnswered,
     TimeAdvanced,
     VmsRead,
@@ -42,6 +45,16 @@
 from ._clock import read_clock
 from ._log import DecisionLog
 from ._probe import ProbeServer
+from ._supervision import log_failure
+
+PUBLISH_RETRY_DELAY = 0.2
+"""Seconds until a suspicion that could not be published is published again."""
+
+MAX_PUBLISH_ATTEMPTS = 50
+"""Failed attempts in a row after which a suspicion is given up; the store has then been
+away for longer than a suspicion matters."""
+
+_log = logging.getLogger(__name__)
 
 
 class DirectDriver:
@@ -79,6 +92,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._suspicions: dict[str, Suspicion] = {}
         self.stopped = asyncio.Event()
         self._handlers = {
             AcceptCaller: callers.accept,
@@ -132,20 +146,32 @@
         try:
             while self._pending and not self.stopped.is_set():
                 for effect in reduce(self.state, self._pending.popleft()):
-                    self._handlers[type(effect)](effect)
+                    self._perform(effect)
         finally:
             self._running = False
 
+    def _perform(self, effect: Effect) -> None:
+        """Carry out an effect; an unexpected error is logged and ends only this one."""
+        try:
+            self._handlers[type(effect)](effect)
+        except Exception as error:
+            _log.error(
+                "event=effect_failed kind=%s error=%r", type(effect).__name__, error
+            )
+
     def _tick(self) -> None:
         """Emit a `TimeAdvanced` event and schedule the next one."""
         if self.stopped.is_set():
             return
-        self.emit(TimeAdvanced(at=read_clock()))
-        self._timer = self._loop.call_later(compute_tick_delay(self.state), self._tick)
+        try:
+            self.emit(TimeAdvanced(at=read_clock()))
+        finally:
+            delay = compute_tick_delay(self.state)
+            self._timer = self._loop.call_later(delay, self._tick)
 
     def _spawn(self, coroutine) -> None:
         """Run a coroutine as a task that `stop` cancels."""
-        task = self._loop.create_task(coroutine)
+        task = self._loop.create_task(log_failure(coroutine))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -174,15 +200,34 @@
         )
 
     def _publish_suspicion(self, effect: PublishSuspicion) -> None:
-        """Start to publish a suspicion."""
-        self._spawn(self._try_publish_suspicion(effect))
+        """Publish a suspicion once the one before of the same database is settled."""
+        service = effect.suspicion.service
+        publishing = service in self._suspicions
+        self._suspicions[service] = effect.suspicion
+        if not publishing:
+            self._spawn(self._publish_newest(service))
 
-    async def _try_publish_suspicion(self, effect: PublishSuspicion) -> None:
-        """Publish a suspicion once, and log a failure."""
-        try:
-            await self._client.publish_suspicion(effect.suspicion)
-        except StoreUnavailable as error:
-            self._write_failure("suspicion_unpublished", error)
+    async def _publish_newest(self, service: str) -> None:
+        """Publish this VM's newest suspicion of a database; retry while it is newest.
+
+        One call at a time is under way. A withdrawal that is overtaken by an older
+        call, or lost, would leave a vote against a primary that this VM reaches.
+        """
+        published = None
+        attempts = 0
+        while attempts < MAX_PUBLISH_ATTEMPTS:
+            suspicion = self._suspicions[service]
+            if suspicion is published:
+                break
+            attempts += 1
+            try:
+                await self._client.publish_suspicion(suspicion)
+                published = suspicion
+                attempts = 0
+            except StoreUnavailable as error:
+                self._write_failure("suspicion_unpublished", error)
+                await asyncio.sleep(PUBLISH_RETRY_DELAY)
+        del self._suspicions[service]
 
     def _list_suspicions(self, effect: ListSuspicions) -> None:
         """Start to read the suspicions of a database."""
@@ -228,13 +273,17 @@
         self._spawn(self._report_promotion(effect))
 
     async def _report_promotion(self, effect: OrderPromotion) -> None:
-        """Order a promotion and emit the platform's answer."""
+        """Order a promotion and emit the platform's answer.
+
+        Nothing is sent after the deadline, even if this VM was suspended in between:
+        another VM may have claimed the promotion by then.
+        """
         outcome = await self._client.order_promotion(
             effect.service,
             effect.server,
             vm=self.state.vm,
             token=effect.token,
-            timeout=max(0.05, effect.deadline - read_clock()),
+            deadline=effect.deadline,
         )
         self.emit(PromotionAnswered(at=read_clock(), call=effect.call, outcome=outcome))
 
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -20,6 +20,10 @@
 """Seconds between two reads of the list of servers. A server is listed as draining
 seconds before it stops."""
 
+MISSING_PERIOD = 4.0
+"""Seconds for which a server counts as just missing: longer than the time after which
+a primary that stays missing is replaced."""
+
 FIRST_CHECK_DELAY = 0.01
 """Seconds until a VM that needs no store data first checks again whether it does. The
 delay doubles with each check, as the need arises soon after the start or not at all."""
@@ -99,7 +103,8 @@
     """
     backoff = _RetryBackoff(name="configuration", health=health)
     revision = None
-    fresh = False
+    # A stale first read could bring back a route that was removed before the start.
+    fresh = True
     while True:
         if not is_needed():
             await _wait_until_needed(is_needed)
@@ -117,6 +122,8 @@
             revision, fresh = None, True
             continue
         except StoreUnavailable as error:
+            # A store that is overloaded may still answer stale reads.
+            fresh = not fresh
             await backoff.pause(error)
             continue
         backoff.record_success()
@@ -132,6 +139,28 @@
         pause = min(MAX_CHECK_DELAY, 2 * pause)
 
 
+class _MissingEntries:
+    """Servers that were listed before and are missing since a short time."""
+
+    def __init__(self) -> None:
+        self._listed: set[str] = set()
+        self._missing: dict[str, float] = {}
+
+    def update(self, listed: set[str], now: float) -> None:
+        """Record the names in a new list."""
+        for name in self._listed - listed:
+            self._missing[name] = now
+        self._listed = listed
+        for name, since in list(self._missing.items()):
+            if name in listed or now - since >= MISSING_PERIOD:
+                del self._missing[name]
+
+    @property
+    def recent(self) -> bool:
+        """Whether a server is missing since a short time."""
+        return bool(self._missing)
+
+
 async def follow_servers(
     client: PlatformClient,
     emit: Callable[[Event], None],
@@ -140,7 +169,8 @@
 ) -> None:
     """Emit the list of servers periodically; never returns.
 
-    Reads may be stale, except the first one and those after an empty list.
+    Reads may be stale, except the first one, those after an empty list, and those while
+    an entry is missing: stale data could lack an entry that has returned.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -148,6 +178,7 @@
     """
     backoff = _RetryBackoff(name="servers", health=health)
     fresh = True
+    missing = _MissingEntries()
     while True:
         if not is_needed():
             await _wait_until_needed(is_needed)
@@ -158,7 +189,8 @@
             await backoff.pause(error)
             continue
         backoff.record_success()
-        fresh = not entries
+        missing.update({entry.server for entry in entries}, read_clock())
+        fresh = not entries or missing.recent
         emit(ServersRead(at=read_clock(), revision=revision, entries=entries))
         await asyncio.sleep(POLL_INTERVAL)
 
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -10,6 +10,8 @@
 
 import h11
 
+from ._clock import read_clock
+
 CHUNK_SIZE = 1 << 16
 """Maximum number of bytes in one read."""
 
@@ -58,10 +60,14 @@
         headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
         timeout: float,
+        send_by: float | None = None,
     ) -> HttpAnswer:
         """Send a request and return its answer.
 
         Args:
+            send_by: time of the runtime's clock after which it may not be sent, and its
+                answer is not awaited. Unlike the timeout it also counts time in which
+                the process is suspended.
             timeout: maximum time until the answer begins, and between two parts of
                 it, in seconds. Aborting a request while its answer still arrives, and
                 retrying it, would add load to a slow link.
@@ -74,9 +80,13 @@
             fields.append(("Content-Length", str(len(body))))
         request = h11.Request(method=method, target=path, headers=fields)
         connection = None
+        if send_by is not None:
+            timeout = min(timeout, max(0.0, send_by - read_clock()))
         try:
             async with asyncio.timeout(timeout) as limit:
                 connection = await self._get_connection()
+                if send_by is not None and read_clock() >= send_by:
+                    raise HttpFailure("not sent: its deadline has passed")
                 answer = await connection.exchange(request, body, limit, timeout)
         except TimeoutError:
             # Idle connections to the same address are probably dead as well.
@@ -85,7 +95,7 @@
         except (OSError, h11.ProtocolError, EOFError) as error:
             self._abort_connections(connection)
             raise HttpFailure(repr(error)) from error
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, HttpFailure):
             self._abort_connections(connection)
             raise
         if connection.reusable:
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -26,6 +26,7 @@
 from ._metrics import METRICS
 from ._probe import ProbeServer
 from ._sharing import answer_snapshot, request_snapshots
+from ._supervision import keep_running
 
 SETTINGS_CHECK_INTERVAL = 2.0
 """Seconds between two checks whether the settings file has changed."""
@@ -119,25 +120,8 @@
         await self._callers.start(self.driver.emit)
         await self._probe.start()
         self.driver.start()
-        for follower in (
-            self._watch_settings(),
-            self._callers.watch_relays(),
-            register_vm(self._client, _make_vm_entry(settings), health),
-            follow_configuration(
-                self._client, self.driver.emit, self._needs_store_data, health
-            ),
-            follow_servers(
-                self._client, self.driver.emit, self._needs_store_data, health
-            ),
-            request_snapshots(
-                self.driver.state,
-                self.driver.emit,
-                lambda: self._settings.seeds,
-                lambda: health.failing,
-                self._write_line,
-            ),
-        ):
-            self._tasks.append(loop.create_task(follower))
+        for name, start in self._list_tasks(health).items():
+            self._tasks.append(loop.create_task(keep_running(name, start)))
         loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
         loop.add_signal_handler(signal.SIGINT, self._begin_shutdown)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
@@ -150,6 +134,31 @@
             metrics=settings.metrics_port,
         )
 
+    def _list_tasks(self, health: StoreHealth) -> dict:
+        """Return the functions that start the process's tasks, by name."""
+        client, emit = self._client, self.driver.emit
+        return {
+            "settings": self._watch_settings,
+            "relays": self._callers.watch_relays,
+            "registration": functools.partial(
+                register_vm, client, _make_vm_entry(self._settings), health
+            ),
+            "configuration": functools.partial(
+                follow_configuration, client, emit, self._needs_store_data, health
+            ),
+            "servers": functools.partial(
+                follow_servers, client, emit, self._needs_store_data, health
+            ),
+            "snapshots": functools.partial(
+                request_snapshots,
+                self.driver.state,
+                emit,
+                lambda: self._settings.seeds,
+                lambda: health.failing,
+                self._write_line,
+            ),
+        }
+
     async def wait(self) -> None:
         """Return when a graceful shutdown is complete."""
         await self.driver.stopped.wait()
--- /dev/null
+++ b/tests/users_platform/test_tasks.py
@@ -0,0 +1,251 @@
+"""Tests of a process's tasks: feeds of the store, timers, published suspicions."""
+
+import asyncio
+
+import pytest
+
+from siskinhold.direct import (
+    DirectState,
+    Log,
+    OrderPromotion,
+    PromotionOutcome,
+    PublishSuspicion,
+    ServerEntry,
+    Suspicion,
+)
+from siskinhold.lines import HttpClient, HttpFailure, StoreUnavailable, _driver, _http
+from siskinhold.lines._driver import DirectDriver
+from siskinhold.lines._feeds import StoreHealth, follow_configuration, follow_servers
+from siskinhold.lines._supervision import keep_running
+
+
+class FakeClient:
+    """Answers the calls of the feeds from lists, then waits forever."""
+
+    def __init__(self, *, servers=()) -> None:
+        self.servers = list(servers)
+        self.calls = []
+        self.suspicions = []
+        self.failures = 0
+        self.orders = []
+
+    async def read_configuration(self, *, fresh):
+        """Record the read."""
+        self.calls.append(("configuration", fresh))
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailable("away")
+        return 1, None
+
+    async def watch_configuration(self, revision, wait):
+        """Wait forever."""
+        await asyncio.Event().wait()
+
+    async def list_servers(self, *, fresh):
+        """Return the next list."""
+        self.calls.append(("servers", fresh))
+        if not self.servers:
+            await asyncio.Event().wait()
+        names = self.servers.pop(0)
+        return len(self.calls), tuple(make_entry(name) for name in names)
+
+    async def publish_suspicion(self, suspicion):
+        """Record the suspicion; the first ones fail or take longer than later ones."""
+        await asyncio.sleep(0.05 if suspicion.term else 0.0)
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailable("away")
+        self.suspicions.append(suspicion)
+
+    async def order_promotion(self, service, server, *, vm, token, deadline):
+        """Record the order."""
+        self.orders.append((service, deadline))
+        return PromotionOutcome.UNKNOWN
+
+
+def make_entry(name: str) -> ServerEntry:
+    """Return the entry of a server."""
+    return ServerEntry(
+        server=name,
+        service="db",
+        host="127.0.0.1",
+        port=1,
+        zone="a",
+        slots=2,
+        draining=False,
+        leads=False,
+        started=1,
+    )
+
+
+async def run_briefly(coroutine, seconds: float) -> None:
+    """Run a coroutine that never returns for some time."""
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await coroutine
+
+
+class TestFeeds:
+    async def test_first_configuration_is_not_a_stale_one(self):
+        """Guards against a removed route that is in use again after a restart."""
+        client = FakeClient()
+        feed = follow_configuration(client, print, lambda: True, StoreHealth())
+        await run_briefly(feed, 0.05)
+        assert client.calls == [("configuration", True)]
+
+    async def test_stale_one_is_read_if_the_store_refuses(self):
+        """Guards against a start that waits for a store which answers stale reads."""
+        client = FakeClient()
+        client.failures = 1
+        feed = follow_configuration(client, print, lambda: True, StoreHealth())
+        await run_briefly(feed, 0.3)
+        assert client.calls == [("configuration", True), ("configuration", False)]
+
+    async def test_missing_server_is_looked_up_in_fresh_data(self, monkeypatch):
+        """Guards against replacing a primary whose entry is back in the store."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.01)
+        client = FakeClient(
+            servers=(("a", "b"), ("a", "b"), ("a",), ("a", "b"), ("a",))
+        )
+        feed = follow_servers(client, lambda event: None, lambda: True, StoreHealth())
+        await run_briefly(feed, 0.2)
+        fresh = [call[1] for call in client.calls]
+        assert fresh == [True, False, False, True, False, True]
+
+
+class TestErrors:
+    async def test_task_is_started_again(self, monkeypatch):
+        """Guards against a VM that follows the store no more after one bad answer."""
+        monkeypatch.setattr("siskinhold.lines._supervision.RESTART_DELAY", 0.01)
+        starts = []
+
+        async def run():
+            starts.append(None)
+            if len(starts) < 3:
+                raise AttributeError("unexpected")
+
+        await keep_running("test", run)
+        assert len(starts) == 3
+
+
+class FakeCallers:
+    """Accepts all effects of callers; fails when a caller is accepted."""
+
+    def __getattr__(self, name):
+        return self._ignore
+
+    def _ignore(self, *arguments) -> None:
+        return None
+
+
+def make_driver(client) -> DirectDriver:
+    """Return a driver that is connected to fakes."""
+    state = DirectState(
+        vm="vm-1", zone="a", regions={"a": "east"}, grace=6.0, random=None
+    )
+    return DirectDriver(
+        state=state,
+        callers=FakeCallers(),
+        backends=FakeCallers(),
+        client=client,
+        probe=None,
+        log=FakeCallers(),
+        metrics=FakeCallers(),
+    )
+
+
+class TestDriver:
+    async def test_timer_goes_on_after_an_error(self, monkeypatch):
+        """Guards against a VM without deadlines or failover after one error."""
+        calls = []
+
+        def fail(state, event):
+            calls.append(event)
+            raise ValueError("unexpected")
+
+        monkeypatch.setattr(_driver, "reduce", fail)
+        driver = make_driver(FakeClient())
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        with pytest.raises(ValueError):
+            driver.start()
+        await asyncio.sleep(0.35)
+        driver.stop()
+        assert len(calls) > 2
+
+    async def test_failed_effect_does_not_stop_the_others(self, monkeypatch):
+        """Guards against commands that are recorded as sent but never sent."""
+        driver = make_driver(FakeClient())
+        performed = []
+
+        def write(effect):
+            performed.append(effect)
+            if len(performed) == 1:
+                raise OSError("unexpected")
+
+        driver._handlers[Log] = write
+        lines = [Log(event="a", fields=()), Log(event="b", fields=())]
+        monkeypatch.setattr(_driver, "reduce", lambda state, event: lines)
+        driver.emit(None)
+        assert len(performed) == 2
+
+
+def make_suspicion(term: int) -> PublishSuspicion:
+    """Return the effect that publishes a suspicion of a term, 0 to withdraw it."""
+    suspicion = Suspicion(service="db", server="a", term=term, vm="vm-1")
+    return PublishSuspicion(suspicion=suspicion)
+
+
+class TestSuspicions:
+    async def test_withdrawal_is_not_overtaken(self):
+        """Guards against a vote that stays though the primary is reached again."""
+        client = FakeClient()
+        driver = make_driver(client)
+        driver._publish_suspicion(make_suspicion(1))
+        await asyncio.sleep(0)
+        driver._publish_suspicion(make_suspicion(0))
+        await asyncio.sleep(0.2)
+        assert [s.term for s in client.suspicions] == [1, 0]
+
+    async def test_failed_one_is_published_again(self):
+        """Guards against a lost primary that too few VMs are known to miss."""
+        client = FakeClient()
+        client.failures = 1
+        driver = make_driver(client)
+        driver._publish_suspicion(make_suspicion(1))
+        await asyncio.sleep(0.5)
+        assert [s.term for s in client.suspicions] == [1]
+
+
+class TestOrders:
+    async def test_nothing_is_sent_after_the_deadline(self, monkeypatch):
+        """Guards against two VMs that both order a promotion.
+
+        The VM was suspended after it had decided; timers do not count that time.
+        """
+        requests = []
+
+        async def answer(reader, writer):
+            requests.append(await reader.read(1))
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(host="127.0.0.1", port=port)
+        times = iter((0.0, 5.0))
+        monkeypatch.setattr(_http, "read_clock", lambda: next(times))
+        with pytest.raises(HttpFailure):
+            await client.request("POST", "/promotion", timeout=1.0, send_by=3.0)
+        await asyncio.sleep(0.05)
+        server.close()
+        assert requests in ([], [b""])
+
+    async def test_deadline_of_an_order_reaches_the_client(self):
+        """Guards against an order that may be sent at any time."""
+        client = FakeClient()
+        driver = make_driver(client)
+        driver._order_promotion(
+            OrderPromotion(call=1, service="db", server="a", token=7, deadline=3.0)
+        )
+        await asyncio.sleep(0.05)
+        assert client.orders == [("db", 3.0)]
