Hand an overloaded database over to a replica with a backlog

Ruled out: suspending and resuming replication does not shorten the backlog. Change: a VM whose database refuses for want of time asks the replicas for their backlog. If all need 4 s or more, and one receives the log, it claims the leader record, the primary steps down, and the replica is promoted once it has all commits. If the primary does not answer, the switchover is given up.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -5,11 +5,12 @@
 from ._evidence import can_prove, find_confirmed_time, request_proof
 from ._hedging import list_overdue_reads
 from ._placement import find_required_position, list_candidates, postpone_next_trial
-from ._queue import NO_PROOF, list_unservable, order_queue
+from ._queue import NO_PROOF, QUEUE_FULL, list_unservable, order_queue
 from ._replies import end_job
 from ._results import deliver_result
 from ._runs import begin_job, fail_job, fail_transaction, run_statement
 from ._state import Database, DirectState, Effects, Job, JobState
+from ._switchover import record_overload
 from ._types import Answer, Refusal
 
 FLOOR_REFRESH_INTERVAL = 0.6
@@ -67,6 +68,8 @@
     """Refuse jobs that can't be served in time, then send those that can run now."""
     for job, reason, wait in list_unservable(state, database):
         database.queue.remove(job)
+        if reason == QUEUE_FULL:
+            record_overload(state, database)
         detail = f"{reason} retry_after_ms={round(wait * 1000)}"
         fail_job(state, job, Refusal.OVERLOAD, reason, out, detail=detail)
     if not database.queue:
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -28,6 +28,7 @@
 from ._promotion_steps import (
     GONE_LEADER_TIMEOUT,
     STEP_RETRY_INTERVAL,
+    SWITCHOVER_CAUSE,
     enter_step,
     log_promotion,
     may_call,
@@ -36,6 +37,7 @@
     to_milliseconds,
 )
 from ._state import Database, DirectState, Effects
+from ._switchover import needs_switchover
 from ._types import Suspicion
 
 SUSPICION_DELAY = 0.15
@@ -126,6 +128,8 @@
         return "gone", server.gone_at
     if server.down_at is not None and state.now - server.down_at >= SUSPICION_DELAY:
         return "unreachable", server.down_at
+    if needs_switchover(state, database):
+        return SWITCHOVER_CAUSE, database.overloaded_since
     return None
 
 
@@ -208,6 +212,11 @@
             _withdraw_suspicion(state, database, out)
         database.promotion = None
         return
+    if promotion.token == 0 and promotion.cause == SWITCHOVER_CAUSE:
+        if cause[0] != SWITCHOVER_CAUSE:
+            # Another cause may need the other VMs' confirmation.
+            database.promotion = None
+            return
     if promotion.step is PromotionStep.SUSPECTING:
         _update_cause(state, promotion, cause[0])
     if promotion.token and state.now - promotion.began_at > ATTEMPT_TIMEOUT:
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -12,6 +12,7 @@
 from ._promotion_state import Promotion, PromotionStep, ReplicationProgress
 from ._promotion_steps import (
     STEP_RETRY_INTERVAL,
+    SWITCHOVER_CAUSE,
     enter_step,
     log_promotion,
     pop_promotion_call,
@@ -54,9 +55,20 @@
 def await_step_down(
     state, database: Database, promotion: Promotion, out: Effects
 ) -> None:
-    """Continue without the old primary if it does not confirm its step-down in time."""
-    if state.now - promotion.step_at >= STEP_DOWN_TIMEOUT:
-        enter_step(state, promotion, PromotionStep.COMPARING)
+    """Continue without the old primary if it does not confirm its step-down in time.
+
+    A switchover is given up then: only the position of the old primary shows which
+    replica has received all of its commits.
+    """
+    if state.now - promotion.step_at < STEP_DOWN_TIMEOUT:
+        return
+    if promotion.cause == SWITCHOVER_CAUSE:
+        log_promotion(
+            state, database, "promotion_dropped", out, reason="step_down_unanswered"
+        )
+        database.promotion = None
+        return
+    enter_step(state, promotion, PromotionStep.COMPARING)
 
 
 def handle_step_down_answer(state: DirectState, server: Server, answer: Answer) -> None:
@@ -153,8 +165,8 @@
 ) -> None:
     """Query the candidates' positions, and start the fencing once enough is known.
 
-    If the old primary's position is known, one candidate should have caught up with it;
-    otherwise all should have answered. After a timeout, one answer suffices.
+    If the old primary's position is known, another candidate should have caught up with
+    it; otherwise all should have answered. After a timeout, one answer suffices.
     """
     candidates = _list_candidates(state, database, promotion)
     if state.now >= promotion.repeat_at:
@@ -168,7 +180,10 @@
     needed = promotion.positions.get(promotion.leader)
     known = [s for s in candidates if s.entry.server in promotion.positions]
     if needed is not None:
-        caught_up = [s for s in known if promotion.positions[s.entry.server] >= needed]
+        replicas = [s for s in known if s.entry.server != promotion.leader]
+        caught_up = [
+            s for s in replicas if promotion.positions[s.entry.server] >= needed
+        ]
         if not caught_up and waited < CATCH_UP_TIMEOUT:
             return
     elif len(known) < len(candidates) and waited < POSITIONS_TIMEOUT:
@@ -228,10 +243,14 @@
 
 
 def _list_candidates(state, database: Database, promotion: Promotion) -> list[Server]:
-    """Return the usable servers that are up, without the primary to be replaced."""
+    """Return the usable servers that are up, without the primary to be replaced.
+
+    In a switchover it is included, as it leads again if no replica has all commits.
+    """
     found = []
     for server in state.members(database.name):
-        if server.entry.server == promotion.leader:
+        replaced = server.entry.server == promotion.leader
+        if replaced and promotion.cause != SWITCHOVER_CAUSE:
             continue
         if not server.usable or server.down_at is not None:
             continue
@@ -242,13 +261,14 @@
 def _rank_candidate(state, promotion: Promotion, server: Server) -> tuple:
     """Return the sort key of a candidate; the greatest is the best.
 
-    The end of the received log counts first, then being in the old primary's region.
+    The end of the received log counts first, then not being the old primary, then being
+    in its region.
     """
     old = state.servers.get(promotion.leader)
     zone = old.entry.zone if old is not None else state.zone
     same_region = state.regions.get(server.entry.zone) == state.regions.get(zone)
     position = promotion.positions.get(server.entry.server, Position(0, 0))
-    return (position, same_region, server.entry.server)
+    return (position, server is not old, same_region, server.entry.server)
 
 
 def order_promotion(
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -9,6 +9,9 @@
 """Seconds until a primary whose entry is missing is replaced; entries that expire
 during a store outage are back about two seconds after its end."""
 
+SWITCHOVER_CAUSE = "replicas_behind"
+"""Cause of the promotion of a replica in place of a primary that works."""
+
 CALL_TIMEOUT = 1.0
 """Seconds until an unanswered store call is repeated: longer than the slowest answer
 that the platform's documentation allows."""
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -38,6 +38,9 @@
 NO_PROOF = "no_proof"
 """Refusal reason of statements whose primary can't be proved to lead."""
 
+QUEUE_FULL = "queue_full"
+"""Refusal reason of statements that would wait too long for a server."""
+
 
 def order_queue(queue: list[Job]) -> list[Job]:
     """Return waiting jobs in the order in which they are placed."""
@@ -82,7 +85,7 @@
         key = tuple(server.entry.server for server in servers)
         wait = waits.get(key, 0.0)
         if state.now + wait + SERVICE_TIME_MARGIN * service_time > latest_end:
-            found.append((job, "queue_full", wait))
+            found.append((job, QUEUE_FULL, wait))
             continue
         waits[key] = wait + start_interval
     return found
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -37,6 +37,7 @@
         STEP_DOWN: to make the primary step down for a promotion.
         FENCE: to suspend a server's replication for a promotion.
         ATTEST: to get an attestation, or to resume replication.
+        BACKLOG: to learn how far a replica is behind with what it has received.
     """
 
     JOB = "work"
@@ -49,6 +50,7 @@
     STEP_DOWN = "step_down"
     FENCE = "fence"
     ATTEST = "vouch"
+    BACKLOG = "backlog"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -118,6 +120,21 @@
     position: Position
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Backlog:
+    """Part of a replica's received log that it has yet to apply.
+
+    Args:
+        sent_at: when the query was sent.
+        seconds: the replica's estimate of the time until it has applied all of it.
+        received: end of its received log.
+    """
+
+    sent_at: float
+    seconds: float
+    received: Position
+
+
 @dataclass(slots=True, kw_only=True)
 class Server:
     """A backend server and this VM's connections to it.
@@ -139,6 +156,8 @@
         open_failures: consecutive failed attempts to connect.
         lagging_until: until when reads that need a later position than `evidence` skip
             the server.
+        backlog: its backlog, None unless it was reported while the database was
+            overloaded.
         service_time: moving average of the time of a statement, in seconds.
         service_time_updated_at: when the average was last updated.
         overloaded_until: until when no further connections are opened, as the server
@@ -159,6 +178,7 @@
     retry_at: float = 0.0
     open_failures: int = 0
     lagging_until: float = 0.0
+    backlog: Backlog | None = None
     service_time: float = DEFAULT_SERVICE_TIME
     service_time_updated_at: float = -100.0
     overloaded_until: float = 0.0
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -40,6 +40,7 @@
 from ._results import handle_job_answer, handle_setup_answer
 from ._server_state import ConnectionState, Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
+from ._switchover import handle_backlog_answer, request_backlogs
 from ._types import Command, CommandKind, ServerEntry
 
 GONE_SERVER_RETENTION = 6.0
@@ -212,6 +213,8 @@
         handle_leader_status(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.ATTEST:
         handle_attestation(state, server, pending.sent_at, answer, out)
+    elif pending.purpose is Purpose.BACKLOG:
+        handle_backlog_answer(server, pending.sent_at, answer)
     elif pending.purpose is Purpose.PROBE:
         handle_candidate_status(state, server, answer)
     elif pending.purpose is Purpose.FENCE:
@@ -229,6 +232,7 @@
         _maintain_server(state, server, out)
     for database in state.databases.values():
         _probe_for_leader(state, database, out)
+        request_backlogs(state, database, out)
 
 
 def _close_released_connections(state: DirectState, out: Effects) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -65,6 +65,8 @@
             was sent.
         last_read_at: when a read that a replica may serve last arrived.
         lagging_seen_at: when a replica last refused a read because it lagged.
+        overloaded_since: when the refusals for want of time began.
+        overloaded_at: when a statement was last refused for want of time.
         promotion: this VM's promotion of the database.
         completion: leader record that this VM has yet to complete after its promotion.
         claim_revision: revision of the leader record while another VM promotes.
@@ -91,6 +93,8 @@
     positions_requested_at: float = -1.0
     last_read_at: float = -100.0
     lagging_seen_at: float = -100.0
+    overloaded_since: float = -100.0
+    overloaded_at: float = -100.0
     promotion: Promotion | None = None
     completion: Completion | None = None
     claim_revision: int = -1
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -170,12 +170,15 @@
         received: end of the log that it has received.
         suspended_term: term for which it has suspended replication from primaries of
             older terms, 0 for none.
+        backlog: estimated seconds until it has applied its received log, None if that
+            was not reported.
     """
 
     leads: bool
     term: int
     received: Position
     suspended_term: int = 0
+    backlog: float | None = None
 
 
 class Consistency(enum.Enum):
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -75,6 +75,8 @@
     Args:
         slots: statements that it runs concurrently; further ones wait in order.
         statement_time: seconds that a statement takes.
+
+    A replica applies what it receives before `applies_at` only then.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -88,6 +90,7 @@
         self.received = Position(1, 0)
         self.applied = Position(1, 0)
         self.lag = 0.002
+        self.applies_at = 0.0
         self.replication_paused = False
         self.suspended_term = 0
         self.unreachable_from: set[str] = set()
@@ -161,6 +164,7 @@
                 term=self.term,
                 received=self.received,
                 suspended_term=self.suspended_term,
+                backlog=0.0 if self.leads else max(0.0, self.applies_at - now),
             )
         elif kind is CommandKind.RESET:
             connection.values = {}
@@ -475,7 +479,15 @@
         if server.suspended_term > position.term:
             return
         server.received = max(server.received, position)
-        server.applied = server.received
+        if self.now >= server.applies_at:
+            server.applied = server.received
+            return
+        self.at(server.applies_at, lambda: self.apply_received(server))
+
+    def apply_received(self, server):
+        """Apply the received log once a replica no longer delays that."""
+        if self.now >= server.applies_at:
+            server.applied = server.received
 
     def promote(self, name):
         """Make a server the primary of the next term.
@@ -486,6 +498,9 @@
         term = max(s.term for s in self.servers.values()) + 1
         server.term = term
         server.leads = True
+        if self.now < server.applies_at:
+            # A promoted server applies its backlog at once.
+            server.applied = server.received
         server.suspended_term = 0
         for other in self.servers.values():
             if other is server or other.leads:
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -92,6 +92,12 @@
         assert not report.leads
         assert report.term == 3
         assert report.received == Position(3, 1209)
+        assert report.backlog == 0.012
+
+    def test_status_row_without_a_lag(self):
+        """Guards against a report that is lost because its lag can't be read."""
+        for row in ("replica 3 3.1209 0", "replica 3 3.1209 0 -"):
+            assert CODEC.parse_status_rows((row,)).backlog is None
 
     @given(strategies.binary(max_size=200))
     def test_any_bytes_parse_to_an_answer_line(self, line):
