Require a claim before every step of a promotion that follows it

Cause: a replica's status that was requested while the primary was suspected could arrive before this VM's claim. After a claim, a newer term let the lost primary count as the new one, so the promotion ended and the record named the lost primary as the stable one. And a new primary that applied its log counted as a database without one. Change: only a claimed promotion restarts for a newer term; a primary of an older term is no successor; a server that leads but still applies its log delays the search for another. Result: three tests fail before (one with eight orders) and pass now.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -48,6 +48,10 @@
 """Seconds without a known primary until this VM starts a promotion: longer than a
 promotion by another VM takes."""
 
+CATCHING_UP_PERIOD = 0.5
+"""Seconds for which a server that was seen to lead counts as a primary that still
+applies its log: several times the interval at which it is probed."""
+
 QUORUM_RATIO = 0.4
 """Share of the connection holders that must suspect a primary before it is replaced."""
 
@@ -105,7 +109,8 @@
     """Return why the primary should be replaced and since when, or None.
 
     A database without a leader gets a new one only if every server that is up refused a
-    write transaction meanwhile: otherwise one of them may be the primary.
+    write transaction meanwhile, and none is a new primary that applies its log:
+    otherwise one of them may be the primary.
     """
     if database.leader is None:
         if not state.servers_known:
@@ -113,10 +118,11 @@
         if state.now - database.leaderless_since < LEADERLESS_TIMEOUT:
             return None
         for member in state.members(database.name):
-            if (
-                member.down_at is None
-                and member.write_refused_at < database.leaderless_since
-            ):
+            if member.down_at is not None:
+                continue
+            if member.write_refused_at < database.leaderless_since:
+                return None
+            if state.now - member.catching_up_at < CATCHING_UP_PERIOD:
                 return None
         return "leaderless", database.leaderless_since
     server = state.leader_of(database)
@@ -198,9 +204,7 @@
     It is finished once there is a new leader or term. It is abandoned if its cause
     ends before the claim, or if it times out after the claim.
     """
-    leader = database.leader
-    replaced = leader is not None and leader.server != promotion.leader
-    if replaced or leader is not None and leader.term > promotion.term:
+    if _is_replaced(database, promotion):
         _finish_promotion(state, database, promotion, out)
         return
     cause = _find_cause(state, database)
@@ -230,6 +234,18 @@
     _STEPS[promotion.step](state, database, promotion, out)
 
 
+def _is_replaced(database: Database, promotion: Promotion) -> bool:
+    """Return whether another primary is known than the one to be replaced.
+
+    A primary of an older term than the promotion's does not count: it may be the lost
+    one, while only the term of its successor is known.
+    """
+    leader = database.leader
+    if leader is None or leader.term < promotion.term:
+        return False
+    return leader.server != promotion.leader or leader.term > promotion.term
+
+
 def _update_cause(state: DirectState, promotion: Promotion, cause: str) -> None:
     """Stop waiting for other VMs' suspicions if the list of servers shows the cause."""
     if cause in SUSPECTED_CAUSES:
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -193,3 +193,5 @@
         drop_leader(state, database, DropReason.OTHER_LEADS, out)
     if answer.position >= status.received:
         set_leader(state, database, server, status.term, out)
+        return
+    server.catching_up_at = state.now
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -90,12 +90,13 @@
 
 
 def _raise_term(state: DirectState, promotion: Promotion, term: int) -> None:
-    """Restart a promotion if a server knows of a newer term, unless it is ordered.
+    """Restart a claimed promotion if a server knows of a newer term.
 
     A promotion for a term that is not newer would not fence any server. The primary of
-    the newer term is unknown; if it is found, the promotion ends.
+    the newer term is unknown; if it is found, the promotion ends. Before the claim and
+    after the order, nothing is restarted: only a claim entitles to the later steps.
     """
-    if promotion.ordered or term <= promotion.term:
+    if promotion.token == 0 or promotion.ordered or term <= promotion.term:
         return
     promotion.term = term
     promotion.leader = ""
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -99,6 +99,61 @@
         assert len(tokens) == 1
         assert world.states["vm1"].databases["db"].leader.server != "s1"
 
+    def test_newer_term_before_the_claim_does_not_replace_the_claim(self):
+        """Guards against orders without a fence token, by several VMs at once.
+
+        While there is no primary, the replicas' status is requested. It may show a
+        newer term before this VM has claimed the promotion.
+        """
+        world = start(vms=8)
+        for server in world.servers.values():
+            server.leads = False
+            server.term = 2
+        for vm in world.states:
+            world.connect(vm, 1)
+            world.send_statement(vm, 1, "WRITE x 1")
+        world.advance(6)
+        assert world.orders
+        assert all(token > 0 for _, _, _, token in world.orders)
+
+    def test_newer_term_after_the_claim_does_not_end_the_promotion(self):
+        """Guards against a database without a primary for good.
+
+        The lost primary is still believed to lead an older term. It must not count as
+        the new primary, nor be recorded as one.
+        """
+        world = start(vms=8)
+        world.servers["s1"].down = True
+        for name in ("s2", "s3"):
+            world.servers[name].term = 2
+        world.advance(4)
+        assert {server for _, _, server, _ in world.orders} & {"s2", "s3"}
+        record = world.record
+        assert (record.state, record.server) != (LeaderState.STABLE, "s1")
+        leader = world.states["vm1"].databases["db"].leader
+        assert leader.server in ("s2", "s3") and leader.term == 3
+
+    def test_primary_that_applies_its_log_is_not_replaced(self):
+        """Guards against a second promotion while the new primary catches up."""
+        world = start(vms=8)
+        world.servers["s1"].leads = False
+        world.servers["s1"].term = 2
+        world.servers["s3"].term = 2
+        new = world.servers["s2"]
+        new.received = Position(1, 9)
+        new.replication_paused = True
+        for vm in world.states:
+            world.connect(vm, 1)
+            world.send_statement(vm, 1, "WRITE x 1")
+        world.advance(0.5)
+        new.leads = True
+        new.term = 2
+        world.advance(3)
+        assert world.orders == []
+        new.applied = new.received
+        world.advance(1)
+        assert world.states["vm1"].databases["db"].leader.server == "s2"
+
     def test_majority_is_suspended_for_a_term_that_positions_do_not_show(self):
         """Guards against a promotion that a majority's attestations don't reveal.
 
