Avoid and replace backend servers that fail their statements

And a server that lost its connections stayed unused while another one was free. Change: a server that fails most statements over a time gets no new ones for a while; a primary is replaced if enough VMs find the same; a failed read runs again on another server, three runs in all; a preferred server without any connection gets one.

--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -96,6 +96,11 @@
     return len(server.connections) > before
 
 
+def has_pool(server: Server) -> bool:
+    """Return whether there is a statement connection to a server, open or opening."""
+    return any(not connection.control for connection in server.connections.values())
+
+
 def ensure_control_connection(state: DirectState, server: Server, out: Effects) -> None:
     """Open a control connection to a server unless there is one."""
     for connection in server.connections.values():
--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -1,6 +1,11 @@
 """Placement or refusal of waiting jobs, hedging, and release of proved answers."""
 
-from ._connections import apply_session_values, find_idle_connection, grow_pool
+from ._connections import (
+    apply_session_values,
+    find_idle_connection,
+    grow_pool,
+    has_pool,
+)
 from ._effects import Log, Observe
 from ._evidence import can_prove, find_confirmed_time, request_proof
 from ._hedging import list_overdue_reads
@@ -99,6 +104,9 @@
         if connection is None:
             full.append(server)
             continue
+        if full and not has_pool(full[0]):
+            # It lost its connections; without new ones it would stay unused.
+            grow_pool(state, full[0], out)
         postpone_next_trial(state, server, after)
         begin_job(state, job, connection, after, out)
         return True
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -66,7 +66,7 @@
 MAX_RANK = 8
 """Rank above which the delay no longer increases."""
 
-SUSPECTED_CAUSES = ("unreachable", "leaderless")
+SUSPECTED_CAUSES = ("unreachable", "failing", "leaderless")
 """Causes that may be a fault of this VM, so that other VMs have to confirm them."""
 
 NO_TERM = 0
@@ -134,6 +134,8 @@
         return "gone", server.gone_at
     if server.down_at is not None and state.now - server.down_at >= SUSPICION_DELAY:
         return "unreachable", server.down_at
+    if state.now < server.failing_until:
+        return "failing", server.failing_since
     if needs_switchover(state, database):
         return SWITCHOVER_CAUSE, database.overloaded_since
     return None
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -1,6 +1,7 @@
 """Outcome of jobs whose connection is lost or whose deadline has passed."""
 
 from ._connections import close_connection
+from ._outliers import record_failure
 from ._replies import end_job
 from ._runs import fail_job, fail_transaction, requeue_job
 from ._server_state import Connection
@@ -26,6 +27,8 @@
         if pending.work is not None and pending.work not in jobs:
             jobs.append(pending.work)
     connection.pending.clear()
+    if jobs:
+        record_failure(state, connection.server, out)
     for job in jobs:
         _handle_run_loss(state, job, connection, out)
     if transaction is not None and not transaction.failed:
@@ -94,6 +97,7 @@
     for connection in job.connections:
         if job.state is JobState.RUNNING and connection.number in state.connections:
             connection.pending.clear()
+            record_failure(state, connection.server, out)
             close_connection(state, connection, out, "statement_timeout")
     if transaction is not None and not job.commits:
         fail_transaction(state, job, "timeout", out)
--- a/src/siskinhold/direct/_placement.py
+++ b/src/siskinhold/direct/_placement.py
@@ -101,14 +101,17 @@
     """Return the servers that may run a statement, best first.
 
     A statement for the primary has at most one candidate. Reads prefer servers that
-    don't lag, then fast ones, near ones, and replicas over the primary.
+    don't lag, then fast ones, near ones, and replicas over the primary. Servers that
+    fail statements are used for reads if there is no other one.
 
     Args:
         after: log position that the server must have applied.
     """
     leader = state.leader_of(database)
     if job.leader_only:
-        return [leader] if accepts_leader_jobs(state, leader) else []
+        if not accepts_leader_jobs(state, leader) or state.now < leader.failing_until:
+            return []
+        return [leader]
     ranked = []
     for server in state.members(database.name):
         if not server.usable or server.down_at is not None:
@@ -122,10 +125,15 @@
         if distance == 2 and state.now - job.arrived_at < REMOTE_READ_DELAY:
             if tried_at is None and _has_server_in_region(state, database):
                 continue
+        failing = state.now < server.failing_until
         lagging = state.now < server.lagging_until
         slow = server.service_time > 4 * _find_shortest_service_time(state, database)
-        ranked.append((lagging, slow, distance, server is leader, server.entry.server))
+        rank = (failing, lagging, slow, distance, server is leader)
+        ranked.append((*rank, server.entry.server))
     ranked.sort()
+    if ranked and not ranked[0][0]:
+        # Failing servers get statements only if there is no other one.
+        ranked = [entry for entry in ranked if not entry[0]]
     return [state.servers[entry[-1]] for entry in ranked]
 
 
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -262,14 +262,15 @@
 def _rank_candidate(state, promotion: Promotion, server: Server) -> tuple:
     """Return the sort key of a candidate; the greatest is the best.
 
-    The end of the received log counts first, then not being the old primary, then being
-    in its region.
+    The end of the received log counts first, then not being the old primary, then not
+    failing statements, then being in the old primary's region.
     """
     old = state.servers.get(promotion.leader)
     zone = old.entry.zone if old is not None else state.zone
     same_region = state.regions.get(server.entry.zone) == state.regions.get(zone)
     position = promotion.positions.get(server.entry.server, Position(0, 0))
-    return (position, server is not old, same_region, server.entry.server)
+    works = state.now >= server.failing_until
+    return (position, server is not old, works, same_region, server.entry.server)
 
 
 def order_promotion(
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -146,11 +146,14 @@
     """Return when a primary is expected to accept statements; now if one does."""
     leader = state.leader_of(database)
     if accepts_leader_jobs(state, leader) and leader.down_at is None:
-        return state.now
+        if state.now >= leader.failing_until:
+            return state.now
     if leader is None:
         return _adjust_expected_time(state, database.leader_expected_at)
     since = state.now
-    for moment in (leader.down_at, leader.draining_at, leader.gone_at):
+    failing_since = leader.failing_since if state.now < leader.failing_until else None
+    moments = (leader.down_at, leader.draining_at, leader.gone_at, failing_since)
+    for moment in moments:
         if moment is not None:
             since = min(since, moment)
     return _adjust_expected_time(
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -3,6 +3,7 @@
 from ._connections import close_connection
 from ._effects import Observe
 from ._losses import handle_connection_loss
+from ._outliers import record_failure, record_success
 from ._replies import end_job
 from ._runs import (
     fail_transaction,
@@ -11,10 +12,13 @@
     roll_back,
     run_statement,
 )
-from ._server_state import Connection, PendingCommand
-from ._state import DirectState, Effects, Job, JobState
+from ._server_state import Connection, PendingCommand, Server
+from ._state import DirectState, Effects, Job, JobState, Transaction
 from ._types import NOT_RUN, Answer, Refusal
 
+MAX_READ_ATTEMPTS = 3
+"""Runs of a read that servers fail, after which its caller gets the failure."""
+
 
 def handle_setup_answer(
     state: DirectState,
@@ -70,6 +74,7 @@
         # Refusals are quick; counted, they would make a lagging replica look fast.
         server.record_service_time(state.now, elapsed)
         out.append(Observe(metric="service_seconds", value=elapsed))
+    _record_outcome(state, server, answer, out)
     transaction = job.session.transaction
     in_transaction = connection.transaction is not None
     if job.state is not JobState.RUNNING or connection not in job.connections:
@@ -88,6 +93,9 @@
             return
         requeue_job(state, job, server, answer.refusal.value, out)
         return
+    if answer.refusal is Refusal.FAILED and _may_run_again(job, transaction):
+        requeue_job(state, job, server, answer.refusal.value, out)
+        return
     # The answers of other runs of a hedged read are discarded.
     job.connections = [connection]
     if job.commits:
@@ -105,6 +113,21 @@
     _finish_result(state, job, answer, out)
 
 
+def _record_outcome(
+    state: DirectState, server: Server, answer: Answer, out: Effects
+) -> None:
+    """Record whether a server failed a statement; refusals to run it say nothing."""
+    if answer.refusal is None:
+        record_success(server)
+    elif answer.refusal in (Refusal.FAILED, Refusal.TIMEOUT):
+        record_failure(state, server, out)
+
+
+def _may_run_again(job: Job, transaction: Transaction | None) -> bool:
+    """Return whether a failed statement may be run again: a single read, twice."""
+    return transaction is None and not job.writes and job.attempts < MAX_READ_ATTEMPTS
+
+
 def _finish_result(state: DirectState, job: Job, answer: Answer, out: Effects) -> None:
     """Deliver a result, or keep it until the primary is proved to have led.
 
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -159,6 +159,11 @@
             the server.
         backlog: its backlog, None unless it was reported while the database was
             overloaded.
+        failure_ratio: moving average of failed statements, see `_outliers`.
+        failed_since: when the first failure after the last success was seen.
+        failing_since: when it was last found to be failing.
+        failing_until: until when it gets no new statements as it fails them.
+        failing_period: length of that period, 0 after a success.
         service_time: moving average of the time of a statement, in seconds.
         service_time_updated_at: when the average was last updated.
         overloaded_until: until when no further connections are opened, as the server
@@ -181,6 +186,11 @@
     open_failures: int = 0
     lagging_until: float = 0.0
     backlog: Backlog | None = None
+    failure_ratio: float = 0.0
+    failed_since: float | None = None
+    failing_since: float = -100.0
+    failing_until: float = -100.0
+    failing_period: float = 0.0
     service_time: float = DEFAULT_SERVICE_TIME
     service_time_updated_at: float = -100.0
     overloaded_until: float = 0.0
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -332,9 +332,10 @@
 
 
 def _probe_for_leader(state: DirectState, database: Database, out: Effects) -> None:
-    """Probe the other servers unless the leader is up and not draining."""
+    """Probe the other servers unless the leader is up, works and is not draining."""
     leader = state.leader_of(database)
-    if leader is not None and leader.down_at is None:
+    works = leader is not None and state.now >= leader.failing_until
+    if works and leader.down_at is None:
         if accepts_leader_jobs(state, leader) and leader.draining_at is None:
             return
     if state.now - database.probed_at < LEAD_PROBE_INTERVAL:
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -76,7 +76,8 @@
         slots: statements that it runs concurrently; further ones wait in order.
         statement_time: seconds that a statement takes.
 
-    A replica applies what it receives before `applies_at` only then.
+    A replica applies what it receives before `applies_at` only then. Connections of the
+    VMs in `breaks_off_for` end with each statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -102,6 +103,8 @@
         self.ran: list[tuple[float, str, str]] = []
         self.commits: list[tuple[float, int, int]] = []
         self.lose_answers = 0
+        self.breaks_off_for: set[str] = set()
+        self.fails_statements = False
         self.answer_busy = 0
 
     def reaches(self, vm: str) -> bool:
@@ -196,6 +199,8 @@
             return now, Refusal.BUSY, ()
         if writes and not self.leads:
             return now, Refusal.READ_ONLY, ()
+        if self.fails_statements:
+            return now, Refusal.FAILED, ()
         end = self.occupy_slot(now, self.statement_time)
         self.ran.append((now, command.request, text))
         if writes and connection.open:
@@ -447,6 +452,11 @@
             if not server.reaches(vm):
                 self.at(self.now + (0.001 if server.process_down else 0.8), lose)
                 return
+            if command.request and vm in server.breaks_off_for:
+                del self.connections[vm, number]
+                lost = BackendLost(at=0, connection=number, reason=LossReason.CLOSED)
+                self.deliver(vm, self.now + LATENCY, lost)
+                return
             end, answer = server.run(connection, command, self.now)
             connection.ready_at = max(connection.ready_at, end)
             if command.request and server.lose_answers:
