Let waiting statements of several kinds allow for each other

Cause: the wait of a statement was estimated from those that need the same set of servers, and without later arrivals of a higher priority; statements were admitted that could not be served and were refused at their end, and one with a long deadline was overtaken by later arrivals until then. Load: more work of mixed priorities than a primary runs whose replicas lag. Change: waiting statements are placed one after the other on the server that starts each first; the share of recent starts of a higher priority lengthens the wait; once admitted, a statement is refused only if its deadline can't be met, and the order is by the end that admitted it.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -10,7 +10,7 @@
 from ._evidence import can_prove, find_confirmed_time, request_proof
 from ._hedging import list_overdue_reads
 from ._placement import find_required_position, list_candidates, postpone_next_trial
-from ._queue import NO_PROOF, QUEUE_FULL, list_unservable, order_queue
+from ._queue import NO_PROOF, QUEUE_FULL, find_latest_end, list_unservable, order_queue
 from ._replies import end_job
 from ._results import deliver_result
 from ._runs import begin_job, fail_job, fail_transaction, run_statement
@@ -51,6 +51,7 @@
         return
     if not job.leader_only:
         database.last_read_at = state.now
+    job.latest_end = find_latest_end(state, database, job)
     database.queue.append(job)
     state.pending_updates.add(database.name)
 
@@ -81,6 +82,7 @@
         return
     kept = []
     for job in order_queue(database.queue):
+        job.admitted = True
         if not _try_place_job(state, database, job, out):
             kept.append(job)
     database.queue = kept
@@ -108,6 +110,7 @@
             # It lost its connections; without new ones it would stay unused.
             grow_pool(state, full[0], out)
         postpone_next_trial(state, server, after)
+        database.starts.record(job.route.priority, state.now)
         begin_job(state, job, connection, after, out)
         return True
     for server in full:
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -2,7 +2,8 @@
 
 It matters under overload and while there is no primary. A statement that can't be
 served before its deadline is refused at once as not run, so that its caller has time to
-retry elsewhere. Jobs are ordered by priority of the route, then by deadline.
+retry elsewhere. Jobs are ordered by priority of the route, then by the latest end that
+admitted them.
 """
 
 from ._connections import compute_connection_limit
@@ -48,8 +49,25 @@
 
 
 def _sort_key(job: Job) -> tuple[int, float]:
-    """Return the key that sorts jobs by priority, then by deadline."""
-    return (job.route.priority, job.deadline)
+    """Return the key that sorts jobs by priority, then by the latest expected end.
+
+    With the deadline in its place, a statement with a long one would be overtaken by
+    later arrivals until it is refused.
+    """
+    return (job.route.priority, job.latest_end)
+
+
+def find_latest_end(state: DirectState, database: Database, job: Job) -> float:
+    """Return the latest expected end with which a statement is admitted to the queue.
+
+    During a short burst that is its deadline: late answers are better than refusals.
+    Once the queue persists, it is also limited by the target latency, so that
+    statements that would be late don't delay the others. Once admitted, it is refused
+    only if it can't meet its deadline: its caller would have waited in vain.
+    """
+    if state.now - database.queued_since < MAX_BURST_DURATION:
+        return job.deadline
+    return min(job.deadline, job.arrived_at + job.route.target)
 
 
 def list_unservable(
@@ -66,7 +84,7 @@
     found = []
     leader_at = estimate_leader_time(state, database)
     provable = can_prove(state, database)
-    waits: dict[tuple[str, ...], float] = {}
+    schedule = _Schedule(state=state, database=database)
     for job in order_queue(database.queue):
         if job.leader_only and leader_at > job.deadline:
             found.append((job, "no_primary", leader_at - state.now))
@@ -78,43 +96,87 @@
         ):
             found.append((job, NO_PROOF, STORE_UNAVAILABLE_PERIOD))
             continue
-        latest_end = _find_latest_end(state, database, job)
-        servers = _list_servers_in_time(state, database, job, latest_end)
-        start_interval, service_time = _estimate_service(state, servers)
-        # Jobs that the same servers have to run wait for each other.
-        key = tuple(server.entry.server for server in servers)
-        wait = waits.get(key, 0.0)
-        if state.now + wait + SERVICE_TIME_MARGIN * service_time > latest_end:
+        servers = _list_servers_in_time(state, database, job)
+        wait = schedule.place(servers, job)
+        if wait is not None:
             found.append((job, QUEUE_FULL, wait))
-            continue
-        waits[key] = wait + start_interval
     return found
 
 
-def _find_latest_end(state: DirectState, database: Database, job: Job) -> float:
-    """Return the latest acceptable end of a statement.
+class _Schedule:
+    """Expected starts of waiting jobs, which are placed one after the other.
 
-    During a short burst that is its deadline: late answers are better than refusals.
-    Once the queue persists, it is also limited by the target latency, so that
-    statements that would be late don't delay the others.
+    Jobs of several kinds wait for each other at the servers that may run both.
     """
-    if state.now - database.queued_since < MAX_BURST_DURATION:
-        return job.deadline
-    return min(job.deadline, job.arrived_at + job.route.target)
+
+    def __init__(self, *, state: DirectState, database: Database) -> None:
+        self._state = state
+        self._starts = database.starts
+        self._waits: dict[str, float] = {}
+
+    def place(self, servers: list[Server], job: Job) -> float | None:
+        """Place a job on the server that starts it first, if it can end in time.
+
+        A job that is not admitted yet must also allow for later arrivals of a higher
+        priority.
+
+        Returns:
+            None if it was placed or no server is known; otherwise the seconds after
+            which a server would start it.
+        """
+        first = None
+        for server in servers:
+            name = server.entry.server
+            if name not in self._waits:
+                self._waits[name] = self._estimate_first_start(server)
+            if first is None or self._waits[name] < self._waits[first.entry.server]:
+                first = server
+        if first is None:
+            return None
+        wait = self._waits[first.entry.server]
+        latest_end = job.deadline
+        if not job.admitted:
+            share = self._starts.compute_share_above(job.route.priority)
+            wait /= 1.0 - share
+            latest_end = job.latest_end
+        time = self._estimate_time(first)
+        if self._state.now + wait + SERVICE_TIME_MARGIN * time > latest_end:
+            return wait
+        self._waits[first.entry.server] += time / self._count_connections(first)
+        return None
+
+    def _estimate_first_start(self, server: Server) -> float:
+        """Return the seconds until a connection to a server is free."""
+        for connection in server.connections.values():
+            if connection.idle and not connection.control:
+                return 0.0
+        limit = compute_connection_limit(self._state, server)
+        if len(server.connections) < limit:
+            return 0.0
+        return self._estimate_time(server) / self._count_connections(server)
+
+    def _estimate_time(self, server: Server) -> float:
+        """Return the expected seconds that a server takes for a statement."""
+        return max(server.estimate_service_time(self._state.now), MIN_SERVICE_TIME)
+
+    def _count_connections(self, server: Server) -> int:
+        """Return the number of connections that run this VM's statements."""
+        return max(1, compute_connection_limit(self._state, server) - 1)
 
 
 def _list_servers_in_time(
-    state: DirectState, database: Database, job: Job, latest_end: float
+    state: DirectState, database: Database, job: Job
 ) -> list[Server]:
     """Return the servers that a job may wait for.
 
     A replica that lags counts if it will probably have applied what a read needs by
-    `latest_end`.
+    the deadline, or by the latest end that admits the job.
     """
     if job.leader_only:
         leader = state.leader_of(database)
         return [leader] if leader is not None else []
     after = find_required_position(database, job)
+    latest_end = job.deadline if job.admitted else job.latest_end
     found = []
     for server in state.members(database.name):
         if not server.usable or server.down_at is not None:
@@ -125,23 +187,6 @@
     return found
 
 
-def _estimate_service(state: DirectState, servers: list[Server]) -> tuple[float, float]:
-    """Return the interval between two starts, and the service time, in seconds.
-
-    Both are estimated for the servers together, and are 0 without one.
-    """
-    times = []
-    rate = 0.0
-    for server in servers:
-        connections = max(1, compute_connection_limit(state, server) - 1)
-        time = max(server.estimate_service_time(state.now), MIN_SERVICE_TIME)
-        times.append(time)
-        rate += connections / time
-    if not times:
-        return 0.0, 0.0
-    return 1.0 / rate, min(times)
-
-
 def estimate_leader_time(state: DirectState, database: Database) -> float:
     """Return when a primary is expected to accept statements; now if one does."""
     leader = state.leader_of(database)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -10,6 +10,7 @@
 from ._events import ServersRead
 from ._promotion_state import Completion, Promotion
 from ._server_state import Connection, Server
+from ._starts import StartCounts
 from ._types import Answer, Configuration, Route, Statement, TransactionState, VmEntry
 
 Effects = list[Effect]
@@ -51,6 +52,7 @@
         leader_expected_at: when a leader is expected, while none is known.
         floors: known floors, in ascending order of time.
         queue: jobs that wait for a connection.
+        starts: recent starts of queued jobs by priority.
         queued_since: since when the queue has not been empty.
         hedge_budget: reads that may be hedged now.
         unconfirmed: jobs whose answers wait for proof that the primary led.
@@ -81,6 +83,7 @@
     leader_expected_at: float = 0.0
     floors: deque[Floor] = field(default_factory=deque)
     queue: list["Job"] = field(default_factory=list)
+    starts: StartCounts = field(default_factory=StartCounts)
     queued_since: float = 0.0
     hedge_budget: float = 2.0
     unconfirmed: list["Job"] = field(default_factory=list)
@@ -186,6 +189,9 @@
         since: time whose acknowledged commits a read must see, before the staleness of
             the route: when its transaction began, else when it arrived.
         deadline: latest time of the answer to its caller.
+        latest_end: latest expected end with which it is admitted to the queue; set when
+            it is first queued.
+        admitted: whether it was admitted, so that only its deadline counts.
         writes: whether it may change data; true for a `COMMIT`.
         leader_only: whether only the primary may run it.
         commits: whether it is a `COMMIT`.
@@ -209,6 +215,8 @@
     deadline: float
     writes: bool
     leader_only: bool
+    latest_end: float = 0.0
+    admitted: bool = False
     commits: bool = False
     state: JobState = JobState.QUEUED
     tried: dict[str, float] = field(default_factory=dict)
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -1,6 +1,6 @@
 """Tests of the direct core under load: throughput, refusals and connections."""
 
-from siskinhold.direct import Refusal
+from siskinhold.direct import ConfigurationRead, Refusal
 
 from .world import World
 
@@ -8,30 +8,44 @@
 """Seconds that a statement takes at a server."""
 
 
+TARGET = 0.4
+"""Target latency of all routes, in seconds."""
+
+
 class Outcome:
     """Outcome of a caller's statement."""
 
-    def __init__(self, *, sent_at):
+    def __init__(self, *, sent_at, database):
         self.sent_at = sent_at
+        self.database = database
         self.answer = None
         self.duration = None
 
 
 def run_load(world, *, rate, seconds, database="orders", text="WRITE x 1", vm="vm1"):
     """Run statements at an even rate, each by a new caller; return their outcomes."""
+    return run_mixed_load(world, loads=[(database, text, rate)], seconds=seconds, vm=vm)
+
+
+def run_mixed_load(world, *, loads, seconds, vm="vm1"):
+    """Run statements of several kinds, each by a new caller; return their outcomes.
+
+    Args:
+        loads: database, text and rate of each kind.
+    """
     outcomes = {}
-    count = int(rate * seconds)
-    for index in range(count):
-        world.order += 1
-        session = 1000 + world.order
-        at = world.now + index / rate
-
-        def arrive(session=session):
-            world.connect(vm, session, database)
-            outcomes[session] = Outcome(sent_at=world.now)
-            world.send_statement(vm, session, text)
-
-        world.at(at, arrive)
+    for database, text, rate in loads:
+        for index in range(int(rate * seconds)):
+            world.order += 1
+            session = 1000 + world.order
+            at = world.now + index / rate
+
+            def arrive(session=session, database=database, text=text):
+                world.connect(vm, session, database)
+                outcomes[session] = Outcome(sent_at=world.now, database=database)
+                world.send_statement(vm, session, text)
+
+            world.at(at, arrive)
     world.advance(seconds + 3)
     for session, outcome in outcomes.items():
         replies = world.replies.get((vm, session), [])
@@ -74,6 +88,37 @@
         late = [o for o in refused if o.duration > 0.9 * world.timeout]
         assert len(late) <= 0.1 * len(refused)
 
+    def test_mixed_load_is_refused_at_once(self):
+        """Guards against statements that wait in vain behind later arrivals.
+
+        Load: for 6 s 1.6 times the capacity of a primary whose replicas are gone:
+        writes with priority, and reads with a short and a long timeout.
+        """
+        world = start(slots=2)
+        world.timeouts = {"views": 2.0}
+        world.version += 1
+        for vm in world.states:
+            event = ConfigurationRead(at=world.now, configuration=world.configure())
+            world.dispatch(vm, event)
+        for name in ("s2", "s3"):
+            world.servers[name].process_down = True
+        world.advance(1)
+        capacity = 2 / STATEMENT_TIME
+        loads = [
+            ("orders", "WRITE x 1", 0.3 * capacity),
+            ("crew", "READ x", 0.9 * capacity),
+            ("views", "READ x", 0.4 * capacity),
+        ]
+        begin = world.now
+        outcomes = run_mixed_load(world, loads=loads, seconds=6)
+        done = [o for o in outcomes if o.answer.refusal is None]
+        assert len(done) >= 0.85 * capacity * 6
+        refused = [o for o in outcomes if o.answer.refusal is not None]
+        held = [o for o in refused if o.duration > TARGET / 4]
+        later = [o for o in held if o.sent_at > begin + 1]
+        assert len(later) <= 0.05 * len(refused)
+        assert {o.database for o in done} == {"orders", "crew", "views"}
+
     def test_refused_writes_did_not_run(self):
         """Guards against "not run" for a write that a server has committed."""
         world = start(slots=2)
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -275,6 +275,7 @@
         self.order_lost = 0
         self.version = 1
         self.timeout = 1.0
+        self.timeouts = {}
         self.entries = []
         for index in range(vms):
             entry = VmEntry(
@@ -321,7 +322,7 @@
                 database=name,
                 service="db",
                 consistency=consistency,
-                timeout=self.timeout,
+                timeout=self.timeouts.get(name, self.timeout),
                 target=0.4,
                 priority=priority,
                 staleness=staleness,
