Withdraw the claim of a promotion that ends without an order

A VM that found the primary again while its claim was under way, or gave up a switchover, left the record open for good. Change: a promotion that ends without an order restores the record; a claim whose answer is missing is looked for, for 10 s; a VM does not wait for its own earlier attempt. After an order nothing is withdrawn. The answer to the step-down order of an earlier attempt is ignored: the next attempt comes sooner now.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -5,7 +5,7 @@
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._evidence import handle_store_proof
 from ._leaders import DropReason, drop_leader
-from ._promotion_state import Promotion, PromotionStep
+from ._promotion_state import Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
     STEP_RETRY_INTERVAL,
@@ -26,6 +26,10 @@
 CLAIM_TIMEOUT = 4.5
 """Seconds after which another VM may replace an unchanged claim."""
 
+OPEN_CLAIM_PERIOD = 10.0
+"""Seconds for which a claim without an answer is looked for: the store may carry out a
+write seconds after it was sent."""
+
 
 def read_record(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Read the leader record, to learn its revision before the claim.
@@ -49,6 +53,10 @@
         del state.calls[event.call]
         handle_store_proof(state, database, event, out)
         return
+    if purpose == "release" and database is not None:
+        del state.calls[event.call]
+        _handle_release_answer(state, database, event, out)
+        return
     if purpose == "complete" and database is not None:
         del state.calls[event.call]
         _handle_completion_answer(state, database, event)
@@ -79,6 +87,10 @@
         if record.attempt == promotion.attempt:
             _start_attempt(state, database, promotion, event.revision, out)
             return
+        if _is_own_past_attempt(database, record.attempt):
+            # It is over and ordered nothing, so there is no one to wait for.
+            _send_claim(state, database, promotion, event.revision, out)
+            return
         if event.revision != database.claim_revision:
             database.claim_revision = event.revision
             database.claim_seen_at = state.now
@@ -89,8 +101,26 @@
         drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
+    _send_claim(state, database, promotion, event.revision, out)
+
+
+def _is_own_past_attempt(database: Database, attempt: str) -> bool:
+    """Return whether an attempt is one that this VM has ended without an order."""
+    claim = database.open_claim
+    if claim is not None and claim.attempt == attempt:
+        return True
+    completion = database.completion
+    return completion is not None and completion.attempt == attempt
+
+
+def _send_claim(
+    state, database: Database, promotion: Promotion, revision: int, out: Effects
+) -> None:
+    """Claim the leader record by a write, if it still has a revision."""
     enter_step(state, promotion, PromotionStep.CLAIMING)
     promotion.call = register_call(state, "promotion", database)
+    promotion.claim_sent = True
+    promotion.claimed_from = revision
     write_record(
         state,
         database,
@@ -99,7 +129,7 @@
         attempt=promotion.attempt,
         call=promotion.call,
         progress=LeaderState.PROMOTING,
-        revision=event.revision,
+        revision=revision,
         out=out,
     )
 
@@ -115,12 +145,75 @@
     if event.outcome is StoreOutcome.DONE:
         _start_attempt(state, database, promotion, event.revision, out)
         return
+    if event.outcome is not StoreOutcome.UNKNOWN:
+        promotion.claim_sent = False
     enter_step(state, promotion, PromotionStep.READING)
     promotion.repeat_at = state.now + STEP_RETRY_INTERVAL / 2
 
 
+def give_up_claim(state: DirectState, database: Database, promotion: Promotion) -> None:
+    """Have the claim of a promotion that ends without an order withdrawn.
+
+    An open record keeps other VMs from a claim for `CLAIM_TIMEOUT`, and from proving by
+    the store that the primary leads. After an order nothing is withdrawn: it may still
+    take effect.
+    """
+    if promotion.ordered:
+        return
+    if promotion.token:
+        database.completion = Completion(
+            server=promotion.leader,
+            term=promotion.term,
+            token=promotion.token,
+            attempt=promotion.attempt,
+        )
+    elif promotion.claim_sent:
+        database.open_claim = OpenClaim(
+            attempt=promotion.attempt,
+            claimed_from=promotion.claimed_from,
+            sent_at=state.now,
+            repeat_at=state.now + STEP_RETRY_INTERVAL,
+        )
+
+
+def find_open_claim(state: DirectState, database: Database, out: Effects) -> None:
+    """Read the leader record to see whether an abandoned claim was carried out."""
+    claim = database.open_claim
+    if claim is None or state.now < claim.repeat_at:
+        return
+    if state.now - claim.sent_at >= OPEN_CLAIM_PERIOD:
+        database.open_claim = None
+        return
+    claim.call = register_call(state, "release", database)
+    claim.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
+    out.append(ReadLeaderRecord(call=claim.call, service=database.name))
+
+
+def _handle_release_answer(
+    state: DirectState, database: Database, event: LeaderRecordAnswered, out: Effects
+) -> None:
+    """Withdraw an abandoned claim that was carried out, unless it was replaced."""
+    claim = database.open_claim
+    if claim is None or claim.call != event.call:
+        return
+    if event.outcome is StoreOutcome.UNKNOWN or event.revision == claim.claimed_from:
+        return
+    database.open_claim = None
+    record = event.record
+    if record is None or record.attempt != claim.attempt:
+        return
+    if record.state is LeaderState.PROMOTING:
+        database.completion = Completion(
+            server=record.server,
+            term=record.term,
+            token=event.revision,
+            attempt=record.attempt,
+        )
+        complete_record(state, database, out)
+
+
 def complete_record(state: DirectState, database: Database, out: Effects) -> None:
-    """Record the primary that this VM had promoted; repeated until the store answers.
+    """Complete the record of an ended promotion; repeated until the store answers.
 
     A record that still shows the promotion keeps other VMs from proving by the store
     that the primary leads.
@@ -160,6 +253,7 @@
     its step-down is skipped.
     """
     promotion.token = revision
+    promotion.claim_sent = False
     # The attempt's timeout is measured from the sending of the claim, not its answer.
     promotion.began_at = promotion.step_at
     log_promotion(state, database, "promotion_claimed", out, token=revision)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -9,7 +9,13 @@
 
 import hashlib
 
-from ._claims import await_claim, complete_record, read_record
+from ._claims import (
+    await_claim,
+    complete_record,
+    find_open_claim,
+    give_up_claim,
+    read_record,
+)
 from ._effects import ListSuspicions, ListVms, Observe, PublishSuspicion
 from ._events import SuspicionsAnswered
 from ._holders import needs_servers
@@ -99,6 +105,7 @@
         return
     for database in state.databases.values():
         complete_record(state, database, out)
+        find_open_claim(state, database, out)
         if database.promotion is None:
             _prepare_promotion(state, database, out)
         if database.promotion is not None:
@@ -216,11 +223,13 @@
         )
         if promotion.cause in SUSPECTED_CAUSES:
             _withdraw_suspicion(state, database, out)
+        give_up_claim(state, database, promotion)
         database.promotion = None
         return
     if promotion.token == 0 and promotion.cause == SWITCHOVER_CAUSE:
         if cause[0] != SWITCHOVER_CAUSE:
             # Another cause may need the other VMs' confirmation.
+            give_up_claim(state, database, promotion)
             database.promotion = None
             return
     if promotion.step is PromotionStep.SUSPECTING:
@@ -231,6 +240,7 @@
         )
         if not promotion.ordered:
             end_suspensions(state, database)
+        give_up_claim(state, database, promotion)
         database.promotion = None
         return
     _STEPS[promotion.step](state, database, promotion, out)
@@ -353,6 +363,7 @@
     )
     database.promotion = None
     if not promotion.token:
+        give_up_claim(state, database, promotion)
         return
     end_suspensions(state, database)
     out.append(Observe(metric="promotion_seconds", value=took))
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,6 +5,7 @@
 """
 
 from ..model import Position
+from ._claims import give_up_claim
 from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
@@ -66,21 +67,27 @@
         log_promotion(
             state, database, "promotion_dropped", out, reason="step_down_unanswered"
         )
+        give_up_claim(state, database, promotion)
         database.promotion = None
         return
     enter_step(state, promotion, PromotionStep.COMPARING)
 
 
-def handle_step_down_answer(state: DirectState, server: Server, answer: Answer) -> None:
+def handle_step_down_answer(
+    state: DirectState, server: Server, sent_at: float, answer: Answer
+) -> None:
     """Handle the answer of a primary that was ordered to step down.
 
     Its log position is what the candidate should have; if it no longer leads, it counts
-    as fenced.
+    as fenced. The answer to an earlier attempt's order is ignored: the primary may have
+    committed since.
     """
     database = state.databases.get(server.entry.service)
     promotion = database.promotion if database is not None else None
     if promotion is None or promotion.step is not PromotionStep.STEPPING_DOWN:
         return
+    if sent_at < promotion.step_at:
+        return
     if answer.position is not None:
         promotion.positions[server.entry.server] = answer.position
     if answer.status is not None and not answer.status.leads:
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -64,6 +64,8 @@
         replica_progress: replication progress before the claim, by server.
         positions: end of the received log, by server.
         fenced: servers that no longer accept log entries from older primaries.
+        claim_sent: whether a claim was sent whose outcome is not known yet.
+        claimed_from: revision of the leader record that this claim replaces.
         ordered: whether a promotion order was sent.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time at which the current step is repeated.
@@ -81,17 +83,38 @@
     replica_progress: dict[str, ReplicationProgress] = field(default_factory=dict)
     positions: dict[str, Position] = field(default_factory=dict)
     fenced: set[str] = field(default_factory=set)
+    claim_sent: bool = False
+    claimed_from: int = 0
     ordered: bool = False
     call: int = 0
     repeat_at: float = 0.0
 
 
+@dataclass(slots=True, kw_only=True)
+class OpenClaim:
+    """A claim without an answer, of a promotion that has ended without it.
+
+    Args:
+        attempt: the promotion's random id.
+        claimed_from: revision of the leader record that the claim replaces.
+        sent_at: when the claim was sent.
+        call: number of the call under way, 0 for none.
+        repeat_at: earliest time of the next call.
+    """
+
+    attempt: str
+    claimed_from: int
+    sent_at: float
+    call: int = 0
+    repeat_at: float = 0.0
+
+
 @dataclass(slots=True, kw_only=True)
 class Completion:
-    """A leader record that this VM has yet to complete after its promotion.
+    """A leader record that this VM has yet to complete after a promotion.
 
     Args:
-        server: the new primary.
+        server: the primary: the new one, or that before a promotion without an order.
         term: its term.
         token: the promotion's fence token, which is the record's revision.
         attempt: the promotion's random id.
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -8,7 +8,7 @@
 from ..model import Position
 from ._effects import Effect
 from ._events import ServersRead
-from ._promotion_state import Completion, Promotion
+from ._promotion_state import Completion, OpenClaim, Promotion
 from ._server_state import Connection, Server
 from ._starts import StartCounts
 from ._types import Answer, Configuration, Route, Statement, TransactionState, VmEntry
@@ -70,7 +70,8 @@
         overloaded_since: when the refusals for want of time began.
         overloaded_at: when a statement was last refused for want of time.
         promotion: this VM's promotion of the database.
-        completion: leader record that this VM has yet to complete after its promotion.
+        completion: leader record that this VM has yet to complete after a promotion.
+        open_claim: claim that may still be carried out though its promotion has ended.
         claim_revision: revision of the leader record while another VM promotes.
         claim_seen_at: when that revision was first seen.
     """
@@ -100,6 +101,7 @@
     overloaded_at: float = -100.0
     promotion: Promotion | None = None
     completion: Completion | None = None
+    open_claim: OpenClaim | None = None
     claim_revision: int = -1
     claim_seen_at: float = 0.0
 
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -412,6 +412,40 @@
         assert world.record.state is LeaderState.STABLE
         assert world.record.server == world.orders[-1][2]
 
+    def lose_primary_until_claimed(self):
+        """Return a world whose primary returns while a VM's claim is under way."""
+        world = start()
+        world.store_delay = 0.45
+        world.servers["s1"].down = True
+        while world.record is None:
+            world.advance(0.001)
+        world.servers["s1"].down = False
+        return world
+
+    def test_claim_is_withdrawn_if_the_primary_returns_meanwhile(self):
+        """Guards against a record that stays open although nothing was ordered.
+
+        The next promotion would wait for the end of that claim.
+        """
+        world = self.lose_primary_until_claimed()
+        world.advance(5)
+        assert world.orders == []
+        assert world.record.state is LeaderState.STABLE
+        world.store_delay = 0.002
+        world.servers["s1"].down = True
+        world.advance(2)
+        assert world.orders
+
+    def test_claim_is_withdrawn_though_its_answer_was_lost(self):
+        """Guards against a record that stays open after a claim without an answer."""
+        world = self.lose_primary_until_claimed()
+        world.store_answers_lost = True
+        world.advance(2)
+        world.store_answers_lost = False
+        world.advance(4)
+        assert world.orders == []
+        assert world.record.state is LeaderState.STABLE
+
     def test_majority_does_not_attest_while_the_record_is_open(self):
         """Guards against a stale read at the old primary while another is promoted.
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -270,6 +270,7 @@
         self.suspicions = {}
         self.store_down = set()
         self.store_delay = LATENCY
+        self.store_answers_lost = False
         self.orders = []
         self.suspended_at_order = []
         self.order_lost = 0
@@ -536,7 +537,9 @@
             event = SuspicionsAnswered(at=0, call=effect.call, suspicions=found)
             self.deliver(vm, later, event)
         elif isinstance(effect, (ReadLeaderRecord, WriteLeaderRecord)):
-            self.deliver(vm, later, self.answer_record(down, effect))
+            answer = self.answer_record(down, effect)
+            if not self.store_answers_lost:
+                self.deliver(vm, later, answer)
         elif isinstance(effect, OrderPromotion):
             self.orders.append((self.now, vm, effect.server, effect.token))
             newest = max(s.term for s in self.servers.values())
