Remove VMs that have left for good from the list of VMs

Cause: nothing removed the entry of a machine that was taken away. Over weeks the list would hold mostly machines that are gone, some of them holders. Change: every VM probes another one of its region every 5 s by a connection attempt; one that stays silent for 15 s, while others answer, is removed, unless its entry has changed. A removed VM that is alive registers again. Ruled out: one VM's word at once, entries with a lease (a write per VM every few seconds), and probes across regions, which would empty the other region's part of the list while the link is down.

--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -128,6 +128,25 @@
     """Read the registered VMs and the published connection limit from the store."""
 
 
+@dataclass(slots=True, kw_only=True)
+class RegisterVm:
+    """Add this VM to the list of VMs in the store again."""
+
+
+@dataclass(slots=True, kw_only=True)
+class ProbeVm:
+    """Check whether another VM's machine answers, by connection attempts."""
+
+    vm: VmEntry
+
+
+@dataclass(slots=True, kw_only=True)
+class RemoveVm:
+    """Remove a VM from the list in the store, unless its entry has changed."""
+
+    vm: VmEntry
+
+
 @dataclass(slots=True, kw_only=True)
 class PublishConnections:
     """Publish the connection limit of the servers next to the list of VMs.
@@ -207,6 +226,9 @@
     | PublishSuspicion
     | ListSuspicions
     | ListVms
+    | RegisterVm
+    | ProbeVm
+    | RemoveVm
     | PublishConnections
     | OrderPromotion
     | AnnounceReadiness
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -150,6 +150,20 @@
     session: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class VmProbed:
+    """A probe of another VM has ended.
+
+    Args:
+        vm: the entry of the VM that was probed.
+        reached: whether its machine answered.
+    """
+
+    at: float
+    vm: VmEntry
+    reached: bool
+
+
 class StoreOutcome(enum.Enum):
     """How a store call ended.
 
@@ -242,6 +256,7 @@
     | ServersRead
     | VmsRead
     | HoldersUnavailable
+    | VmProbed
     | LeaderRecordAnswered
     | SuspicionsAnswered
     | PromotionAnswered
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -2,8 +2,9 @@
 
 from ._claims import handle_leader_record
 from ._containment import contain_failure
+from ._departures import handle_vm_probed, probe_vms
 from ._dispatch import hedge_reads, reconcile_database
-from ._effects import AnnounceReadiness, Log
+from ._effects import AnnounceReadiness, Log, RegisterVm
 from ._events import (
     BackendAnswered,
     BackendLost,
@@ -20,6 +21,7 @@
     ShutdownRequested,
     SuspicionsAnswered,
     TimeAdvanced,
+    VmProbed,
     VmsRead,
 )
 from ._failover import handle_suspicions, watch_primaries
@@ -50,6 +52,10 @@
 IDLE_TICK_INTERVAL = 0.1
 """Seconds between two ticks otherwise."""
 
+REGISTRATION_PERIOD = 8.0
+"""Seconds after the start in which a list without this VM may be too old: stale reads
+are seconds behind, and the registration takes a moment."""
+
 LEADER_DISCOVERY_TIME = 0.6
 """Usual number of seconds from the start until the primaries are known."""
 
@@ -135,10 +141,14 @@
 def _apply_vms(state: DirectState, event: VmsRead, out: Effects) -> None:
     """Apply a list of VMs, and update this VM's role as a connection holder.
 
-    A list without this VM is ignored.
+    A list without this VM is ignored. Shortly after the start it predates that;
+    later this VM was removed, as others could not reach it, and registers again.
     """
     if not any(vm.name == state.vm for vm in event.vms):
-        # The list may be seconds old: one without this VM predates its start.
+        if state.now - state.started_at >= REGISTRATION_PERIOD:
+            out.append(RegisterVm())
+            fields = (("vms", len(event.vms)),)
+            out.append(Log(event="vm_registered_again", fields=fields, essential=True))
         return
     state.vms = event.vms
     state.vms_known = True
@@ -166,6 +176,7 @@
     """Do the periodic work: maintenance, failover, deadlines, hedging and shutdown."""
     maintain_servers(state, out)
     watch_primaries(state, out)
+    probe_vms(state, out)
     _expire_overdue(state, out)
     if state.pending_callers:
         admit_pending_callers(state, out)
@@ -227,6 +238,7 @@
     ServersRead: apply_servers,
     VmsRead: _apply_vms,
     HoldersUnavailable: handle_holders_unavailable,
+    VmProbed: handle_vm_probed,
     LeaderRecordAnswered: handle_leader_record,
     SuspicionsAnswered: handle_suspicions,
     PromotionAnswered: handle_promotion_answer,
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -246,6 +246,28 @@
     relayed: bool
 
 
+@dataclass(slots=True, kw_only=True)
+class VmProbes:
+    """This VM's probes of other VMs, by which it finds those that have left.
+
+    Args:
+        under_way: name of the VM whose probe has no result yet.
+        sent_at: when the last probe was sent.
+        suspect: name of a VM that did not answer, None without one.
+        suspected_since: since when it has not answered.
+        other_is_next: whether another VM than the suspect is probed next.
+        reached_at: when another VM was last reached since then; -1 for not, or if one
+            was not reached after it.
+    """
+
+    under_way: str | None = None
+    sent_at: float = -100.0
+    suspect: str | None = None
+    suspected_since: float = 0.0
+    other_is_next: bool = False
+    reached_at: float = -1.0
+
+
 @dataclass(slots=True, kw_only=True)
 class DirectState:
     """State of one VM's direct core.
@@ -268,6 +290,7 @@
         vms: the registered VMs.
         vms_known: whether the list of VMs has been read.
         vms_requested_at: when the list of VMs was last requested.
+        vm_probes: probes of other VMs.
         holders: the connection holders, which are the VMs with connections to backend
             servers.
         is_holder: whether this VM is a connection holder.
@@ -301,6 +324,7 @@
     next_number: int = 1
     vms: tuple[VmEntry, ...] = ()
     vms_known: bool = False
+    vm_probes: VmProbes = field(default_factory=VmProbes)
     holders: list[VmEntry] = field(default_factory=list)
     is_holder: bool = True
     skipped_holders: dict[str, float] = field(default_factory=dict)
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -119,6 +119,14 @@
             StoreUnavailable: without a usable answer.
         """
 
+    @abc.abstractmethod
+    async def remove_vm(self, entry: VmEntry) -> None:
+        """Remove a VM from the list of VMs, unless its entry differs by now.
+
+        Raises:
+            StoreUnavailable: without a usable answer.
+        """
+
     @abc.abstractmethod
     async def list_vms(self, *, fresh: bool) -> tuple[tuple[VmEntry, ...], int]:
         """Return the registered VMs and the published connection limit.
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -20,12 +20,15 @@
     Observe,
     OpenBackend,
     OrderPromotion,
+    ProbeVm,
     PromotionAnswered,
     PublishConnections,
     PublishSuspicion,
     ReadLeaderRecord,
     RefuseCaller,
+    RegisterVm,
     RelayCaller,
+    RemoveVm,
     ReplyCaller,
     SendCommands,
     ShutdownRequested,
@@ -33,6 +36,8 @@
     Suspicion,
     SuspicionsAnswered,
     TimeAdvanced,
+    VmEntry,
+    VmProbed,
     VmsRead,
     WriteLeaderRecord,
     compute_tick_delay,
@@ -45,6 +50,7 @@
 from ._clock import read_clock
 from ._log import DecisionLog
 from ._probe import ProbeServer
+from ._relay import is_reachable
 from ._supervision import log_failure
 
 PUBLISH_RETRY_DELAY = 0.2
@@ -61,6 +67,7 @@
     """Runs the direct core on the running event loop.
 
     Args:
+        entry: this VM's entry in the list of VMs.
         state: the core's state; only the driver changes it, through the reducer.
         callers: connections of callers.
         backends: connections to backend servers.
@@ -73,6 +80,7 @@
     def __init__(
         self,
         *,
+        entry: VmEntry,
         state: DirectState,
         callers: LineCallers,
         backends: LineBackends,
@@ -82,6 +90,7 @@
         metrics: Metrics,
     ) -> None:
         self.state = state
+        self._entry = entry
         self._client = client
         self._probe = probe
         self._log = log
@@ -109,6 +118,9 @@
             PublishSuspicion: self._publish_suspicion,
             ListSuspicions: self._list_suspicions,
             ListVms: self._list_vms,
+            RegisterVm: self._register_vm,
+            ProbeVm: self._probe_vm,
+            RemoveVm: self._remove_vm,
             PublishConnections: self._publish_connections,
             OrderPromotion: self._order_promotion,
             AnnounceReadiness: self._set_readiness,
@@ -257,6 +269,32 @@
             return
         self.emit(VmsRead(at=read_clock(), vms=vms, connections=connections))
 
+    def _register_vm(self, effect: RegisterVm) -> None:
+        """Start to add this VM to the list again; a failure shows in the next list."""
+        call = self._client.register_vm(self._entry)
+        self._spawn(self._change_list("vm_unregistered", call))
+
+    def _remove_vm(self, effect: RemoveVm) -> None:
+        """Start to remove a VM from the list; after a failure it is probed again."""
+        call = self._client.remove_vm(effect.vm)
+        self._spawn(self._change_list("vm_unremoved", call))
+
+    async def _change_list(self, event: str, call) -> None:
+        """Wait for a change of the list of VMs, and log a failure."""
+        try:
+            await call
+        except StoreUnavailable as error:
+            self._write_failure(event, error)
+
+    def _probe_vm(self, effect: ProbeVm) -> None:
+        """Start to probe another VM."""
+        self._spawn(self._report_probe(effect.vm))
+
+    async def _report_probe(self, vm: VmEntry) -> None:
+        """Probe another VM and emit the result."""
+        reached = await is_reachable(vm)
+        self.emit(VmProbed(at=read_clock(), vm=vm, reached=reached))
+
     def _publish_connections(self, effect: PublishConnections) -> None:
         """Start to publish the servers' connection limit."""
         self._spawn(self._try_publish_connections(effect))
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -106,6 +106,7 @@
             registry=registry,
         )
         self.driver = DirectDriver(
+            entry=_make_vm_entry(settings),
             state=_make_state(settings),
             callers=self._callers,
             backends=self._backends,
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -25,12 +25,15 @@
     LossReason,
     OpenBackend,
     OrderPromotion,
+    ProbeVm,
     PromotionAnswered,
     PromotionOutcome,
     PublishSuspicion,
     ReadLeaderRecord,
     Refusal,
     RefuseCaller,
+    RegisterVm,
+    RemoveVm,
     ReplyCaller,
     Route,
     SendCommands,
@@ -46,6 +49,7 @@
     TimeAdvanced,
     TransactionState,
     VmEntry,
+    VmProbed,
     VmsRead,
     WriteLeaderRecord,
     compute_tick_delay,
@@ -278,6 +282,8 @@
         self.timeout = 1.0
         self.timeouts = {}
         self.entries = []
+        self.removed = []
+        self.cut_off = set()
         for index in range(vms):
             entry = VmEntry(
                 name=f"vm{index + 1}",
@@ -287,6 +293,7 @@
                 size=1000,
             )
             self.entries.append(entry)
+        self.all_entries = {entry.name: entry for entry in self.entries}
         for index, entry in enumerate(self.entries):
             self.add_vm(entry.name, entry.zone, tuple(self.entries), seed + index)
 
@@ -310,6 +317,17 @@
         self.at(self.now, lambda: self.tick(name))
         self.at(self.now, lambda: self.list_servers(name))
 
+    def register(self, vm):
+        """Add a VM's entry to the list of VMs again."""
+        if all(entry.name != vm for entry in self.entries):
+            self.entries.append(self.all_entries[vm])
+
+    def is_reachable(self, vm, other):
+        """Return whether a VM's packets reach another VM and are answered."""
+        if other in self.stopped or other in self.paused:
+            return False
+        return not self.cut_off & {vm, other}
+
     def configure(self):
         """Return a configuration with one route of each kind."""
         kinds = {
@@ -529,6 +547,17 @@
         if isinstance(effect, ListVms):
             if not down:
                 self.deliver(vm, later, VmsRead(at=0, vms=tuple(self.entries)))
+        elif isinstance(effect, RegisterVm):
+            if not down:
+                self.register(vm)
+        elif isinstance(effect, ProbeVm):
+            reached = self.is_reachable(vm, effect.vm.name)
+            event = VmProbed(at=0, vm=effect.vm, reached=reached)
+            self.deliver(vm, self.now + (LATENCY if reached else 0.5), event)
+        elif isinstance(effect, RemoveVm):
+            if not down:
+                self.removed.append((self.now, vm, effect.vm.name))
+                self.entries.remove(effect.vm)
         elif isinstance(effect, PublishSuspicion):
             if not down:
                 self.suspicions[vm] = effect.suspicion
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -314,6 +314,7 @@
         application.router.add_post("/-/objects/{kind}", self._create)
         application.router.add_get("/-/objects/{kind}/{name}", self._read)
         application.router.add_put("/-/objects/{kind}/{name}", self._replace)
+        application.router.add_delete("/-/objects/{kind}/{name}", self._delete)
         application.router.add_post("/promotion", self._promote)
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
@@ -437,6 +438,17 @@
             return web.json_response(item, status=409)
         return web.json_response(self.put(kind, name, body["spec"]))
 
+    async def _delete(self, request: web.Request) -> web.Response:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        self.calls.append(("DELETE", kind))
+        item = self.objects.get((kind, name))
+        if item is None:
+            return web.Response(status=404)
+        if request.query.get("revision") != str(item["meta"]["revision"]):
+            return web.json_response(item, status=409)
+        del self.objects[kind, name]
+        return web.json_response(item)
+
     async def _promote(self, request: web.Request) -> web.Response:
         body = json.loads(await request.text())
         self.promotions.append(
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -8,15 +8,22 @@
     DirectState,
     Log,
     OrderPromotion,
+    ProbeVm,
     PromotionOutcome,
     PublishSuspicion,
+    RemoveVm,
     ServerEntry,
     Suspicion,
+    VmEntry,
+    VmProbed,
 )
 from siskinhold.lines import HttpClient, HttpFailure, StoreUnavailable, _driver, _http
 from siskinhold.lines._driver import DirectDriver
 from siskinhold.lines._feeds import StoreHealth, follow_configuration, follow_servers
 from siskinhold.lines._supervision import keep_running
+from siskinhold_platform._client import HttpPlatformClient
+
+from .standins import Store
 
 
 class FakeClient:
@@ -57,6 +64,10 @@
             raise StoreUnavailable("away")
         self.suspicions.append(suspicion)
 
+    async def remove_vm(self, entry):
+        """Fail."""
+        raise StoreUnavailable("away")
+
     async def order_promotion(self, service, server, *, vm, token, deadline):
         """Record the order."""
         self.orders.append((service, deadline))
@@ -138,12 +149,18 @@
         return None
 
 
+def make_vm_entry(name, *, port) -> VmEntry:
+    """Return the entry of a VM on the loopback interface."""
+    return VmEntry(name=name, host="127.0.0.1", relay_port=port, zone="a", size=1000)
+
+
 def make_driver(client) -> DirectDriver:
     """Return a driver that is connected to fakes."""
     state = DirectState(
         vm="vm-1", zone="a", regions={"a": "east"}, grace=6.0, random=None
     )
     return DirectDriver(
+        entry=make_vm_entry("vm-1", port=7441),
         state=state,
         callers=FakeCallers(),
         backends=FakeCallers(),
@@ -249,3 +266,62 @@
         )
         await asyncio.sleep(0.05)
         assert client.orders == [("db", 3.0)]
+
+
+class TestVms:
+    async def test_probe_tells_a_listening_vm_from_an_unreachable_one(self):
+        """Guards against VMs that are removed though their machine answers."""
+        driver = make_driver(FakeClient())
+        events = []
+        driver.emit = events.append
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        driver._probe_vm(ProbeVm(vm=make_vm_entry("vm-2", port=port)))
+        await asyncio.sleep(0.2)
+        server.close()
+        # A machine that answers by a refusal is alive as well.
+        driver._probe_vm(ProbeVm(vm=make_vm_entry("vm-3", port=port)))
+        await asyncio.sleep(0.2)
+        assert all(isinstance(event, VmProbed) for event in events)
+        assert [event.reached for event in events] == [True, True]
+
+    async def test_failed_removal_is_logged(self):
+        """Guards against an error that ends the task without a line."""
+        client = FakeClient()
+        driver = make_driver(client)
+        failures = []
+        driver._write_failure = lambda event, error: failures.append(event)
+        driver._remove_vm(RemoveVm(vm=make_vm_entry("vm-2", port=7441)))
+        await asyncio.sleep(0.05)
+        assert failures == ["vm_unremoved"]
+
+
+async def start_store():
+    """Start a store and return it with a client."""
+    store = Store(instances=[])
+    await store.start()
+    address = f"127.0.0.1:{store.port}"
+    return store, HttpPlatformClient(store=address, promotion=address)
+
+
+class TestListOfVms:
+    async def test_removed_vm_is_not_listed(self):
+        """Guards against a removal that the store does not carry out."""
+        store, client = await start_store()
+        entry = make_vm_entry("vm-2", port=7441)
+        await client.register_vm(entry)
+        await client.remove_vm(entry)
+        assert await client.list_vms(fresh=True) == ((), 0)
+        await client.remove_vm(entry)
+        await store.stop()
+
+    async def test_vm_that_registered_anew_is_kept(self):
+        """Guards against the removal of a VM that has come back at a new address."""
+        store, client = await start_store()
+        old = make_vm_entry("vm-2", port=7441)
+        new = make_vm_entry("vm-2", port=7442)
+        await client.register_vm(old)
+        await client.register_vm(new)
+        await client.remove_vm(old)
+        assert await client.list_vms(fresh=True) == ((new,), 0)
+        await store.stop()
