--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 
-import aiomisc
 from prometheus_client import CollectorRegistry
 
 from ..direct import DirectState, Log, VmEntry, VmSettings, needs_servers
@@ -37,7 +36,7 @@
 _log = logging.getLogger(__name__)
 
 
-class DirectService(aiomisc.Service):
+class DirectService:
     """A VM's proxy that serves the line protocol.
 
     Args:
@@ -62,7 +61,6 @@
         fingerprint,
         listener: socket.socket | None = None,
     ) -> None:
-        super().__init__()
         self._listener = listener
         self._settings = settings
         self._codec = codec
@@ -164,7 +162,7 @@
         """Return when a graceful shutdown is complete."""
         await self.driver.stopped.wait()
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         """Cancel all tasks and close all connections."""
         self.driver.stop()
         for task in self._tasks:
