Look for the primary as soon as a server is reached

Cause: after a start, the first probe for the primaries came before their connections were open, and the next one 80 ms later. Change: an opened control connection is probed at once while no primary is known.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -140,7 +140,10 @@
 def handle_backend_opened(
     state: DirectState, event: BackendOpened, out: Effects
 ) -> None:
-    """Mark a connection as open and its server as reachable, with its log position."""
+    """Mark a connection as open and its server as reachable, with its log position.
+
+    While no primary is known, the server is probed at once.
+    """
     connection = state.connections.get(event.connection)
     if connection is None:
         return
@@ -149,6 +152,9 @@
     server = connection.server
     mark_reachable(state, server, out)
     record_evidence(state, server, connection.opened_at, event.answer.position, out)
+    database = state.databases.get(server.entry.service)
+    if connection.control and database is not None and database.leader is None:
+        probe_leader(state, server, out)
     state.pending_updates.add(server.entry.service)
 
 
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -517,3 +517,13 @@
         world = World()
         world.connect("vm1", 1)
         assert world.execute("vm1", 1, "WRITE x 1", wait=1.0).refusal is None
+
+    def test_primary_is_known_as_soon_as_the_servers_are_reached(self):
+        """Guards against callers that wait for the next round of probes.
+
+        All VMs start at once, as after a loss of power.
+        """
+        world = World()
+        world.advance(0.05)
+        for state in world.states.values():
+            assert state.databases["db"].leader is not None
