Close the connections of fake holders within their test

Cause: the fakes left connections open, which were closed after the end of the event loop; pytest's report on that crashed the interpreter at the end of a run (SystemError: AST constructor recursion depth mismatch), after all tests passed. Change: a fake holder ends its connections and tasks.

--- a/tests/users_platform/test_relay.py
+++ b/tests/users_platform/test_relay.py
@@ -19,14 +19,20 @@
 async def run_holder(name: str, *answers: bytes | None):
     """Run a fake holder that answers lines in turn, None for not; yield its entry."""
 
+    tasks = []
+
     async def answer(reader, writer):
-        with contextlib.suppress(ConnectionError):
+        tasks.append(asyncio.current_task())
+        try:
             for data in answers:
                 await reader.readline()
                 if data is not None:
                     writer.write(data)
             await reader.read()
-        writer.close()
+        except ConnectionError:
+            return
+        finally:
+            writer.transport.abort()
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     try:
@@ -34,6 +40,11 @@
         yield VmEntry(name=name, host="127.0.0.1", relay_port=port, zone="a", size=1000)
     finally:
         server.close()
+        # An open connection would be closed only after the end of the event loop.
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0)
 
 
 class Caller:
