Reject malformed numbers in lines, objects, settings and requests

Cause: digits that only Unicode counts as such, numbers of thousands of digits and infinite numbers raised errors that the decoders do not document: in a position or status of a server, in a request of another VM, in a configuration and in the settings. Such an error ended a connection or a feed with a traceback, not the process; a configuration of that kind was read again and again.

--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..counts import parse_count
 from ..direct import (
     Configuration,
     ConfigurationRead,
@@ -69,9 +70,11 @@
         Status 204 if nothing is newer; None if the path is no snapshot request.
     """
     parts = path.split("/")
-    if len(parts) != 4 or not parts[2].isdigit() or not parts[3].isdigit():
+    if len(parts) != 4:
+        return None
+    version, revision = parse_count(parts[2]), parse_count(parts[3])
+    if version is None or revision is None:
         return None
-    version, revision = int(parts[2]), int(parts[3])
     configuration = state.configuration
     if configuration is not None and configuration.version <= version:
         configuration = None
