Ask relaying VMs whether they reach a suspected primary

Those that fail count as voters, unless one succeeds. The rule that two voters suffice only against a primary that is cut off from its replicas stays. Ruled out: one holder's word, as it replaces a primary of an idle database that only this VM misses (tested). Result: the test of the partition fails before and passes now.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -17,6 +17,7 @@
 from ._effects import (
     AcceptCaller,
     AnnounceReadiness,
+    AskVms,
     CloseBackend,
     CloseCaller,
     CloseIdleRelays,
@@ -60,6 +61,7 @@
     SuspicionsAnswered,
     TimeAdvanced,
     VmProbed,
+    VmsAsked,
     VmsRead,
 )
 from ._holders import needs_servers
@@ -88,6 +90,7 @@
 
 __all__ = [
     "AnnounceReadiness",
+    "AskVms",
     "Answer",
     "BackendAnswered",
     "BackendLost",
@@ -148,6 +151,7 @@
     "VmEntry",
     "VmProbed",
     "VmSettings",
+    "VmsAsked",
     "VmsRead",
     "WriteLeaderRecord",
     "compute_tick_delay",
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -147,6 +147,20 @@
     vm: VmEntry
 
 
+@dataclass(slots=True, kw_only=True)
+class AskVms:
+    """Ask other VMs whether they reach an address of a backend server.
+
+    Args:
+        vms: the VMs to ask.
+    """
+
+    call: int
+    vms: tuple[VmEntry, ...]
+    host: str
+    port: int
+
+
 @dataclass(slots=True, kw_only=True)
 class PublishConnections:
     """Publish the connection limit of the servers next to the list of VMs.
@@ -226,6 +240,7 @@
     | PublishSuspicion
     | ListSuspicions
     | ListVms
+    | AskVms
     | RegisterVm
     | ProbeVm
     | RemoveVm
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -164,6 +164,22 @@
     reached: bool
 
 
+@dataclass(slots=True, kw_only=True)
+class VmsAsked:
+    """Other VMs answered whether they reach a backend server.
+
+    Args:
+        call: number of the `AskVms` effect.
+        reached: names of VMs that reach it.
+        missed: names of VMs that don't.
+    """
+
+    at: float
+    call: int
+    reached: tuple[str, ...]
+    missed: tuple[str, ...]
+
+
 class StoreOutcome(enum.Enum):
     """How a store call ended.
 
@@ -257,6 +273,7 @@
     | VmsRead
     | HoldersUnavailable
     | VmProbed
+    | VmsAsked
     | LeaderRecordAnswered
     | SuspicionsAnswered
     | PromotionAnswered
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -19,6 +19,7 @@
 from ._effects import ListSuspicions, ListVms, Observe, PublishSuspicion
 from ._events import SuspicionsAnswered
 from ._holders import needs_servers
+from ._inquiry import ask_about_primary
 from ._promotion import (
     ATTEMPT_TIMEOUT,
     await_effect,
@@ -274,6 +275,7 @@
         return
     promotion.step_at = state.now
     request_progress(state, database, out)
+    ask_about_primary(state, database, promotion, out)
     promotion.call = register_call(state, "suspicions", database)
     out.append(ListSuspicions(call=promotion.call, service=database.name))
 
@@ -294,6 +296,8 @@
     for suspicion in event.suspicions:
         if suspicion.term == promotion.term and suspicion.service == database.name:
             voters.add(suspicion.vm)
+    if is_cut_off(state, database):
+        voters.update(promotion.missed_by)
     known = max(len(state.holders), 1)
     if len(voters) < _compute_quorum(state, database, known):
         return
@@ -304,6 +308,7 @@
         out,
         voters=len(voters),
         vms=known,
+        asked=len(promotion.missed_by),
         cut_off=is_cut_off(state, database),
     )
     enter_step(state, promotion, PromotionStep.WAITING)
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -62,6 +62,9 @@
         attempt: random id of the promotion.
         candidate: the server to be promoted, once chosen.
         replica_progress: replication progress before the claim, by server.
+        asked_at: when other VMs were last asked whether they reach the primary.
+        asked_call: number of that question.
+        missed_by: VMs that answered that they don't, if none answered that it does.
         positions: end of the received log, by server.
         fenced: servers that no longer accept log entries from older primaries.
         claim_sent: whether a claim was sent whose outcome is not known yet.
@@ -81,6 +84,9 @@
     attempt: str = ""
     candidate: str = ""
     replica_progress: dict[str, ReplicationProgress] = field(default_factory=dict)
+    asked_at: float = -100.0
+    asked_call: int = 0
+    missed_by: tuple[str, ...] = ()
     positions: dict[str, Position] = field(default_factory=dict)
     fenced: set[str] = field(default_factory=set)
     claim_sent: bool = False
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -22,10 +22,12 @@
     SuspicionsAnswered,
     TimeAdvanced,
     VmProbed,
+    VmsAsked,
     VmsRead,
 )
 from ._failover import handle_suspicions, watch_primaries
 from ._holders import knows_vms, publish_connection_limit, update_holders
+from ._inquiry import handle_vms_asked
 from ._losses import expire_job
 from ._promotion import handle_promotion_answer
 from ._runs import abandon_transaction
@@ -239,6 +241,7 @@
     VmsRead: _apply_vms,
     HoldersUnavailable: handle_holders_unavailable,
     VmProbed: handle_vm_probed,
+    VmsAsked: handle_vms_asked,
     LeaderRecordAnswered: handle_leader_record,
     SuspicionsAnswered: handle_suspicions,
     PromotionAnswered: handle_promotion_answer,
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -7,6 +7,7 @@
 from ..direct import (
     AcceptCaller,
     AnnounceReadiness,
+    AskVms,
     CloseBackend,
     CloseCaller,
     CloseIdleRelays,
@@ -38,6 +39,7 @@
     TimeAdvanced,
     VmEntry,
     VmProbed,
+    VmsAsked,
     VmsRead,
     WriteLeaderRecord,
     compute_tick_delay,
@@ -48,6 +50,7 @@
 from ._callers import LineCallers
 from ._client import PlatformClient, StoreUnavailable
 from ._clock import read_clock
+from ._inquiries import ask_vms
 from ._log import DecisionLog
 from ._probe import ProbeServer
 from ._relay import is_reachable
@@ -120,6 +123,7 @@
             ListVms: self._list_vms,
             RegisterVm: self._register_vm,
             ProbeVm: self._probe_vm,
+            AskVms: self._ask_vms,
             RemoveVm: self._remove_vm,
             PublishConnections: self._publish_connections,
             OrderPromotion: self._order_promotion,
@@ -295,6 +299,17 @@
         reached = await is_reachable(vm)
         self.emit(VmProbed(at=read_clock(), vm=vm, reached=reached))
 
+    def _ask_vms(self, effect: AskVms) -> None:
+        """Start to ask other VMs whether they reach a backend server."""
+        self._spawn(self._report_inquiry(effect))
+
+    async def _report_inquiry(self, effect: AskVms) -> None:
+        """Ask the VMs and emit their answers."""
+        reached, missed = await ask_vms(effect.vms, effect.host, effect.port)
+        self.emit(
+            VmsAsked(at=read_clock(), call=effect.call, reached=reached, missed=missed)
+        )
+
     def _publish_connections(self, effect: PublishConnections) -> None:
         """Start to publish the servers' connection limit."""
         self._spawn(self._try_publish_connections(effect))
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -203,12 +203,11 @@
     Args:
         host: IP address to listen on.
         port: TCP port.
-        answer: returns the answer for a path, None for status 404.
+        answer: returns the answer for a path, or a coroutine that does; None for
+            status 404.
     """
 
-    def __init__(
-        self, *, host: str, port: int, answer: Callable[[str], HttpAnswer | None]
-    ) -> None:
+    def __init__(self, *, host: str, port: int, answer: Callable) -> None:
         self._host = host
         self._port = port
         self._answer = answer
@@ -257,7 +256,10 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
-        answer = self._answer(path) or HttpAnswer(status=404, body=b"")
+        answer = self._answer(path)
+        if asyncio.iscoroutine(answer):
+            answer = await answer
+        answer = answer or HttpAnswer(status=404, body=b"")
         headers = [
             ("Content-Length", str(len(answer.body))),
             ("Content-Type", "text/plain; charset=utf-8"),
--- a/src/siskinhold/lines/_probe.py
+++ b/src/siskinhold/lines/_probe.py
@@ -1,4 +1,4 @@
-"""HTTP server for readiness probes, metrics and snapshot requests of other VMs."""
+"""HTTP server for readiness probes, metrics and the requests of other VMs."""
 
 from collections.abc import Callable
 
@@ -33,7 +33,7 @@
         registry: CollectorRegistry,
     ) -> None:
         self.ready = False
-        self.answer_peer: Callable[[str], HttpAnswer | None] | None = None
+        self.answer_peer: Callable | None = None
         self._ready_path = ready_path
         self._registry = registry
         self._servers = [
@@ -68,12 +68,12 @@
             return None
         return HttpAnswer(status=200 if self.ready else 503, body=b"")
 
-    def _answer_metrics(self, path: str) -> HttpAnswer | None:
+    def _answer_metrics(self, path: str):
         """Return the metrics, or the answer to another VM's request."""
         if path != METRICS_PATH:
             return self._answer_other_vm(path)
         return HttpAnswer(status=200, body=generate_latest(self._registry))
 
-    def _answer_other_vm(self, path: str) -> HttpAnswer | None:
-        """Return the answer to another VM's request, None for an unknown path."""
+    def _answer_other_vm(self, path: str):
+        """Return the answer to another VM's request, as `HttpServer` takes it."""
         return self.answer_peer(path) if self.answer_peer is not None else None
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -246,18 +246,23 @@
     return None
 
 
-async def is_reachable(holder: VmEntry) -> bool:
-    """Return whether a holder's machine answers connection attempts.
+async def is_reachable(vm: VmEntry) -> bool:
+    """Return whether another VM's machine answers connection attempts.
 
-    A refused connection is an answer: the holder may be shutting down and still answer
+    A refused connection is an answer: a holder may be shutting down and still answer
     the callers that it has.
     """
+    return await is_address_reachable(vm.host, vm.relay_port)
+
+
+async def is_address_reachable(host: str, port: int) -> bool:
+    """Return whether a machine answers connection attempts, by refusals as well."""
     loop = asyncio.get_running_loop()
     for _ in range(CHECK_ATTEMPTS):
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 transport, _ = await loop.create_connection(
-                    asyncio.Protocol, holder.host, holder.relay_port
+                    asyncio.Protocol, host, port
                 )
         except ConnectionRefusedError:
             return True
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -21,6 +21,8 @@
 from ._codec import LineCodec
 from ._driver import DirectDriver
 from ._feeds import StoreHealth, follow_configuration, follow_servers, register_vm
+from ._http import HttpAnswer
+from ._inquiries import answer_inquiry
 from ._log import DecisionLog, LineHandler
 from ._metrics import METRICS
 from ._probe import ProbeServer
@@ -113,7 +115,7 @@
             log=self._log,
             metrics=Metrics(METRICS, registry),
         )
-        self._probe.answer_peer = functools.partial(answer_snapshot, self.driver.state)
+        self._probe.answer_peer = self._answer_peer
         health = StoreHealth()
         self._backends.start(self.driver.emit)
         await self._callers.start(self.driver.emit)
@@ -175,6 +177,11 @@
         await self._client.close()
         self._log_event("stopped")
 
+    async def _answer_peer(self, path: str) -> HttpAnswer | None:
+        """Return the answer to another VM's request, None for an unknown path."""
+        answer = answer_snapshot(self.driver.state, path)
+        return answer if answer is not None else await answer_inquiry(path)
+
     def _needs_store_data(self) -> bool:
         """Return whether this VM needs the configuration and the list of servers."""
         return needs_servers(self.driver.state)
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -70,7 +70,7 @@
         Status 204 if nothing is newer; None if the path is no snapshot request.
     """
     parts = path.split("/")
-    if len(parts) != 4:
+    if len(parts) != 4 or parts[1] != SNAPSHOT_PATH.strip("/"):
         return None
     version, revision = parse_count(parts[2]), parse_count(parts[3])
     if version is None or revision is None:
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -68,6 +68,43 @@
         world.connect(vm, 1)
         assert world.execute(vm, 1, "WRITE x 1").refusal is None
 
+    def start_with_relays(self):
+        """Return a world with six holders, and six VMs that only relay callers."""
+        world = World(vms=12)
+        world.advance(2)
+        holders = {vm.name for vm in world.states["vm1"].holders}
+        assert len(holders) == 6
+        return world, sorted(holders), sorted(set(world.states) - holders)
+
+    def test_isolated_one_is_replaced_by_a_holder_and_a_relay(self):
+        """Guards against a database that waits for a second holder's word.
+
+        The only other VM on the side of the replicas and the store just relays callers.
+        """
+        world, holders, relays = self.start_with_relays()
+        far = {holders[0], relays[0]}
+        near = set(world.states) - far
+        world.sides = {vm: "near" for vm in near}
+        world.store_down = near
+        world.servers["s1"].unreachable_from = far
+        for name in ("s2", "s3"):
+            world.servers[name].unreachable_from = near
+            world.servers[name].replication_paused = True
+        world.advance(5)
+        assert {vm for _, vm, _, _ in world.orders} == {holders[0]}
+        world.connect(holders[0], 1)
+        assert world.execute(holders[0], 1, "WRITE x 1").refusal is None
+
+    def test_idle_one_that_a_single_holder_misses_is_kept(self):
+        """Guards against replacing a primary that others reach.
+
+        Without writes, its replicas receive nothing either.
+        """
+        world, holders, _ = self.start_with_relays()
+        world.servers["s1"].unreachable_from = {holders[0]}
+        world.advance(10)
+        assert world.orders == []
+
     def test_one_whose_entry_lapses_is_replaced_by_one_vm(self):
         """Guards against waiting for suspicions of VMs that can't reach the store."""
         world = start(vms=8)
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -5,6 +5,7 @@
 
 from siskinhold.direct import (
     Answer,
+    AskVms,
     BackendAnswered,
     BackendLost,
     BackendOpened,
@@ -50,6 +51,7 @@
     TransactionState,
     VmEntry,
     VmProbed,
+    VmsAsked,
     VmsRead,
     WriteLeaderRecord,
     compute_tick_delay,
@@ -283,6 +285,7 @@
         self.timeouts = {}
         self.entries = []
         self.removed = []
+        self.sides = {}
         self.cut_off = set()
         for index in range(vms):
             entry = VmEntry(
@@ -328,6 +331,20 @@
             return False
         return not self.cut_off & {vm, other}
 
+    def ask_vms(self, vm, effect):
+        """Answer whether other VMs reach the primary; those out of reach are silent."""
+        leads = next(s for s in self.servers.values() if s.leads)
+        reached, missed = [], []
+        for entry in effect.vms:
+            if self.sides.get(entry.name) != self.sides.get(vm):
+                continue
+            found = reached if leads.reaches(entry.name) else missed
+            found.append(entry.name)
+        event = VmsAsked(
+            at=0, call=effect.call, reached=tuple(reached), missed=tuple(missed)
+        )
+        self.deliver(vm, self.now + 0.5, event)
+
     def configure(self):
         """Return a configuration with one route of each kind."""
         kinds = {
@@ -550,6 +567,8 @@
         elif isinstance(effect, RegisterVm):
             if not down:
                 self.register(vm)
+        elif isinstance(effect, AskVms):
+            self.ask_vms(vm, effect)
         elif isinstance(effect, ProbeVm):
             reached = self.is_reachable(vm, effect.vm.name)
             event = VmProbed(at=0, vm=effect.vm, reached=reached)
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -1,6 +1,8 @@
 """Tests of a process's tasks: feeds of the store, timers, published suspicions."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -17,9 +19,18 @@
     VmEntry,
     VmProbed,
 )
-from siskinhold.lines import HttpClient, HttpFailure, StoreUnavailable, _driver, _http
+from siskinhold.lines import (
+    HttpClient,
+    HttpFailure,
+    StoreUnavailable,
+    _driver,
+    _http,
+    _relay,
+)
 from siskinhold.lines._driver import DirectDriver
 from siskinhold.lines._feeds import StoreHealth, follow_configuration, follow_servers
+from siskinhold.lines._http import HttpServer
+from siskinhold.lines._inquiries import answer_inquiry, ask_vms
 from siskinhold.lines._supervision import keep_running
 from siskinhold_platform._client import HttpPlatformClient
 
@@ -325,3 +336,46 @@
         await client.remove_vm(old)
         assert await client.list_vms(fresh=True) == ((new,), 0)
         await store.stop()
+
+
+class TestInquiries:
+    async def start_vm(self):
+        """Start the server that answers other VMs; return it with its VM's entry."""
+        server = HttpServer(host="127.0.0.1", port=0, answer=answer_inquiry)
+        await server.start()
+        port = server._server.sockets[0].getsockname()[1]
+        return server, make_vm_entry("vm-2", port=port + 1)
+
+    async def test_other_vm_tells_whether_it_reaches_a_server(self, monkeypatch):
+        """Guards against a promotion against a primary that others reach."""
+        monkeypatch.setattr(_relay, "CONNECT_TIMEOUT", 0.05)
+        server, vm = await self.start_vm()
+        reached, missed = await ask_vms((vm,), "127.0.0.1", vm.information_port)
+        assert (reached, missed) == (("vm-2",), ())
+        with socket.socket() as full:
+            # With its queue of connections full, a socket drops further attempts.
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            with contextlib.ExitStack() as stack:
+                for _ in range(2):
+                    client = stack.enter_context(socket.socket())
+                    client.setblocking(False)
+                    client.connect_ex(full.getsockname())
+                await asyncio.sleep(0.05)
+                port = full.getsockname()[1]
+                reached, missed = await ask_vms((vm,), "127.0.0.1", port)
+        assert (reached, missed) == ((), ("vm-2",))
+        await server.stop()
+        # Lets the server notice the end of its connections.
+        await asyncio.sleep(0.05)
+
+    async def test_silent_vm_has_no_say(self):
+        """Guards against a VM without an answer that counts against a primary."""
+        vm = make_vm_entry("vm-2", port=2)
+        assert await ask_vms((vm,), "127.0.0.1", 1) == ((), ())
+
+    async def test_malformed_question_is_an_unknown_path(self):
+        """Guards against a request that is answered with an error."""
+        paths = ("/reach/a/1", "/reach/127.0.0.1/0", "/reach/127.0.0.1/x", "/reach/1")
+        for path in paths:
+            assert await answer_inquiry(path) is None
