Ask relaying VMs while the replicas' silence is still being watched

Change: a holder asks 0.4 s after it suspects; the answers still count only once the replicas seem cut off.

--- a/src/siskinhold/direct/_inquiry.py
+++ b/src/siskinhold/direct/_inquiry.py
@@ -8,13 +8,16 @@
 
 from ._effects import AskVms
 from ._events import VmsAsked
-from ._promotion import is_cut_off
 from ._promotion_state import Promotion, PromotionStep
 from ._promotion_steps import register_call
 from ._state import Database, DirectState, Effects
 
-ASK_INTERVAL = 1.0
-"""Seconds between two rounds of questions."""
+ASK_DELAY = 0.4
+"""Seconds after a suspicion until others are asked: with enough holders, their own
+suspicions are published by then."""
+
+ASK_INTERVAL = 1.1
+"""Seconds between two rounds of questions; one takes up to a second."""
 
 ASKED_VMS = 5
 """Number of VMs that are asked in a round."""
@@ -28,15 +31,15 @@
 ) -> None:
     """Ask some VMs that are no holders whether they reach the suspected primary.
 
-    Holders are not asked, as they publish their own suspicions. Nobody is asked before
-    the replicas seem to be cut off from the primary: alone, the answers don't count.
+    Holders are not asked, as they publish their own suspicions. The answers count only
+    once the replicas seem to be cut off from the primary as well.
     """
     server = state.servers.get(promotion.leader)
     if promotion.cause != "unreachable" or server is None:
         return
-    if state.now - promotion.asked_at < ASK_INTERVAL:
+    if state.now - promotion.began_at < ASK_DELAY:
         return
-    if not is_cut_off(state, database):
+    if state.now - promotion.asked_at < ASK_INTERVAL:
         return
     holders = {vm.name for vm in state.holders}
     others = [vm for vm in state.vms if vm.name not in holders and vm.relay_port]
