Wait for an own attempt that was ordered like for that of another VM

Cause, found by reading: a VM took over its own open record at once also if that attempt had been ordered and only its completion was pending; a repeated order of it could still be under way, with a lower token. Change: only a withdrawn attempt is not waited for. Result: the test fails before and passes now.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -87,7 +87,7 @@
         if record.attempt == promotion.attempt:
             _start_attempt(state, database, promotion, event.revision, out)
             return
-        if _is_own_past_attempt(database, record.attempt):
+        if is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
             _send_claim(state, database, promotion, event.revision, out)
             return
@@ -104,13 +104,15 @@
     _send_claim(state, database, promotion, event.revision, out)
 
 
-def _is_own_past_attempt(database: Database, attempt: str) -> bool:
+def is_own_past_attempt(database: Database, attempt: str) -> bool:
     """Return whether an attempt is one that this VM has ended without an order."""
     claim = database.open_claim
     if claim is not None and claim.attempt == attempt:
         return True
     completion = database.completion
-    return completion is not None and completion.attempt == attempt
+    if completion is None or not completion.withdraws:
+        return False
+    return completion.attempt == attempt
 
 
 def _send_claim(
@@ -166,6 +168,7 @@
             term=promotion.term,
             token=promotion.token,
             attempt=promotion.attempt,
+            withdraws=True,
         )
     elif promotion.claim_sent:
         database.open_claim = OpenClaim(
@@ -208,6 +211,7 @@
             term=record.term,
             token=event.revision,
             attempt=record.attempt,
+            withdraws=True,
         )
         complete_record(state, database, out)
 
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -124,6 +124,7 @@
         term: its term.
         token: the promotion's fence token, which is the record's revision.
         attempt: the promotion's random id.
+        withdraws: whether the promotion ended without an order.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time of the next call.
     """
@@ -132,5 +133,6 @@
     term: int
     token: int
     attempt: str
+    withdraws: bool = False
     call: int = 0
     repeat_at: float = 0.0
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -1,6 +1,7 @@
 """Tests of the direct core: replacement of primaries, and proof that they lead."""
 
 from siskinhold.direct import LeaderState, Refusal
+from siskinhold.direct._claims import is_own_past_attempt
 from siskinhold.model import Position
 
 from .world import World
@@ -483,6 +484,13 @@
         assert world.orders == []
         assert world.record.state is LeaderState.STABLE
 
+    def test_ordered_attempt_is_waited_for_by_its_own_vm_as_well(self):
+        """Guards against a claim while an order of this VM may still be under way."""
+        world, vm = self.promote_without_store()
+        database = world.states[vm].databases["db"]
+        assert database.completion is not None
+        assert not is_own_past_attempt(database, database.completion.attempt)
+
     def test_majority_does_not_attest_while_the_record_is_open(self):
         """Guards against a stale read at the old primary while another is promoted.
 
