Give test programs ports that outgoing connections don't take

Cause: ports for programs were chosen in the kernel's range for outgoing connections and freed again; a connection of another process took one before the program listened (test_configuration_comes_from_another_vm failed once beside other tests: address_unusable, address already in use). Change: ports come from below that range, one after the other.

--- a/src/siskinhold_trial/processes/_processes.py
+++ b/src/siskinhold_trial/processes/_processes.py
@@ -1,14 +1,16 @@
 """Starts programs of this repository as processes and ends them by process id."""
 
 import asyncio
+import contextlib
 import ctypes
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -16,23 +18,56 @@
 """Seconds after SIGTERM until a process is killed."""
 POLL_INTERVAL_SECONDS = 0.02
 """Seconds between two checks of a process."""
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+"""Range of the ports that programs listen on: below the default start, 32,768, of the
+kernel's range for outgoing connections."""
 _PR_SET_PDEATHSIG = 1
 
 
+def _cycle_ports() -> Iterator[int]:
+    """Yield all ports of the range again and again, starting at a random one.
+
+    Test runs beside each other so rarely choose the same ports.
+    """
+    start = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+    yield from range(start, LAST_PORT)
+    while True:
+        yield from range(FIRST_PORT, LAST_PORT)
+
+
+_FIRST_PORTS = _cycle_ports()
+
+
 class ProcessFailed(Exception):
     """A process ended early, or did not become ready or end in time."""
 
 
 def find_free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return distinct TCP ports that are free at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((host, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return consecutive TCP ports that are free at the moment.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections: one of those could take a port before the program listens on it. No
+    port is returned twice by a process before the range is used up.
+    """
+    while True:
+        first = next(_FIRST_PORTS)
+        if first + count <= LAST_PORT and _are_free(host, first, count):
+            # Skips the ports of this call.
+            for _ in range(count - 1):
+                next(_FIRST_PORTS)
+            return list(range(first, first + count))
+
+
+def _are_free(host: str, first: int, count: int) -> bool:
+    """Return whether nothing listens on `count` ports from `first` on."""
+    with contextlib.ExitStack() as stack:
+        for port in range(first, first + count):
+            probe = stack.enter_context(socket.socket())
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
+    return True
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,7 +1,6 @@
 """Messages between VMs over real sockets on loopback."""
 
 import asyncio
-import socket
 
 import pynng
 import pytest
@@ -9,14 +8,13 @@
 
 from siskinhold.adapters import EnvelopeCodec, NngPeers
 from siskinhold.messages import Envelope, Probe, TicketsWanted
+from siskinhold_trial.processes import find_free_ports
 
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
 
 
 def find_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return free.getsockname()[1]
+    return find_free_ports(1)[0]
 
 
 def make_envelope(number: int, message=None) -> Envelope:
--- a/tests/test_trial_database.py
+++ b/tests/test_trial_database.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -21,6 +20,7 @@
     TrialDatabase,
     apply_faults,
 )
+from siskinhold_trial.processes import find_free_ports
 
 LAG = 0.03
 
@@ -246,7 +246,7 @@
 class TestProgram:
     def test_starts_and_ends(self):
         """Guards against a program that rejects its arguments."""
-        ports = [free_port() for _ in range(4)]
+        ports = find_free_ports(4)
         command = [sys.executable, "-m", "siskinhold_trial.programs.database"]
         for port in ports[:3]:
             command += ["--port", str(port)]
@@ -259,12 +259,6 @@
             assert process.wait(5) == 0
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def fetch(url):
     for _ in range(200):
         try:
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -4,15 +4,15 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
-import socket
 import sys
 from pathlib import Path
 
 from aiohttp import web
 
+from siskinhold_trial.processes import find_free_ports
+
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -624,17 +624,8 @@
 
 def find_ports() -> tuple[int, int, int]:
     """Return ports for callers and readiness, and the first of two between VMs."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            found = []
-            for _ in range(3):
-                each = stack.enter_context(socket.socket())
-                each.bind(("127.0.0.1", 0))
-                found.append(each.getsockname()[1])
-            neighbour = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                neighbour.bind(("127.0.0.1", found[2] + 1))
-                return tuple(found)
+    callers, readiness, peers, _ = find_free_ports(4)
+    return callers, readiness, peers
 
 
 async def spawn_vm(
