Answer every refused keyed statement as unknown

Cause: a refusal said "not run" to the retry of a keyed write if its key was last seen more than 60 s before, or through another owner or an entry VM that had no owner, although the first attempt had run. Change: the entry VM turns each refusal of a keyed statement into unknown, except that of a lost position; owners remember no keys any more. The mutant not_run_after_attempt is played without the new rule as well, which would hide it.

--- a/src/siskinhold/core/_entries.py
+++ b/src/siskinhold/core/_entries.py
@@ -4,6 +4,7 @@
 from ..messages import Abandon
 from ..model import (
     Done,
+    Marks,
     NotRun,
     NotRunReason,
     Outcome,
@@ -34,9 +35,9 @@
 ) -> None:
     """Answer a statement in progress and update its session.
 
-    "Not run" becomes "unknown" if an earlier sending may have had an effect.
-    With `POSITION_LOST` the session's floor is set to `position`, which may
-    lower it.
+    "Not run" becomes "unknown" if an earlier sending, or an earlier request with the
+    same key, may have had an effect. With `POSITION_LOST` the session's floor is set to
+    `position`, which may lower it.
     """
     node.sessions.requests.pop(entry.request.id, None)
     session = node.sessions.sessions.get(entry.session)
@@ -47,6 +48,8 @@
         session.positions[entry.request.database] = position
     elif isinstance(outcome, NotRun) and entry.may_have_run:
         outcome = Unknown(reason=UnknownReason.OWNER_LOST, detail=outcome.detail)
+    elif isinstance(outcome, NotRun) and _has_key(entry.request.marks):
+        outcome = Unknown(reason=UnknownReason.KEY_UNSETTLED, detail=outcome.detail)
     if position is not None and isinstance(outcome, Done):
         raise_position(session, entry.request.database, position)
     _update_transaction(session, entry, outcome, out)
@@ -85,14 +88,29 @@
         out.append(SendPeer(vm=transaction.owner, message=message))
 
 
+def _has_key(marks: Marks) -> bool:
+    """Return whether a statement has an idempotency key.
+
+    An earlier request with the key may have run through any VM, at any time before. Its
+    caller would take "not run" as the outcome of the key and might repeat the write
+    under a new one.
+    """
+    return bool(marks.key)
+
+
 def refuse_statement(
     session: Session,
     identity: RequestId,
     reason: NotRunReason,
     out: Effects,
     detail: str = "",
+    *,
+    marks: Marks = Marks(),
 ) -> None:
-    """Refuse a statement on the entry VM, without sending it to a pool owner."""
+    """Refuse a statement on the entry VM, without sending it to a pool owner.
+
+    One with an idempotency key is answered as unknown.
+    """
     record(
         out,
         "request_refused",
@@ -100,7 +118,10 @@
         session=session.number,
         request=identity,
     )
-    reply(session, identity, NotRun(reason=reason, detail=detail), out)
+    outcome: Outcome = NotRun(reason=reason, detail=detail)
+    if _has_key(marks):
+        outcome = Unknown(reason=UnknownReason.KEY_UNSETTLED, detail=detail)
+    reply(session, identity, outcome, out)
 
 
 def reply(
--- a/src/siskinhold/core/_owners.py
+++ b/src/siskinhold/core/_owners.py
@@ -63,7 +63,6 @@
             )
             node.pools.pools[(database.name, region)] = pool
         if owned and not pool.owned:
-            pool.taken_at = node.now
             record(
                 out, "pool_taken", database=database.name, detail=_build_detail(pool)
             )
--- a/src/siskinhold/core/_pool_state.py
+++ b/src/siskinhold/core/_pool_state.py
@@ -51,7 +51,6 @@
     Args:
         database: database name.
         region: region name.
-        taken_at: when this VM took it over.
         owned: whether this VM owns it; if not it only finishes its jobs.
         primary_paused: whether jobs that need the primary wait for a switchover
             to end.
@@ -65,7 +64,6 @@
 
     database: str
     region: str
-    taken_at: float = 0.0
     owned: bool = True
     primary_paused: bool = False
     queue: Queue = field(default_factory=JobQueue)
@@ -83,12 +81,9 @@
         jobs: all unanswered jobs by request id.
         beginning: request ids of jobs whose START TRANSACTION is unanswered.
         transactions: open transactions by id.
-        unresolved_keys: expiry time of each idempotency key whose last request
-            ended as unknown, by (database, key).
     """
 
     pools: dict[tuple[str, str], Pool] = field(default_factory=dict)
     jobs: dict[RequestId, Job] = field(default_factory=dict)
     beginning: set[RequestId] = field(default_factory=set)
     transactions: dict[RequestId, Transaction] = field(default_factory=dict)
-    unresolved_keys: dict[tuple[str, str], float] = field(default_factory=dict)
--- a/src/siskinhold/core/_pools.py
+++ b/src/siskinhold/core/_pools.py
@@ -38,10 +38,6 @@
 
 MAX_ATTEMPTS = 3
 """Attempts to run one request: the first one and two retries."""
-KEY_RETENTION = 60.0
-"""Seconds for which a key is kept after a request with it ended as unknown."""
-MAX_UNRESOLVED_KEYS = 10_000
-"""Keys kept at most; they take about 2 MB."""
 REDIRECT_DELAY = 0.05
 """Seconds that a read waits in a region none of whose servers can serve it before
 it is redirected."""
@@ -165,10 +161,9 @@
     *,
     position: Position | None = None,
 ) -> None:
-    """Answer a job as not run, or as unknown if it may have had an effect.
+    """Answer a job as not run, or as unknown if an earlier attempt may have run.
 
-    It may if an earlier attempt at the write, or an earlier request with the same key,
-    may have run. The job must not be on a connection.
+    The job must not be on a connection.
 
     Args:
         position: with `POSITION_LOST`, the position up to which the session's
@@ -177,9 +172,6 @@
     if job.may_have_run and job.request.kind is not StatementKind.READ:
         answer_unknown(node, job, UnknownReason.CONNECTION_LOST, out)
         return
-    if _may_be_repeated(node, job):
-        answer_unknown(node, job, UnknownReason.KEY_UNSETTLED, out)
-        return
     record(
         out,
         "request_refused",
@@ -192,40 +184,10 @@
     answer(node, job, NotRun(reason=reason, detail=detail), out, position=position)
 
 
-def _may_be_repeated(node: NodeState, job: Job) -> bool:
-    """Return whether a job may repeat an earlier request with its key that ran.
-
-    Its caller would take "not run" as the outcome of the key and might repeat the
-    write under a new one. A VM that has just taken over the pool does not know
-    which keys the previous owner ran.
-    """
-    key = job.request.marks.key
-    if not key:
-        return False
-    pool = find_pool(node, job.request.database, job.region)
-    if pool is None or node.now - pool.taken_at < KEY_RETENTION:
-        return True
-    until = node.pools.unresolved_keys.get((job.request.database, key), -1.0)
-    return node.now < until
-
-
-def _store_unresolved_key(node: NodeState, job: Job) -> None:
-    """Keep the key of a job that ends as unknown for `KEY_RETENTION`."""
-    key = job.request.marks.key
-    if not key:
-        return
-    unresolved_keys = node.pools.unresolved_keys
-    unresolved_keys.pop((job.request.database, key), None)
-    unresolved_keys[job.request.database, key] = node.now + KEY_RETENTION
-    while len(unresolved_keys) > MAX_UNRESOLVED_KEYS:
-        del unresolved_keys[next(iter(unresolved_keys))]
-
-
 def answer_unknown(
     node: NodeState, job: Job, reason: UnknownReason, out: Effects
 ) -> None:
     """Answer a job whose outcome can't be determined as unknown."""
-    _store_unresolved_key(node, job)
     record(
         out,
         "request_unknown",
--- a/src/siskinhold/core/_sessions.py
+++ b/src/siskinhold/core/_sessions.py
@@ -113,7 +113,9 @@
     session.request = identity
     out.append(Observe(metric="statements_total", label=event.kind.value))
     if session.draining and not session.open_transaction:
-        refuse_statement(session, identity, NotRunReason.SHUTDOWN, out)
+        refuse_statement(
+            session, identity, NotRunReason.SHUTDOWN, out, marks=event.marks
+        )
         return
     if event.kind is StatementKind.BEGIN:
         _begin_transaction(node, session, identity, out)
@@ -127,10 +129,14 @@
         return
     found = node.config.databases.get(session.database)
     if found is None and has_initial_config(node):
-        refuse_statement(session, identity, NotRunReason.UNKNOWN_DATABASE, out)
+        refuse_statement(
+            session, identity, NotRunReason.UNKNOWN_DATABASE, out, marks=event.marks
+        )
         return
     if lost:
-        refuse_statement(session, identity, NotRunReason.TRANSACTION_LOST, out)
+        refuse_statement(
+            session, identity, NotRunReason.TRANSACTION_LOST, out, marks=event.marks
+        )
         return
     # A VM that has just started does not know all databases yet: the request
     # waits for them until its deadline.
@@ -353,8 +359,6 @@
         out.append(SendPeer(vm=entry.owner, message=message))
     else:
         outcome = NotRun(reason=_find_refusal_reason(node, entry))
-        # An earlier request with the same key may have run.
-        entry.may_have_run = entry.may_have_run or bool(entry.request.marks.key)
     record(
         out,
         "request_deadline_passed",
--- a/src/siskinhold_trial/proof/_mutants.py
+++ b/src/siskinhold_trial/proof/_mutants.py
@@ -45,6 +45,7 @@
         attribute: the function's name in that module.
         replacement: takes the original function and returns its replacement.
         faults: the faults under which the missing rule leads to violations.
+        also: mutants whose rules are missing as well, as they hide this one.
     """
 
     name: str
@@ -52,13 +53,18 @@
     attribute: str
     replacement: Callable[[Callable], Callable]
     faults: tuple[Fault, ...]
+    also: tuple["Mutant", ...] = ()
 
     @contextlib.contextmanager
     def active(self) -> Iterator[None]:
         """Replace the function within the context."""
         original = getattr(self.target, self.attribute)
         replacement = self.replacement(original)
-        with mock.patch.object(self.target, self.attribute, replacement):
+        with contextlib.ExitStack() as stack:
+            for other in self.also:
+                stack.enter_context(other.active())
+            patch = mock.patch.object(self.target, self.attribute, replacement)
+            stack.enter_context(patch)
             yield
 
 
@@ -92,7 +98,7 @@
 
 def _forget_keys(original: Callable) -> Callable:
     """Answer "not run" although an earlier request with the key may have run."""
-    return lambda node, job: False
+    return lambda marks: False
 
 
 def _repeat_all(original: Callable) -> Callable:
@@ -121,6 +127,14 @@
     return lambda node: 0
 
 
+_KEY_UNSETTLED = Mutant(
+    name="key_unsettled",
+    target=_entries,
+    attribute="_has_key",
+    replacement=_forget_keys,
+    faults=_select_faults(lose_answers),
+)
+
 MUTANTS = (
     Mutant(
         name="write_confirmation",
@@ -156,14 +170,9 @@
         attribute="refuse",
         replacement=_forget_attempt,
         faults=_select_faults(lose_answers),
+        also=(_KEY_UNSETTLED,),
     ),
-    Mutant(
-        name="key_unsettled",
-        target=_pools,
-        attribute="_may_be_repeated",
-        replacement=_forget_keys,
-        faults=_select_faults(lose_answers),
-    ),
+    _KEY_UNSETTLED,
     Mutant(
         name="unknown_after_lost_owner",
         target=_owners,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -14,6 +14,8 @@
     RoutingRules,
     ServerState,
     StatementKind,
+    Unknown,
+    UnknownReason,
 )
 from siskinhold_trial.fleet import CRANNOG, Fleet
 from siskinhold_trial.proof._faults import _with_state
@@ -97,6 +99,28 @@
         assert promotions == 1
         assert gap < FAILOVER_BOUND
 
+    def test_refused_retry_of_a_keyed_write_is_unknown(self):
+        """Guards against "not run" for an order that ran a while ago, when its caller
+        got no answer and repeats it with its key through another VM."""
+
+        async def scenario(fleet):
+            sql = "UPDATE kv SET v='x' WHERE k='a'"
+            marks = Marks(once=True, key="order-1", deadline_ms=5_000)
+            outcomes = []
+            for name in ("vm0", "vm1"):
+                caller = fleet.vms[name].callers.connect(database="bookings")
+                reply = await caller.run(StatementKind.WRITE, sql, marks)
+                outcomes.append(reply.outcome)
+                if len(outcomes) == 1:
+                    await asyncio.sleep(70.0)
+                    fleet.store.down = True
+                    fleet.databases["bookings"].find_primary().kill()
+            return outcomes
+
+        first, retried = run(scenario)
+        assert isinstance(first, Done)
+        assert retried == Unknown(reason=UnknownReason.KEY_UNSETTLED)
+
     def test_slow_store_and_busy_primary(self):
         """Guards against a promotion without a loss, while the store is slow and
         the primary is busy."""
