Check MySQL logins before the library parses them

Cause: the library reads a string up to its terminator without a look at the end of the packet. One login packet without the terminator of its user name kept the process busy for ever, before any password was checked. Change: a login is checked for the fields that its capabilities announce; one that lacks a field is answered as a bad handshake, and its connection is closed.

--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -121,6 +121,7 @@
         Raises:
             AccessDenied: if it is wrong or the user is unknown.
         """
+        self.stream.awaits_login = False
         self.session.username = None
         await super().authenticate(*args, **kwargs)
         if self.session.username is None:
--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -10,6 +10,8 @@
 
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
+from ._caller_login import check_login
+
 _MAX_PAYLOAD = 0xFFFFFF
 _DISCARD_CHUNK_BYTES = 65_536
 # Size of an SSL request with its header; a longer first packet is a login without TLS.
@@ -93,12 +95,16 @@
         reader: bytes from the caller.
         writer: bytes to the caller.
         limit: maximum size of a command, in bytes.
+
+    Attributes:
+        awaits_login: whether the next packet is a login or a request for TLS.
     """
 
     def __init__(
         self, *, reader: EofReader, writer: asyncio.StreamWriter, limit: int
     ) -> None:
         self.limit = limit
+        self.awaits_login = True
         self.reader = reader
         self._plain_writer: asyncio.StreamWriter | None = None
         self._set_writer(writer)
@@ -110,9 +116,13 @@
             ConnectionClosed: if the stream ended.
             PacketTooLarge: if the command exceeds the limit.
             PacketMalformed: if a packet is out of sequence.
+            LoginMalformed: if a login is awaited and the packet is none.
         """
         try:
-            return await self._read()
+            data = await self._read()
+            if self.awaits_login:
+                check_login(data)
+            return data
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             raise ConnectionClosed() from error
 
