Start a large fleet with few calls of the store

Cause: at the first start the connection limit is not published yet, and every VM took itself for a holder: 86 VMs of the grown deployment read 76 configurations and 76 lists of servers at full price, 93 leader records, and published 44 suspicions. Each restart wrote a registration that was there already: 86 writes after a power loss; 5,300 VMs would exceed the store's rate of writes for seconds. Change: while the limit is unknown, only the largest VMs of each availability zone need the configuration, the others after 3 s or once they have a caller. A registration is read (stale) before it is written.

--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -38,6 +38,11 @@
 VM_LIST_TIMEOUT = 1.0
 """Seconds after the start to wait for the list of VMs."""
 
+CONNECTION_LIMIT_TIMEOUT = 3.0
+"""Seconds after the start for which a VM that is no likely holder waits until the
+servers' connection limit is published: the first holder publishes it about 1.5 s after
+the first start of a fleet."""
+
 MAX_RELAY_TARGETS = 5
 """Number of holders that are tried for a caller."""
 
@@ -52,11 +57,28 @@
 
     A VM that relays its callers does not need them, unless it has callers that no
     holder accepts. The configuration is large: if all VMs read it when they start
-    together, it saturates the link between regions.
+    together, it saturates the link between regions. While the connection limit is
+    unknown, as at the first start of a fleet, only likely holders need them.
     """
     if not knows_vms(state):
         return False
-    return state.is_holder or bool(state.sessions) or bool(state.pending_callers)
+    if state.sessions or state.pending_callers:
+        return True
+    if state.connections_limit or not state.vms_known:
+        return state.is_holder
+    if state.now - state.started_at >= CONNECTION_LIMIT_TIMEOUT:
+        return True
+    return _is_likely_holder(state)
+
+
+def _is_likely_holder(state: DirectState) -> bool:
+    """Return whether this VM will be a holder whatever the connection limit is.
+
+    It will if it is among the largest VMs of its availability zone.
+    """
+    members = [vm for vm in state.vms if vm.zone == state.zone]
+    members.sort(key=_rank_by_size)
+    return any(vm.name == state.vm for vm in members[:HOLDERS_PER_ZONE])
 
 
 def choose_holders(vms: tuple[VmEntry, ...], connections: int) -> list[VmEntry]:
@@ -76,7 +98,7 @@
     max_holders = max(1, connections // TARGET_POOL_CONNECTIONS - SPARE_HOLDERS)
     found = []
     for members in zones.values():
-        members.sort(key=lambda vm: (-vm.size, _hash(vm.name)))
+        members.sort(key=_rank_by_size)
     for place in range(HOLDERS_PER_ZONE):
         for zone in sorted(zones):
             if place < len(zones[zone]) and len(found) < max_holders:
@@ -157,6 +179,11 @@
     return total // (len(state.holders) + SPARE_HOLDERS)
 
 
+def _rank_by_size(vm: VmEntry) -> tuple[int, bytes]:
+    """Return the key that sorts VMs by size, largest first."""
+    return (-vm.size, _hash(vm.name))
+
+
 def _hash(text: str) -> bytes:
     """Return a hash that is the same on every VM."""
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -112,8 +112,11 @@
         """
 
     @abc.abstractmethod
-    async def register_vm(self, entry: VmEntry) -> None:
-        """Add a VM to the list of VMs, or replace its entry.
+    async def register_vm(self, entry: VmEntry, *, fresh: bool) -> None:
+        """Add a VM to the list of VMs, or replace its entry if it differs.
+
+        Args:
+            fresh: whether the present entry may not be read from stale data.
 
         Raises:
             StoreUnavailable: without a usable answer.
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -275,7 +275,8 @@
 
     def _register_vm(self, effect: RegisterVm) -> None:
         """Start to add this VM to the list again; a failure shows in the next list."""
-        call = self._client.register_vm(self._entry)
+        # A stale read could show the entry that was removed.
+        call = self._client.register_vm(self._entry, fresh=True)
         self._spawn(self._change_list("vm_unregistered", call))
 
     def _remove_vm(self, effect: RemoveVm) -> None:
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -202,7 +202,7 @@
     backoff = _RetryBackoff(name="registration", health=health)
     while True:
         try:
-            await client.register_vm(entry)
+            await client.register_vm(entry, fresh=False)
         except StoreUnavailable as error:
             await backoff.pause(error)
             continue
