Limit the store data that VMs send each other

VMs that could not read the store asked the three seeds for everything, configuration included, up to 13 times a second each, and each answer was kept in memory until it was sent.

--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -25,6 +25,13 @@
 REQUEST_TIMEOUT = 5.0
 """Seconds that the server waits for the next bytes of a request."""
 
+LARGE_ANSWER = 1 << 14
+"""Bytes from which the body of an answer counts as large."""
+
+MAX_LARGE_ANSWERS = 16
+"""Large answers that one server sends at the same time: with the largest configuration,
+of 1 MB, they take 16 MB of the process's memory."""
+
 
 class HttpFailure(Exception):
     """A request got no complete answer; it may still have been executed."""
@@ -200,6 +207,9 @@
 class HttpServer:
     """Answers `GET` requests on one port, without pipelining.
 
+    A request for a large answer gets status 503 while `MAX_LARGE_ANSWERS` are being
+    sent: many VMs may ask for the configuration at once over a slow link.
+
     Args:
         host: IP address to listen on.
         port: TCP port.
@@ -212,6 +222,7 @@
         self._port = port
         self._answer = answer
         self._server: asyncio.Server | None = None
+        self._large_answers = 0
 
     async def start(self) -> None:
         """Start listening.
@@ -260,6 +271,25 @@
         if asyncio.iscoroutine(answer):
             answer = await answer
         answer = answer or HttpAnswer(status=404, body=b"")
+        if len(answer.body) < LARGE_ANSWER:
+            await self._send(state, writer, answer)
+        elif self._large_answers >= MAX_LARGE_ANSWERS:
+            await self._send(state, writer, HttpAnswer(status=503, body=b""))
+        else:
+            self._large_answers += 1
+            try:
+                await self._send(state, writer, answer)
+            finally:
+                self._large_answers -= 1
+        return state.our_state is h11.DONE and state.their_state is h11.DONE
+
+    async def _send(self, state, writer, answer: HttpAnswer) -> None:
+        """Send an answer; return once the other side has taken nearly all of it.
+
+        Raises:
+            TimeoutError: if it takes longer than `ANSWER_TIMEOUT`; what is not sent yet
+                is discarded.
+        """
         headers = [
             ("Content-Length", str(len(answer.body))),
             ("Content-Type", "text/plain; charset=utf-8"),
@@ -268,4 +298,9 @@
         data += state.send(h11.Data(data=answer.body))
         data += state.send(h11.EndOfMessage())
         writer.write(data)
-        return state.our_state is h11.DONE and state.their_state is h11.DONE
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT):
+                await writer.drain()
+        except TimeoutError:
+            writer.transport.abort()
+            raise
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -32,11 +32,15 @@
 """Path of snapshot requests on the port between VMs, followed by the version of the
 requester's configuration and the revision of its server list."""
 
+VM_LIST_PATH = "/knowledge/vms"
+"""Path of requests for the list of VMs alone."""
+
 REQUEST_INTERVAL = 0.7
 """Seconds between two rounds of requests while the store can't be read."""
 
 STARTUP_REQUEST_INTERVAL = 0.15
-"""The same while the VM lacks what it needs to serve callers."""
+"""The same after the start, while the VM lacks what it needs to serve callers; doubled
+with each round without an answer, up to `REQUEST_INTERVAL`."""
 
 REQUEST_TIMEOUT = 0.5
 """Seconds until a request to another VM fails."""
@@ -48,10 +52,13 @@
 class StoreSnapshot(msgspec.Struct, kw_only=True, frozen=True):
     """A VM's cached copy of the store's configuration and lists of servers and VMs.
 
+    It holds either the list of VMs or the rest.
+
     Args:
         configuration: the configuration in force, None if the requester has it.
-        vms: the VMs, empty if they are unknown or the requester has a configuration.
-        connections: lowest connection limit of any server, 0 if it is unknown.
+        vms: the VMs, empty unless they were requested.
+        connections: lowest connection limit of any server, 0 if it is unknown or was
+            not requested.
         revision: store revision of the list of servers.
         servers: the entries, empty if the requester has the list.
     """
@@ -67,8 +74,14 @@
     """Return a snapshot of the data that is newer than the path states.
 
     Returns:
-        Status 204 if nothing is newer; None if the path is no snapshot request.
+        Status 204 if nothing is newer or known; None if the path is no snapshot
+        request.
     """
+    if path == VM_LIST_PATH:
+        if not state.vms_known:
+            return HttpAnswer(status=204, body=b"")
+        listed = StoreSnapshot(vms=state.vms, connections=state.connections_limit)
+        return HttpAnswer(status=200, body=msgspec.json.encode(listed))
     parts = path.split("/")
     if len(parts) != 4 or parts[1] != SNAPSHOT_PATH.strip("/"):
         return None
@@ -81,15 +94,12 @@
     entries = ()
     if state.servers_revision > revision:
         entries = tuple(s.entry for s in state.servers.values() if s.gone_at is None)
-    vms = () if version else state.vms
-    if configuration is None and not entries and not vms:
+    if configuration is None and not entries:
         return HttpAnswer(status=204, body=b"")
     snapshot = StoreSnapshot(
         configuration=configuration,
         revision=state.servers_revision,
         servers=entries,
-        vms=vms,
-        connections=state.connections_limit,
     )
     return HttpAnswer(status=200, body=msgspec.json.encode(snapshot))
 
@@ -113,31 +123,71 @@
         write_line: takes log entries.
     """
     generator = random.Random(state.vm)
+    startup_interval = STARTUP_REQUEST_INTERVAL
     while True:
         starting = not state.vms_known or state.configuration is None
-        await asyncio.sleep(STARTUP_REQUEST_INTERVAL if starting else REQUEST_INTERVAL)
+        interval = startup_interval if starting else REQUEST_INTERVAL
+        # Spread, as all VMs lose the store at the same time.
+        await asyncio.sleep(interval * generator.uniform(0.5, 1.0))
         if not is_store_unreadable():
             continue
         if state.vms_known and not needs_servers(state):
             continue
+        startup_interval = min(REQUEST_INTERVAL, 2 * startup_interval)
         peers = _list_peers(state, get_seeds())
         for host, port in generator.sample(peers, min(PEERS_PER_ROUND, len(peers))):
-            snapshot = await _request_snapshot(state, host, port)
-            if snapshot is None:
-                continue
-            write_line(
-                Log(
-                    event="store_snapshot_received",
-                    fields=(
-                        ("from", host),
-                        ("revision", snapshot.revision),
-                        ("configuration", snapshot.configuration is not None),
-                        ("vms", len(snapshot.vms)),
-                    ),
-                    essential=True,
-                )
-            )
-            _emit_snapshot(state, snapshot, emit)
+            if await _update_from_peer(state, host, port, emit, write_line):
+                startup_interval = STARTUP_REQUEST_INTERVAL
+
+
+async def _update_from_peer(
+    state: DirectState,
+    host: str,
+    port: int,
+    emit: Callable[[Event], None],
+    write_line: Callable[[Log], None],
+) -> bool:
+    """Request what this VM lacks from another one; return whether it sent anything.
+
+    The list of VMs comes first: it shows whether this VM needs the rest, which is
+    large.
+    """
+    answered = False
+    if not state.vms_known:
+        answered = await _request(state, host, port, VM_LIST_PATH, emit, write_line)
+    if needs_servers(state):
+        version = state.configuration.version if state.configuration is not None else 0
+        path = f"{SNAPSHOT_PATH}/{version}/{max(0, state.servers_revision)}"
+        answered |= await _request(state, host, port, path, emit, write_line)
+    return answered
+
+
+async def _request(
+    state: DirectState,
+    host: str,
+    port: int,
+    path: str,
+    emit: Callable[[Event], None],
+    write_line: Callable[[Log], None],
+) -> bool:
+    """Request a snapshot, log it and emit its data; return whether there was one."""
+    snapshot = await _request_snapshot(host, port, path)
+    if snapshot is None:
+        return False
+    write_line(
+        Log(
+            event="store_snapshot_received",
+            fields=(
+                ("from", host),
+                ("revision", snapshot.revision),
+                ("configuration", snapshot.configuration is not None),
+                ("vms", len(snapshot.vms)),
+            ),
+            essential=True,
+        )
+    )
+    _emit_snapshot(state, snapshot, emit)
+    return True
 
 
 def _list_peers(
@@ -151,15 +201,11 @@
     return peers or list(seeds)
 
 
-async def _request_snapshot(
-    state: DirectState, host: str, port: int
-) -> StoreSnapshot | None:
-    """Return a VM's data that is newer than this VM's, None if it sends none."""
-    version = state.configuration.version if state.configuration is not None else 0
+async def _request_snapshot(host: str, port: int, path: str) -> StoreSnapshot | None:
+    """Return the snapshot that a VM sends for a path, None if it sends none."""
     client = HttpClient(host=host, port=port)
-    target = f"{SNAPSHOT_PATH}/{version}/{max(0, state.servers_revision)}"
     try:
-        answer = await client.request("GET", target, timeout=REQUEST_TIMEOUT)
+        answer = await client.request("GET", path, timeout=REQUEST_TIMEOUT)
         if answer.status != 200:
             return None
         return msgspec.json.decode(answer.body, type=StoreSnapshot)
--- a/tests/users_platform/test_http.py
+++ b/tests/users_platform/test_http.py
@@ -6,6 +6,7 @@
 import pytest
 
 from siskinhold.lines import HttpClient, HttpFailure
+from siskinhold.lines._http import MAX_LARGE_ANSWERS, HttpAnswer, HttpServer
 
 PART = b"x" * 100
 """One part of the body of an answer."""
@@ -57,3 +58,55 @@
             with pytest.raises(HttpFailure):
                 await client.request("GET", "/", timeout=0.4)
             assert clock() - began < 2.0
+
+
+class TestServer:
+    @contextlib.asynccontextmanager
+    async def run_server(self):
+        """Run a server with a large and a small answer; yield its port."""
+        # Larger than what the sockets' buffers take.
+        answers = {
+            "/large": HttpAnswer(status=200, body=b"x" * (16 << 20)),
+            "/small": HttpAnswer(status=200, body=b"y"),
+        }
+        server = HttpServer(host="127.0.0.1", port=0, answer=answers.get)
+        await server.start()
+        try:
+            yield server._server.sockets[0].getsockname()[1]
+        finally:
+            await server.stop()
+
+    async def request(self, port: int, path: str):
+        """Send a request; return the reader, the writer and the status."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        line = await asyncio.wait_for(reader.readline(), 5)
+        return reader, writer, int(line.split()[1])
+
+    async def test_large_answers_take_a_limited_amount_of_memory(self):
+        """Guards against a VM that runs out of memory as hundreds of others ask it for
+        the configuration over a slow link."""
+        async with self.run_server() as port:
+            writers = []
+            statuses = []
+            for _ in range(MAX_LARGE_ANSWERS + 40):
+                _, writer, status = await self.request(port, "/large")
+                writers.append(writer)
+                statuses.append(status)
+            assert statuses.count(200) == MAX_LARGE_ANSWERS
+            assert statuses.count(503) == 40
+            _, writer, status = await self.request(port, "/small")
+            assert status == 200
+            for each in (*writers, writer):
+                each.transport.abort()
+
+    async def test_answers_end_with_their_connections(self):
+        """Guards against a server that refuses for good once VMs have gone."""
+        async with self.run_server() as port:
+            for _ in range(MAX_LARGE_ANSWERS):
+                _, writer, _ = await self.request(port, "/large")
+                writer.transport.abort()
+            await asyncio.sleep(0.2)
+            _, writer, status = await self.request(port, "/large")
+            assert status == 200
+            writer.transport.abort()
