Count and close connections that send no first line

Cause, found by reading: connections of callers that sent no complete first line were neither counted nor timed out, so half-open ones could take all descriptors of a VM. A relayed caller takes two descriptors but counted as one: over half of the limit, relays failed and their holders counted as lost. Change: all connections count, a relayed one twice; one that sends no first line in 5 s is closed; one over the limit is refused with an answer.

--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -38,6 +38,12 @@
 MAX_QUEUED_STATEMENTS = 64
 """Statements of one caller that may wait while another one runs."""
 
+FIRST_LINE_TIMEOUT = 5.0
+"""Seconds within which a caller must send its first line; callers give up after 2 s."""
+
+SILENCE_CHECK_INTERVAL = 1.0
+"""Seconds between two searches for callers that have not sent one."""
+
 RELAY_CHECK_INTERVAL = 0.2
 """Seconds between two searches for holders that owe an answer."""
 
@@ -54,7 +60,8 @@
         port: port to listen on.
         relay_port: port for callers that other VMs relay, 0 for none.
         codec: parses callers' lines and encodes replies.
-        limit: maximum number of connections.
+        limit: maximum number of file descriptors for callers. A caller takes one, and
+            one that is relayed takes two.
         listener: socket that already listens on the port; by default one is opened.
     """
 
@@ -75,6 +82,8 @@
         self.codec = codec
         self.limit = limit
         self.connections: dict[int, _CallerProtocol] = {}
+        self.open: set[_CallerProtocol] = set()
+        self.relayed = 0
         self._next = 1
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task] = set()
@@ -112,6 +121,28 @@
         self._next += 1
         return number
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no descriptor is left for a further caller."""
+        return len(self.open) + self.relayed >= self.limit
+
+    async def watch_silent_callers(self) -> None:
+        """Close connections whose caller sends nothing; never returns.
+
+        They take descriptors that other callers need.
+        """
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_INTERVAL)
+            now = read_clock()
+            silent = []
+            for connection in self.open:
+                if connection.awaits_first_line(now - FIRST_LINE_TIMEOUT):
+                    silent.append(connection)
+            for connection in silent:
+                connection.close()
+            if silent:
+                _log.warning("event=silent_callers_closed count=%d", len(silent))
+
     def accept(self, effect: AcceptCaller) -> None:
         """Accept a caller's connection."""
         connection = self.connections.get(effect.session)
@@ -214,17 +245,30 @@
         self._relay: RelayProtocol | None = None
         self._relaying = False
         self._buffered_lines: list[bytes] = []
+        self._opened_at = 0.0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Close the connection if there are too many."""
+        """Refuse the connection if there are too many."""
         super().connection_made(transport)
-        if len(self._callers.connections) >= self._callers.limit:
-            _log.warning("event=caller_rejected reason=too_many_connections")
-            transport.close()
+        self._opened_at = read_clock()
+        if self._callers.is_full:
+            reason = "too_many_connections"
+            _log.warning("event=caller_rejected reason=%s", reason)
+            self.write(self._callers.codec.encode_refusal(Refusal.OVERLOAD, reason))
+            self.close()
+            return
+        self._callers.open.add(self)
+
+    def awaits_first_line(self, opened_before: float) -> bool:
+        """Return whether it was opened before a time and no line has arrived yet."""
+        return not self._session and self._opened_at < opened_before
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report that the caller has disconnected."""
         self.transport = None
+        if self in self._callers.open:
+            self._callers.open.remove(self)
+            self._callers.relayed -= self._relaying
         self._queued.clear()
         if self._relay is not None:
             self._relay.close()
@@ -288,7 +332,10 @@
 
         Lines that arrive during the search are buffered and forwarded afterwards.
         """
+        if self.transport is None:
+            return
         self._relaying = True
+        self._callers.relayed += 1
         search = await open_relay(effect.holders, self._connect_line, self._make_relay)
         relay = search.relay
         if search.silent or search.refused:
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -141,6 +141,7 @@
         return {
             "settings": self._watch_settings,
             "relays": self._callers.watch_relays,
+            "silent_callers": self._callers.watch_silent_callers,
             "registration": functools.partial(
                 register_vm, client, _make_vm_entry(self._settings), health
             ),
--- a/tests/users_platform/test_http.py
+++ b/tests/users_platform/test_http.py
@@ -75,6 +75,8 @@
             yield server._server.sockets[0].getsockname()[1]
         finally:
             await server.stop()
+            # The server's ends of aborted connections close within the test.
+            await asyncio.sleep(0.1)
 
     async def request(self, port: int, path: str):
         """Send a request; return the reader, the writer and the status."""
