Lead from a request's id to the holder that had its caller

Cause: of a relayed caller, the relaying VM logged nothing by request, so the id of a statement whose holder ended without an answer was in no log. Change: the relaying VM logs a statement that its holder refused or failed, and one without an answer when the connection to the holder ends, with request, session, holder and reason; the first kind is an ordinary line, which the rate limit bounds. Result: the new test fails before and passes now.

--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -361,7 +361,10 @@
     def _make_relay(self) -> RelayProtocol:
         """Return the protocol of a relay for this connection."""
         return RelayProtocol(
-            codec=self._callers.codec, write=self.write, lost=self.close
+            codec=self._callers.codec,
+            write=self.write,
+            lost=self.close,
+            session=self._session,
         )
 
     @property
--- a/src/siskinhold/lines/_log.py
+++ b/src/siskinhold/lines/_log.py
@@ -95,7 +95,10 @@
 
 
 class LineHandler(logging.Handler):
-    """Forwards records of the standard library's loggers to a `DecisionLog`."""
+    """Forwards records of the standard library's loggers to a `DecisionLog`.
+
+    Warnings and errors are essential lines.
+    """
 
     def __init__(self, *, log: DecisionLog, clock) -> None:
         super().__init__()
@@ -107,6 +110,6 @@
         fields = [("level", record.levelname), ("text", record.getMessage())]
         if record.exc_info and record.exc_info[1] is not None:
             fields.append(("error", repr(record.exc_info[1])))
-        self._log.write(
-            Log(event="log", fields=tuple(fields), essential=True), self._clock()
-        )
+        essential = record.levelno >= logging.WARNING
+        entry = Log(event="log", fields=tuple(fields), essential=essential)
+        self._log.write(entry, self._clock())
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -1,6 +1,7 @@
 """Relays of callers to a connection holder: a VM with connections to the servers."""
 
 import asyncio
+import logging
 from dataclasses import dataclass, field
 
 from ..direct import (
@@ -37,6 +38,8 @@
 MAX_WRITE_BUFFER = 1 << 20
 """Unsent bytes above which a relay is aborted, as the holder doesn't read."""
 
+_log = logging.getLogger(__name__)
+
 
 class RelayProtocol(LineProtocol):
     """A relay's connection to a holder; it forwards lines unchanged both ways.
@@ -47,13 +50,15 @@
         codec: parses the holder's answers.
         write: takes bytes for the caller.
         lost: called when the connection is lost, but not before `start_forwarding`.
+        session: number of the caller's session, for log lines.
     """
 
-    def __init__(self, *, codec: LineCodec, write, lost) -> None:
+    def __init__(self, *, codec: LineCodec, write, lost, session: int = 0) -> None:
         super().__init__(user_timeout=USER_TIMEOUT)
         self._codec = codec
         self._write = write
         self._lost = lost
+        self._session = session
         self._forwarding = False
         self._buffered_lines: list[bytes] = []
         self._outstanding = 1
@@ -109,16 +114,32 @@
         Returns:
             whether it was closed.
         """
-        statement = None
-        if self._outstanding > 0:
-            message = self._codec.parse_caller_line(self._last_line)
-            statement = message if isinstance(message, Statement) else None
+        statement = self._find_statement() if self._outstanding > 0 else None
         if not may_give_up(statement, self._state):
             return False
         if self.transport is not None:
             self.transport.abort()
         return True
 
+    def _find_statement(self) -> Statement | None:
+        """Return the statement that the caller sent last, None without one."""
+        message = self._codec.parse_caller_line(self._last_line)
+        return message if isinstance(message, Statement) else None
+
+    def _log_statement(self, level: int, event: str, reason: str) -> None:
+        """Log what the holder did with the statement that the caller sent last."""
+        statement = self._find_statement()
+        _log.log(
+            level,
+            "event=%s session=%d request=%s holder=%s reason=%s waited_ms=%d",
+            event,
+            self._session,
+            statement.request if statement is not None else "",
+            self.holder.name if self.holder is not None else "",
+            reason,
+            round((read_clock() - self._sent_at) * 1000),
+        )
+
     def forward(self, line: bytes) -> None:
         """Forward a line of the caller to the holder."""
         if self.transport is None or self.transport.is_closing():
@@ -140,6 +161,10 @@
         self._write(line + b"\r\n")
         answer_line = self._codec.parse_answer_line(line)
         self._received_at = read_clock()
+        if answer_line.kind is AnswerLineKind.REFUSED and self._last_line:
+            # The holder's own line, by the same request, tells the cause.
+            refusal = answer_line.refusal.value if answer_line.refusal else "unknown"
+            self._log_statement(logging.INFO, "relayed_failure", refusal)
         if answer_line.kind is AnswerLineKind.READY:
             self._outstanding -= 1
             self._state = answer_line.transaction
@@ -155,6 +180,8 @@
         self.transport = None
         self.answered.set()
         if self._forwarding:
+            if self._outstanding > 0 and self._last_line:
+                self._log_statement(logging.WARNING, "relay_lost", repr(error))
             self._lost()
 
     def close_after_answer(self) -> None:
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -86,6 +86,7 @@
             level=logging.WARNING,
             handlers=[LineHandler(log=self._log, clock=read_clock)],
         )
+        logging.getLogger("siskinhold").setLevel(logging.INFO)
         registry = CollectorRegistry()
         self._client = self._make_client(settings)
         self._callers = LineCallers(
--- a/tests/users_platform/test_relay.py
+++ b/tests/users_platform/test_relay.py
@@ -134,6 +134,26 @@
             assert caller.written == b"".join(answers)
             assert caller.lost == 1
 
+    async def test_log_leads_from_a_request_to_its_holder(self, caplog):
+        """Guards against a failed request whose holder nobody finds among many VMs."""
+        caplog.set_level("INFO", logger="siskinhold")
+        caller = Caller()
+        refusal = b"ERROR OVERLOAD no_primary\r\nREADY I -\r\n"
+        async with run_holder("vm-7", b"READY I -\r\n", refusal, None) as holder:
+            search = await open_relay((holder,), CONNECT_LINE, caller.make_relay)
+            relay = search.relay
+            relay.start_forwarding()
+            relay.forward(b"QUERY 5c0e READ x")
+            await asyncio.sleep(0.05)
+            relay.forward(b"QUERY 77aa WRITE x 1")
+            relay.transport.abort()
+            await asyncio.sleep(0.05)
+        failed, lost = [m for m in caplog.messages if "request=" in m]
+        assert "event=relayed_failure" in failed
+        assert "request=5c0e holder=vm-7 reason=overload" in failed
+        assert "event=relay_lost" in lost
+        assert "request=77aa holder=vm-7" in lost
+
     async def test_lost_holder_ends_the_caller_once(self):
         """Guards against a caller that waits for the answer of a lost holder."""
         caller = Caller()
