Forget the configuration on VMs that only relay

Cause: a VM reads the configuration at the first start, before it knows that it only relays, and does not follow it then. Change: such a VM forgets the configuration; when it needs it or the list of servers again, the first read is fresh; a version older than one that was applied is ignored. A line of a relay without a statement is not logged as lost.

--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -111,7 +111,10 @@
     old = state.configuration
     if old is not None and configuration.version <= old.version:
         return
+    if configuration.version < state.newest_version:
+        return
     state.configuration = configuration
+    state.newest_version = configuration.version
     for service in configuration.connections:
         if service not in state.databases:
             state.databases[service] = Database(
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -242,7 +242,12 @@
 
 
 def _close_released_connections(state: DirectState, out: Effects) -> None:
-    """Close the unused connections of a VM that only relays, and forget the leaders."""
+    """Close the unused connections of a VM that only relays, and forget the leaders.
+
+    The configuration is forgotten as well: it is not followed any more, and a caller
+    that no holder accepts would be served by routes that may have been removed.
+    """
+    state.configuration = None
     for connection in list(state.connections.values()):
         if connection.transaction is None and not connection.pending:
             close_connection(state, connection, out, "not_a_holder")
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -281,6 +281,7 @@
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
         deferred_servers: list of servers that arrived before the configuration.
+        newest_version: the newest version of the configuration that was applied.
         connections_limit: lowest connection limit of any server, 0 if it is unknown.
         published_at: when this VM last published that limit.
         pending_callers: callers that wait until it is known which VM serves them.
@@ -314,6 +315,7 @@
     servers_revision: int = -1
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
+    newest_version: int = 0
     connections_limit: int = 0
     published_at: float = -100.0
     pending_callers: dict[int, PendingCaller] = field(default_factory=dict)
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -108,7 +108,8 @@
     while True:
         if not is_needed():
             await _wait_until_needed(is_needed)
-            revision = None
+            # A stale read could return an older version than callers may see.
+            revision, fresh = None, True
         try:
             if revision is None:
                 revision, configuration = await client.read_configuration(fresh=fresh)
@@ -182,6 +183,7 @@
     while True:
         if not is_needed():
             await _wait_until_needed(is_needed)
+            fresh = True
             continue
         try:
             revision, entries = await client.list_servers(fresh=fresh)
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -129,12 +129,14 @@
     def _log_statement(self, level: int, event: str, reason: str) -> None:
         """Log what the holder did with the statement that the caller sent last."""
         statement = self._find_statement()
+        if statement is None:
+            return
         _log.log(
             level,
             "event=%s session=%d request=%s holder=%s reason=%s waited_ms=%d",
             event,
             self._session,
-            statement.request if statement is not None else "",
+            statement.request,
             self.holder.name if self.holder is not None else "",
             reason,
             round((read_clock() - self._sent_at) * 1000),
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -179,6 +179,29 @@
         assert not [e for e in out if isinstance(e, RefuseCaller)]
         assert needs_servers(state)
 
+    def test_configuration_that_is_not_followed_is_not_used(self):
+        """Guards against callers that are served by a withdrawn route, as their VM
+        relayed them until all its holders were lost."""
+        fleet = make_fleet(86, large=12)
+        state, _ = start(fleet, "vm84")
+        assert not needs_servers(state)
+        lost = tuple(vm.name for vm in state.holders)
+        reduce(state, HoldersUnavailable(at=20.0, silent=lost))
+        out = reduce(state, CallerOpened(at=20.1, session=1, database="x"))
+        assert out == []
+        assert 1 in state.pending_callers
+        assert needs_servers(state)
+        older = Configuration(
+            version=0, routes={}, connections={"db": 53}, idle_transaction=3.0
+        )
+        reduce(state, ConfigurationRead(at=20.2, configuration=older))
+        assert state.configuration is None
+        newest = Configuration(
+            version=1, routes={}, connections={"db": 53}, idle_transaction=3.0
+        )
+        out = reduce(state, ConfigurationRead(at=20.3, configuration=newest))
+        assert [e for e in out if isinstance(e, RefuseCaller)]
+
     def test_relayed_caller_that_waits_is_not_relayed_again(self):
         """Guards against a relay loop once the caller's wait is over."""
         state, _ = self.start("vm84")
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -123,6 +123,23 @@
         await run_briefly(feed, 0.3)
         assert client.calls == [("configuration", True), ("configuration", False)]
 
+    async def test_data_is_fresh_when_it_is_needed_again(self, monkeypatch):
+        """Guards against a removed route or server that a VM uses which relayed its
+        callers for a while."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.01)
+        for follow in (follow_configuration, follow_servers):
+            client = FakeClient(servers=(("a",),) * 9)
+            needed = [True, False, False, True, True]
+            feed = follow(
+                client,
+                lambda event: None,
+                lambda: needed.pop(0) if needed else False,
+                StoreHealth(),
+            )
+            await run_briefly(feed, 0.1)
+            reads = [call[1] for call in client.calls if call[0] != "watch"]
+            assert reads[:2] == [True, True], follow.__name__
+
     async def test_missing_server_is_looked_up_in_fresh_data(self, monkeypatch):
         """Guards against replacing a primary whose entry is back in the store."""
         monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.01)
