Read the suspicions of all databases once at a time

Cause: each database whose primary is missed read all suspicions by itself. When an availability zone with the primaries of many databases is lost, a holder read and decoded as many copies of the whole list at once, several times a second. Change: one read at a time serves all databases that asked before it began; a read that is stuck for 1 s is not waited for. Result: three tests fail before and pass now.

--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -104,8 +104,8 @@
         """
 
     @abc.abstractmethod
-    async def list_suspicions(self, service: str) -> tuple[Suspicion, ...]:
-        """Return the suspicions of a database.
+    async def list_suspicions(self) -> tuple[Suspicion, ...]:
+        """Return the suspicions of all databases.
 
         Raises:
             StoreUnavailable: without a usable answer.
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -63,6 +63,10 @@
 """Failed attempts in a row after which a suspicion is given up; the store has then been
 away for longer than a suspicion matters."""
 
+STUCK_READ_PERIOD = 1.0
+"""Seconds after which a read of the suspicions is no longer waited for: the core
+repeats an unanswered call after that time."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -105,6 +109,9 @@
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._suspicions: dict[str, Suspicion] = {}
+        self._awaited_suspicions: list[ListSuspicions] = []
+        self._suspicion_readers = 0
+        self._suspicions_read_at = 0.0
         self.stopped = asyncio.Event()
         self._handlers = {
             AcceptCaller: callers.accept,
@@ -246,19 +253,52 @@
         del self._suspicions[service]
 
     def _list_suspicions(self, effect: ListSuspicions) -> None:
-        """Start to read the suspicions of a database."""
-        self._spawn(self._report_suspicions(effect))
+        """Read the suspicions of a database with the next read of all of them.
+
+        One read at a time is under way, unless it is stuck, and the next one serves all
+        databases that asked meanwhile. The loss of an availability zone concerns many
+        databases, and as many reads of all suspicions would exceed this VM's memory.
+        """
+        self._awaited_suspicions.append(effect)
+        stuck = read_clock() - self._suspicions_read_at >= STUCK_READ_PERIOD
+        if not self._suspicion_readers or stuck:
+            self._spawn(self._report_suspicions())
+
+    async def _report_suspicions(self) -> None:
+        """Read all suspicions while any are awaited, and emit those of each database.
+
+        After a failed read each answer is None.
+        """
+        self._suspicion_readers += 1
+        try:
+            while self._awaited_suspicions:
+                self._suspicions_read_at = read_clock()
+                effects, self._awaited_suspicions = self._awaited_suspicions, []
+                found = await self._read_suspicions()
+                for effect in effects:
+                    suspicions = None
+                    if found is not None:
+                        suspicions = found.get(effect.service, ())
+                    self.emit(
+                        SuspicionsAnswered(
+                            at=read_clock(), call=effect.call, suspicions=suspicions
+                        )
+                    )
+        finally:
+            self._suspicion_readers -= 1
 
-    async def _report_suspicions(self, effect: ListSuspicions) -> None:
-        """Read the suspicions of a database and emit them, None after a failure."""
+    async def _read_suspicions(self) -> dict[str, tuple[Suspicion, ...]] | None:
+        """Return the suspicions by database, None after a failure, which is logged."""
         try:
-            suspicions = await self._client.list_suspicions(effect.service)
+            suspicions = await self._client.list_suspicions()
         except StoreUnavailable as error:
             self._write_failure("suspicions_unread", error)
-            suspicions = None
-        self.emit(
-            SuspicionsAnswered(at=read_clock(), call=effect.call, suspicions=suspicions)
-        )
+            return None
+        found: dict[str, tuple[Suspicion, ...]] = {}
+        for suspicion in suspicions:
+            others = found.get(suspicion.service, ())
+            found[suspicion.service] = (*others, suspicion)
+        return found
 
     def _list_vms(self, effect: ListVms) -> None:
         """Start to read the list of VMs."""
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -8,6 +8,7 @@
 
 from siskinhold.direct import (
     DirectState,
+    ListSuspicions,
     Log,
     OrderPromotion,
     ProbeVm,
@@ -46,6 +47,10 @@
         self.suspicions = []
         self.failures = 0
         self.orders = []
+        self.listed = ()
+        self.hangs = 0
+        self.reads = 0
+        self.most_reads = 0
 
     async def read_configuration(self, *, fresh):
         """Record the read."""
@@ -75,6 +80,21 @@
             raise StoreUnavailable("away")
         self.suspicions.append(suspicion)
 
+    async def list_suspicions(self):
+        """Return the prepared suspicions after a while; the first reads may hang."""
+        self.calls.append(("suspicions", 0))
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailable("away")
+        if self.hangs:
+            self.hangs -= 1
+            await asyncio.Event().wait()
+        self.reads += 1
+        self.most_reads = max(self.most_reads, self.reads)
+        await asyncio.sleep(0.02)
+        self.reads -= 1
+        return self.listed
+
     async def remove_vm(self, entry):
         """Fail."""
         raise StoreUnavailable("away")
@@ -261,6 +281,57 @@
         await asyncio.sleep(0.5)
         assert [s.term for s in client.suspicions] == [1]
 
+    async def test_databases_share_a_read(self):
+        """Guards against as many reads of all suspicions as an availability zone has
+        primaries when it is lost: together they took all of a VM's memory."""
+        client = FakeClient()
+        for number in range(50):
+            suspicion = Suspicion(service=f"db{number}", server="a", term=1, vm="vm-1")
+            client.listed += (suspicion,)
+        driver = make_driver(client)
+        events = []
+        driver.emit = events.append
+        for number in range(50):
+            driver._list_suspicions(ListSuspicions(call=number, service=f"db{number}"))
+            if number == 0:
+                await asyncio.sleep(0)
+        await asyncio.sleep(0.2)
+        # The first read may have begun before the others asked.
+        assert client.calls == [("suspicions", 0)] * 2
+        assert client.most_reads == 1
+        assert [event.call for event in events] == list(range(50))
+        for event in events:
+            found = [suspicion.service for suspicion in event.suspicions]
+            assert found == [f"db{event.call}"]
+
+    async def test_failed_read_is_reported_to_each_database(self):
+        """Guards against a promotion that waits for an answer for ever."""
+        client = FakeClient()
+        client.failures = 1
+        driver = make_driver(client)
+        events = []
+        driver.emit = events.append
+        driver._write_failure = lambda event, error: None
+        for number in range(3):
+            driver._list_suspicions(ListSuspicions(call=number, service="db"))
+        await asyncio.sleep(0.2)
+        assert [event.suspicions for event in events] == [None] * 3
+
+    async def test_stuck_read_is_not_waited_for(self, monkeypatch):
+        """Guards against a lost primary that is not replaced while one read hangs."""
+        monkeypatch.setattr("siskinhold.lines._driver.STUCK_READ_PERIOD", 0.05)
+        client = FakeClient()
+        client.hangs = 1
+        driver = make_driver(client)
+        events = []
+        driver.emit = events.append
+        driver._list_suspicions(ListSuspicions(call=1, service="db"))
+        await asyncio.sleep(0.1)
+        driver._list_suspicions(ListSuspicions(call=2, service="db"))
+        await asyncio.sleep(0.1)
+        assert [event.call for event in events] == [2]
+        driver.stop()
+
 
 class TestOrders:
     async def test_nothing_is_sent_after_the_deadline(self, monkeypatch):
