Handle what arrived during a pause before giving anything up

Statements whose deadline had passed were given up although their results had arrived, a write as in doubt; control connections counted as half-open. And the pause was taken for the servers' service time, so the VM refused further statements though its servers were idle. Load: statements under way, and 50 a second that follow, as their VM is paused. Change: events more than 0.3 s apart mark a pause; nothing is given up in the 50 ms after it, and answers to what was sent before it don't count as service times.

--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -54,6 +54,14 @@
 IDLE_TICK_INTERVAL = 0.1
 """Seconds between two ticks otherwise."""
 
+PAUSE_THRESHOLD = 0.3
+"""Seconds between two events from which this VM was paused, or too slow to work: three
+times the interval of ticks."""
+
+RESUME_PERIOD = 0.05
+"""Seconds after a pause in which nothing is given up: what arrived meanwhile is handled
+first."""
+
 REGISTRATION_PERIOD = 8.0
 """Seconds after the start in which a list without this VM may be too old: stale reads
 are seconds behind, and the registration takes a moment."""
@@ -68,6 +76,8 @@
     It neither blocks nor raises, whatever the order of events.
     """
     out: Effects = []
+    if state.started_at and event.at - state.now >= PAUSE_THRESHOLD:
+        state.resumed_at = event.at
     state.now = max(state.now, event.at)
     state.started_at = state.started_at or state.now
     try:
@@ -178,7 +188,14 @@
 
 
 def _handle_tick(state: DirectState, event: TimeAdvanced, out: Effects) -> None:
-    """Do the periodic work: maintenance, failover, deadlines, hedging and shutdown."""
+    """Do the periodic work: maintenance, failover, deadlines, hedging and shutdown.
+
+    After a pause of this VM, the answers that arrived meanwhile are handled first: a
+    statement would be given up though its result is there, and servers would count as
+    unresponsive.
+    """
+    if state.now - state.resumed_at < RESUME_PERIOD:
+        return
     maintain_servers(state, out)
     watch_primaries(state, out)
     probe_vms(state, out)
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -70,8 +70,10 @@
     job = pending.work
     server = connection.server
     elapsed = state.now - pending.sent_at
-    if answer.refusal not in NOT_RUN and answer.refusal is not Refusal.NO_STATEMENT:
-        # Refusals are quick; counted, they would make a lagging replica look fast.
+    ran = answer.refusal not in NOT_RUN and answer.refusal is not Refusal.NO_STATEMENT
+    if ran and pending.sent_at >= state.resumed_at:
+        # Refusals are quick; counted, they would make a lagging replica look fast. A
+        # pause of this VM counted as service time would have it refuse statements.
         server.record_service_time(state.now, elapsed)
         out.append(Observe(metric="service_seconds", value=elapsed))
     _record_outcome(state, server, answer, out)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -281,6 +281,7 @@
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
         deferred_servers: list of servers that arrived before the configuration.
+        resumed_at: when this VM last continued after a pause.
         newest_version: the newest version of the configuration that was applied.
         connections_limit: lowest connection limit of any server, 0 if it is unknown.
         published_at: when this VM last published that limit.
@@ -315,6 +316,7 @@
     servers_revision: int = -1
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
+    resumed_at: float = -100.0
     newest_version: int = 0
     connections_limit: int = 0
     published_at: float = -100.0
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -1,6 +1,7 @@
 """Tests of the direct core under load: throughput, refusals and connections."""
 
-from siskinhold.direct import ConfigurationRead, Refusal
+from siskinhold.direct import ConfigurationRead, Refusal, TimeAdvanced
+from siskinhold.direct._state import JobState
 
 from .world import World
 
@@ -307,3 +308,44 @@
         )
         assert all(o.answer.refusal is None for o in outcomes)
         assert all(len(world.servers[name].ran) > 100 for name in ("s1", "s2"))
+
+
+class TestPause:
+    """Load: statements are under way, and go on arriving, as their VM is paused."""
+
+    def send(self, world):
+        """Send a write, and wait until it runs."""
+        world.connect("vm1", 1)
+        world.send_statement("vm1", 1, "WRITE x 1")
+        world.advance(0.018)
+        assert world.states["vm1"].sessions[1].work.state is JobState.RUNNING
+
+    def pause(self, world, seconds):
+        """Pause a VM; its timer is due before it reads what has arrived meanwhile."""
+        world.paused.add("vm1")
+        world.advance(seconds)
+        world.paused.discard("vm1")
+        world.dispatch("vm1", TimeAdvanced(at=world.now))
+
+    def test_answers_that_arrived_are_delivered(self):
+        """Guards against a statement that is given up although its result is there."""
+        world = start()
+        self.send(world)
+        timeout = world.states["vm1"].configuration.routes["orders"].timeout
+        self.pause(world, timeout + 0.5)
+        world.advance(0.5)
+        assert [answer.refusal for _, answer in world.replies["vm1", 1]] == [None]
+        assert not world.find_logs("server_lost")
+        assert not world.find_logs("server_failing")
+
+    def test_statements_that_follow_are_served(self):
+        """Guards against refusals for want of time by a VM that was paused, whose
+        servers are idle: the pause counted as their service time."""
+        world = start()
+        self.send(world)
+        self.pause(world, 0.9)
+        world.advance(0.06)
+        outcomes = run_load(world, rate=50, seconds=1.0)
+        refused = [o for o in outcomes if o.answer.refusal is not None]
+        assert refused == []
+        assert max(outcome.duration for outcome in outcomes) < TARGET
