Postpone the work of a slow VM only once at a time

Cause, found by reading: a VM all of whose events come late, as it is starved of processor time, would have left out every tick, so it would neither expire a statement nor end a planned stop. Change: the periodic work is not postponed again before it was done. Result: test_slow_vm_still_works fails on the commit before and passes now.

--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -72,9 +72,9 @@
 
 
 def _is_likely_holder(state: DirectState) -> bool:
-    """Return whether this VM will be a holder whatever the connection limit is.
+    """Return whether this VM is among the first that are chosen as holders.
 
-    It will if it is among the largest VMs of its availability zone.
+    These are the largest VMs of each availability zone.
     """
     members = [vm for vm in state.vms if vm.zone == state.zone]
     members.sort(key=_rank_by_size)
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -77,7 +77,7 @@
     """
     out: Effects = []
     if state.started_at and event.at - state.now >= PAUSE_THRESHOLD:
-        state.resumed_at = event.at
+        _note_pause(state, event.at)
     state.now = max(state.now, event.at)
     state.started_at = state.started_at or state.now
     try:
@@ -88,6 +88,17 @@
     return out
 
 
+def _note_pause(state: DirectState, at: float) -> None:
+    """Record that this VM was paused until `at`, and postpone its periodic work.
+
+    The work is not postponed again before it was done: a VM all of whose events come
+    late would never do it.
+    """
+    state.resumed_at = at
+    if not state.tick_skipped:
+        state.work_resumes_at = at + RESUME_PERIOD
+
+
 def compute_tick_delay(state: DirectState) -> float:
     """Return the number of seconds until the next `TimeAdvanced` is due."""
     for database in state.databases.values():
@@ -194,7 +205,8 @@
     statement would be given up though its result is there, and servers would count as
     unresponsive.
     """
-    if state.now - state.resumed_at < RESUME_PERIOD:
+    state.tick_skipped = state.now < state.work_resumes_at
+    if state.tick_skipped:
         return
     maintain_servers(state, out)
     watch_primaries(state, out)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -282,6 +282,8 @@
         servers_revision: store revision of the newest list of servers.
         deferred_servers: list of servers that arrived before the configuration.
         resumed_at: when this VM last continued after a pause.
+        work_resumes_at: until when the periodic work is postponed after a pause.
+        tick_skipped: whether the last tick was left out for that.
         newest_version: the newest version of the configuration that was applied.
         connections_limit: lowest connection limit of any server, 0 if it is unknown.
         published_at: when this VM last published that limit.
@@ -317,6 +319,8 @@
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
     resumed_at: float = -100.0
+    work_resumes_at: float = -100.0
+    tick_skipped: bool = False
     newest_version: int = 0
     connections_limit: int = 0
     published_at: float = -100.0
--- a/tests/direct/test_direct_load.py
+++ b/tests/direct/test_direct_load.py
@@ -1,6 +1,15 @@
 """Tests of the direct core under load: throughput, refusals and connections."""
 
-from siskinhold.direct import ConfigurationRead, Refusal, TimeAdvanced
+from siskinhold.direct import (
+    CallerClosed,
+    ConfigurationRead,
+    Refusal,
+    ReplyCaller,
+    ShutdownRequested,
+    Stop,
+    TimeAdvanced,
+    reduce,
+)
 from siskinhold.direct._state import JobState
 
 from .world import World
@@ -349,3 +358,24 @@
         refused = [o for o in outcomes if o.answer.refusal is not None]
         assert refused == []
         assert max(outcome.duration for outcome in outcomes) < TARGET
+
+    def test_slow_vm_still_works(self):
+        """Guards against a VM that never expires a statement nor stops, as each of its
+        events comes late."""
+        world = start()
+        self.send(world)
+        state = world.states["vm1"]
+        world.stopped.add("vm1")
+        at = world.now
+        effects = []
+        for _ in range(12):
+            at += 0.4
+            # Its timer is due just after something else that came late.
+            reduce(state, CallerClosed(at=at, session=99))
+            effects += reduce(state, TimeAdvanced(at=at + 0.001))
+        assert [e for e in effects if isinstance(e, ReplyCaller)]
+        effects = reduce(state, ShutdownRequested(at=at))
+        for _ in range(40):
+            at += 0.4
+            effects += reduce(state, TimeAdvanced(at=at))
+        assert [e for e in effects if isinstance(e, Stop)]
