--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -40,8 +40,8 @@
 
 CONNECTION_LIMIT_TIMEOUT = 3.0
 """Seconds after the start for which a VM that is no likely holder waits until the
-servers' connection limit is published: the first holder publishes it about 1.5 s after
-the first start of a fleet."""
+servers' connection limit is published: the first holder needs the list of VMs and the
+configuration to publish it, and the others read it with the next list of VMs."""
 
 MAX_RELAY_TARGETS = 5
 """Number of holders that are tried for a caller."""
