Test promotions around a new primary that applies its log

The VMs that had dropped the draining primary waited for the promoted one, which applied its log. Their next promotion was only suspected when a replica's status showed the newer term; it went on without a claim. Change: a test plays that sequence, with a VM that was restarted before it ordered.

--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -192,6 +192,37 @@
         world.advance(1)
         assert world.states["vm1"].databases["db"].leader.server == "s2"
 
+    def test_new_primary_that_catches_up_is_not_replaced_without_a_claim(self):
+        """Guards against orders without a fence token after another VM's promotion."""
+        world = start(vms=8)
+        world.stop_process("vm1")
+        world.advance(1)
+        world.start_process("vm1")
+        world.advance(0.6)
+        world.store_down = set(world.states) - {"vm1"}
+        new = world.servers["s2"]
+        new.received = Position(1, 9)
+        new.replication_paused = True
+        world.servers["s1"].state = "draining"
+        while not world.orders:
+            world.advance(0.005)
+        assert world.orders[0][1:3] == ("vm1", "s2")
+        world.store_down = set()
+        for name in ("s2", "s3"):
+            world.servers[name].status_time = 0.02
+        world.advance(0.04)
+        for vm in world.states:
+            world.connect(vm, 1)
+            world.send_statement(vm, 1, "WRITE x 1")
+        world.advance(1.9)
+        new.applied = new.received
+        world.advance(2)
+        tokens = [(vm, token) for _, vm, _, token in world.orders]
+        assert set(tokens) == {("vm1", tokens[0][1])}
+        assert tokens[0][1] > 0
+        for state in world.states.values():
+            assert state.databases["db"].leader.server == "s2"
+
     def test_majority_is_suspended_for_a_term_that_positions_do_not_show(self):
         """Guards against a promotion that a majority's attestations don't reveal.
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -82,8 +82,9 @@
         slots: statements that it runs concurrently; further ones wait in order.
         statement_time: seconds that a statement takes.
 
-    A replica applies what it receives before `applies_at` only then. Connections of the
-    VMs in `breaks_off_for` end with each statement.
+    A status query takes `status_time`. A replica applies what it receives before
+    `applies_at` only then. Connections of the VMs in `breaks_off_for` end with each
+    statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -97,6 +98,7 @@
         self.received = Position(1, 0)
         self.applied = Position(1, 0)
         self.lag = 0.002
+        self.status_time = 0.0
         self.applies_at = 0.0
         self.replication_paused = False
         self.suspended_term = 0
@@ -161,6 +163,8 @@
             connection.open = ""
             connection.wrote = False
         elif kind in REPORTING:
+            if kind is CommandKind.STATUS:
+                end = now + self.status_time
             if kind is CommandKind.STEP_DOWN and command.term > self.term:
                 self.leads = False
             elif kind is CommandKind.SUSPEND and not self.leads:
@@ -320,6 +324,18 @@
         self.at(self.now, lambda: self.tick(name))
         self.at(self.now, lambda: self.list_servers(name))
 
+    def stop_process(self, vm):
+        """End a VM's process, and with it its connections."""
+        self.stopped.add(vm)
+        for key in [key for key in self.connections if key[0] == vm]:
+            del self.connections[key]
+
+    def start_process(self, vm):
+        """Start a VM's process again; it remembers nothing."""
+        self.stopped.discard(vm)
+        zone = self.states[vm].zone
+        self.add_vm(vm, zone, tuple(self.entries), len(self.states) + 1)
+
     def register(self, vm):
         """Add a VM's entry to the list of VMs again."""
         if all(entry.name != vm for entry in self.entries):
