Let the store's stand-in be restored from an older copy

The platform's store can now come back from a copy some seconds old, and shows it in the header Store-Era of all answers; no test could play that. Change: the stand-in keeps its states of the last 2,000 changes. A restore goes back to one with its revision and history, loses what VMs wrote since, and lets the operator and the instances write again after a delay. A watch from a revision that the store doesn't have gets 410. A write can be carried out seconds after its connection was lost, if its condition still holds. Deletions increase the revision, and a store that is down refuses them like other calls.

--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -7,6 +7,8 @@
 import json
 import os
 import sys
+import time
+from collections import deque
 from pathlib import Path
 
 from aiohttp import web
@@ -15,6 +17,9 @@
 
 ROOT = Path(__file__).parent.parent.parent
 
+MAX_COPIES = 2000
+"""Number of changes of the store after which the oldest copy is dropped."""
+
 
 class Group:
     """The instances of one service, and the replication between them.
@@ -292,10 +297,18 @@
 
     Args:
         instances: instances that the store lists and that can be promoted.
+
+    Attributes:
+        era: number in the header of all answers, one higher after each restore; None
+            for a store without this header.
+        write_delay: seconds after which a write is carried out although its caller
+            gets no answer; None while writes are answered.
     """
 
     def __init__(self, *, instances: list[Instance]) -> None:
         self.instances = instances
+        self.era: int | None = 1
+        self.write_delay: float | None = None
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
         self.history: list[tuple[int, str, dict]] = []
@@ -305,11 +318,15 @@
         self.down = False
         self.history_expired = False
         self.port = 0
+        self._configuration: object = None
+        self._copies = deque([(0.0, 1, {}, self.history, 0)], maxlen=MAX_COPIES)
+        self._restores = 0
+        self._rewriting = False
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Listen."""
-        application = web.Application()
+        application = web.Application(middlewares=[self._answer])
         application.router.add_get("/-/objects/{kind}", self._list)
         application.router.add_post("/-/objects/{kind}", self._create)
         application.router.add_get("/-/objects/{kind}/{name}", self._read)
@@ -344,27 +361,96 @@
         }
         self.objects[kind, name] = item
         self.history.append((self.revision, kind, item))
-        self.changed.set()
-        self.changed = asyncio.Event()
+        if (kind, name) == ("config", "main"):
+            self._configuration = spec
+        self._record()
         return item
 
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object without a check of its revision."""
+        self.revision += 1
+        del self.objects[kind, name]
+        self._record()
+
+    def restore(self, seconds: float, *, delay: float = 0.0) -> None:
+        """Return to the state of some seconds ago, with its revision.
+
+        What VMs wrote since is lost; waiting watches are cut off.
+
+        Args:
+            seconds: age of the state.
+            delay: seconds until the operator and the instances write again.
+        """
+        then = time.monotonic() - seconds
+        for copy in reversed(self._copies):
+            _, self.revision, objects, history, length = copy
+            if copy[0] <= then:
+                break
+        self.objects = dict(objects)
+        self.history = history[:length]
+        if self.era is not None:
+            self.era += 1
+        self._restores += 1
+        self._rewriting = True
+        self._record()
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, self._write_again, self._restores)
+
     def refresh(self) -> None:
         """Update the entries of the instances; remove those of stopped ones."""
+        if self._rewriting:
+            return
         for instance in self.instances:
             key = ("servers", instance.name)
             if not instance.running:
-                if self.objects.pop(key, None) is not None:
-                    self.revision += 1
+                if key in self.objects:
+                    self.remove(*key)
                 continue
             old = self.objects.get(key)
             if old is None or old["spec"] != instance.entry():
                 self.put("servers", instance.name, instance.entry())
 
+    def _record(self) -> None:
+        """Keep a copy of the state and wake the waiting watches."""
+        state = (self.revision, dict(self.objects), self.history, len(self.history))
+        self._copies.append((time.monotonic(), *state))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _write_again(self, restores: int) -> None:
+        """Write what a restore lost, unless another one has followed."""
+        if restores != self._restores:
+            return
+        self._rewriting = False
+        main = self.objects.get(("config", "main"))
+        spec = self._configuration
+        if spec is not None and (main is None or main["spec"] != spec):
+            self.put("config", "main", spec)
+        self.refresh()
+
+    @web.middleware
+    async def _answer(self, request: web.Request, handler) -> web.StreamResponse:
+        kind = request.match_info.get("kind")
+        if kind is None:
+            return await handler(request)
+        self.calls.append((request.method, kind))
+        if self.down:
+            response = web.Response(status=503)
+        else:
+            if self.write_delay is not None and request.method != "GET":
+                await self._lose_answer(request, self.write_delay)
+            response = await handler(request)
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _lose_answer(self, request: web.Request, seconds: float) -> None:
+        await request.read()
+        request.transport.abort()
+        await asyncio.sleep(seconds)
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
-        self.calls.append(("GET", kind))
-        if self.down:
-            return web.Response(status=503)
         if kind == "servers":
             self.refresh()
         if "watch" in request.query:
@@ -385,10 +471,14 @@
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
         wait = int(request.query["wait_ms"]) / 1000
-        if self.history_expired:
+        if self.history_expired or since > self.revision:
             return web.Response(status=410)
+        restores = self._restores
         deadline = asyncio.get_running_loop().time() + wait
         while True:
+            if restores != self._restores:
+                request.transport.abort()
+                return web.Response(status=503)
             events = []
             for revision, k, item in self.history:
                 if revision > since and k == kind:
@@ -405,9 +495,6 @@
 
     async def _read(self, request: web.Request) -> web.Response:
         kind, name = request.match_info["kind"], request.match_info["name"]
-        self.calls.append(("GET", kind))
-        if self.down:
-            return web.Response(status=503)
         item = self.objects.get((kind, name))
         if item is None:
             return web.Response(status=404)
@@ -415,9 +502,6 @@
 
     async def _create(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
-        self.calls.append(("POST", kind))
-        if self.down:
-            return web.Response(status=503)
         body = await request.json()
         name = body["meta"]["name"]
         if (kind, name) in self.objects:
@@ -426,9 +510,6 @@
 
     async def _replace(self, request: web.Request) -> web.Response:
         kind, name = request.match_info["kind"], request.match_info["name"]
-        self.calls.append(("PUT", kind))
-        if self.down:
-            return web.Response(status=503)
         body = await request.json()
         item = self.objects.get((kind, name))
         if item is None:
@@ -440,13 +521,12 @@
 
     async def _delete(self, request: web.Request) -> web.Response:
         kind, name = request.match_info["kind"], request.match_info["name"]
-        self.calls.append(("DELETE", kind))
         item = self.objects.get((kind, name))
         if item is None:
             return web.Response(status=404)
         if request.query.get("revision") != str(item["meta"]["revision"]):
             return web.json_response(item, status=409)
-        del self.objects[kind, name]
+        self.remove(kind, name)
         return web.json_response(item)
 
     async def _promote(self, request: web.Request) -> web.Response:
