Order the store's revisions by its era

In a drill the store is restored from a copy some seconds old and gives out revisions again. Cause: the revisions of lists were compared as if the store had one history. The same held for lists that VMs without the store get from others. Change: a revision carries the store's era, which the adapter reads from the header Store-Era; that of a newer era is the greater one. A store that sends no era stays in era 0. VMs tell each other the era with the revision; VMs of older versions are answered as before.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -40,7 +40,7 @@
         return
     promotion.step_at = state.now
     promotion.call = register_call(state, "promotion", database)
-    out.append(ReadLeaderRecord(call=promotion.call, service=database.name))
+    out.append(ReadLeaderRecord(call=promotion.call, service=database.name, era=0))
 
 
 def handle_leader_record(
@@ -85,14 +85,14 @@
     record = event.record
     if record is not None and record.state is LeaderState.PROMOTING:
         if record.attempt == promotion.attempt:
-            _start_attempt(state, database, promotion, event.revision, out)
+            _start_attempt(state, database, promotion, event.revision.number, out)
             return
         if is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
-            _send_claim(state, database, promotion, event.revision, out)
+            _send_claim(state, database, promotion, event.revision.number, out)
             return
-        if event.revision != database.claim_revision:
-            database.claim_revision = event.revision
+        if event.revision.number != database.claim_revision:
+            database.claim_revision = event.revision.number
             database.claim_seen_at = state.now
         if state.now - database.claim_seen_at < CLAIM_TIMEOUT:
             return
@@ -101,7 +101,7 @@
         drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
-    _send_claim(state, database, promotion, event.revision, out)
+    _send_claim(state, database, promotion, event.revision.number, out)
 
 
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
@@ -145,7 +145,7 @@
 def _handle_claim_answer(state, database, promotion, event, out: Effects) -> None:
     """Start the attempt if the claim succeeded; otherwise read the record again."""
     if event.outcome is StoreOutcome.DONE:
-        _start_attempt(state, database, promotion, event.revision, out)
+        _start_attempt(state, database, promotion, event.revision.number, out)
         return
     if event.outcome is not StoreOutcome.UNKNOWN:
         promotion.claim_sent = False
@@ -189,7 +189,7 @@
         return
     claim.call = register_call(state, "release", database)
     claim.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
-    out.append(ReadLeaderRecord(call=claim.call, service=database.name))
+    out.append(ReadLeaderRecord(call=claim.call, service=database.name, era=0))
 
 
 def _handle_release_answer(
@@ -199,7 +199,10 @@
     claim = database.open_claim
     if claim is None or claim.call != event.call:
         return
-    if event.outcome is StoreOutcome.UNKNOWN or event.revision == claim.claimed_from:
+    if (
+        event.outcome is StoreOutcome.UNKNOWN
+        or event.revision.number == claim.claimed_from
+    ):
         return
     database.open_claim = None
     record = event.record
@@ -209,7 +212,7 @@
         database.completion = Completion(
             server=record.server,
             term=record.term,
-            token=event.revision,
+            token=event.revision.number,
             attempt=record.attempt,
             withdraws=True,
         )
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ._types import Answer, Command, LeaderRecord, Refusal, Suspicion, VmEntry
+from ._types import Answer, Command, LeaderRecord, Refusal, Revision, Suspicion, VmEntry
 
 
 @dataclass(slots=True, kw_only=True)
@@ -83,10 +83,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReadLeaderRecord:
-    """Read a database's leader record; a stale read is not allowed."""
+    """Read a database's leader record; a stale read is not allowed.
+
+    Args:
+        era: the store's era whose record is read.
+    """
 
     call: int
     service: str
+    era: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -94,13 +99,13 @@
     """Write a database's leader record if its revision is the expected one.
 
     Args:
-        revision: expected revision, 0 if the record must be absent.
+        revision: expected revision; its number is 0 if the era's record must be absent.
     """
 
     call: int
     service: str
     record: LeaderRecord
-    revision: int
+    revision: Revision
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -7,6 +7,7 @@
     Answer,
     Configuration,
     LeaderRecord,
+    Revision,
     ServerEntry,
     Statement,
     Suspicion,
@@ -116,7 +117,7 @@
     """
 
     at: float
-    revision: int
+    revision: Revision
     entries: tuple[ServerEntry, ...]
 
 
@@ -205,14 +206,22 @@
         call: number of the call.
         outcome: after `CONFLICT`, `record` is the one in the store.
         record: the record, None if it is absent or unreadable.
-        revision: the record's revision, 0 if it is absent.
+        revision: the record's revision, with the number 0 if it is absent.
     """
 
     at: float
     call: int
     outcome: StoreOutcome
     record: LeaderRecord | None = None
-    revision: int = 0
+    revision: Revision = Revision()
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreEraBegan:
+    """The store reported a newer era than before: its first one, or it was restored."""
+
+    at: float
+    era: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -275,6 +284,7 @@
     | VmProbed
     | VmsAsked
     | LeaderRecordAnswered
+    | StoreEraBegan
     | SuspicionsAnswered
     | PromotionAnswered
     | TimeAdvanced
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -3,7 +3,7 @@
 from ._effects import Log, WriteLeaderRecord
 from ._promotion_state import Promotion, PromotionStep
 from ._state import Database, DirectState, Effects
-from ._types import LeaderRecord, LeaderState
+from ._types import LeaderRecord, LeaderState, Revision
 
 GONE_LEADER_TIMEOUT = 2.5
 """Seconds until a primary whose entry is missing is replaced; entries that expire
@@ -114,6 +114,9 @@
     )
     out.append(
         WriteLeaderRecord(
-            call=call, service=database.name, record=record, revision=revision
+            call=call,
+            service=database.name,
+            record=record,
+            revision=Revision(number=revision),
         )
     )
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -19,6 +19,7 @@
     PromotionAnswered,
     ServersRead,
     ShutdownRequested,
+    StoreEraBegan,
     SuspicionsAnswered,
     TimeAdvanced,
     VmProbed,
@@ -164,6 +165,16 @@
     admit_pending_callers(state, out)
 
 
+def _begin_era(state: DirectState, event: StoreEraBegan, out: Effects) -> None:
+    """Record that the store began a new era."""
+    if event.era <= state.store_era:
+        return
+    fields = (("era", event.era), ("before", state.store_era))
+    out.append(Log(event="store_era_began", fields=fields, essential=True))
+    state.store_era = event.era
+    state.store_era_since = state.now
+
+
 def _apply_vms(state: DirectState, event: VmsRead, out: Effects) -> None:
     """Apply a list of VMs, and update this VM's role as a connection holder.
 
@@ -275,6 +286,7 @@
     VmProbed: handle_vm_probed,
     VmsAsked: handle_vms_asked,
     LeaderRecordAnswered: handle_leader_record,
+    StoreEraBegan: _begin_era,
     SuspicionsAnswered: handle_suspicions,
     PromotionAnswered: handle_promotion_answer,
     TimeAdvanced: _handle_tick,
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -130,7 +130,7 @@
                 ("service", server.entry.service),
                 ("zone", server.entry.zone),
                 ("leads", server.entry.leads),
-                ("revision", state.servers_revision),
+                ("revision", str(state.servers_revision)),
             ),
             essential=True,
         )
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -11,7 +11,15 @@
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._server_state import Connection, Server
 from ._starts import StartCounts
-from ._types import Answer, Configuration, Route, Statement, TransactionState, VmEntry
+from ._types import (
+    Answer,
+    Configuration,
+    Revision,
+    Route,
+    Statement,
+    TransactionState,
+    VmEntry,
+)
 
 Effects = list[Effect]
 
@@ -278,6 +286,8 @@
         regions: region by availability zone.
         grace: time from SIGTERM to SIGKILL, in seconds.
         random: seeded generator for every random choice.
+        store_era: the store's newest known era, 0 while it has reported none.
+        store_era_since: when this VM learned of that era.
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
         deferred_servers: list of servers that arrived before the configuration.
@@ -314,8 +324,10 @@
     now: float = 0.0
     started_at: float = 0.0
     configuration: Configuration | None = None
+    store_era: int = 0
+    store_era_since: float = 0.0
     servers: dict[str, Server] = field(default_factory=dict)
-    servers_revision: int = -1
+    servers_revision: Revision = Revision(number=-1)
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
     resumed_at: float = -100.0
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -229,6 +229,33 @@
     idle_transaction: float
 
 
+REVISION_BITS = 40
+"""Bits of a fence token for the number of a revision; the era takes the bits above."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Revision:
+    """A revision of the store's data; that of a newer era is the greater one.
+
+    A store that is restored from a copy gives out again the numbers since that copy, in
+    a new era.
+
+    Args:
+        era: the store's era, 0 if it reports none.
+        number: the store's count of changes in that era.
+    """
+
+    era: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+    def to_token(self) -> int:
+        """Return a fence token: a number that is greater for a greater revision."""
+        return self.era << REVISION_BITS | self.number
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServerEntry:
     """A backend server's entry in the platform's store, written by the server.
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -1,12 +1,14 @@
 """Interface to the platform's services that the direct core uses."""
 
 import abc
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..direct import (
     Configuration,
     LeaderRecord,
     PromotionOutcome,
+    Revision,
     ServerEntry,
     StoreOutcome,
     Suspicion,
@@ -19,7 +21,7 @@
 
 
 class HistoryGone(Exception):
-    """The store no longer keeps the changes since the requested revision."""
+    """The store lacks the changes since a revision, or was restored since then."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -29,21 +31,33 @@
     Args:
         outcome: how the call ended.
         record: the record in the store, None if there is none.
-        revision: its revision, 0 if there is none.
+        revision: its revision, with the number 0 if there is none, in the era of the
+            answer.
     """
 
     outcome: StoreOutcome
     record: LeaderRecord | None = None
-    revision: int = 0
+    revision: Revision = Revision()
 
 
 class PlatformClient(abc.ABC):
-    """Calls to the platform's services, without state, retries or decisions."""
+    """Calls to the platform's services, without retries or decisions.
+
+    The store's era is a number that rises whenever the store is restored from a copy.
+    """
+
+    @abc.abstractmethod
+    def follow_era(self, report: Callable[[int], None]) -> None:
+        """Report each newer era that an answer of the store shows.
+
+        Args:
+            report: takes the era, before the result of that call is returned.
+        """
 
     @abc.abstractmethod
     async def read_configuration(
         self, *, fresh: bool
-    ) -> tuple[int, Configuration | None]:
+    ) -> tuple[Revision, Configuration | None]:
         """Return the store's revision and the configuration, None if there is none.
 
         Args:
@@ -55,8 +69,8 @@
 
     @abc.abstractmethod
     async def watch_configuration(
-        self, revision: int, wait: float
-    ) -> tuple[int, Configuration | None]:
+        self, revision: Revision, wait: float
+    ) -> tuple[Revision, Configuration | None]:
         """Wait for a configuration newer than a revision.
 
         Args:
@@ -69,11 +83,14 @@
 
         Raises:
             StoreUnavailable: without a usable answer.
-            HistoryGone: if the revision is too old and the configuration must be read.
+            HistoryGone: if the revision is too old or of another era, and the
+                configuration must be read.
         """
 
     @abc.abstractmethod
-    async def list_servers(self, *, fresh: bool) -> tuple[int, tuple[ServerEntry, ...]]:
+    async def list_servers(
+        self, *, fresh: bool
+    ) -> tuple[Revision, tuple[ServerEntry, ...]]:
         """Return the store's revision and the readable entries of backend servers.
 
         Args:
@@ -84,14 +101,20 @@
         """
 
     @abc.abstractmethod
-    async def read_leader(self, service: str) -> LeaderResult:
-        """Return the up-to-date leader record of a database."""
+    async def read_leader(self, service: str, era: int) -> LeaderResult:
+        """Return the up-to-date leader record of a database in one era of the store."""
 
     @abc.abstractmethod
     async def write_leader(
-        self, service: str, record: LeaderRecord, revision: int
+        self, service: str, record: LeaderRecord, revision: Revision
     ) -> LeaderResult:
-        """Write a leader record if the stored revision matches; 0 means no record."""
+        """Write the leader record of an era if the stored revision matches.
+
+        Args:
+            revision: expected revision, with the number 0 for no record; its era
+                selects the record. One of another era is never replaced, even if the
+                store carries out the call after it was restored.
+        """
 
     @abc.abstractmethod
     async def publish_suspicion(self, suspicion: Suspicion) -> None:
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -34,6 +34,7 @@
     SendCommands,
     ShutdownRequested,
     Stop,
+    StoreEraBegan,
     Suspicion,
     SuspicionsAnswered,
     TimeAdvanced,
@@ -152,6 +153,10 @@
         for task in self._tasks:
             task.cancel()
 
+    def report_era(self, era: int) -> None:
+        """Report a newer era of the store to the core."""
+        self.emit(StoreEraBegan(at=read_clock(), era=era))
+
     def request_shutdown(self) -> None:
         """Begin a graceful shutdown; `stopped` is set when it is complete."""
         self._callers.stop_accepting_relays()
@@ -201,7 +206,9 @@
     def _read_leader(self, effect: ReadLeaderRecord) -> None:
         """Start to read a leader record."""
         self._spawn(
-            self._report_leader(effect.call, self._client.read_leader(effect.service))
+            self._report_leader(
+                effect.call, self._client.read_leader(effect.service, effect.era)
+            )
         )
 
     def _write_leader(self, effect: WriteLeaderRecord) -> None:
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 
@@ -39,10 +39,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class HttpAnswer:
-    """The status and body of an HTTP response."""
+    """The status, body and headers of an HTTP response.
+
+    Args:
+        headers: values by lower-case name; of a received response only.
+    """
 
     status: int
     body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 class HttpClient:
@@ -183,6 +188,7 @@
         data += self._state.send(h11.EndOfMessage())
         self._writer.write(data)
         status = 0
+        headers = {}
         content = []
         while True:
             event = self._state.next_event()
@@ -194,10 +200,14 @@
                 self._state.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                for name, value in event.headers:
+                    headers[name.decode("ascii")] = value.decode("latin-1")
             elif isinstance(event, h11.Data):
                 content.append(bytes(event.data))
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
-                return HttpAnswer(status=status, body=b"".join(content))
+                return HttpAnswer(
+                    status=status, body=b"".join(content), headers=headers
+                )
 
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -117,6 +117,7 @@
             metrics=Metrics(METRICS, registry),
         )
         self._probe.answer_peer = self._answer_peer
+        self._client.follow_era(self.driver.report_era)
         health = StoreHealth()
         self._backends.start(self.driver.emit)
         await self._callers.start(self.driver.emit)
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -19,6 +19,7 @@
     DirectState,
     Event,
     Log,
+    Revision,
     ServerEntry,
     ServersRead,
     VmEntry,
@@ -30,7 +31,7 @@
 
 SNAPSHOT_PATH = "/knowledge"
 """Path of snapshot requests on the port between VMs, followed by the version of the
-requester's configuration and the revision of its server list."""
+requester's configuration, and the revision and the era of its server list."""
 
 VM_LIST_PATH = "/knowledge/vms"
 """Path of requests for the list of VMs alone."""
@@ -59,12 +60,14 @@
         vms: the VMs, empty unless they were requested.
         connections: lowest connection limit of any server, 0 if it is unknown or was
             not requested.
-        revision: store revision of the list of servers.
+        revision: number of the store revision of the list of servers.
+        era: era of that revision.
         servers: the entries, empty if the requester has the list.
     """
 
     configuration: Configuration | None = None
     revision: int = -1
+    era: int = 0
     servers: tuple[ServerEntry, ...] = ()
     vms: tuple[VmEntry, ...] = ()
     connections: int = 0
@@ -83,22 +86,26 @@
         listed = StoreSnapshot(vms=state.vms, connections=state.connections_limit)
         return HttpAnswer(status=200, body=msgspec.json.encode(listed))
     parts = path.split("/")
-    if len(parts) != 4 or parts[1] != SNAPSHOT_PATH.strip("/"):
+    # VMs of older versions don't state the era, as if the store reported none.
+    if len(parts) not in (4, 5) or parts[1] != SNAPSHOT_PATH.strip("/"):
         return None
-    version, revision = parse_count(parts[2]), parse_count(parts[3])
-    if version is None or revision is None:
+    counts = [parse_count(part) for part in parts[2:]]
+    if None in counts:
         return None
+    version, number, era = (*counts, 0)[:3]
     configuration = state.configuration
     if configuration is not None and configuration.version <= version:
         configuration = None
     entries = ()
-    if state.servers_revision > revision:
+    known = state.servers_revision
+    if known > Revision(era=era, number=number):
         entries = tuple(s.entry for s in state.servers.values() if s.gone_at is None)
     if configuration is None and not entries:
         return HttpAnswer(status=204, body=b"")
     snapshot = StoreSnapshot(
         configuration=configuration,
-        revision=state.servers_revision,
+        revision=known.number,
+        era=known.era,
         servers=entries,
     )
     return HttpAnswer(status=200, body=msgspec.json.encode(snapshot))
@@ -157,7 +164,8 @@
         answered = await _request(state, host, port, VM_LIST_PATH, emit, write_line)
     if needs_servers(state):
         version = state.configuration.version if state.configuration is not None else 0
-        path = f"{SNAPSHOT_PATH}/{version}/{max(0, state.servers_revision)}"
+        known = state.servers_revision
+        path = f"{SNAPSHOT_PATH}/{version}/{max(0, known.number)}/{known.era}"
         answered |= await _request(state, host, port, path, emit, write_line)
     return answered
 
@@ -180,6 +188,7 @@
             fields=(
                 ("from", host),
                 ("revision", snapshot.revision),
+                ("era", snapshot.era),
                 ("configuration", snapshot.configuration is not None),
                 ("vms", len(snapshot.vms)),
             ),
@@ -229,4 +238,5 @@
     if snapshot.configuration is not None:
         emit(ConfigurationRead(at=now, configuration=snapshot.configuration))
     if snapshot.servers:
-        emit(ServersRead(at=now, revision=snapshot.revision, entries=snapshot.servers))
+        revision = Revision(era=snapshot.era, number=snapshot.revision)
+        emit(ServersRead(at=now, revision=revision, entries=snapshot.servers))
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -13,6 +13,7 @@
     PublishConnections,
     RefuseCaller,
     RelayCaller,
+    Revision,
     ServerEntry,
     ServersRead,
     TimeAdvanced,
@@ -72,7 +73,9 @@
         started=1,
     )
     out = reduce(state, ConfigurationRead(at=1.0, configuration=configuration))
-    out += reduce(state, ServersRead(at=1.1, revision=1, entries=(server,)))
+    out += reduce(
+        state, ServersRead(at=1.1, revision=Revision(number=1), entries=(server,))
+    )
     out += reduce(state, VmsRead(at=1.2, vms=fleet))
     out += reduce(state, TimeAdvanced(at=1.3))
     return state, out
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -36,6 +36,7 @@
     RegisterVm,
     RemoveVm,
     ReplyCaller,
+    Revision,
     Route,
     SendCommands,
     ServerEntry,
@@ -45,6 +46,7 @@
     Statement,
     StatementKind,
     Stop,
+    StoreEraBegan,
     StoreOutcome,
     SuspicionsAnswered,
     TimeAdvanced,
@@ -274,9 +276,9 @@
         self.stopped = set()
         self.paused = set()
         self.connections = {}
-        self.record = None
+        self.records = {}
         self.revision = 10
-        self.record_revision = 0
+        self.era = 0
         self.suspicions = {}
         self.store_down = set()
         self.store_delay = LATENCY
@@ -409,9 +411,15 @@
     def list_servers(self, vm):
         """Send a VM the list of servers, once a second."""
         if vm not in self.store_down and vm not in self.paused:
+            self.show_era(vm, self.era)
             entries = tuple(s.entry() for s in self.servers.values() if s.listed)
             self.dispatch(
-                vm, ServersRead(at=self.now, revision=self.revision, entries=entries)
+                vm,
+                ServersRead(
+                    at=self.now,
+                    revision=Revision(era=self.era, number=self.revision),
+                    entries=entries,
+                ),
             )
         self.at(self.now + 1.0, lambda: self.list_servers(vm))
 
@@ -573,13 +581,52 @@
             other.received = min(other.received, server.received)
             other.applied = min(other.applied, server.received)
 
+    @property
+    def record(self):
+        """The leader record of the store's era, None if there is none."""
+        record, _ = self.records.get(self.era, (None, 0))
+        return record
+
+    def copy_store(self):
+        """Return a copy of what the store holds, for `restore_store`."""
+        return (
+            self.revision,
+            dict(self.records),
+            dict(self.suspicions),
+            list(self.entries),
+        )
+
+    def restore_store(self, copy):
+        """Restore the store from a copy, which begins an era."""
+        self.revision, records, suspicions, entries = copy
+        self.records = dict(records)
+        self.suspicions = dict(suspicions)
+        self.entries = list(entries)
+        self.era += 1
+
+    def show_era(self, vm, era):
+        """Report the era of an answer to a VM if it is newer than the known one."""
+        if era > self.states[vm].store_era:
+            self.dispatch(vm, StoreEraBegan(at=self.now, era=era))
+
+    def answer(self, vm, event):
+        """Deliver the answer to a store call that is carried out now."""
+        era = 0 if vm in self.store_down else self.era
+
+        def act():
+            self.show_era(vm, era)
+            event.at = self.now
+            self.dispatch(vm, event)
+
+        self.at(self.now + 2 * self.store_delay, act)
+
     def call_store(self, vm, effect):
         """Answer store calls and promotion orders."""
         down = vm in self.store_down
         later = self.now + 2 * self.store_delay
         if isinstance(effect, ListVms):
             if not down:
-                self.deliver(vm, later, VmsRead(at=0, vms=tuple(self.entries)))
+                self.answer(vm, VmsRead(at=0, vms=tuple(self.entries)))
         elif isinstance(effect, RegisterVm):
             if not down:
                 self.register(vm)
@@ -599,11 +646,11 @@
         elif isinstance(effect, ListSuspicions):
             found = None if down else tuple(self.suspicions.values())
             event = SuspicionsAnswered(at=0, call=effect.call, suspicions=found)
-            self.deliver(vm, later, event)
+            self.answer(vm, event)
         elif isinstance(effect, (ReadLeaderRecord, WriteLeaderRecord)):
             answer = self.answer_record(down, effect)
             if not self.store_answers_lost:
-                self.deliver(vm, later, answer)
+                self.answer(vm, answer)
         elif isinstance(effect, OrderPromotion):
             self.orders.append((self.now, vm, effect.server, effect.token))
             newest = max(s.term for s in self.servers.values())
@@ -626,21 +673,26 @@
             return LeaderRecordAnswered(
                 at=0, call=effect.call, outcome=StoreOutcome.UNKNOWN
             )
-        if isinstance(effect, WriteLeaderRecord):
-            if effect.revision != self.record_revision:
-                outcome = StoreOutcome.CONFLICT
-            else:
-                self.revision += 1
-                self.record = effect.record
-                self.record_revision = self.revision
-        elif self.record is None:
+        writes = isinstance(effect, WriteLeaderRecord)
+        era = effect.revision.era if writes else effect.era
+        record, number = self.records.get(era, (None, 0))
+        if writes and effect.revision.number != number:
+            outcome = StoreOutcome.CONFLICT
+        elif writes:
+            self.revision += 1
+            record, number = effect.record, self.revision
+            self.records[era] = (record, number)
+        elif record is None:
             outcome = StoreOutcome.ABSENT
+        if era != self.era:
+            # The driver takes an answer of another era for none.
+            outcome = StoreOutcome.UNKNOWN
         return LeaderRecordAnswered(
             at=0,
             call=effect.call,
             outcome=outcome,
-            record=self.record,
-            revision=self.record_revision,
+            record=record,
+            revision=Revision(era=self.era, number=number),
         )
 
     def connect(self, vm, session, database="orders"):
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -15,6 +15,7 @@
     PromotionOutcome,
     PublishSuspicion,
     RemoveVm,
+    Revision,
     ServerEntry,
     Suspicion,
     VmEntry,
@@ -58,7 +59,7 @@
         if self.failures:
             self.failures -= 1
             raise StoreUnavailable("away")
-        return 1, None
+        return Revision(number=1), None
 
     async def watch_configuration(self, revision, wait):
         """Wait forever."""
@@ -70,7 +71,8 @@
         if not self.servers:
             await asyncio.Event().wait()
         names = self.servers.pop(0)
-        return len(self.calls), tuple(make_entry(name) for name in names)
+        revision = Revision(number=len(self.calls))
+        return revision, tuple(make_entry(name) for name in names)
 
     async def publish_suspicion(self, suspicion):
         """Record the suspicion; the first ones fail or take longer than later ones."""
