Measure a promotion's time from the claim that the record shows

Callers could see two VMs order promotions in turns, one of them with the lower fence token. Cause: a VM whose claim was carried out without an answer found its own attempt when it read the record again, and measured its time to order from that read. Other VMs count from when they first saw the claim. After a read 4.0 s later, both ordered from 4.6 s on. Change: each claim has a random id of its own, and its time begins when it was sent. A claim that is found in the record is used for what is left of that time; with less than 1.5 s, the VM claims again over the record's revision. The simulation checks each order of each test against the claim that entitles to it.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -23,6 +23,12 @@
 COMPLETION_RETRY_INTERVAL = 1.0
 """Seconds between two attempts to complete a record."""
 
+ATTEMPT_TIMEOUT = 3.0
+"""Seconds after a claim was sent in which the claimant may order promotions."""
+
+MIN_ATTEMPT_TIME = 1.5
+"""Seconds of an attempt that suffice for its steps; with less, it is claimed again."""
+
 CLAIM_TIMEOUT = 4.5
 """Seconds after which another VM may replace an unchanged claim."""
 
@@ -76,18 +82,21 @@
     """Claim the leader record unless another VM's promotion or a newer term forbids it.
 
     A claim of another VM is waited for until it has been unchanged for
-    `CLAIM_TIMEOUT`. A record with this promotion's own attempt shows that an earlier
-    claim succeeded though its answer was lost.
+    `CLAIM_TIMEOUT`. A claim of this promotion that succeeded though its answer was lost
+    is used for what is left of its time, or replaced by another one.
     """
     promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
     if event.outcome is StoreOutcome.UNKNOWN:
         return
     record = event.record
     if record is not None and record.state is LeaderState.PROMOTING:
-        if record.attempt == promotion.attempt:
+        sent_at = promotion.attempts.get(record.attempt)
+        own = sent_at is not None
+        if own and state.now - sent_at <= ATTEMPT_TIMEOUT - MIN_ATTEMPT_TIME:
+            promotion.attempt = record.attempt
             _start_attempt(state, database, promotion, event.revision.number, out)
             return
-        if is_own_past_attempt(database, record.attempt):
+        if own or is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
             _send_claim(state, database, promotion, event.revision.number, out)
             return
@@ -107,7 +116,7 @@
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
     """Return whether an attempt is one that this VM has ended without an order."""
     claim = database.open_claim
-    if claim is not None and claim.attempt == attempt:
+    if claim is not None and attempt in claim.attempts:
         return True
     completion = database.completion
     if completion is None or not completion.withdraws:
@@ -118,8 +127,14 @@
 def _send_claim(
     state, database: Database, promotion: Promotion, revision: int, out: Effects
 ) -> None:
-    """Claim the leader record by a write, if it still has a revision."""
+    """Claim the leader record by a write, if it still has a revision.
+
+    Each claim has its own random id: a write that changes nothing would succeed without
+    a new revision.
+    """
     enter_step(state, promotion, PromotionStep.CLAIMING)
+    promotion.attempt = f"{state.random.getrandbits(64):016x}"
+    promotion.attempts[promotion.attempt] = state.now
     promotion.call = register_call(state, "promotion", database)
     promotion.claim_sent = True
     promotion.claimed_from = revision
@@ -172,7 +187,7 @@
         )
     elif promotion.claim_sent:
         database.open_claim = OpenClaim(
-            attempt=promotion.attempt,
+            attempts=tuple(promotion.attempts),
             claimed_from=promotion.claimed_from,
             sent_at=state.now,
             repeat_at=state.now + STEP_RETRY_INTERVAL,
@@ -199,14 +214,12 @@
     claim = database.open_claim
     if claim is None or claim.call != event.call:
         return
-    if (
-        event.outcome is StoreOutcome.UNKNOWN
-        or event.revision.number == claim.claimed_from
-    ):
+    if event.outcome is StoreOutcome.UNKNOWN:
         return
-    database.open_claim = None
+    if event.revision.number != claim.claimed_from:
+        database.open_claim = None
     record = event.record
-    if record is None or record.attempt != claim.attempt:
+    if record is None or record.attempt not in claim.attempts:
         return
     if record.state is LeaderState.PROMOTING:
         database.completion = Completion(
@@ -262,7 +275,7 @@
     promotion.token = revision
     promotion.claim_sent = False
     # The attempt's timeout is measured from the sending of the claim, not its answer.
-    promotion.began_at = promotion.step_at
+    promotion.began_at = promotion.attempts[promotion.attempt]
     log_promotion(state, database, "promotion_claimed", out, token=revision)
     enter_step(state, promotion, PromotionStep.STEPPING_DOWN)
     leader = state.servers.get(promotion.leader)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -10,6 +10,7 @@
 import hashlib
 
 from ._claims import (
+    ATTEMPT_TIMEOUT,
     await_claim,
     complete_record,
     find_open_claim,
@@ -21,7 +22,6 @@
 from ._holders import needs_servers
 from ._inquiry import ask_about_primary
 from ._promotion import (
-    ATTEMPT_TIMEOUT,
     await_effect,
     await_step_down,
     compare_candidates,
@@ -171,7 +171,6 @@
         began_at=state.now,
         step=step,
         step_at=state.now,
-        attempt=f"{state.random.getrandbits(64):016x}",
     )
     database.promotion = promotion
     log_promotion(
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,7 +5,7 @@
 """
 
 from ..model import Position
-from ._claims import give_up_claim
+from ._claims import ATTEMPT_TIMEOUT, give_up_claim
 from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
@@ -23,9 +23,6 @@
 from ._state import Database, DirectState, Effects
 from ._types import Answer, Command, CommandKind
 
-ATTEMPT_TIMEOUT = 3.0
-"""Seconds after a claim in which the claimant may order promotions."""
-
 STEP_DOWN_TIMEOUT = 0.3
 """Seconds to wait for the step-down of a primary that is to be replaced."""
 
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -59,7 +59,8 @@
             was sent.
         step_at: when the current step began.
         token: fence token, 0 until the leader record is claimed.
-        attempt: random id of the promotion.
+        attempt: random id of the newest claim, or of the one that succeeded.
+        attempts: when each claim was sent, by its random id.
         candidate: the server to be promoted, once chosen.
         replica_progress: replication progress before the claim, by server.
         asked_at: when other VMs were last asked whether they reach the primary.
@@ -68,7 +69,7 @@
         positions: end of the received log, by server.
         fenced: servers that no longer accept log entries from older primaries.
         claim_sent: whether a claim was sent whose outcome is not known yet.
-        claimed_from: revision of the leader record that this claim replaces.
+        claimed_from: revision of the leader record that the newest claim replaces.
         ordered: whether a promotion order was sent.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time at which the current step is repeated.
@@ -82,6 +83,7 @@
     step_at: float
     token: int = 0
     attempt: str = ""
+    attempts: dict[str, float] = field(default_factory=dict)
     candidate: str = ""
     replica_progress: dict[str, ReplicationProgress] = field(default_factory=dict)
     asked_at: float = -100.0
@@ -101,14 +103,14 @@
     """A claim without an answer, of a promotion that has ended without it.
 
     Args:
-        attempt: the promotion's random id.
-        claimed_from: revision of the leader record that the claim replaces.
+        attempts: random ids of the promotion's claims.
+        claimed_from: revision of the leader record that the newest one replaces.
         sent_at: when the claim was sent.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time of the next call.
     """
 
-    attempt: str
+    attempts: tuple[str, ...]
     claimed_from: int
     sent_at: float
     call: int = 0
@@ -123,7 +125,7 @@
         server: the primary: the new one, or that before a promotion without an order.
         term: its term.
         token: the promotion's fence token, which is the record's revision.
-        attempt: the promotion's random id.
+        attempt: random id of its claim.
         withdraws: whether the promotion ended without an order.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time of the next call.
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -515,6 +515,46 @@
         assert world.orders == []
         assert world.record.state is LeaderState.STABLE
 
+    def lose_primary_until_recorded(self):
+        """Return a world in which a claim isn't answered yet, and the claimant."""
+        world = start(vms=8)
+        world.servers["s1"].down = True
+        while world.record is None:
+            world.advance(0.0005)
+        return world, world.record.vm
+
+    def test_claim_whose_answer_was_lost_is_used(self):
+        """Guards against a failover that waits for the end of its own claim."""
+        world, vm = self.lose_primary_until_recorded()
+        world.unanswered = {vm}
+        world.advance(0.5)
+        world.unanswered = set()
+        world.advance(1.5)
+        assert [order[1] for order in world.orders] == [vm]
+        assert world.states["vm1"].databases["db"].leader.server != "s1"
+
+    def test_claim_is_not_used_after_others_may_replace_it(self):
+        """Guards against two VMs that order promotions in turns."""
+        world, vm = self.lose_primary_until_recorded()
+        world.unanswered = {vm}
+        world.advance(3.9)
+        world.unanswered = set()
+        world.orders_ignored = True
+        world.advance(3)
+        tokens = [token for _, _, _, token in world.orders]
+        assert tokens and tokens == sorted(tokens)
+
+    def test_claim_is_not_used_after_a_pause(self):
+        """Guards against an order by a VM that was paused while others could claim."""
+        world, vm = self.lose_primary_until_recorded()
+        world.paused.add(vm)
+        world.advance(3.9)
+        world.paused.discard(vm)
+        world.orders_ignored = True
+        world.advance(3)
+        tokens = [token for _, _, _, token in world.orders]
+        assert tokens and tokens == sorted(tokens)
+
     def test_ordered_attempt_is_waited_for_by_its_own_vm_as_well(self):
         """Guards against a claim while an order of this VM may still be under way."""
         world, vm = self.promote_without_store()
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -20,6 +20,7 @@
     Consistency,
     DirectState,
     LeaderRecordAnswered,
+    LeaderState,
     ListSuspicions,
     ListVms,
     Log,
@@ -59,6 +60,7 @@
     compute_tick_delay,
     reduce,
 )
+from siskinhold.direct._promotion import ATTEMPT_TIMEOUT
 from siskinhold.model import Position
 
 LATENCY = 0.001
@@ -283,9 +285,12 @@
         self.store_down = set()
         self.store_delay = LATENCY
         self.store_answers_lost = False
+        self.unanswered = set()
+        self.claims = {}
         self.orders = []
         self.suspended_at_order = []
         self.order_lost = 0
+        self.orders_ignored = False
         self.version = 1
         self.timeout = 1.0
         self.timeouts = {}
@@ -610,10 +615,15 @@
             self.dispatch(vm, StoreEraBegan(at=self.now, era=era))
 
     def answer(self, vm, event):
-        """Deliver the answer to a store call that is carried out now."""
+        """Deliver the answer to a store call that is carried out now.
+
+        Answers about leader records to the VMs in `unanswered` are lost.
+        """
         era = 0 if vm in self.store_down else self.era
 
         def act():
+            if vm in self.unanswered and isinstance(event, LeaderRecordAnswered):
+                return
             self.show_era(vm, era)
             event.at = self.now
             self.dispatch(vm, event)
@@ -652,20 +662,32 @@
             if not self.store_answers_lost:
                 self.answer(vm, answer)
         elif isinstance(effect, OrderPromotion):
+            self.check_claim(vm, effect)
             self.orders.append((self.now, vm, effect.server, effect.token))
             newest = max(s.term for s in self.servers.values())
             suspended = [
                 s.name for s in self.servers.values() if s.suspended_term > newest
             ]
             self.suspended_at_order.append(suspended)
-            self.at(self.now + PROMOTION_DELAY, lambda: self.promote(effect.server))
             outcome = PromotionOutcome.ACCEPTED
-            if self.order_lost:
+            if not self.orders_ignored:
+                self.at(self.now + PROMOTION_DELAY, lambda: self.promote(effect.server))
+            if self.orders_ignored:
+                outcome = PromotionOutcome.UNKNOWN
+            elif self.order_lost:
                 self.order_lost -= 1
                 outcome = PromotionOutcome.UNKNOWN
             event = PromotionAnswered(at=0, call=effect.call, outcome=outcome)
             self.deliver(vm, later, event)
 
+    def check_claim(self, vm, order):
+        """Fail unless an order follows from a claim of the VM that is still valid."""
+        assert order.token in self.claims, f"{vm} ordered with token {order.token}"
+        holder, claimed_at = self.claims[order.token]
+        age = self.now - claimed_at
+        assert holder == vm, f"{vm} ordered by the claim of {holder}"
+        assert age <= ATTEMPT_TIMEOUT, f"{vm} ordered {age:.2f} s after its claim"
+
     def answer_record(self, down, effect):
         """Return the answer to a call on the leader record."""
         outcome = StoreOutcome.DONE
@@ -682,6 +704,9 @@
             self.revision += 1
             record, number = effect.record, self.revision
             self.records[era] = (record, number)
+            if record.state is LeaderState.PROMOTING:
+                token = Revision(era=era, number=number).to_token()
+                self.claims[token] = (record.vm, self.now)
         elif record is None:
             outcome = StoreOutcome.ABSENT
         if era != self.era:
