Give leader records and fence tokens the store's era

Cause: the token was the revision of the leader record, which the restored store gives out again; and a write on condition of a revision could meet the same revision of another history. Change: a record belongs to one era of the store, and has a name of its own in each, so that a call from before the restore can't replace a claim made after it. An answer of another era than the call's counts as none. The token has the era above the number of the revision. Records of older eras are neither completed nor looked for.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -18,7 +18,7 @@
 )
 from ._server_state import Purpose
 from ._state import Database, DirectState, Effects
-from ._types import Command, CommandKind, LeaderState
+from ._types import Command, CommandKind, LeaderState, Revision
 
 COMPLETION_RETRY_INTERVAL = 1.0
 """Seconds between two attempts to complete a record."""
@@ -46,7 +46,11 @@
         return
     promotion.step_at = state.now
     promotion.call = register_call(state, "promotion", database)
-    out.append(ReadLeaderRecord(call=promotion.call, service=database.name, era=0))
+    out.append(
+        ReadLeaderRecord(
+            call=promotion.call, service=database.name, era=state.store_era
+        )
+    )
 
 
 def handle_leader_record(
@@ -88,20 +92,22 @@
     promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
     if event.outcome is StoreOutcome.UNKNOWN:
         return
+    if event.revision.era != state.store_era:
+        return
     record = event.record
     if record is not None and record.state is LeaderState.PROMOTING:
         sent_at = promotion.attempts.get(record.attempt)
         own = sent_at is not None
         if own and state.now - sent_at <= ATTEMPT_TIMEOUT - MIN_ATTEMPT_TIME:
             promotion.attempt = record.attempt
-            _start_attempt(state, database, promotion, event.revision.number, out)
+            _start_attempt(state, database, promotion, event.revision, out)
             return
         if own or is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
-            _send_claim(state, database, promotion, event.revision.number, out)
+            _send_claim(state, database, promotion, event.revision, out)
             return
-        if event.revision.number != database.claim_revision:
-            database.claim_revision = event.revision.number
+        if event.revision != database.claim_revision:
+            database.claim_revision = event.revision
             database.claim_seen_at = state.now
         if state.now - database.claim_seen_at < CLAIM_TIMEOUT:
             return
@@ -110,7 +116,7 @@
         drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
-    _send_claim(state, database, promotion, event.revision.number, out)
+    _send_claim(state, database, promotion, event.revision, out)
 
 
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
@@ -125,7 +131,7 @@
 
 
 def _send_claim(
-    state, database: Database, promotion: Promotion, revision: int, out: Effects
+    state, database: Database, promotion: Promotion, revision: Revision, out: Effects
 ) -> None:
     """Claim the leader record by a write, if it still has a revision.
 
@@ -160,7 +166,7 @@
 def _handle_claim_answer(state, database, promotion, event, out: Effects) -> None:
     """Start the attempt if the claim succeeded; otherwise read the record again."""
     if event.outcome is StoreOutcome.DONE:
-        _start_attempt(state, database, promotion, event.revision.number, out)
+        _start_attempt(state, database, promotion, event.revision, out)
         return
     if event.outcome is not StoreOutcome.UNKNOWN:
         promotion.claim_sent = False
@@ -181,7 +187,7 @@
         database.completion = Completion(
             server=promotion.leader,
             term=promotion.term,
-            token=promotion.token,
+            revision=promotion.claim_revision,
             attempt=promotion.attempt,
             withdraws=True,
         )
@@ -199,12 +205,18 @@
     claim = database.open_claim
     if claim is None or state.now < claim.repeat_at:
         return
+    if claim.claimed_from.era != state.store_era:
+        # Records of older eras are not read any more.
+        database.open_claim = None
+        return
     if state.now - claim.sent_at >= OPEN_CLAIM_PERIOD:
         database.open_claim = None
         return
     claim.call = register_call(state, "release", database)
     claim.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
-    out.append(ReadLeaderRecord(call=claim.call, service=database.name, era=0))
+    out.append(
+        ReadLeaderRecord(call=claim.call, service=database.name, era=state.store_era)
+    )
 
 
 def _handle_release_answer(
@@ -216,7 +228,7 @@
         return
     if event.outcome is StoreOutcome.UNKNOWN:
         return
-    if event.revision.number != claim.claimed_from:
+    if event.revision != claim.claimed_from:
         database.open_claim = None
     record = event.record
     if record is None or record.attempt not in claim.attempts:
@@ -225,7 +237,7 @@
         database.completion = Completion(
             server=record.server,
             term=record.term,
-            token=event.revision.number,
+            revision=event.revision,
             attempt=record.attempt,
             withdraws=True,
         )
@@ -241,6 +253,10 @@
     completion = database.completion
     if completion is None or state.now < completion.repeat_at:
         return
+    if completion.revision.era != state.store_era:
+        # Records of older eras are not read any more.
+        database.completion = None
+        return
     completion.call = register_call(state, "complete", database)
     completion.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
     write_record(
@@ -251,7 +267,7 @@
         attempt=completion.attempt,
         call=completion.call,
         progress=LeaderState.STABLE,
-        revision=completion.token,
+        revision=completion.revision,
         out=out,
     )
 
@@ -266,17 +282,20 @@
         database.completion = None
 
 
-def _start_attempt(state, database, promotion, revision: int, out: Effects) -> None:
+def _start_attempt(
+    state, database, promotion, revision: Revision, out: Effects
+) -> None:
     """Start the attempt that a claim allows, by the step-down of the old primary.
 
-    The claim's revision becomes the fence token. If the old primary can't be reached,
-    its step-down is skipped.
+    The fence token follows from the claim's revision. If the old primary can't be
+    reached, its step-down is skipped.
     """
-    promotion.token = revision
+    promotion.token = revision.to_token()
+    promotion.claim_revision = revision
     promotion.claim_sent = False
     # The attempt's timeout is measured from the sending of the claim, not its answer.
     promotion.began_at = promotion.attempts[promotion.attempt]
-    log_promotion(state, database, "promotion_claimed", out, token=revision)
+    log_promotion(state, database, "promotion_claimed", out, token=promotion.token)
     enter_step(state, promotion, PromotionStep.STEPPING_DOWN)
     leader = state.servers.get(promotion.leader)
     control = find_control_connection(leader) if leader is not None else None
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -283,7 +283,7 @@
     database.store_sent_at = state.now
     database.store_retry_at = state.now + STORE_READ_INTERVAL
     state.calls[call] = ("confirm", database.name)
-    out.append(ReadLeaderRecord(call=call, service=database.name, era=0))
+    out.append(ReadLeaderRecord(call=call, service=database.name, era=state.store_era))
 
 
 def handle_store_proof(
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -1,10 +1,13 @@
 """Replacement of a primary that is lost or draining.
 
 A VM that starts a promotion first claims the database's leader record in the store by a
-conditional write. The record's revision is the fence token: it increases with each
+conditional write. The record's revision gives the fence token: it increases with each
 claim and is unique. Only the claimant orders the promotion, and only for
 `ATTEMPT_TIMEOUT`; another VM may claim again once a claim has been unchanged for
 `CLAIM_TIMEOUT`, which is longer. Nothing has to be renewed while primaries are healthy.
+
+A store that is restored from a copy begins an era, with records and greater tokens of
+its own.
 """
 
 import hashlib
@@ -374,7 +377,7 @@
     database.completion = Completion(
         server=leader.server,
         term=leader.term,
-        token=promotion.token,
+        revision=promotion.claim_revision,
         attempt=promotion.attempt,
     )
     complete_record(state, database, out)
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..model import Position
+from ._types import Revision
 
 
 class PromotionStep(enum.Enum):
@@ -59,6 +60,7 @@
             was sent.
         step_at: when the current step began.
         token: fence token, 0 until the leader record is claimed.
+        claim_revision: revision of the leader record with this VM's claim.
         attempt: random id of the newest claim, or of the one that succeeded.
         attempts: when each claim was sent, by its random id.
         candidate: the server to be promoted, once chosen.
@@ -82,6 +84,7 @@
     step: PromotionStep
     step_at: float
     token: int = 0
+    claim_revision: Revision = Revision()
     attempt: str = ""
     attempts: dict[str, float] = field(default_factory=dict)
     candidate: str = ""
@@ -92,7 +95,7 @@
     positions: dict[str, Position] = field(default_factory=dict)
     fenced: set[str] = field(default_factory=set)
     claim_sent: bool = False
-    claimed_from: int = 0
+    claimed_from: Revision = Revision()
     ordered: bool = False
     call: int = 0
     repeat_at: float = 0.0
@@ -111,7 +114,7 @@
     """
 
     attempts: tuple[str, ...]
-    claimed_from: int
+    claimed_from: Revision
     sent_at: float
     call: int = 0
     repeat_at: float = 0.0
@@ -124,7 +127,7 @@
     Args:
         server: the primary: the new one, or that before a promotion without an order.
         term: its term.
-        token: the promotion's fence token, which is the record's revision.
+        revision: revision of the record with the promotion's claim.
         attempt: random id of its claim.
         withdraws: whether the promotion ended without an order.
         call: number of the call under way, 0 for none.
@@ -133,7 +136,7 @@
 
     server: str
     term: int
-    token: int
+    revision: Revision
     attempt: str
     withdraws: bool = False
     call: int = 0
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -92,7 +92,7 @@
     attempt: str,
     call: int,
     progress: LeaderState,
-    revision: int,
+    revision: Revision,
     out: Effects,
 ) -> None:
     """Write the leader record for a promotion, if its revision is the expected one.
@@ -103,7 +103,7 @@
         attempt: the promotion's random id.
         call: number of the call.
         progress: state of the promotion.
-        revision: the record's expected revision, 0 for none.
+        revision: the record's expected revision.
     """
     record = LeaderRecord(
         state=progress,
@@ -117,6 +117,6 @@
             call=call,
             service=database.name,
             record=record,
-            revision=Revision(number=revision),
+            revision=revision,
         )
     )
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -110,7 +110,7 @@
     promotion: Promotion | None = None
     completion: Completion | None = None
     open_claim: OpenClaim | None = None
-    claim_revision: int = -1
+    claim_revision: Revision = Revision(number=-1)
     claim_seen_at: float = 0.0
 
 
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -35,6 +35,7 @@
     ShutdownRequested,
     Stop,
     StoreEraBegan,
+    StoreOutcome,
     Suspicion,
     SuspicionsAnswered,
     TimeAdvanced,
@@ -49,7 +50,7 @@
 from ..observability import Metrics
 from ._backends import LineBackends
 from ._callers import LineCallers
-from ._client import PlatformClient, StoreUnavailable
+from ._client import LeaderResult, PlatformClient, StoreUnavailable
 from ._clock import read_clock
 from ._inquiries import ask_vms
 from ._log import DecisionLog
@@ -207,18 +208,26 @@
         """Start to read a leader record."""
         self._spawn(
             self._report_leader(
-                effect.call, self._client.read_leader(effect.service, effect.era)
+                effect.call,
+                effect.era,
+                self._client.read_leader(effect.service, effect.era),
             )
         )
 
     def _write_leader(self, effect: WriteLeaderRecord) -> None:
         """Start to write a leader record."""
         call = self._client.write_leader(effect.service, effect.record, effect.revision)
-        self._spawn(self._report_leader(effect.call, call))
+        self._spawn(self._report_leader(effect.call, effect.revision.era, call))
 
-    async def _report_leader(self, number: int, call) -> None:
-        """Wait for a call on a leader record and emit its result."""
+    async def _report_leader(self, number: int, era: int, call) -> None:
+        """Wait for a call on a leader record and emit its result.
+
+        An answer of another era than the call's counts as none: the record is that of a
+        store without what was written since the copy that it was restored from.
+        """
         result = await call
+        if result.revision.era != era:
+            result = LeaderResult(outcome=StoreOutcome.UNKNOWN)
         self.emit(
             LeaderRecordAnswered(
                 at=read_clock(),
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -4,10 +4,10 @@
 
 
 def start(vms=3, **arguments):
-    """Return a world with an era of the store, in which all primaries are known."""
+    """Return a world with an era of the store, long after its beginning."""
     world = World(vms=vms, **arguments)
     world.era = 1
-    world.advance(1)
+    world.advance(6)
     return world
 
 
@@ -23,3 +23,23 @@
         world.advance(1.1)
         for state in world.states.values():
             assert state.servers["s2"].draining_at is not None
+
+
+class TestClaims:
+    def test_fence_tokens_increase(self):
+        """Guards against an order with a lower token than an earlier one."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        world.revision += 40
+        world.servers["s1"].down = True
+        world.advance(3)
+        world.restore_store(copy)
+        world.advance(6)
+        leader = world.states["vm1"].databases["db"].leader.server
+        world.servers[leader].down = True
+        world.servers["s1"].down = False
+        world.servers["s1"].leads = False
+        world.advance(8)
+        tokens = [token for _, _, _, token in world.orders]
+        assert len(set(tokens)) == 2
+        assert tokens == sorted(tokens)
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -284,6 +284,7 @@
         self.suspicions = {}
         self.store_down = set()
         self.store_delay = LATENCY
+        self.record_delay = 0.0
         self.store_answers_lost = False
         self.unanswered = set()
         self.claims = {}
@@ -658,9 +659,7 @@
             event = SuspicionsAnswered(at=0, call=effect.call, suspicions=found)
             self.answer(vm, event)
         elif isinstance(effect, (ReadLeaderRecord, WriteLeaderRecord)):
-            answer = self.answer_record(down, effect)
-            if not self.store_answers_lost:
-                self.answer(vm, answer)
+            self.at(self.now + self.record_delay, lambda: self.call_record(vm, effect))
         elif isinstance(effect, OrderPromotion):
             self.check_claim(vm, effect)
             self.orders.append((self.now, vm, effect.server, effect.token))
@@ -688,6 +687,12 @@
         assert holder == vm, f"{vm} ordered by the claim of {holder}"
         assert age <= ATTEMPT_TIMEOUT, f"{vm} ordered {age:.2f} s after its claim"
 
+    def call_record(self, vm, effect):
+        """Carry out a call on a leader record, and answer it unless that is lost."""
+        answer = self.answer_record(vm in self.store_down, effect)
+        if not self.store_answers_lost:
+            self.answer(vm, answer)
+
     def answer_record(self, down, effect):
         """Return the answer to a call on the leader record."""
         outcome = StoreOutcome.DONE
--- /dev/null
+++ b/tests/users_platform/test_restored_records.py
@@ -0,0 +1,61 @@
+"""Tests of leader records in the store across a restore from an older copy."""
+
+import time
+
+import pytest
+
+from siskinhold.direct import (
+    LeaderRecord,
+    LeaderState,
+    ReadLeaderRecord,
+    Revision,
+    StoreOutcome,
+)
+from siskinhold.lines import LeaderResult
+
+from .test_tasks import FakeClient, make_driver, start_store
+
+
+def make_record(vm: str) -> LeaderRecord:
+    """Return the record of a VM's claim."""
+    return LeaderRecord(
+        state=LeaderState.PROMOTING, server="s1", term=1, vm=vm, attempt=f"of-{vm}"
+    )
+
+
+class TestLeaderRecords:
+    async def test_late_write_of_an_older_era_does_not_replace_a_claim(self):
+        """Guards against two claimants by a revision that the store gives out twice."""
+        store, client = await start_store()
+        eras = []
+        client.follow_era(eras.append)
+        copied_at = time.monotonic()
+        old = await client.write_leader("db", make_record("vm-1"), Revision(era=1))
+        store.restore(time.monotonic() - copied_at + 0.001)
+        new = await client.write_leader("db", make_record("vm-2"), Revision(era=2))
+        assert new.revision.number == old.revision.number
+        await client.write_leader("db", make_record("vm-3"), old.revision)
+        found = await client.read_leader("db", 2)
+        await client.close()
+        await store.stop()
+        assert found.record == make_record("vm-2")
+        assert eras == [1, 2]
+
+    @pytest.mark.parametrize("era", [1, 2])
+    async def test_answer_of_another_era_is_unknown(self, era):
+        """Guards against an order by a claim that only the restored store holds."""
+
+        class Client(FakeClient):
+            async def read_leader(self, service, era):
+                return LeaderResult(
+                    outcome=StoreOutcome.DONE, revision=Revision(era=2, number=7)
+                )
+
+        driver = make_driver(Client())
+        events = []
+        driver.emit = events.append
+        driver._read_leader(ReadLeaderRecord(call=1, service="db", era=era))
+        for task in list(driver._tasks):
+            await task
+        expected = StoreOutcome.DONE if era == 2 else StoreOutcome.UNKNOWN
+        assert [event.outcome for event in events] == [expected]
