Wait for the claims that a restored store has lost

Two VMs could order promotions in turns around a restore of the store (rule ONE). Cause: a claim that was written after the copy is not in the restored store, though its VM may go on to order until its time is over. The next VM found no record and claimed at once. Change: without a record in the store's era, a VM claims only `CLAIM_TIMEOUT` after it learned of the era, as it waits for a claim that it sees. The wait is logged.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -87,13 +87,22 @@
 
     A claim of another VM is waited for until it has been unchanged for
     `CLAIM_TIMEOUT`. A claim of this promotion that succeeded though its answer was lost
-    is used for what is left of its time, or replaced by another one.
+    is used for what is left of its time, or replaced by another one. Without a record
+    in the store's era, a claim of an older era may have been lost, so it is waited for
+    as well.
     """
     promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
     if event.outcome is StoreOutcome.UNKNOWN:
         return
     if event.revision.era != state.store_era:
         return
+    if event.outcome is StoreOutcome.ABSENT and _may_be_claimed(state):
+        if not promotion.delayed:
+            promotion.delayed = True
+            log_promotion(
+                state, database, "promotion_delayed", out, era=state.store_era
+            )
+        return
     record = event.record
     if record is not None and record.state is LeaderState.PROMOTING:
         sent_at = promotion.attempts.get(record.attempt)
@@ -119,6 +128,13 @@
     _send_claim(state, database, promotion, event.revision, out)
 
 
+def _may_be_claimed(state: DirectState) -> bool:
+    """Return whether a claim of an older era of the store may still be in use."""
+    if not state.store_era:
+        return False
+    return state.now - state.store_era_since < CLAIM_TIMEOUT
+
+
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
     """Return whether an attempt is one that this VM has ended without an order."""
     claim = database.open_claim
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -7,7 +7,8 @@
 `CLAIM_TIMEOUT`, which is longer. Nothing has to be renewed while primaries are healthy.
 
 A store that is restored from a copy begins an era, with records and greater tokens of
-its own.
+its own. As the claims since the copy are lost, no VM claims there for `CLAIM_TIMEOUT`
+after it learned of the era, unless another one has.
 """
 
 import hashlib
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -43,3 +43,36 @@
         tokens = [token for _, _, _, token in world.orders]
         assert len(set(tokens)) == 2
         assert tokens == sorted(tokens)
+
+    def test_claim_that_the_copy_lacks_is_waited_for(self):
+        """Guards against two VMs that order promotions in turns."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        world.servers["s1"].down = True
+        world.orders_ignored = True
+        while not world.records:
+            world.advance(0.0005)
+        claimant = world.record.vm
+        world.advance(0.01)
+        world.store_down.add(claimant)
+        world.restore_store(copy)
+        world.advance(8)
+        holders = [vm for _, vm, _, _ in world.orders]
+        assert len(set(holders)) == 2
+        assert holders == sorted(holders, key=lambda vm: vm != claimant)
+
+    def test_claim_carried_out_after_the_restore_is_not_used(self):
+        """Guards against an order by a claim that no other VM sees."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        world.record_delay = 0.4
+        world.servers["s1"].down = True
+        databases = [state.databases["db"] for state in world.states.values()]
+        while not any(d.promotion and d.promotion.claim_sent for d in databases):
+            world.advance(0.005)
+        world.restore_store(copy)
+        world.record_delay = 0.0
+        world.advance(3)
+        assert world.orders == []
+        world.advance(6)
+        assert {token >> 40 for _, _, _, token in world.orders} == {2}
