Let only a record of the store's era confirm a primary

Cause: a database without a leader record counted as one that was never promoted, so the store confirmed any primary. In a restored store the record of a promotion may be lost. Change: if the store reports eras, a missing record proves nothing, and a majority of the servers is asked as while the store is away. Ten seconds after the era was seen, when promotions from before have taken effect, a VM to which all other servers prove the primary creates the era's first record, so the store can confirm again. Result: with the old rule, test_record_that_the_copy_lacks_does_not_confirm_a_primary reads a row from s1; without the first record, test_store_confirms_primaries_again_after_a_while ends in a time-out. Both pass, with tests/direct.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -16,6 +16,7 @@
     register_call,
     write_record,
 )
+from ._records import handle_first_record_answer, note_record
 from ._server_state import Purpose
 from ._state import Database, DirectState, Effects
 from ._types import Command, CommandKind, LeaderState, Revision
@@ -59,6 +60,12 @@
     """Pass the answer to a call on a leader record to the handler for its purpose."""
     purpose, name = state.calls.get(event.call, ("", ""))
     database = state.databases.get(name)
+    if database is not None:
+        note_record(state, database, event)
+    if purpose == "first" and database is not None:
+        del state.calls[event.call]
+        handle_first_record_answer(state, database, event, out)
+        return
     if purpose == "confirm" and database is not None:
         del state.calls[event.call]
         handle_store_proof(state, database, event, out)
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -115,6 +115,22 @@
 ) -> float:
     """Return the latest time at which the leader is proved to have led, -1 for none.
 
+    Args:
+        strict: whether to prove that no other server accepted writes at that time.
+    """
+    leader = database.leader
+    if leader is None:
+        return -1.0
+    witnessed = find_witnessed_time(state, database, strict=strict)
+    attested = _find_attested_time(state, database, leader)
+    return max(witnessed, attested, database.store_confirmed_at)
+
+
+def find_witnessed_time(
+    state: DirectState, database: Database, *, strict: bool
+) -> float:
+    """Return the latest time for which all witnesses prove the leader, -1 for none.
+
     Args:
         strict: whether to prove that no other server accepted writes at that time.
     """
@@ -125,11 +141,9 @@
     for member in list_witnesses(state, database):
         evidence = member.evidence
         if evidence is None or evidence.position.term > leader.term:
-            oldest = -1.0
-            break
+            return -1.0
         oldest = min(oldest, member.write_refused_at if strict else evidence.sent_at)
-    attested = _find_attested_time(state, database, leader)
-    return max(oldest, attested, database.store_confirmed_at)
+    return oldest
 
 
 def count_majority(members: int) -> int:
@@ -163,7 +177,7 @@
 
 
 def _is_store_unavailable(state: DirectState, database: Database) -> bool:
-    """Return whether the last confirming read failed recently or is overdue."""
+    """Return whether the last confirming read had no usable answer, or is overdue."""
     if state.now - database.store_failed_at < STORE_UNAVAILABLE_PERIOD:
         return True
     waited = state.now - database.store_sent_at
@@ -291,15 +305,17 @@
 ) -> None:
     """Handle the answer to a confirming read of the leader record.
 
-    No record, or that of a completed promotion to a term up to the leader's, confirms
-    the leader; a newer term drops it.
+    The record of a completed promotion to a term up to the leader's confirms the
+    leader; a newer term drops it. No record confirms it as well if the store reports no
+    eras; else the record may be lost, so the store proves nothing.
     """
     if event.call != database.store_call:
         return
     database.store_call = 0
     state.pending_updates.add(database.name)
     leader = database.leader
-    if event.outcome is StoreOutcome.UNKNOWN:
+    lost = event.outcome is StoreOutcome.ABSENT and event.revision.era > 0
+    if lost or event.outcome is StoreOutcome.UNKNOWN:
         database.store_failed_at = state.now
         database.store_retry_at = state.now + 2 * STORE_READ_INTERVAL
         return
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -11,8 +11,6 @@
 after it learned of the era, unless another one has.
 """
 
-import hashlib
-
 from ._claims import (
     ATTEMPT_TIMEOUT,
     await_claim,
@@ -41,12 +39,14 @@
     STEP_RETRY_INTERVAL,
     SWITCHOVER_CAUSE,
     enter_step,
+    find_rank,
     log_promotion,
     may_call,
     pop_promotion_call,
     register_call,
     to_milliseconds,
 )
+from ._records import record_primary
 from ._state import Database, DirectState, Effects
 from ._switchover import needs_switchover
 from ._types import Suspicion
@@ -111,6 +111,7 @@
     for database in state.databases.values():
         complete_record(state, database, out)
         find_open_claim(state, database, out)
+        record_primary(state, database, out)
         if database.promotion is None:
             _prepare_promotion(state, database, out)
         if database.promotion is not None:
@@ -332,30 +333,12 @@
 
 def _await_rank(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Read the leader record once the VMs ranked before had time to claim it."""
-    rank = _find_rank(state, database, promotion.term)
+    rank = find_rank(state, database, promotion.term)
     if state.now - promotion.step_at >= RANK_DELAY * min(rank, MAX_RANK):
         enter_step(state, promotion, PromotionStep.READING)
         read_record(state, database, promotion, out)
 
 
-def _find_rank(state: DirectState, database: Database, term: int) -> int:
-    """Return the number of connection holders that are ranked before this VM.
-
-    The order is that of a hash, which differs by database and term.
-    """
-
-    def hash_vm(vm: str) -> bytes:
-        text = f"{vm}/{database.name}/{term}"
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-    own_hash = hash_vm(state.vm)
-    rank = 0
-    for vm in state.holders:
-        if vm.name != state.vm and hash_vm(vm.name) < own_hash:
-            rank += 1
-    return rank
-
-
 def _finish_promotion(
     state, database: Database, promotion: Promotion, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -1,5 +1,7 @@
 """Helpers shared by the steps of a promotion."""
 
+import hashlib
+
 from ._effects import Log, WriteLeaderRecord
 from ._promotion_state import Promotion, PromotionStep
 from ._state import Database, DirectState, Effects
@@ -76,6 +78,24 @@
     out.append(Log(event=event, fields=(*common, *fields.items()), essential=True))
 
 
+def find_rank(state: DirectState, database: Database, term: int) -> int:
+    """Return the number of connection holders that are ranked before this VM.
+
+    The order is that of a hash, which differs by database and term.
+    """
+
+    def hash_vm(vm: str) -> bytes:
+        text = f"{vm}/{database.name}/{term}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    own_hash = hash_vm(state.vm)
+    rank = 0
+    for vm in state.holders:
+        if vm.name != state.vm and hash_vm(vm.name) < own_hash:
+            rank += 1
+    return rank
+
+
 def may_call(state: DirectState, promotion: Promotion) -> bool:
     """Return whether the current step's call may be made or repeated."""
     if promotion.call and state.now - promotion.step_at < CALL_TIMEOUT:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -70,6 +70,9 @@
         store_sent_at: when the last confirming store call was sent.
         store_failed_at: when the last confirming store call failed.
         store_retry_at: earliest time of the next confirming store call.
+        recorded_era: newest era of the store that has a leader record.
+        missed_era: newest era in which this VM found none.
+        record_retry_at: earliest time of the next attempt to write the first one.
         probed_at: when the servers were last probed for the primary.
         positions_requested_at: when the last round of position requests for a floor
             was sent.
@@ -101,6 +104,9 @@
     store_sent_at: float = 0.0
     store_failed_at: float = -100.0
     store_retry_at: float = 0.0
+    recorded_era: int = 0
+    missed_era: int = 0
+    record_retry_at: float = 0.0
     probed_at: float = -1.0
     positions_requested_at: float = -1.0
     last_read_at: float = -100.0
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -76,3 +76,42 @@
         assert world.orders == []
         world.advance(6)
         assert {token >> 40 for _, _, _, token in world.orders} == {2}
+
+
+class TestStoreProof:
+    def replace_behind_partition(self):
+        """Return a world in which `vm1` reaches only the store and a replaced primary,
+        and a copy of the store of before."""
+        world = start(vms=8)
+        world.advance(15)
+        world.connect("vm1", 1)
+        copy = world.copy_store()
+        others = set(world.states) - {"vm1"}
+        world.servers["s1"].unreachable_from = others
+        for name in ("s2", "s3"):
+            world.servers[name].unreachable_from = {"vm1"}
+            world.servers[name].replication_paused = True
+        world.advance(4)
+        assert world.servers["s2"].leads or world.servers["s3"].leads
+        return world, copy
+
+    def test_record_that_the_copy_lacks_does_not_confirm_a_primary(self):
+        """Guards against stale reads at a primary that was replaced."""
+        world, copy = self.replace_behind_partition()
+        world.restore_store(copy)
+        world.advance(1)
+        for _ in range(20):
+            answer = world.execute("vm1", 1, "READ x")
+            assert answer is None or answer.refusal is not None
+
+    def test_store_confirms_primaries_again_after_a_while(self):
+        """Guards against a database that stops with the loss of its replicas."""
+        world = start(vms=8)
+        world.advance(15)
+        world.connect("vm1", 1)
+        world.restore_store(world.copy_store())
+        world.advance(15)
+        for name in ("s2", "s3"):
+            world.servers[name].unreachable_from = {"vm1"}
+        world.advance(1)
+        assert world.execute("vm1", 1, "READ x").refusal is None
