Count suspicions of the store's era only, and publish lost ones again

After a restore of the store a lost primary might never be replaced, as the suspicions of the VMs were lost with it and each is published once; and a primary that most VMs reach could be replaced, as withdrawn suspicions were back. Cause: a suspicion was taken for lasting once it was acknowledged, and for withdrawn for good. Change: a suspicion names the store's era, and only those of the present one count. A VM whose suspicion is missing in a list publishes it again, a second after the last time. Result: without the era, test_withdrawn_suspicion_that_is_back_does_not_count sees an order for s2; without publishing again, test_suspicion_that_the_copy_lacks_counts_again sees none.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -70,6 +70,10 @@
 """Number of holders that must suspect a primary in any case; it suffices if the
 replicas receive nothing from the primary either."""
 
+REPUBLISH_INTERVAL = 1.0
+"""Seconds after a publication in which a list without this VM's suspicion does not lead
+to another one: longer than the calls take."""
+
 RANK_DELAY = 0.08
 """Seconds that each VM waits for the one ranked before it to claim the leader record:
 longer than a claim takes across regions."""
@@ -186,13 +190,25 @@
         since_ms=to_milliseconds(state.now - since),
     )
     if step is PromotionStep.SUSPECTING:
-        suspicion = Suspicion(
-            service=database.name, server=promotion.leader, term=term, vm=state.vm
-        )
-        out.append(PublishSuspicion(suspicion=suspicion))
+        _publish_suspicion(state, database, promotion, out)
         promotion.repeat_at = state.now + 0.03
 
 
+def _publish_suspicion(
+    state, database: Database, promotion: Promotion, out: Effects
+) -> None:
+    """Publish that this VM suspects the primary, for the store's present era."""
+    promotion.published_at = state.now
+    suspicion = Suspicion(
+        service=database.name,
+        server=promotion.leader,
+        term=promotion.term,
+        vm=state.vm,
+        era=state.store_era,
+    )
+    out.append(PublishSuspicion(suspicion=suspicion))
+
+
 def _find_newest_term(state: DirectState, database: Database) -> int:
     """Return the newest term of a database that is known to this VM."""
     term = database.min_term
@@ -206,7 +222,13 @@
 
 def _withdraw_suspicion(state: DirectState, database: Database, out: Effects) -> None:
     """Withdraw this VM's suspicion, which would count for the rest of the term."""
-    suspicion = Suspicion(service=database.name, server="", term=NO_TERM, vm=state.vm)
+    suspicion = Suspicion(
+        service=database.name,
+        server="",
+        term=NO_TERM,
+        vm=state.vm,
+        era=state.store_era,
+    )
     out.append(PublishSuspicion(suspicion=suspicion))
 
 
@@ -287,7 +309,11 @@
 def handle_suspicions(
     state: DirectState, event: SuspicionsAnswered, out: Effects
 ) -> None:
-    """Continue a promotion if enough VMs suspect the primary in this term."""
+    """Continue a promotion if enough VMs suspect the primary in this term.
+
+    Only suspicions of the store's present era count: in a restored store, one may be
+    back that was withdrawn, and this VM's own may be lost, which is published again.
+    """
     found = pop_promotion_call(state, event.call)
     if found is None:
         return
@@ -298,8 +324,13 @@
         return
     voters = set()
     for suspicion in event.suspicions:
-        if suspicion.term == promotion.term and suspicion.service == database.name:
+        if suspicion.term != promotion.term or suspicion.service != database.name:
+            continue
+        if suspicion.era == state.store_era:
             voters.add(suspicion.vm)
+    republish_at = promotion.published_at + REPUBLISH_INTERVAL
+    if state.vm not in voters and state.now >= republish_at:
+        _publish_suspicion(state, database, promotion, out)
     if is_cut_off(state, database):
         voters.update(promotion.missed_by)
     known = max(len(state.holders), 1)
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -65,6 +65,7 @@
         attempts: when each claim was sent, by its random id.
         candidate: the server to be promoted, once chosen.
         replica_progress: replication progress before the claim, by server.
+        published_at: when this VM's suspicion was last published.
         asked_at: when other VMs were last asked whether they reach the primary.
         asked_call: number of that question.
         missed_by: VMs that answered that they don't, if none answered that it does.
@@ -90,6 +91,7 @@
     attempts: dict[str, float] = field(default_factory=dict)
     candidate: str = ""
     replica_progress: dict[str, ReplicationProgress] = field(default_factory=dict)
+    published_at: float = -100.0
     asked_at: float = -100.0
     asked_call: int = 0
     missed_by: tuple[str, ...] = ()
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -341,9 +341,11 @@
         server: the primary, empty if none is known.
         term: its term, 0 once the suspicion is withdrawn.
         vm: the VM that reports it.
+        era: the store's era in which it counts.
     """
 
     service: str
     server: str
     term: int
     vm: str
+    era: int = 0
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -11,6 +11,14 @@
     return world
 
 
+def write(world, vm, seconds):
+    """Have a caller write for a time, so that the replicas receive something."""
+    world.connect(vm, 1)
+    for _ in range(round(seconds / 0.2)):
+        world.send_statement(vm, 1, "WRITE x 1")
+        world.advance(0.2)
+
+
 class TestServers:
     def test_server_list_of_a_new_era_is_applied(self):
         """Guards against statements to a server that leaves, after a restore."""
@@ -25,6 +33,37 @@
             assert state.servers["s2"].draining_at is not None
 
 
+class TestSuspicions:
+    def suspect(self, world, *vms):
+        """Have VMs lose the primary, in addition to those that have."""
+        world.servers["s1"].unreachable_from |= set(vms)
+        write(world, "vm8", 2)
+        assert world.orders == []
+
+    def test_suspicion_that_the_copy_lacks_counts_again(self):
+        """Guards against a lost primary that is never replaced."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        self.suspect(world, "vm1", "vm2", "vm3")
+        world.restore_store(copy)
+        self.suspect(world)
+        world.servers["s1"].unreachable_from |= {"vm4"}
+        write(world, "vm8", 6)
+        assert world.orders
+
+    def test_withdrawn_suspicion_that_is_back_does_not_count(self):
+        """Guards against replacing a primary that nearly all VMs reach."""
+        world = start(vms=8)
+        self.suspect(world, "vm1", "vm2", "vm3")
+        copy = world.copy_store()
+        world.servers["s1"].unreachable_from = set()
+        write(world, "vm8", 2)
+        world.restore_store(copy)
+        world.servers["s1"].unreachable_from = {"vm4"}
+        write(world, "vm8", 7)
+        assert world.orders == []
+
+
 class TestClaims:
     def test_fence_tokens_increase(self):
         """Guards against an order with a lower token than an earlier one."""
