--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -8,6 +8,8 @@
 
 from siskinhold.direct import (
     DirectState,
+    LeaderRecord,
+    LeaderState,
     ListSuspicions,
     Log,
     OrderPromotion,
@@ -17,6 +19,7 @@
     RemoveVm,
     Revision,
     ServerEntry,
+    StoreOutcome,
     Suspicion,
     VmEntry,
     VmProbed,
@@ -34,7 +37,7 @@
 from siskinhold.lines._http import HttpServer
 from siskinhold.lines._inquiries import answer_inquiry, ask_vms
 from siskinhold.lines._supervision import keep_running
-from siskinhold_platform._client import HttpPlatformClient
+from siskinhold_platform._client import HttpPlatformClient, _Reply
 
 from .standins import Store
 
@@ -440,6 +443,29 @@
         await store.stop()
 
 
+class TestLeaderRecords:
+    @pytest.mark.parametrize("revision", [True, False, 0, -1, 1.0, "7", None])
+    @pytest.mark.parametrize("status", [200, 201, 409])
+    async def test_answer_without_a_revision_is_no_claim(self, revision, status):
+        """Guards against a fence token that the store did not give."""
+        store, client = await start_store()
+        body = {"meta": {"name": "db", "revision": revision}, "spec": {}}
+
+        async def reply(*arguments, **options):
+            return _Reply(status=status, era=0, body=body)
+
+        client._call = reply
+        record = LeaderRecord(
+            state=LeaderState.PROMOTING, server="a", term=1, vm="vm-1", attempt="x"
+        )
+        for result in (
+            await client.write_leader("db", record, Revision()),
+            await client.read_leader("db", 0),
+        ):
+            assert result.outcome is StoreOutcome.UNKNOWN
+        await store.stop()
+
+
 class TestInquiries:
     async def start_vm(self):
         """Start the server that answers other VMs; return it with its VM's entry."""
