Take a promotion's token from its claim instead of a default of 0

Change: a claim is an object that only a successful write of the leader record yields. It holds the token and when it was sent. The steps after it take it as an argument, and a promotion that is in one of them without a claim ends with a log line. The end of a promotion without a new primary is one function.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -5,7 +5,7 @@
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._evidence import handle_store_proof
 from ._leaders import DropReason, drop_leader
-from ._promotion_state import Completion, OpenClaim, Promotion, PromotionStep
+from ._promotion_state import Claim, Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
     STEP_RETRY_INTERVAL,
@@ -115,8 +115,10 @@
         sent_at = promotion.attempts.get(record.attempt)
         own = sent_at is not None
         if own and state.now - sent_at <= ATTEMPT_TIMEOUT - MIN_ATTEMPT_TIME:
-            promotion.attempt = record.attempt
-            _start_attempt(state, database, promotion, event.revision, out)
+            claim = Claim(
+                revision=event.revision, attempt=record.attempt, sent_at=sent_at
+            )
+            _start_attempt(state, database, promotion, claim, out)
             return
         if own or is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
@@ -162,8 +164,8 @@
     a new revision.
     """
     enter_step(state, promotion, PromotionStep.CLAIMING)
-    promotion.attempt = f"{state.random.getrandbits(64):016x}"
-    promotion.attempts[promotion.attempt] = state.now
+    attempt = f"{state.random.getrandbits(64):016x}"
+    promotion.attempts[attempt] = state.now
     promotion.call = register_call(state, "promotion", database)
     promotion.claim_sent = True
     promotion.claimed_from = revision
@@ -172,7 +174,7 @@
         database,
         server=promotion.leader,
         term=promotion.term,
-        attempt=promotion.attempt,
+        attempt=attempt,
         call=promotion.call,
         progress=LeaderState.PROMOTING,
         revision=revision,
@@ -189,7 +191,9 @@
 def _handle_claim_answer(state, database, promotion, event, out: Effects) -> None:
     """Start the attempt if the claim succeeded; otherwise read the record again."""
     if event.outcome is StoreOutcome.DONE:
-        _start_attempt(state, database, promotion, event.revision, out)
+        attempt, sent_at = list(promotion.attempts.items())[-1]
+        claim = Claim(revision=event.revision, attempt=attempt, sent_at=sent_at)
+        _start_attempt(state, database, promotion, claim, out)
         return
     if event.outcome is not StoreOutcome.UNKNOWN:
         promotion.claim_sent = False
@@ -206,12 +210,13 @@
     """
     if promotion.ordered:
         return
-    if promotion.token:
+    claim = promotion.claim
+    if claim is not None:
         database.completion = Completion(
             server=promotion.leader,
             term=promotion.term,
-            revision=promotion.claim_revision,
-            attempt=promotion.attempt,
+            revision=claim.revision,
+            attempt=claim.attempt,
             withdraws=True,
         )
     elif promotion.claim_sent:
@@ -305,20 +310,15 @@
         database.completion = None
 
 
-def _start_attempt(
-    state, database, promotion, revision: Revision, out: Effects
-) -> None:
+def _start_attempt(state, database, promotion, claim: Claim, out: Effects) -> None:
     """Start the attempt that a claim allows, by the step-down of the old primary.
 
-    The fence token follows from the claim's revision. If the old primary can't be
-    reached, its step-down is skipped.
+    If the old primary can't be reached, its step-down is skipped.
     """
-    promotion.token = revision.to_token()
-    promotion.claim_revision = revision
+    promotion.claim = claim
     promotion.claim_sent = False
-    # The attempt's timeout is measured from the sending of the claim, not its answer.
-    promotion.began_at = promotion.attempts[promotion.attempt]
-    log_promotion(state, database, "promotion_claimed", out, token=promotion.token)
+    promotion.began_at = claim.sent_at
+    log_promotion(state, database, "promotion_claimed", out, token=claim.token)
     enter_step(state, promotion, PromotionStep.STEPPING_DOWN)
     leader = state.servers.get(promotion.leader)
     control = find_control_connection(leader) if leader is not None else None
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -12,7 +12,6 @@
 """
 
 from ._claims import (
-    ATTEMPT_TIMEOUT,
     await_claim,
     complete_record,
     find_open_claim,
@@ -27,8 +26,10 @@
     await_effect,
     await_step_down,
     compare_candidates,
+    drop_promotion,
     end_suspensions,
     fence_majority,
+    has_expired,
     is_cut_off,
     order_promotion,
     request_progress,
@@ -244,7 +245,7 @@
         _finish_promotion(state, database, promotion, out)
         return
     cause = _find_cause(state, database)
-    if promotion.token == 0 and cause is None:
+    if promotion.claim is None and cause is None:
         log_promotion(
             state, database, "promotion_dropped", out, reason="primary_reachable"
         )
@@ -253,7 +254,7 @@
         give_up_claim(state, database, promotion)
         database.promotion = None
         return
-    if promotion.token == 0 and promotion.cause == SWITCHOVER_CAUSE:
+    if promotion.claim is None and promotion.cause == SWITCHOVER_CAUSE:
         if cause[0] != SWITCHOVER_CAUSE:
             # Another cause may need the other VMs' confirmation.
             give_up_claim(state, database, promotion)
@@ -261,16 +262,17 @@
             return
     if promotion.step is PromotionStep.SUSPECTING:
         _update_cause(state, promotion, cause[0])
-    if promotion.token and state.now - promotion.began_at > ATTEMPT_TIMEOUT:
-        log_promotion(
-            state, database, "promotion_dropped", out, reason="attempt_timeout"
-        )
-        if not promotion.ordered:
-            end_suspensions(state, database)
-        give_up_claim(state, database, promotion)
-        database.promotion = None
+    if promotion.step in _STEPS:
+        _STEPS[promotion.step](state, database, promotion, out)
         return
-    _STEPS[promotion.step](state, database, promotion, out)
+    claim = promotion.claim
+    if claim is None:
+        drop_promotion(state, database, promotion, "claim_missing", out)
+        return
+    if has_expired(state, claim):
+        drop_promotion(state, database, promotion, "attempt_timeout", out)
+        return
+    _CLAIMED_STEPS[promotion.step](state, database, promotion, claim, out)
 
 
 def _is_replaced(database: Database, promotion: Promotion) -> bool:
@@ -384,7 +386,8 @@
         state, database, "promotion_done", out, server=leader.server, new=leader.term
     )
     database.promotion = None
-    if not promotion.token:
+    claim = promotion.claim
+    if claim is None:
         give_up_claim(state, database, promotion)
         return
     end_suspensions(state, database)
@@ -392,8 +395,8 @@
     database.completion = Completion(
         server=leader.server,
         term=leader.term,
-        revision=promotion.claim_revision,
-        attempt=promotion.attempt,
+        revision=claim.revision,
+        attempt=claim.attempt,
     )
     complete_record(state, database, out)
 
@@ -403,6 +406,9 @@
     PromotionStep.WAITING: _await_rank,
     PromotionStep.READING: read_record,
     PromotionStep.CLAIMING: await_claim,
+}
+
+_CLAIMED_STEPS = {
     PromotionStep.STEPPING_DOWN: await_step_down,
     PromotionStep.COMPARING: compare_candidates,
     PromotionStep.FENCING: fence_majority,
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -10,7 +10,7 @@
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
 from ._evidence import count_majority, list_members
-from ._promotion_state import Promotion, PromotionStep, ReplicationProgress
+from ._promotion_state import Claim, Promotion, PromotionStep, ReplicationProgress
 from ._promotion_steps import (
     STEP_RETRY_INTERVAL,
     SWITCHOVER_CAUSE,
@@ -51,7 +51,7 @@
 
 
 def await_step_down(
-    state, database: Database, promotion: Promotion, out: Effects
+    state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
     """Continue without the old primary if it does not confirm its step-down in time.
 
@@ -61,11 +61,7 @@
     if state.now - promotion.step_at < STEP_DOWN_TIMEOUT:
         return
     if promotion.cause == SWITCHOVER_CAUSE:
-        log_promotion(
-            state, database, "promotion_dropped", out, reason="step_down_unanswered"
-        )
-        give_up_claim(state, database, promotion)
-        database.promotion = None
+        drop_promotion(state, database, promotion, "step_down_unanswered", out)
         return
     enter_step(state, promotion, PromotionStep.COMPARING)
 
@@ -100,7 +96,7 @@
     the newer term is unknown; if it is found, the promotion ends. Before the claim and
     after the order, nothing is restarted: only a claim entitles to the later steps.
     """
-    if promotion.token == 0 or promotion.ordered or term <= promotion.term:
+    if promotion.claim is None or promotion.ordered or term <= promotion.term:
         return
     promotion.term = term
     promotion.leader = ""
@@ -166,7 +162,7 @@
 
 
 def compare_candidates(
-    state, database: Database, promotion: Promotion, out: Effects
+    state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
     """Query the candidates' positions, and start the fencing once enough is known.
 
@@ -196,11 +192,11 @@
     if not known:
         return
     enter_step(state, promotion, PromotionStep.FENCING)
-    fence_majority(state, database, promotion, out)
+    fence_majority(state, database, promotion, claim, out)
 
 
 def fence_majority(
-    state, database: Database, promotion: Promotion, out: Effects
+    state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
     """Suspend the servers for the new term, then order the best candidate's promotion.
 
@@ -227,7 +223,7 @@
     best = max(fenced, key=lambda s: _rank_candidate(state, promotion, s))
     promotion.candidate = best.entry.server
     enter_step(state, promotion, PromotionStep.ORDERING)
-    order_promotion(state, database, promotion, out)
+    order_promotion(state, database, promotion, claim, out)
 
 
 def handle_fence_answer(state: DirectState, server: Server, answer: Answer) -> None:
@@ -278,7 +274,7 @@
 
 
 def order_promotion(
-    state, database: Database, promotion: Promotion, out: Effects
+    state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
     """Order the platform to promote the candidate, unless the order is under way."""
     if promotion.call or state.now < promotion.repeat_at:
@@ -291,7 +287,7 @@
         "promotion_ordered",
         out,
         server=promotion.candidate,
-        token=promotion.token,
+        token=claim.token,
         position=promotion.positions.get(promotion.candidate),
     )
     out.append(
@@ -299,8 +295,8 @@
             call=promotion.call,
             service=database.name,
             server=promotion.candidate,
-            token=promotion.token,
-            deadline=min(promotion.began_at + ATTEMPT_TIMEOUT, state.now + 1.0),
+            token=claim.token,
+            deadline=min(claim.sent_at + ATTEMPT_TIMEOUT, state.now + 1.0),
         )
     )
 
@@ -332,12 +328,33 @@
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
 
 
-def await_effect(state, database: Database, promotion: Promotion, out) -> None:
+def await_effect(
+    state, database: Database, promotion: Promotion, claim: Claim, out: Effects
+) -> None:
     """Compare the candidates again if an accepted order has no effect in time."""
     if state.now - promotion.step_at >= EFFECT_TIMEOUT:
         enter_step(state, promotion, PromotionStep.COMPARING)
 
 
+def has_expired(state: DirectState, claim: Claim) -> bool:
+    """Return whether a claim no longer entitles to an order."""
+    return state.now - claim.sent_at > ATTEMPT_TIMEOUT
+
+
+def drop_promotion(
+    state, database: Database, promotion: Promotion, reason: str, out: Effects
+) -> None:
+    """End a promotion without a new primary.
+
+    Suspended servers are resumed unless an order may still take effect.
+    """
+    log_promotion(state, database, "promotion_dropped", out, reason=reason)
+    if not promotion.ordered:
+        end_suspensions(state, database)
+    give_up_claim(state, database, promotion)
+    database.promotion = None
+
+
 def end_suspensions(state: DirectState, database: Database) -> None:
     """Make the servers that this VM suspended resume replication at the next tick."""
     for server in state.members(database.name):
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -15,7 +15,7 @@
         WAITING: VMs ranked before this one may claim the leader record first.
         READING: the leader record is read.
         CLAIMING: a conditional write of the leader record is under way.
-        STEPPING_DOWN: the old primary was ordered to step down.
+        STEPPING_DOWN: the record is claimed; the old primary was ordered to step down.
         COMPARING: the candidates are queried for their log positions.
         FENCING: a majority is suspended for the new term.
         ORDERING: the platform is ordered to promote the candidate.
@@ -48,6 +48,26 @@
     seen_at: float
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Claim:
+    """A claim of the leader record that succeeded; only it entitles to an order.
+
+    Args:
+        revision: revision of the record with the claim.
+        attempt: random id of the claim.
+        sent_at: when it was sent.
+    """
+
+    revision: Revision
+    attempt: str
+    sent_at: float
+
+    @property
+    def token(self) -> int:
+        """The fence token of the claim's orders."""
+        return self.revision.to_token()
+
+
 @dataclass(slots=True, kw_only=True)
 class Promotion:
     """A promotion by this VM, or its preparation.
@@ -59,9 +79,7 @@
         began_at: when the cause was seen; once the record is claimed, when the claim
             was sent.
         step_at: when the current step began.
-        token: fence token, 0 until the leader record is claimed.
-        claim_revision: revision of the leader record with this VM's claim.
-        attempt: random id of the newest claim, or of the one that succeeded.
+        claim: the claim of the leader record, None until it succeeded.
         attempts: when each claim was sent, by its random id.
         candidate: the server to be promoted, once chosen.
         replica_progress: replication progress before the claim, by server.
@@ -85,9 +103,7 @@
     began_at: float
     step: PromotionStep
     step_at: float
-    token: int = 0
-    claim_revision: Revision = Revision()
-    attempt: str = ""
+    claim: Claim | None = None
     attempts: dict[str, float] = field(default_factory=dict)
     candidate: str = ""
     replica_progress: dict[str, ReplicationProgress] = field(default_factory=dict)
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -1,11 +1,23 @@
 """Tests of the direct core: replacement of primaries, and proof that they lead."""
 
+import pytest
+
 from siskinhold.direct import LeaderState, Refusal
 from siskinhold.direct._claims import is_own_past_attempt
+from siskinhold.direct._promotion_state import PromotionStep
+from siskinhold.direct._promotion_steps import enter_step
 from siskinhold.model import Position
 
 from .world import World
 
+STEPS_AFTER_CLAIM = (
+    PromotionStep.STEPPING_DOWN,
+    PromotionStep.COMPARING,
+    PromotionStep.FENCING,
+    PromotionStep.ORDERING,
+    PromotionStep.TAKING_EFFECT,
+)
+
 
 def start(**options) -> World:
     """Return a world whose VMs know the primary."""
@@ -223,6 +235,22 @@
         for state in world.states.values():
             assert state.databases["db"].leader.server == "s2"
 
+    @pytest.mark.parametrize("step", STEPS_AFTER_CLAIM)
+    def test_nothing_is_ordered_without_a_claim_from_any_step(self, step):
+        """Guards against later steps that are reached without a claim."""
+        world = start()
+        world.servers["s1"].down = True
+        database = world.states["vm1"].databases["db"]
+        while database.promotion is None:
+            world.advance(0.005)
+        enter_step(world.states["vm1"], database.promotion, step)
+        database.promotion.candidate = "s2"
+        world.advance(0.025)
+        assert database.promotion is None
+        reasons = [log[3]["reason"] for log in world.find_logs("promotion_dropped")]
+        assert reasons == ["claim_missing"]
+        assert world.orders == []
+
     def test_majority_is_suspended_for_a_term_that_positions_do_not_show(self):
         """Guards against a promotion that a majority's attestations don't reveal.
 
