Count only suspensions by the attempt that orders the promotion

Callers could have seen a stale read, or a write that the new primary lacks: a promotion was ordered while only one of three servers was suspended. None was seen. Cause: the answer to an earlier attempt's suspension was counted for the next attempt of the same VM, though the server was resumed at the end of the earlier one. Change: an answer to a suspension that was sent before the attempt's claim doesn't count. Result: the new test failed before, as the order found s2 alone suspended: assert False, where False = all(len(suspended) >= 2 for suspended in ...) It passes now, with both replicas suspended.

--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -226,17 +226,22 @@
     order_promotion(state, database, promotion, claim, out)
 
 
-def handle_fence_answer(state: DirectState, server: Server, answer: Answer) -> None:
+def handle_fence_answer(
+    state: DirectState, server: Server, sent_at: float, answer: Answer
+) -> None:
     """Handle the status report of a server that was suspended.
 
     It counts as fenced if it accepts no more log entries from primaries of the old
-    term.
+    term. The answer to an earlier attempt's command is ignored: the server is resumed
+    once that attempt has ended.
     """
     database = state.databases.get(server.entry.service)
     promotion = database.promotion if database is not None else None
     status = answer.status
     if promotion is None or status is None or status.leads:
         return
+    if promotion.claim is None or sent_at < promotion.claim.sent_at:
+        return
     _raise_term(state, promotion, status.term)
     if max(status.term, status.suspended_term) > promotion.term:
         promotion.fenced.add(server.entry.server)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -224,7 +224,7 @@
     elif pending.purpose is Purpose.PROBE:
         handle_candidate_status(state, server, answer)
     elif pending.purpose is Purpose.FENCE:
-        handle_fence_answer(state, server, answer)
+        handle_fence_answer(state, server, pending.sent_at, answer)
     elif pending.purpose is Purpose.STEP_DOWN:
         handle_step_down_answer(state, server, pending.sent_at, answer)
 
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -583,6 +583,23 @@
         tokens = [token for _, _, _, token in world.orders]
         assert tokens and tokens == sorted(tokens)
 
+    def test_majority_is_suspended_by_the_attempt_that_orders(self):
+        """Guards against a replica that counts as fenced though it was resumed.
+
+        Its suspension by an earlier attempt is answered after the end of that attempt.
+        """
+        world, vm = self.lose_primary_until_recorded()
+        world.stopped = set(world.states) - {vm}
+        late = world.servers["s3"]
+        late.unreachable_from = {vm}
+        world.advance(2.2)
+        late.unreachable_from = set()
+        late.status_time = 0.6
+        world.advance(4)
+        assert len({token for _, _, _, token in world.orders}) == 1
+        assert world.orders[0][3] > world.claims_of(vm)[0]
+        assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
+
     def test_ordered_attempt_is_waited_for_by_its_own_vm_as_well(self):
         """Guards against a claim while an order of this VM may still be under way."""
         world, vm = self.promote_without_store()
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -86,9 +86,9 @@
         slots: statements that it runs concurrently; further ones wait in order.
         statement_time: seconds that a statement takes.
 
-    A status query takes `status_time`. A replica applies what it receives before
-    `applies_at` only then. Connections of the VMs in `breaks_off_for` end with each
-    statement.
+    A status query or a suspension takes `status_time`. A replica applies what it
+    receives before `applies_at` only then. Connections of the VMs in `breaks_off_for`
+    end with each statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -167,7 +167,7 @@
             connection.open = ""
             connection.wrote = False
         elif kind in REPORTING:
-            if kind is CommandKind.STATUS:
+            if kind in (CommandKind.STATUS, CommandKind.SUSPEND):
                 end = now + self.status_time
             if kind is CommandKind.STEP_DOWN and command.term > self.term:
                 self.leads = False
@@ -693,6 +693,10 @@
         if not self.store_answers_lost:
             self.answer(vm, answer)
 
+    def claims_of(self, vm):
+        """Return the tokens of the claims of a VM, in order."""
+        return [t for t, (holder, _) in self.claims.items() if holder == vm]
+
     def answer_record(self, down, effect):
         """Return the answer to a call on the leader record."""
         outcome = StoreOutcome.DONE
