Keep a promotion's record open while an order is under way

Callers could see an order with a lower fence token after that of the next claimant, and a server promoted again that was being drained. Cause: a promotion ended as soon as the new primary was found, and its record was completed at once, even while an order that repeated an unanswered one was on its way. Another VM could claim the record, and its order could arrive first. Change: the promotion ends once the order is answered or has failed, which takes a second at most. An order whose connection was given up may still arrive later; that is as before.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -242,7 +242,8 @@
     ends before the claim, or if it times out after the claim.
     """
     if _is_replaced(database, promotion):
-        _finish_promotion(state, database, promotion, out)
+        if not _awaits_order(state, promotion):
+            _finish_promotion(state, database, promotion, out)
         return
     cause = _find_cause(state, database)
     if promotion.claim is None and cause is None:
@@ -287,6 +288,18 @@
     return leader.server != promotion.leader or leader.term > promotion.term
 
 
+def _awaits_order(state: DirectState, promotion: Promotion) -> bool:
+    """Return whether an order of the promotion may still be on its way.
+
+    Once the record is complete, another VM may claim it, and its order may arrive
+    first.
+    """
+    claim = promotion.claim
+    if claim is None or has_expired(state, claim):
+        return False
+    return promotion.step is PromotionStep.ORDERING and promotion.call != 0
+
+
 def _update_cause(state: DirectState, promotion: Promotion, cause: str) -> None:
     """Stop waiting for other VMs' suspicions if the list of servers shows the cause."""
     if cause in SUSPECTED_CAUSES:
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -600,6 +600,22 @@
         assert world.orders[0][3] > world.claims_of(vm)[0]
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
 
+    def test_next_claim_waits_for_an_order_under_way(self):
+        """Guards against an order that arrives after that of the next claimant."""
+        world, vm = self.lose_primary_until_recorded()
+        world.order_lost = 1
+        world.order_delays = [0.0, 0.95]
+        database = world.states[vm].databases["db"]
+        while database.leader is None or database.leader.server == "s1":
+            world.advance(0.005)
+        world.servers["s1"].down = False
+        world.servers[database.leader.server].state = "draining"
+        for name in world.states:
+            world.list_servers(name)
+        world.advance(4)
+        tokens = [token for _, _, _, token in world.orders]
+        assert len(set(tokens)) == 2 and tokens == sorted(tokens)
+
     def test_ordered_attempt_is_waited_for_by_its_own_vm_as_well(self):
         """Guards against a claim while an order of this VM may still be under way."""
         world, vm = self.promote_without_store()
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -292,6 +292,7 @@
         self.suspended_at_order = []
         self.order_lost = 0
         self.orders_ignored = False
+        self.order_delays = []
         self.version = 1
         self.timeout = 1.0
         self.timeouts = {}
@@ -662,21 +663,33 @@
             self.at(self.now + self.record_delay, lambda: self.call_record(vm, effect))
         elif isinstance(effect, OrderPromotion):
             self.check_claim(vm, effect)
-            self.orders.append((self.now, vm, effect.server, effect.token))
-            newest = max(s.term for s in self.servers.values())
-            suspended = [
-                s.name for s in self.servers.values() if s.suspended_term > newest
-            ]
-            self.suspended_at_order.append(suspended)
-            outcome = PromotionOutcome.ACCEPTED
-            if not self.orders_ignored:
-                self.at(self.now + PROMOTION_DELAY, lambda: self.promote(effect.server))
-            if self.orders_ignored:
-                outcome = PromotionOutcome.UNKNOWN
-            elif self.order_lost:
-                self.order_lost -= 1
-                outcome = PromotionOutcome.UNKNOWN
-            event = PromotionAnswered(at=0, call=effect.call, outcome=outcome)
+            delay = self.order_delays.pop(0) if self.order_delays else 0.0
+            if not delay:
+                self.receive_order(vm, effect)
+                return
+            unknown = PromotionAnswered(
+                at=0, call=effect.call, outcome=PromotionOutcome.UNKNOWN
+            )
+            self.deliver(vm, effect.deadline, unknown)
+            self.at(self.now + delay, lambda: self.receive_order(vm, effect))
+
+    def receive_order(self, vm, order):
+        """Carry out a promotion order, and answer it if its VM still waits."""
+        self.orders.append((self.now, vm, order.server, order.token))
+        newest = max(s.term for s in self.servers.values())
+        suspended = [s.name for s in self.servers.values() if s.suspended_term > newest]
+        self.suspended_at_order.append(suspended)
+        outcome = PromotionOutcome.ACCEPTED
+        if not self.orders_ignored:
+            self.at(self.now + PROMOTION_DELAY, lambda: self.promote(order.server))
+        if self.orders_ignored:
+            outcome = PromotionOutcome.UNKNOWN
+        elif self.order_lost:
+            self.order_lost -= 1
+            outcome = PromotionOutcome.UNKNOWN
+        event = PromotionAnswered(at=0, call=order.call, outcome=outcome)
+        later = self.now + 2 * self.store_delay
+        if later < order.deadline:
             self.deliver(vm, later, event)
 
     def check_claim(self, vm, order):
