--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -635,7 +635,6 @@
     def call_store(self, vm, effect):
         """Answer store calls and promotion orders."""
         down = vm in self.store_down
-        later = self.now + 2 * self.store_delay
         if isinstance(effect, ListVms):
             if not down:
                 self.answer(vm, VmsRead(at=0, vms=tuple(self.entries)))
