--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -72,9 +72,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_deployment(tmp_path, vms: int = 1):
+async def run_deployment(tmp_path, vms: int = 1, era: int | None = 1):
     """Run stand-ins and VMs; yield the deployment and the VMs."""
     deployment = Deployment()
+    deployment.store.era = era
     await deployment.start()
     started = []
     try:
@@ -313,6 +314,23 @@
             await link.stop()
 
 
+class TestRestoredStore:
+    async def test_store_without_an_era_is_followed(self, tmp_path):
+        """Guards against a VM that takes a missing header for a restore or an error."""
+        async with run_deployment(tmp_path, era=None) as (deployment, (vm,)):
+            deployment.store.put(
+                "config", "main", make_configuration(5, {"fresh": "primary"})
+            )
+            deployment.instances[1].state = "draining"
+            await asyncio.sleep(2)
+            client, first_line = await Client.connect(vm.ports[0], "fresh")
+            assert first_line == "READY I -"
+            assert (await client.execute("WRITE x 1"))[0].startswith("COMPLETE i-0.")
+            assert "event=server_draining server=i-1" in vm.read_output()
+            kinds = [kind for method, kind in deployment.store.calls if method != "GET"]
+            assert kinds.count("vms") <= 2
+
+
 class TestFailover:
     async def test_crashed_primary_is_replaced(self, tmp_path):
         """Guards against writes that stay refused after a primary's crash."""
