Read the configuration afresh once the store was restored

A restored store gives out revisions again. A VM went on watching from a revision of before the restore: once the store had reached it again, changes below it were never reported, and callers of an added route got NODB. Cause: the watch was resumed as if the store had one history, and a watch that was waiting went on for up to 2.5 s although another call had shown the new era. A new era ends the watch that waits. An older version in the copy is ignored by the core as before.

--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..direct import ConfigurationRead, Event, ServersRead, VmEntry
 from ._client import HistoryGone, PlatformClient, StoreUnavailable
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self._failing: set[str] = set()
+        self._watch_limit: asyncio.Timeout | None = None
 
     @property
     def failing(self) -> bool:
@@ -58,6 +59,27 @@
         else:
             self._failing.discard(feed)
 
+    def begin_era(self) -> None:
+        """End the watch that waits, as the store began a new era."""
+        if self._watch_limit is not None:
+            self._watch_limit.reschedule(asyncio.get_running_loop().time())
+            self._watch_limit = None
+
+    async def limit_watch(self, watch: Awaitable):
+        """Return a watch's result.
+
+        Raises:
+            HistoryGone: if a new era begins meanwhile. The revision that the watch
+                waits for may be given out again.
+        """
+        try:
+            async with asyncio.timeout(None) as self._watch_limit:
+                return await watch
+        except TimeoutError:
+            raise HistoryGone from None
+        finally:
+            self._watch_limit = None
+
 
 class _RetryBackoff:
     """Exponential backoff of one feed; logs its first failure and its recovery."""
@@ -95,7 +117,8 @@
     """Emit each new configuration as soon as the store reports it; never returns.
 
     It is read once, then watched; it is read again after a time in which this VM did
-    not need it, or if the store has dropped the changes since the last one.
+    not need it, or if the store has dropped the changes since the last one, or was
+    restored.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -115,8 +138,8 @@
                 revision, configuration = await client.read_configuration(fresh=fresh)
                 fresh = False
             else:
-                revision, configuration = await client.watch_configuration(
-                    revision, WATCH_TIMEOUT
+                revision, configuration = await health.limit_watch(
+                    client.watch_configuration(revision, WATCH_TIMEOUT)
                 )
         except HistoryGone:
             # A stale read could return a revision whose history is dropped as well.
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -117,8 +117,8 @@
             metrics=Metrics(METRICS, registry),
         )
         self._probe.answer_peer = self._answer_peer
-        self._client.follow_era(self.driver.report_era)
         health = StoreHealth()
+        self._client.follow_era(functools.partial(self._begin_era, health))
         self._backends.start(self.driver.emit)
         await self._callers.start(self.driver.emit)
         await self._probe.start()
@@ -189,6 +189,11 @@
         """Return whether this VM needs the configuration and the list of servers."""
         return needs_servers(self.driver.state)
 
+    def _begin_era(self, health: StoreHealth, era: int) -> None:
+        """Report a new era of the store to the feeds and to the core."""
+        health.begin_era()
+        self.driver.report_era(era)
+
     def _begin_shutdown(self) -> None:
         """Begin a graceful shutdown."""
         self.driver.request_shutdown()
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -12,7 +12,14 @@
 import yaml
 
 from .soak import Link
-from .standins import Client, Deployment, find_ports, make_configuration, spawn_vm
+from .standins import (
+    Client,
+    Deployment,
+    Store,
+    find_ports,
+    make_configuration,
+    spawn_vm,
+)
 
 SLOW_MODULE = """
 import os, sys, time
@@ -109,6 +116,12 @@
         await asyncio.sleep(0.05)
 
 
+def raise_revision(store: Store, changes: int) -> None:
+    """Raise a store's revision by changes of an object that no VM reads."""
+    for number in range(changes):
+        store.put("notes", "n", number)
+
+
 class TestStatements:
     async def test_reads_see_the_sessions_writes(self, tmp_path):
         """Guards against a read from a replica that lacks the caller's write."""
@@ -315,6 +328,25 @@
 
 
 class TestRestoredStore:
+    async def test_configuration_is_not_missed_by_a_watch_from_a_reused_revision(
+        self, tmp_path
+    ):
+        """Guards against a route that is never served as its revision seems known."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            store = deployment.store
+            await asyncio.sleep(0.5)
+            for version in range(2, 6):
+                store.put("config", "main", make_configuration(version, {}))
+            await asyncio.sleep(0.3)
+            seen = store.revision
+            store.restore(0.5)
+            later = make_configuration(6, {"later": "primary"})
+            assert store.put("config", "main", later)["meta"]["revision"] < seen
+            raise_revision(store, 10)
+            await asyncio.sleep(3)
+            _, first_line = await Client.connect(vm.ports[0], "later")
+            assert first_line == "READY I -"
+
     async def test_store_without_an_era_is_followed(self, tmp_path):
         """Guards against a VM that takes a missing header for a restore or an error."""
         async with run_deployment(tmp_path, era=None) as (deployment, (vm,)):
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -25,6 +25,7 @@
     VmProbed,
 )
 from siskinhold.lines import (
+    HistoryGone,
     HttpClient,
     HttpFailure,
     StoreUnavailable,
@@ -39,7 +40,7 @@
 from siskinhold.lines._supervision import keep_running
 from siskinhold_platform._client import HttpPlatformClient, _Reply
 
-from .standins import Store
+from .standins import Store, make_configuration
 
 
 class FakeClient:
@@ -48,6 +49,7 @@
     def __init__(self, *, servers=()) -> None:
         self.servers = list(servers)
         self.calls = []
+        self.watches = []
         self.suspicions = []
         self.failures = 0
         self.orders = []
@@ -65,7 +67,8 @@
         return Revision(number=1), None
 
     async def watch_configuration(self, revision, wait):
-        """Wait forever."""
+        """Record the revision and wait forever."""
+        self.watches.append(revision.number)
         await asyncio.Event().wait()
 
     async def list_servers(self, *, fresh):
@@ -176,6 +179,47 @@
         fresh = [call[1] for call in client.calls]
         assert fresh == [True, False, False, True, False, True]
 
+    async def test_watch_ends_with_the_era(self):
+        """Guards against a configuration that is noticed only when the watch ends."""
+        client, health = FakeClient(), StoreHealth()
+        feed = follow_configuration(client, print, lambda: True, health)
+        loop = asyncio.get_running_loop()
+        for delay in (0.03, 0.03, 0.06):
+            loop.call_later(delay, health.begin_era)
+        await run_briefly(feed, 0.1)
+        assert client.calls == [("configuration", True)] * 3
+        assert client.watches == [1] * 3
+
+    async def test_configuration_older_than_the_one_before_a_restore_is_not_the_last(
+        self,
+    ):
+        """Guards against a feed that ends with what the copy holds."""
+        store, client = await start_store()
+        health = StoreHealth()
+        client.follow_era(lambda era: health.begin_era())
+        versions = []
+        feed = asyncio.ensure_future(
+            follow_configuration(
+                client,
+                lambda event: versions.append(event.configuration.version),
+                lambda: True,
+                health,
+            )
+        )
+        for version in (1, 2):
+            store.put("config", "main", make_configuration(version, {}))
+            await asyncio.sleep(0.3)
+        store.restore(0.4, delay=0.5)
+        await asyncio.sleep(0.4)
+        store.restore(0.8, delay=0.5)
+        await asyncio.sleep(0.4)
+        assert versions[:2] == [1, 2] and versions[-1] == 1
+        await asyncio.sleep(0.5)
+        assert versions[-1] == 2
+        feed.cancel()
+        await client.close()
+        await store.stop()
+
 
 class TestErrors:
     async def test_task_is_started_again(self, monkeypatch):
@@ -408,6 +452,29 @@
     return store, HttpPlatformClient(store=address, promotion=address)
 
 
+class TestWatch:
+    @pytest.mark.parametrize("learnt_before", [False, True])
+    async def test_revision_of_an_older_era_is_not_watched(self, learnt_before):
+        """Guards against a change that is missed as its revision is given out again."""
+        store, client = await start_store()
+        store.put("config", "main", make_configuration(1, {}))
+        revision, _ = await client.read_configuration(fresh=True)
+        store.restore(0.0)
+        if learnt_before:
+            await client.list_vms(fresh=True)
+            store.calls.clear()
+        with pytest.raises(HistoryGone):
+            await client.watch_configuration(revision, 0.05)
+        assert ("GET", "config") not in store.calls or not learnt_before
+        revision, _ = await client.read_configuration(fresh=True)
+        assert revision.era == 2
+        store.put("config", "main", make_configuration(2, {}))
+        _, configuration = await client.watch_configuration(revision, 0.05)
+        assert configuration.version == 2
+        await client.close()
+        await store.stop()
+
+
 class TestListOfVms:
     async def test_removed_vm_is_not_listed(self):
         """Guards against a removal that the store does not carry out."""
