Watch from no revision of a stale read after a restore

Shortly after a restore a stale read may return data of before it, with the header of the new era. Its revision may be greater than the store's, which reaches it later: a watch from there would skip all changes below it, such as an added route. Cause: a VM whose fresh read was refused took the revision of the stale one. Change: for 5 s after an era began, a stale read still gives a configuration, but no revision; fresh reads are repeated with growing pauses until one succeeds. Result: the new test fails without the change (two reads, fresh and stale, and a watch from the stale one, instead of a third read) and passes with it.

--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -20,6 +20,10 @@
 """Seconds between two reads of the list of servers. A server is listed as draining
 seconds before it stops."""
 
+STALE_PERIOD = 5.0
+"""Seconds after the start of an era in which a stale read may return data, and a
+revision, of the era before."""
+
 MISSING_PERIOD = 4.0
 """Seconds for which a server counts as just missing: longer than the time after which
 a primary that stays missing is replaced."""
@@ -41,10 +45,11 @@
 
 
 class StoreHealth:
-    """Tracks which feeds of the store currently fail."""
+    """Tracks which feeds of the store currently fail, and when its era began."""
 
     def __init__(self) -> None:
         self._failing: set[str] = set()
+        self._era_began_at = -STALE_PERIOD
         self._watch_limit: asyncio.Timeout | None = None
 
     @property
@@ -59,8 +64,14 @@
         else:
             self._failing.discard(feed)
 
+    @property
+    def restored_recently(self) -> bool:
+        """Whether stale reads may return data of the era before."""
+        return read_clock() - self._era_began_at < STALE_PERIOD
+
     def begin_era(self) -> None:
-        """End the watch that waits, as the store began a new era."""
+        """Record that the store began a new era, and end the watch that waits."""
+        self._era_began_at = read_clock()
         if self._watch_limit is not None:
             self._watch_limit.reschedule(asyncio.get_running_loop().time())
             self._watch_limit = None
@@ -118,7 +129,8 @@
 
     It is read once, then watched; it is read again after a time in which this VM did
     not need it, or if the store has dropped the changes since the last one, or was
-    restored.
+    restored. After that a stale read gives no revision to watch from: the store may
+    give it out again.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -136,7 +148,9 @@
         try:
             if revision is None:
                 revision, configuration = await client.read_configuration(fresh=fresh)
-                fresh = False
+                if not fresh and health.restored_recently:
+                    revision = None
+                fresh = revision is None
             else:
                 revision, configuration = await health.limit_watch(
                     client.watch_configuration(revision, WATCH_TIMEOUT)
@@ -150,7 +164,8 @@
             fresh = not fresh
             await backoff.pause(error)
             continue
-        backoff.record_success()
+        if revision is not None:
+            backoff.record_success()
         if configuration is not None:
             emit(ConfigurationRead(at=read_clock(), configuration=configuration))
 
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -179,6 +179,7 @@
         fresh = [call[1] for call in client.calls]
         assert fresh == [True, False, False, True, False, True]
 
+
     async def test_watch_ends_with_the_era(self):
         """Guards against a configuration that is noticed only when the watch ends."""
         client, health = FakeClient(), StoreHealth()
@@ -190,6 +191,17 @@
         assert client.calls == [("configuration", True)] * 3
         assert client.watches == [1] * 3
 
+    async def test_stale_read_after_a_restore_gives_no_revision(self):
+        """Guards against a watch from a revision that the store gives out again."""
+        client, health = FakeClient(), StoreHealth()
+        client.failures = 1
+        health.begin_era()
+        feed = follow_configuration(client, print, lambda: True, health)
+        await run_briefly(feed, 0.3)
+        reads = [("configuration", fresh) for fresh in (True, False, True)]
+        assert client.calls == reads
+        assert client.watches == [1]
+
     async def test_configuration_older_than_the_one_before_a_restore_is_not_the_last(
         self,
     ):
