Use no stale list of backend servers after a restore

Shortly after a restore a stale read may return the servers of before it, with the header of the new era and a revision that is greater than the store's. That list counted as the newest one, and all others were ignored until the store's revision had passed it: a server that left got statements meanwhile. Cause: the poll reads stale data whatever the store's era.

--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -208,8 +208,9 @@
 ) -> None:
     """Emit the list of servers periodically; never returns.
 
-    Reads may be stale, except the first one, those after an empty list, and those while
-    an entry is missing: stale data could lack an entry that has returned.
+    Reads may be stale, except the first one, those after an empty list, those while an
+    entry is missing, as stale data could lack an entry that has returned, and those
+    after a restore: their data, and revisions, could be of the era before.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -224,11 +225,14 @@
             fresh = True
             continue
         try:
-            revision, entries = await client.list_servers(fresh=fresh)
+            stale = not (fresh or health.restored_recently)
+            revision, entries = await client.list_servers(fresh=not stale)
         except StoreUnavailable as error:
             await backoff.pause(error)
             continue
         backoff.record_success()
+        if stale and health.restored_recently:
+            continue
         missing.update({entry.server for entry in entries}, read_clock())
         fresh = not entries or missing.recent
         emit(ServersRead(at=read_clock(), revision=revision, entries=entries))
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -179,7 +179,6 @@
         fresh = [call[1] for call in client.calls]
         assert fresh == [True, False, False, True, False, True]
 
-
     async def test_watch_ends_with_the_era(self):
         """Guards against a configuration that is noticed only when the watch ends."""
         client, health = FakeClient(), StoreHealth()
@@ -232,6 +231,26 @@
         await client.close()
         await store.stop()
 
+    async def test_stale_list_is_not_used_after_a_restore(self, monkeypatch):
+        """Guards against a list of before the restore that counts as the newest one."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.01)
+        monkeypatch.setattr("siskinhold.lines._feeds.STALE_PERIOD", 0.05)
+        client, health = FakeClient(servers=(("a",),) * 99), StoreHealth()
+        list_servers, emitted = client.list_servers, []
+
+        async def restore(*, fresh):
+            if len(client.calls) == 1:
+                health.begin_era()
+            return await list_servers(fresh=fresh)
+
+        client.list_servers = restore
+        feed = follow_servers(client, emitted.append, lambda: True, health)
+        await run_briefly(feed, 0.2)
+        reads = [fresh for _, fresh in client.calls]
+        assert [event.revision.number for event in emitted[:3]] == [1, 3, 4]
+        assert reads[:4] == [True, False, True, True]
+        assert reads[-1] is False
+
 
 class TestErrors:
     async def test_task_is_started_again(self, monkeypatch):
