Wait for entries that a restored store lacks before a server counts as gone

The copy that a store is restored from lacks the servers that started since. They write their entries again within about two seconds, but the first list of the new era made them count as gone: they got no statements meanwhile, the primary among them. Cause: a missing entry was taken for a removed one. Change: lists mark no server as gone for 2.5 s after the first one of an era. One that stays missing is gone with the next list. Result: test_primary_that_the_copy_lacks_is_kept fails without the change ("assert False = all(...)": s1 is not usable) and passes with it.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -46,6 +46,10 @@
 GONE_SERVER_RETENTION = 6.0
 """Seconds after which a server that is no longer listed is removed from the state."""
 
+ENTRY_RETURN_PERIOD = 2.5
+"""Seconds after the first list of an era in which entries may be missing:
+servers write theirs again within about two seconds of the store's return."""
+
 DRAINING_CLOSE_DELAY = 5.0
 """Seconds after which connections to a draining or removed server are closed; it gets
 no new statements as soon as it is seen draining."""
@@ -72,13 +76,16 @@
     """Apply a list of servers, unless a newer one is known.
 
     It is deferred until the configuration is known. A server that is missing from the
-    list is marked as gone.
+    list is marked as gone, unless the store was restored a moment ago.
     """
     if state.configuration is None:
         state.deferred_servers = event
         return
     if event.revision < state.servers_revision:
         return
+    if event.revision.era > state.servers_revision.era:
+        state.servers_era_since = state.now
+    returning = state.now - state.servers_era_since < ENTRY_RETURN_PERIOD
     state.servers_revision = event.revision
     state.servers_known = True
     listed = set()
@@ -88,6 +95,8 @@
             continue
         listed.add(entry.server)
         _apply_entry(state, entry, out)
+    if returning:
+        return
     for server in state.servers.values():
         if server.entry.server in listed or server.gone_at is not None:
             continue
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -296,6 +296,7 @@
         store_era_since: when this VM learned of that era.
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
+        servers_era_since: when the first list of its era was applied.
         deferred_servers: list of servers that arrived before the configuration.
         resumed_at: when this VM last continued after a pause.
         work_resumes_at: until when the periodic work is postponed after a pause.
@@ -334,6 +335,7 @@
     store_era_since: float = 0.0
     servers: dict[str, Server] = field(default_factory=dict)
     servers_revision: Revision = Revision(number=-1)
+    servers_era_since: float = -100.0
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
     resumed_at: float = -100.0
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -154,3 +154,29 @@
             world.servers[name].unreachable_from = {"vm1"}
         world.advance(1)
         assert world.execute("vm1", 1, "READ x").refusal is None
+    def test_primary_that_the_copy_lacks_is_kept(self):
+        """Guards against a new primary that is taken for gone after a restore."""
+        world = start()
+        copy = world.copy_store()
+        world.advance(1)
+        world.restore_store(copy)
+        world.servers["s1"].listed = False
+        for _ in range(8):
+            world.advance(0.25)
+            assert all(state.servers["s1"].usable for state in world.states.values())
+        world.servers["s1"].listed = True
+        world.advance(5)
+        assert not world.find_logs("server_gone")
+        assert not world.orders
+
+    def test_server_that_stays_missing_is_gone(self):
+        """Guards against statements to a server that has left for ever."""
+        world = start()
+        world.restore_store(world.copy_store())
+        world.servers["s2"].listed = False
+        world.advance(5)
+        for state in world.states.values():
+            assert not state.servers["s2"].usable
+        world.advance(6)
+        for state in world.states.values():
+            assert "s2" not in state.servers
