Keep what newer entries said of a server than a restored store holds

The copy shows a server that had reported draining as ready, and one that has restarted as before, until they write again. The first got statements again though it was about to stop; a primary that had been draining before its restart was to be replaced again. Cause: the last list always replaced what was known of a server. Change: a process that was draining stays so, as none takes that back: only a later start ends it. While entries are written again, one of an older start is ignored. Lists that this VM sends to others show the server as draining too.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -1,5 +1,7 @@
 """Backend servers: the platform's list, events of connections, and maintenance."""
 
+from dataclasses import replace
+
 from ._connections import (
     OVERLOAD_DELAY,
     close_connection,
@@ -47,7 +49,7 @@
 """Seconds after which a server that is no longer listed is removed from the state."""
 
 ENTRY_RETURN_PERIOD = 2.5
-"""Seconds after the first list of an era in which entries may be missing:
+"""Seconds after the first list of an era in which entries may be missing or outdated:
 servers write theirs again within about two seconds of the store's return."""
 
 DRAINING_CLOSE_DELAY = 5.0
@@ -94,6 +96,10 @@
         if entry.service not in state.configuration.connections:
             continue
         listed.add(entry.server)
+        known = state.servers.get(entry.server)
+        if returning and known is not None and entry.started < known.entry.started:
+            # The copy is older than the server's restart.
+            continue
         _apply_entry(state, entry, out)
     if returning:
         return
@@ -106,7 +112,10 @@
 
 
 def _apply_entry(state: DirectState, entry: ServerEntry, out: Effects) -> None:
-    """Add a server or update its entry, and mark it as draining or returned."""
+    """Add a server or update its entry, and mark it as draining or returned.
+
+    A process that was draining stays so: a restored store may show an older entry.
+    """
     server = state.servers.get(entry.server)
     if server is None:
         server = Server(entry=entry)
@@ -115,6 +124,8 @@
         if state.vms_known and needs_servers(state):
             ensure_control_connection(state, server, out)
     old = server.entry
+    if old.draining and old.started == entry.started:
+        entry = replace(entry, draining=True)
     server.entry = entry
     server.gone_at = None
     if old.started != entry.started or (old.host, old.port) != (entry.host, entry.port):
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -111,6 +111,7 @@
         self.process_down = False
         self.state = "ready"
         self.listed = True
+        self.started = 1
         self.free_at = [0.0] * slots
         self.ran: list[tuple[float, str, str]] = []
         self.commits: list[tuple[float, int, int]] = []
@@ -136,7 +137,7 @@
             slots=self.slots,
             draining=self.state == "draining",
             leads=self.leads,
-            started=1,
+            started=self.started,
         )
 
     def occupy_slot(self, now: float, statement_time: float) -> float:
