Keep the newer list of servers while the configuration is awaited

A VM that starts while the store is restored may get the servers of the new era first and then, from another VM, those of before the restore. It began with the latter. Cause: the list that waits for the configuration was the last one, not the newest. Change: an older list does not replace it. Tests show that lists between VMs that learnt of an era at different times only ever go to a newer era.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -81,7 +81,9 @@
     list is marked as gone, unless the store was restored a moment ago.
     """
     if state.configuration is None:
-        state.deferred_servers = event
+        deferred = state.deferred_servers
+        if deferred is None or event.revision >= deferred.revision:
+            state.deferred_servers = event
         return
     if event.revision < state.servers_revision:
         return
--- a/tests/users_platform/test_sharing.py
+++ b/tests/users_platform/test_sharing.py
@@ -8,6 +8,9 @@
     Configuration,
     ConfigurationRead,
     DirectState,
+    Revision,
+    ServerEntry,
+    ServersRead,
     TimeAdvanced,
     VmEntry,
     VmsRead,
@@ -55,6 +58,48 @@
     return state
 
 
+def make_list(revision: Revision, *servers: str) -> ServersRead:
+    """Return a list of servers."""
+    entries = []
+    for name in servers:
+        entries.append(
+            ServerEntry(
+                server=name,
+                service="db",
+                host="127.0.0.1",
+                port=1,
+                zone="a",
+                slots=2,
+                draining=False,
+                leads=False,
+                started=1,
+            )
+        )
+    return ServersRead(at=3.0, revision=revision, entries=tuple(entries))
+
+
+async def update_from(peer: DirectState, state: DirectState) -> list[str]:
+    """Have a VM request what it lacks from another one; return the paths."""
+    asked = []
+
+    def answer(path):
+        asked.append(path)
+        return answer_snapshot(peer, path)
+
+    server = HttpServer(host="127.0.0.1", port=0, answer=answer)
+    await server.start()
+    port = server._server.sockets[0].getsockname()[1]
+    await _update_from_peer(
+        state,
+        "127.0.0.1",
+        port,
+        lambda event: reduce(state, event),
+        lambda entry: None,
+    )
+    await server.stop()
+    return asked
+
+
 class TestOutage:
     @pytest.mark.parametrize(
         ("name", "needed"), [("vm1", True), ("vm30", False), ("unlisted", True)]
@@ -64,26 +109,10 @@
         the store is away, from the few VMs that are asked; a VM that nobody lists
         serves its callers itself."""
         peer = make_peer(make_vms(60))
-        asked = []
-
-        def answer(path):
-            asked.append(path)
-            return answer_snapshot(peer, path)
-
-        server = HttpServer(host="127.0.0.1", port=0, answer=answer)
-        await server.start()
-        port = server._server.sockets[0].getsockname()[1]
         state = make_state(name)
         # The time until which it waits for the list of VMs has passed.
         reduce(state, TimeAdvanced(at=2.1))
-        await _update_from_peer(
-            state,
-            "127.0.0.1",
-            port,
-            lambda event: reduce(state, event),
-            lambda entry: None,
-        )
-        await server.stop()
+        asked = await update_from(peer, state)
         assert asked[0] == VM_LIST_PATH
         assert (len(asked) == 2) == needed
         assert (state.configuration is not None) == needed
@@ -96,3 +125,43 @@
         assert answer.status == 200
         assert b"idle_transaction" not in answer.body
         assert answer_snapshot(make_state("vm3"), VM_LIST_PATH).status == 204
+
+
+class TestEras:
+    @pytest.mark.parametrize(
+        ("known", "other", "newest"),
+        [
+            (Revision(era=1, number=90), Revision(era=2, number=20), "new"),
+            (Revision(era=2, number=20), Revision(era=1, number=90), "old"),
+            (Revision(era=1, number=90), Revision(era=3, number=90), "new"),
+            (Revision(number=90), Revision(era=1, number=20), "new"),
+            (Revision(era=1, number=20), Revision(number=90), "old"),
+        ],
+    )
+    async def test_list_of_a_newer_era_replaces_that_of_an_older_one(
+        self, known, other, newest
+    ):
+        """Guards against a VM without the store that goes on with servers of before a
+        restore, or goes back to them."""
+        vms = make_vms(3)
+        state, peer = make_peer(vms), make_peer(vms)
+        reduce(state, make_list(known, "old"))
+        reduce(peer, make_list(other, "new"))
+        await update_from(peer, state)
+        assert newest in state.servers
+        assert state.servers_revision == max(known, other)
+        # An answer may arrive after this VM has learned of the newer era itself.
+        reduce(state, make_list(min(known, other), "late"))
+        assert "late" not in state.servers
+
+    @pytest.mark.parametrize("late", [Revision(era=1, number=90), Revision(number=99)])
+    def test_older_list_does_not_replace_one_that_waits_for_the_configuration(
+        self, late
+    ):
+        """Guards against a VM that starts with the servers of before a restore."""
+        state = make_state("vm1")
+        reduce(state, make_list(Revision(era=2, number=20), "new"))
+        reduce(state, make_list(late, "old"))
+        configuration = make_peer(make_vms(1)).configuration
+        reduce(state, ConfigurationRead(at=4.0, configuration=configuration))
+        assert list(state.servers) == ["new"]
