--- a/tests/users_platform/test_sharing.py
+++ b/tests/users_platform/test_sharing.py
@@ -154,6 +154,16 @@
         reduce(state, make_list(min(known, other), "late"))
         assert "late" not in state.servers
 
+    async def test_vm_of_an_older_version_is_asked_and_answered(self):
+        """Guards against VMs that learn nothing from each other during an update."""
+        vms = make_vms(3)
+        state, peer = make_state("vm1"), make_peer(vms)
+        reduce(state, TimeAdvanced(at=2.1))
+        reduce(peer, make_list(Revision(era=1, number=20), "new"))
+        # A VM that knows of no era asks in the form that all versions answer.
+        assert await update_from(peer, state) == [VM_LIST_PATH, "/knowledge/0/0"]
+        assert state.servers_revision == Revision(era=1, number=20)
+
     @pytest.mark.parametrize("late", [Revision(era=1, number=90), Revision(number=99)])
     def test_older_list_does_not_replace_one_that_waits_for_the_configuration(
         self, late
