Register VMs again at once after a restore

The copy that a store is restored from lacks the VMs that registered since, and may show an older entry of one that has changed. A lost VM noticed it in its next list, up to 10 s later, or not before 8 s after its start. The others dropped it with their next list: they chose other holders and took larger shares of the servers' connections. Cause: a list without this VM was looked for only as often as VMs are removed, and each list replaced the one before. Change: each VM registers again as soon as it learns that the store was restored, which writes nothing if its entry is there, and reads the list of VMs at once and every 3 s for a while, not from stale data. Meanwhile it keeps the VMs that the list lacks. Result: without the change test_vm_that_the_copy_lacks_registers_at_once lacks vm4 after 1.1 s, test_vms_that_the_copy_lacks_stay_known fails with "assert False = all(...)", and in the service's test ('vms', 'vm-0') isn't in the store 3 s after the restore. All pass with it.

--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -130,12 +130,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class ListVms:
-    """Read the registered VMs and the published connection limit from the store."""
+    """Read the registered VMs and the published connection limit from the store.
+
+    Args:
+        fresh: whether the list must be up to date; a stale read costs less.
+    """
+
+    fresh: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
 class RegisterVm:
-    """Add this VM to the list of VMs in the store again."""
+    """Add this VM to the list of VMs in the store again if it is not there."""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -8,7 +8,7 @@
 
 import hashlib
 
-from ._effects import PublishConnections
+from ._effects import ListVms, PublishConnections
 from ._state import DirectState, Effects
 from ._types import VmEntry
 
@@ -28,6 +28,13 @@
 """Seconds between two publications of the connection limit: within that time, even
 stale reads show the last one."""
 
+RESTORE_PERIOD = 12.0
+"""Seconds after the store was restored in which other VMs may not have registered again
+yet: those that only relay callers learn of it when they read the list of VMs."""
+
+RESTORED_LIST_INTERVAL = 3.0
+"""Seconds between two reads of the list of VMs in that time."""
+
 UNREACHABLE_HOLDER_DELAY = 2.0
 """Seconds for which a holder that does not answer is skipped."""
 
@@ -117,6 +124,34 @@
     state.is_holder = any(vm.name == state.vm for vm in state.holders)
 
 
+def was_restored(state: DirectState) -> bool:
+    """Return whether the store was restored from a copy a short time ago."""
+    return state.now - state.restored_at < RESTORE_PERIOD
+
+
+def refresh_vms(state: DirectState, out: Effects) -> None:
+    """Read the list of VMs at once and repeatedly after the store was restored."""
+    if not was_restored(state):
+        return
+    requested_at = state.vms_requested_at
+    if requested_at > state.restored_at:
+        if state.now - requested_at < RESTORED_LIST_INTERVAL:
+            return
+    state.vms_requested_at = state.now
+    out.append(ListVms(fresh=True))
+
+
+def add_lost_vms(state: DirectState, vms: tuple[VmEntry, ...]) -> tuple[VmEntry, ...]:
+    """Return a list of VMs with the known ones that a restored store has lost.
+
+    They register again; without them the holders would change for a moment.
+    """
+    if not was_restored(state):
+        return vms
+    names = {vm.name for vm in vms}
+    return (*vms, *(vm for vm in state.vms if vm.name not in names))
+
+
 def publish_connection_limit(
     state: DirectState, published_limit: int, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -27,7 +27,14 @@
     VmsRead,
 )
 from ._failover import handle_suspicions, watch_primaries
-from ._holders import knows_vms, publish_connection_limit, update_holders
+from ._holders import (
+    add_lost_vms,
+    knows_vms,
+    publish_connection_limit,
+    refresh_vms,
+    update_holders,
+    was_restored,
+)
 from ._inquiry import handle_vms_asked
 from ._losses import expire_job
 from ._promotion import handle_promotion_answer
@@ -166,9 +173,15 @@
 
 
 def _begin_era(state: DirectState, event: StoreEraBegan, out: Effects) -> None:
-    """Record that the store began a new era."""
+    """Record that the store began a new era.
+
+    If that is not the first one, it was restored and may have lost this VM's entry.
+    """
     if event.era <= state.store_era:
         return
+    if state.store_era:
+        state.restored_at = state.now
+        out.append(RegisterVm())
     fields = (("era", event.era), ("before", state.store_era))
     out.append(Log(event="store_era_began", fields=fields, essential=True))
     state.store_era = event.era
@@ -179,15 +192,17 @@
     """Apply a list of VMs, and update this VM's role as a connection holder.
 
     A list without this VM is ignored. Shortly after the start it predates that;
-    later this VM was removed, as others could not reach it, and registers again.
+    later this VM was removed, as others could not reach it, or the store lost its entry
+    in a restore, and it registers again.
     """
     if not any(vm.name == state.vm for vm in event.vms):
-        if state.now - state.started_at >= REGISTRATION_PERIOD:
+        old = state.now - state.started_at >= REGISTRATION_PERIOD
+        if old or was_restored(state):
             out.append(RegisterVm())
             fields = (("vms", len(event.vms)),)
             out.append(Log(event="vm_registered_again", fields=fields, essential=True))
         return
-    state.vms = event.vms
+    state.vms = add_lost_vms(state, event.vms)
     state.vms_known = True
     if state.configuration is None:
         state.connections_limit = event.connections
@@ -220,6 +235,7 @@
     if state.tick_skipped:
         return
     maintain_servers(state, out)
+    refresh_vms(state, out)
     watch_primaries(state, out)
     probe_vms(state, out)
     _expire_overdue(state, out)
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -318,12 +318,12 @@
 
     def _list_vms(self, effect: ListVms) -> None:
         """Start to read the list of VMs."""
-        self._spawn(self._report_vms())
+        self._spawn(self._report_vms(effect.fresh))
 
-    async def _report_vms(self) -> None:
+    async def _report_vms(self, fresh: bool) -> None:
         """Read the list of VMs and emit it; log a failure."""
         try:
-            vms, connections = await self._client.list_vms(fresh=False)
+            vms, connections = await self._client.list_vms(fresh=fresh)
         except StoreUnavailable as error:
             self._write_failure("vms_unread", error)
             return
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -165,7 +165,9 @@
     if needs_servers(state):
         version = state.configuration.version if state.configuration is not None else 0
         known = state.servers_revision
-        path = f"{SNAPSHOT_PATH}/{version}/{max(0, known.number)}/{known.era}"
+        path = f"{SNAPSHOT_PATH}/{version}/{max(0, known.number)}"
+        if known.era:
+            path += f"/{known.era}"
         answered |= await _request(state, host, port, path, emit, write_line)
     return answered
 
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -1,5 +1,19 @@
 """Tests of the direct core: the store is restored from an older copy."""
 
+import random
+
+from siskinhold.direct import (
+    Configuration,
+    ConfigurationRead,
+    DirectState,
+    ListVms,
+    StoreEraBegan,
+    TimeAdvanced,
+    VmEntry,
+    VmsRead,
+    reduce,
+)
+
 from .world import World
 
 
@@ -214,3 +228,94 @@
         world.advance(5)
         assert not world.find_logs("server_draining")
         assert not world.orders
+
+
+def make_vm(name, *, configured, connections=34):
+    """Return the state of a VM of two in an era of the store, after a list of VMs."""
+    fleet = []
+    for other in ("vm1", "vm2"):
+        fleet.append(
+            VmEntry(name=other, host="10.0.0.1", relay_port=1, zone="a", size=1000)
+        )
+    state = DirectState(
+        vm=name, zone="a", regions={"a": "east"}, grace=6.0, random=random.Random(1)
+    )
+    reduce(state, StoreEraBegan(at=1.0, era=1))
+    if configured:
+        configuration = Configuration(
+            version=1,
+            routes={},
+            connections={"db": connections},
+            idle_transaction=3.0,
+        )
+        reduce(state, ConfigurationRead(at=1.0, configuration=configuration))
+    vms = tuple(fleet)
+    reduce(state, VmsRead(at=1.1, vms=vms, connections=connections))
+    reduce(state, TimeAdvanced(at=1.2))
+    return state, vms
+
+
+def find(effects, kind):
+    """Return the effects of a kind."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def list_reads(state, first, last):
+    """Return when a VM reads the list of VMs, and whether it may not be stale.
+
+    Args:
+        first: time of the first tick, in tenths of a second.
+        last: time of the last tick.
+    """
+    found = []
+    for tenth in range(first, last):
+        for effect in find(reduce(state, TimeAdvanced(at=tenth / 10)), ListVms):
+            found.append((tenth / 10, effect.fresh))
+    return found
+
+
+class TestVms:
+    def test_vm_that_the_copy_lacks_registers_at_once(self):
+        """Guards against a VM that is missing in the list for seconds."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        copy[3].pop(3)
+        world.restore_store(copy)
+        world.advance(1.1)
+        assert {entry.name for entry in world.entries} == set(world.states)
+
+    def test_vms_that_the_copy_lacks_stay_known(self):
+        """Guards against other holders, and shares, until all have registered again."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        del copy[3][2:]
+        world.store_down = set(list(world.states)[4:])
+        world.restore_store(copy)
+        for _ in range(10):
+            world.advance(1)
+            assert all(len(state.vms) == 8 for state in world.states.values())
+        world.advance(13)
+        assert len(world.states["vm1"].vms) == 4
+        world.store_down.clear()
+        world.advance(25)
+        assert all(len(state.vms) == 8 for state in world.states.values())
+
+    def test_list_is_read_at_once_and_fresh(self):
+        """Guards against a list of before the restore, or an old one for 10 s."""
+        state, _ = make_vm("vm1", configured=True)
+        list_reads(state, 13, 80)
+        reduce(state, StoreEraBegan(at=8.05, era=2))
+        reads = list_reads(state, 81, 300)
+        assert reads == [
+            (8.1, True),
+            (11.1, True),
+            (14.1, True),
+            (17.1, True),
+            (27.2, False),
+        ]
+
+    def test_first_era_is_no_restore(self):
+        """Guards against as many fresh reads as VMs when a whole fleet starts."""
+        state, _ = make_vm("vm1", configured=True)
+        assert state.store_era == 1
+        assert not any(fresh for _, fresh in list_reads(state, 13, 240))
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -347,6 +347,16 @@
             _, first_line = await Client.connect(vm.ports[0], "later")
             assert first_line == "READY I -"
 
+    async def test_vm_that_the_copy_lacks_registers_again(self, tmp_path):
+        """Guards against a VM that others don't know of after a restore."""
+        async with run_deployment(tmp_path) as (deployment, _):
+            await asyncio.sleep(5)
+            assert ("vms", "vm-0") in deployment.store.objects
+            deployment.store.restore(60)
+            assert ("vms", "vm-0") not in deployment.store.objects
+            await asyncio.sleep(3)
+            assert ("vms", "vm-0") in deployment.store.objects
+
     async def test_store_without_an_era_is_followed(self, tmp_path):
         """Guards against a VM that takes a missing header for a restore or an error."""
         async with run_deployment(tmp_path, era=None) as (deployment, (vm,)):
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -11,6 +11,7 @@
     LeaderRecord,
     LeaderState,
     ListSuspicions,
+    ListVms,
     Log,
     OrderPromotion,
     ProbeVm,
@@ -103,6 +104,11 @@
         self.reads -= 1
         return self.listed
 
+    async def list_vms(self, *, fresh):
+        """Record the read."""
+        self.calls.append(("vms", fresh))
+        return (), 0
+
     async def remove_vm(self, entry):
         """Fail."""
         raise StoreUnavailable("away")
@@ -464,6 +470,16 @@
         assert all(isinstance(event, VmProbed) for event in events)
         assert [event.reached for event in events] == [True, True]
 
+    async def test_fresh_list_is_not_read_from_stale_data(self):
+        """Guards against the list of before a restore."""
+        client = FakeClient()
+        driver = make_driver(client)
+        driver.emit = lambda event: None
+        driver._list_vms(ListVms(fresh=True))
+        driver._list_vms(ListVms())
+        await asyncio.sleep(0.01)
+        assert client.calls == [("vms", True), ("vms", False)]
+
     async def test_failed_removal_is_logged(self):
         """Guards against an error that ends the task without a line."""
         client = FakeClient()
