Keep and publish the connection limit after a restore

A copy from before the first publication lacks the servers' connection limit. VMs that only relay callers then knew none, and after 3 s each read the whole configuration and the servers, which saturates a slow link; the first holder published the limit again with its next list, and not within 5 s of the last time. Cause: a missing limit replaced the known one, and a publication was taken to last. Change: a known limit stays without a published one, and a restore ends the wait between two publications. Result: without the change the new tests fail ("assert [] == [PublishConnections(connections=34)]", "assert 0 == 34") and pass with it.

--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -28,6 +28,7 @@
 )
 from ._failover import handle_suspicions, watch_primaries
 from ._holders import (
+    PUBLISH_INTERVAL,
     add_lost_vms,
     knows_vms,
     publish_connection_limit,
@@ -175,12 +176,14 @@
 def _begin_era(state: DirectState, event: StoreEraBegan, out: Effects) -> None:
     """Record that the store began a new era.
 
-    If that is not the first one, it was restored and may have lost this VM's entry.
+    If that is not the first one, it was restored and may have lost the entry of this VM
+    and the connection limit.
     """
     if event.era <= state.store_era:
         return
     if state.store_era:
         state.restored_at = state.now
+        state.published_at = -PUBLISH_INTERVAL
         out.append(RegisterVm())
     fields = (("era", event.era), ("before", state.store_era))
     out.append(Log(event="store_era_began", fields=fields, essential=True))
@@ -204,7 +207,7 @@
         return
     state.vms = add_lost_vms(state, event.vms)
     state.vms_known = True
-    if state.configuration is None:
+    if state.configuration is None and event.connections:
         state.connections_limit = event.connections
     before = state.is_holder
     update_holders(state)
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -7,6 +7,7 @@
     ConfigurationRead,
     DirectState,
     ListVms,
+    PublishConnections,
     StoreEraBegan,
     TimeAdvanced,
     VmEntry,
@@ -319,3 +320,19 @@
         state, _ = make_vm("vm1", configured=True)
         assert state.store_era == 1
         assert not any(fresh for _, fresh in list_reads(state, 13, 240))
+
+    def test_lost_connection_limit_is_published_again(self):
+        """Guards against VMs that all read the configuration as no limit is known."""
+        state, vms = make_vm("vm1", configured=True)
+        out = reduce(state, VmsRead(at=8.0, vms=vms, connections=8))
+        assert find(out, PublishConnections)
+        reduce(state, StoreEraBegan(at=8.5, era=2))
+        out = reduce(state, VmsRead(at=8.6, vms=vms, connections=0))
+        assert find(out, PublishConnections) == [PublishConnections(connections=34)]
+
+    def test_lost_connection_limit_is_remembered(self):
+        """Guards against a VM that becomes a holder as no limit is published."""
+        state, vms = make_vm("vm2", configured=False)
+        reduce(state, StoreEraBegan(at=8.5, era=2))
+        reduce(state, VmsRead(at=8.6, vms=vms, connections=0))
+        assert state.connections_limit == 34
