--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -47,6 +47,67 @@
         for state in world.states.values():
             assert state.servers["s2"].draining_at is not None
 
+    def test_server_that_left_stays_draining(self):
+        """Guards against statements to a server whose entry in the copy is older."""
+        world = start()
+        copy = world.copy_store()
+        server = world.servers["s2"]
+        server.state = "draining"
+        world.advance(2)
+        world.restore_store(copy)
+        server.state = "ready"
+        world.advance(4)
+        for state in world.states.values():
+            assert state.servers["s2"].draining_at is not None
+            assert state.servers["s2"].entry.draining
+        server.started = 2
+        world.advance(1.1)
+        for state in world.states.values():
+            assert state.servers["s2"].usable
+
+    def test_primary_that_the_copy_lacks_is_kept(self):
+        """Guards against a new primary that is taken for gone after a restore."""
+        world = start()
+        copy = world.copy_store()
+        world.advance(1)
+        world.restore_store(copy)
+        world.servers["s1"].listed = False
+        for _ in range(8):
+            world.advance(0.25)
+            assert all(state.servers["s1"].usable for state in world.states.values())
+        world.servers["s1"].listed = True
+        world.advance(5)
+        assert not world.find_logs("server_gone")
+        assert not world.orders
+
+    def test_server_that_stays_missing_is_gone(self):
+        """Guards against statements to a server that has left for ever."""
+        world = start()
+        world.restore_store(world.copy_store())
+        world.servers["s2"].listed = False
+        world.advance(5)
+        for state in world.states.values():
+            assert not state.servers["s2"].usable
+        world.advance(6)
+        for state in world.states.values():
+            assert "s2" not in state.servers
+
+    def test_entry_of_an_older_process_is_ignored(self):
+        """Guards against a primary that is replaced as it was draining before its
+        restart."""
+        world = start()
+        copy = world.copy_store()
+        server = world.servers["s1"]
+        server.started = 2
+        world.advance(2)
+        world.restore_store(copy)
+        server.started, server.state = 1, "draining"
+        world.advance(2)
+        server.started, server.state = 2, "ready"
+        world.advance(5)
+        assert not world.find_logs("server_draining")
+        assert not world.orders
+
 
 class TestSuspicions:
     def suspect(self, world, *vms):
@@ -169,66 +230,6 @@
             world.servers[name].unreachable_from = {"vm1"}
         world.advance(1)
         assert world.execute("vm1", 1, "READ x").refusal is None
-    def test_server_that_left_stays_draining(self):
-        """Guards against statements to a server whose entry in the copy is older."""
-        world = start()
-        copy = world.copy_store()
-        server = world.servers["s2"]
-        server.state = "draining"
-        world.advance(2)
-        world.restore_store(copy)
-        server.state = "ready"
-        world.advance(4)
-        for state in world.states.values():
-            assert state.servers["s2"].draining_at is not None
-            assert state.servers["s2"].entry.draining
-        server.started = 2
-        world.advance(1.1)
-        for state in world.states.values():
-            assert state.servers["s2"].usable
-
-    def test_primary_that_the_copy_lacks_is_kept(self):
-        """Guards against a new primary that is taken for gone after a restore."""
-        world = start()
-        copy = world.copy_store()
-        world.advance(1)
-        world.restore_store(copy)
-        world.servers["s1"].listed = False
-        for _ in range(8):
-            world.advance(0.25)
-            assert all(state.servers["s1"].usable for state in world.states.values())
-        world.servers["s1"].listed = True
-        world.advance(5)
-        assert not world.find_logs("server_gone")
-        assert not world.orders
-
-    def test_server_that_stays_missing_is_gone(self):
-        """Guards against statements to a server that has left for ever."""
-        world = start()
-        world.restore_store(world.copy_store())
-        world.servers["s2"].listed = False
-        world.advance(5)
-        for state in world.states.values():
-            assert not state.servers["s2"].usable
-        world.advance(6)
-        for state in world.states.values():
-            assert "s2" not in state.servers
-
-    def test_entry_of_an_older_process_is_ignored(self):
-        """Guards against a primary that is replaced as it was draining before its
-        restart."""
-        world = start()
-        copy = world.copy_store()
-        server = world.servers["s1"]
-        server.started = 2
-        world.advance(2)
-        world.restore_store(copy)
-        server.started, server.state = 1, "draining"
-        world.advance(2)
-        server.started, server.state = 2, "ready"
-        world.advance(5)
-        assert not world.find_logs("server_draining")
-        assert not world.orders
 
 
 def make_vm(name, *, configured, connections=34):
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -347,6 +347,21 @@
             _, first_line = await Client.connect(vm.ports[0], "later")
             assert first_line == "READY I -"
 
+    async def test_draining_server_that_the_copy_shows_as_ready_gets_nothing(
+        self, tmp_path
+    ):
+        """Guards against statements to a server that is about to stop."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            deployment.instances[1].state = "draining"
+            await asyncio.sleep(2)
+            assert "event=server_draining server=i-1" in vm.read_output()
+            deployment.store.restore(2, delay=2)
+            entry = deployment.store.objects["servers", "i-1"]["spec"]
+            assert entry["state"] == "ready"
+            await asyncio.sleep(1.8)
+            assert "event=store_era_began" in vm.read_output()
+            assert "event=server_returned" not in vm.read_output()
+
     async def test_vm_that_the_copy_lacks_registers_again(self, tmp_path):
         """Guards against a VM that others don't know of after a restore."""
         async with run_deployment(tmp_path) as (deployment, _):
