Test that a draining server is noticed after a restore

Lists of servers with a revision lower than the last one are ignored, so after a restore a server that reports draining keeps its statements.

--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -372,6 +372,19 @@
             await asyncio.sleep(3)
             assert ("vms", "vm-0") in deployment.store.objects
 
+    async def test_draining_server_is_noticed_though_the_revision_went_back(
+        self, tmp_path
+    ):
+        """Guards against statements to a server that leaves, as its entry looks old."""
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            await asyncio.sleep(0.5)
+            raise_revision(deployment.store, 50)
+            await asyncio.sleep(1.5)
+            deployment.store.restore(1.7)
+            deployment.instances[1].state = "draining"
+            await asyncio.sleep(2)
+            assert "event=server_draining server=i-1" in vm.read_output()
+
     async def test_store_without_an_era_is_followed(self, tmp_path):
         """Guards against a VM that takes a missing header for a restore or an error."""
         async with run_deployment(tmp_path, era=None) as (deployment, (vm,)):
