--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -385,6 +385,28 @@
             await asyncio.sleep(2)
             assert "event=server_draining server=i-1" in vm.read_output()
 
+    async def test_fence_token_is_greater_than_before_the_restore(self, tmp_path):
+        """Guards against two promotions whose order their tokens don't show."""
+        async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+            loop, store = asyncio.get_running_loop(), deployment.store
+            client, _ = await Client.connect(vms[0].ports[0], "orders")
+            await asyncio.sleep(0.5)
+            copied_at = loop.time()
+            raise_revision(store, 50)
+            tokens = []
+            for number in range(2):
+                primary = deployment.group.leader
+                await primary.stop()
+                lines = await execute_until_done(client, f"WRITE x {number}", 8)
+                assert lines[0].startswith("COMPLETE")
+                tokens.append(store.promotions[-1][3])
+                if number == 0:
+                    await primary.start()
+                    await asyncio.sleep(1)
+                    store.restore(loop.time() - copied_at)
+                    await asyncio.sleep(1)
+            assert tokens[0] < tokens[1]
+
     async def test_store_without_an_era_is_followed(self, tmp_path):
         """Guards against a VM that takes a missing header for a restore or an error."""
         async with run_deployment(tmp_path, era=None) as (deployment, (vm,)):
