Let the store's stand-in cut off a call whose caller has gone

Cause, seen in the soak: a watch whose caller was killed has no connection any more when the store is restored, and the stand-in failed with an AttributeError.

--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -446,7 +446,7 @@
 
     async def _lose_answer(self, request: web.Request, seconds: float) -> None:
         await request.read()
-        request.transport.abort()
+        _cut_off(request)
         await asyncio.sleep(seconds)
 
     async def _list(self, request: web.Request) -> web.Response:
@@ -477,7 +477,7 @@
         deadline = asyncio.get_running_loop().time() + wait
         while True:
             if restores != self._restores:
-                request.transport.abort()
+                _cut_off(request)
                 return web.Response(status=503)
             events = []
             for revision, k, item in self.history:
@@ -551,6 +551,12 @@
         return web.Response(status=409)
 
 
+def _cut_off(request: web.Request) -> None:
+    """Abort a request's connection unless the caller has closed it."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 def make_configuration(version: int, routes: dict[str, str]) -> dict:
     """Return a configuration with one route for each database name and type."""
     listed = []
