Restore the store in the soak

After the faults the store is restored once more and the primary leaves. Checked besides: a VM in touch for 4 s serves a route 3 s after it was added; an instance that leaves in calm gets no statement after 7 s; fence tokens never decrease, and no two VMs use the same one.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,12 +30,19 @@
         help="duration of fault injection for each seed",
     )
     parser.add_argument("--vms", type=int, default=3)
+    parser.add_argument(
+        "--restores",
+        action="store_true",
+        help="also restore the store, delay writes, drain servers and change routes",
+    )
     options = parser.parse_args()
     first, _, last = options.seeds.partition(":")
     broken = 0
     for seed in range(int(first), int(last or int(first) + 1)):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = Soak(seed=seed, vms=options.vms, folder=folder)
+        soak = Soak(
+            seed=seed, vms=options.vms, folder=folder, restores=options.restores
+        )
         report = asyncio.run(soak.run(options.seconds))
         print(f"seed={seed} {report} logs={folder}", flush=True)
         for violation in soak.violations:
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -4,11 +4,20 @@
 import contextlib
 import random
 import signal
+import time
 from pathlib import Path
 
 import yaml
 
-from .standins import Client, Deployment, find_ports, spawn_vm
+from .standins import (
+    ROUTES,
+    Client,
+    Deployment,
+    Instance,
+    find_ports,
+    make_configuration,
+    spawn_vm,
+)
 
 NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Error codes which state that the statement has no lasting effect."""
@@ -16,6 +25,15 @@
 KEYS = 6
 """Number of keys; each has one writer."""
 
+CONTACT_PERIOD = 4.0
+"""Seconds without a disturbance after which the bounds of time hold for a VM."""
+
+CONFIGURATION_PERIOD = 3.0
+"""Seconds after which a configuration must be in force."""
+
+DRAIN_PERIOD = 7.0
+"""Seconds after which a draining instance must get no more statements."""
+
 
 class Link:
     """A loopback proxy whose connections can be delayed, reset, refused or blocked.
@@ -93,9 +111,21 @@
         self.ports = ports
         self.output = output
         self.process: asyncio.subprocess.Process | None = None
+        self.disturbed_until = 0.0
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the VM and its way to the store have been undisturbed for a while."""
+        return time.monotonic() >= self.disturbed_until + CONTACT_PERIOD
+
+    def disturb(self, seconds: float) -> None:
+        """Record a disturbance that lasts for some seconds from now."""
+        until = time.monotonic() + seconds
+        self.disturbed_until = max(self.disturbed_until, until)
 
     async def start(self) -> None:
         """Start the program."""
+        self.disturb(1)
         self.process = await spawn_vm(self.path, self.output)
 
     def send(self, number: int) -> None:
@@ -117,13 +147,19 @@
         seed: decides the faults and their times.
         vms: number of VM processes.
         folder: directory for settings files and logs.
+        restores: whether the store is restored from older copies, while instances
+            leave and the configuration changes.
     """
 
-    def __init__(self, *, seed: int, vms: int, folder: Path) -> None:
+    def __init__(
+        self, *, seed: int, vms: int, folder: Path, restores: bool = False
+    ) -> None:
         self._random = random.Random(seed)
         self._folder = folder
         self._deployment = Deployment()
         self._count = vms
+        self._restores = restores
+        self._injecting = True
         self._vms: list[VmProcess] = []
         self._links: list[Link] = []
         self._store_links: list[Link] = []
@@ -140,6 +176,8 @@
         tasks = [asyncio.create_task(self._write(i)) for i in range(KEYS)]
         tasks += [asyncio.create_task(self._read(i)) for i in range(KEYS)]
         tasks.append(asyncio.create_task(self._restart_exited_vms()))
+        if self._restores:
+            tasks.append(asyncio.create_task(self._change_routes()))
         injection = asyncio.create_task(self._inject_faults())
         await asyncio.sleep(seconds)
         injection.cancel()
@@ -152,6 +190,7 @@
         for task in tasks:
             task.cancel()
         self._check_writes()
+        self._check_promotions()
         await self._stop()
         return " ".join(f"{key}={value}" for key, value in self.counts.items())
 
@@ -212,6 +251,13 @@
             self._disturb_store,
             self._crash_instance,
         )
+        if self._restores:
+            faults += (
+                self._restore_store,
+                self._drain_instance,
+                self._delay_writes,
+                self._crash_primary,
+            )
         running: set[asyncio.Task] = set()
         try:
             while True:
@@ -225,23 +271,28 @@
 
     async def _signal_vm(self) -> None:
         numbers = (signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
-        self._random.choice(self._vms).send(self._random.choice(numbers))
+        vm = self._random.choice(self._vms)
+        vm.disturb(0)
+        vm.send(self._random.choice(numbers))
 
     async def _pause_vm(self) -> None:
         vm = self._random.choice(self._vms)
         vm.send(signal.SIGSTOP)
+        seconds = self._random.uniform(0.2, 4.0)
+        vm.disturb(seconds)
         try:
-            await asyncio.sleep(self._random.uniform(0.2, 4.0))
+            await asyncio.sleep(seconds)
         finally:
             vm.send(signal.SIGCONT)
 
     async def _disturb_link(self) -> None:
-        await self._disturb(self._random.choice(self._links))
+        await self._disturb(self._random.choice(self._links), ())
 
     async def _disturb_store(self) -> None:
-        await self._disturb(self._random.choice(self._store_links))
+        index = self._random.randrange(len(self._vms))
+        await self._disturb(self._store_links[index], (self._vms[index],))
 
-    async def _disturb(self, link: Link) -> None:
+    async def _disturb(self, link: Link, vms: tuple[VmProcess, ...]) -> None:
         way = self._random.choice(("delay", "reset", "up", "down", "both", "refuse"))
         if way == "reset":
             link.reset()
@@ -254,11 +305,19 @@
         else:
             for each in ("up", "down") if way == "both" else (way,):
                 link.blocked[each] = True
-        await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        seconds = self._random.uniform(0.5, 5.0)
+        for vm in vms:
+            vm.disturb(seconds)
+        await asyncio.sleep(seconds)
         link.heal()
 
     async def _crash_instance(self) -> None:
-        instance = self._random.choice(self._deployment.instances)
+        await self._crash(self._random.choice(self._deployment.instances))
+
+    async def _crash_primary(self) -> None:
+        await self._crash(self._deployment.group.leader)
+
+    async def _crash(self, instance: Instance) -> None:
         if not instance.running:
             return
         await instance.stop()
@@ -267,7 +326,82 @@
         finally:
             await instance.start()
 
+    async def _restore_store(self) -> None:
+        store = self._deployment.store
+        if store.down:
+            return
+        seconds, delay = self._random.uniform(0.1, 2.0), self._random.uniform(0, 1.5)
+        for vm in self._vms:
+            vm.disturb(seconds + delay)
+        store.down = True
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            store.restore(self._random.uniform(0.5, 12.0), delay=delay)
+            store.down = False
+
+    async def _delay_writes(self) -> None:
+        store = self._deployment.store
+        store.write_delay = self._random.uniform(0.5, 6.0)
+        seconds = self._random.uniform(0.2, 2.0)
+        for vm in self._vms:
+            vm.disturb(seconds)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            store.write_delay = None
+
+    async def _drain_instance(self) -> None:
+        await self._drain(self._random.choice(self._deployment.instances))
+
+    async def _drain(self, instance: Instance) -> None:
+        """Have an instance announce that it leaves; check how long it is used."""
+        states = {i.state for i in self._deployment.instances if i.running}
+        if self._deployment.store.down or states != {"ready"} or not instance.running:
+            return
+        instance.state = "draining"
+        self._deployment.store.refresh()
+        injecting = self._injecting
+        try:
+            await asyncio.sleep(DRAIN_PERIOD)
+            executed = len(instance.executed)
+            await asyncio.sleep(1)
+            if len(instance.executed) > executed and not injecting:
+                self.violations.append(f"{instance.name}: still used while draining")
+        finally:
+            instance.state = "ready"
+
+    async def _change_routes(self) -> None:
+        """Add routes; each VM that is in touch must serve them in time.
+
+        Objects that no VM reads change as well, in bursts: they raise the revision.
+        """
+        routes = dict(ROUTES)
+        added: list[tuple[float, str]] = []
+        store = self._deployment.store
+        while self._running:
+            if not store.down and self._random.random() < 0.1:
+                added.append((time.monotonic(), f"r{len(added)}"))
+                routes[added[-1][1]] = "primary"
+                version = 1 + len(added)
+                store.put("config", "main", make_configuration(version, routes))
+            if self._injecting and self._random.random() < 0.1:
+                for number in range(self._random.randrange(100)):
+                    store.put("notes", "n", number)
+            await asyncio.sleep(0.2)
+            latest = time.monotonic() - CONFIGURATION_PERIOD
+            due = [route for at, route in added if at <= latest]
+            vm = self._random.choice(self._vms)
+            if not due or not vm.in_touch:
+                continue
+            with contextlib.suppress(OSError, TimeoutError):
+                client, first_line = await Client.connect(vm.ports[0], due[-1])
+                client.close()
+                if first_line.startswith("ERROR NODB") and vm.in_touch:
+                    self.violations.append(f"{vm.name}: {due[-1]} is not in force")
+
     async def _heal_all(self) -> None:
+        self._injecting = False
         for link in self._links + self._store_links:
             link.heal()
         for vm in self._vms:
@@ -278,8 +412,13 @@
                 await instance.start()
 
     async def _check_recovery(self) -> None:
+        checks = [asyncio.sleep(12)]
+        if self._restores:
+            await self._restore_store()
+            await asyncio.sleep(CONTACT_PERIOD)
+            checks.append(self._drain(self._deployment.group.leader))
         before = self.counts["done"]
-        await asyncio.sleep(12)
+        await asyncio.gather(*checks)
         if self.counts["done"] - before < 10:
             self.violations.append(
                 "recovery: fewer than 10 answers in 12 s after the faults"
@@ -388,3 +527,16 @@
             if place in self._reported_not_run:
                 code = self._reported_not_run[place]
                 self.violations.append(f"{place}: took effect despite {code}")
+
+    def _check_promotions(self) -> None:
+        highest, holder = 0, ""
+        promotions = self._deployment.store.promotions
+        self.counts["promotions"] = len(promotions)
+        for vm, _, server, token in promotions:
+            if token < highest or token == highest and vm != holder:
+                self.violations.append(
+                    f"{vm} promoted {server} with token {token} after {holder} used "
+                    f"{highest}"
+                )
+            if token > highest:
+                highest, holder = token, vm
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -17,6 +17,13 @@
 
 ROOT = Path(__file__).parent.parent.parent
 
+ROUTES = {
+    "orders": "primary",
+    "views": "bounded_staleness",
+    "crew": "read_own_writes",
+}
+"""Types of the routes of the first configuration, by database."""
+
 MAX_COPIES = 2000
 """Number of changes of the store after which the oldest copy is dropped."""
 
@@ -620,12 +627,7 @@
     def publish(self) -> None:
         """Write the entries of the instances and the first configuration."""
         self.store.refresh()
-        routes = {
-            "orders": "primary",
-            "views": "bounded_staleness",
-            "crew": "read_own_writes",
-        }
-        self.store.put("config", "main", make_configuration(1, routes))
+        self.store.put("config", "main", make_configuration(1, ROUTES))
 
     async def stop(self) -> None:
         """Stop the instances and the store."""
