--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -10,3 +10,10 @@
         await soak.run(6)
         assert soak.violations == []
         assert soak.counts["done"] > 100
+
+    async def test_short_run_with_restores_has_no_violations(self, tmp_path):
+        """Guards against the same while the store returns to older copies."""
+        soak = Soak(seed=4, vms=2, folder=tmp_path, restores=True)
+        await soak.run(6)
+        assert soak.violations == []
+        assert soak.counts["done"] > 100
