Let the stand-ins of the store be restored from a copy

Trials could stop the store, but not bring it back from an older copy, so nothing played revisions that go back and are given out again.

Both stand-ins can be restored now. The trial store names its era in the header Revision-Era once it has risen, and refuses a write that is conditional on another era. A store that sends no such header has era 0, as before.

--- a/src/siskinhold/store/_objects.py
+++ b/src/siskinhold/store/_objects.py
@@ -54,11 +54,13 @@
         key: key of the object.
         value: encoded value.
         expected_version: current version; 0 if the object must be absent.
+        expected_era: era of that version; 0 if the write is not conditional on it.
     """
 
     key: str
     value: bytes
     expected_version: int
+    expected_era: int = 0
 
 
 StoreCall = ReadObject | ListObjects | WriteObject
@@ -71,8 +73,11 @@
         failure: None on success.
         objects: the objects read, or the object written.
         revision: the store-wide revision that the answer reflects.
+        era: rises each time the store is restored from a copy; 0 if the store has
+            no eras. Revisions and versions compare within one era only.
     """
 
     failure: StoreFailure | None = None
     objects: tuple[StoredObject, ...] = ()
     revision: int = 0
+    era: int = 0
--- a/src/siskinhold_trial/fakes/_store.py
+++ b/src/siskinhold_trial/fakes/_store.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from functools import partial
 
+import msgspec
+
 from siskinhold import effects, events
 from siskinhold.adapters import Emit, Store
 from siskinhold.model import VmAddress
@@ -60,6 +62,7 @@
         self.calls: Counter[str] = Counter()
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
+        self.era = 0
         self.watchers: set["FakeStoreClient"] = set()
         self._vms: dict[str, tuple[VmAddress, bool]] = {}
 
@@ -82,8 +85,29 @@
         for watcher in list(self.watchers):
             watcher.deliver()
 
+    def save_copy(self) -> tuple[dict[str, StoredObject], int]:
+        """Return a copy of the objects and the revision for `load_copy`."""
+        return dict(self.objects), self.revision
+
+    def load_copy(
+        self, copy: tuple[dict[str, StoredObject], int], *, raise_era: bool
+    ) -> None:
+        """Replace all objects by a copy; its revisions and versions are in force again.
+
+        Args:
+            raise_era: whether the era rises. It stays 0 in a store without eras.
+        """
+        objects, self.revision = copy
+        self.objects = dict(objects)
+        self.era += raise_era
+        for watcher in list(self.watchers):
+            watcher.deliver()
+
     def execute(self, operation: StoreCall) -> StoreResult:
         """Execute a call without latency or faults."""
+        return msgspec.structs.replace(self._execute(operation), era=self.era)
+
+    def _execute(self, operation: StoreCall) -> StoreResult:
         if isinstance(operation, ReadObject):
             self.calls["read"] += 1
             found = self.objects.get(operation.key)
@@ -111,7 +135,8 @@
             return self._make_failure(StoreFailure.REJECTED)
         old = self.objects.get(operation.key)
         version = old.version if old is not None else 0
-        if version != operation.expected_version:
+        stale = operation.expected_era not in (0, self.era)
+        if stale or version != operation.expected_version:
             return self._make_failure(StoreFailure.CONFLICT)
         self.revision += 1
         stored = StoredObject(
--- a/src/siskinhold_trial/store/_engine.py
+++ b/src/siskinhold_trial/store/_engine.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from msgspec import Struct
 from sortedcontainers import SortedDict
 
 from siskinhold.store import (
@@ -23,11 +24,18 @@
 Listener = Callable[[], None]
 
 
+class StoreCopy(Struct, frozen=True, kw_only=True):
+    """All objects of a store at one revision."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
 class StoreEngine:
     """Objects with versions, a store-wide revision and conditional updates.
 
     Every accepted write increments the revision and is visible to all later
-    calls. Objects are never deleted.
+    calls. Objects are never deleted. Only a restored copy takes writes back.
 
     >>> engine = StoreEngine()
     >>> write = WriteObject(key="ticket/1", value=b"a", expected_version=0)
@@ -43,6 +51,27 @@
         self._keys_by_revision: SortedDict = SortedDict()
         self._listeners: list[Listener] = []
         self.revision = 0
+        self.era = 0
+
+    def save_copy(self) -> StoreCopy:
+        """Return a copy of all objects for `restore`."""
+        return StoreCopy(objects=tuple(self._objects.values()), revision=self.revision)
+
+    def restore(self, copy: StoreCopy, *, raise_era: bool) -> None:
+        """Replace all objects by a copy; its revisions and versions are in force again.
+
+        Args:
+            raise_era: whether the era rises. It stays 0 in a store without eras.
+        """
+        self._objects.clear()
+        self._keys_by_revision.clear()
+        for stored in copy.objects:
+            self._objects[stored.key] = stored
+            self._keys_by_revision[stored.revision] = stored.key
+        self.revision = copy.revision
+        self.era += raise_era
+        for listener in tuple(self._listeners):
+            listener()
 
     def call(self, operation: StoreCall) -> StoreResult:
         """Execute a call; a list is returned in one page."""
@@ -88,7 +117,8 @@
             return StoreResult(failure=StoreFailure.REJECTED, revision=self.revision)
         current = self._objects.get(operation.key)
         version = current.version if current else 0
-        if version != operation.expected_version:
+        stale = operation.expected_era not in (0, self.era)
+        if stale or version != operation.expected_version:
             return StoreResult(
                 failure=StoreFailure.CONFLICT,
                 objects=(current,) if current else (),
--- a/src/siskinhold_trial/store/_server.py
+++ b/src/siskinhold_trial/store/_server.py
@@ -9,7 +9,7 @@
 from ._control import ControlRoutes
 from ._engine import MAX_VALUE_BYTES, StoreEngine
 from ._faults import Outage, StoreFaults
-from ._service import ServiceRoutes, refuse_malformed
+from ._service import ERA_HEADER, ServiceRoutes, refuse_malformed
 from ._vm_list import VmList
 
 # Seconds between checks whether the connection of a withheld call has closed.
@@ -147,6 +147,8 @@
         if self.faults.down is not Outage.NO:
             await self._withhold(request)
         response = await handler(request)
+        if self.engine.era:
+            response.headers[ERA_HEADER] = str(self.engine.era)
         if self.faults.down is not Outage.NO:
             await self._withhold(request)
         if kind == "write" and response.status == 200:
--- a/src/siskinhold_trial/store/_service.py
+++ b/src/siskinhold_trial/store/_service.py
@@ -9,6 +9,10 @@
     GET  /v1/vms                                        VmListing
     POST /v1/vms                                        VmListing; body: VmAddress
 
+A store with eras names its era in the header `Revision-Era` of each answer. It rises
+each time the store is restored from a copy. A POST of an object may carry the header
+too; the store refuses it as a conflict if its era is another one.
+
 The status is 200 on success, 404 for an absent object, 409 for a conflict (the
 answer holds the current object, if there is one) and 400 for a rejected call.
 A write is a POST so that no HTTP client library retries it on its own.
@@ -35,6 +39,7 @@
 # A longer wait is reduced to this limit, so that the watch of a client that
 # disappeared without closing its connection ends.
 MAX_WATCH_WAIT_MS = 60_000
+ERA_HEADER = "Revision-Era"
 
 _STATUS = {
     None: 200,
@@ -108,6 +113,7 @@
             key=request.query["key"],
             value=await request.read(),
             expected_version=int(request.query["expected_version"]),
+            expected_era=int(request.headers.get(ERA_HEADER, "0")),
         )
         return _answer_result(self._engine.call(operation))
 
--- a/tests/test_store_standin.py
+++ b/tests/test_store_standin.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 from hypothesis import given, settings, strategies as st
+from msgspec.structs import replace
 from store_samples import make_address, started, write
 
 from siskinhold.store import ListObjects, ReadObject, StoreFailure
@@ -72,6 +73,24 @@
             seen[item.key] = item.version
         return result.revision
 
+    def test_restored_copy(self):
+        """Writes after the copy are gone and their numbers are given out again.
+
+        Guards against trials of a restored store that loses nothing.
+        """
+        engine = StoreEngine()
+        engine.call(write("a", b"1", 0))
+        copy = engine.save_copy()
+        engine.call(write("a", b"2", 1))
+        engine.call(write("b", b"1", 0))
+        engine.restore(copy, raise_era=True)
+        assert engine.call(ReadObject(key="b")).failure is StoreFailure.NOT_FOUND
+        assert engine.changes("", after=0).objects == copy.objects
+        old_era = replace(write("a", b"3", 1), expected_era=5)
+        assert engine.call(old_era).failure is StoreFailure.CONFLICT
+        written = engine.call(write("a", b"3", 1)).objects[0]
+        assert (written.version, written.revision, engine.era) == (2, 2, 1)
+
     def test_limits(self):
         """A value has at most 1 MB; guards against trials with values that the
         platform's store would reject."""
@@ -130,6 +149,17 @@
         assert (await session.get(f"{server.url}/v1/vms")).status == 200
         assert (await session.put(url, json={"dwon": "refuse"})).status == 400
 
+    async def test_era(self, server, session):
+        """Answers name the era once it has risen; guards against hidden restores."""
+        url = f"{server.url}/v1/object?key=a"
+        assert "Revision-Era" not in (await session.get(url)).headers
+        server.engine.restore(server.engine.save_copy(), raise_era=True)
+        assert (await session.get(url)).headers["Revision-Era"] == "1"
+        post = f"{url}&expected_version=0"
+        headers = {"Revision-Era": "2"}
+        assert (await session.post(post, headers=headers)).status == 409
+        assert (await session.post(post)).status == 200
+
     async def test_vm_list(self, server, session):
         """Only a registered VM can leave; guards against accepting a misspelt name."""
         await session.post(f"{server.url}/v1/vms", data=msgspec.json.encode(VM))
