Discard a watch of the store that was restored from a copy

Callers could see a change that the store had accepted and that never came into force: after a restore the store's revision is lower than the watch's. The client took each answer for a protocol error and retried until the revisions had caught up, and then went on behind them. The changes with the revisions in between were given out again and missed until the next one left a gap.

An answer from another era, or with a lower revision, ends the watch now. The watcher lists tickets and term records again and watches from there. Answers of two eras are never joined to one list. The era comes in the optional header Revision-Era; a store without it counts as of era 0 and is noticed by its lower revision only.

--- a/src/siskinhold/adapters/_store.py
+++ b/src/siskinhold/adapters/_store.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from .. import effects
-from ..events import StoreAnswered, StoreChanged, VmListReported
+from ..events import StoreAnswered, StoreChanged, StoreRestored, VmListReported
 from ..model import VmAddress
 from ..store import StoreFailure
 from ._interfaces import Emit, Store
@@ -86,10 +86,13 @@
         """Start a watch, replacing the current one.
 
         Emits `StoreChanged` for changes, and without objects if only the store's
-        revision has increased.
+        revision has increased. Ends with `StoreRestored` if the store was restored
+        from a copy.
         """
         self.unwatch()
-        self._watch_task = self._spawn(self._run_watch(effect.prefix, effect.after))
+        self._watch_task = self._spawn(
+            self._run_watch(effect.prefix, effect.after, effect.era)
+        )
 
     def unwatch(self) -> None:
         """End the watch, if there is one."""
@@ -141,8 +144,11 @@
             )
         )
 
-    async def _run_watch(self, prefix: str, after: int) -> None:
-        """Watch for changes until cancelled; emits `StoreChanged` for each revision."""
+    async def _run_watch(self, prefix: str, after: int, era: int) -> None:
+        """Watch for changes; emits `StoreChanged` for each revision.
+
+        Runs until it is cancelled or the store was restored.
+        """
         failures = 0
         while True:
             result = await self._client.changes(
@@ -157,12 +163,18 @@
                 continue
             failures = 0
             changes = result.ok_value
+            if changes.era != era or changes.revision < after:
+                self._emit(StoreRestored(at=self._loop.time(), era=changes.era))
+                return
             if changes.revision == after:
                 continue
             after = changes.revision
             self._emit(
                 StoreChanged(
-                    at=self._loop.time(), objects=changes.objects, revision=after
+                    at=self._loop.time(),
+                    objects=changes.objects,
+                    revision=after,
+                    era=era,
                 )
             )
 
--- a/src/siskinhold/adapters/_store_client.py
+++ b/src/siskinhold/adapters/_store_client.py
@@ -30,6 +30,9 @@
 # Limit for all pages of one list: bounds the memory of a VM however large the store is.
 MAX_LIST_BYTES = 48_000_000
 
+# Header of the store's era. A store without eras sends none and counts as of era 0.
+ERA_HEADER = "Revision-Era"
+
 _FAILURES = {
     404: StoreFailure.NOT_FOUND,
     409: StoreFailure.CONFLICT,
@@ -45,6 +48,7 @@
     objects: tuple[StoredObject, ...]
     revision: int
     more: bool
+    era: int = 0
 
 
 class VmListing(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,7 +175,9 @@
             "key": operation.key,
             "expected_version": str(operation.expected_version),
         }
-        result = await self._request("POST", "object", query, operation.value)
+        result = await self._request(
+            "POST", "object", query, operation.value, era=operation.expected_era
+        )
         for stored in result.objects:
             _require(stored.key == operation.key)
         if result.failure is None:
@@ -183,27 +189,30 @@
     async def _list(self, operation: ListObjects) -> StoreResult:
         """Read all pages of a list; fails if they exceed the limit."""
         objects: list[StoredObject] = []
-        revision: int | None = None
+        first: ListPage | None = None
         size = 0
         more = True
         while more:
             page = await self._read_page(operation.prefix, objects)
+            first = first or page
+            _require(page.era == first.era and page.revision >= first.revision)
             objects.extend(page.objects)
             size += sum(len(stored.value) for stored in page.objects)
             _require(size <= self._max_list_bytes)
-            # The list counts as of the first page's revision, so that a watch from
-            # there also delivers changes made between two pages.
-            revision = page.revision if revision is None else revision
             more = page.more
-        return StoreResult(objects=tuple(objects), revision=revision)
+        # The list counts as of the first page's revision, so that a watch from there
+        # also delivers changes made between two pages.
+        return StoreResult(
+            objects=tuple(objects), revision=first.revision, era=first.era
+        )
 
     async def _read_page(self, prefix: str, before: list[StoredObject]) -> ListPage:
         """Read the page of a list that follows the objects `before`."""
         last = before[-1].key if before else ""
         query = {"prefix": prefix, "start_after": last}
-        status, body = await self._exchange("GET", "objects", query)
+        status, body, era = await self._exchange("GET", "objects", query)
         _require(status == 200)
-        page = _decode(body, ListPage)
+        page = msgspec.structs.replace(_decode(body, ListPage), era=era)
         _require(bool(page.objects) or not page.more)
         for stored in page.objects:
             _require(stored.key.startswith(prefix) and stored.key > last)
@@ -211,14 +220,17 @@
         return page
 
     async def _read_changes(self, prefix: str, after: int, wait: float) -> StoreResult:
-        """Read changes and check that they match the request and are in order."""
+        """Read changes and check that they match the request and are in order.
+
+        The revision of a store restored from a copy may be lower than `after`.
+        """
         query = {
             "prefix": prefix,
             "after": str(after),
             "wait_ms": str(round(wait * 1000)),
         }
         result = await self._request("GET", "changes", query)
-        _require(result.failure is None and result.revision >= after)
+        _require(result.failure is None)
         last = after
         for stored in result.objects:
             _require(stored.key.startswith(prefix))
@@ -227,30 +239,48 @@
         return result
 
     async def _read_vms(self) -> VmListing:
-        status, body = await self._exchange("GET", "vms", {})
+        status, body, _ = await self._exchange("GET", "vms", {})
         _require(status == 200)
         return _decode(body, VmListing)
 
     async def _register_vm(self, address: VmAddress) -> VmListing:
         data = msgspec.json.encode(address)
-        status, body = await self._exchange("POST", "vms", {}, data)
+        status, body, _ = await self._exchange("POST", "vms", {}, data)
         _require(status == 200)
         return _decode(body, VmListing)
 
     async def _request(
-        self, method: str, path: str, query: dict[str, str], data: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        data: bytes | None = None,
+        *,
+        era: int = 0,
     ) -> StoreResult:
-        """Make a call; return its result, whose failure must match the status."""
-        status, body = await self._exchange(method, path, query, data)
+        """Make a call; return its result, whose failure must match the status.
+
+        Args:
+            era: era on which the call is conditional; 0 for none.
+        """
+        status, body, answered = await self._exchange(
+            method, path, query, data, era=era
+        )
         _require(status == 200 or status in _FAILURES)
         result = _decode(body, StoreResult)
         _require(result.failure is _FAILURES.get(status))
-        return result
+        return msgspec.structs.replace(result, era=answered)
 
     async def _exchange(
-        self, method: str, path: str, query: dict[str, str], data: bytes | None = None
-    ) -> tuple[int, bytes]:
-        """Send a request; return the status and the body of its response."""
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        data: bytes | None = None,
+        *,
+        era: int = 0,
+    ) -> tuple[int, bytes, int]:
+        """Send a request; return the status, body and era of its response."""
         if self._session is None:
             raise MalformedAnswer("the client is not started")
         async with self._session.request(
@@ -258,10 +288,12 @@
             self._base / "v1" / path,
             params=query,
             data=data,
+            headers={ERA_HEADER: str(era)} if era else None,
             ssl=self._tls,
             allow_redirects=False,
         ) as response:
-            return response.status, await self._read_body(response)
+            answered = int(response.headers.get(ERA_HEADER, "0"))
+            return response.status, await self._read_body(response), answered
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the body of a response; fails if it exceeds the limit."""
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -4,7 +4,7 @@
 record is replaced only by a newer one.
 """
 
-from ..events import PeerReceived, Started, StoreChanged, VmListReported
+from ..events import PeerReceived, Started, StoreChanged, StoreRestored, VmListReported
 from ..messages import Heartbeat, TermsPushed, TermsWanted, TicketsPushed, TicketsWanted
 from ..model import ChangeTicket, Database, DatabaseGroup, TermRecord
 from ..store import TERM_PREFIX, TICKET_PREFIX, decode_term, decode_ticket
@@ -25,6 +25,7 @@
     VmListDue,
     catch_up,
     handle_list_answer,
+    handle_restored_store,
     handle_start,
     read_vm_list,
 )
@@ -223,6 +224,7 @@
 EVENTS: dict = {
     Started: handle_start,
     StoreChanged: _handle_store_changes,
+    StoreRestored: handle_restored_store,
     VmListReported: relay_vm_list,
 }
 MESSAGES: dict = {
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ..effects import CallStore, ReadVmList, SendPeer, UnwatchStore, WatchStore
-from ..events import Started
+from ..events import Started, StoreRestored
 from ..messages import TermsWanted
 from ..model import VmState
 from ..store import TERM_PREFIX, TICKET_PREFIX, ListObjects, StoreResult
@@ -140,21 +140,36 @@
         _record_list_failure(node, result, out)
         return False
     revision = result.revision
-    if config.list_revision is not None:
+    if config.list_revision is None:
+        config.list_era = result.era
+    else:
         revision = min(config.list_revision, revision)
     config.list_revision = revision
+    if result.era != config.list_era:
+        # The store was restored between the answers, so no watch can follow on both.
+        config.list_failed = True
     if config.listing or config.list_failed:
         return True
     config.listed = True
     config.list_failures = 0
     if is_watcher(node) and not config.watching:
         config.watching = True
-        out.append(WatchStore(prefix=WATCH_PREFIX, after=revision))
-        detail = (("after", revision),)
+        out.append(WatchStore(prefix=WATCH_PREFIX, after=revision, era=result.era))
+        detail = (("after", revision), ("era", result.era))
         record(out, "watch_started", cause="watcher of the region", detail=detail)
     return True
 
 
+def handle_restored_store(node: NodeState, event: StoreRestored, out: Effects) -> None:
+    """List the restored store again, as the watch's revision means nothing there."""
+    config = node.config
+    config.watching = False
+    config.list_after = node.now
+    record(out, "store_restored", cause="store", detail=(("era", event.era),))
+    if is_watcher(node):
+        _list_store(node, out)
+
+
 def _request_term_records(node: NodeState, out: Effects) -> None:
     """Request the watcher's term records periodically, as a push may be lost."""
     config = node.config
--- a/src/siskinhold/effects/_effects.py
+++ b/src/siskinhold/effects/_effects.py
@@ -173,14 +173,18 @@
     """Watch the store objects with a key prefix until `UnwatchStore`.
 
     Each delivery is a `StoreChanged`. The watch restarts by itself after a failure.
+    It ends with a `StoreRestored` if the store's era is another one or its revision
+    has gone back.
 
     Args:
         prefix: prefix of the keys.
         after: revision after which changes are delivered.
+        era: the store's era of that revision.
     """
 
     prefix: str
     after: int
+    era: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/events/_events.py
+++ b/src/siskinhold/events/_events.py
@@ -214,11 +214,25 @@
     Args:
         objects: the changed objects, in ascending order of revision.
         revision: the revision up to which the watch has delivered.
+        era: the store's era of these versions and revisions.
     """
 
     at: float
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreRestored:
+    """The store has gone back to an older copy, which ended the watch.
+
+    Args:
+        era: the store's era since then; 0 if the store has no eras.
+    """
+
+    at: float
+    era: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -267,6 +281,7 @@
     | ControlAnswered
     | StoreAnswered
     | StoreChanged
+    | StoreRestored
     | VmListReported
     | TimeAdvanced
     | Started
--- a/src/siskinhold_trial/fakes/_store.py
+++ b/src/siskinhold_trial/fakes/_store.py
@@ -221,10 +221,14 @@
         watch = self._watch
         if watch is None or self._store.down or not self._is_open():
             return
+        era, revision = self._store.era, self._store.revision
+        if era != watch.era or revision < self._delivered_revision:
+            delay = self._measure_delay() + self._store.latency
+            self.world.call_later(delay, self._emit_restored, watch, era)
+            return
         objects = self._store.find_changed(watch.prefix, self._delivered_revision)
         if not objects:
             return
-        revision = self._store.revision
         self._delivered_revision = revision
         self._store.calls["watch"] += 1
         due = self.world.now() + self._measure_delay() + self._store.latency
@@ -245,7 +249,14 @@
                 self._delivered_revision, objects[0].revision - 1
             )
             return
-        self.emit(events.StoreChanged, objects=objects, revision=revision)
+        self.emit(
+            events.StoreChanged, objects=objects, revision=revision, era=watch.era
+        )
+
+    def _emit_restored(self, watch: effects.WatchStore, era: int) -> None:
+        if watch is self._watch and self._is_open():
+            self.unwatch()
+            self.emit(events.StoreRestored, era=era)
 
     def _call_store(self, run_in_store: Callable, report: Callable) -> None:
         def reach() -> None:
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,58 @@
+"""Tests of a store that goes back to an older copy, on simulated time."""
+
+import asyncio
+
+import looptime
+import pytest
+
+from siskinhold.store import WriteObject
+from siskinhold_trial.fleet import CRANNOG, Fleet
+
+both_kinds = pytest.mark.parametrize("raise_era", [False, True])
+
+
+def run(scenario):
+    """Run a scenario on a started fleet of three VMs and return its result."""
+
+    async def play():
+        fleet = Fleet(deployment=CRANNOG, seed=3, vm_count=3)
+        await fleet.start()
+        await asyncio.sleep(1.0)
+        result = await scenario(fleet)
+        await fleet.stop()
+        return result
+
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
+    try:
+        return loop.run_until_complete(play())
+    finally:
+        loop.close()
+
+
+async def restore(fleet, copy, *, raise_era):
+    """Bring the store back from a copy after an outage of 1 s."""
+    fleet.store.down = True
+    await asyncio.sleep(1.0)
+    fleet.store.load_copy(copy, raise_era=raise_era)
+    fleet.store.restore()
+
+
+class TestWatch:
+    @both_kinds
+    def test_ticket_after_the_restore_comes_into_force(self, raise_era):
+        """Guards against a watch that misses changes with revisions given out again."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            for version in range(4):
+                write = WriteObject(key="t", value=b"v", expected_version=version)
+                fleet.store.execute(write)
+            await asyncio.sleep(1.0)
+            await restore(fleet, copy, raise_era=raise_era)
+            await asyncio.sleep(3.0)
+            number = fleet.accept_ticket(fleet.group)
+            await asyncio.sleep(3.0)
+            return number, [vm.node.config.applied for vm in fleet.list_running()]
+
+        number, applied = run(scenario)
+        assert applied == [number] * 3
--- a/tests/test_store_adapter.py
+++ b/tests/test_store_adapter.py
@@ -17,7 +17,7 @@
 
 from siskinhold.adapters import HttpStore, StoreClient
 from siskinhold.effects import CallStore, WatchStore
-from siskinhold.events import StoreChanged, VmListReported
+from siskinhold.events import StoreChanged, StoreRestored, VmListReported
 from siskinhold.store import ListObjects, ReadObject, StoreFailure
 from siskinhold_trial.store import Outage, StoreEngine, StoreFaults, StoreServer, VmList
 
@@ -171,6 +171,22 @@
         await server.set_faults(StoreFaults())
         assert await harness.collect_keys(60) == [f"t/{n}" for n in range(60)]
 
+    @pytest.mark.parametrize("raise_era", [False, True])
+    async def test_restored_store(self, server, harness, raise_era):
+        """Guards against a watch that goes on from a revision which the restored store
+        has not given out yet, or has given out for another change."""
+        copy = server.engine.save_copy()
+        harness.store.watch(WatchStore(prefix="t/", after=0))
+        for number in range(3):
+            server.engine.call(write(f"t/{number}"))
+        await harness.collect_keys(3)
+        server.engine.restore(copy, raise_era=raise_era)
+        for number in range(5 if raise_era else 2):
+            server.engine.call(write(f"t/{number}"))
+        event = await harness.next()
+        assert isinstance(event, StoreRestored)
+        assert event.era == raise_era
+
     async def test_replaced_watch_emits_nothing(self, server, harness):
         """A replaced or ended watch emits nothing; guards against two watches."""
         harness.store.watch(WatchStore(prefix="t/", after=0))
