Promote again after the store has gone back to an older term record

Callers lost a database for good: when its primary failed after the store had been restored, every promotion was abandoned. The owner's write expected the version that it had read before, the store held a lower one, and the older record that it read back was ignored together with its version. If the record was gone altogether, the write was repeated without end.

The known versions belong to one era and are discarded with it. A version that has gone back discards the known one as well, as the store may have no eras. The version of an older stored record is kept beside the newer known record, so that the next write replaces it. Whether an unanswered write may be repeated is decided by the record and no longer by its version, which may have been given out again.

--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -28,6 +28,7 @@
         phase: its current step.
         fenced: status of each fenced server, by server name.
         pending_fences: number of fence commands that are not answered yet.
+        base: the term record that the current or last write replaces.
         written: the term record of the current or last write to the store.
     """
 
@@ -39,6 +40,7 @@
     phase: Phase = Phase.RESERVING
     fenced: dict[str, ServerStatus] = field(default_factory=dict)
     pending_fences: int = 0
+    base: TermRecord | None = None
     written: TermRecord | None = None
 
 
--- a/src/siskinhold/core/_first_records.py
+++ b/src/siskinhold/core/_first_records.py
@@ -57,7 +57,8 @@
     """Store and push the written record, or read the one that another VM wrote."""
     result = event.result
     if result.failure is None:
-        learn_term_record(node, purpose.written, result.objects[0].version, out)
+        version = result.objects[0].version
+        learn_term_record(node, purpose.written, version, out, era=result.era)
         push_term_records(node, [purpose.written], out)
         return
     if result.failure is StoreFailure.CONFLICT:
@@ -75,7 +76,8 @@
     stored = event.result.objects[0]
     decoded = decode_term(stored.key, stored.value)
     if decoded.is_ok():
-        learn_term_record(node, decoded.unwrap(), stored.version, out)
+        era = event.result.era
+        learn_term_record(node, decoded.unwrap(), stored.version, out, era=era)
 
 
 EVENTS: dict = {}
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -15,6 +15,7 @@
 from ..store import (
     ReadObject,
     StoreFailure,
+    StoreResult,
     WriteObject,
     decode_term,
     encode_term,
@@ -131,6 +132,7 @@
         term=attempt.term,
     )
     reservation = Reservation(term=attempt.term, vm=node.identity.name, run=run)
+    attempt.base = term_record
     attempt.written = msgspec.structs.replace(term_record, reservation=reservation)
     node.timers.schedule(
         node.now + ATTEMPT_TIMEOUT, AttemptTimeoutDue(database.name, run)
@@ -159,8 +161,7 @@
         return
     failure = event.result.failure
     if failure is None:
-        version = event.result.objects[0].version
-        _continue_after_write(node, attempt, version, out)
+        _continue_after_write(node, attempt, event.result, out)
         return
     due = ReadBackDue(purpose.database, purpose.run)
     delay = 0.0 if failure is StoreFailure.CONFLICT else READ_BACK_DELAY
@@ -184,7 +185,9 @@
     """Continue the attempt according to the term record that the store holds.
 
     A failed write is repeated unless it took effect or another VM changed the record.
+    A store restored from a copy may hold an older record or none.
     """
+    versions = node.config.record_versions
     attempt = find_attempt(node, purpose.database, purpose.run)
     if attempt is None:
         return
@@ -194,6 +197,7 @@
         node.timers.schedule(node.now + READ_BACK_DELAY, due)
         return
     if result.failure is not None or not result.objects:
+        versions.pop(purpose.database, None)
         _write_record(node, attempt, out)
         return
     stored = result.objects[0]
@@ -203,10 +207,13 @@
         return
     found = decoded.unwrap()
     if found == attempt.written:
-        _continue_after_write(node, attempt, stored.version, out)
+        _continue_after_write(node, attempt, result, out)
         return
-    unchanged = stored.version == node.config.record_versions.get(purpose.database)
-    learn_term_record(node, found, stored.version, out)
+    known = find_term_record(node, purpose.database)
+    unchanged = found == attempt.base == known
+    if stored.version < versions.get(purpose.database, 0):
+        del versions[purpose.database]
+    learn_term_record(node, found, stored.version, out, era=result.era)
     if unchanged:
         # The unanswered write never took effect.
         _write_record(node, attempt, out)
@@ -215,10 +222,11 @@
 
 
 def _continue_after_write(
-    node: NodeState, attempt: Attempt, version: int, out: Effects
+    node: NodeState, attempt: Attempt, result: StoreResult, out: Effects
 ) -> None:
     """Store and push the written term record, then take the attempt's next step."""
-    learn_term_record(node, attempt.written, version, out)
+    version = result.objects[0].version
+    learn_term_record(node, attempt.written, version, out, era=result.era)
     push_term_records(node, [attempt.written], out)
     if attempt.phase is Phase.RESERVING:
         _fence_servers(node, attempt, out)
@@ -285,6 +293,7 @@
         offset=attempt.fenced[name].position.offset,
         primary=name,
     )
+    attempt.base = term_record
     attempt.written = TermRecord(
         database=term_record.database,
         starts=(*term_record.starts, start),
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -158,7 +158,8 @@
         groups: groups in force by name.
         databases: databases in force with their group, by database name.
         records: term records by database name.
-        record_versions: store version of each term record.
+        record_versions: store version of each term record, in the era `era`.
+        era: highest era of the store known here.
         watching: whether this VM watches the store.
         version: increases when `groups` or `records` change.
         progress: sum of the reserved and the finished terms of all records; VMs
@@ -189,6 +190,7 @@
     databases: dict[str, tuple[DatabaseGroup, Database]] = field(default_factory=dict)
     records: dict[str, TermRecord] = field(default_factory=dict)
     record_versions: dict[str, int] = field(default_factory=dict)
+    era: int = 0
     watching: bool = False
     version: int = 0
     progress: int = 0
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -27,6 +27,7 @@
     handle_list_answer,
     handle_restored_store,
     handle_start,
+    note_era,
     read_vm_list,
 )
 
@@ -89,14 +90,21 @@
 
 
 def learn_term_record(
-    node: NodeState, record: TermRecord, store_version: int, out: Effects
+    node: NodeState,
+    record: TermRecord,
+    store_version: int,
+    out: Effects,
+    *,
+    era: int = 0,
 ) -> bool:
     """Store a term record if it is newer than the known one.
 
     Args:
         store_version: version of the record's object in the store, 0 if unknown.
             It replaces the known version together with the record, also if it
-            is 0.
+            is 0. The version of an older record is kept as well: the next write
+            has to replace that record if a restored store holds it.
+        era: the store's era of that version.
 
     Returns:
         Whether the record replaced the known one.
@@ -104,6 +112,8 @@
     config = node.config
     name = record.database
     known = config.records.get(name)
+    if store_version and not note_era(node, era):
+        store_version = 0
     version = config.record_versions.get(name, 0)
     if known == record:
         config.record_versions[name] = max(version, store_version)
@@ -111,7 +121,10 @@
     if known is not None:
         newer = _sort_key(record) > _sort_key(known)
         same_rank = _sort_key(record) == _sort_key(known)
-        if not newer and not (same_rank and store_version > version > 0):
+        if not newer and not same_rank:
+            config.record_versions[name] = max(version, store_version)
+            return False
+        if not newer and store_version <= version:
             return False
     config.progress += _measure_progress(record) - _measure_progress(known)
     config.records[name] = record
@@ -162,10 +175,13 @@
     )
 
 
-def _handle_objects(node: NodeState, objects, out: Effects) -> None:
+def _handle_objects(node: NodeState, objects, era: int, out: Effects) -> None:
     """Store the tickets and term records among objects of the store.
 
     The watcher pushes those that are new to it.
+
+    Args:
+        era: the store's era of the objects' versions.
     """
     tickets = []
     records = []
@@ -177,7 +193,7 @@
         elif item.key.startswith(TERM_PREFIX):
             result = decode_term(item.key, item.value)
             if result.is_ok() and learn_term_record(
-                node, result.ok(), item.version, out
+                node, result.ok(), item.version, out, era=era
             ):
                 records.append(result.ok())
         else:
@@ -191,13 +207,13 @@
 
 
 def _handle_store_changes(node: NodeState, event: StoreChanged, out: Effects) -> None:
-    _handle_objects(node, event.objects, out)
+    _handle_objects(node, event.objects, event.era, out)
 
 
 def _handle_store_list(node: NodeState, purpose, event, out: Effects) -> None:
     """Handle the answer to a list of the store, and its objects if it succeeded."""
     if handle_list_answer(node, purpose, event.result, out):
-        _handle_objects(node, event.result.objects, out)
+        _handle_objects(node, event.result.objects, event.result.era, out)
 
 
 def _handle_pushed_tickets(node: NodeState, event: PeerReceived, out: Effects) -> None:
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -160,9 +160,24 @@
     return True
 
 
+def note_era(node: NodeState, era: int) -> bool:
+    """Discard the known versions if the store was restored since they were read.
+
+    Returns:
+        Whether versions of this era can be compared with the known ones.
+    """
+    config = node.config
+    if era > config.era:
+        config.era = era
+        config.record_versions.clear()
+    return era == config.era
+
+
 def handle_restored_store(node: NodeState, event: StoreRestored, out: Effects) -> None:
     """List the restored store again, as the watch's revision means nothing there."""
     config = node.config
+    config.era = max(config.era, event.era)
+    config.record_versions.clear()
     config.watching = False
     config.list_after = node.now
     record(out, "store_restored", cause="store", detail=(("era", event.era),))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,9 +5,12 @@
 import looptime
 import pytest
 
+from siskinhold.model import Done, Marks, StatementKind
 from siskinhold.store import WriteObject
 from siskinhold_trial.fleet import CRANNOG, Fleet
 
+FAILOVER_BOUND = 7.0
+"""Seconds from the loss of a primary until writes succeed again."""
 both_kinds = pytest.mark.parametrize("raise_era", [False, True])
 
 
@@ -56,3 +59,43 @@
 
         number, applied = run(scenario)
         assert applied == [number] * 3
+
+
+async def write(fleet):
+    """Return the outcome of a write and the seconds that it took."""
+    began = fleet.world.now()
+    caller = fleet.vms["vm0"].callers.connect(database="bookings")
+    sql = "UPDATE kv SET v='x' WHERE k='a'"
+    reply = await caller.run(StatementKind.WRITE, sql, Marks(deadline_ms=20_000))
+    return reply.outcome, fleet.world.now() - began
+
+
+def kill_primary(fleet):
+    """Kill the primary of the database that `write` uses, and return it."""
+    server = fleet.databases["bookings"].find_primary()
+    server.kill()
+    return server
+
+
+class TestPromotion:
+    @both_kinds
+    @pytest.mark.parametrize("absent", [False, True])
+    def test_primary_lost_after_the_restore(self, raise_era, absent):
+        """Guards against promotions that wait for a version which the store lost."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            if absent:
+                objects, revision = copy
+                copy = {k: v for k, v in objects.items() if k[:5] != "term/"}, revision
+            lost = kill_primary(fleet)
+            first, _ = await write(fleet)
+            lost.restart()
+            await asyncio.sleep(1.0)
+            await restore(fleet, copy, raise_era=raise_era)
+            kill_primary(fleet)
+            return first, *await write(fleet)
+
+        first, second, seconds = run(scenario)
+        assert isinstance(first, Done) and isinstance(second, Done)
+        assert seconds < FAILOVER_BOUND
