Write tickets and term records again that a restored store has lost

Callers could see two configurations: a ticket that the store had confirmed was in force on the VMs, but its number was free in the restored store. The next ticket took it, the VMs ignored that one as a conflict, and a VM that started with the store's copy alone followed it. A VM could also start with the primary of an older term.

A watcher compares each list with what it knows and writes the absent tickets and the older term records again. After an unanswered write the watcher lists again.

--- a/src/siskinhold/core/_handlers.py
+++ b/src/siskinhold/core/_handlers.py
@@ -12,6 +12,7 @@
     _failover,
     _first_records,
     _health,
+    _lost_objects,
     _membership,
     _owners,
     _promotion,
@@ -28,6 +29,7 @@
 _COMPONENTS = (
     _membership,
     _tickets,
+    _lost_objects,
     _health,
     _answers,
     _unresponsive,
--- a/src/siskinhold/core/_state.py
+++ b/src/siskinhold/core/_state.py
@@ -175,6 +175,7 @@
         list_failures: consecutive failed lists.
         list_failed: whether one of the lists in progress failed.
         list_revision: lowest store revision of the lists in progress.
+        list_again: whether the store may still lack objects that are known here.
         list_era: the store's era in the first answer to the lists in progress.
         tickets_requested_at: when tickets were last requested from a peer.
         tickets_sent_at: when tickets were last pushed to a VM that lagged behind,
@@ -206,6 +207,7 @@
     list_failed: bool = False
     list_revision: int | None = None
     list_era: int = 0
+    list_again: bool = False
     tickets_requested_at: float = -math.inf
     tickets_sent_at: dict[str, float] = field(default_factory=dict)
     vms_sent: tuple = ()
--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -31,7 +31,13 @@
     read_vm_list,
 )
 
-__all__ = ["find_database", "fold_ticket", "learn_term_record", "learn_ticket"]
+__all__ = [
+    "find_database",
+    "fold_ticket",
+    "learn_term_record",
+    "learn_ticket",
+    "rank_record",
+]
 
 
 def fold_ticket(
@@ -119,8 +125,8 @@
         config.record_versions[name] = max(version, store_version)
         return False
     if known is not None:
-        newer = _sort_key(record) > _sort_key(known)
-        same_rank = _sort_key(record) == _sort_key(known)
+        newer = rank_record(record) > rank_record(known)
+        same_rank = rank_record(record) == rank_record(known)
         if not newer and not same_rank:
             config.record_versions[name] = max(version, store_version)
             return False
@@ -150,7 +156,7 @@
     return record.term + record.highest_reserved
 
 
-def _sort_key(record: TermRecord) -> tuple[int, int, int]:
+def rank_record(record: TermRecord) -> tuple[int, int, int]:
     """Return a key that is greater for a newer term record."""
     return (len(record.starts), record.term, record.highest_reserved)
 
--- a/src/siskinhold/core/_watching.py
+++ b/src/siskinhold/core/_watching.py
@@ -91,8 +91,8 @@
     """Repeat unanswered requests, and start or end the watch of the store.
 
     The watcher lists the store before it watches it, and again while a ticket is
-    missing. Any other VM lists it only if it has no initial data after
-    `FALLBACK_LIST_DELAY`.
+    missing here or an object may be missing there. Any other VM lists it only if it
+    has no initial data after `FALLBACK_LIST_DELAY`.
     """
     config = node.config
     jitter = node.random.uniform(0.9, 1.1)
@@ -114,7 +114,7 @@
         return
     if not config.watching:
         _list_store(node, out)
-    elif max(config.tickets, default=0) > config.applied:
+    elif config.list_again or max(config.tickets, default=0) > config.applied:
         _list_store(node, out)
         config.list_after = max(config.list_after, node.now + MIN_GAP_LIST_INTERVAL)
 
@@ -206,6 +206,7 @@
         return
     config.list_revision = None
     config.list_failed = False
+    config.list_again = False
     for prefix in (TICKET_PREFIX, TERM_PREFIX):
         config.listing.add(prefix)
         call = node.open_store_call(ListCall(prefix))
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from siskinhold.model import Done, Marks, StatementKind
-from siskinhold.store import WriteObject
+from siskinhold.store import WriteObject, decode_term, term_key, ticket_key
 from siskinhold_trial.fleet import CRANNOG, Fleet
 
 FAILOVER_BOUND = 7.0
@@ -99,3 +99,56 @@
         first, second, seconds = run(scenario)
         assert isinstance(first, Done) and isinstance(second, Done)
         assert seconds < FAILOVER_BOUND
+
+
+class TestLostObjects:
+    @both_kinds
+    def test_accepted_ticket_is_written_again(self, raise_era):
+        """Guards against another ticket with the number of one in force."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            number = fleet.accept_ticket(fleet.group)
+            accepted = fleet.store.objects[ticket_key(number)].value
+            await asyncio.sleep(1.0)
+            await restore(fleet, copy, raise_era=raise_era)
+            await asyncio.sleep(1.0)
+            return accepted, fleet.store.objects[ticket_key(number)].value
+
+        accepted, stored = run(scenario)
+        assert stored == accepted
+
+    @both_kinds
+    def test_term_record_is_written_again(self, raise_era):
+        """Guards against a VM that starts with the primary of an older term."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            kill_primary(fleet)
+            await write(fleet)
+            await asyncio.sleep(1.0)
+            await restore(fleet, copy, raise_era=raise_era)
+            await asyncio.sleep(1.0)
+            stored = fleet.store.objects[term_key("bookings")]
+            record = decode_term(stored.key, stored.value).unwrap()
+            return record.primary, fleet.databases["bookings"].find_primary()
+
+        recorded, primary = run(scenario)
+        assert recorded == primary.endpoint.name
+
+    def test_lost_answer(self):
+        """Guards against objects that stay lost if the store fails again."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            number = fleet.accept_ticket(fleet.group)
+            await asyncio.sleep(1.0)
+            await restore(fleet, copy, raise_era=True)
+            await asyncio.sleep(0.05)
+            fleet.store.down = True
+            await asyncio.sleep(3.0)
+            fleet.store.restore()
+            await asyncio.sleep(15.0)
+            return ticket_key(number) in fleet.store.objects
+
+        assert run(scenario)
