Reserve terms that no older era of the store has given out

Callers could be acknowledged by two primaries of one term: a VM reserves a term, the store loses the reservation in a restore, and a VM that has not heard of it reserves the same term. A server fenced at exactly that term accepts a promotion from either of them, so the servers' own terms don't prevent it. A write that expected a version read before the restore could also replace another record to which the store had given that version again.

A term is reserved above one million times the store's era, so eras share no term. An attempt whose reservation is answered in a later era begins again with a term of that era. Its writes carry the era, and a store of another era refuses them. A store without eras keeps its terms, and this fault.

--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -24,6 +24,7 @@
             store's answer is lost, it shows whether the write took effect.
         cause: why the primary is replaced.
         term: the term that the attempt reserves for the new primary.
+        era: the store's era for which the term was chosen.
         started: when the attempt began.
         phase: its current step.
         fenced: status of each fenced server, by server name.
@@ -36,6 +37,7 @@
     run: str
     cause: str
     term: int
+    era: int
     started: float
     phase: Phase = Phase.RESERVING
     fenced: dict[str, ServerStatus] = field(default_factory=dict)
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -34,9 +34,13 @@
 from ._state import Effects, NodeState, record
 from ._tickets import learn_term_record
 from ._timers import TimerAction
+from ._watching import note_era
 
 FENCE_GRACE_PERIOD = 0.03
 """Seconds to wait for the remaining servers once a majority is fenced."""
+TERMS_PER_ERA = 1_000_000
+"""Number of terms in each era of the store. A restored store has lost reservations, so
+a term reserved in one era must not be reserved in another one."""
 READ_BACK_DELAY = 0.1
 """Seconds before a term record is read back after an unanswered store call."""
 ATTEMPT_TIMEOUT = 3.0
@@ -111,16 +115,22 @@
 def begin_attempt(
     node: NodeState, database: Database, failover, cause: str, out: Effects
 ) -> None:
-    """Begin a promotion by reserving a term above all known ones."""
+    """Begin a promotion by reserving a term above all known ones and older eras."""
     term_record = find_term_record(node, database.name)
-    highest = term_record.highest_reserved
+    era = node.config.era
+    highest = max(term_record.highest_reserved, era * TERMS_PER_ERA)
     for server in database.servers:
         health = node.health.servers.get(server.name)
         if health is not None and health.status is not None:
             highest = max(highest, health.status.term)
     run = f"{node.random.getrandbits(64):016x}"
     attempt = Attempt(
-        database=database, run=run, cause=cause, term=highest + 1, started=node.now
+        database=database,
+        run=run,
+        cause=cause,
+        term=highest + 1,
+        era=era,
+        started=node.now,
     )
     failover.attempt = attempt
     record(
@@ -148,6 +158,7 @@
         key=term_key(name),
         value=encode_term(attempt.written).unwrap(),
         expected_version=node.config.record_versions.get(name, 0),
+        expected_era=attempt.era,
     )
     out.append(CallStore(call=call, operation=operation))
 
@@ -196,8 +207,12 @@
         due = ReadBackDue(purpose.database, purpose.run)
         node.timers.schedule(node.now + READ_BACK_DELAY, due)
         return
+    note_era(node, result.era)
     if result.failure is not None or not result.objects:
         versions.pop(purpose.database, None)
+        if result.era > attempt.era:
+            _begin_again(node, attempt, out)
+            return
         _write_record(node, attempt, out)
         return
     stored = result.objects[0]
@@ -214,7 +229,10 @@
     if stored.version < versions.get(purpose.database, 0):
         del versions[purpose.database]
     learn_term_record(node, found, stored.version, out, era=result.era)
-    if unchanged:
+    if result.era > attempt.era:
+        _begin_again(node, attempt, out)
+        return
+    if unchanged and result.era == attempt.era:
         # The unanswered write never took effect.
         _write_record(node, attempt, out)
         return
@@ -227,6 +245,9 @@
     """Store and push the written term record, then take the attempt's next step."""
     version = result.objects[0].version
     learn_term_record(node, attempt.written, version, out, era=result.era)
+    if attempt.phase is Phase.RESERVING and result.era > attempt.era:
+        _begin_again(node, attempt, out)
+        return
     push_term_records(node, [attempt.written], out)
     if attempt.phase is Phase.RESERVING:
         _fence_servers(node, attempt, out)
@@ -234,6 +255,13 @@
     _promote_candidate(node, attempt, out)
 
 
+def _begin_again(node: NodeState, attempt: Attempt, out: Effects) -> None:
+    """Replace an attempt whose term was chosen for an older era of the store."""
+    abandon_attempt(node, attempt, "store_restored", out)
+    failover = node.failover.databases[attempt.database.name]
+    begin_attempt(node, attempt.database, failover, attempt.cause, out)
+
+
 def _fence_servers(node: NodeState, attempt: Attempt, out: Effects) -> None:
     """Fence all servers of the database, or abandon an attempt without a cause."""
     if not is_needed(node, attempt):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,6 +5,12 @@
 import looptime
 import pytest
 
+from siskinhold.core import reduce
+from siskinhold.core._attempts import PRIMARY_REMOVED
+from siskinhold.core._failover_state import DatabaseFailover
+from siskinhold.core._promotion import _write_record, begin_attempt
+from siskinhold.effects import CallStore, FenceServer
+from siskinhold.events import StoreAnswered, TimeAdvanced
 from siskinhold.model import Done, Marks, StatementKind
 from siskinhold.store import WriteObject, decode_term, term_key, ticket_key
 from siskinhold_trial.fleet import CRANNOG, Fleet
@@ -152,3 +158,64 @@
             return ticket_key(number) in fleet.store.objects
 
         assert run(scenario)
+
+
+def reserve_term(fleet, name):
+    """Begin a promotion on a VM that hears the store only; return the term fenced."""
+    node = fleet.vms[name].node
+    database = node.config.databases["bookings"][1]
+    failover = node.failover.databases.setdefault("bookings", DatabaseFailover())
+    pending = []
+    begin_attempt(node, database, failover, PRIMARY_REMOVED, pending)
+    while pending:
+        effect = pending.pop(0)
+        if isinstance(effect, FenceServer):
+            return effect.term
+        if isinstance(effect, CallStore):
+            result = fleet.store.execute(effect.operation)
+            answer = StoreAnswered(at=node.now, call=effect.call, result=result)
+            pending += reduce(node, answer)
+            pending += reduce(node, TimeAdvanced(at=node.now))
+    return None
+
+
+class TestTerms:
+    @pytest.mark.parametrize("known", [0, 1])
+    @pytest.mark.parametrize("knows_lost_version", [False, True])
+    def test_lost_reservation(self, known, knows_lost_version):
+        """Guards against two primaries of one term, reserved before and after the
+        restore by VMs that do not hear each other."""
+
+        async def scenario(fleet):
+            fleet.store.era = 1
+            for vm in fleet.list_running():
+                vm.node.config.era = known
+            copy = fleet.store.save_copy()
+            first = reserve_term(fleet, "vm0")
+            fleet.store.load_copy(copy, raise_era=True)
+            if knows_lost_version:
+                fleet.vms["vm2"].node.config.record_versions["bookings"] = 5
+            return first, reserve_term(fleet, "vm2")
+
+        first, second = run(scenario)
+        assert first is not None and second is not None
+        assert first != second
+
+    def test_record_of_an_older_era(self):
+        """Guards against a write that replaces another record of the same version."""
+
+        async def scenario(fleet):
+            fleet.store.era = 1
+            copy = fleet.store.save_copy()
+            reserve_term(fleet, "vm0")
+            node = fleet.vms["vm0"].node
+            attempt = node.failover.databases["bookings"].attempt
+            fleet.store.load_copy(copy, raise_era=True)
+            reserve_term(fleet, "vm2")
+            stored = fleet.store.objects[term_key("bookings")]
+            out = []
+            _write_record(node, attempt, out)
+            fleet.store.execute(out[0].operation)
+            return stored == fleet.store.objects[term_key("bookings")]
+
+        assert run(scenario)
