Play a store that goes back to an older copy in campaigns

Campaigns stopped and slowed the store, but never restored it, so no seed could show what a restore loses. restore_store brings the store back from a copy that is 0.5 s to 8 s old, in a new era. It stays out of the default faults, as it would change the faults of every known seed.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -1,7 +1,8 @@
 """Runs campaigns of seeded runs with injected faults and prints their findings.
 
 prove.py --seeds 0:20             the unmodified core; exits 1 if a run fails
-prove.py --seeds 0:4 --fault NAME only that fault (may be repeated)
+prove.py --seeds 0:4 --fault NAME only that fault (may be repeated); restore_store
+                                  is played only if it is named
 prove.py --mutants --seeds 0:6    the core without one rule at a time;
                                   exits 1 if a mutant is not detected
 """
@@ -12,7 +13,14 @@
 import time
 
 from siskinhold.model import Acknowledge
-from siskinhold_trial.proof import FAULTS, MUTANTS, Mutant, RunReport, run_seed
+from siskinhold_trial.proof import (
+    FAULTS,
+    MUTANTS,
+    RESTORE_FAULTS,
+    Mutant,
+    RunReport,
+    run_seed,
+)
 
 WORKERS = 4
 """Number of worker processes."""
@@ -34,7 +42,10 @@
 def run_unmodified(task: tuple[int, tuple[str, ...], int, str]) -> RunReport:
     """Run one seed on the unmodified core."""
     seed, names, count, acknowledge = task
-    faults = tuple(fault for fault in FAULTS if not names or fault.name in names)
+    faults = FAULTS
+    if names:
+        known = {fault.name: fault for fault in (*FAULTS, *RESTORE_FAULTS)}
+        faults = tuple(fault for fault in known.values() if fault.name in names)
     return run_seed(
         seed, faults=faults, count=count, acknowledge=Acknowledge(acknowledge)
     )
--- a/src/siskinhold_trial/proof/_faults.py
+++ b/src/siskinhold_trial/proof/_faults.py
@@ -175,6 +175,18 @@
     fleet.store.restore()
 
 
+async def restore_store(fleet: Fleet, rng: random.Random) -> None:
+    """Bring the store back from a copy that is some seconds old, in a new era."""
+    copy = fleet.store.save_copy()
+    await asyncio.sleep(rng.choice((0.5, 3.0, 8.0)))
+    while fleet.store.down:
+        await asyncio.sleep(0.5)
+    fleet.store.down = True
+    await asyncio.sleep(rng.choice((0.2, 2.0)))
+    fleet.store.load_copy(copy, raise_era=True)
+    fleet.store.restore()
+
+
 async def slow_store(fleet: Fleet, rng: random.Random) -> None:
     """Raise the latency of the store for a while."""
     usual = fleet.store.latency
@@ -305,3 +317,10 @@
     Fault(name="restart_vm_gracefully", run=restart_vm_gracefully),
     Fault(name="drain_server", run=drain_server),
 )
+
+RESTORE_FAULTS = (
+    Fault(name="restore_store", run=restore_store),
+    Fault(name="kill_primary", run=kill_primary),
+    Fault(name="drain_server", run=drain_server),
+)
+"""The restored store, and faults with which VMs and operators write to it."""
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from siskinhold_trial.proof import FAULTS, MUTANTS, run_seed
+from siskinhold_trial.proof import FAULTS, MUTANTS, RESTORE_FAULTS, run_seed
 
 FAULT_NAMES = [fault.name for fault in FAULTS]
 # The first seed with which `scripts/prove.py --mutants` detects each mutant.
@@ -51,6 +51,17 @@
         assert run_seed(5, count=2, seconds=4.0) == first
 
 
+class TestRestoredStore:
+    """Runs in which the store goes back to older copies."""
+
+    @pytest.mark.parametrize("seed", [32, 35])
+    def test_guarantees_hold(self, seed):
+        """Guards against tickets and promotions that a restored store holds up."""
+        report = run_seed(seed, faults=RESTORE_FAULTS, count=8, seconds=20.0)
+        assert report.violations == []
+        assert report.stuck == []
+
+
 class TestMutants:
     """The checks detect a core that lacks one of its rules."""
 
