Refuse a ticket if the store was restored after its history was read

Operators could be told that a ticket had been accepted which never came into force: the tool read the tickets, the store went back to a copy without the last of them, and the new ticket was created behind a gap. The tool then refused all further work with 'ticket/2 is missing'.

The tool's write carries the era of the history that it has read. In another era the ticket is refused with store_restored and exit code 5, unless the store holds it already.

Measured: test_store_restored_before_the_write failed before with 'assert (<ExitCode.DONE: 0>, 'done') == (5, 'store_restored')'. It passes now, as do tests/test_ticket_tool.py, tests/test_docs.py and tests/test_programs.py.

--- a/src/siskinhold/programs/_ticket_report.py
+++ b/src/siskinhold/programs/_ticket_report.py
@@ -49,9 +49,11 @@
 _STORE_CODES = {
     StoreFaultKind.NO_ANSWER: ExitCode.STORE,
     StoreFaultKind.UNREADABLE: ExitCode.STORE,
+    StoreFaultKind.RESTORED: ExitCode.STORE,
     StoreFaultKind.NUMBER_TAKEN: ExitCode.NUMBER_TAKEN,
     StoreFaultKind.REJECTED: ExitCode.INVALID,
 }
+_UNSETTLED = (StoreFaultKind.NO_ANSWER, StoreFaultKind.RESTORED)
 _SIGNS = {DiffKind.ADDED: "+", DiffKind.REMOVED: "-", DiffKind.CHANGED: "~"}
 
 
@@ -86,7 +88,7 @@
     if fault.detail:
         words.append(f"detail={fault.detail!r}")
     lines = [" ".join(words)]
-    if ticket is not None and fault.kind is StoreFaultKind.NO_ANSWER:
+    if ticket is not None and fault.kind in _UNSETTLED:
         lines.append(
             "It is not known whether the ticket was accepted. To settle that, set "
             f'"identity": "{ticket.identity}" in the file and apply it again.'
--- a/src/siskinhold/programs/_ticket_store.py
+++ b/src/siskinhold/programs/_ticket_store.py
@@ -39,6 +39,7 @@
 
     NO_ANSWER = "store_no_answer"
     UNREADABLE = "store_unreadable"
+    RESTORED = "store_restored"
     NUMBER_TAKEN = "ticket_number_taken"
     REJECTED = "store_rejected"
 
@@ -60,10 +61,15 @@
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class History:
-    """The accepted tickets by number, and the state after applying all of them."""
+    """The accepted tickets by number, and the state after applying all of them.
+
+    Args:
+        era: the store's era in which they were read.
+    """
 
     tickets: tuple[ChangeTicket, ...]
     state: TicketState
+    era: int = 0
 
     def find(self, number: int) -> ChangeTicket | None:
         """Return the accepted ticket with the given number, or None."""
@@ -81,7 +87,7 @@
         )
         if listed.failure is not None:
             return Err(StoreFault(kind=StoreFaultKind.NO_ANSWER))
-        built = _build_history(listed.objects)
+        built = _build_history(listed)
         if isinstance(built, Ok):
             return built
         fault = built.err_value
@@ -92,6 +98,7 @@
     client: StoreClient,
     ticket: ChangeTicket,
     *,
+    era: int = 0,
     resolve_timeout: float = RESOLVE_TIMEOUT_SECONDS,
     call_timeout: float = CALL_TIMEOUT_SECONDS,
 ) -> Result[None, StoreFault]:
@@ -104,6 +111,8 @@
     Args:
         client: the store.
         ticket: the ticket.
+        era: the store's era in which the history was read, 0 if it is unknown. The
+            ticket is not created in another one, which may lack earlier tickets.
         resolve_timeout: time limit in seconds for determining the outcome after a lost
             answer. After it the failure is `NO_ANSWER`, and the ticket may or may not
             have been accepted.
@@ -114,14 +123,17 @@
         detail = encoded.err_value.detail
         return Err(StoreFault(kind=StoreFaultKind.REJECTED, detail=detail))
     write = WriteObject(
-        key=ticket_key(ticket.number), value=encoded.ok_value, expected_version=0
+        key=ticket_key(ticket.number),
+        value=encoded.ok_value,
+        expected_version=0,
+        expected_era=era,
     )
     loop = asyncio.get_running_loop()
     deadline = loop.time() + resolve_timeout
     delay = MIN_RETRY_SECONDS
     while True:
         written = await client.call(write, timeout=call_timeout)
-        resolved = await _resolve(client, ticket, written, call_timeout)
+        resolved = await _resolve(client, write, ticket, written, call_timeout)
         if resolved is not None:
             return resolved
         if loop.time() + delay > deadline:
@@ -132,6 +144,7 @@
 
 async def _resolve(
     client: StoreClient,
+    write: WriteObject,
     ticket: ChangeTicket,
     written: StoreResult,
     call_timeout: float,
@@ -143,10 +156,12 @@
         return Err(StoreFault(kind=StoreFaultKind.REJECTED))
     if written.failure is StoreFailure.CONFLICT and written.objects:
         return _compare(ticket, written.objects[0])
-    key = ticket_key(ticket.number)
-    stored = await client.call(ReadObject(key=key), timeout=call_timeout)
+    stored = await client.call(ReadObject(key=write.key), timeout=call_timeout)
     if stored.failure is None:
         return _compare(ticket, stored.objects[0])
+    if stored.failure is StoreFailure.NOT_FOUND and write.expected_era:
+        if stored.era != write.expected_era:
+            return Err(StoreFault(kind=StoreFaultKind.RESTORED))
     return None
 
 
@@ -168,10 +183,10 @@
     return Err(StoreFault(kind=StoreFaultKind.NUMBER_TAKEN, winner=accepted))
 
 
-def _build_history(objects: tuple[StoredObject, ...]) -> Result[History, StoreFault]:
+def _build_history(listed: StoreResult) -> Result[History, StoreFault]:
     """Return the history of the stored tickets; an error if a number is missing."""
     tickets: list[ChangeTicket] = []
-    for stored in objects:
+    for stored in listed.objects:
         decoded = decode_ticket(stored.key, stored.value)
         if isinstance(decoded, Err):
             detail = f"{stored.key}: {decoded.err_value.detail}"
@@ -184,4 +199,4 @@
             detail = f"{ticket_key(number)} is missing"
             return Err(StoreFault(kind=StoreFaultKind.UNREADABLE, detail=detail))
         state = apply_ticket(state, ticket)
-    return Ok(History(tickets=tuple(tickets), state=state))
+    return Ok(History(tickets=tuple(tickets), state=state, era=listed.era))
--- a/src/siskinhold/programs/ticket.py
+++ b/src/siskinhold/programs/ticket.py
@@ -214,7 +214,7 @@
         faults = check_ticket(ticket, history.state)
         if faults:
             return report_faults(faults)
-        result = await submit_ticket(client, ticket)
+        result = await submit_ticket(client, ticket, era=history.era)
     if isinstance(result, Err):
         return report_store_fault(result.err_value, ticket)
     line = f"event=ticket_accepted ticket={ticket.number} identity={ticket.identity}"
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -12,6 +12,7 @@
 from siskinhold.model import ChangeTicket, Database, DatabaseGroup, VmState
 from siskinhold.programs import ticket as tool
 from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
+from siskinhold.tickets import check_ticket
 from siskinhold_trial.store import Outage, StoreEngine, StoreFaults, StoreServer, VmList
 
 
@@ -170,6 +171,25 @@
         assert isinstance(await submitted, Ok)
         assert harness.engine.revision == 1
 
+    async def test_store_restored_before_the_write(self, harness, monkeypatch):
+        """A ticket is not added to a history that lacks the tickets before it.
+
+        Guards against a gap that keeps all later tickets out of force.
+        """
+        harness.engine.era = 1
+        assert (await harness.apply(make_ticket(1))).code == 0
+        copy = harness.engine.save_copy()
+        assert (await harness.apply(make_ticket(2))).code == 0
+
+        def restore_and_check(ticket, state):
+            harness.engine.restore(copy, raise_era=True)
+            return check_ticket(ticket, state)
+
+        monkeypatch.setattr(tool, "check_ticket", restore_and_check)
+        report = await harness.apply(make_ticket(3))
+        assert (report.code, report.result) == (5, "store_restored")
+        assert harness.engine.revision == 1
+
     async def test_store_down(self, harness, client):
         """The outcome is unknown; guards against reporting success or refusal."""
         await harness.server.set_faults(StoreFaults(down=Outage.REFUSE))
