Treat a malformed era of the store as no answer

A header with digits of another script, a negative or a huge number was taken as an era. No later era exceeds a huge one, so promotions would have been abandoned for good, and terms above 64 bits can't be encoded. An era has at most nine ASCII digits.

--- a/src/siskinhold/adapters/_store_client.py
+++ b/src/siskinhold/adapters/_store_client.py
@@ -32,6 +32,7 @@
 
 # Header of the store's era. A store without eras sends none and counts as of era 0.
 ERA_HEADER = "Revision-Era"
+MAX_ERA_DIGITS = 9
 
 _FAILURES = {
     404: StoreFailure.NOT_FOUND,
@@ -292,7 +293,7 @@
             ssl=self._tls,
             allow_redirects=False,
         ) as response:
-            answered = int(response.headers.get(ERA_HEADER, "0"))
+            answered = _parse_era(response.headers.get(ERA_HEADER, "0"))
             return response.status, await self._read_body(response), answered
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
@@ -304,6 +305,16 @@
         return bytes(body)
 
 
+def _parse_era(text: str) -> int:
+    """Return the era in a header.
+
+    Raises:
+        MalformedAnswer: if it is no number of at most `MAX_ERA_DIGITS` digits.
+    """
+    _require(text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS)
+    return int(text)
+
+
 def _decode(body: bytes, kind: type[Answer]) -> Answer:
     """Return a decoded body.
 
--- a/tests/test_store_adapter.py
+++ b/tests/test_store_adapter.py
@@ -270,6 +270,27 @@
 ]
 
 
+class TestEra:
+    @pytest.mark.parametrize("era", ["x", "-1", "1.0", "\u0661", "9" * 20, "9" * 5_000])
+    async def test_malformed_header(self, era):
+        """Guards against an era that no later one exceeds, or an exception."""
+
+        async def answer(request):
+            body = b'{"failure": "not_found"}'
+            return web.Response(status=404, body=body, headers={"Revision-Era": era})
+
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", answer)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        harness = StoreHarness(f"http://127.0.0.1:{runner.addresses[0][1]}")
+        async with started(harness.store, harness.events.put_nowait):
+            result = await harness.call(ReadObject(key="a"))
+        await runner.cleanup()
+        assert result.failure is StoreFailure.NO_ANSWER
+
+
 class TestMalformedAnswers:
     @pytest.mark.parametrize("status, body", MALFORMED)
     async def test_typed_failure(self, status, body):
