Don't give out the number of a ticket in force that the store has lost

Operators could be told that a ticket was in force which was not: until a watcher has written the lost tickets again, a restored store accepts another ticket with the number of one in force. The VMs ignore it, and a wait for its number ends at once, as they have that number in force already.

In a store with eras, the tool asks a VM for the ticket in force before it writes. If its number is in force and the store still lacks it, the ticket is refused with store_restored. Without an operator port that answers, it goes on as before.

Measured: test_ticket_in_force_that_the_store_has_lost failed before with 'assert (<ExitCode.DONE: 0>, 'done') == (5, 'store_restored')'. It passes now, as do tests/test_ticket_tool.py, tests/test_docs.py, tests/test_programs.py and tests/test_readme.py.

--- a/src/siskinhold/programs/ticket.py
+++ b/src/siskinhold/programs/ticket.py
@@ -6,11 +6,12 @@
     2  wrong usage, or the file can't be read
     3  the ticket is invalid
     4  the ticket's number is taken by another ticket
-    5  the store can't be reached, or its tickets can't be read
+    5  the store can't be reached, its tickets can't be read, or it was restored
     6  the ticket is accepted, but not in force everywhere in time
     7  no operator port can be reached (only `status`)
 """
 
+import asyncio
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -39,8 +40,20 @@
     report_status,
     report_store_fault,
 )
-from ._ticket_status import StatusReader, find_operator_urls, wait_until_in_force
-from ._ticket_store import History, compare_accepted, load_history, submit_ticket
+from ._ticket_status import (
+    STATUS_TIMEOUT_SECONDS,
+    StatusReader,
+    find_operator_urls,
+    wait_until_in_force,
+)
+from ._ticket_store import (
+    History,
+    StoreFault,
+    StoreFaultKind,
+    compare_accepted,
+    load_history,
+    submit_ticket,
+)
 
 MAX_SHOWN_DATABASES = 1_000
 
@@ -148,7 +161,7 @@
         return await _with_history(client, ticket, _check)
     if isinstance(command, Diff):
         return await _with_history(client, ticket, _diff)
-    report = await _with_history(client, ticket, _make_submit(client))
+    report = await _with_history(client, ticket, _make_submit(options, client))
     if report.code is not ExitCode.DONE or command.wait is None:
         return report
     _print_progress(report.lines[0])
@@ -191,21 +204,22 @@
     return report_diff(differences, number=ticket.number, digests=digests)
 
 
-def _make_submit(client: StoreClient):
+def _make_submit(options: Options, client: StoreClient):
     """Return a command for `_with_history` that submits the ticket."""
 
     async def submit(history: History, ticket: ChangeTicket) -> Report:
-        return await _submit(client, history, ticket)
+        return await _submit(options, client, history, ticket)
 
     return submit
 
 
 async def _submit(
-    client: StoreClient, history: History, ticket: ChangeTicket
+    options: Options, client: StoreClient, history: History, ticket: ChangeTicket
 ) -> Report:
     """Submit a valid ticket and report the result.
 
-    A ticket that has already been accepted with its identity counts as done.
+    A ticket that has already been accepted with its identity counts as done. A number
+    that is in force on a VM is not given out again.
     """
     accepted = history.find(ticket.number)
     if accepted is not None:
@@ -214,7 +228,10 @@
         faults = check_ticket(ticket, history.state)
         if faults:
             return report_faults(faults)
-        result = await submit_ticket(client, ticket, era=history.era)
+        if history.era and await _is_in_force(options, client, ticket.number):
+            result = await _compare_in_force(client, ticket)
+        else:
+            result = await submit_ticket(client, ticket, era=history.era)
     if isinstance(result, Err):
         return report_store_fault(result.err_value, ticket)
     line = f"event=ticket_accepted ticket={ticket.number} identity={ticket.identity}"
@@ -226,6 +243,40 @@
     )
 
 
+async def _is_in_force(options: Options, client: StoreClient, number: int) -> bool:
+    """Return whether a VM reports a ticket of this number, or a later one, in force.
+
+    False if no operator port answers.
+    """
+    try:
+        async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+            reader = await _make_reader(options, client)
+            read = await reader.read(max_databases=0)
+    except TimeoutError:
+        return False
+    if isinstance(read, Err):
+        return False
+    return any(vm.ticket >= number for vm in read.ok_value.vms)
+
+
+async def _compare_in_force(
+    client: StoreClient, ticket: ChangeTicket
+) -> Result[None, StoreFault]:
+    """Return an error unless this ticket is the one in force with its number.
+
+    Another operator's ticket may have been accepted since the history was read. If the
+    store has none of this number, it has lost it.
+    """
+    loaded = await load_history(client)
+    if isinstance(loaded, Err):
+        return loaded
+    accepted = loaded.ok_value.find(ticket.number)
+    if accepted is not None:
+        return compare_accepted(ticket, accepted)
+    detail = f"ticket/{ticket.number} is in force, but the store lacks it"
+    return Err(StoreFault(kind=StoreFaultKind.RESTORED, detail=detail))
+
+
 async def _wait(
     options: Options, client: StoreClient, ticket: ChangeTicket, seconds: float
 ) -> Report:
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -258,6 +258,16 @@
         harness.server.vms.register(make_address("vm1", fleet.server.port), now=0.0)
         assert (await applied).code == 0
 
+    async def test_ticket_in_force_that_the_store_has_lost(self, harness, fleet):
+        """Guards against a number given out twice, which a wait reports as in force."""
+        harness.engine.era = 1
+        fleet.node.config.applied = 1
+        report = await harness.apply(make_ticket(1), operator=fleet.url)
+        assert (report.code, report.result) == (5, "store_restored")
+        assert harness.engine.revision == 0
+        fleet.node.config.applied = 0
+        assert (await harness.apply(make_ticket(1), operator=fleet.url)).code == 0
+
     async def test_no_operator_port(self, harness):
         """A missing operator port has its own exit code, unlike a failed store."""
         assert (await harness.run(tool.Status())).code == 7
