--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,10 +9,18 @@
 from siskinhold.core._attempts import PRIMARY_REMOVED
 from siskinhold.core._failover_state import DatabaseFailover
 from siskinhold.core._promotion import _write_record, begin_attempt
-from siskinhold.effects import CallStore, FenceServer
+from siskinhold.core._watching import ListCall, handle_list_answer
+from siskinhold.effects import CallStore, FenceServer, WatchStore
 from siskinhold.events import StoreAnswered, TimeAdvanced
 from siskinhold.model import Done, Marks, StatementKind
-from siskinhold.store import WriteObject, decode_term, term_key, ticket_key
+from siskinhold.store import (
+    StoreFailure,
+    StoreResult,
+    WriteObject,
+    decode_term,
+    term_key,
+    ticket_key,
+)
 from siskinhold_trial.fleet import CRANNOG, Fleet
 
 FAILOVER_BOUND = 7.0
@@ -66,6 +74,22 @@
         number, applied = run(scenario)
         assert applied == [number] * 3
 
+    def test_lists_of_two_eras(self):
+        """Guards against a watch that starts between two copies of the store."""
+
+        async def scenario(fleet):
+            nodes = [vm.node for vm in fleet.list_running()]
+            node = next(node for node in nodes if node.config.watching)
+            node.config.watching = False
+            node.config.listing = {"ticket/", "term/"}
+            out = []
+            for prefix, revision, era in (("ticket/", 9, 1), ("term/", 4, 2)):
+                result = StoreResult(revision=revision, era=era)
+                handle_list_answer(node, ListCall(prefix), result, out)
+            return out
+
+        assert not any(isinstance(effect, WatchStore) for effect in run(scenario))
+
 
 async def write(fleet):
     """Return the outcome of a write and the seconds that it took."""
@@ -106,6 +130,26 @@
         assert isinstance(first, Done) and isinstance(second, Done)
         assert seconds < FAILOVER_BOUND
 
+    def test_version_given_out_again(self):
+        """Guards against a repeated write that replaces another VM's record, as it has
+        the version of a lost one."""
+
+        async def scenario(fleet):
+            copy = fleet.store.save_copy()
+            reserve_term(fleet, "vm0")
+            fleet.store.load_copy(copy, raise_era=False)
+            reserve_term(fleet, "vm2")
+            stored = fleet.store.objects[term_key("bookings")]
+            node, out = begin_promotion(fleet, "vm0")
+            call = next(effect.call for effect in out if isinstance(effect, CallStore))
+            lost = StoreResult(failure=StoreFailure.NO_ANSWER)
+            out = reduce(node, StoreAnswered(at=node.now, call=call, result=lost))
+            out += reduce(node, TimeAdvanced(at=node.now + 0.2))
+            answer_calls(fleet, node, out)
+            return stored == fleet.store.objects[term_key("bookings")]
+
+        assert run(scenario)
+
 
 class TestLostObjects:
     @both_kinds
@@ -160,13 +204,18 @@
         assert run(scenario)
 
 
-def reserve_term(fleet, name):
-    """Begin a promotion on a VM that hears the store only; return the term fenced."""
+def begin_promotion(fleet, name):
+    """Begin a promotion on a VM; return its node and the first effects."""
     node = fleet.vms[name].node
     database = node.config.databases["bookings"][1]
     failover = node.failover.databases.setdefault("bookings", DatabaseFailover())
-    pending = []
-    begin_attempt(node, database, failover, PRIMARY_REMOVED, pending)
+    out = []
+    begin_attempt(node, database, failover, PRIMARY_REMOVED, out)
+    return node, out
+
+
+def answer_calls(fleet, node, pending):
+    """Answer a VM's store calls until it fences; return the term, or None."""
     while pending:
         effect = pending.pop(0)
         if isinstance(effect, FenceServer):
@@ -179,6 +228,11 @@
     return None
 
 
+def reserve_term(fleet, name):
+    """Begin a promotion on a VM that hears the store only; return the term fenced."""
+    return answer_calls(fleet, *begin_promotion(fleet, name))
+
+
 class TestTerms:
     @pytest.mark.parametrize("known", [0, 1])
     @pytest.mark.parametrize("knows_lost_version", [False, True])
--- a/tests/test_store_adapter.py
+++ b/tests/test_store_adapter.py
@@ -90,6 +90,23 @@
         ]
         assert result.revision == 6
 
+    @pytest.mark.parametrize("raise_era", [False, True])
+    async def test_restore_between_two_pages(self, server, harness, raise_era):
+        """Guards against a list whose pages come from different copies of the store."""
+        copy = server.engine.save_copy()
+        for number in range(3):
+            await harness.call(write(f"a/{number}", b"123456"))
+        read_page = server.engine.list_page
+
+        def read_and_restore(*arguments, **options):
+            page = read_page(*arguments, **options)
+            server.engine.restore(copy, raise_era=raise_era)
+            return page
+
+        server.engine.list_page = read_and_restore
+        result = await harness.call(ListObjects(prefix="a/"))
+        assert result.failure is StoreFailure.NO_ANSWER
+
     async def test_too_large_value(self, harness):
         """1 MB is stored and a larger value rejected; guards against a lower limit."""
         assert (await harness.call(write("a", b"x" * 1_000_000))).failure is None
