Suspend the servers again before a promotion order is repeated

Callers could have seen a stale read, or a write that the new primary lacks, if the platform was out of reach for seconds during a failover. None was seen. Cause: a VM whose attempt ended after an order resumes the servers 6 s after it suspended them. The next VM may claim after 4.5 s and repeats its order for 3 s: its later orders found no server suspended. Change: an order without a usable answer is repeated only after the suspensions were sent again. Result: the new test failed before, as orders found no server suspended from 6.3 s on: assert False, where False = all(len(suspended) >= 2 for suspended in ...) It passes now. The first order of an attempt still relies on suspensions that are at most some tenths of a second old.

--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -205,14 +205,8 @@
     if state.now >= promotion.repeat_at:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL / 2
         for server in state.members(database.name):
-            control = find_control_connection(server)
-            if control is None or control.pending:
-                continue
-            if server.entry.server in promotion.fenced:
-                continue
-            command = Command(kind=CommandKind.SUSPEND, term=promotion.term + 1)
-            send(state, control, command, Purpose.FENCE, out)
-            server.resume_at = state.now + SUSPENSION_TIMEOUT
+            if server.entry.server not in promotion.fenced:
+                _suspend(state, server, promotion, out)
     if len(promotion.fenced) < count_majority(len(list_members(state, database))):
         return
     waited = state.now - promotion.step_at
@@ -226,6 +220,16 @@
     order_promotion(state, database, promotion, claim, out)
 
 
+def _suspend(state, server: Server, promotion: Promotion, out: Effects) -> None:
+    """Suspend a server for the new term, unless its control connection is busy."""
+    control = find_control_connection(server)
+    if control is None or control.pending:
+        return
+    command = Command(kind=CommandKind.SUSPEND, term=promotion.term + 1)
+    send(state, control, command, Purpose.FENCE, out)
+    server.resume_at = state.now + SUSPENSION_TIMEOUT
+
+
 def handle_fence_answer(
     state: DirectState, server: Server, sent_at: float, answer: Answer
 ) -> None:
@@ -312,7 +316,8 @@
     """Handle the platform's answer to a promotion order.
 
     An accepted order is awaited, a rejected one leads to another comparison, and one
-    without a usable answer is repeated.
+    without a usable answer is repeated. Before that, the servers are suspended again,
+    as the VM of an earlier attempt may have resumed them.
     """
     found = pop_promotion_call(state, event.call)
     if found is None:
@@ -331,6 +336,8 @@
         enter_step(state, promotion, PromotionStep.COMPARING)
     else:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
+        for server in state.members(database.name):
+            _suspend(state, server, promotion, out)
 
 
 def await_effect(
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -600,6 +600,16 @@
         assert world.orders[0][3] > world.claims_of(vm)[0]
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
 
+    def test_majority_is_suspended_when_an_order_is_repeated(self):
+        """Guards against replicas that the VM of an earlier attempt has resumed."""
+        world, _ = self.lose_primary_until_recorded()
+        world.orders_ignored = True
+        world.advance(7)
+        world.orders_ignored = False
+        world.advance(2)
+        assert len({token for _, _, _, token in world.orders}) == 2
+        assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
+
     def test_next_claim_waits_for_an_order_under_way(self):
         """Guards against an order that arrives after that of the next claimant."""
         world, vm = self.lose_primary_until_recorded()
