Write a promotion's term record only over its own reservation

Callers could see two promotions with the same term, or a promotion missing from the record of terms. None was seen. Cause: a promotion attempt wrote its record over whichever version was known when it wrote, with the term starts known then. If another VM had gone beyond the reserved term meanwhile, as after a pause of the first one, the write replaced that VM's record: its term starts were no longer ascending, or its reservation was lost. An unanswered write was repeated over another VM's record in the same way. Change: an attempt keeps the version that its write replaces, and its second record extends the first one. If another VM has written since, the store refuses the write and the attempt ends.

--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -31,6 +31,8 @@
         pending_fences: number of fence commands that are not answered yet.
         base: the term record that the current or last write replaces.
         written: the term record of the current or last write to the store.
+        replaced_version: version of the stored record that this write replaces, 0 if
+            there is none.
     """
 
     database: Database
@@ -44,6 +46,7 @@
     pending_fences: int = 0
     base: TermRecord | None = None
     written: TermRecord | None = None
+    replaced_version: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -144,6 +144,7 @@
     reservation = Reservation(term=attempt.term, vm=node.identity.name, run=run)
     attempt.base = term_record
     attempt.written = msgspec.structs.replace(term_record, reservation=reservation)
+    attempt.replaced_version = node.config.record_versions.get(database.name, 0)
     node.timers.schedule(
         node.now + ATTEMPT_TIMEOUT, AttemptTimeoutDue(database.name, run)
     )
@@ -151,13 +152,16 @@
 
 
 def _write_record(node: NodeState, attempt: Attempt, out: Effects) -> None:
-    """Write the attempt's term record, if the store has the version known here."""
+    """Write the attempt's term record, if the store has the version it replaces.
+
+    A version that was learnt since may be that of another VM's promotion.
+    """
     name = attempt.database.name
     call = node.open_store_call(RecordWrite(name, attempt.run))
     operation = WriteObject(
         key=term_key(name),
         value=encode_term(attempt.written).unwrap(),
-        expected_version=node.config.record_versions.get(name, 0),
+        expected_version=attempt.replaced_version,
         expected_era=attempt.era,
     )
     out.append(CallStore(call=call, operation=operation))
@@ -213,6 +217,7 @@
         if result.era > attempt.era:
             _begin_again(node, attempt, out)
             return
+        attempt.replaced_version = 0
         _write_record(node, attempt, out)
         return
     stored = result.objects[0]
@@ -233,6 +238,7 @@
         _begin_again(node, attempt, out)
         return
     if unchanged and result.era == attempt.era:
+        attempt.replaced_version = stored.version
         # The unanswered write never took effect.
         _write_record(node, attempt, out)
         return
@@ -250,6 +256,7 @@
         return
     push_term_records(node, [attempt.written], out)
     if attempt.phase is Phase.RESERVING:
+        attempt.replaced_version = version
         _fence_servers(node, attempt, out)
         return
     _promote_candidate(node, attempt, out)
@@ -315,16 +322,16 @@
     """Choose the new primary and write the term record that names it."""
     attempt.phase = Phase.RECORDING
     name = choose_candidate(node, attempt)
-    term_record = find_term_record(node, attempt.database.name)
+    reserved = attempt.written
     start = TermStart(
         term=attempt.term,
         offset=attempt.fenced[name].position.offset,
         primary=name,
     )
-    attempt.base = term_record
+    attempt.base = reserved
     attempt.written = TermRecord(
-        database=term_record.database,
-        starts=(*term_record.starts, start),
+        database=reserved.database,
+        starts=(*reserved.starts, start),
         reservation=None,
     )
     _write_record(node, attempt, out)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,146 @@
+"""Tests of promotion attempts: which answers and records continue them."""
+
+import random
+
+import pytest
+from store_samples import make_server
+from test_ticket_spread import build_address
+
+from siskinhold import events
+from siskinhold.core import Identity, NodeState, reduce
+from siskinhold.core._attempts import PRIMARY_LEAVING
+from siskinhold.core._failover_state import DatabaseFailover
+from siskinhold.core._promotion import (
+    FENCE_GRACE_PERIOD,
+    READ_BACK_DELAY,
+    begin_attempt,
+)
+from siskinhold.core._tickets import learn_term_record
+from siskinhold.effects import CallStore, FenceServer, PromoteServer
+from siskinhold.model import (
+    Database,
+    Position,
+    Reservation,
+    Role,
+    ServerStatus,
+    TermRecord,
+    TermStart,
+)
+from siskinhold.store import (
+    StoredObject,
+    StoreFailure,
+    StoreResult,
+    WriteObject,
+    decode_term,
+    encode_term,
+)
+
+FIRST = TermStart(term=1, offset=0, primary="a")
+LATER = TermStart(term=3, offset=9, primary="b")
+
+
+def begin_fencing():
+    """Return a VM that has reserved term 2, and the calls that fence the servers."""
+    servers = tuple(make_server(name) for name in ("a", "b", "c"))
+    database = Database(name="db", primary="a", servers=servers)
+    identity = Identity(address=build_address(0, "north"), incarnation=1)
+    node = NodeState(identity=identity, random=random.Random(1))
+    learn_term_record(node, TermRecord(database="db", starts=(FIRST,)), 4, [])
+    failover = node.failover.databases["db"] = DatabaseFailover()
+    out = []
+    begin_attempt(node, database, failover, PRIMARY_LEAVING, out)
+    (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+    out = reduce(node, answer_write(call, 5))
+    return node, [effect for effect in out if isinstance(effect, FenceServer)]
+
+
+def answer_write(call, version):
+    """Return the answer to a write that was carried out."""
+    stored = StoredObject(
+        key=call.operation.key,
+        value=call.operation.value,
+        version=version,
+        revision=version,
+    )
+    return events.StoreAnswered(
+        at=0.0, call=call.call, result=StoreResult(objects=(stored,))
+    )
+
+
+def answer_fence(fence):
+    """Return the answer of a server that was fenced."""
+    status = ServerStatus(
+        term=fence.term, role=Role.FENCED, position=Position(term=1, offset=7)
+    )
+    return events.ControlAnswered(
+        at=0.0, server=fence.server.name, call=fence.call, status=status
+    )
+
+
+def end_fencing(node, fences):
+    """Have a majority fenced, and return the effects of the end of the wait."""
+    out = []
+    for fence in fences[:2]:
+        out += reduce(node, answer_fence(fence))
+    out += reduce(node, events.TimeAdvanced(at=FENCE_GRACE_PERIOD + 0.01))
+    return out
+
+
+def find_writes(out):
+    """Return the terms of the records that are written, and the versions replaced."""
+    found = []
+    for effect in out:
+        if isinstance(effect, CallStore) and isinstance(effect.operation, WriteObject):
+            operation = effect.operation
+            record = decode_term(operation.key, operation.value).unwrap()
+            terms = [start.term for start in record.starts]
+            found.append((terms, operation.expected_version))
+    return found
+
+
+class TestReplacedReservation:
+    def test_attempt_records_its_term_over_its_reservation(self):
+        """Guards against an attempt that ends although its reservation stands."""
+        node, fences = begin_fencing()
+        assert find_writes(end_fencing(node, fences)) == [([1, 2], 5)]
+
+    @pytest.mark.parametrize(
+        "record",
+        [
+            TermRecord(database="db", starts=(FIRST, LATER)),
+            TermRecord(
+                database="db",
+                starts=(FIRST,),
+                reservation=Reservation(term=3, vm="vm1", run="r"),
+            ),
+        ],
+    )
+    def test_record_of_another_vm_is_not_replaced(self, record):
+        """Guards against two promotions with the same term."""
+        node, fences = begin_fencing()
+        learn_term_record(node, record, 8, [])
+        assert find_writes(end_fencing(node, fences)) == [([1, 2], 5)]
+
+    def test_unanswered_write_is_not_repeated_over_another_vms_record(self):
+        """Guards against a promotion that is lost from the record."""
+        node, fences = begin_fencing()
+        out = end_fencing(node, fences)
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        record = TermRecord(database="db", starts=(FIRST, LATER))
+        learn_term_record(node, record, 8, [])
+        lost = StoreResult(failure=StoreFailure.NO_ANSWER)
+        reduce(node, events.StoreAnswered(at=0.1, call=call.call, result=lost))
+        out = reduce(node, events.TimeAdvanced(at=0.1 + READ_BACK_DELAY + 0.01))
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        stored = StoredObject(
+            key=call.operation.key,
+            value=encode_term(record).unwrap(),
+            version=8,
+            revision=8,
+        )
+        result = StoreResult(objects=(stored,))
+        answer = events.StoreAnswered(at=0.3, call=call.call, result=result)
+        out = reduce(node, answer)
+        assert find_writes(out) == []
+        assert not any(isinstance(effect, PromoteServer) for effect in out)
+        assert node.failover.databases["db"].attempt is None
