Spread the calls about VMs after a restore over the fleet

Callers of a large fleet could have waited for store calls that were refused after a restore: a promotion's claim among them. Cause: each VM registered again at once, and read the list of VMs four times from fresh data. With 5,300 VMs, whose list has 11 pages, these are 58,000 reads at once for a store that takes 2,000 a second. Change: VMs register in turn, 500 a second; in a fleet of more than 500 VMs, the list is read as often as before the restore, from stale data. VMs that the list lacks stay known meanwhile. Result: test_large_fleet_registers_and_reads_in_turn failed (fresh reads by each VM) and passes; the other tests of the restored store pass unchanged.

--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -8,7 +8,7 @@
 
 import hashlib
 
-from ._effects import ListVms, PublishConnections
+from ._effects import ListVms, PublishConnections, RegisterVm
 from ._state import DirectState, Effects
 from ._types import VmEntry
 
@@ -35,6 +35,14 @@
 RESTORED_LIST_INTERVAL = 3.0
 """Seconds between two reads of the list of VMs in that time."""
 
+MAX_REFRESHING_VMS = 500
+"""VMs of the largest fleet in which each one does so, from fresh data. The list of a
+larger one has several pages, and as many fresh reads exceed the store's rate."""
+
+REGISTRATIONS_PER_SECOND = 500
+"""VMs that register again each second after a restore: a part of the store's rate of
+reads."""
+
 UNREACHABLE_HOLDER_DELAY = 2.0
 """Seconds for which a holder that does not answer is skipped."""
 
@@ -129,9 +137,17 @@
     return state.now - state.restored_at < RESTORE_PERIOD
 
 
+def register_again(state: DirectState, out: Effects) -> None:
+    """Register this VM again after a restore, in turn with the others of the fleet."""
+    if state.registers_at is None or state.now < state.registers_at:
+        return
+    state.registers_at = None
+    out.append(RegisterVm())
+
+
 def refresh_vms(state: DirectState, out: Effects) -> None:
     """Read the list of VMs at once and repeatedly after the store was restored."""
-    if not was_restored(state):
+    if not was_restored(state) or len(state.vms) > MAX_REFRESHING_VMS:
         return
     requested_at = state.vms_requested_at
     if requested_at > state.restored_at:
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -29,10 +29,12 @@
 from ._failover import handle_suspicions, watch_primaries
 from ._holders import (
     PUBLISH_INTERVAL,
+    REGISTRATIONS_PER_SECOND,
     add_lost_vms,
     knows_vms,
     publish_connection_limit,
     refresh_vms,
+    register_again,
     update_holders,
     was_restored,
 )
@@ -184,7 +186,8 @@
     if state.store_era:
         state.restored_at = state.now
         state.published_at = -PUBLISH_INTERVAL
-        out.append(RegisterVm())
+        delay = len(state.vms) / REGISTRATIONS_PER_SECOND
+        state.registers_at = state.now + state.random.uniform(0.0, delay)
     fields = (("era", event.era), ("before", state.store_era))
     out.append(Log(event="store_era_began", fields=fields, essential=True))
     state.store_era = event.era
@@ -238,6 +241,7 @@
     if state.tick_skipped:
         return
     maintain_servers(state, out)
+    register_again(state, out)
     refresh_vms(state, out)
     watch_primaries(state, out)
     probe_vms(state, out)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -295,6 +295,7 @@
         store_era: the store's newest known era, 0 while it has reported none.
         store_era_since: when this VM learned of that era.
         restored_at: when this VM learned that the store was restored.
+        registers_at: when it registers again for that, None if it has.
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
         servers_era_since: when the first list of its era was applied.
@@ -335,6 +336,7 @@
     store_era: int = 0
     store_era_since: float = 0.0
     restored_at: float = -100.0
+    registers_at: float | None = None
     servers: dict[str, Server] = field(default_factory=dict)
     servers_revision: Revision = Revision(number=-1)
     servers_era_since: float = -100.0
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -8,6 +8,7 @@
     DirectState,
     ListVms,
     PublishConnections,
+    RegisterVm,
     StoreEraBegan,
     TimeAdvanced,
     VmEntry,
@@ -316,6 +317,35 @@
             (27.2, False),
         ]
 
+    def test_large_fleet_registers_and_reads_in_turn(self):
+        """Guards against more calls at once than the store accepts."""
+        vms = []
+        for index in range(5300):
+            vms.append(
+                VmEntry(
+                    name=f"vm{index}", host="10.0.0.1", relay_port=1, zone="a", size=1
+                )
+            )
+        registered = []
+        for index in range(0, 5300, 53):
+            state = DirectState(
+                vm=f"vm{index}",
+                zone="a",
+                regions={"a": "east"},
+                grace=6.0,
+                random=random.Random(index),
+            )
+            reduce(state, StoreEraBegan(at=1.0, era=1))
+            reduce(state, VmsRead(at=1.1, vms=tuple(vms), connections=34))
+            reduce(state, TimeAdvanced(at=1.2))
+            reduce(state, StoreEraBegan(at=20.0, era=2))
+            for tenth in range(201, 320):
+                out = reduce(state, TimeAdvanced(at=tenth / 10))
+                assert not any(effect.fresh for effect in find(out, ListVms))
+                registered += [tenth // 10] * len(find(out, RegisterVm))
+        assert len(registered) == 100
+        assert max(registered.count(second) for second in registered) <= 20
+
     def test_first_era_is_no_restore(self):
         """Guards against as many fresh reads as VMs when a whole fleet starts."""
         state, _ = make_vm("vm1", configured=True)
