Wait for each watch in the test of a new era

The test ended a watch at fixed times, and failed once beside load: a watch had not begun yet when its era ended. Change: it waits until the feed watches before each new era, and asks for as much.

--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -189,11 +189,15 @@
         """Guards against a configuration that is noticed only when the watch ends."""
         client, health = FakeClient(), StoreHealth()
         feed = follow_configuration(client, print, lambda: True, health)
-        loop = asyncio.get_running_loop()
-        for delay in (0.03, 0.03, 0.06):
-            loop.call_later(delay, health.begin_era)
-        await run_briefly(feed, 0.1)
-        assert client.calls == [("configuration", True)] * 3
+        task = asyncio.ensure_future(feed)
+        for watches in (1, 2, 3):
+            async with asyncio.timeout(1):
+                while len(client.watches) < watches:
+                    await asyncio.sleep(0)
+            assert client.calls == [("configuration", True)] * watches
+            health.begin_era()
+            health.begin_era()
+        task.cancel()
         assert client.watches == [1] * 3
 
     async def test_stale_read_after_a_restore_gives_no_revision(self):
