--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -303,6 +303,27 @@
         world.advance(25)
         assert all(len(state.vms) == 8 for state in world.states.values())
 
+    def test_vm_that_is_paused_across_two_restores_catches_up(self):
+        """Guards against a VM that goes on with what it knew before its pause."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        copy[3].pop(3)
+        world.revision += 1000
+        world.advance(1.1)
+        world.paused.add("vm4")
+        world.restore_store(copy)
+        world.advance(3)
+        world.restore_store(copy)
+        world.advance(3)
+        world.servers["s2"].state = "draining"
+        world.paused.clear()
+        world.advance(1.5)
+        assert "vm4" in {entry.name for entry in world.entries}
+        state = world.states["vm4"]
+        assert state.store_era == state.servers_revision.era == 3
+        assert state.servers["s2"].draining_at is not None
+        assert len(state.vms) == 8
+
     def test_list_is_read_at_once_and_fresh(self):
         """Guards against a list of before the restore, or an old one for 10 s."""
         state, _ = make_vm("vm1", configured=True)
