Tell callers how long a new primary waits for lost claims

Callers whose writes were refused for a lost primary shortly after a restore were told to come back seconds before there was a new one. Cause: the expected time of a promotion left out the wait for the claims that the restored store has lost. Change: the expected time counts from the end of that wait. Result: the new test found the primary 2.4 s after the promised time, and finds it within 1 s of it; tests/direct passes.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -8,12 +8,15 @@
 from ._promotion_state import Claim, Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
+    CLAIM_TIMEOUT,
     STEP_RETRY_INTERVAL,
     enter_step,
+    find_claim_time,
     log_promotion,
     may_call,
     pop_promotion_call,
     register_call,
+    to_milliseconds,
     write_record,
 )
 from ._records import handle_first_record_answer, note_record
@@ -30,9 +33,6 @@
 MIN_ATTEMPT_TIME = 1.5
 """Seconds of an attempt that suffice for its steps; with less, it is claimed again."""
 
-CLAIM_TIMEOUT = 4.5
-"""Seconds after which another VM may replace an unchanged claim."""
-
 OPEN_CLAIM_PERIOD = 10.0
 """Seconds for which a claim without an answer is looked for: the store may carry out a
 write seconds after it was sent."""
@@ -103,11 +103,17 @@
         return
     if event.revision.era != state.store_era:
         return
-    if event.outcome is StoreOutcome.ABSENT and _may_be_claimed(state):
+    claims_at = find_claim_time(state, database)
+    if event.outcome is StoreOutcome.ABSENT and state.now < claims_at:
         if not promotion.delayed:
             promotion.delayed = True
             log_promotion(
-                state, database, "promotion_delayed", out, era=state.store_era
+                state,
+                database,
+                "promotion_delayed",
+                out,
+                era=state.store_era,
+                for_ms=to_milliseconds(claims_at - state.now),
             )
         return
     record = event.record
@@ -137,13 +143,6 @@
     _send_claim(state, database, promotion, event.revision, out)
 
 
-def _may_be_claimed(state: DirectState) -> bool:
-    """Return whether a claim of an older era of the store may still be in use."""
-    if not state.store_era:
-        return False
-    return state.now - state.store_era_since < CLAIM_TIMEOUT
-
-
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
     """Return whether an attempt is one that this VM has ended without an order."""
     claim = database.open_claim
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -10,6 +10,7 @@
 from ._evidence import STORE_UNAVAILABLE_PERIOD, can_prove
 from ._lag import estimate_catch_up
 from ._placement import accepts_leader_jobs, find_required_position
+from ._promotion_steps import find_claim_time
 from ._server_state import Server
 from ._state import Database, DirectState, Job
 
@@ -193,17 +194,20 @@
     if accepts_leader_jobs(state, leader) and leader.down_at is None:
         if state.now >= leader.failing_until:
             return state.now
+    claims_at = find_claim_time(state, database)
     if leader is None:
-        return _adjust_expected_time(state, database.leader_expected_at)
+        expected = database.leader_expected_at
+        if database.promotion is not None and claims_at > state.now:
+            expected = claims_at + EXPECTED_PROMOTION_TIME
+        return _adjust_expected_time(state, expected)
     since = state.now
     failing_since = leader.failing_since if state.now < leader.failing_until else None
     moments = (leader.down_at, leader.draining_at, leader.gone_at, failing_since)
     for moment in moments:
         if moment is not None:
             since = min(since, moment)
-    return _adjust_expected_time(
-        state, since + EXPECTED_DETECTION_TIME + EXPECTED_PROMOTION_TIME
-    )
+    claimed = max(since + EXPECTED_DETECTION_TIME, claims_at)
+    return _adjust_expected_time(state, claimed + EXPECTED_PROMOTION_TIME)
 
 
 def _adjust_expected_time(state: DirectState, expected: float) -> float:
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -177,6 +177,22 @@
         assert len(set(holders)) == 2
         assert holders == sorted(holders, key=lambda vm: vm != claimant)
 
+    def test_callers_are_told_how_long_the_claims_are_waited_for(self):
+        """Guards against callers that come back seconds before there is a primary."""
+        world = start(vms=8)
+        world.restore_store(world.copy_store())
+        world.advance(1.1)
+        world.servers["s1"].down = True
+        world.advance(1)
+        world.connect("vm1", 1)
+        detail = world.execute("vm1", 1, "WRITE x 1").detail
+        found_at = world.now + int(detail.split("retry_after_ms=")[1]) / 1000
+        leader = world.states["vm1"].databases["db"].leader
+        while leader is None or leader.server == "s1":
+            world.advance(0.05)
+            leader = world.states["vm1"].databases["db"].leader
+        assert abs(world.now - found_at) < 1
+
     def test_claim_carried_out_after_the_restore_is_not_used(self):
         """Guards against an order by a claim that no other VM sees."""
         world = start(vms=8)
