Share records, tokens and suspicions of the first era with older VMs

In a rolling update, VMs of both versions could have ordered promotions of the same database, and an older VM's token would have been lower than a newer one's. Cause: the era was part of the record's name and of the token from the first era on, and suspicions without an era were not counted. Change: eras count from 1. In that one, before any restore, the record has the name and the token the number that they had, and a suspicion without an era counts.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -71,6 +71,7 @@
 from ._settings import VmSettings
 from ._state import DirectState
 from ._types import (
+    FIRST_ERA,
     Answer,
     Command,
     CommandKind,
@@ -108,6 +109,7 @@
     "ConfigurationRead",
     "Consistency",
     "DirectState",
+    "FIRST_ERA",
     "Effect",
     "CloseIdleRelays",
     "Event",
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -50,7 +50,7 @@
 from ._records import record_primary
 from ._state import Database, DirectState, Effects
 from ._switchover import needs_switchover
-from ._types import Suspicion
+from ._types import FIRST_ERA, Suspicion
 
 SUSPICION_DELAY = 0.15
 """Seconds without a connection to a primary until this VM suspects its loss: several
@@ -346,7 +346,7 @@
     for suspicion in event.suspicions:
         if suspicion.term != promotion.term or suspicion.service != database.name:
             continue
-        if suspicion.era == state.store_era:
+        if max(suspicion.era, FIRST_ERA) == max(state.store_era, FIRST_ERA):
             voters.add(suspicion.vm)
     republish_at = promotion.published_at + REPUBLISH_INTERVAL
     if state.vm not in voters and state.now >= republish_at:
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -229,8 +229,12 @@
     idle_transaction: float
 
 
+FIRST_ERA = 1
+"""Era of a store that was never restored; one that reports no eras counts as such."""
+
 REVISION_BITS = 40
-"""Bits of a fence token for the number of a revision; the era takes the bits above."""
+"""Bits of a fence token for the number of a revision; the eras since the first take the
+bits above."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True, order=True)
@@ -252,8 +256,12 @@
         return f"{self.era}.{self.number}"
 
     def to_token(self) -> int:
-        """Return a fence token: a number that is greater for a greater revision."""
-        return self.era << REVISION_BITS | self.number
+        """Return a fence token: a number that is greater for a greater revision.
+
+        In the first era it is the revision's number, as VMs of older versions use it.
+        """
+        eras = max(self.era, FIRST_ERA) - FIRST_ERA
+        return eras << REVISION_BITS | self.number
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/users_platform/test_restored_records.py
+++ b/tests/users_platform/test_restored_records.py
@@ -41,6 +41,14 @@
         assert found.record == make_record("vm-2")
         assert eras == [1, 2]
 
+    async def test_record_of_a_store_that_was_not_restored_is_shared(self):
+        """Guards against claims that VMs of older versions don't see."""
+        store, client = await start_store()
+        await client.write_leader("db", make_record("vm-1"), Revision(era=1))
+        await client.close()
+        await store.stop()
+        assert ("leaders", "db") in store.objects
+
     @pytest.mark.parametrize("era", [1, 2])
     async def test_answer_of_another_era_is_unknown(self, era):
         """Guards against an order by a claim that only the restored store holds."""
