--- a/tests/users_platform/test_restored_records.py
+++ b/tests/users_platform/test_restored_records.py
@@ -49,6 +49,20 @@
         await store.stop()
         assert ("leaders", "db") in store.objects
 
+    @pytest.mark.parametrize("era", [None, "x", 1 << 23])
+    async def test_answer_without_a_readable_era_is_unknown(self, era):
+        """Guards against an order by a claim that only the restored store holds."""
+        store, client = await start_store()
+        await client.read_leader("db", 1)
+        store.restore(0.0)
+        store.era = era
+        written = await client.write_leader("db", make_record("vm-1"), Revision(era=1))
+        found = await client.read_leader("db", 1)
+        await client.close()
+        await store.stop()
+        assert written.outcome is StoreOutcome.UNKNOWN
+        assert found.outcome is StoreOutcome.UNKNOWN
+
     @pytest.mark.parametrize("era", [1, 2])
     async def test_answer_of_another_era_is_unknown(self, era):
         """Guards against an order by a claim that only the restored store holds."""
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -570,7 +570,7 @@
         body = {"meta": {"name": "db", "revision": revision}, "spec": {}}
 
         async def reply(*arguments, **options):
-            return _Reply(status=status, era=0, body=body)
+            return _Reply(status=status, era=0, era_known=True, body=body)
 
         client._call = reply
         record = LeaderRecord(
