--- a/src/siskinhold/direct/_records.py
+++ b/src/siskinhold/direct/_records.py
@@ -29,8 +29,8 @@
 """Seconds between the first attempts of two of them: longer than a write takes."""
 
 RECORDS_PER_SECOND = 50
-"""Rate at which the VMs together write the first records of an era, in calls a second:
-a part of what the store accepts."""
+"""Databases whose primary is recorded each second, which spreads the writes of all VMs
+over time."""
 
 RETRY_INTERVAL = 0.5
 """Seconds between two attempts."""
