Rank term records by their term before their number of terms

Callers could see writes fail for another promotion after a restore: VMs could take the primary of a promotion that the store had lost for that of a later one. Cause: a term record with more terms counted as the newer one. Two records of a database differ in that only if a restore has separated them: one with two promotions that the store has lost has more terms than one with a single promotion since, of a higher term. The watcher also wrote the lost one over the later one, and the sum of terms, by which VMs compare how far they are, decreased. Change: the term counts first. Without a restore both orders are the same.

--- a/src/siskinhold/core/_tickets.py
+++ b/src/siskinhold/core/_tickets.py
@@ -158,7 +158,7 @@
 
 def rank_record(record: TermRecord) -> tuple[int, int, int]:
     """Return a key that is greater for a newer term record."""
-    return (len(record.starts), record.term, record.highest_reserved)
+    return (record.term, len(record.starts), record.highest_reserved)
 
 
 def _apply_ticket(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,12 +3,14 @@
 import asyncio
 
 import looptime
+import msgspec
 import pytest
 
 from siskinhold.core import reduce
 from siskinhold.core._attempts import PRIMARY_REMOVED
 from siskinhold.core._failover_state import DatabaseFailover
 from siskinhold.core._promotion import _write_record, begin_attempt
+from siskinhold.core._tickets import learn_term_record
 from siskinhold.core._watching import ListCall, handle_list_answer
 from siskinhold.effects import CallStore, FenceServer, WatchStore
 from siskinhold.events import StoreAnswered, TimeAdvanced
@@ -186,6 +188,23 @@
         recorded, primary = run(scenario)
         assert recorded == primary.endpoint.name
 
+    def test_newer_term_replaces_a_longer_record(self):
+        """Guards against the primary of a lost promotion that replaces a later one."""
+
+        async def scenario(fleet):
+            node = fleet.list_running()[0].node
+            begin = node.config.records["bookings"]
+            lost = begin
+            for term in (1_000_001, 1_000_002):
+                lost = add_start(lost, term)
+            later = add_start(begin, 2_000_001)
+            learnt = []
+            for record in (lost, later, lost):
+                learnt.append(learn_term_record(node, record, 0, []))
+            return learnt, node.config.records["bookings"] == later
+
+        assert run(scenario) == ([True, True, False], True)
+
     def test_lost_answer(self):
         """Guards against objects that stay lost if the store fails again."""
 
@@ -204,6 +223,12 @@
         assert run(scenario)
 
 
+def add_start(record, term):
+    """Return a term record with the start of another term."""
+    start = msgspec.structs.replace(record.starts[-1], term=term)
+    return msgspec.structs.replace(record, starts=(*record.starts, start))
+
+
 def begin_promotion(fleet, name):
     """Begin a promotion on a VM; return its node and the first effects."""
     node = fleet.vms[name].node
