Test the conditions of the first record of an era

Without the proof by the other servers, without the rule for VMs that missed the record, or with the completion of a record of an older era that is repeated for ever, all tests in tests/direct passed. Each of the three new tests fails with one of these changes, and all pass on the code as it is.

--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -17,6 +17,7 @@
     VmsRead,
     reduce,
 )
+from siskinhold.direct._promotion_steps import find_rank
 
 from .world import World
 
@@ -270,6 +271,57 @@
         assert world.execute("vm1", 1, "READ x").refusal is None
 
 
+class TestFirstRecords:
+    def test_unproved_primary_is_not_recorded(self):
+        """Guards against a store that confirms a primary which was replaced."""
+        world = start(vms=8)
+        world.restore_store(world.copy_store())
+        world.servers["s2"].unreachable_from = set(world.states)
+        world.advance(20)
+        assert world.record is None
+        world.servers["s2"].unreachable_from = set()
+        world.advance(5)
+        assert world.record.server == "s1"
+
+    def test_vm_that_misses_the_record_writes_it(self):
+        """Guards against a primary that the store never confirms as the VMs that should
+        record it don't reach the store."""
+        world = start(vms=8)
+        world.restore_store(world.copy_store())
+        world.advance(1.5)
+        state = world.states["vm1"]
+        database = state.databases["db"]
+        term = database.leader.term
+        ranks = {vm: find_rank(s, database, term) for vm, s in world.states.items()}
+        world.store_down = {vm for vm, rank in ranks.items() if rank < 2}
+        last = max(ranks, key=ranks.get)
+        world.advance(15)
+        assert world.record is None
+        world.connect(last, 1)
+        world.servers["s2"].unreachable_from = {last}
+        world.execute(last, 1, "READ x")
+        world.servers["s2"].unreachable_from = set()
+        world.advance(8)
+        assert world.record.vm == last
+
+    def test_completion_of_an_older_era_is_dropped(self):
+        """Guards against a write that is repeated every second for ever."""
+        world = start(vms=8)
+        copy = world.copy_store()
+        world.servers["s1"].down = True
+        while not world.orders:
+            world.advance(0.005)
+        claimant = world.orders[0][1]
+        world.store_down.add(claimant)
+        world.advance(2)
+        database = world.states[claimant].databases["db"]
+        assert database.completion is not None
+        world.restore_store(copy)
+        world.store_down.clear()
+        world.advance(2)
+        assert database.completion is None
+
+
 def make_vm(name, *, configured, connections=34):
     """Return the state of a VM of two in an era of the store, after a list of VMs."""
     fleet = []
