End a leaving instance of the soak, as its announcement says

An instance of the soak was ready again after it had announced that it leaves, in the same process, which instances of the platform never are; VMs rightly go on avoiding it. Change: it ends and starts again, and an instance's entry shows each start.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -355,7 +355,10 @@
         await self._drain(self._random.choice(self._deployment.instances))
 
     async def _drain(self, instance: Instance) -> None:
-        """Have an instance announce that it leaves; check how long it is used."""
+        """Have an instance announce that it leaves, and check how long it is used.
+
+        It then ends, and starts again.
+        """
         states = {i.state for i in self._deployment.instances if i.running}
         if self._deployment.store.down or states != {"ready"} or not instance.running:
             return
@@ -370,6 +373,9 @@
                 self.violations.append(f"{instance.name}: still used while draining")
         finally:
             instance.state = "ready"
+            if instance.running:
+                await instance.stop()
+                await instance.start()
 
     async def _change_routes(self) -> None:
         """Add routes; each VM that is in touch must serve them in time.
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -99,6 +99,7 @@
         self.port = 0
         self.address_port = 0
         self.running = False
+        self.starts = 0
         self.state = "ready"
         self.slots = asyncio.Semaphore(4)
         self.executed: list[tuple[str, str]] = []
@@ -116,6 +117,7 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self.running = True
+        self.starts += 1
         for other in self.group.instances:
             if other.leads and other.term > self.term:
                 self.follow(other)
@@ -171,7 +173,7 @@
             "state": self.state,
             "seq_num": 1,
             "warmup_left_ms": 0,
-            "born": 1,
+            "born": self.starts,
             "db_role": "primary" if self.leads else "replica",
         }
 
