Poll the configuration of a store that has no history for a watch

A store that answers each watch with 'history gone' caused fresh reads of the whole configuration as fast as it answered: after a watch from a revision that was just read, the feed read again without a pause. That holds for a store without history, and for one whose answers are of an older era than one that this VM has seen. Change: if a watch fails in that way right after its read, without a restore in between, the next read waits for POLL_INTERVAL, which is shorter than the time within which a configuration must be in force. After a restore, and after a watch that worked, the read follows at once as before.

--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -17,8 +17,8 @@
 configuration must be in force."""
 
 POLL_INTERVAL = 1.0
-"""Seconds between two reads of the list of servers. A server is listed as draining
-seconds before it stops."""
+"""Seconds between two reads of the list of servers, or of a configuration that can't be
+watched. A server is listed as draining seconds before it stops."""
 
 STALE_PERIOD = 5.0
 """Seconds after the start of an era in which a stale read may return data, and a
@@ -69,6 +69,10 @@
         """Whether stale reads may return data of the era before."""
         return read_clock() - self._era_began_at < STALE_PERIOD
 
+    def was_restored_since(self, at: float) -> bool:
+        """Return whether the store began an era after a time."""
+        return self._era_began_at >= at
+
     def begin_era(self) -> None:
         """Record that the store began a new era, and end the watch that waits."""
         self._era_began_at = read_clock()
@@ -130,7 +134,7 @@
     It is read once, then watched; it is read again after a time in which this VM did
     not need it, or if the store has dropped the changes since the last one, or was
     restored. After that a stale read gives no revision to watch from: the store may
-    give it out again.
+    give it out again. A store that has no history for a watch is polled.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -140,6 +144,8 @@
     revision = None
     # A stale first read could bring back a route that was removed before the start.
     fresh = True
+    read_at = read_clock()
+    watched = True
     while True:
         if not is_needed():
             await _wait_until_needed(is_needed)
@@ -147,6 +153,7 @@
             revision, fresh = None, True
         try:
             if revision is None:
+                read_at = read_clock()
                 revision, configuration = await client.read_configuration(fresh=fresh)
                 if not fresh and health.restored_recently:
                     revision = None
@@ -155,9 +162,13 @@
                 revision, configuration = await health.limit_watch(
                     client.watch_configuration(revision, WATCH_TIMEOUT)
                 )
+                watched = True
         except HistoryGone:
             # A stale read could return a revision whose history is dropped as well.
             revision, fresh = None, True
+            if not watched and not health.was_restored_since(read_at):
+                await asyncio.sleep(POLL_INTERVAL)
+            watched = False
             continue
         except StoreUnavailable as error:
             # A store that is overloaded may still answer stale reads.
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -200,6 +200,20 @@
         task.cancel()
         assert client.watches == [1] * 3
 
+    async def test_store_without_a_history_is_polled(self, monkeypatch):
+        """Guards against fresh reads as fast as the store answers."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.1)
+        client = FakeClient()
+
+        async def watch(revision, wait):
+            await asyncio.sleep(0)
+            raise HistoryGone
+
+        client.watch_configuration = watch
+        feed = follow_configuration(client, print, lambda: True, StoreHealth())
+        await run_briefly(feed, 0.25)
+        assert client.calls == [("configuration", True)] * 4
+
     async def test_stale_read_after_a_restore_gives_no_revision(self):
         """Guards against a watch from a revision that the store gives out again."""
         client, health = FakeClient(), StoreHealth()
