--- a/tests/users_platform/test_restored_records.py
+++ b/tests/users_platform/test_restored_records.py
@@ -11,7 +11,7 @@
     Revision,
     StoreOutcome,
 )
-from siskinhold.lines import LeaderResult
+from siskinhold.lines import LeaderResult, StoreUnavailable
 
 from .test_tasks import FakeClient, make_driver, start_store
 
@@ -81,3 +81,23 @@
             await task
         expected = StoreOutcome.DONE if era == 2 else StoreOutcome.UNKNOWN
         assert [event.outcome for event in events] == [expected]
+
+
+class TestLists:
+    async def test_pages_of_two_eras_are_no_list(self, monkeypatch):
+        """Guards against a list that no copy of the store has held."""
+        store, client = await start_store()
+        for number in range(6):
+            store.put("servers", f"s{number}", {})
+        call = client._call
+
+        async def restore_after(*arguments, **options):
+            reply = await call(*arguments, **options)
+            store.restore(0.0)
+            return reply
+
+        monkeypatch.setattr(client, "_call", restore_after)
+        with pytest.raises(StoreUnavailable):
+            await client.list_servers(fresh=True)
+        await client.close()
+        await store.stop()
