Repeat first records at the rate at which they are written

A VM repeated each first record of an era that the store refused or did not answer every 0.5 s, for each database: after an outage of the store that is longer than the records take, over 18,000 writes a second with 9,400 databases, against several hundred that the store accepts, while claims wait for the same store. Change: an attempt to write is repeated after the time in which all databases have their turn, so the rate stays that of the first attempts. Result: the new test, with 200 databases and no answers, failed before with 400 writes in a second against a bound of 75, and passes now. The figure for 9,400 databases is computed, not measured.

--- a/src/siskinhold/direct/_records.py
+++ b/src/siskinhold/direct/_records.py
@@ -33,7 +33,7 @@
 over time."""
 
 RETRY_INTERVAL = 0.5
-"""Seconds between two attempts."""
+"""Lower limit of the seconds between two attempts."""
 
 
 def record_primary(state: DirectState, database: Database, out: Effects) -> None:
@@ -52,6 +52,7 @@
     if find_witnessed_time(state, database, strict=True) < proved_since:
         _probe_witnesses(state, database, out)
         return
+    database.record_retry_at += _find_window(state)
     write_record(
         state,
         database,
@@ -72,8 +73,12 @@
         return float("inf")
     digest = hashlib.blake2b(database.name.encode(), digest_size=4).digest()
     share = int.from_bytes(digest) / 2**32
-    window = len(state.databases) / RECORDS_PER_SECOND
-    return share * window + rank * RANK_INTERVAL
+    return share * _find_window(state) + rank * RANK_INTERVAL
+
+
+def _find_window(state: DirectState) -> float:
+    """Return in how many seconds the records of all databases are written once."""
+    return len(state.databases) / RECORDS_PER_SECOND
 
 
 def _probe_witnesses(state: DirectState, database: Database, out: Effects) -> None:
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -15,9 +15,12 @@
     TimeAdvanced,
     VmEntry,
     VmsRead,
+    WriteLeaderRecord,
     reduce,
 )
 from siskinhold.direct._promotion_steps import find_rank
+from siskinhold.direct._records import RECORDS_PER_SECOND
+from siskinhold.direct._state import Leadership
 
 from .world import World
 
@@ -304,6 +307,18 @@
         world.advance(8)
         assert world.record.vm == last
 
+    def test_unanswered_writes_are_repeated_at_the_rate_of_the_first_ones(self):
+        """Guards against more writes than the store accepts after an outage."""
+        state, _ = make_vm("vm1", configured=True, databases=200)
+        for database in state.databases.values():
+            database.leader = Leadership(server="s1", term=1, since=1.0)
+        seconds = []
+        for tenth in range(13, 400):
+            out = reduce(state, TimeAdvanced(at=tenth / 10))
+            seconds += [tenth // 10] * len(find(out, WriteLeaderRecord))
+        assert len(seconds) > 200
+        assert max(seconds.count(s) for s in seconds) <= 1.5 * RECORDS_PER_SECOND
+
     def test_completion_of_an_older_era_is_dropped(self):
         """Guards against a write that is repeated every second for ever."""
         world = start(vms=8)
@@ -322,7 +337,7 @@
         assert database.completion is None
 
 
-def make_vm(name, *, configured, connections=34):
+def make_vm(name, *, configured, connections=34, databases=1):
     """Return the state of a VM of two in an era of the store, after a list of VMs."""
     fleet = []
     for other in ("vm1", "vm2"):
@@ -337,7 +352,7 @@
         configuration = Configuration(
             version=1,
             routes={},
-            connections={"db": connections},
+            connections={f"db{n}": connections for n in range(databases)},
             idle_transaction=3.0,
         )
         reduce(state, ConfigurationRead(at=1.0, configuration=configuration))
