Give each restarted VM of the simulation its own random numbers

Two VMs that restarted in one test drew the same ids of claims, as their seed was the number of VMs. One took the other's claim for its own, which looked like an order by the claim of another VM in a random campaign. The seed of a real process comes from secrets.

--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -344,7 +344,7 @@
         """Start a VM's process again; it remembers nothing."""
         self.stopped.discard(vm)
         zone = self.states[vm].zone
-        self.add_vm(vm, zone, tuple(self.entries), len(self.states) + 1)
+        self.add_vm(vm, zone, tuple(self.entries), self.order)
 
     def register(self, vm):
         """Add a VM's entry to the list of VMs again."""
