Count no claim in the simulation that a restored store carries out late

A write of an older era that a restored store carries out may get the token of a claim of before the restore, whose VM then seemed to order by another VM's claim. The VM that sent the write gets no usable answer.

--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -726,7 +726,7 @@
             self.revision += 1
             record, number = effect.record, self.revision
             self.records[era] = (record, number)
-            if record.state is LeaderState.PROMOTING:
+            if record.state is LeaderState.PROMOTING and era == self.era:
                 token = Revision(era=era, number=number).to_token()
                 self.claims[token] = (record.vm, self.now)
         elif record is None:
