Test that a known list of servers is not sent again

Without the era in the request, a VM that can't read the store gets the whole list from each VM that it asks, and no test failed. The new test fails then with '200 == 204', and passes on the code as it is.

--- a/tests/users_platform/test_sharing.py
+++ b/tests/users_platform/test_sharing.py
@@ -164,6 +164,15 @@
         assert await update_from(peer, state) == [VM_LIST_PATH, "/knowledge/0/0"]
         assert state.servers_revision == Revision(era=1, number=20)
 
+    async def test_known_list_is_not_sent_again(self):
+        """Guards against the whole list in each answer while the store is away."""
+        state, peer = make_state("vm1"), make_peer(make_vms(3))
+        reduce(state, TimeAdvanced(at=2.1))
+        reduce(peer, make_list(Revision(era=1, number=20), "new"))
+        await update_from(peer, state)
+        asked = await update_from(peer, state)
+        assert answer_snapshot(peer, asked[-1]).status == 204
+
     @pytest.mark.parametrize("late", [Revision(era=1, number=90), Revision(number=99)])
     def test_older_list_does_not_replace_one_that_waits_for_the_configuration(
         self, late
