--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -65,7 +65,7 @@
             self._failing.discard(feed)
 
     @property
-    def restored_recently(self) -> bool:
+    def era_began_recently(self) -> bool:
         """Whether stale reads may return data of the era before."""
         return read_clock() - self._era_began_at < STALE_PERIOD
 
@@ -155,7 +155,7 @@
             if revision is None:
                 read_at = read_clock()
                 revision, configuration = await client.read_configuration(fresh=fresh)
-                if not fresh and health.restored_recently:
+                if not fresh and health.era_began_recently:
                     revision = None
                 fresh = revision is None
             else:
@@ -236,13 +236,13 @@
             fresh = True
             continue
         try:
-            stale = not (fresh or health.restored_recently)
+            stale = not (fresh or health.era_began_recently)
             revision, entries = await client.list_servers(fresh=not stale)
         except StoreUnavailable as error:
             await backoff.pause(error)
             continue
         backoff.record_success()
-        if stale and health.restored_recently:
+        if stale and health.era_began_recently:
             continue
         missing.update({entry.server for entry in entries}, read_clock())
         fresh = not entries or missing.recent
