Name VM, time, instance and position in the soak's stale reads

`k0: read -1 after 32 was acknowledged` did not tell which VM answered, when, and on which log the read ran, so it could not be found in the logs of the VMs. Change: the text of the violation names them. Instances record the position at which each statement ran. No check changes.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -508,6 +508,7 @@
 
     async def _read_once(self, client: Client, key: str) -> bool:
         known = self._acknowledged.get(key, -1)
+        began = time.monotonic()
         lines = await client.execute(f"READ {key}")
         if not lines:
             return False
@@ -515,12 +516,31 @@
             value = lines[0].split(" ")[1]
             seen = -1 if value == "none" else int(value)
             if seen < min(known, self._acknowledged.get(key, known)):
+                run = self._describe_run(client, began, lines[1])
                 self.violations.append(
-                    f"{key}: read {seen} after {known} was acknowledged"
+                    f"{key}: read {seen} after {known} was acknowledged, {run}"
                 )
             self.counts["done"] += 1
         return True
 
+    def _describe_run(self, client: Client, began: float, complete: str) -> str:
+        """Return a statement's VM, its time, and where and on which log it ran.
+
+        Args:
+            complete: the line with the signature of the instance that ran it.
+        """
+        vm = next(vm.name for vm in self._vms if vm.ports[0] == client.port)
+        name, _, request = complete.split(" ")[1].partition(".")
+        positions = []
+        for instance in self._deployment.instances:
+            for executed, _, (term, number) in instance.executed:
+                if instance.name == name and executed == request:
+                    positions.append(f"{term}.{number}")
+        return (
+            f"vm={vm} began={began:.3f} ended={time.monotonic():.3f} "
+            f"request={request} instance={name} positions={','.join(positions)}"
+        )
+
     def _check_writes(self) -> None:
         found: dict[tuple[str, int], int] = {}
         for _, _, items in self._deployment.group.leader.log:
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -102,7 +102,7 @@
         self.starts = 0
         self.state = "ready"
         self.slots = asyncio.Semaphore(4)
-        self.executed: list[tuple[str, str]] = []
+        self.executed: list[tuple[str, str, tuple[int, int]]] = []
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -268,7 +268,7 @@
             return f"ERROR READONLY {self.name}\r\n".encode()
         async with self.slots:
             await asyncio.sleep(self.service_time)
-        self.executed.append((request, " ".join(words)))
+        self.executed.append((request, " ".join(words), self.applied))
         row = b""
         if writes:
             session.written[words[1]] = words[2] if len(words) > 2 else ""
@@ -663,9 +663,14 @@
 
 
 class Client:
-    """A caller that speaks the wire format."""
+    """A caller that speaks the wire format.
 
-    def __init__(self, *, reader, writer) -> None:
+    Args:
+        port: port of the VM that it is connected to.
+    """
+
+    def __init__(self, *, reader, writer, port: int) -> None:
+        self.port = port
         self._reader = reader
         self._writer = writer
         self._requests = 0
@@ -681,7 +686,7 @@
         """Connect without waiting for an answer."""
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(f"CONNECT {database} u1\r\n".encode())
-        return cls(reader=reader, writer=writer)
+        return cls(reader=reader, writer=writer, port=port)
 
     async def read_line(self) -> str:
         """Return the next line."""
