Abort a transaction whose connection ends before the proof of an answer

A caller could get a success for a `COMMIT` of writes that were never committed. Cause: the loss of a connection failed its transaction only if no statement was under way. One whose answer awaits proof is under way, but not pending on the connection. Change: such a statement is answered as aborted at once, and its transaction fails. Result: the new test failed before for a write and for a read, with an answer without a refusal, and passes now.

--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -16,8 +16,8 @@
 ) -> None:
     """Requeue or fail the jobs that ran on a connection that has ended.
 
-    An open transaction on it without a running statement fails; its caller is told in
-    the answer to the next statement.
+    An open transaction on it without a running statement fails. Its caller is told in
+    the answer to the statement that awaits proof, else in that to the next one.
     """
     transaction = connection.transaction
     if transaction is not None:
@@ -33,9 +33,13 @@
         _handle_run_loss(state, job, connection, out)
     if transaction is not None and not transaction.failed:
         session = transaction.session
-        if session.transaction is transaction and session.work is None:
+        if session.transaction is not transaction:
+            return
+        if session.work is None:
             transaction.failed = True
             transaction.failure_unreported = True
+        elif session.work.state is JobState.UNCONFIRMED:
+            fail_transaction(state, session.work, "connection_lost", out)
 
 
 def _handle_run_loss(
--- a/tests/direct/test_direct_sessions.py
+++ b/tests/direct/test_direct_sessions.py
@@ -1,6 +1,8 @@
 """Tests of the direct core: sessions, transactions and their replies."""
 
-from siskinhold.direct import Refusal, TransactionState
+import pytest
+
+from siskinhold.direct import BackendLost, LossReason, Refusal, TransactionState
 
 from .world import World
 
@@ -37,6 +39,34 @@
         ended = world.execute("vm1", 1, "ROLLBACK")
         assert ended.transaction is TransactionState.NONE
 
+    @pytest.mark.parametrize("text", ["WRITE x 1", "READ x"])
+    def test_lost_connection_while_an_answer_awaits_proof_is_aborted(self, text):
+        """Guards against a commit acknowledged without the writes before it."""
+        world = start()
+        world.connect("vm1", 1)
+        world.execute("vm1", 1, "BEGIN")
+        world.servers["s2"].unreachable_from = {"vm1"}
+        world.record_delay = 0.3
+        world.send_statement("vm1", 1, text)
+        world.advance(0.05)
+        assert world.servers["s1"].ran
+        (key,) = [k for k, c in world.connections.items() if c.open]
+        del world.connections[key]
+        lost = BackendLost(at=0, connection=key[1], reason=LossReason.CLOSED)
+        world.deliver("vm1", world.now, lost)
+        world.advance(1)
+        _, answer = world.replies["vm1", 1][-1]
+        assert answer.refusal is Refusal.ABORTED
+        assert answer.transaction is TransactionState.FAILED
+        commit = world.execute("vm1", 1, "COMMIT")
+        assert commit.refusal is Refusal.ABORTED
+        assert commit.transaction is TransactionState.NONE
+        assert len(world.servers["s1"].ran) == 1
+        assert not world.servers["s1"].commits
+        world.servers["s2"].unreachable_from = set()
+        world.advance(1)
+        assert world.execute("vm1", 1, "WRITE x 2").refusal is None
+
     def test_lost_connection_at_commit_is_in_doubt(self):
         """Guards against "not run" for a commit that may have succeeded."""
         world = start()
