Prove the primary of a primary route without its staleness

A read on a route of type `primary` could be answered by an old primary up to `max_staleness_ms` after another one was promoted, without commits acknowledged since, if the configuration gives such a route that field. Cause: a read at the primary was proved for its arrival minus the route's staleness, whatever the type of the route. The simulated primary route had a staleness of 0. Change: on a primary route the proof is for the arrival of the read or the begin of its transaction. The simulated route has a staleness of 1.5 s. Result: with that staleness, the new test and test_vm_that_reaches_the_old_primary_ alone_refuses failed before, as the old primary's row was returned; so did test_vm_that_misses_the_record_writes_it and the test of a connection lost before the proof, which need an answer that waits for proof. All of tests/direct and tests/users_platform pass now.

--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -14,7 +14,7 @@
 )
 from ._server_state import Connection, PendingCommand, Server
 from ._state import DirectState, Effects, Job, JobState, Transaction
-from ._types import NOT_RUN, Answer, Refusal
+from ._types import NOT_RUN, Answer, Consistency, Refusal
 
 MAX_READ_ATTEMPTS = 3
 """Runs of a read that servers fail, after which its caller gets the failure."""
@@ -151,7 +151,9 @@
         deliver_result(state, job, answer, out)
         return
     else:
-        job.proof_since = job.since - job.route.staleness
+        job.proof_since = job.since
+        if job.route.consistency is not Consistency.PRIMARY:
+            job.proof_since -= job.route.staleness
     job.answer = answer
     job.state = JobState.UNCONFIRMED
     database = state.databases[job.route.service]
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -199,7 +199,8 @@
         timeout: longest time of a single statement, in seconds.
         target: target latency, in seconds.
         priority: 0 is the most urgent.
-        staleness: greatest age of commits that a read may miss, in seconds.
+        staleness: greatest age of commits that a read may miss, in seconds; without
+            effect on routes to the primary.
     """
 
     database: str
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -374,6 +374,20 @@
         assert reads and answers
         assert all(a.signature.startswith("s2") for a in answers)
 
+    def test_staleness_of_a_primary_route_allows_no_stale_read(self):
+        """Guards against reads of an old primary that a field for replicas allows."""
+        world = start()
+        world.connect("vm3", 1)
+        world.connect("vm1", 2)
+        for name in ("s2", "s3"):
+            world.servers[name].unreachable_from = {"vm3"}
+        world.store_down = {"vm3"}
+        world.promote("s2")
+        world.execute("vm1", 2, "WRITE x 0")
+        assert world.execute("vm1", 2, "WRITE x 1").refusal is None
+        answer = world.execute("vm3", 1, "READ x", wait=1.5)
+        assert answer.refusal is not None
+
     def test_vm_that_reaches_the_old_primary_alone_refuses(self):
         """Guards against a stale read in a partition without the store."""
         world = start()
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -374,7 +374,7 @@
     def configure(self):
         """Return a configuration with one route of each kind."""
         kinds = {
-            "orders": (Consistency.PRIMARY, 0.0, 1),
+            "orders": (Consistency.PRIMARY, 1.5, 1),
             "views": (Consistency.BOUNDED_AGE, 1.5, 2),
             "crew": (Consistency.READ_YOUR_WRITES, 2.5, 2),
         }
