Check in the soak that what is acknowledged was committed

The soak compared an acknowledged write with later reads only, so a lost one showed only if its key had no older value. Change: the stand-ins remember what was committed, and the soak compares each acknowledgement with it. No check is taken away.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -487,6 +487,8 @@
         request = lines[0].rpartition(".")[2]
         if request in self._deployment.group.outdated:
             self.violations.append(f"{key}={number}: acknowledged by an old primary")
+        if (key, str(number)) not in self._deployment.group.committed:
+            self.violations.append(f"{key}={number}: acknowledged but not committed")
         self.counts["done"] += 1
         leader = self._deployment.group.leader
         self._acknowledged[key] = min(number, int(leader.data.get(key, number)))
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -39,6 +39,7 @@
         self.lag = lag
         self.instances: list["Instance"] = []
         self.outdated: set[str] = set()
+        self.committed: set[tuple[str, str]] = set()
         self.on_promoted = None
 
     @property
@@ -52,6 +53,7 @@
             self.outdated.add(request)
         number = leader.applied[1] + 1
         leader.append((leader.term, number, dict(items)))
+        self.committed.update(items.items())
         loop = asyncio.get_running_loop()
         for instance in self.instances:
             if instance is not leader:
