Keep a promotion's record open until its order has taken effect

Cause: a VM had ordered the promotion of i-c63 at 14.268 s, without a known primary. A primary of the older term was reachable again before that took effect, counted as the result, and was recorded as the stable one 0.2 s after the order. The next VM claimed at 14.62 s and ordered another server, found i-c63 meanwhile, and recorded that in turn. Its own order took effect later, in a term that nobody recorded. Change: an ordered promotion ends with another server than the ordered one only 5 s after its claim. Until then the ordered server is probed, so that its lead is noticed without writes.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -22,6 +22,7 @@
 from ._events import SuspicionsAnswered
 from ._holders import needs_servers
 from ._inquiry import ask_about_primary
+from ._leaders import probe_leader
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -71,6 +72,9 @@
 """Number of holders that must suspect a primary in any case; it suffices if the
 replicas receive nothing from the primary either."""
 
+ORDER_EFFECT_PERIOD = 5.0
+"""Seconds after a claim in which a promotion that it ordered may take effect."""
+
 REPUBLISH_INTERVAL = 1.0
 """Seconds after a publication in which a list without this VM's suspicion does not lead
 to another one: longer than the calls take."""
@@ -247,8 +251,12 @@
     ends before the claim, or if it times out after the claim.
     """
     if _is_replaced(database, promotion):
-        if not _awaits_order(state, promotion):
+        if not _awaits_order(state, database, promotion):
             _finish_promotion(state, database, promotion, out)
+            return
+        candidate = state.servers.get(promotion.candidate)
+        if candidate is not None:
+            probe_leader(state, candidate, out)
         return
     cause = _find_cause(state, database)
     if promotion.claim is None and cause is None:
@@ -307,16 +315,18 @@
     return bool(promotion.leader)
 
 
-def _awaits_order(state: DirectState, promotion: Promotion) -> bool:
-    """Return whether an order of the promotion may still be on its way.
+def _awaits_order(state: DirectState, database: Database, promotion: Promotion) -> bool:
+    """Return whether an order of the promotion may still arrive or take effect.
 
-    Once the record is complete, another VM may claim it, and its order may arrive
-    first.
+    Once the record is complete, another VM may claim it, and the store confirms the
+    primary that was found, though the ordered one leads in a newer term soon.
     """
     claim = promotion.claim
-    if claim is None or has_expired(state, claim):
+    if claim is None or state.now - claim.sent_at > ORDER_EFFECT_PERIOD:
         return False
-    return promotion.step is PromotionStep.ORDERING and promotion.call != 0
+    if promotion.step is PromotionStep.ORDERING and promotion.call:
+        return not has_expired(state, claim)
+    return promotion.ordered and database.leader.server != promotion.candidate
 
 
 def _update_cause(state: DirectState, promotion: Promotion, cause: str) -> None:
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -656,6 +656,30 @@
         tokens = [token for _, _, _, token in world.orders]
         assert len(set(tokens)) == 2 and tokens == sorted(tokens)
 
+    def test_record_stays_open_until_the_ordered_promotion_takes_effect(self):
+        """Guards against a record that confirms a primary which is being replaced."""
+        world = start(vms=8)
+        for server in world.servers.values():
+            server.leads = False
+            server.term = 2
+        for vm in world.states:
+            world.connect(vm, 1)
+            world.send_statement(vm, 1, "WRITE x 1")
+        for _ in range(1200):
+            if not world.orders:
+                world.advance(0.005)
+        ordered = world.orders[0][2]
+        back = next(s for s in world.servers.values() if s.name != ordered)
+        back.leads = True
+        for _ in range(60):
+            assert world.record.state is LeaderState.PROMOTING
+            world.advance(0.005)
+        back.leads = False
+        world.advance(3)
+        assert len({token for _, _, _, token in world.orders}) == 1
+        assert world.record.state is LeaderState.STABLE
+        assert (world.record.server, world.record.term) == (ordered, 3)
+
     def test_claim_of_a_vm_that_shuts_down_is_withdrawn(self):
         """Guards against a failover that waits for the end of that claim."""
         world, vm = self.lose_primary_until_recorded()
