Give the suspicions of a failover their own module

Moved without a change of logic; publish_suspicion, withdraw_suspicion and collect_suspicions are called by the other module and lost their underscores.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -18,10 +18,8 @@
     give_up_claim,
     read_record,
 )
-from ._effects import ListSuspicions, ListVms, Observe, PublishSuspicion
-from ._events import SuspicionsAnswered
+from ._effects import ListVms, Observe
 from ._holders import needs_servers
-from ._inquiry import ask_about_primary
 from ._leaders import probe_leader
 from ._promotion import (
     await_effect,
@@ -31,27 +29,26 @@
     end_suspensions,
     fence_majority,
     has_expired,
-    is_cut_off,
     order_promotion,
-    request_progress,
 )
 from ._promotion_state import Completion, Promotion, PromotionStep
 from ._promotion_steps import (
     GONE_LEADER_TIMEOUT,
-    STEP_RETRY_INTERVAL,
     SWITCHOVER_CAUSE,
     enter_step,
     find_rank,
     log_promotion,
-    may_call,
-    pop_promotion_call,
-    register_call,
     to_milliseconds,
 )
 from ._records import record_primary
 from ._state import Database, DirectState, Effects
+from ._suspicions import (
+    SUSPECTED_CAUSES,
+    collect_suspicions,
+    publish_suspicion,
+    withdraw_suspicion,
+)
 from ._switchover import needs_switchover
-from ._types import FIRST_ERA, Suspicion
 
 SUSPICION_DELAY = 0.15
 """Seconds without a connection to a primary until this VM suspects its loss: several
@@ -65,20 +62,9 @@
 """Seconds for which a server that was seen to lead counts as a primary that still
 applies its log: several times the interval at which it is probed."""
 
-QUORUM_RATIO = 0.4
-"""Share of the connection holders that must suspect a primary before it is replaced."""
-
-MIN_VOTERS = 2
-"""Number of holders that must suspect a primary in any case; it suffices if the
-replicas receive nothing from the primary either."""
-
 ORDER_EFFECT_PERIOD = 5.0
 """Seconds after a claim in which a promotion that it ordered may take effect."""
 
-REPUBLISH_INTERVAL = 1.0
-"""Seconds after a publication in which a list without this VM's suspicion does not lead
-to another one: longer than the calls take."""
-
 RANK_DELAY = 0.08
 """Seconds that each VM waits for the one ranked before it to claim the leader record:
 longer than a claim takes across regions."""
@@ -86,12 +72,6 @@
 MAX_RANK = 8
 """Rank above which the delay no longer increases."""
 
-SUSPECTED_CAUSES = ("unreachable", "failing", "leaderless")
-"""Causes that may be a fault of this VM, so that other VMs have to confirm them."""
-
-NO_TERM = 0
-"""Term of a suspicion that was withdrawn."""
-
 STARTUP_PERIOD = 4.0
 """Seconds after the start in which the list of VMs is read more often, as VMs that
 start together register one after the other."""
@@ -200,25 +180,10 @@
         since_ms=to_milliseconds(state.now - since),
     )
     if step is PromotionStep.SUSPECTING:
-        _publish_suspicion(state, database, promotion, out)
+        publish_suspicion(state, database, promotion, out)
         promotion.repeat_at = state.now + 0.03
 
 
-def _publish_suspicion(
-    state, database: Database, promotion: Promotion, out: Effects
-) -> None:
-    """Publish that this VM suspects the primary, for the store's present era."""
-    promotion.published_at = state.now
-    suspicion = Suspicion(
-        service=database.name,
-        server=promotion.leader,
-        term=promotion.term,
-        vm=state.vm,
-        era=state.store_era,
-    )
-    out.append(PublishSuspicion(suspicion=suspicion))
-
-
 def _find_newest_term(state: DirectState, database: Database) -> int:
     """Return the newest term of a database that is known to this VM."""
     term = database.min_term
@@ -230,18 +195,6 @@
     return term
 
 
-def _withdraw_suspicion(state: DirectState, database: Database, out: Effects) -> None:
-    """Withdraw this VM's suspicion, which would count for the rest of the term."""
-    suspicion = Suspicion(
-        service=database.name,
-        server="",
-        term=NO_TERM,
-        vm=state.vm,
-        era=state.store_era,
-    )
-    out.append(PublishSuspicion(suspicion=suspicion))
-
-
 def _advance_promotion(
     state: DirectState, database: Database, promotion: Promotion, out: Effects
 ) -> None:
@@ -264,7 +217,7 @@
             state, database, "promotion_dropped", out, reason="primary_reachable"
         )
         if promotion.cause in SUSPECTED_CAUSES:
-            _withdraw_suspicion(state, database, out)
+            withdraw_suspicion(state, database, out)
         give_up_claim(state, database, promotion)
         database.promotion = None
         return
@@ -337,75 +290,6 @@
     enter_step(state, promotion, PromotionStep.WAITING)
 
 
-def _collect_suspicions(
-    state, database: Database, promotion: Promotion, out: Effects
-) -> None:
-    """Read the other VMs' suspicions and the replicas' replication progress."""
-    if not may_call(state, promotion):
-        return
-    promotion.step_at = state.now
-    request_progress(state, database, out)
-    ask_about_primary(state, database, promotion, out)
-    promotion.call = register_call(state, "suspicions", database)
-    out.append(ListSuspicions(call=promotion.call, service=database.name))
-
-
-def handle_suspicions(
-    state: DirectState, event: SuspicionsAnswered, out: Effects
-) -> None:
-    """Continue a promotion if enough VMs suspect the primary in this term.
-
-    Only suspicions of the store's present era count: in a restored store, one may be
-    back that was withdrawn, and this VM's own may be lost, which is published again.
-    """
-    found = pop_promotion_call(state, event.call)
-    if found is None:
-        return
-    database, promotion = found
-    promotion.call = 0
-    promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
-    if event.suspicions is None or promotion.step is not PromotionStep.SUSPECTING:
-        return
-    voters = set()
-    for suspicion in event.suspicions:
-        if suspicion.term != promotion.term or suspicion.service != database.name:
-            continue
-        if max(suspicion.era, FIRST_ERA) == max(state.store_era, FIRST_ERA):
-            voters.add(suspicion.vm)
-    republish_at = promotion.published_at + REPUBLISH_INTERVAL
-    if state.vm not in voters and state.now >= republish_at:
-        _publish_suspicion(state, database, promotion, out)
-    if is_cut_off(state, database):
-        voters.update(promotion.missed_by)
-    known = max(len(state.holders), 1)
-    if len(voters) < _compute_quorum(state, database, known):
-        return
-    log_promotion(
-        state,
-        database,
-        "primary_loss_confirmed",
-        out,
-        voters=len(voters),
-        vms=known,
-        asked=len(promotion.missed_by),
-        cut_off=is_cut_off(state, database),
-    )
-    enter_step(state, promotion, PromotionStep.WAITING)
-
-
-def _compute_quorum(state: DirectState, database: Database, known: int) -> float:
-    """Return how many connection holders must suspect a primary.
-    VMs on the primary's side of a partition can't report, as they don't reach the
-    store. A few VMs on the other side suffice if the replicas are cut off as well.
-    Otherwise the primary may still serve the other VMs, and its replacement would lose
-    commits.
-    """
-    minimum = min(MIN_VOTERS, known)
-    if is_cut_off(state, database):
-        return minimum
-    return max(minimum, QUORUM_RATIO * known)
-
-
 def _await_rank(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Read the leader record once the VMs ranked before had time to claim it."""
     rank = find_rank(state, database, promotion.term)
@@ -444,7 +328,7 @@
 
 
 _STEPS = {
-    PromotionStep.SUSPECTING: _collect_suspicions,
+    PromotionStep.SUSPECTING: collect_suspicions,
     PromotionStep.WAITING: _await_rank,
     PromotionStep.READING: read_record,
     PromotionStep.CLAIMING: await_claim,
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -26,7 +26,7 @@
     VmsAsked,
     VmsRead,
 )
-from ._failover import handle_suspicions, watch_primaries
+from ._failover import watch_primaries
 from ._holders import (
     PUBLISH_INTERVAL,
     REGISTRATIONS_PER_SECOND,
@@ -58,6 +58,7 @@
 )
 from ._shutdown import advance_shutdown, request_shutdown
 from ._state import Database, DirectState, Effects, JobState
+from ._suspicions import handle_suspicions
 
 BUSY_TICK_INTERVAL = 0.02
 """Seconds between two ticks while statements wait, or without a stable primary."""
