Log what a promotion waits for before its claim

A VM that waited for another one's claim wrote nothing, so the log could not show whether the second of two close orders came from a VM that had waited. promotion_delayed now names the record's VM, state and revision and the longest wait, once for each reason, and promotion_claim_sent names what is replaced and for how long its revision had been seen. The time of a revision's first sight is kept for every answer about the record, not for open claims alone.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -5,13 +5,12 @@
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._evidence import handle_store_proof
 from ._leaders import DropReason, drop_leader
+from ._lease import delay_promotion, find_claim_time, find_record_end, note_revision
 from ._promotion_state import Claim, Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
-    CLAIM_TIMEOUT,
     STEP_RETRY_INTERVAL,
     enter_step,
-    find_claim_time,
     log_promotion,
     may_call,
     pop_promotion_call,
@@ -22,7 +21,7 @@
 from ._records import handle_first_record_answer, note_record
 from ._server_state import Purpose
 from ._state import Database, DirectState, Effects
-from ._types import Command, CommandKind, LeaderState, Revision
+from ._types import Command, CommandKind, LeaderState
 
 COMPLETION_RETRY_INTERVAL = 1.0
 """Seconds between two attempts to complete a record."""
@@ -62,6 +61,7 @@
     database = state.databases.get(name)
     if database is not None:
         note_record(state, database, event)
+        note_revision(state, database, event)
     if purpose == "first" and database is not None:
         del state.calls[event.call]
         handle_first_record_answer(state, database, event, out)
@@ -105,16 +105,7 @@
         return
     claims_at = find_claim_time(state, database)
     if event.outcome is StoreOutcome.ABSENT and state.now < claims_at:
-        if not promotion.delayed:
-            promotion.delayed = True
-            log_promotion(
-                state,
-                database,
-                "promotion_delayed",
-                out,
-                era=state.store_era,
-                for_ms=to_milliseconds(claims_at - state.now),
-            )
+        delay_promotion(state, database, claims_at, out, era=state.store_era)
         return
     record = event.record
     if record is not None and record.state is LeaderState.PROMOTING:
@@ -128,19 +119,26 @@
             return
         if own or is_own_past_attempt(database, record.attempt):
             # It is over and ordered nothing, so there is no one to wait for.
-            _send_claim(state, database, promotion, event.revision, out)
+            _send_claim(state, database, promotion, event, out)
             return
-        if event.revision != database.claim_revision:
-            database.claim_revision = event.revision
-            database.claim_seen_at = state.now
-        if state.now - database.claim_seen_at < CLAIM_TIMEOUT:
+        replaced_at = find_record_end(state, database, record)
+        if state.now < replaced_at:
+            delay_promotion(
+                state,
+                database,
+                replaced_at,
+                out,
+                holder=record.vm,
+                record=record.state.value,
+                revision=event.revision,
+            )
             return
     elif record is not None and record.term > promotion.term:
         database.min_term = record.term
         drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
-    _send_claim(state, database, promotion, event.revision, out)
+    _send_claim(state, database, promotion, event, out)
 
 
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
@@ -155,9 +153,13 @@
 
 
 def _send_claim(
-    state, database: Database, promotion: Promotion, revision: Revision, out: Effects
+    state,
+    database: Database,
+    promotion: Promotion,
+    found: LeaderRecordAnswered,
+    out: Effects,
 ) -> None:
-    """Claim the leader record by a write, if it still has a revision.
+    """Claim the leader record by a write, if it still has the revision that was found.
 
     Each claim has its own random id: a write that changes nothing would succeed without
     a new revision.
@@ -167,7 +169,18 @@
     promotion.attempts[attempt] = state.now
     promotion.call = register_call(state, "promotion", database)
     promotion.claim_sent = True
-    promotion.claimed_from = revision
+    promotion.claimed_from = found.revision
+    record = found.record
+    log_promotion(
+        state,
+        database,
+        "promotion_claim_sent",
+        out,
+        holder=record.vm if record is not None else "",
+        record=record.state.value if record is not None else "",
+        revision=found.revision,
+        seen_ms=to_milliseconds(state.now - database.record_seen_at),
+    )
     write_record(
         state,
         database,
@@ -176,7 +189,7 @@
         attempt=attempt,
         call=promotion.call,
         progress=LeaderState.PROMOTING,
-        revision=revision,
+        revision=found.revision,
         out=out,
     )
 
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -93,7 +93,7 @@
         claimed_from: revision of the leader record that the newest claim replaces.
         ordered: whether a promotion order was sent.
         step_down_sent: whether the primary to be replaced was ordered to step down.
-        delayed: whether its claim has to wait for those of an older era.
+        delayed_by: what its claim was last logged to wait for.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time at which the current step is repeated.
     """
@@ -118,7 +118,7 @@
     claimed_from: Revision = Revision()
     ordered: bool = False
     step_down_sent: bool = False
-    delayed: bool = False
+    delayed_by: tuple = ()
     call: int = 0
     repeat_at: float = 0.0
 
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -18,9 +18,6 @@
 """Seconds until an unanswered store call is repeated: longer than the slowest answer
 that the platform's documentation allows."""
 
-CLAIM_TIMEOUT = 4.5
-"""Seconds after which another VM may replace an unchanged claim."""
-
 STEP_RETRY_INTERVAL = 0.2
 """Seconds between two attempts at a step that failed."""
 
@@ -99,17 +96,6 @@
     return rank
 
 
-def find_claim_time(state: DirectState, database: Database) -> float:
-    """Return from when on the first leader record of an era of the store is claimed.
-
-    A claim of an older era, which a restored store has lost, may be in use until then.
-    It is now if the store reports no eras, or if the era has a record.
-    """
-    if not state.store_era or database.recorded_era == state.store_era:
-        return state.now
-    return state.store_era_since + CLAIM_TIMEOUT
-
-
 def may_call(state: DirectState, promotion: Promotion) -> bool:
     """Return whether the current step's call may be made or repeated."""
     if promotion.call and state.now - promotion.step_at < CALL_TIMEOUT:
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -9,8 +9,8 @@
 from ._connections import compute_connection_limit
 from ._evidence import STORE_UNAVAILABLE_PERIOD, can_prove
 from ._lag import estimate_catch_up
+from ._lease import find_claim_time
 from ._placement import accepts_leader_jobs, find_required_position
-from ._promotion_steps import find_claim_time
 from ._server_state import Server
 from ._state import Database, DirectState, Job
 
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -83,8 +83,8 @@
         promotion: this VM's promotion of the database.
         completion: leader record that this VM has yet to complete after a promotion.
         open_claim: claim that may still be carried out though its promotion has ended.
-        claim_revision: revision of the leader record while another VM promotes.
-        claim_seen_at: when that revision was first seen.
+        record_revision: newest revision of the leader record that this VM has seen.
+        record_seen_at: when that revision was first seen.
     """
 
     name: str
@@ -116,8 +116,8 @@
     promotion: Promotion | None = None
     completion: Completion | None = None
     open_claim: OpenClaim | None = None
-    claim_revision: Revision = Revision(number=-1)
-    claim_seen_at: float = 0.0
+    record_revision: Revision = Revision(number=-1)
+    record_seen_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
