--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/.installed
-	$(BIN)/black --check --quiet src platform tests scripts
-	$(BIN)/isort --check --quiet src platform tests scripts
-	$(BIN)/flake8 src platform tests scripts
+	$(BIN)/black --check --quiet src platform tests scripts conftest.py
+	$(BIN)/isort --check --quiet src platform tests scripts conftest.py
+	$(BIN)/flake8 src platform tests scripts conftest.py
 
 format: $(VENV)/.installed
-	$(BIN)/isort --quiet src platform tests scripts
-	$(BIN)/black --quiet src platform tests scripts
+	$(BIN)/isort --quiet src platform tests scripts conftest.py
+	$(BIN)/black --quiet src platform tests scripts conftest.py
 
 demo: $(VENV)/.installed
 	$(BIN)/python scripts/demo.py
