--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -69,6 +69,10 @@
 PROMOTION_DELAY = 0.3
 """Seconds from a promotion order until it takes effect."""
 
+ORDER_LEASE = 2.0
+"""Seconds after a VM's last order of a promotion in which no other VM may order one of
+the same database: the stated target."""
+
 REPORTING = (
     CommandKind.STATUS,
     CommandKind.STEP_DOWN,
@@ -589,6 +593,38 @@
             other.received = min(other.received, server.received)
             other.applied = min(other.applied, server.received)
 
+    def crash(self, name):
+        """End a server's process, which closes its connections at once."""
+        self.servers[name].process_down = True
+        for key, connection in list(self.connections.items()):
+            if connection.server.name != name:
+                continue
+            del self.connections[key]
+            lost = BackendLost(at=0, connection=key[1], reason=LossReason.CLOSED)
+            self.deliver(key[0], self.now + LATENCY, lost)
+
+    def rejoin(self, name):
+        """Start a server again as a replica of the newest term."""
+        server = self.servers[name]
+        primary = max(self.servers.values(), key=lambda s: s.term)
+        server.process_down = False
+        server.leads = False
+        server.term = primary.term
+        server.suspended_term = 0
+        server.received = server.applied = primary.applied
+
+    def drain(self, name):
+        """Have a server announce that it leaves, to all VMs at once."""
+        self.servers[name].state = "draining"
+        for vm in self.states:
+            if vm in self.store_down or vm in self.paused:
+                continue
+            entries = tuple(s.entry() for s in self.servers.values() if s.listed)
+            revision = Revision(era=self.era, number=self.revision)
+            self.dispatch(
+                vm, ServersRead(at=self.now, revision=revision, entries=entries)
+            )
+
     @property
     def record(self):
         """The leader record of the store's era, None if there is none."""
@@ -675,6 +711,7 @@
 
     def receive_order(self, vm, order):
         """Carry out a promotion order, and answer it if its VM still waits."""
+        self.check_lease(vm)
         self.orders.append((self.now, vm, order.server, order.token))
         newest = max(s.term for s in self.servers.values())
         suspended = [s.name for s in self.servers.values() if s.suspended_term > newest]
@@ -700,6 +737,16 @@
         assert holder == vm, f"{vm} ordered by the claim of {holder}"
         assert age <= ATTEMPT_TIMEOUT, f"{vm} ordered {age:.2f} s after its claim"
 
+    def check_lease(self, vm):
+        """Fail if a VM's order arrives within the lease of another VM's last order."""
+        if not self.orders:
+            return
+        ordered_at, holder, _, _ = self.orders[-1]
+        gap = self.now - ordered_at
+        if holder == vm or gap >= ORDER_LEASE - 1e-6:
+            return
+        raise AssertionError(f"{vm} ordered {gap:.3f} s after {holder}")
+
     def call_record(self, vm, effect):
         """Carry out a call on a leader record, and answer it unless that is lost."""
         answer = self.answer_record(vm in self.store_down, effect)
