Keep the promotions of a database with one VM for a lease of 2 s

Callers of the database saw a second change of primary; nothing else.

Cause: a claim entitled its VM to order, but nothing kept the duty with it once the record was complete. The next claimant is chosen by a hash of VM, database and term, so the duty passed on with nearly every promotion, 0.46 s after the last order if the new primary leaves at once. With an open record, 1.5 s lay between the last possible order and the next claim.

Change: a record names the VM that ordered the last promotion. That VM claims the next one at once and first; another one claims 2.0 s after it first saw the completed record, and 5.0 s (3.0 s for orders, 2.0 s lease) after it first saw an open or unreadable one. Time counts from the VM's own first sight of a revision, which is never before the last order, so a VM that is told late, paused, cut off or restarted only waits longer. VMs read the record after another VM's promotion, stale data allowed, so that the lease has usually ended when the next primary is lost. A VM whose orders were all answered replaces its own open record without a wait.

Costs: a second failover whose first holder is gone waits for what is left of 2 s; one whose claimant ended before it completed the record takes up to 5.0 s instead of 4.5 s.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -5,7 +5,13 @@
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._evidence import handle_store_proof
 from ._leaders import DropReason, drop_leader
-from ._lease import delay_promotion, find_claim_time, find_record_end, note_revision
+from ._lease import (
+    ATTEMPT_TIMEOUT,
+    delay_promotion,
+    find_claim_time,
+    find_record_end,
+    note_revision,
+)
 from ._promotion_state import Claim, Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
@@ -21,14 +27,11 @@
 from ._records import handle_first_record_answer, note_record
 from ._server_state import Purpose
 from ._state import Database, DirectState, Effects
-from ._types import Command, CommandKind, LeaderState
+from ._types import Command, CommandKind, LeaderRecord, LeaderState
 
 COMPLETION_RETRY_INTERVAL = 1.0
 """Seconds between two attempts to complete a record."""
 
-ATTEMPT_TIMEOUT = 3.0
-"""Seconds after a claim was sent in which the claimant may order promotions."""
-
 MIN_ATTEMPT_TIME = 1.5
 """Seconds of an attempt that suffice for its steps; with less, it is claimed again."""
 
@@ -74,6 +77,9 @@
         del state.calls[event.call]
         _handle_release_answer(state, database, event, out)
         return
+    if purpose == "watch" and database is not None:
+        del state.calls[event.call]
+        return
     if purpose == "complete" and database is not None:
         del state.calls[event.call]
         _handle_completion_answer(state, database, event)
@@ -118,31 +124,53 @@
             _start_attempt(state, database, promotion, claim, out)
             return
         if own or is_own_past_attempt(database, record.attempt):
-            # It is over and ordered nothing, so there is no one to wait for.
+            # It is over, and no order of it is under way.
             _send_claim(state, database, promotion, event, out)
             return
-        replaced_at = find_record_end(state, database, record)
-        if state.now < replaced_at:
-            delay_promotion(
-                state,
-                database,
-                replaced_at,
-                out,
-                holder=record.vm,
-                record=record.state.value,
-                revision=event.revision,
-            )
-            return
     elif record is not None and record.term > promotion.term:
         database.min_term = record.term
         drop_leader(state, database, DropReason.RECORD, out)
         promotion.term = record.term
         return
+    if event.outcome is not StoreOutcome.ABSENT:
+        replaced_at = find_record_end(state, database, record)
+        if state.now < replaced_at:
+            _await_record(state, database, event, replaced_at, out)
+            return
     _send_claim(state, database, promotion, event, out)
 
 
+def _await_record(
+    state, database: Database, event: LeaderRecordAnswered, until: float, out: Effects
+) -> None:
+    """Wait until a record that another VM wrote may be replaced.
+
+    A claim is read again meanwhile, as it may be withdrawn.
+    """
+    promotion = database.promotion
+    record = event.record
+    holder, progress = "", "unreadable"
+    if record is not None:
+        promoting = record.state is LeaderState.PROMOTING
+        holder = record.vm if promoting else record.holder
+        progress = record.state.value
+        if not promoting:
+            promotion.repeat_at = max(promotion.repeat_at, until)
+    delay_promotion(
+        state,
+        database,
+        until,
+        out,
+        holder=holder,
+        record=progress,
+        revision=event.revision,
+    )
+
+
 def is_own_past_attempt(database: Database, attempt: str) -> bool:
-    """Return whether an attempt is one that this VM has ended without an order."""
+    """Return whether an attempt is one that this VM has ended, with no order open."""
+    if attempt and attempt == database.settled_attempt:
+        return True
     claim = database.open_claim
     if claim is not None and attempt in claim.attempts:
         return True
@@ -171,6 +199,7 @@
     promotion.claim_sent = True
     promotion.claimed_from = found.revision
     record = found.record
+    promotion.holder = _find_own_lease(state, database, record)
     log_promotion(
         state,
         database,
@@ -187,6 +216,7 @@
         server=promotion.leader,
         term=promotion.term,
         attempt=attempt,
+        holder=promotion.holder,
         call=promotion.call,
         progress=LeaderState.PROMOTING,
         revision=found.revision,
@@ -194,6 +224,15 @@
     )
 
 
+def _find_own_lease(state, database: Database, record: LeaderRecord | None) -> str:
+    """Return this VM's name if the record to be claimed continues its own lease."""
+    if record is None:
+        return ""
+    if record.holder == state.vm or record.attempt == database.settled_attempt:
+        return state.vm
+    return ""
+
+
 def await_claim(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Read the record again if the claim is not answered in time."""
     if state.now - promotion.step_at >= CALL_TIMEOUT:
@@ -220,15 +259,18 @@
     the store that the primary leads. After an order nothing is withdrawn: it may still
     take effect.
     """
+    claim = promotion.claim
     if promotion.ordered:
+        if not promotion.orders_open:
+            database.settled_attempt = claim.attempt
         return
-    claim = promotion.claim
     if claim is not None:
         database.completion = Completion(
             server=promotion.leader,
             term=promotion.term,
             revision=claim.revision,
             attempt=claim.attempt,
+            holder=promotion.holder,
             withdraws=True,
         )
     elif promotion.claim_sent:
@@ -279,6 +321,7 @@
             term=record.term,
             revision=event.revision,
             attempt=record.attempt,
+            holder=record.holder,
             withdraws=True,
         )
         complete_record(state, database, out)
@@ -305,6 +348,7 @@
         server=completion.server,
         term=completion.term,
         attempt=completion.attempt,
+        holder=completion.holder,
         call=completion.call,
         progress=LeaderState.STABLE,
         revision=completion.revision,
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -83,15 +83,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReadLeaderRecord:
-    """Read a database's leader record; a stale read is not allowed.
+    """Read a database's leader record.
 
     Args:
         era: the store's era whose record is read.
+        fresh: whether a record that is seconds old is not allowed.
     """
 
     call: int
     service: str
     era: int
+    fresh: bool = True
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -3,8 +3,8 @@
 A VM that starts a promotion first claims the database's leader record in the store by a
 conditional write. The record's revision gives the fence token: it increases with each
 claim and is unique. Only the claimant orders the promotion, and only for
-`ATTEMPT_TIMEOUT`; another VM may claim again once a claim has been unchanged for
-`CLAIM_TIMEOUT`, which is longer. Nothing has to be renewed while primaries are healthy.
+`ATTEMPT_TIMEOUT`. The duty stays with it for `ORDER_LEASE` after its last order; see
+`_lease`.
 
 A store that is restored from a copy begins an era, with records and greater tokens of
 its own. As the claims since the copy are lost, no VM claims there for `CLAIM_TIMEOUT`
@@ -21,6 +21,7 @@
 from ._effects import ListVms, Observe
 from ._holders import needs_servers
 from ._leaders import probe_leader
+from ._lease import holds_lease, watch_completion
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -106,6 +107,7 @@
                 drop_promotion(state, database, promotion, "not_serving", out)
             continue
         record_primary(state, database, out)
+        watch_completion(state, database, out)
         if promotion is None:
             _prepare_promotion(state, database, out)
         if database.promotion is not None:
@@ -291,8 +293,13 @@
 
 
 def _await_rank(state, database: Database, promotion: Promotion, out: Effects) -> None:
-    """Read the leader record once the VMs ranked before had time to claim it."""
+    """Read the leader record once the VMs ranked before had time to claim it.
+
+    The others wait for a VM that holds the lease, so it is the first.
+    """
     rank = find_rank(state, database, promotion.term)
+    if holds_lease(state, database):
+        rank = 0
     if state.now - promotion.step_at >= RANK_DELAY * min(rank, MAX_RANK):
         enter_step(state, promotion, PromotionStep.READING)
         read_record(state, database, promotion, out)
@@ -323,6 +330,7 @@
         term=leader.term,
         revision=claim.revision,
         attempt=claim.attempt,
+        holder=state.vm if promotion.ordered else promotion.holder,
     )
     complete_record(state, database, out)
 
--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -1,13 +1,37 @@
-"""How long another VM's promotion of a database keeps this VM from a claim."""
+"""The lease that keeps the promotions of a database with one VM.
 
+A VM that has ordered a promotion may order the next one at once. Another VM claims the
+leader record only once `ORDER_LEASE` has passed since the last order. It does not know
+when that was sent, and counts from its first sight of the record's revision instead: a
+claim is seen after it was sent, and a completed record after the last order of its
+promotion. What a VM learns late, or again after a restart, can only prolong its wait.
+
+The lease is not renewed, so it costs nothing while primaries are healthy. After another
+VM's promotion, each VM reads the record until it is complete, so that the lease has
+usually ended when the next primary is lost.
+"""
+
+from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
-from ._promotion_steps import log_promotion, to_milliseconds
+from ._promotion_steps import log_promotion, register_call, to_milliseconds
 from ._state import Database, DirectState, Effects
 from ._types import LeaderRecord, LeaderState
 
-CLAIM_TIMEOUT = 4.5
+ATTEMPT_TIMEOUT = 3.0
+"""Seconds after a claim was sent in which the claimant may order promotions."""
+
+ORDER_LEASE = 2.0
+"""Seconds after a VM's last order in which no other VM orders a promotion."""
+
+CLAIM_TIMEOUT = ATTEMPT_TIMEOUT + ORDER_LEASE
 """Seconds after which another VM may replace an unchanged claim."""
 
+COMPLETION_DELAY = 0.2
+"""Seconds from a new primary until its record is usually complete."""
+
+COMPLETION_INTERVAL = 1.0
+"""Seconds between two reads of a record that is not complete yet."""
+
 
 def find_claim_time(state: DirectState, database: Database) -> float:
     """Return from when on the first leader record of an era of the store is claimed.
@@ -29,15 +53,54 @@
     if event.revision > database.record_revision:
         database.record_revision = event.revision
         database.record_seen_at = state.now
+    record = event.record
+    if record is not None and record.state is LeaderState.STABLE:
+        database.completed_term = max(database.completed_term, record.term)
 
 
 def find_record_end(
     state: DirectState, database: Database, record: LeaderRecord | None
 ) -> float:
-    """Return from when on this VM may replace the leader record that it has read."""
-    if record is not None and record.state is LeaderState.PROMOTING:
+    """Return from when on this VM may replace the leader record that it has read.
+
+    An unreadable record may be another VM's claim.
+    """
+    if record is None or record.state is LeaderState.PROMOTING:
         return database.record_seen_at + CLAIM_TIMEOUT
-    return state.now
+    if record.holder in ("", state.vm):
+        return state.now
+    return database.record_seen_at + ORDER_LEASE
+
+
+def holds_lease(state: DirectState, database: Database) -> bool:
+    """Return whether no other VM orders promotions, because of this VM's last order."""
+    return state.now - database.ordered_at < ORDER_LEASE
+
+
+def watch_completion(state: DirectState, database: Database, out: Effects) -> None:
+    """Read the leader record after another VM's promotion until it is complete.
+
+    It is given up after `CLAIM_TIMEOUT`. After the start of this VM, the first primary
+    that it finds is not taken for a new one.
+    """
+    leader = database.leader
+    if leader is None or leader.term <= database.completed_term:
+        return
+    waited = state.now - leader.since
+    if not database.completed_term or waited >= CLAIM_TIMEOUT:
+        database.completed_term = leader.term
+        return
+    if waited < COMPLETION_DELAY or state.now < database.completion_read_at:
+        return
+    database.completion_read_at = state.now + COMPLETION_INTERVAL
+    out.append(
+        ReadLeaderRecord(
+            call=register_call(state, "watch", database),
+            service=database.name,
+            era=state.store_era,
+            fresh=False,
+        )
+    )
 
 
 def delay_promotion(
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,11 +5,12 @@
 """
 
 from ..model import Position
-from ._claims import ATTEMPT_TIMEOUT, give_up_claim
+from ._claims import give_up_claim
 from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
 from ._evidence import count_majority, list_members
+from ._lease import ATTEMPT_TIMEOUT
 from ._promotion_state import Claim, Promotion, PromotionStep, ReplicationProgress
 from ._promotion_steps import (
     STEP_RETRY_INTERVAL,
@@ -290,6 +291,8 @@
         return
     promotion.call = register_call(state, "promotion", database)
     promotion.ordered = True
+    promotion.orders_open += 1
+    database.ordered_at = state.now
     log_promotion(
         state,
         database,
@@ -329,6 +332,8 @@
     log_promotion(
         state, database, "promotion_answered", out, outcome=event.outcome.value
     )
+    if event.outcome is not PromotionOutcome.UNKNOWN:
+        promotion.orders_open -= 1
     if event.outcome is PromotionOutcome.ACCEPTED:
         enter_step(state, promotion, PromotionStep.TAKING_EFFECT)
     elif event.outcome is PromotionOutcome.REJECTED:
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -91,7 +91,9 @@
         fenced: servers that no longer accept log entries from older primaries.
         claim_sent: whether a claim was sent whose outcome is not known yet.
         claimed_from: revision of the leader record that the newest claim replaces.
+        holder: the VM whose lease goes on if the promotion ends without an order.
         ordered: whether a promotion order was sent.
+        orders_open: number of orders without an answer that settles them.
         step_down_sent: whether the primary to be replaced was ordered to step down.
         delayed_by: what its claim was last logged to wait for.
         call: number of the call under way, 0 for none.
@@ -116,7 +118,9 @@
     fenced: set[str] = field(default_factory=set)
     claim_sent: bool = False
     claimed_from: Revision = Revision()
+    holder: str = ""
     ordered: bool = False
+    orders_open: int = 0
     step_down_sent: bool = False
     delayed_by: tuple = ()
     call: int = 0
@@ -151,6 +155,7 @@
         term: its term.
         revision: revision of the record with the promotion's claim.
         attempt: random id of its claim.
+        holder: the VM whose lease another VM has to wait out.
         withdraws: whether the promotion ended without an order.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time of the next call.
@@ -160,6 +165,7 @@
     term: int
     revision: Revision
     attempt: str
+    holder: str
     withdraws: bool = False
     call: int = 0
     repeat_at: float = 0.0
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -110,6 +110,7 @@
     server: str,
     term: int,
     attempt: str,
+    holder: str,
     call: int,
     progress: LeaderState,
     revision: Revision,
@@ -121,6 +122,7 @@
         server: the primary, or the one to be replaced.
         term: its term.
         attempt: the promotion's random id.
+        holder: the VM whose lease another VM has to wait out.
         call: number of the call.
         progress: state of the promotion.
         revision: the record's expected revision.
@@ -131,6 +133,7 @@
         term=term,
         vm=state.vm,
         attempt=attempt,
+        holder=holder,
     )
     out.append(
         WriteLeaderRecord(
--- a/src/siskinhold/direct/_records.py
+++ b/src/siskinhold/direct/_records.py
@@ -59,6 +59,7 @@
         server=leader.server,
         term=leader.term,
         attempt="",
+        holder="",
         call=register_call(state, "first", database),
         progress=LeaderState.STABLE,
         revision=Revision(era=state.store_era),
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -85,6 +85,12 @@
         open_claim: claim that may still be carried out though its promotion has ended.
         record_revision: newest revision of the leader record that this VM has seen.
         record_seen_at: when that revision was first seen.
+        completed_term: term up to which the leader record need not be watched, 0
+            before the first primary.
+        completion_read_at: earliest time of the next read that watches it.
+        ordered_at: when this VM last ordered a promotion.
+        settled_attempt: random id of this VM's last attempt that was dropped after
+            all of its orders were answered.
     """
 
     name: str
@@ -118,6 +124,10 @@
     open_claim: OpenClaim | None = None
     record_revision: Revision = Revision(number=-1)
     record_seen_at: float = 0.0
+    completed_term: int = 0
+    completion_read_at: float = 0.0
+    ordered_at: float = -100.0
+    settled_attempt: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -332,6 +332,8 @@
         term: its term.
         vm: the VM that wrote the record.
         attempt: random id of the promotion.
+        holder: the VM that ordered the newest completed promotion, empty if no lease
+            of it has to be waited out.
     """
 
     state: LeaderState
@@ -339,6 +341,7 @@
     term: int
     vm: str
     attempt: str
+    holder: str
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/siskinhold/lines/_client.py
+++ b/src/siskinhold/lines/_client.py
@@ -101,8 +101,14 @@
         """
 
     @abc.abstractmethod
-    async def read_leader(self, service: str, era: int) -> LeaderResult:
-        """Return the up-to-date leader record of a database in one era of the store."""
+    async def read_leader(
+        self, service: str, era: int, *, fresh: bool = True
+    ) -> LeaderResult:
+        """Return the leader record of a database in one era of the store.
+
+        Args:
+            fresh: whether a record that is seconds old is not allowed.
+        """
 
     @abc.abstractmethod
     async def write_leader(
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -210,7 +210,9 @@
             self._report_leader(
                 effect.call,
                 effect.era,
-                self._client.read_leader(effect.service, effect.era),
+                self._client.read_leader(
+                    effect.service, effect.era, fresh=effect.fresh
+                ),
             )
         )
 
--- a/tests/users_platform/test_objects.py
+++ b/tests/users_platform/test_objects.py
@@ -95,10 +95,29 @@
     def test_round_trip(self):
         """Guards against a VM that can't recognize its own claim in the store."""
         record = LeaderRecord(
-            state=LeaderState.PROMOTING, server="i-1", term=3, vm="vm", attempt="a1"
+            state=LeaderState.PROMOTING,
+            server="i-1",
+            term=3,
+            vm="vm",
+            attempt="a1",
+            holder="vm2",
         )
         assert decode_leader(encode_leader(record)) == record
 
+    def test_record_of_an_older_version_is_held_by_its_vm(self):
+        """Guards against a promotion right after that of a VM of an older version."""
+        record = LeaderRecord(
+            state=LeaderState.STABLE,
+            server="i-1",
+            term=3,
+            vm="vm",
+            attempt="a1",
+            holder="",
+        )
+        content = encode_leader(record)
+        del content["holder"]
+        assert decode_leader(content).holder == "vm"
+
 
 class TestSettings:
     def write(self, tmp_path, fields):
--- a/tests/users_platform/test_restored_records.py
+++ b/tests/users_platform/test_restored_records.py
@@ -19,7 +19,12 @@
 def make_record(vm: str) -> LeaderRecord:
     """Return the record of a VM's claim."""
     return LeaderRecord(
-        state=LeaderState.PROMOTING, server="s1", term=1, vm=vm, attempt=f"of-{vm}"
+        state=LeaderState.PROMOTING,
+        server="s1",
+        term=1,
+        vm=vm,
+        attempt=f"of-{vm}",
+        holder="",
     )
 
 
@@ -68,7 +73,7 @@
         """Guards against an order by a claim that only the restored store holds."""
 
         class Client(FakeClient):
-            async def read_leader(self, service, era):
+            async def read_leader(self, service, era, *, fresh=True):
                 return LeaderResult(
                     outcome=StoreOutcome.DONE, revision=Revision(era=2, number=7)
                 )
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -588,7 +588,12 @@
 
         client._call = reply
         record = LeaderRecord(
-            state=LeaderState.PROMOTING, server="a", term=1, vm="vm-1", attempt="x"
+            state=LeaderState.PROMOTING,
+            server="a",
+            term=1,
+            vm="vm-1",
+            attempt="x",
+            holder="",
         )
         for result in (
             await client.write_leader("db", record, Revision()),
