--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -318,8 +318,8 @@
         for index, entry in enumerate(self.entries):
             self.add_vm(entry.name, entry.zone, tuple(self.entries), seed + index)
 
-    def add_vm(self, name, zone, names, seed):
-        """Start a VM."""
+    def add_vm(self, name, zone, names, seed, first_number=1):
+        """Start a VM whose connections and calls have numbers from the given one on."""
         state = DirectState(
             vm=name,
             zone=zone,
@@ -331,6 +331,7 @@
         state.vms = names
         state.holders = list(names)
         state.now = self.now
+        state.next_number = first_number
         self.states[name] = state
         self.dispatch(
             name, ConfigurationRead(at=self.now, configuration=self.configure())
@@ -345,10 +346,14 @@
             del self.connections[key]
 
     def start_process(self, vm):
-        """Start a VM's process again; it remembers nothing."""
+        """Start a VM's process again; it remembers nothing.
+
+        Answers that are still under way to the ended process have numbers of its own.
+        """
         self.stopped.discard(vm)
-        zone = self.states[vm].zone
-        self.add_vm(vm, zone, tuple(self.entries), self.order)
+        old = self.states[vm]
+        names = tuple(self.entries)
+        self.add_vm(vm, old.zone, names, self.order, old.next_number)
 
     def register(self, vm):
         """Add a VM's entry to the list of VMs again."""
@@ -606,7 +611,7 @@
     def rejoin(self, name):
         """Start a server again as a replica of the newest term."""
         server = self.servers[name]
-        primary = max(self.servers.values(), key=lambda s: s.term)
+        primary = max(self.servers.values(), key=lambda s: (s.term, s.leads))
         server.process_down = False
         server.leads = False
         server.term = primary.term
