Add a test of a write after the new primary has stepped down

A VM cut off from the store went on with the primary of the older term, and 8 of its writes were acknowledged there: all other servers refused a write transaction, and no log position showed the newer term. The next promotion chose a server without them. The new test plays that with and without the store.

--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -329,6 +329,24 @@
         answer = world.execute("vm1", 1, "WRITE x 1", wait=1.5)
         assert answer.refusal is Refusal.IN_DOUBT
 
+    @pytest.mark.parametrize("store_is_down", [False, True])
+    def test_write_is_not_acknowledged_after_the_new_one_stepped_down(
+        self, store_is_down
+    ):
+        """Guards against proof by refusals of a newer primary that leads no more.
+
+        It made no commit, so no log position shows its term.
+        """
+        world = start()
+        world.connect("vm1", 1)
+        assert world.execute("vm1", 1, "WRITE x 0").refusal is None
+        if store_is_down:
+            world.store_down = set(world.states)
+        world.promote("s2")
+        world.servers["s2"].leads = False
+        answer = world.execute("vm1", 1, "WRITE x 1")
+        assert answer is None or answer.refusal is not None
+
     def test_new_one_is_used_before_its_first_commit(self):
         """Guards against waiting until a log position shows the new term."""
         world = start()
