Let the holder of a lease claim first while others may still wait

A VM's own claim was ranked first for 2.0 s after its last order, but others may wait up to 5.0 s, as they count from their first sight of the record.

--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -73,8 +73,8 @@
 
 
 def holds_lease(state: DirectState, database: Database) -> bool:
-    """Return whether no other VM orders promotions, because of this VM's last order."""
-    return state.now - database.ordered_at < ORDER_LEASE
+    """Return whether other VMs may still have to wait because of this VM's last order."""
+    return state.now - database.ordered_at < CLAIM_TIMEOUT
 
 
 def watch_completion(state: DirectState, database: Database, out: Effects) -> None:
