Send each promotion order over a connection of its own

Callers: a promotion order that reused an idle connection which had gone silent was answered by nobody. Writes of that database waited a second more for a new primary, until the order was given up and repeated, within the 3 s of its claim.

Cause: the HTTP client reuses connections that were idle for up to 20 s, also for requests with a deadline.

Fix: a request with a deadline opens a connection, and it is not reused afterwards. Its handshake also shows that the path works in both directions just before the order.

Measured: the second order of the test is answered; before, it took the whole second. tests/direct and tests/users_platform pass.

--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -79,7 +79,8 @@
         Args:
             send_by: time of the runtime's clock after which it may not be sent, and its
                 answer is not awaited. Unlike the timeout it also counts time in which
-                the process is suspended.
+                the process is suspended. Such a request gets a connection of its own,
+                as an idle one may have gone silent.
             timeout: maximum time until the answer begins, and between two parts of
                 it, in seconds. Aborting a request while its answer still arrives, and
                 retrying it, would add load to a slow link.
@@ -96,7 +97,10 @@
             timeout = min(timeout, max(0.0, send_by - read_clock()))
         try:
             async with asyncio.timeout(timeout) as limit:
-                connection = await self._get_connection()
+                if send_by is None:
+                    connection = await self._get_connection()
+                else:
+                    connection = await self._open_connection()
                 if send_by is not None and read_clock() >= send_by:
                     raise HttpFailure("not sent: its deadline has passed")
                 answer = await connection.exchange(request, body, limit, timeout)
@@ -110,7 +114,7 @@
         except (asyncio.CancelledError, HttpFailure):
             self._abort_connections(connection)
             raise
-        if connection.reusable:
+        if send_by is None and connection.reusable:
             connection.idle_since = self._clock()
             self._idle.append(connection)
         else:
@@ -125,6 +129,10 @@
             if fresh and not connection.closed:
                 return connection
             connection.abort()
+        return await self._open_connection()
+
+    async def _open_connection(self) -> "_Connection":
+        """Return a new connection."""
         reader, writer = await asyncio.open_connection(self._host, self._port)
         return _Connection(reader=reader, writer=writer)
 
--- a/tests/users_platform/test_http.py
+++ b/tests/users_platform/test_http.py
@@ -6,6 +6,7 @@
 import pytest
 
 from siskinhold.lines import HttpClient, HttpFailure
+from siskinhold.lines._clock import read_clock
 from siskinhold.lines._http import MAX_LARGE_ANSWERS, HttpAnswer, HttpServer
 
 PART = b"x" * 100
@@ -112,3 +113,27 @@
             _, writer, status = await self.request(port, "/large")
             assert status == 200
             writer.transport.abort()
+
+
+class TestSilentConnection:
+    async def test_order_is_answered_though_an_idle_connection_is_silent(self):
+        """Guards against a promotion that waits a second for a dead connection."""
+
+        async def answer_once(reader, writer):
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(host="127.0.0.1", port=port)
+        for _ in range(2):
+            deadline = read_clock() + 1.0
+            answer = await client.request(
+                "POST", "/promotion", timeout=1.0, send_by=deadline
+            )
+            assert answer.status == 200
+        server.close()
+        await asyncio.sleep(0.05)
