Discard a promotion order that is given up

Callers: none is known to have met it. An order that the network held up could be delivered after it was given up: after another VM's newer claim, with a lower token, or together with that VM's own order. Two primaries in turns lose or refuse writes.

Cause: transport.abort() closes the socket, but the kernel goes on to deliver what it has taken; so does it for a process that ends, is killed or frozen. asyncio's timeout does not count time in which the VM is suspended.

Evidence: five tests in TestHeldUpRequest with a receiver that does not read. Failed before: given up at the deadline, process that ends, killed, frozen: "200075 bytes arrived without a reset" (the whole request); suspended VM: the order was awaited for 4.8 s after its deadline instead of less than 0.5 s. The killed and the frozen one use the program's event loop.

Fix: before an order is written its socket gets SO_LINGER 0, so that each close, that of the kernel at the end of the process included, is a reset which discards unsent bytes, and TCP_USER_TIMEOUT up to the deadline, for which the kernel needs no running process. The deadline is checked right after the write and each 50 ms, on the clock that counts suspended time. Calls of the store that are aborted are reset as well.

Not covered: bytes that have reached the platform's machine before the deadline and wait there, and a pause of the VM between the last check and the write whose bytes are delivered at once; the margin between the claim's 3 s and the other VMs' wait is for these.

Measured: all five tests pass; tests/direct and tests/users_platform pass.

--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +25,12 @@
 """Seconds within which a whole answer must arrive. The configuration of a large
 deployment takes seconds over a slow link on which many VMs read it at once."""
 
+DEADLINE_CHECK_INTERVAL = 0.05
+"""Seconds between two checks of a request's deadline, which counts suspended time."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of `SO_LINGER` with which a closed connection discards its unsent bytes."""
+
 REQUEST_TIMEOUT = 5.0
 """Seconds that the server waits for the next bytes of a request."""
 
@@ -80,7 +89,8 @@
             send_by: time of the runtime's clock after which it may not be sent, and its
                 answer is not awaited. Unlike the timeout it also counts time in which
                 the process is suspended. Such a request gets a connection of its own,
-                as an idle one may have gone silent.
+                as an idle one may have gone silent, and what the network has not
+                delivered by then is discarded.
             timeout: maximum time until the answer begins, and between two parts of
                 it, in seconds. Aborting a request while its answer still arrives, and
                 retrying it, would add load to a slow link.
@@ -101,8 +111,13 @@
                     connection = await self._get_connection()
                 else:
                     connection = await self._open_connection()
-                if send_by is not None and read_clock() >= send_by:
-                    raise HttpFailure("not sent: its deadline has passed")
+                    remaining = send_by - read_clock()
+                    if remaining <= 0:
+                        raise HttpFailure("not sent: its deadline has passed")
+                    connection.limit_delivery(remaining)
+                    # A pause just before the write is noticed right after it.
+                    loop = asyncio.get_running_loop()
+                    loop.call_soon(_abort_at, connection, send_by)
                 answer = await connection.exchange(request, body, limit, timeout)
         except TimeoutError:
             # Idle connections to the same address are probably dead as well.
@@ -149,6 +164,19 @@
         self._abort_connections(None)
 
 
+def _abort_at(connection: "_Connection", deadline: float) -> None:
+    """Abort a connection at a time of the runtime's clock."""
+    if connection.closed:
+        return
+    remaining = deadline - read_clock()
+    if remaining <= 0:
+        connection.abort()
+        return
+    delay = min(remaining, DEADLINE_CHECK_INTERVAL)
+    loop = asyncio.get_running_loop()
+    loop.call_later(delay, _abort_at, connection, deadline)
+
+
 class _Connection:
     """A persistent connection of the client."""
 
@@ -217,10 +245,31 @@
                     status=status, body=b"".join(content), headers=headers
                 )
 
+    def limit_delivery(self, seconds: float) -> None:
+        """Discard what is not delivered in time, even if the process freezes or ends.
+
+        Args:
+            seconds: time until unacknowledged data is discarded.
+        """
+        self._reset_on_close()
+        milliseconds = max(1, int(seconds * 1000))
+        self._writer.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+        )
+
     def abort(self) -> None:
-        """Close the connection at once and discard unsent data."""
+        """Reset the connection at once, so that unsent data is discarded."""
+        if not self._writer.is_closing():
+            self._reset_on_close()
         self._writer.transport.abort()
 
+    def _reset_on_close(self) -> None:
+        """Have the socket's unsent data discarded when it is closed, if possible."""
+        with contextlib.suppress(OSError):
+            self._writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
 
 class HttpServer:
     """Answers `GET` requests on one port, without pipelining.
--- a/tests/users_platform/test_http.py
+++ b/tests/users_platform/test_http.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import contextlib
+import signal
+import socket
+import subprocess
+import sys
 
 import pytest
 
-from siskinhold.lines import HttpClient, HttpFailure
+from siskinhold.lines import HttpClient, HttpFailure, _http
 from siskinhold.lines._clock import read_clock
 from siskinhold.lines._http import MAX_LARGE_ANSWERS, HttpAnswer, HttpServer
 
@@ -137,3 +141,158 @@
             assert answer.status == 200
         server.close()
         await asyncio.sleep(0.05)
+
+
+@contextlib.contextmanager
+def listen():
+    """Yield a socket that listens with a small receive buffer, and its port."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        yield listener, listener.getsockname()[1]
+
+
+async def read_all(connection: socket.socket) -> tuple[int, bool]:
+    """Return the number of bytes that arrive, and whether they end by a reset."""
+    loop = asyncio.get_running_loop()
+    count = 0
+    try:
+        while True:
+            received = await asyncio.wait_for(loop.sock_recv(connection, 1 << 16), 3)
+            if not received:
+                return count, False
+            count += len(received)
+    except ConnectionResetError:
+        return count, True
+    except TimeoutError:
+        return count, False
+
+
+HELD_UP = b"x" * 200_000
+"""A body of which the sender's kernel keeps a part until the receiver reads."""
+
+
+ORDER_SCRIPT = """
+import uvloop
+from siskinhold.lines import HttpClient
+from siskinhold.lines._clock import read_clock
+
+async def order():
+    await HttpClient(host="127.0.0.1", port={port}).request(
+        "POST",
+        "/promotion",
+        body=b"x" * {length},
+        timeout=5.0,
+        send_by=read_clock() + {seconds},
+    )
+
+uvloop.run(order())
+"""
+"""Program that sends an order of which a part is held up."""
+
+
+@contextlib.asynccontextmanager
+async def run_order(seconds: float):
+    """Run a process that sends an order; yield it and the receiver's connection."""
+    loop = asyncio.get_running_loop()
+    with listen() as (listener, port):
+        text = ORDER_SCRIPT.format(port=port, length=len(HELD_UP), seconds=seconds)
+        process = subprocess.Popen([sys.executable, "-c", text])
+        try:
+            connection, _ = await asyncio.wait_for(loop.sock_accept(listener), 20)
+            with connection:
+                await asyncio.sleep(0.2)
+                yield process, connection
+        finally:
+            process.kill()
+            process.wait()
+
+
+class TestHeldUpRequest:
+    async def test_bytes_of_an_order_given_up_are_not_delivered_later(self):
+        """Guards against an order that arrives after the next claimant's."""
+        loop = asyncio.get_running_loop()
+        with listen() as (listener, port):
+            client = HttpClient(host="127.0.0.1", port=port)
+            with pytest.raises(HttpFailure):
+                await client.request(
+                    "POST",
+                    "/promotion",
+                    body=HELD_UP,
+                    timeout=5.0,
+                    send_by=read_clock() + 0.2,
+                )
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                count, reset = await read_all(connection)
+        assert reset, f"{count} bytes arrived without a reset"
+        assert count < len(HELD_UP)
+
+    async def test_order_of_a_process_that_ends_is_not_delivered_later(self):
+        """Guards against an order that arrives after its VM has shut down."""
+        loop = asyncio.get_running_loop()
+        with listen() as (listener, port):
+            client = HttpClient(host="127.0.0.1", port=port)
+            order = client.request(
+                "POST",
+                "/promotion",
+                body=HELD_UP,
+                timeout=5.0,
+                send_by=read_clock() + 5.0,
+            )
+            task = asyncio.create_task(order)
+            await asyncio.sleep(0.2)
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                count, reset = await read_all(connection)
+        assert reset, f"{count} bytes arrived without a reset"
+
+    async def test_order_of_a_killed_process_is_not_delivered_later(self):
+        """Guards against an order that the kernel delivers for a killed process."""
+        async with run_order(seconds=5.0) as (process, connection):
+            process.kill()
+            process.wait()
+            count, reset = await read_all(connection)
+            assert reset, f"{count} bytes arrived without a reset"
+            assert count < len(HELD_UP)
+
+    async def test_deadline_of_an_order_counts_suspended_time(self, monkeypatch):
+        """Guards against an order that is held up while its VM is suspended."""
+        loop = asyncio.get_running_loop()
+        offset = 0.0
+        monkeypatch.setattr(_http, "read_clock", lambda: read_clock() + offset)
+        with listen() as (listener, port):
+            client = HttpClient(host="127.0.0.1", port=port)
+            order = client.request(
+                "POST",
+                "/promotion",
+                body=HELD_UP,
+                timeout=5.0,
+                send_by=read_clock() + 5.0,
+            )
+            task = asyncio.create_task(order)
+            await asyncio.sleep(0.2)
+            offset = 10.0
+            began = loop.time()
+            with pytest.raises(HttpFailure):
+                await task
+            assert loop.time() - began < 0.5
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                count, reset = await read_all(connection)
+        assert reset, f"{count} bytes arrived without a reset"
+        assert count < len(HELD_UP)
+
+    async def test_order_of_a_frozen_process_is_not_delivered_later(self):
+        """Guards against an order that the kernel delivers after its deadline."""
+        async with run_order(seconds=1.0) as (process, connection):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(2.0)
+            count, reset = await read_all(connection)
+            assert reset, f"{count} bytes arrived without a reset"
+            assert count < len(HELD_UP)
