Suspend the servers again before an order that follows one without effect

Callers: none is known to have met it. Commits of the old primary could reach a replica, and be acknowledged, before another replica was promoted that lacks them.

Cause: a server counted as fenced for the whole promotion. After an accepted order without effect for 2 s, or a rejected one, the next order went out at once, though the VM of an earlier attempt resumes the servers 6 s after it suspended them.

Evidence: test_majority_is_suspended_for_an_order_after_one_without_effect failed before: some of the orders found fewer than two servers suspended.

Fix: the fences end with such an order. An answer counts only if its command was sent in the current fencing step.

--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -236,8 +236,8 @@
     """Handle the status report of a server that was suspended.
 
     It counts as fenced if it accepts no more log entries from primaries of the old
-    term. The answer to an earlier attempt's command is ignored: the server is resumed
-    once that attempt has ended.
+    term. The answer to a command of an earlier step or attempt is ignored: the server
+    may have been resumed since.
     """
     database = state.databases.get(server.entry.service)
     promotion = database.promotion if database is not None else None
@@ -247,7 +247,8 @@
     if promotion.claim is None or sent_at < promotion.claim.sent_at:
         return
     _raise_term(state, promotion, status.term)
-    if max(status.term, status.suspended_term) > promotion.term:
+    fencing = promotion.step is PromotionStep.FENCING and sent_at >= promotion.step_at
+    if fencing and max(status.term, status.suspended_term) > promotion.term:
         promotion.fenced.add(server.entry.server)
     promotion.positions[server.entry.server] = status.received
 
@@ -333,6 +334,7 @@
         enter_step(state, promotion, PromotionStep.TAKING_EFFECT)
     elif event.outcome is PromotionOutcome.REJECTED:
         promotion.positions.pop(promotion.candidate, None)
+        promotion.fenced.clear()
         enter_step(state, promotion, PromotionStep.COMPARING)
     else:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL
@@ -343,8 +345,12 @@
 def await_effect(
     state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
-    """Compare the candidates again if an accepted order has no effect in time."""
+    """Compare the candidates again if an accepted order has no effect in time.
+
+    The servers are fenced again as well: others may have resumed them meanwhile.
+    """
     if state.now - promotion.step_at >= EFFECT_TIMEOUT:
+        promotion.fenced.clear()
         enter_step(state, promotion, PromotionStep.COMPARING)
 
 
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -640,6 +640,14 @@
         assert len({token for _, _, _, token in world.orders}) == 2
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
 
+    def test_majority_is_suspended_for_an_order_after_one_without_effect(self):
+        """Guards against replicas that the VM of an earlier attempt has resumed."""
+        world, _ = self.lose_primary_until_recorded()
+        world.effects_lost = True
+        world.advance(20)
+        assert len({token for _, _, _, token in world.orders}) > 2
+        assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
+
     def test_next_claim_waits_for_an_order_under_way(self):
         """Guards against an order that arrives after that of the next claimant."""
         world, vm = self.lose_primary_until_recorded()
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -293,6 +293,7 @@
         self.suspended_at_order = []
         self.order_lost = 0
         self.orders_ignored = False
+        self.effects_lost = False
         self.order_delays = []
         self.version = 1
         self.timeout = 1.0
@@ -680,7 +681,7 @@
         suspended = [s.name for s in self.servers.values() if s.suspended_term > newest]
         self.suspended_at_order.append(suspended)
         outcome = PromotionOutcome.ACCEPTED
-        if not self.orders_ignored:
+        if not self.orders_ignored and not self.effects_lost:
             self.at(self.now + PROMOTION_DELAY, lambda: self.promote(order.server))
         if self.orders_ignored:
             outcome = PromotionOutcome.UNKNOWN
