Resume no server while VMs agree that the primary is lost

Cause: the VM of an earlier attempt resumed the servers 6 s after it had suspended them, whatever happened since. Another VM may claim after 4.5 s and suspend them for the same term, and a resumption names no term. While that VM waits for a slow second server, the first one receives again.

Evidence: test_majority_is_suspended_for_a_first_order failed before for a resumption 0.3 s after the claim: the order found one of two servers suspended.

Fix: a server that is due stays suspended while this VM prepares a promotion that other VMs have confirmed. If the primary is still reached, that ends after another 6 s.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -40,6 +40,7 @@
     handle_step_down_answer,
 )
 from ._results import handle_job_answer, handle_setup_answer
+from ._resumptions import resume_replication
 from ._server_state import ConnectionState, Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
 from ._switchover import handle_backlog_answer, request_backlogs
@@ -295,7 +296,7 @@
             close_connection(state, control, out, "control_unresponsive")
             handle_connection_loss(state, control, out)
     _close_connections_of_ended_jobs(state, server, out)
-    _resume_replication(state, server, out)
+    resume_replication(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
         if knows_vms(state):
@@ -335,18 +336,6 @@
             handle_connection_loss(state, connection, out)
 
 
-def _resume_replication(state: DirectState, server: Server, out: Effects) -> None:
-    """Resume replication on a server that was suspended for a promotion."""
-    if server.resume_at is None or state.now < server.resume_at:
-        return
-    control = find_control_connection(server)
-    if control is None or control.pending:
-        return
-    server.resume_at = None
-    command = Command(kind=CommandKind.RESUME)
-    send(state, control, command, Purpose.ATTEST, out)
-
-
 def _ping(state: DirectState, server: Server, out: Effects) -> None:
     """Ping a server without traffic, so that its loss is detected early."""
     if server.down_at is not None:
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -648,6 +648,20 @@
         assert len({token for _, _, _, token in world.orders}) > 2
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
 
+    @pytest.mark.parametrize("delay", [0.05, 0.1, 0.2, 0.3])
+    def test_majority_is_suspended_for_a_first_order(self, delay):
+        """Guards against a resumption by the VM of an earlier attempt before it."""
+        world, vm = self.lose_primary_until_recorded()
+        world.servers["s3"].status_time = 0.2
+        earlier = next(name for name in world.states if name != vm)
+        while not world.claims_of(vm):
+            world.advance(0.005)
+        for server in world.states[earlier].servers.values():
+            server.resume_at = world.now + delay
+        while not world.orders:
+            world.advance(0.005)
+        assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
+
     def test_next_claim_waits_for_an_order_under_way(self):
         """Guards against an order that arrives after that of the next claimant."""
         world, vm = self.lose_primary_until_recorded()
