Count a promotion's majority among the servers in force

Callers: a write that was acknowledged while a promotion waited for the store was gone after the promotion.

Cause: a promotion kept the list of servers with which it had begun. Each ticket adds or removes one server, so majorities of neighbouring lists share one, but {b, c} of {a, b, c} and {a, d} of {a, b, d} share none. While the write of the new term was not answered, two tickets came into force, the old primary a was reachable again and {a, d} confirmed its writes. Then the term was recorded for a server of {b, c}.

The servers in force are fenced once the term is reserved, and the term is not recorded if they have changed since. The promotion then begins again.

Evidence: without the change, test_servers_replaced_while_the_new_term_is_recorded fails with "assert None == 'x'" (the acknowledged row is missing), and the three tests of TestChangedServers with the servers a, b, c fenced or term 2 recorded. All pass with it, as do tests/test_failover.py, tests/test_attempts.py and tests/test_guarantees.py.

A write of the term that is on its way to the store while two tickets come into force is not covered by this change.

--- a/src/siskinhold/core/_attempts.py
+++ b/src/siskinhold/core/_attempts.py
@@ -1,6 +1,6 @@
 """Promotion attempts: whether one is still needed, its candidate, and its end."""
 
-from ..model import ServerState
+from ..model import Database, ServerState, TermRecord, TermStart
 from ._failover_state import Attempt
 from ._health import find_term_record, is_reachable, majority_size
 from ._state import Effects, NodeState, record
@@ -45,6 +45,37 @@
     return primary is None or not is_reachable(node, primary)
 
 
+def has_current_servers(node: NodeState, attempt: Attempt) -> bool:
+    """Return whether the attempt counts its majority among the servers in force.
+
+    Majorities of the lists before and after two change tickets may share no server.
+    """
+    found = node.config.databases.get(attempt.database.name)
+    if found is None:
+        return False
+    return _list_instances(attempt.database) == _list_instances(found[1])
+
+
+def _list_instances(database: Database) -> set[tuple[str, str, int]]:
+    """Return the names and addresses of a database's servers."""
+    return {(server.name, server.host, server.port) for server in database.servers}
+
+
+def build_term_record(node: NodeState, attempt: Attempt) -> TermRecord:
+    """Return the reserved term record with the start of the attempt's term."""
+    name = choose_candidate(node, attempt)
+    start = TermStart(
+        term=attempt.term,
+        offset=attempt.fenced[name].position.offset,
+        primary=name,
+    )
+    return TermRecord(
+        database=attempt.written.database,
+        starts=(*attempt.written.starts, start),
+        reservation=None,
+    )
+
+
 def choose_candidate(node: NodeState, attempt: Attempt) -> str:
     """Return the name of the fenced server with the highest log position.
 
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -11,7 +11,7 @@
 
 from ..effects import CallStore, FenceServer, Observe, PromoteServer
 from ..events import ControlAnswered, StoreAnswered
-from ..model import ControlFailure, Database, Reservation, Role, TermRecord, TermStart
+from ..model import ControlFailure, Database, Reservation, Role
 from ..store import (
     ReadObject,
     StoreFailure,
@@ -23,8 +23,9 @@
 )
 from ._attempts import (
     abandon_attempt,
-    choose_candidate,
+    build_term_record,
     find_attempt,
+    has_current_servers,
     hold_writes,
     is_needed,
 )
@@ -154,9 +155,13 @@
 def _write_record(node: NodeState, attempt: Attempt, out: Effects) -> None:
     """Write the attempt's term record, if the store has the version it replaces.
 
-    A version that was learnt since may be that of another VM's promotion.
+    A version that was learnt since may be that of another VM's promotion. An attempt
+    whose fenced servers may no longer be a majority is abandoned.
     """
     name = attempt.database.name
+    if attempt.phase is Phase.RECORDING and not has_current_servers(node, attempt):
+        abandon_attempt(node, attempt, "servers_changed", out)
+        return
     call = node.open_store_call(RecordWrite(name, attempt.run))
     operation = WriteObject(
         key=term_key(name),
@@ -270,7 +275,12 @@
 
 
 def _fence_servers(node: NodeState, attempt: Attempt, out: Effects) -> None:
-    """Fence all servers of the database, or abandon an attempt without a cause."""
+    """Fence all servers in force, or abandon an attempt without a cause."""
+    found = node.config.databases.get(attempt.database.name)
+    if found is None:
+        abandon_attempt(node, attempt, "database_removed", out)
+        return
+    attempt.database = found[1]
     if not is_needed(node, attempt):
         abandon_attempt(node, attempt, "primary_answers_again", out)
         return
@@ -287,8 +297,8 @@
 ) -> None:
     """Count the answer to a fence command; after the last one, write the term record.
 
-    Once a majority is fenced, the other servers have `FENCE_GRACE_PERIOD` to answer.
-    The attempt is abandoned if a server has a higher term or no majority is fenced.
+    Once a majority is fenced, the others have `FENCE_GRACE_PERIOD` to answer. The
+    attempt is abandoned if a server has a higher term or no majority is fenced.
     """
     attempt = find_attempt(node, fence.database, fence.run)
     if attempt is None or attempt.phase is not Phase.FENCING:
@@ -321,19 +331,8 @@
 def _write_term_start(node: NodeState, attempt: Attempt, out: Effects) -> None:
     """Choose the new primary and write the term record that names it."""
     attempt.phase = Phase.RECORDING
-    name = choose_candidate(node, attempt)
-    reserved = attempt.written
-    start = TermStart(
-        term=attempt.term,
-        offset=attempt.fenced[name].position.offset,
-        primary=name,
-    )
-    attempt.base = reserved
-    attempt.written = TermRecord(
-        database=reserved.database,
-        starts=(*reserved.starts, start),
-        reservation=None,
-    )
+    attempt.base = attempt.written
+    attempt.written = build_term_record(node, attempt)
     _write_record(node, attempt, out)
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -19,6 +19,7 @@
 from siskinhold.effects import CallStore, FenceServer, PromoteServer
 from siskinhold.model import (
     Database,
+    DatabaseGroup,
     Position,
     Reservation,
     Role,
@@ -39,19 +40,41 @@
 LATER = TermStart(term=3, offset=9, primary="b")
 
 
-def begin_fencing():
-    """Return a VM that has reserved term 2, and the calls that fence the servers."""
-    servers = tuple(make_server(name) for name in ("a", "b", "c"))
-    database = Database(name="db", primary="a", servers=servers)
+def make_database(*names):
+    """Return a database with servers of these names."""
+    servers = tuple(make_server(name) for name in names)
+    return Database(name="db", primary="a", servers=servers)
+
+
+def begin_reserving():
+    """Return a VM that reserves term 2, and the call that writes the reservation."""
+    database = make_database("a", "b", "c")
     identity = Identity(address=build_address(0, "north"), incarnation=1)
     node = NodeState(identity=identity, random=random.Random(1))
+    put_in_force(node, database)
     learn_term_record(node, TermRecord(database="db", starts=(FIRST,)), 4, [])
     failover = node.failover.databases["db"] = DatabaseFailover()
     out = []
     begin_attempt(node, database, failover, PRIMARY_LEAVING, out)
     (call,) = [effect for effect in out if isinstance(effect, CallStore)]
-    out = reduce(node, answer_write(call, 5))
-    return node, [effect for effect in out if isinstance(effect, FenceServer)]
+    return node, call
+
+
+def find_fences(out):
+    """Return the commands that fence servers."""
+    return [effect for effect in out if isinstance(effect, FenceServer)]
+
+
+def begin_fencing():
+    """Return a VM that has reserved term 2, and the calls that fence the servers."""
+    node, call = begin_reserving()
+    return node, find_fences(reduce(node, answer_write(call, 5)))
+
+
+def put_in_force(node, database):
+    """Bring a database into force, as a change ticket does."""
+    group = DatabaseGroup(name="g", databases=(database,))
+    node.config.databases[database.name] = (group, database)
 
 
 def answer_write(call, version):
@@ -144,3 +167,28 @@
         assert find_writes(out) == []
         assert not any(isinstance(effect, PromoteServer) for effect in out)
         assert node.failover.databases["db"].attempt is None
+
+
+class TestChangedServers:
+    def test_servers_in_force_are_fenced(self):
+        """Guards against a majority of servers that were replaced while the store
+        was slow."""
+        node, call = begin_reserving()
+        put_in_force(node, make_database("a", "b", "d"))
+        fences = find_fences(reduce(node, answer_write(call, 5)))
+        assert [fence.server.name for fence in fences] == ["a", "b", "d"]
+
+    def test_servers_of_a_removed_database_are_not_fenced(self):
+        """Guards against a promotion of a database that is no longer in force."""
+        node, call = begin_reserving()
+        node.config.databases.clear()
+        assert find_fences(reduce(node, answer_write(call, 5))) == []
+        assert node.failover.databases["db"].attempt is None
+
+    def test_term_is_not_recorded_for_replaced_servers(self):
+        """Guards against a new primary while a majority of the servers in force
+        confirms writes of the old one."""
+        node, fences = begin_fencing()
+        put_in_force(node, make_database("a", "b", "d"))
+        assert find_writes(end_fencing(node, fences)) == []
+        assert node.failover.databases["db"].attempt is None
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -6,6 +6,7 @@
 import pytest
 from msgspec.structs import replace
 
+from siskinhold.core._failover_state import Phase
 from siskinhold.model import (
     Done,
     Marks,
@@ -17,6 +18,7 @@
     Unknown,
     UnknownReason,
 )
+from siskinhold_trial.fakes import FakeServer
 from siskinhold_trial.fleet import CRANNOG, Fleet
 from siskinhold_trial.proof._faults import _with_state
 
@@ -163,6 +165,67 @@
         assert isinstance(outcome, Done)
 
 
+def add_replica(fleet, database):
+    """Start another instance, which no change ticket names yet, and return it."""
+    primary = database.find_primary().endpoint
+    endpoint = replace(primary, name=f"{database.config.name}-new", port=1)
+    server = FakeServer(
+        world=fleet.world, database=database, endpoint=endpoint, primary=False
+    )
+    server.source = primary.name
+    database.servers[endpoint.name] = server
+    fleet.world.servers[endpoint.name] = server
+    database.after_change()
+    return server
+
+
+async def change_servers(fleet, name, servers):
+    """Give a database other servers by a ticket, and wait until it is in force."""
+    databases = []
+    for database in fleet.group.databases:
+        if database.name == name:
+            database = replace(database, servers=tuple(servers))
+        databases.append(database)
+    fleet.accept_ticket(replace(fleet.group, databases=tuple(databases)))
+    while not fleet.is_ready():
+        await asyncio.sleep(0.01)
+
+
+async def await_phase(vm, phase):
+    """Wait until the VM's promotion of the database has reached a step."""
+    attempts = vm.node.failover.databases["bookings"]
+    while attempts.attempt is None or attempts.attempt.phase is not phase:
+        await asyncio.sleep(0.0001)
+
+
+class TestReplacedServers:
+    def test_servers_replaced_while_the_new_term_is_recorded(self):
+        """Guards against an acknowledged write that is lost, as the servers fenced
+        before two tickets are no majority of those after them."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            primary = database.find_primary()
+            added = add_replica(fleet, database)
+            owner = fleet.find_owner("bookings")
+            first, second, third = database.config.servers
+            last = added.endpoint
+            fleet.world.isolate(primary.endpoint.name)
+            await await_phase(owner, Phase.RECORDING)
+            fleet.world.cut(owner.address.name, "store")
+            fleet.world.rejoin(primary.endpoint.name)
+            await change_servers(fleet, "bookings", (first, second, third, last))
+            await change_servers(fleet, "bookings", (first, second, last))
+            outcome = await write(fleet, 2_000)
+            fleet.world.heal(owner.address.name, "store")
+            await asyncio.sleep(5.0)
+            return outcome, database.find_primary().log.rows.get("a")
+
+        outcome, row = run(scenario)
+        assert isinstance(outcome, Done)
+        assert row == "x"
+
+
 class TestRoutingRules:
     def test_no_replica_reads(self):
         """Guards against a replica that serves reads although the group's rules
