Test promotions that another VM or process overtakes

No fault was found in these two ways; no test showed them.

A VM that is cut off from the other VMs and the store keeps the record of term 2, whose server was isolated when it was named. Another VM has term 3 recorded and promoted, and 12 s later the first one promotes the server of term 2, which is still fenced in that term: the promotions are carried out in the order 1, 3, 2. A write there ends as unknown and a read is not answered, since no majority reports a term of 2 or lower.

A VM that records a term is killed while the record is on its way to a store that takes 0.5 s, and restarts under its name: term 2 is promoted once.

--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -191,6 +191,28 @@
         await asyncio.sleep(0.01)
 
 
+async def await_term(vm, term):
+    """Wait until the VM knows the record of a term of the database."""
+    while vm.node.config.records["bookings"].term < term:
+        await asyncio.sleep(0.0001)
+
+
+async def write_through(vm, value):
+    """Write the row through a VM and return the outcome."""
+    caller = vm.callers.connect(database="bookings")
+    sql = f"UPDATE kv SET v='{value}' WHERE k='a'"
+    return (
+        await caller.run(StatementKind.WRITE, sql, Marks(deadline_ms=2_000))
+    ).outcome
+
+
+async def read_through(vm):
+    """Read the row through a VM and return the outcome."""
+    caller = vm.callers.connect(database="bookings")
+    sql = "SELECT v FROM kv WHERE k='a'"
+    return (await caller.run(StatementKind.READ, sql, Marks(deadline_ms=2_000))).outcome
+
+
 async def await_phase(vm, phase):
     """Wait until the VM's promotion of the database has reached a step."""
     attempts = vm.node.failover.databases["bookings"]
@@ -226,6 +248,67 @@
         assert row == "x"
 
 
+class TestLateCommands:
+    def test_server_that_is_promoted_after_its_successor_confirms_nothing(self):
+        """Guards against an acknowledged write, or a stale read, at a server that a
+        VM with an older term record promotes after another VM's promotion."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            first = database.find_primary()
+            owner = fleet.find_owner("bookings")
+            other = fleet.vms["vm1" if owner is fleet.vms["vm0"] else "vm0"]
+            first.kill()
+            await await_phase(owner, Phase.RECORDING)
+            attempt = owner.node.failover.databases["bookings"].attempt
+            late = database.servers[attempt.written.primary]
+            fleet.world.isolate(late.endpoint.name)
+            await await_term(other, 2)
+            for name in (owner.address.name, "vm2", "store"):
+                fleet.world.cut(other.address.name, name)
+            first.restart()
+            await await_term(owner, 3)
+            await write_through(owner, "kept")
+            await asyncio.sleep(12.0)
+            fleet.world.rejoin(late.endpoint.name)
+            for name in (owner.address.name, "vm2", *database.servers):
+                if name != late.endpoint.name:
+                    fleet.world.cut(name, late.endpoint.name)
+            await asyncio.sleep(1.0)
+            terms = [promotion.term for promotion in database.promotions]
+            outcomes = [await write_through(other, "lost"), await read_through(other)]
+            return terms, outcomes, await read_through(owner)
+
+        terms, (written, read), row = run(scenario)
+        assert terms == [1, 3, 2]
+        assert isinstance(written, Unknown)
+        assert not isinstance(read, Done)
+        assert row.rows == ((b"kept",),)
+
+
+class TestRestartedVm:
+    def test_promotion_of_the_process_before_is_completed_once(self):
+        """Guards against two primaries of a term when the promoting VM restarts under
+        its name while its record is on the way to the store."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            owner = fleet.find_owner("bookings")
+            database.find_primary().kill()
+            await await_phase(owner, Phase.FENCING)
+            fleet.store.latency = 0.5
+            await await_phase(owner, Phase.RECORDING)
+            await owner.kill()
+            await owner.start()
+            gap = await time_next_write(fleet)
+            await asyncio.sleep(5.0)
+            return gap, [promotion.term for promotion in database.promotions]
+
+        gap, terms = run(scenario)
+        assert gap < FAILOVER_BOUND
+        assert terms == [1, 2]
+
+
 class TestRoutingRules:
     def test_no_replica_reads(self):
         """Guards against a replica that serves reads although the group's rules
