Take only a fenced server's answer for a fence

Cause: a server answered a fence of a term that it already had with its status, and any role counted as fenced. A term is reserved once, but a store that was restored without an era can give one out again (docs/design.md, section 3). A server that leads or follows in that term then counted towards the majority, and a second server could be promoted in it.

A promotion ends with the cause term_in_use if a server acts in its term. The choice of a term moved to _attempts, next to the other rules of an attempt.

Evidence: test_server_that_acts_in_the_term_is_not_fenced fails without the change with "assert [([1, 2], 5)] == []" for both roles. It passes with it, as do tests/test_failover.py, tests/test_attempts.py, tests/test_guarantees.py and tests/test_restored_store.py.

A server that a lost promotion only fenced can't be told apart; eras are the means against that.

--- a/src/siskinhold/core/_attempts.py
+++ b/src/siskinhold/core/_attempts.py
@@ -20,10 +20,24 @@
     UNFINISHED_PROMOTION,
 )
 """Causes that remain when the primary answers queries again."""
+TERMS_PER_ERA = 1_000_000
+"""Number of terms in each era of the store. A restored store has lost reservations, so
+a term reserved in one era must not be reserved in another one."""
 RETRY_DELAY = 0.5
 """Average seconds between an abandoned attempt and the next one."""
 
 
+def choose_term(node: NodeState, database: Database) -> int:
+    """Return a term above all known ones and all of older eras of the store."""
+    highest = find_term_record(node, database.name).highest_reserved
+    highest = max(highest, node.config.era * TERMS_PER_ERA)
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is not None and health.status is not None:
+            highest = max(highest, health.status.term)
+    return highest + 1
+
+
 def find_attempt(node: NodeState, database: str, run: str) -> Attempt | None:
     """Return the attempt with identity `run`, or None if it has ended."""
     failover = node.failover.databases.get(database)
--- a/src/siskinhold/core/_promotion.py
+++ b/src/siskinhold/core/_promotion.py
@@ -24,6 +24,7 @@
 from ._attempts import (
     abandon_attempt,
     build_term_record,
+    choose_term,
     find_attempt,
     has_current_servers,
     hold_writes,
@@ -39,9 +40,6 @@
 
 FENCE_GRACE_PERIOD = 0.03
 """Seconds to wait for the remaining servers once a majority is fenced."""
-TERMS_PER_ERA = 1_000_000
-"""Number of terms in each era of the store. A restored store has lost reservations, so
-a term reserved in one era must not be reserved in another one."""
 READ_BACK_DELAY = 0.1
 """Seconds before a term record is read back after an unanswered store call."""
 ATTEMPT_TIMEOUT = 3.0
@@ -116,21 +114,15 @@
 def begin_attempt(
     node: NodeState, database: Database, failover, cause: str, out: Effects
 ) -> None:
-    """Begin a promotion by reserving a term above all known ones and older eras."""
+    """Begin a promotion by reserving its term."""
     term_record = find_term_record(node, database.name)
-    era = node.config.era
-    highest = max(term_record.highest_reserved, era * TERMS_PER_ERA)
-    for server in database.servers:
-        health = node.health.servers.get(server.name)
-        if health is not None and health.status is not None:
-            highest = max(highest, health.status.term)
     run = f"{node.random.getrandbits(64):016x}"
     attempt = Attempt(
         database=database,
         run=run,
         cause=cause,
-        term=highest + 1,
-        era=era,
+        term=choose_term(node, database),
+        era=node.config.era,
         started=node.now,
     )
     failover.attempt = attempt
@@ -298,7 +290,8 @@
     """Count the answer to a fence command; after the last one, write the term record.
 
     Once a majority is fenced, the others have `FENCE_GRACE_PERIOD` to answer. The
-    attempt is abandoned if a server has a higher term or no majority is fenced.
+    attempt is abandoned if a server has a higher term or acts in the attempt's term,
+    or if no majority is fenced.
     """
     attempt = find_attempt(node, fence.database, fence.run)
     if attempt is None or attempt.phase is not Phase.FENCING:
@@ -308,6 +301,9 @@
         abandon_attempt(node, attempt, "server_has_higher_term", out)
         return
     if event.status is not None and event.status.term == attempt.term:
+        if event.status.role is not Role.FENCED:
+            abandon_attempt(node, attempt, "term_in_use", out)
+            return
         attempt.fenced[fence.server] = event.status
     needed = majority_size(attempt.database)
     if len(attempt.fenced) == needed and attempt.pending_fences:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -90,10 +90,10 @@
     )
 
 
-def answer_fence(fence):
-    """Return the answer of a server that was fenced."""
+def answer_fence(fence, role=Role.FENCED):
+    """Return the answer of a server, which has the fence's term."""
     status = ServerStatus(
-        term=fence.term, role=Role.FENCED, position=Position(term=1, offset=7)
+        term=fence.term, role=role, position=Position(term=1, offset=7)
     )
     return events.ControlAnswered(
         at=0.0, server=fence.server.name, call=fence.call, status=status
@@ -169,6 +169,18 @@
         assert node.failover.databases["db"].attempt is None
 
 
+class TestForeignTerm:
+    @pytest.mark.parametrize("role", [Role.PRIMARY, Role.REPLICA])
+    def test_server_that_acts_in_the_term_is_not_fenced(self, role):
+        """Guards against a second primary of a term that the store has lost."""
+        node, fences = begin_fencing()
+        out = reduce(node, answer_fence(fences[0], role))
+        for fence in fences[1:]:
+            out += reduce(node, answer_fence(fence))
+        assert find_writes(out) == []
+        assert node.failover.databases["db"].attempt is None
+
+
 class TestChangedServers:
     def test_servers_in_force_are_fenced(self):
         """Guards against a majority of servers that were replaced while the store
