Test that a late follow command does not end a fence

No fault was found: a server refuses to follow the primary of a lower term, whether it is fenced or already leads in the higher one. Only the stand-in that speaks the MySQL protocol had a test of this (test_term_rules).

--- a/tests/trial/test_fake_database.py
+++ b/tests/trial/test_fake_database.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from trial_support import Vm, make_database, run
 
 from siskinhold import effects, events
@@ -193,6 +194,23 @@
 
         run_script(script)
 
+    @pytest.mark.parametrize("promoted", [False, True])
+    def test_late_follow_does_not_end_a_fence(self, promoted):
+        """Guards against a server that an earlier promotion resumes as a replica."""
+
+        async def script(database, vm, servers):
+            await vm.control(effects.FenceServer, servers[1], term=3)
+            if promoted:
+                await vm.control(effects.PromoteServer, servers[1], term=3)
+            before = database.servers["db-1"].role
+            follow = dict(term=2, primary=servers[2])
+            answer = await vm.control(effects.FollowServer, servers[1], **follow)
+            assert answer.failure is ControlFailure.REJECTED
+            after = database.servers["db-1"]
+            assert (after.term, after.role, after.source) == (3, before, "")
+
+        run_script(script)
+
 
 class TestFaults:
     def test_killed_server_breaks_and_refuses(self):
