Keep the servers that VMs and promotions count at most one ticket apart

Callers: a write that is acknowledged by a VM which counts {a, c} of the servers a, b, c can be lost in a promotion that counts {b, d} of a, b, d.

Cause: the ticket tool checked that one ticket adds or removes one server, but left to the operator to wait until it is in force before the next one. And a promotion whose term record is on its way to the store is not stopped by tickets that are accepted meanwhile.

The tool submits a ticket that adds or removes servers only once the ticket before is in force on every live VM, as the operator port of one of them says: exit code 8 otherwise, 7 if no VM of the list answers. It also replaces the reservation of a promotion of such a database in the store. Writes of a promotion are conditional on its own reservation, so it ends and begins again with a higher term and the servers in force.

Evidence: without the step, three tests of TestServerChanges fail, with "(<ExitCode.DONE: 0>, 'done') == (8, ...)", "<ExitCode.DONE: 0> == 7" and "assert 1 == 2" (the version of the term record). They pass with it, as do tests/test_ticket_tool.py, tests/test_tickets.py, tests/test_docs.py, tests/test_failover.py, tests/test_attempts.py, tests/test_guarantees.py, tests/test_restored_store.py and tests/test_programs.py. test_promotion_whose_reservation_a_ticket_replaced_ends shows a VM's side.

Not covered: a VM that the others take for gone, but that still reaches the servers. It keeps its older list until it hears of the tickets.

--- a/src/siskinhold/programs/_ticket_report.py
+++ b/src/siskinhold/programs/_ticket_report.py
@@ -21,6 +21,7 @@
     STORE = 5
     NOT_IN_FORCE = 6
     OPERATOR = 7
+    EARLIER_NOT_IN_FORCE = 8
 
 
 @dataclass(slots=True, kw_only=True)
@@ -150,6 +151,30 @@
     return Report(code=ExitCode.DONE, result="done", lines=lines, body=body)
 
 
+def report_no_status(detail: str) -> Report:
+    """Report that no operator port answers."""
+    return Report(
+        code=ExitCode.OPERATOR,
+        result="operator_no_answer",
+        lines=[f"failure=operator_no_answer detail={detail!r}"],
+        body={"detail": detail},
+    )
+
+
+def report_waiting(ticket: ChangeTicket, lagging: list[str]) -> Report:
+    """Report that a ticket waits until the one before is in force everywhere."""
+    names = ",".join(lagging)
+    return Report(
+        code=ExitCode.EARLIER_NOT_IN_FORCE,
+        result="earlier_ticket_not_in_force",
+        lines=[
+            f"failure=earlier_ticket_not_in_force ticket={ticket.number - 1} "
+            f"lagging={names}"
+        ],
+        body={"number": ticket.number - 1, "lagging": lagging},
+    )
+
+
 def summarise_ticket(ticket: ChangeTicket) -> dict:
     """Return a ticket's metadata and the names of its groups."""
     return {
--- a/src/siskinhold/programs/ticket.py
+++ b/src/siskinhold/programs/ticket.py
@@ -8,7 +8,8 @@
     4  the ticket's number is taken by another ticket
     5  the store can't be reached, its tickets can't be read, or it was restored
     6  the ticket is accepted, but not in force everywhere in time
-    7  no operator port can be reached (only `status`)
+    7  no operator port can be reached (`status`, or a ticket that changes servers)
+    8  not submitted: it changes servers, and the ticket before is not in force yet
 """
 
 import asyncio
@@ -29,6 +30,7 @@
     check_ticket,
     diff_states,
     digest_state,
+    list_changed_databases,
     parse_ticket,
 )
 from ._ticket_report import (
@@ -37,13 +39,17 @@
     report_diff,
     report_faults,
     report_history,
+    report_no_status,
     report_status,
     report_store_fault,
+    report_waiting,
 )
+from ._ticket_reservations import withdraw_reservations
 from ._ticket_status import (
     STATUS_TIMEOUT_SECONDS,
     StatusReader,
     find_operator_urls,
+    list_lagging_vms,
     wait_until_in_force,
 )
 from ._ticket_store import (
@@ -228,6 +234,9 @@
         faults = check_ticket(ticket, history.state)
         if faults:
             return report_faults(faults)
+        refused = await _prepare_server_changes(options, client, history, ticket)
+        if refused is not None:
+            return refused
         if history.era and await _is_in_force(options, client, ticket.number):
             result = await _compare_in_force(client, ticket)
         else:
@@ -243,6 +252,32 @@
     )
 
 
+async def _prepare_server_changes(
+    options: Options, client: StoreClient, history: History, ticket: ChangeTicket
+) -> Report | None:
+    """Make sure that no VM acts on servers of two tickets ago; else return why not.
+
+    Majorities of sets of servers that differ by two tickets may share no server. So
+    the tickets before must be in force on every live VM, and promotions that began
+    under earlier ones must begin again.
+    """
+    changed = list_changed_databases(ticket, history.state)
+    if not changed:
+        return None
+    if options.operator or await find_operator_urls(client):
+        reader = await _make_reader(options, client)
+        read = await reader.read(max_databases=0)
+        if isinstance(read, Err):
+            return report_no_status(read.err_value)
+        lagging = list_lagging_vms(read.ok_value, history.state.number)
+        if lagging:
+            return report_waiting(ticket, lagging)
+    withdrawn = await withdraw_reservations(client, ticket, changed)
+    if isinstance(withdrawn, Err):
+        return report_store_fault(withdrawn.err_value, None)
+    return None
+
+
 async def _is_in_force(options: Options, client: StoreClient, number: int) -> bool:
     """Return whether a VM reports a ticket of this number, or a later one, in force.
 
@@ -304,12 +339,7 @@
     read = await reader.read(max_databases=MAX_SHOWN_DATABASES)
     if isinstance(read, Ok):
         return report_status(read.ok_value)
-    return Report(
-        code=ExitCode.OPERATOR,
-        result="operator_no_answer",
-        lines=[f"failure=operator_no_answer detail={read.err_value!r}"],
-        body={"detail": read.err_value},
-    )
+    return report_no_status(read.err_value)
 
 
 async def _make_reader(options: Options, client: StoreClient | None) -> StatusReader:
--- a/src/siskinhold/tickets/__init__.py
+++ b/src/siskinhold/tickets/__init__.py
@@ -1,6 +1,6 @@
 """Pure functions that parse, check, apply, compare and digest change tickets."""
 
-from ._check import check_ticket
+from ._check import check_ticket, list_changed_databases
 from ._diff import DiffKind, DiffLine, diff_states
 from ._faults import TicketFault, TicketFaultKind
 from ._parse import parse_ticket
@@ -16,5 +16,6 @@
     "check_ticket",
     "diff_states",
     "digest_state",
+    "list_changed_databases",
     "parse_ticket",
 ]
--- a/src/siskinhold/tickets/_check.py
+++ b/src/siskinhold/tickets/_check.py
@@ -103,6 +103,30 @@
     share an instance with each majority of the other. Sets that differ in one
     instance guarantee that; replacing an instance in one ticket doesn't.
     """
+    for database, changed in _find_instance_changes(group, state):
+        if len(changed) <= 1:
+            continue
+        names = " ".join(sorted({name for name, _ in changed}))
+        yield TicketFault(
+            kind=Kind.INSTANCES_CHANGED,
+            subject=f"{group.name}/{database}",
+            detail=f"{names}; one instance may join or leave in one ticket",
+        )
+
+
+def list_changed_databases(ticket: ChangeTicket, state: TicketState) -> list[str]:
+    """Return the names of existing databases whose instances a ticket changes."""
+    names = []
+    for group in ticket.groups:
+        for database, _ in _find_instance_changes(group, state):
+            names.append(database)
+    return names
+
+
+def _find_instance_changes(
+    group: DatabaseGroup, state: TicketState
+) -> Iterator[tuple[str, set[tuple[str, tuple[str, int]]]]]:
+    """Yield each existing database with the instances added to it or removed."""
     before = {}
     for current_group in state.groups.values():
         for database in current_group.databases:
@@ -111,14 +135,8 @@
         if database.name not in before:
             continue
         changed = before[database.name] ^ _list_instances(database)
-        if len(changed) <= 1:
-            continue
-        names = " ".join(sorted({name for name, _ in changed}))
-        yield TicketFault(
-            kind=Kind.INSTANCES_CHANGED,
-            subject=f"{group.name}/{database.name}",
-            detail=f"{names}; one instance may join or leave in one ticket",
-        )
+        if changed:
+            yield database.name, changed
 
 
 def _list_instances(database: Database) -> set[tuple[str, tuple[str, int]]]:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 
 from siskinhold import events
 from siskinhold.core import Identity, NodeState, reduce
-from siskinhold.core._attempts import PRIMARY_LEAVING
+from siskinhold.core._attempts import PRIMARY_LEAVING, choose_term
 from siskinhold.core._failover_state import DatabaseFailover
 from siskinhold.core._promotion import (
     FENCE_GRACE_PERIOD,
@@ -144,6 +144,32 @@
         learn_term_record(node, record, 8, [])
         assert find_writes(end_fencing(node, fences)) == [([1, 2], 5)]
 
+    def test_promotion_whose_reservation_a_ticket_replaced_ends(self):
+        """Guards against a majority of the servers of two tickets ago."""
+        node, fences = begin_fencing()
+        out = end_fencing(node, fences)
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        withdrawn = TermRecord(
+            database="db",
+            starts=(FIRST,),
+            reservation=Reservation(term=2, vm="", run="ticket"),
+        )
+        conflict = StoreResult(failure=StoreFailure.CONFLICT)
+        reduce(node, events.StoreAnswered(at=0.1, call=call.call, result=conflict))
+        out = reduce(node, events.TimeAdvanced(at=0.1))
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        stored = StoredObject(
+            key=call.operation.key,
+            value=encode_term(withdrawn).unwrap(),
+            version=6,
+            revision=6,
+        )
+        result = StoreResult(objects=(stored,))
+        out = reduce(node, events.StoreAnswered(at=0.2, call=call.call, result=result))
+        assert find_writes(out) == []
+        assert node.failover.databases["db"].attempt is None
+        assert choose_term(node, make_database("a", "b", "c")) == 3
+
     def test_unanswered_write_is_not_repeated_over_another_vms_record(self):
         """Guards against a promotion that is lost from the record."""
         node, fences = begin_fencing()
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -6,12 +6,28 @@
 import pytest
 import pytest_asyncio
 from result import Err, Ok
-from store_samples import make_address, make_node, make_peer, make_server, started
+from store_samples import (
+    make_address,
+    make_node,
+    make_peer,
+    make_server,
+    started,
+    write,
+)
 
 from siskinhold.adapters import OperatorServer, StoreClient
-from siskinhold.model import ChangeTicket, Database, DatabaseGroup, VmState
+from siskinhold.model import (
+    ChangeTicket,
+    Database,
+    DatabaseGroup,
+    Reservation,
+    TermRecord,
+    TermStart,
+    VmState,
+)
 from siskinhold.programs import ticket as tool
 from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
+from siskinhold.store import ReadObject, decode_term, encode_term, term_key
 from siskinhold.tickets import check_ticket
 from siskinhold_trial.store import Outage, StoreEngine, StoreFaults, StoreServer, VmList
 
@@ -223,6 +239,76 @@
         yield fleet
 
 
+def make_change(number: int, count: int) -> ChangeTicket:
+    """Return a ticket that gives the database a number of servers."""
+    servers = tuple(
+        make_server(f"d-{index}", port=4000 + index) for index in range(count)
+    )
+    database = Database(name="d", primary="d-0", servers=servers)
+    group = DatabaseGroup(name="g", databases=(database,))
+    return ChangeTicket(
+        number=number, author="a", identity=f"a{number}", groups=(group,)
+    )
+
+
+def store_reservation(harness, run: str) -> TermRecord:
+    """Store a term record with a promotion under way and return it."""
+    start = TermStart(term=1, offset=0, primary="d-0")
+    reservation = Reservation(term=2, vm="vm1", run=run)
+    record = TermRecord(database="d", starts=(start,), reservation=reservation)
+    value = encode_term(record).unwrap()
+    assert harness.engine.call(write(term_key("d"), value)).failure is None
+    return record
+
+
+def read_term(harness):
+    """Return the stored version of the term record, and the record."""
+    (stored,) = harness.engine.call(ReadObject(key=term_key("d"))).objects
+    return stored.version, decode_term(stored.key, stored.value).unwrap()
+
+
+class TestServerChanges:
+    """Tickets that add or remove servers of a database."""
+
+    async def test_earlier_ticket_has_to_be_in_force(self, harness, fleet):
+        """Guards against VMs that count majorities which share no server."""
+        fleet.node.config.applied = 1
+        assert (await harness.apply(make_change(1, 3))).code == 0
+        report = await harness.apply(make_change(2, 4), operator=fleet.url)
+        assert (report.code, report.result) == (8, "earlier_ticket_not_in_force")
+        assert report.body["lagging"] == ["vm2"]
+        assert harness.engine.revision == 1
+        fleet.node.membership.peers["vm2"] = make_peer("vm2", 1)
+        report = await harness.apply(make_change(2, 4), operator=fleet.url)
+        assert report.code == 0
+
+    async def test_unknown_state_of_the_vms(self, harness):
+        """Guards against taking VMs that do not answer for VMs that follow."""
+        assert (await harness.apply(make_change(1, 3))).code == 0
+        url = "http://127.0.0.1:1"
+        assert (await harness.apply(make_change(2, 4), operator=url)).code == 7
+        assert (await harness.apply(make_ticket(2), operator=url)).code == 0
+
+    async def test_promotion_under_way_begins_again(self, harness):
+        """Guards against a new primary that is chosen among the servers of two
+        tickets ago."""
+        assert (await harness.apply(make_change(1, 3))).code == 0
+        reserved = store_reservation(harness, run="r")
+        assert (await harness.apply(make_change(2, 4))).code == 0
+        version, record = read_term(harness)
+        assert version == 2
+        assert record.highest_reserved == reserved.highest_reserved
+        assert record.starts == reserved.starts
+        assert record.reservation.run != reserved.reservation.run
+
+    async def test_other_changes_leave_promotions_alone(self, harness):
+        """Guards against promotions that a change of other values holds up."""
+        assert (await harness.apply(make_ticket(1))).code == 0
+        reserved = store_reservation(harness, run="r")
+        assert (await harness.apply(make_ticket(2))).code == 0
+        assert read_term(harness) == (1, reserved)
+
+
 class TestWait:
     async def test_in_force_on_all_live_vms(self, harness, fleet):
         """The wait ends with the last live VM; guards against ending with the first."""
