--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,7 +8,7 @@
 
 from siskinhold import events
 from siskinhold.core import Identity, NodeState, reduce
-from siskinhold.core._attempts import PRIMARY_LEAVING
+from siskinhold.core._attempts import PRIMARY_LEAVING, choose_term
 from siskinhold.core._failover_state import DatabaseFailover
 from siskinhold.core._promotion import (
     FENCE_GRACE_PERIOD,
@@ -19,6 +19,7 @@
 from siskinhold.effects import CallStore, FenceServer, PromoteServer
 from siskinhold.model import (
     Database,
+    DatabaseGroup,
     Position,
     Reservation,
     Role,
@@ -39,19 +40,41 @@
 LATER = TermStart(term=3, offset=9, primary="b")
 
 
-def begin_fencing():
-    """Return a VM that has reserved term 2, and the calls that fence the servers."""
-    servers = tuple(make_server(name) for name in ("a", "b", "c"))
-    database = Database(name="db", primary="a", servers=servers)
+def make_database(*names):
+    """Return a database with servers of these names."""
+    servers = tuple(make_server(name) for name in names)
+    return Database(name="db", primary="a", servers=servers)
+
+
+def begin_reserving():
+    """Return a VM that reserves term 2, and the call that writes the reservation."""
+    database = make_database("a", "b", "c")
     identity = Identity(address=build_address(0, "north"), incarnation=1)
     node = NodeState(identity=identity, random=random.Random(1))
+    put_in_force(node, database)
     learn_term_record(node, TermRecord(database="db", starts=(FIRST,)), 4, [])
     failover = node.failover.databases["db"] = DatabaseFailover()
     out = []
     begin_attempt(node, database, failover, PRIMARY_LEAVING, out)
     (call,) = [effect for effect in out if isinstance(effect, CallStore)]
-    out = reduce(node, answer_write(call, 5))
-    return node, [effect for effect in out if isinstance(effect, FenceServer)]
+    return node, call
+
+
+def find_fences(out):
+    """Return the commands that fence servers."""
+    return [effect for effect in out if isinstance(effect, FenceServer)]
+
+
+def begin_fencing():
+    """Return a VM that has reserved term 2, and the calls that fence the servers."""
+    node, call = begin_reserving()
+    return node, find_fences(reduce(node, answer_write(call, 5)))
+
+
+def put_in_force(node, database):
+    """Bring a database into force, as a change ticket does."""
+    group = DatabaseGroup(name="g", databases=(database,))
+    node.config.databases[database.name] = (group, database)
 
 
 def answer_write(call, version):
@@ -67,10 +90,10 @@
     )
 
 
-def answer_fence(fence):
-    """Return the answer of a server that was fenced."""
+def answer_fence(fence, role=Role.FENCED):
+    """Return the answer of a server, which has the fence's term."""
     status = ServerStatus(
-        term=fence.term, role=Role.FENCED, position=Position(term=1, offset=7)
+        term=fence.term, role=role, position=Position(term=1, offset=7)
     )
     return events.ControlAnswered(
         at=0.0, server=fence.server.name, call=fence.call, status=status
@@ -121,6 +144,32 @@
         learn_term_record(node, record, 8, [])
         assert find_writes(end_fencing(node, fences)) == [([1, 2], 5)]
 
+    def test_promotion_whose_reservation_a_ticket_replaced_ends(self):
+        """Guards against a majority of the servers of two tickets ago."""
+        node, fences = begin_fencing()
+        out = end_fencing(node, fences)
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        withdrawn = TermRecord(
+            database="db",
+            starts=(FIRST,),
+            reservation=Reservation(term=2, vm="", run="ticket"),
+        )
+        conflict = StoreResult(failure=StoreFailure.CONFLICT)
+        reduce(node, events.StoreAnswered(at=0.1, call=call.call, result=conflict))
+        out = reduce(node, events.TimeAdvanced(at=0.1))
+        (call,) = [effect for effect in out if isinstance(effect, CallStore)]
+        stored = StoredObject(
+            key=call.operation.key,
+            value=encode_term(withdrawn).unwrap(),
+            version=6,
+            revision=6,
+        )
+        result = StoreResult(objects=(stored,))
+        out = reduce(node, events.StoreAnswered(at=0.2, call=call.call, result=result))
+        assert find_writes(out) == []
+        assert node.failover.databases["db"].attempt is None
+        assert choose_term(node, make_database("a", "b", "c")) == 3
+
     def test_unanswered_write_is_not_repeated_over_another_vms_record(self):
         """Guards against a promotion that is lost from the record."""
         node, fences = begin_fencing()
@@ -144,3 +193,40 @@
         assert find_writes(out) == []
         assert not any(isinstance(effect, PromoteServer) for effect in out)
         assert node.failover.databases["db"].attempt is None
+
+
+class TestForeignTerm:
+    @pytest.mark.parametrize("role", [Role.PRIMARY, Role.REPLICA])
+    def test_server_that_acts_in_the_term_is_not_fenced(self, role):
+        """Guards against a second primary of a term that the store has lost."""
+        node, fences = begin_fencing()
+        out = reduce(node, answer_fence(fences[0], role))
+        for fence in fences[1:]:
+            out += reduce(node, answer_fence(fence))
+        assert find_writes(out) == []
+        assert node.failover.databases["db"].attempt is None
+
+
+class TestChangedServers:
+    def test_servers_in_force_are_fenced(self):
+        """Guards against a majority of servers that were replaced while the store
+        was slow."""
+        node, call = begin_reserving()
+        put_in_force(node, make_database("a", "b", "d"))
+        fences = find_fences(reduce(node, answer_write(call, 5)))
+        assert [fence.server.name for fence in fences] == ["a", "b", "d"]
+
+    def test_servers_of_a_removed_database_are_not_fenced(self):
+        """Guards against a promotion of a database that is no longer in force."""
+        node, call = begin_reserving()
+        node.config.databases.clear()
+        assert find_fences(reduce(node, answer_write(call, 5))) == []
+        assert node.failover.databases["db"].attempt is None
+
+    def test_term_is_not_recorded_for_replaced_servers(self):
+        """Guards against a new primary while a majority of the servers in force
+        confirms writes of the old one."""
+        node, fences = begin_fencing()
+        put_in_force(node, make_database("a", "b", "d"))
+        assert find_writes(end_fencing(node, fences)) == []
+        assert node.failover.databases["db"].attempt is None
