Hold the next promotion of a VM back after an order without an answer

The holder's order was given up at the end of its claim and arrived 0.3 s later; meanwhile the promotion was done, and the same VM had gone on at once with a newer claim.

--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -21,7 +21,7 @@
 from ._effects import ListVms, Observe
 from ._holders import needs_servers
 from ._leaders import probe_leader
-from ._lease import holds_lease, watch_completion
+from ._lease import ORDER_LEASE, holds_lease, watch_completion
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -324,6 +324,9 @@
         give_up_claim(state, database, promotion)
         return
     end_suspensions(state, database)
+    if promotion.orders_open:
+        # An order without an answer may arrive after one with a newer token.
+        database.goes_on_at = state.now + ORDER_LEASE
     out.append(Observe(metric="promotion_seconds", value=took))
     database.completion = Completion(
         server=leader.server,
--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -67,13 +67,15 @@
     """
     if record is None or record.state is LeaderState.PROMOTING:
         return database.record_seen_at + CLAIM_TIMEOUT
-    if record.holder in ("", state.vm):
+    if not record.holder:
         return state.now
+    if record.holder == state.vm:
+        return database.goes_on_at
     return database.record_seen_at + ORDER_LEASE
 
 
 def holds_lease(state: DirectState, database: Database) -> bool:
-    """Return whether other VMs may still have to wait because of this VM's last order."""
+    """Return whether other VMs may still have to wait for this VM's lease to end."""
     return state.now - database.ordered_at < CLAIM_TIMEOUT
 
 
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -89,6 +89,7 @@
             before the first primary.
         completion_read_at: earliest time of the next read that watches it.
         ordered_at: when this VM last ordered a promotion.
+        goes_on_at: earliest time of this VM's next claim within its own lease.
         settled_attempt: random id of this VM's last attempt that was dropped after
             all of its orders were answered.
     """
@@ -127,6 +128,7 @@
     completed_term: int = 0
     completion_read_at: float = 0.0
     ordered_at: float = -100.0
+    goes_on_at: float = 0.0
     settled_attempt: str = ""
 
 
--- a/tests/direct/test_direct_lease.py
+++ b/tests/direct/test_direct_lease.py
@@ -22,9 +22,14 @@
     world.at(world.now + WRITE_INTERVAL, lambda: keep_writing(world, vm, session + 1))
 
 
-def order_promotion(**options) -> tuple[World, str, str]:
-    """Return a world with a promotion just ordered, its VM and the ordered server."""
+def order_promotion(*, lost=0, **options) -> tuple[World, str, str]:
+    """Return a world with a promotion just ordered, its VM and the ordered server.
+
+    Args:
+        lost: number of orders whose answers are lost.
+    """
     world = World(**options)
+    world.order_lost = lost
     world.advance(2.0)
     for vm in world.states:
         keep_writing(world, vm)
@@ -113,6 +118,18 @@
         assert [vm for _, vm, _, _ in world.orders] == [holder, holder]
         assert world.orders[1][0] - crashed_at < 1.2
 
+    def test_holder_waits_after_an_order_without_an_answer(self):
+        """Guards against an order that arrives after the same VM's next one."""
+        world, holder, promoted = order_promotion(lost=1)
+        await_effect(world, promoted)
+        await_completion(world)
+        completed_at = world.now
+        first = world.orders[0][3]
+        world.drain(promoted)
+        world.advance(5)
+        later = [at for at, _, _, token in world.orders if token > first]
+        assert later[0] - completed_at >= ORDER_LEASE - 0.01
+
     @pytest.mark.parametrize("moment", MOMENTS)
     def test_holder_without_other_vms_goes_on_at_once(self, moment):
         """Guards against a lease that delays a VM which takes no turns."""
