Promote no primary again that restarted without its log

The recorded primary restarts fenced in its own term with an empty log: it was promoted again in the same term, and the replicas cut back their logs. An acknowledged write was gone on all three servers. A fenced recorded primary is now promoted only once every server was queried and none holds later entries of its term; if it lacks entries for as long as a status may be old, a promotion with a new term begins. test_primary_without_its_log_is_not_promoted_again failed before ([None, None, None] == ['x', 'x', 'x']), as did TestRecordedPrimary (two tests) and test_primary_restarts_without_its_log with real processes. The tests of failover, attempts, guarantees and restored stores pass with it.

--- a/src/siskinhold/core/_attempts.py
+++ b/src/siskinhold/core/_attempts.py
@@ -1,6 +1,6 @@
 """Promotion attempts: whether one is still needed, its candidate, and its end."""
 
-from ..model import Database, ServerState, TermRecord, TermStart
+from ..model import Database, Role, ServerState, TermRecord, TermStart
 from ._failover_state import Attempt
 from ._health import find_term_record, is_reachable, majority_size
 from ._state import Effects, NodeState, record
@@ -11,12 +11,15 @@
 """Cause of a promotion: the primary answers but does not reach its replicas."""
 PRIMARY_REMOVED = "primary_removed"
 """Cause of a promotion: a change ticket removed the primary."""
+PRIMARY_LOST_LOG = "primary_lost_its_log"
+"""Cause of a promotion: the primary restarted fenced, without entries of its term."""
 UNFINISHED_PROMOTION = "unfinished_promotion"
 """Cause of a promotion: another VM began one and has not finished it."""
 PERSISTENT_CAUSES = (
     PRIMARY_LEAVING,
     PRIMARY_CUT_OFF,
     PRIMARY_REMOVED,
+    PRIMARY_LOST_LOG,
     UNFINISHED_PROMOTION,
 )
 """Causes that remain when the primary answers queries again."""
@@ -75,6 +78,31 @@
     return {(server.name, server.host, server.port) for server in database.servers}
 
 
+def has_lost_entries(node: NodeState, database: Database) -> bool:
+    """Return whether the recorded primary is fenced and lacks entries of its log.
+
+    It had the log with which its term began, and a server with entries of the term
+    shows that it has led. Promoted again, it would cut back the logs of the others.
+    """
+    term_record = find_term_record(node, database.name)
+    primary = node.health.servers.get(term_record.primary or "")
+    if primary is None or primary.status is None:
+        return False
+    status = primary.status
+    if status.role is not Role.FENCED or status.term != term_record.term:
+        return False
+    if status.position.offset < term_record.starts[-1].offset:
+        return True
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is None or health.status is None:
+            continue
+        position = health.status.position
+        if position.term == term_record.term and position > status.position:
+            return True
+    return False
+
+
 def build_term_record(node: NodeState, attempt: Attempt) -> TermRecord:
     """Return the reserved term record with the start of the attempt's term."""
     name = choose_candidate(node, attempt)
--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -13,13 +13,16 @@
 from ._attempts import (
     PRIMARY_CUT_OFF,
     PRIMARY_LEAVING,
+    PRIMARY_LOST_LOG,
     PRIMARY_REMOVED,
     UNFINISHED_PROMOTION,
+    has_lost_entries,
     hold_writes,
 )
 from ._failover_state import DatabaseFailover
 from ._first_records import record_first_term
 from ._health import (
+    MAX_STATUS_AGE,
     StatusQuery,
     find_term_record,
     is_reachable,
@@ -118,6 +121,12 @@
     primary = node.health.servers.get(term_record.primary)
     if primary is None:
         return PRIMARY_REMOVED
+    if has_lost_entries(node, database) and is_reachable(node, primary):
+        # Its status may be older than those of the others, by `MAX_STATUS_AGE` at most.
+        failover.lost_log_since = failover.lost_log_since or node.now
+        waited = node.now - failover.lost_log_since
+        return PRIMARY_LOST_LOG if waited >= MAX_STATUS_AGE else ""
+    failover.lost_log_since = None
     if is_lost(node, database, primary):
         return f"primary_{primary.failure.value}"
     if _is_cut_off(node, database, primary, failover):
@@ -305,14 +314,16 @@
 ) -> None:
     """Command a server to take the role that the term record gives it, if needed.
 
-    The recorded primary is promoted if it is fenced in the recorded term. Any other
-    server is told to follow that primary unless it does.
+    The recorded primary is promoted if it is fenced in the recorded term with all of
+    its log. Any other server is told to follow that primary unless it does.
     """
     status = health.status
     server = health.server
     if server.name == term_record.primary:
         if status.term != term_record.term or status.role is not Role.FENCED:
             return
+        if not _were_queried(node, database) or has_lost_entries(node, database):
+            return
         # The store's watch may report the record before the attempt's write to
         # the store is answered.
         attempt = failover.attempt
@@ -336,6 +347,15 @@
     failover.commanded_at[server.name] = node.now
 
 
+def _were_queried(node: NodeState, database: Database) -> bool:
+    """Return whether each server of the database has answered or failed a query."""
+    for server in database.servers:
+        health = node.health.servers.get(server.name)
+        if health is None or (health.status is None and not health.failures):
+            return False
+    return True
+
+
 def _handle_status_report(
     node: NodeState, query: StatusQuery, event: StatusReported, out: Effects
 ) -> None:
--- a/src/siskinhold/core/_failover_state.py
+++ b/src/siskinhold/core/_failover_state.py
@@ -61,6 +61,7 @@
         cut_off_since: since when a primary that answers has not reached a
             majority of replicas.
         switchover_since: when the preparation of a planned switchover began.
+        lost_log_since: since when the primary has lacked entries of its log.
         commanded_at: when each server was last sent a promote or follow
             command.
         promoted_term: the last term whose primary was promoted by this VM.
@@ -72,6 +73,7 @@
     higher_term_since: float | None = None
     cut_off_since: float | None = None
     switchover_since: float | None = None
+    lost_log_since: float | None = None
     commanded_at: dict[str, float] = field(default_factory=dict)
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -9,7 +9,9 @@
 from siskinhold import events
 from siskinhold.core import Identity, NodeState, reduce
 from siskinhold.core._attempts import PRIMARY_LEAVING, choose_term
+from siskinhold.core._failover import evaluate
 from siskinhold.core._failover_state import DatabaseFailover
+from siskinhold.core._health_state import ServerHealth
 from siskinhold.core._promotion import (
     FENCE_GRACE_PERIOD,
     READ_BACK_DELAY,
@@ -230,3 +232,43 @@
         put_in_force(node, make_database("a", "b", "d"))
         assert find_writes(end_fencing(node, fences)) == []
         assert node.failover.databases["db"].attempt is None
+
+
+SECOND = TermStart(term=2, offset=5, primary="b")
+
+
+def find_promotions(queried, position):
+    """Return the servers that a VM promotes which finds b fenced in term 2.
+
+    Args:
+        queried: the other servers that have been queried and did not answer.
+        position: position of b's log.
+    """
+    node, _ = begin_reserving()
+    database = make_database("a", "b", "c")
+    node.failover.databases.clear()
+    learn_term_record(node, TermRecord(database="db", starts=(FIRST, SECOND)), 8, [])
+    for server in database.servers:
+        health = ServerHealth(server=server, database="db")
+        health.failures = int(server.name in queried)
+        node.health.servers[server.name] = health
+    status = ServerStatus(term=2, role=Role.FENCED, position=position)
+    node.health.servers["b"].status = status
+    node.health.servers["b"].started = node.now
+    out = []
+    evaluate(node, database, out)
+    return [item.server.name for item in out if isinstance(item, PromoteServer)]
+
+
+class TestRecordedPrimary:
+    def test_promotion_of_another_vm_is_completed(self):
+        """Guards against a database without a primary after the loss of a VM."""
+        assert find_promotions("ac", Position(term=1, offset=5)) == ["b"]
+
+    def test_server_without_the_log_of_its_start_is_not_promoted(self):
+        """Guards against a primary that has lost entries and cuts the others' logs."""
+        assert find_promotions("ac", Position(term=1, offset=4)) == []
+
+    def test_server_is_not_promoted_before_the_others_were_queried(self):
+        """Guards against a VM that has just started and promotes such a primary."""
+        assert find_promotions("a", Position(term=1, offset=5)) == []
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -12,6 +12,7 @@
     Marks,
     NotRun,
     NotRunReason,
+    Role,
     RoutingRules,
     ServerState,
     StatementKind,
@@ -309,6 +310,30 @@
         assert terms == [1, 2]
 
 
+class TestLostLog:
+    def test_primary_without_its_log_is_not_promoted_again(self):
+        """Guards against acknowledged writes that are lost, as a primary that restarts
+        fenced and without its log is promoted again in its term."""
+
+        async def scenario(fleet):
+            database = fleet.databases["bookings"]
+            server = database.find_primary()
+            outcome = await write(fleet)
+            await asyncio.sleep(0.5)
+            server.kill()
+            server.log.cut(0)
+            server.role = Role.FENCED
+            server.restart()
+            await asyncio.sleep(5.0)
+            rows = [one.log.rows.get("a") for one in database.servers.values()]
+            return outcome, rows, await time_next_write(fleet)
+
+        outcome, rows, gap = run(scenario)
+        assert isinstance(outcome, Done)
+        assert rows == ["x", "x", "x"]
+        assert gap < 1.0
+
+
 class TestRoutingRules:
     def test_no_replica_reads(self):
         """Guards against a replica that serves reads although the group's rules
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -288,3 +288,22 @@
         await wait_until(write_succeeds)
         assert await run(other, "SELECT v FROM t WHERE v IN (20, 21, 30)") == []
         other.close()
+
+    async def test_primary_restarts_without_its_log(self, fleet):
+        """Guards against rows that are lost on all servers, as such a primary is
+        promoted again in its term."""
+        client = await fleet.connect(ONE, DATABASE)
+        await run(client, "INSERT INTO t VALUES (40)")
+        (database,) = (await fleet.read_status(ONE)).databases
+        await fleet.set_faults(DATABASE, database.primary, kill="lose", restart=True)
+
+        async def write_succeeds():
+            try:
+                await run(client, "INSERT INTO t VALUES (41)")
+            except pymysql.err.MySQLError:
+                return False
+            return True
+
+        await wait_until(write_succeeds)
+        assert await run(client, "SELECT v FROM t WHERE v = 40") == [40]
+        client.close()
