--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/.installed
-	$(BIN)/black --check --quiet src platform tests scripts conftest.py
-	$(BIN)/isort --check --quiet src platform tests scripts conftest.py
-	$(BIN)/flake8 src platform tests scripts conftest.py
+	$(BIN)/black --check --quiet src platform tests scripts conftest.py deploy
+	$(BIN)/isort --check --quiet src platform tests scripts conftest.py deploy
+	$(BIN)/flake8 src platform tests scripts conftest.py deploy
 
 format: $(VENV)/.installed
-	$(BIN)/isort --quiet src platform tests scripts conftest.py
-	$(BIN)/black --quiet src platform tests scripts conftest.py
+	$(BIN)/isort --quiet src platform tests scripts conftest.py deploy
+	$(BIN)/black --quiet src platform tests scripts conftest.py deploy
 
 demo: $(VENV)/.installed
 	$(BIN)/python scripts/demo.py
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -680,6 +680,39 @@
             world.advance(0.005)
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
 
+    def test_late_resumption_leaves_a_newer_suspension(self):
+        """Guards against a resumption during another VM's later promotion."""
+        world, vm = self.lose_primary_until_recorded()
+        replica = world.servers["s3"]
+        while not replica.suspended_term:
+            world.advance(0.001)
+        replica.unreachable_from = {vm}
+        world.advance(4)
+        assert replica.suspended_term == 0
+        suspended = replica.suspended_term = replica.term + 1
+        replica.unreachable_from = set()
+        world.advance(4)
+        assert world.states[vm].servers["s3"].down_at is None
+        assert replica.suspended_term == suspended
+
+    def test_claim_is_withdrawn_once_the_servers_are_resumed(self):
+        """Guards against a resumption that undoes the next claimant's suspension."""
+        world, vm = self.lose_primary_until_recorded()
+        world.servers["s3"].down = True
+        replica = world.servers["s2"]
+        while not replica.suspended_term:
+            world.advance(0.001)
+        world.advance(0.01)
+        replica.status_time = 0.3
+        while not world.is_control_busy(vm, "s2"):
+            world.advance(0.001)
+        world.servers["s1"].down = False
+        while world.record.state is LeaderState.PROMOTING:
+            assert world.record.vm == vm
+            world.advance(0.001)
+        assert world.orders == []
+        assert replica.suspended_term == 0
+
     def test_next_claim_waits_for_an_order_under_way(self):
         """Guards against an order that arrives after that of the next claimant."""
         world, vm = self.lose_primary_until_recorded()
--- /dev/null
+++ b/tests/direct/test_direct_membership.py
@@ -0,0 +1,104 @@
+"""Tests of the direct core: proofs while the list of servers changes."""
+
+import pytest
+
+from .test_direct_failover import start
+from .world import FakeServer
+
+OFFSETS = (0.2, 0.8)
+"""Times of a change after a list of servers was read, in seconds."""
+
+
+class Replacement:
+    """A primary, s1, that all VMs but vm3 lose, and a caller of vm3 that writes.
+
+    Args:
+        candidate: the replica that is ahead of the others.
+        offset: when s1 is lost, in seconds after a list of servers was read.
+    """
+
+    def __init__(self, *, world, candidate, offset):
+        self.world = world
+        self.candidate = world.servers[candidate]
+        self.others = set(world.states) - {"vm3"}
+        world.connect("vm3", 1)
+        world.advance(offset)
+        for server in world.servers.values():
+            if server.name not in ("s1", candidate):
+                server.replication_paused = True
+        assert self.write().refusal is None
+        world.advance(0.05)
+
+    def write(self):
+        """Have the caller write; return the answer."""
+        return self.world.execute("vm3", 1, "WRITE x 1", wait=0.6)
+
+    def lose_primary(self):
+        """Have the others lose s1, and return once a promotion is claimed."""
+        self.world.servers["s1"].unreachable_from = self.others
+        for _ in range(1000):
+            if self.world.find_logs("promotion_claimed"):
+                return
+            self.world.advance(0.005)
+        raise AssertionError("no promotion was claimed")
+
+    def list_for_others(self):
+        """Send the others the list of servers."""
+        for vm in sorted(self.others):
+            self.world.list_servers(vm)
+
+    def check_writes(self, seconds):
+        """Fail if a write that s1 commits after a promotion is acknowledged."""
+        world = self.world
+        old = world.servers["s1"]
+        until = world.now + seconds
+        while world.now < until:
+            newest = max(s.term for s in world.servers.values())
+            before = len(old.commits)
+            answer = self.write()
+            if answer is not None and answer.refusal is None:
+                terms = {term for _, term, _ in old.commits[before:]}
+                late = any(term < newest for term in terms)
+                assert not late, f"{world.now:.2f}: acknowledged at s1"
+            world.advance(0.02)
+
+
+class TestPromotedServer:
+    @pytest.mark.parametrize("offset", OFFSETS)
+    @pytest.mark.parametrize("cut_off", [False, True])
+    def test_that_is_listed_again_is_counted_by_all_vms(self, offset, cut_off):
+        """Guards against acknowledged writes at a primary that was replaced.
+
+        The new one was missing from the list for long, so vm3 leaves it out.
+        """
+        world = start(vms=8)
+        world.servers["s2"].listed = False
+        world.advance(20)
+        case = Replacement(world=world, candidate="s2", offset=offset)
+        case.lose_primary()
+        world.servers["s2"].listed = True
+        case.list_for_others()
+        if cut_off:
+            world.store_down = {"vm3"}
+        case.check_writes(14)
+        assert world.orders
+
+    @pytest.mark.parametrize("offset", OFFSETS)
+    @pytest.mark.parametrize("reads", ["fresh", "none"])
+    def test_that_is_new_is_counted_by_all_vms(self, offset, reads):
+        """Guards against acknowledged writes at a primary that was replaced.
+
+        The new one is promoted before vm3 has read a list that contains it.
+        """
+        world = start(vms=8)
+        new = FakeServer(world=world, name="s4", zone="b", leads=False)
+        new.listed = False
+        world.servers["s4"] = new
+        case = Replacement(world=world, candidate="s4", offset=offset)
+        case.lose_primary()
+        new.listed = True
+        case.list_for_others()
+        if reads == "none":
+            world.store_down = {"vm3"}
+        case.check_writes(14)
+        assert world.orders
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -60,7 +60,8 @@
     compute_tick_delay,
     reduce,
 )
-from siskinhold.direct._promotion import ATTEMPT_TIMEOUT
+from siskinhold.direct._connections import find_control_connection
+from siskinhold.direct._lease import ATTEMPT_TIMEOUT, ORDER_LEASE as PRODUCT_LEASE
 from siskinhold.model import Position
 
 LATENCY = 0.001
@@ -73,6 +74,8 @@
 """Seconds after a VM's last order of a promotion in which no other VM may order one of
 the same database: the stated target."""
 
+assert PRODUCT_LEASE >= ORDER_LEASE
+
 REPORTING = (
     CommandKind.STATUS,
     CommandKind.STEP_DOWN,
@@ -554,6 +557,11 @@
 
         self.at(self.now + LATENCY, arrive)
 
+    def is_control_busy(self, vm, server):
+        """Return whether a VM's control connection to a server awaits an answer."""
+        control = find_control_connection(self.states[vm].servers[server])
+        return control is not None and bool(control.pending)
+
     def replicate(self, leader, position):
         """Send a commit to the replicas."""
         for server in self.servers.values():
