--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -5,7 +5,7 @@
 when that was sent, and counts from its first sight of the record's revision instead: a
 claim is seen after it was sent, and a completed record after the last order of its
 promotion was sent. What a VM learns late, or again after a restart, can only prolong its
-wait. The time for which an order is on its way shortens the lease as the platform sees it.
+wait. The time that an order is on its way shortens the lease as the platform sees it.
 
 The lease is not renewed, so it costs nothing while primaries are healthy. After another
 VM's promotion, each VM that needs the servers reads the record until it is complete, so
