--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -4,7 +4,7 @@
 leader record only once `ORDER_LEASE` has passed since the last order. It does not know
 when that was sent, and counts from its first sight of the record's revision instead: a
 claim is seen after it was sent, and a completed record after the last order of its
-promotion was sent. What a VM learns late, or again after a restart, can only prolong its
+promotion was sent. What a VM learns late, or again after a restart, can only add to its
 wait. The time that an order is on its way shortens the lease as the platform sees it.
 
 The lease is not renewed, so it costs nothing while primaries are healthy. After another
