--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -17,6 +17,7 @@
 from ._state import Database, DirectState, Effects, Job, JobState
 from ._switchover import record_overload
 from ._types import Answer, Refusal
+from ._write_proof import is_write_proved, request_write_proof
 
 FLOOR_REFRESH_INTERVAL = 0.6
 """Age of the newest floor, in seconds, at which a new one is requested while reads
@@ -167,10 +168,7 @@
     leader = database.leader
     if leader is None:
         return
-    confirmed = {
-        strict: find_confirmed_time(state, database, strict=strict)
-        for strict in (False, True)
-    }
+    confirmed_at = find_confirmed_time(state, database)
     waiting = database.unconfirmed
     database.unconfirmed = []
     for job in waiting:
@@ -182,7 +180,7 @@
             same = same and answer.position.term == leader.term
         if not same:
             _reject_unconfirmed(state, job, out)
-        elif confirmed[job.proof_strict] >= job.proof_since:
+        elif _is_proved(state, database, job, confirmed_at):
             out.append(
                 Observe(
                     metric="confirmation_seconds",
@@ -194,6 +192,15 @@
             database.unconfirmed.append(job)
 
 
+def _is_proved(
+    state: DirectState, database: Database, job: Job, confirmed_at: float
+) -> bool:
+    """Return whether the primary is proved to have led for a job."""
+    if job.proof_strict:
+        return is_write_proved(state, database, job.answer.position, job.proof_since)
+    return confirmed_at >= job.proof_since
+
+
 def _reject_unconfirmed(state: DirectState, job: Job, out: Effects) -> None:
     """Discard the answer of a replaced primary.
 
@@ -226,14 +233,18 @@
     state: DirectState, database: Database, out: Effects
 ) -> None:
     """Request proof for the unconfirmed answers, and a new floor for recent reads."""
-    needed = {False: -1.0, True: -1.0}
+    reads_since = -1.0
+    last_write = None
     for job in database.unconfirmed:
-        strict = job.proof_strict
-        needed[strict] = max(needed[strict], job.proof_since)
-    if database.leader is not None:
-        for strict, since in needed.items():
-            if since >= 0:
-                request_proof(state, database, since, out, strict=strict)
+        if not job.proof_strict:
+            reads_since = max(reads_since, job.proof_since)
+        elif last_write is None or job.proof_since >= last_write.proof_since:
+            last_write = job
+    if database.leader is not None and reads_since >= 0:
+        request_proof(state, database, reads_since, out)
+    if database.leader is not None and last_write is not None:
+        position, since = last_write.answer.position, last_write.proof_since
+        request_write_proof(state, database, position, since, out)
     refresh = FLOOR_REFRESH_INTERVAL
     if state.now - database.lagging_seen_at < LAGGING_PERIOD:
         refresh = LAGGING_FLOOR_REFRESH_INTERVAL
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -3,9 +3,9 @@
 Every answer of a server carries the end of its applied log, whose term increases before
 any commit of a new term is acknowledged. So a primary of term T held every acknowledged
 commit at time t if every other member of its database answered a command sent at t or
-later with a term of at most T. That suffices for reads. A new primary may accept writes
-shortly before its log shows the new term, so a write also requires that every other
-member refused a write transaction (strict proof).
+later with a term of at most T. That suffices for reads.
+
+A write needs more; see `_write_proof`.
 
 If a member can't be reached, the database's leader record is read from the store: it is
 written before a promotion is ordered. If the store can't be reached either, a majority
@@ -13,7 +13,7 @@
 majority is suspended for its term.
 
 Terms: the evidence of a server is the log position in its newest answer. A leader is
-confirmed for a time, or proved to have led, once one of these three ways shows it. The
+confirmed for a time, or proved to have led, once one of these ways shows it. The
 witnesses are the members whose answers count, which are all but the leader. An
 attestation is a status report in which a replica shows no newer term.
 
@@ -110,42 +110,37 @@
     return [m for m in list_members(state, database) if m is not leader]
 
 
-def find_confirmed_time(
-    state: DirectState, database: Database, *, strict: bool = False
-) -> float:
+def find_confirmed_time(state: DirectState, database: Database) -> float:
     """Return the latest time at which the leader is proved to have led, -1 for none.
 
-    Args:
-        strict: whether to prove that no other server accepted writes at that time.
+    It held all commits that were acknowledged by then, which proves reads, not writes.
     """
     leader = database.leader
     if leader is None:
         return -1.0
-    witnessed = find_witnessed_time(state, database, strict=strict)
+    witnessed = _find_witnessed_time(state, database, leader)
     attested = _find_attested_time(state, database, leader)
     return max(witnessed, attested, database.store_confirmed_at)
 
 
-def find_witnessed_time(
-    state: DirectState, database: Database, *, strict: bool
+def _find_witnessed_time(
+    state: DirectState, database: Database, leader: Leadership
 ) -> float:
-    """Return the latest time for which all witnesses prove the leader, -1 for none.
-
-    Args:
-        strict: whether to prove that no other server accepted writes at that time.
-    """
-    leader = database.leader
-    if leader is None:
-        return -1.0
+    """Return the latest time for which all witnesses' logs prove it, -1 for none."""
     oldest = state.now
     for member in list_witnesses(state, database):
         evidence = member.evidence
         if evidence is None or evidence.position.term > leader.term:
             return -1.0
-        oldest = min(oldest, member.write_refused_at if strict else evidence.sent_at)
+        oldest = min(oldest, evidence.sent_at)
     return oldest
 
 
+def count_needed(witnesses: list[Server]) -> int:
+    """Return how many witnesses form a majority with the leader."""
+    return count_majority(len(witnesses) + 1) - 1
+
+
 def count_majority(members: int) -> int:
     """Return the smallest number that is more than half of the members."""
     return members // 2 + 1
@@ -167,7 +162,7 @@
     for member in witnesses:
         if member.attested_term <= leader.term:
             times.append(member.attested_at)
-    needed = count_majority(len(witnesses) + 1) - 1
+    needed = count_needed(witnesses)
     if needed == 0:
         return server.lead_confirmed_at
     if len(times) < needed:
@@ -199,7 +194,6 @@
     out: Effects,
     *,
     leader_too: bool = False,
-    strict: bool = False,
 ) -> None:
     """Request proof that the leader led at `since`, unless it is known or requested.
 
@@ -209,19 +203,41 @@
 
     Args:
         leader_too: whether to request the primary's position as well.
-        strict: whether the other members must refuse a write transaction.
     """
     unreachable = False
     for member in list_witnesses(state, database):
-        unreachable |= not _request_evidence(state, member, since, strict, out)
+        unreachable |= not _request_evidence(state, member, since, out)
     leader = state.leader_of(database)
     if leader_too and leader is not None:
-        _request_evidence(state, leader, since, False, out)
+        _request_evidence(state, leader, since, out)
     if not unreachable:
         return
-    _request_store_proof(state, database, since, out)
+    request_store_proof(state, database, since, out)
     if _is_store_unavailable(state, database):
-        _request_attestations(state, database, since, out)
+        if leader is not None and leader.lead_confirmed_at < since:
+            probe_leader(state, leader, out)
+        for member in list_witnesses(state, database):
+            request_attestation(state, member, since, out)
+
+
+def request_attestation(
+    state: DirectState, member: Server, since: float, out: Effects
+) -> bool:
+    """Query a member's status unless it was queried since a time.
+
+    Returns:
+        whether it attests that it knows of no newer term, or may do so soon.
+    """
+    database = state.databases[member.entry.service]
+    if member.attested_at >= since:
+        return member.attested_term <= database.leader.term
+    control = find_control_connection(member)
+    if control is None or state.now < member.attestation_retry_at:
+        return False
+    if control.pending:
+        return state.now - control.pending[0].sent_at < CONTROL_ANSWER_TIMEOUT
+    send(state, control, Command(kind=CommandKind.STATUS), Purpose.ATTEST, out)
+    return True
 
 
 def can_prove(state: DirectState, database: Database) -> bool:
@@ -239,23 +255,8 @@
     return not _is_store_unavailable(state, database)
 
 
-def _request_attestations(
-    state: DirectState, database: Database, since: float, out: Effects
-) -> None:
-    """Probe the leader, and query the reachable witnesses for attestations."""
-    leader = state.leader_of(database)
-    if leader is not None and leader.lead_confirmed_at < since:
-        probe_leader(state, leader, out)
-    for member in list_witnesses(state, database):
-        control = find_control_connection(member)
-        if control is None or control.pending or member.attested_at >= since:
-            continue
-        status = Command(kind=CommandKind.STATUS)
-        send(state, control, status, Purpose.ATTEST, out)
-
-
 def _request_evidence(
-    state: DirectState, member: Server, since: float, strict: bool, out: Effects
+    state: DirectState, member: Server, since: float, out: Effects
 ) -> bool:
     """Request evidence from a member unless it is known.
 
@@ -263,26 +264,18 @@
         whether it is known or an answer may be expected.
     """
     evidence = member.evidence
-    if strict:
-        known = member.write_refused_at >= since
-    else:
-        known = evidence is not None and evidence.sent_at >= since
-    if known:
+    if evidence is not None and evidence.sent_at >= since:
         return True
     control = find_control_connection(member)
     if control is None:
         return False
     if control.pending:
         return state.now - control.pending[0].sent_at < CONTROL_ANSWER_TIMEOUT
-    if strict:
-        probe_leader(state, member, out)
-    else:
-        command = Command(kind=CommandKind.RESET)
-        send(state, control, command, Purpose.POSITION, out)
+    send(state, control, Command(kind=CommandKind.RESET), Purpose.POSITION, out)
     return True
 
 
-def _request_store_proof(
+def request_store_proof(
     state: DirectState, database: Database, since: float, out: Effects
 ) -> None:
     """Read the leader record to confirm the leader, unless a read is under way."""
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -8,12 +8,15 @@
 from ._state import Database, DirectState, Effects, Leadership
 from ._types import Answer, Command, CommandKind, Refusal, TransactionState
 
+ATTESTATION_RETRY_DELAY = 0.05
+"""Seconds until a server that refused a status query is queried again."""
+
 
 class DropReason(enum.Enum):
     """Why a server is no longer believed to be the primary.
 
     Attributes:
-        NEWER_TERM: a server's log shows a newer term.
+        NEWER_TERM: a server's log or status report shows a newer term.
         OTHER_LEADS: another server leads in the same or a newer term.
         READ_ONLY: the server refused a write or a write transaction.
         RECORD: the leader record in the store shows a newer term.
@@ -109,17 +112,25 @@
     """Handle the answer to a status query that requested an attestation.
 
     A replica's report is recorded as its attestation. A server that reports that it
-    leads may be a new primary.
+    leads may be a new primary. A replica's newer term has begun, so the leader is
+    dropped; one that it is only suspended for may never begin.
     """
     status = answer.status
     if status is None or answer.position is None:
+        server.attestation_retry_at = state.now + ATTESTATION_RETRY_DELAY
         return
+    server.received = status.received
     if status.leads:
         handle_leader_status(state, server, sent_at, answer, out)
         return
     server.write_refused_at = max(server.write_refused_at, sent_at)
     server.attested_at = sent_at
     server.attested_term = max(status.term, status.suspended_term)
+    database = state.databases.get(server.entry.service)
+    leader = database.leader if database is not None else None
+    if leader is not None and status.term > leader.term:
+        database.min_term = max(database.min_term, status.term)
+        drop_leader(state, database, DropReason.NEWER_TERM, out)
 
 
 def probe_leader(state: DirectState, server: Server, out: Effects) -> None:
--- a/src/siskinhold/direct/_records.py
+++ b/src/siskinhold/direct/_records.py
@@ -9,14 +9,13 @@
 
 import hashlib
 
-from ._connections import find_control_connection
 from ._effects import Log
 from ._events import LeaderRecordAnswered, StoreOutcome
-from ._evidence import find_witnessed_time, list_witnesses
-from ._leaders import probe_leader
+from ._evidence import list_witnesses, request_attestation
 from ._promotion_steps import find_rank, register_call, write_record
 from ._state import Database, DirectState, Effects
 from ._types import LeaderState, Revision
+from ._write_proof import is_attested_by_all
 
 FIRST_RECORD_DELAY = 10.0
 """Seconds after this VM learned of an era until it records a primary there: a promotion
@@ -49,8 +48,9 @@
     if state.now < proved_since + _find_delay(state, database, leader.term):
         return
     database.record_retry_at = state.now + RETRY_INTERVAL
-    if find_witnessed_time(state, database, strict=True) < proved_since:
-        _probe_witnesses(state, database, out)
+    if not is_attested_by_all(state, database, proved_since):
+        for member in list_witnesses(state, database):
+            request_attestation(state, member, proved_since, out)
         return
     database.record_retry_at += _find_window(state)
     write_record(
@@ -82,14 +82,6 @@
     return len(state.databases) / RECORDS_PER_SECOND
 
 
-def _probe_witnesses(state: DirectState, database: Database, out: Effects) -> None:
-    """Probe the other servers, whose refusals prove that none of them leads."""
-    for member in list_witnesses(state, database):
-        control = find_control_connection(member)
-        if control is not None and not control.pending:
-            probe_leader(state, member, out)
-
-
 def note_record(
     state: DirectState, database: Database, event: LeaderRecordAnswered
 ) -> None:
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -150,6 +150,9 @@
         attested_at: send time of the newest status query that it answered as a replica.
         attested_term: the newest term that it knew of or was suspended for in that
             answer.
+        attestation_retry_at: earliest time of the next query for an attestation, after
+            the server refused one.
+        received: end of its received log in its newest status report.
         lead_confirmed_at: send time of the newest probe that it answered as the
             primary.
         resume_at: when to resume replication after this VM suspended it.
@@ -180,6 +183,8 @@
     down_at: float | None = None
     attested_at: float = -1.0
     attested_term: int = 0
+    attestation_retry_at: float = 0.0
+    received: Position | None = None
     lead_confirmed_at: float = -1.0
     resume_at: float | None = None
     retry_at: float = 0.0
