--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -114,11 +114,14 @@
     Args:
         revision: store revision that the list reflects.
         entries: all readable entries.
+        read_at: when the read was sent if its data are up to date, None if they may be
+            older.
     """
 
     at: float
     revision: Revision
     entries: tuple[ServerEntry, ...]
+    read_at: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -37,6 +37,13 @@
 has ended.
 """
 
+LIST_VALIDITY = 4.0
+"""Seconds after the request of a list of servers for which it contains every server
+that may lead; longer than the gap between two up-to-date lists."""
+
+NEW_SERVER_PERIOD = LIST_VALIDITY + 0.5
+"""Seconds for which a server must have been listed before it is promoted."""
+
 FLOOR_INTERVAL = 0.05
 """Lower limit of the seconds between two floors that are kept."""
 
@@ -126,8 +133,11 @@
 def _find_witnessed_time(
     state: DirectState, database: Database, leader: Leadership
 ) -> float:
-    """Return the latest time for which all witnesses' logs prove it, -1 for none."""
-    oldest = state.now
+    """Return the latest time for which all witnesses' logs prove it, -1 for none.
+
+    A server that this VM's list lacks is promoted only after the list's validity.
+    """
+    oldest = min(state.now, state.servers_read_at + LIST_VALIDITY)
     for member in list_witnesses(state, database):
         evidence = member.evidence
         if evidence is None or evidence.position.term > leader.term:
@@ -136,9 +146,17 @@
     return oldest
 
 
-def count_needed(witnesses: list[Server]) -> int:
-    """Return how many witnesses form a majority with the leader."""
-    return count_majority(len(witnesses) + 1) - 1
+def count_needed(state: DirectState, witnesses: list[Server]) -> int:
+    """Return how many witnesses have to attest.
+
+    They form a majority with the leader. If the list of servers may lack some, all that
+    can be reached are needed, and at least one.
+    """
+    majority = count_majority(len(witnesses) + 1) - 1
+    if state.now - state.servers_read_at < LIST_VALIDITY:
+        return majority
+    reached = [w for w in witnesses if w.down_at is None and find_control_connection(w)]
+    return max(majority, len(reached), 1)
 
 
 def count_majority(members: int) -> int:
@@ -162,7 +180,7 @@
     for member in witnesses:
         if member.attested_term <= leader.term:
             times.append(member.attested_at)
-    needed = count_needed(witnesses)
+    needed = count_needed(state, witnesses)
     if needed == 0:
         return server.lead_confirmed_at
     if len(times) < needed:
@@ -197,14 +215,14 @@
 ) -> None:
     """Request proof that the leader led at `since`, unless it is known or requested.
 
-    The reachable witnesses are queried first. If one can't be reached, the store is
-    read, and if that is unavailable, the reachable witnesses are queried for
-    attestations.
+    The reachable witnesses are queried first. If one can't be reached, or the list of
+    servers may lack one, the store is read, and if that is unavailable, the reachable
+    witnesses are queried for attestations.
 
     Args:
         leader_too: whether to request the primary's position as well.
     """
-    unreachable = False
+    unreachable = state.servers_read_at + LIST_VALIDITY < since
     for member in list_witnesses(state, database):
         unreachable |= not _request_evidence(state, member, since, out)
     leader = state.leader_of(database)
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -11,6 +11,7 @@
 after it learned of the era, unless another one has.
 """
 
+from ._candidates import find_promotable_time
 from ._claims import (
     await_claim,
     complete_record,
@@ -21,7 +22,7 @@
 from ._effects import ListVms, Observe
 from ._holders import needs_servers
 from ._leaders import probe_leader
-from ._lease import ORDER_LEASE, holds_lease, watch_completion
+from ._lease import ORDER_LEASE, delay_promotion, holds_lease, watch_completion
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -295,8 +296,13 @@
 def _await_rank(state, database: Database, promotion: Promotion, out: Effects) -> None:
     """Read the leader record once the VMs ranked before had time to claim it.
 
-    The others wait for a VM that holds the lease, so it is the first.
+    The others wait for a VM that holds the lease, so it is the first. While all
+    candidates are new, a primary that leaves goes on.
     """
+    promotable_at = find_promotable_time(state, database, promotion)
+    if promotable_at > state.now:
+        delay_promotion(state, database, promotable_at, out, candidates="new")
+        return
     rank = find_rank(state, database, promotion.term)
     if holds_lease(state, database):
         rank = 0
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,6 +5,7 @@
 """
 
 from ..model import Position
+from ._candidates import is_listed_long, list_candidates, rank_candidate
 from ._claims import give_up_claim
 from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
@@ -139,7 +140,7 @@
 
 def request_progress(state: DirectState, database: Database, out: Effects) -> None:
     """Query the replicas for the log received from a suspected primary."""
-    for server in _list_candidates(state, database, database.promotion):
+    for server in list_candidates(state, database, database.promotion):
         control = find_control_connection(server)
         if control is not None and not control.pending:
             status = Command(kind=CommandKind.STATUS)
@@ -170,7 +171,7 @@
     If the old primary's position is known, another candidate should have caught up with
     it; otherwise all should have answered. After a timeout, one answer suffices.
     """
-    candidates = _list_candidates(state, database, promotion)
+    candidates = list_candidates(state, database, promotion)
     if state.now >= promotion.repeat_at:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL / 4
         for server in candidates:
@@ -183,6 +184,7 @@
     known = [s for s in candidates if s.entry.server in promotion.positions]
     if needed is not None:
         replicas = [s for s in known if s.entry.server != promotion.leader]
+        replicas = [s for s in replicas if is_listed_long(state, s)]
         caught_up = [
             s for s in replicas if promotion.positions[s.entry.server] >= needed
         ]
@@ -202,6 +204,7 @@
     """Suspend the servers for the new term, then order the best candidate's promotion.
 
     A majority must be fenced. For the remaining candidates it waits `FENCE_TIMEOUT`.
+    A new server that has received most is waited for, as the others lack commits.
     """
     if state.now >= promotion.repeat_at:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL / 2
@@ -211,11 +214,13 @@
     if len(promotion.fenced) < count_majority(len(list_members(state, database))):
         return
     waited = state.now - promotion.step_at
-    candidates = _list_candidates(state, database, promotion)
+    candidates = list_candidates(state, database, promotion)
     fenced = [s for s in candidates if s.entry.server in promotion.fenced]
     if not fenced or len(fenced) < len(candidates) and waited < FENCE_TIMEOUT:
         return
-    best = max(fenced, key=lambda s: _rank_candidate(state, promotion, s))
+    best = max(fenced, key=lambda s: rank_candidate(state, promotion, s))
+    if not is_listed_long(state, best):
+        return
     promotion.candidate = best.entry.server
     enter_step(state, promotion, PromotionStep.ORDERING)
     order_promotion(state, database, promotion, claim, out)
@@ -254,36 +259,6 @@
     promotion.positions[server.entry.server] = status.received
 
 
-def _list_candidates(state, database: Database, promotion: Promotion) -> list[Server]:
-    """Return the usable servers that are up, without the primary to be replaced.
-
-    In a switchover it is included, as it leads again if no replica has all commits.
-    """
-    found = []
-    for server in state.members(database.name):
-        replaced = server.entry.server == promotion.leader
-        if replaced and promotion.cause != SWITCHOVER_CAUSE:
-            continue
-        if not server.usable or server.down_at is not None:
-            continue
-        found.append(server)
-    return found
-
-
-def _rank_candidate(state, promotion: Promotion, server: Server) -> tuple:
-    """Return the sort key of a candidate; the greatest is the best.
-
-    The end of the received log counts first, then not being the old primary, then not
-    failing statements, then being in the old primary's region.
-    """
-    old = state.servers.get(promotion.leader)
-    zone = old.entry.zone if old is not None else state.zone
-    same_region = state.regions.get(server.entry.zone) == state.regions.get(zone)
-    position = promotion.positions.get(server.entry.server, Position(0, 0))
-    works = state.now >= server.failing_until
-    return (position, server is not old, works, same_region, server.entry.server)
-
-
 def order_promotion(
     state, database: Database, promotion: Promotion, claim: Claim, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -144,6 +144,7 @@
         write_refused_at: send time of the newest write transaction that it refused;
             only a primary accepts one.
         catching_up_at: when it was last seen to lead without having applied its log.
+        listed_at: since when it has been listed.
         draining_at: when its entry was first seen draining.
         gone_at: when its entry was first missing from the list of servers.
         down_at: since when no connection can be opened.
@@ -178,6 +179,7 @@
     evidence: Evidence | None = None
     write_refused_at: float = -1.0
     catching_up_at: float = -1.0
+    listed_at: float = -100.0
     draining_at: float | None = None
     gone_at: float | None = None
     down_at: float | None = None
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -22,7 +22,7 @@
     LossReason,
     ServersRead,
 )
-from ._evidence import record_evidence
+from ._evidence import NEW_SERVER_PERIOD, record_evidence
 from ._holders import knows_vms, needs_servers
 from ._leaders import (
     DropReason,
@@ -78,8 +78,9 @@
 def apply_servers(state: DirectState, event: ServersRead, out: Effects) -> None:
     """Apply a list of servers, unless a newer one is known.
 
-    It is deferred until the configuration is known. A server that is missing from the
-    list is marked as gone, unless the store was restored a moment ago.
+    It is deferred until the configuration is known. The servers of the first list are
+    not taken for new ones. A server that is missing from the list is marked as gone,
+    unless the store was restored a moment ago.
     """
     if state.configuration is None:
         deferred = state.deferred_servers
@@ -92,6 +93,7 @@
         state.servers_era_since = state.now
     returning = state.now - state.servers_era_since < ENTRY_RETURN_PERIOD
     state.servers_revision = event.revision
+    first = not state.servers_known
     state.servers_known = True
     listed = set()
     for entry in event.entries:
@@ -104,8 +106,13 @@
             # The copy is older than the server's restart.
             continue
         _apply_entry(state, entry, out)
+        if first:
+            # Each VM would have to wait after the start of the fleet.
+            state.servers[entry.server].listed_at = -NEW_SERVER_PERIOD
     if returning:
         return
+    if event.read_at is not None:
+        state.servers_read_at = max(state.servers_read_at, event.read_at)
     for server in state.servers.values():
         if server.entry.server in listed or server.gone_at is not None:
             continue
@@ -121,7 +128,7 @@
     """
     server = state.servers.get(entry.server)
     if server is None:
-        server = Server(entry=entry)
+        server = Server(entry=entry, listed_at=state.now)
         state.servers[entry.server] = server
         _log_server(state, "server_found", server, out)
         if state.vms_known and needs_servers(state):
@@ -130,6 +137,8 @@
     if old.draining and old.started == entry.started:
         entry = replace(entry, draining=True)
     server.entry = entry
+    if server.gone_at is not None:
+        server.listed_at = state.now
     server.gone_at = None
     if old.started != entry.started or (old.host, old.port) != (entry.host, entry.port):
         server.retry_at = 0.0
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -310,6 +310,7 @@
         registers_at: when it registers again for that, None if it has.
         servers_known: whether a list of servers has been applied.
         servers_revision: store revision of the newest list of servers.
+        servers_read_at: when the newest list that was up to date was requested.
         servers_era_since: when the first list of its era was applied.
         deferred_servers: list of servers that arrived before the configuration.
         resumed_at: when this VM last continued after a pause.
@@ -351,6 +352,7 @@
     registers_at: float | None = None
     servers: dict[str, Server] = field(default_factory=dict)
     servers_revision: Revision = Revision(number=-1)
+    servers_read_at: float = -100.0
     servers_era_since: float = -100.0
     servers_known: bool = False
     deferred_servers: ServersRead | None = None
--- a/src/siskinhold/direct/_write_proof.py
+++ b/src/siskinhold/direct/_write_proof.py
@@ -44,7 +44,7 @@
     for member in witnesses:
         if _holds(member, position) or _attests(member, leader, since):
             proved += 1
-    return proved >= count_needed(witnesses)
+    return proved >= count_needed(state, witnesses)
 
 
 def is_attested_by_all(state: DirectState, database: Database, since: float) -> bool:
@@ -91,7 +91,7 @@
     """
     witnesses = list_witnesses(state, database)
     witnesses.sort(key=lambda member: measure_distance(state, member))
-    missing = count_needed(witnesses)
+    missing = count_needed(state, witnesses)
     for member in witnesses:
         if missing <= 0:
             return
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -16,6 +16,9 @@
 an unresponsive connection is noticed, and is shorter than the time within which a new
 configuration must be in force."""
 
+FRESH_LIST_INTERVAL = 1.9
+"""Seconds after an up-to-date list of servers in which further reads may be stale."""
+
 POLL_INTERVAL = 1.0
 """Seconds between two reads of the list of servers, or of a configuration that can't be
 watched. A server is listed as draining seconds before it stops."""
@@ -219,9 +222,10 @@
 ) -> None:
     """Emit the list of servers periodically; never returns.
 
-    Reads may be stale, except the first one, those after an empty list, those while an
-    entry is missing, as stale data could lack an entry that has returned, and those
-    after a restore: their data, and revisions, could be of the era before.
+    Reads may be stale, except the first one, one in `FRESH_LIST_INTERVAL`, those after
+    an empty list, those while an entry is missing, as stale data could lack an entry
+    that has returned, and those after a restore: their data, and revisions, could be of
+    the era before.
 
     Args:
         is_needed: returns whether this VM needs the data now.
@@ -229,6 +233,7 @@
     """
     backoff = _RetryBackoff(name="servers", health=health)
     fresh = True
+    fresh_at = -FRESH_LIST_INTERVAL
     missing = _MissingEntries()
     while True:
         if not is_needed():
@@ -236,9 +241,13 @@
             fresh = True
             continue
         try:
-            stale = not (fresh or health.era_began_recently)
+            read_at = read_clock()
+            due = read_at - fresh_at >= FRESH_LIST_INTERVAL
+            stale = not (fresh or due or health.era_began_recently)
             revision, entries = await client.list_servers(fresh=not stale)
         except StoreUnavailable as error:
+            # A store that is overloaded may still answer stale reads.
+            fresh_at = read_at + POLL_INTERVAL - FRESH_LIST_INTERVAL
             await backoff.pause(error)
             continue
         backoff.record_success()
@@ -246,7 +255,16 @@
             continue
         missing.update({entry.server for entry in entries}, read_clock())
         fresh = not entries or missing.recent
-        emit(ServersRead(at=read_clock(), revision=revision, entries=entries))
+        if not stale:
+            fresh_at = read_at
+        emit(
+            ServersRead(
+                at=read_clock(),
+                revision=revision,
+                entries=entries,
+                read_at=None if stale else read_at,
+            )
+        )
         await asyncio.sleep(POLL_INTERVAL)
 
 
--- a/tests/direct/membership_campaign.py
+++ b/tests/direct/membership_campaign.py
@@ -80,6 +80,8 @@
         """Choose the next faults."""
         draw = self.random
         draw.choice((self.cut_primary, self.release, self.cut_and_release))()
+        if draw.random() < 0.5:
+            self.delay_replicas(draw.uniform(0.05, 1.0), draw.uniform(1.0, 8.0))
         if draw.random() < 0.3:
             self.hide(draw.choice(list(self.servers)))
         if draw.random() < 0.3:
@@ -102,6 +104,17 @@
                 self.after(draw.uniform(1.0, 6.0), self.store_down.discard, vm)
         self.after(draw.uniform(5.0, 7.0), self.heal, primary)
 
+    def delay_replicas(self, lag, seconds):
+        """Have all replicas receive commits late for some seconds."""
+        for server in self.servers.values():
+            server.lag = lag
+        self.after(seconds, self.end_delay)
+
+    def end_delay(self):
+        """Have all replicas receive commits without delay again."""
+        for server in self.servers.values():
+            server.lag = 0.002
+
     def heal(self, server):
         """Reach a server again; an old primary steps down a second later."""
         server.unreachable_from = set()
--- a/tests/direct/test_direct_membership.py
+++ b/tests/direct/test_direct_membership.py
@@ -102,3 +102,51 @@
             world.store_down = {"vm3"}
         case.check_writes(14)
         assert world.orders
+
+    def test_that_is_new_leads_once_it_is_in_every_valid_list(self):
+        """Guards against a read at a primary that an unlisted server has replaced.
+
+        The other replicas do not show the new term, as they receive nothing.
+        """
+        world = start(vms=8)
+        new = FakeServer(world=world, name="s4", zone="b", leads=False)
+        new.listed = False
+        world.servers["s4"] = new
+        case = Replacement(world=world, candidate="s4", offset=0.2)
+        case.lose_primary()
+        new.listed = True
+        case.list_for_others()
+        world.store_down = {"vm3"}
+        for name in ("s2", "s3"):
+            world.servers[name].replication_paused = True
+        world.connect("vm1", 2)
+        until = world.now + 10
+        written = False
+        while world.now < until:
+            if not written:
+                answer = world.execute("vm1", 2, "WRITE x 1", wait=0.5)
+                written = answer is not None and answer.signature.startswith("s4")
+            answer = world.execute("vm3", 1, "READ x", wait=0.5)
+            if written and answer is not None and answer.refusal is None:
+                assert not answer.signature.startswith("s1"), f"{world.now:.2f}"
+            world.advance(0.02)
+        assert written
+
+    def test_that_is_the_only_candidate_waits_while_the_old_one_goes_on(self):
+        """Guards against a database without a primary until a new server is old."""
+        world = start()
+        for name in ("s2", "s3"):
+            world.crash(name)
+            world.servers[name].listed = False
+        world.advance(8)
+        new = FakeServer(world=world, name="s4", zone="b", leads=False)
+        world.servers["s4"] = new
+        world.advance(1.2)
+        world.servers["s1"].state = "draining"
+        for vm in world.states:
+            world.list_servers(vm)
+        world.advance(0.5)
+        assert world.servers["s1"].leads and not world.orders
+        assert world.find_logs("promotion_delayed")
+        world.advance(6)
+        assert world.servers["s4"].leads
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -434,13 +434,14 @@
         """Send a VM the list of servers, once a second."""
         if vm not in self.store_down and vm not in self.paused:
             self.show_era(vm, self.era)
-            entries, _ = self.read_entries(vm)
+            entries, read_at = self.read_entries(vm)
             self.dispatch(
                 vm,
                 ServersRead(
                     at=self.now,
                     revision=Revision(era=self.era, number=self.revision),
                     entries=entries,
+                    read_at=read_at,
                 ),
             )
         self.at(self.now + 1.0, lambda: self.list_servers(vm))
@@ -641,7 +642,10 @@
             entries = tuple(s.entry() for s in self.servers.values() if s.listed)
             revision = Revision(era=self.era, number=self.revision)
             self.dispatch(
-                vm, ServersRead(at=self.now, revision=revision, entries=entries)
+                vm,
+                ServersRead(
+                    at=self.now, revision=revision, entries=entries, read_at=self.now
+                ),
             )
 
     @property
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -185,6 +185,35 @@
         fresh = [call[1] for call in client.calls]
         assert fresh == [True, False, False, True, False, True]
 
+    async def test_list_is_up_to_date_from_time_to_time(self, monkeypatch):
+        """Guards against lists that lack a new server for as long as stale reads do."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.02)
+        monkeypatch.setattr("siskinhold.lines._feeds.FRESH_LIST_INTERVAL", 0.05)
+        client = FakeClient(servers=(("a",),) * 99)
+        events = []
+        feed = follow_servers(client, events.append, lambda: True, StoreHealth())
+        await run_briefly(feed, 0.3)
+        fresh = [call[1] for call in client.calls]
+        assert fresh.count(True) >= 3 and fresh.count(False) >= 3
+        for event, up_to_date in zip(events, fresh, strict=False):
+            assert (event.read_at is not None) == up_to_date
+
+    async def test_stale_list_is_read_if_the_store_refuses(self, monkeypatch):
+        """Guards against no list at all from an overloaded store."""
+        monkeypatch.setattr("siskinhold.lines._feeds.POLL_INTERVAL", 0.02)
+        monkeypatch.setattr("siskinhold.lines._feeds.FRESH_LIST_INTERVAL", 0.05)
+        client = FakeClient(servers=(("a",),) * 99)
+        feed = follow_servers(client, lambda event: None, lambda: True, StoreHealth())
+        task = asyncio.ensure_future(feed)
+        async with asyncio.timeout(1):
+            while client.calls.count(("servers", True)) < 2:
+                await asyncio.sleep(0)
+        client.failures = 1
+        client.calls.clear()
+        await asyncio.sleep(0.4)
+        task.cancel()
+        assert ("servers", False) in client.calls
+
     async def test_watch_ends_with_the_era(self):
         """Guards against a configuration that is noticed only when the watch ends."""
         client, health = FakeClient(), StoreHealth()
