--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -17,6 +17,7 @@
     CALL_TIMEOUT,
     STEP_RETRY_INTERVAL,
     enter_step,
+    is_resuming,
     log_promotion,
     may_call,
     pop_promotion_call,
@@ -35,6 +36,9 @@
 MIN_ATTEMPT_TIME = 1.5
 """Seconds of an attempt that suffice for its steps; with less, it is claimed again."""
 
+RESUMPTION_TIMEOUT = 1.0
+"""Seconds for which the withdrawal of a claim waits for resumed servers."""
+
 OPEN_CLAIM_PERIOD = 10.0
 """Seconds for which a claim without an answer is looked for: the store may carry out a
 write seconds after it was sent."""
@@ -274,6 +278,7 @@
             attempt=claim.attempt,
             holder=promotion.holder,
             withdraws=True,
+            resumes_until=state.now + RESUMPTION_TIMEOUT,
         )
     elif promotion.claim_sent:
         database.open_claim = OpenClaim(
@@ -333,7 +338,8 @@
     """Complete the record of an ended promotion; repeated until the store answers.
 
     A record that still shows the promotion keeps other VMs from proving by the store
-    that the primary leads.
+    that the primary leads. A claim is withdrawn once the servers suspended for it are
+    resumed: a late resumption would undo the suspensions of the next claimant.
     """
     completion = database.completion
     if completion is None or state.now < completion.repeat_at:
@@ -342,6 +348,8 @@
         # Records of older eras are not read any more.
         database.completion = None
         return
+    if state.now < completion.resumes_until and is_resuming(state, database):
+        return
     completion.call = register_call(state, "complete", database)
     completion.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
     write_record(
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -234,6 +234,8 @@
     command = Command(kind=CommandKind.SUSPEND, term=promotion.term + 1)
     send(state, control, command, Purpose.FENCE, out)
     server.resume_at = state.now + SUSPENSION_TIMEOUT
+    server.suspended_for = promotion.term + 1
+    server.suspended_at = state.now
 
 
 def handle_fence_answer(
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -103,6 +103,14 @@
     return state.now >= promotion.repeat_at
 
 
+def is_resuming(state: DirectState, database: Database) -> bool:
+    """Return whether a server of a database has yet to be resumed by this VM."""
+    for server in state.members(database.name):
+        if server.resume_at is not None and server.down_at is None:
+            return True
+    return False
+
+
 def write_record(
     state: DirectState,
     database: Database,
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -36,7 +36,9 @@
         POSITION: to learn a server's log position, which every answer carries.
         STEP_DOWN: to make the primary step down for a promotion.
         FENCE: to suspend a server's replication for a promotion.
-        ATTEST: to get an attestation, or to resume replication.
+        ATTEST: to get an attestation.
+        SUSPENSION: to learn whether replication is suspended, before it is resumed.
+        RESUMPTION: to resume replication.
         BACKLOG: to learn how far a replica is behind with what it has received.
     """
 
@@ -50,6 +52,8 @@
     STEP_DOWN = "step_down"
     FENCE = "fence"
     ATTEST = "vouch"
+    SUSPENSION = "suspension"
+    RESUMPTION = "resumption"
     BACKLOG = "backlog"
 
 
@@ -156,7 +160,10 @@
         received: end of its received log in its newest status report.
         lead_confirmed_at: send time of the newest probe that it answered as the
             primary.
-        resume_at: when to resume replication after this VM suspended it.
+        resume_at: when to resume replication after this VM suspended it, None once it
+            was resumed.
+        suspended_for: the term for which this VM last suspended it.
+        suspended_at: when that was.
         retry_at: earliest time of the next attempt to connect.
         open_failures: consecutive failed attempts to connect.
         lagging_until: until when reads that need a later position than `evidence` skip
@@ -189,6 +196,8 @@
     received: Position | None = None
     lead_confirmed_at: float = -1.0
     resume_at: float | None = None
+    suspended_for: int = 0
+    suspended_at: float = -100.0
     retry_at: float = 0.0
     open_failures: int = 0
     lagging_until: float = 0.0
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -40,7 +40,11 @@
     handle_step_down_answer,
 )
 from ._results import handle_job_answer, handle_setup_answer
-from ._resumptions import resume_replication
+from ._resumptions import (
+    handle_resumption_answer,
+    handle_suspension_status,
+    resume_replication,
+)
 from ._server_state import ConnectionState, Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
 from ._switchover import handle_backlog_answer, request_backlogs
@@ -251,6 +255,10 @@
         handle_leader_status(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.ATTEST:
         handle_attestation(state, server, pending.sent_at, answer, out)
+    elif pending.purpose is Purpose.SUSPENSION:
+        handle_suspension_status(state, server, answer, out)
+    elif pending.purpose is Purpose.RESUMPTION:
+        handle_resumption_answer(server, pending.sent_at)
     elif pending.purpose is Purpose.BACKLOG:
         handle_backlog_answer(server, pending.sent_at, answer)
     elif pending.purpose is Purpose.PROBE:
--- a/tests/direct/membership_campaign.py
+++ b/tests/direct/membership_campaign.py
@@ -60,6 +60,13 @@
         if not leader.isolated:
             super().replicate(leader, position)
 
+    def follow(self, replica, primary):
+        """Have a replica learn of a new primary, some of them late."""
+        if self.random.random() < 0.3:
+            self.after(self.random.uniform(0.05, 3.0), super().follow, replica, primary)
+        else:
+            super().follow(replica, primary)
+
     def call(self, vm, session):
         """Have callers of a VM write or read, with idle times in between."""
         draw = self.random
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -676,6 +676,7 @@
             world.advance(0.005)
         for server in world.states[earlier].servers.values():
             server.resume_at = world.now + delay
+            server.suspended_for = 2
         while not world.orders:
             world.advance(0.005)
         assert all(len(suspended) >= 2 for suspended in world.suspended_at_order)
--- a/tests/direct/test_direct_membership.py
+++ b/tests/direct/test_direct_membership.py
@@ -63,6 +63,22 @@
             world.advance(0.02)
 
 
+class TestResumption:
+    def test_replica_that_has_not_learned_of_the_term_stays_suspended(self):
+        """Guards against an attestation by a replica that was resumed too early.
+
+        vm3 reaches the old primary and that replica alone.
+        """
+        world = start(vms=8)
+        world.follow = lambda replica, primary: None
+        case = Replacement(world=world, candidate="s2", offset=0.2)
+        world.store_down = {"vm3"}
+        world.servers["s2"].unreachable_from = {"vm3"}
+        case.lose_primary()
+        case.check_writes(8)
+        assert world.orders and world.servers["s3"].suspended_term == 2
+
+
 class TestPromotedServer:
     @pytest.mark.parametrize("offset", OFFSETS)
     @pytest.mark.parametrize("cut_off", [False, True])
