--- a/src/siskinhold/lines/__init__.py
+++ b/src/siskinhold/lines/__init__.py
@@ -2,6 +2,7 @@
 
 from ._client import HistoryGone, LeaderResult, PlatformClient, StoreUnavailable
 from ._codec import (
+    LINE_END,
     LINE_LIMIT,
     AnswerLine,
     AnswerLineKind,
@@ -25,6 +26,7 @@
     "HttpAnswer",
     "HttpClient",
     "HttpFailure",
+    "LINE_END",
     "LINE_LIMIT",
     "LeaderResult",
     "LineCodec",
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -38,6 +38,9 @@
 MAX_QUEUED_STATEMENTS = 64
 """Statements of one caller that may wait while another one runs."""
 
+LINGER_PERIOD = 2.0
+"""Seconds for which the rest of a line that is too long is read and dropped."""
+
 FIRST_LINE_TIMEOUT = 5.0
 """Seconds within which a caller must send its first line; callers give up after 2 s."""
 
@@ -246,6 +249,7 @@
         self._relaying = False
         self._buffered_lines: list[bytes] = []
         self._opened_at = 0.0
+        self._write_ended = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Refuse the connection if there are too many."""
@@ -308,8 +312,17 @@
             self._submit_statement(message)
 
     def handle_overflow(self) -> None:
-        """Reject a line that is too long."""
-        self._reject_line("line_too_long")
+        """Reject a line that is too long.
+
+        The rest of it is still read for a while: a connection that is closed with
+        unread bytes is reset, which may take the answer with it.
+        """
+        self._write_rejection("line_too_long")
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write_eof()
+        self._write_ended = True
+        asyncio.get_running_loop().call_later(LINGER_PERIOD, self.close)
 
     def _open_session(self, message: ConnectRequest) -> None:
         """Report a caller that has named its database."""
@@ -394,11 +407,15 @@
 
     def _reject_line(self, reason: str) -> None:
         """Refuse the caller's line and close the connection."""
+        self._write_rejection(reason)
+        self.close()
+
+    def _write_rejection(self, reason: str) -> None:
+        """Refuse the caller's line."""
         _log.warning(
             "event=caller_line_rejected session=%d reason=%s", self._session, reason
         )
         self.write(self._callers.codec.encode_refusal(Refusal.MALFORMED, reason))
-        self.close()
 
     def answer(self, answer: Answer) -> None:
         """Send the answer and submit the next queued statement, if any."""
@@ -409,7 +426,9 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closed or closing."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not self._write_ended:
             self.transport.write(data)
 
     def close(self) -> None:
--- a/src/siskinhold/lines/_codec.py
+++ b/src/siskinhold/lines/_codec.py
@@ -7,8 +7,11 @@
 from ..direct import Answer, Command, Refusal, ServerReport, Statement, TransactionState
 from ..model import Position
 
+LINE_END = b"\r\n"
+"""Terminator of each line. A lone CR or LF is part of a field."""
+
 LINE_LIMIT = 1 << 20
-"""Maximum length of a line in bytes, as the wire format defines it."""
+"""Maximum length of a line in bytes without its end, as the wire format defines it."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/siskinhold/lines/_protocol.py
+++ b/src/siskinhold/lines/_protocol.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from ._codec import LINE_LIMIT
+from ._codec import LINE_END, LINE_LIMIT
 
 KEEPALIVE_IDLE = 1
 """Idle seconds until the first keep-alive probe."""
@@ -27,6 +27,7 @@
         self.transport: asyncio.Transport | None = None
         self._user_timeout = user_timeout
         self._buffer = bytearray()
+        self._overflowed = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect an unresponsive connection."""
@@ -47,21 +48,30 @@
             connection.setsockopt(level, name, value)
 
     def data_received(self, data: bytes) -> None:
-        """Handle all complete lines; keep the rest for the next call."""
+        """Handle all complete lines; keep the rest for the next call.
+
+        After a line that exceeds the limit, everything is dropped.
+        """
+        if self._overflowed:
+            return
         buffer = self._buffer
+        # The end of a line may be cut between two calls.
+        searched = max(0, len(buffer) - len(LINE_END) + 1)
         buffer += data
         start = 0
-        while (end := buffer.find(b"\n", start)) >= 0:
+        while (end := buffer.find(LINE_END, max(start, searched))) >= 0:
+            if end - start > LINE_LIMIT:
+                break
             line = bytes(buffer[start:end])
-            start = end + 1
-            if line.endswith(b"\r"):
-                line = line[:-1]
+            start = end + len(LINE_END)
             self.handle_line(line)
             if self.transport is None or self.transport.is_closing():
                 break
         del buffer[:start]
-        if len(buffer) > LINE_LIMIT:
+        # The last byte may be the beginning of a line end.
+        if len(buffer) > LINE_LIMIT + 1:
             buffer.clear()
+            self._overflowed = True
             self.handle_overflow()
 
     def handle_line(self, line: bytes) -> None:
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -13,7 +13,7 @@
     may_give_up,
 )
 from ._clock import read_clock
-from ._codec import AnswerLineKind, LineCodec
+from ._codec import LINE_END, AnswerLineKind, LineCodec
 from ._protocol import LineProtocol
 
 CONNECT_TIMEOUT = 0.25
@@ -150,7 +150,7 @@
             self._sent_at = read_clock()
         self._outstanding += 1
         self._last_line = line
-        self.transport.write(line + b"\r\n")
+        self.transport.write(line + LINE_END)
         if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
             self.transport.abort()
 
@@ -160,7 +160,7 @@
             self._buffered_lines.append(line)
             self.answered.set()
             return
-        self._write(line + b"\r\n")
+        self._write(line + LINE_END)
         answer_line = self._codec.parse_answer_line(line)
         self._received_at = read_clock()
         if answer_line.kind is AnswerLineKind.REFUSED and self._last_line:
@@ -254,7 +254,7 @@
             )
         if protocol.transport is None:
             raise ConnectionResetError
-        protocol.transport.write(connect_line + b"\r\n")
+        protocol.transport.write(connect_line + LINE_END)
         async with asyncio.timeout(ACCEPT_TIMEOUT):
             await protocol.answered.wait()
     except ConnectionError:
