--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -87,6 +87,7 @@
     Statement,
     StatementKind,
     Suspicion,
+    TermStart,
     TransactionState,
     VmEntry,
 )
@@ -152,6 +153,7 @@
     "StoreOutcome",
     "Suspicion",
     "SuspicionsAnswered",
+    "TermStart",
     "TimeAdvanced",
     "TransactionState",
     "VmEntry",
--- a/src/siskinhold/direct/_candidates.py
+++ b/src/siskinhold/direct/_candidates.py
@@ -42,12 +42,26 @@
     return max(state.now, listed_at + NEW_SERVER_PERIOD)
 
 
-def rank_candidate(state, promotion: Promotion, server: Server) -> tuple:
+def was_rolled_back(database: Database, position: Position) -> bool:
+    """Return whether a log goes on beyond the place where a newer term began.
+
+    Such a server was a primary whose last commits a promotion has rolled back: if it
+    were promoted, they would be back, and those of the newer term gone.
+    """
+    for start in database.term_starts:
+        if start.term > position.term and position > start.position:
+            return True
+    return False
+
+
+def rank_candidate(state: DirectState, database: Database, server: Server) -> tuple:
     """Return the sort key of a candidate; the greatest is the best.
 
-    The end of the received log counts first, then not being new, then not being the old
-    primary, then not failing statements, then being in the old primary's region.
+    Not having commits that were rolled back counts first, then the end of the received
+    log, then not being new, then not being the old primary, then not failing
+    statements, then being in the old primary's region.
     """
+    promotion = database.promotion
     old = state.servers.get(promotion.leader)
     zone = old.entry.zone if old is not None else state.zone
     same_region = state.regions.get(server.entry.zone) == state.regions.get(zone)
@@ -55,6 +69,7 @@
     works = state.now >= server.failing_until
     listed = is_listed_long(state, server)
     return (
+        not was_rolled_back(database, position),
         position,
         listed,
         server is not old,
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -21,7 +21,7 @@
 )
 from ._effects import ListVms, Observe
 from ._holders import needs_servers
-from ._leaders import probe_leader
+from ._leaders import note_start, probe_leader
 from ._lease import ORDER_LEASE, delay_promotion, holds_lease, watch_completion
 from ._promotion import (
     await_effect,
@@ -330,6 +330,8 @@
         give_up_claim(state, database, promotion)
         return
     end_suspensions(state, database)
+    if promotion.ordered and leader.server == promotion.candidate:
+        note_start(database, leader.term, promotion.positions[leader.server])
     if promotion.orders_open:
         # An order without an answer may arrive after one with a newer token.
         database.goes_on_at = state.now + ORDER_LEASE
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -2,16 +2,21 @@
 
 import enum
 
+from ..model import Position
 from ._connections import find_control_connection, send
 from ._effects import Log
 from ._server_state import Purpose, Server
 from ._state import Database, DirectState, Effects, Leadership
-from ._types import Answer, Command, CommandKind, Refusal, TransactionState
+from ._types import Answer, Command, CommandKind, Refusal, TermStart, TransactionState
 
 ATTESTATION_RETRY_DELAY = 0.05
 """Seconds until a server that refused a status query is queried again."""
 
 
+MAX_STARTS = 32
+"""Number of terms whose beginning is kept."""
+
+
 class DropReason(enum.Enum):
     """Why a server is no longer believed to be the primary.
 
@@ -86,6 +91,7 @@
     if old is not None and old.term > term:
         return
     database.leader = Leadership(server=name, term=term, since=state.now)
+    database.rolled_back_since = None
     database.floors.clear()
     database.store_confirmed_at = -1.0
     state.pending_updates.add(database.name)
@@ -106,6 +112,15 @@
     )
 
 
+def note_start(database: Database, term: int, position: Position) -> None:
+    """Note where a term began, unless it is known."""
+    if any(start.term == term for start in database.term_starts):
+        return
+    starts = [*database.term_starts, TermStart(term=term, position=position)]
+    starts.sort(key=lambda start: start.term)
+    database.term_starts = tuple(starts[-MAX_STARTS:])
+
+
 def handle_attestation(
     state: DirectState, server: Server, sent_at: float, answer: Answer, out: Effects
 ) -> None:
@@ -202,6 +217,9 @@
         return
     if leader is not None and leader.server != server.entry.server:
         drop_leader(state, database, DropReason.OTHER_LEADS, out)
+    if status.received.term < status.term:
+        # It has no commit of its own yet.
+        note_start(database, status.term, status.received)
     if answer.position >= status.received:
         set_leader(state, database, server, status.term, out)
         return
--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -14,6 +14,7 @@
 
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
+from ._leaders import note_start
 from ._promotion_steps import log_promotion, register_call, to_milliseconds
 from ._state import Database, DirectState, Effects
 from ._types import LeaderRecord, LeaderState
@@ -48,13 +49,15 @@
 def note_revision(
     state: DirectState, database: Database, event: LeaderRecordAnswered
 ) -> None:
-    """Note when a revision of the leader record was first seen."""
+    """Note when a revision of the leader record was first seen, and what it holds."""
     if event.outcome not in (StoreOutcome.DONE, StoreOutcome.CONFLICT):
         return
     if event.revision > database.record_revision:
         database.record_revision = event.revision
         database.record_seen_at = state.now
     record = event.record
+    for start in record.starts if record is not None else ():
+        note_start(database, start.term, start.position)
     if record is not None and record.state is LeaderState.STABLE:
         database.completed_term = max(database.completed_term, record.term)
 
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -5,7 +5,12 @@
 """
 
 from ..model import Position
-from ._candidates import is_listed_long, list_candidates, rank_candidate
+from ._candidates import (
+    is_listed_long,
+    list_candidates,
+    rank_candidate,
+    was_rolled_back,
+)
 from ._claims import give_up_claim
 from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
@@ -45,6 +50,10 @@
 """Seconds after which a suspended server resumes replication in any case: no promotion
 order is carried out later than that."""
 
+ROLLED_BACK_PERIOD = 10.0
+"""Seconds for which a database whose candidates all have rolled-back commits waits for
+another one."""
+
 CATCH_UP_TIMEOUT = 0.6
 """Seconds to wait for a candidate with all commits acknowledged by the old primary."""
 
@@ -204,7 +213,8 @@
     """Suspend the servers for the new term, then order the best candidate's promotion.
 
     A majority must be fenced. For the remaining candidates it waits `FENCE_TIMEOUT`.
-    A new server that has received most is waited for, as the others lack commits.
+    A new server that has received most is waited for, as the others lack commits. So is
+    a server without rolled-back commits, for `ROLLED_BACK_PERIOD`.
     """
     if state.now >= promotion.repeat_at:
         promotion.repeat_at = state.now + STEP_RETRY_INTERVAL / 2
@@ -218,9 +228,17 @@
     fenced = [s for s in candidates if s.entry.server in promotion.fenced]
     if not fenced or len(fenced) < len(candidates) and waited < FENCE_TIMEOUT:
         return
-    best = max(fenced, key=lambda s: rank_candidate(state, promotion, s))
+    best = max(fenced, key=lambda s: rank_candidate(state, database, s))
     if not is_listed_long(state, best):
         return
+    if was_rolled_back(database, promotion.positions[best.entry.server]):
+        if database.rolled_back_since is None:
+            database.rolled_back_since = state.now
+            log_promotion(
+                state, database, "candidate_rolled_back", out, server=best.entry.server
+            )
+        if state.now - database.rolled_back_since < ROLLED_BACK_PERIOD:
+            return
     promotion.candidate = best.entry.server
     enter_step(state, promotion, PromotionStep.ORDERING)
     order_promotion(state, database, promotion, claim, out)
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -142,6 +142,7 @@
         vm=state.vm,
         attempt=attempt,
         holder=holder,
+        starts=database.term_starts,
     )
     out.append(
         WriteLeaderRecord(
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -17,6 +17,7 @@
     Revision,
     Route,
     Statement,
+    TermStart,
     TransactionState,
     VmEntry,
 )
@@ -90,6 +91,9 @@
         completion_read_at: earliest time of the next read that watches it.
         ordered_at: when this VM last ordered a promotion.
         goes_on_at: earliest time of this VM's next claim within its own lease.
+        term_starts: where the newest terms began, the oldest first.
+        rolled_back_since: since when all candidates have commits that a promotion has
+            rolled back, None if one has not or is not known.
         settled_attempt: random id of this VM's last attempt that was dropped after
             all of its orders were answered.
     """
@@ -130,6 +134,8 @@
     ordered_at: float = -100.0
     goes_on_at: float = 0.0
     settled_attempt: str = ""
+    term_starts: tuple[TermStart, ...] = ()
+    rolled_back_since: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -323,6 +323,17 @@
     PROMOTING = "promoting"
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TermStart:
+    """Where a term began: what its primary had received when it was promoted.
+
+    Logs of older terms that go on beyond that place were rolled back.
+    """
+
+    term: int
+    position: Position
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LeaderRecord:
     """The record of a database's newest promotion in the store.
@@ -334,6 +345,7 @@
         attempt: random id of the promotion.
         holder: the VM that ordered the newest completed promotion, empty if no lease
             of it has to be waited out.
+        starts: where the newest terms began, the oldest first.
     """
 
     state: LeaderState
@@ -342,6 +354,7 @@
     vm: str
     attempt: str
     holder: str
+    starts: tuple[TermStart, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/direct/campaign.py
+++ b/tests/direct/campaign.py
@@ -163,6 +163,8 @@
         newest = max(newest, token)
         if holders.setdefault(token, vm) != vm:
             found.append(f"token {token} of {holders[token]} and {vm}")
+    for at, vm, _, fields in world.find_logs("event_failed"):
+        found.append(f"{vm} failed at {at:.3f}: {fields}")
     return found + _list_replaced_writes(world)
 
 
--- a/tests/direct/membership_campaign.py
+++ b/tests/direct/membership_campaign.py
@@ -33,6 +33,8 @@
         self.lists = []
         self.sent = {}
         self.idle_until = {}
+        self.starts = []
+        self.brought_back = []
         super().__init__(seed=seed)
         for vm in self.states:
             if self.random.random() < 0.5:
@@ -67,6 +69,16 @@
         else:
             super().follow(replica, primary)
 
+    def promote(self, name):
+        """Make a server the primary; record commits that this brings back."""
+        server = self.servers[name]
+        for term, start in self.starts:
+            if term > server.received.term and server.received > start:
+                text = f"{name} at {server.received} is promoted, {term} began at"
+                self.brought_back.append(f"{self.now:.3f} {text} {start}")
+        super().promote(name)
+        self.starts.append((server.term, server.received))
+
     def call(self, vm, session):
         """Have callers of a VM write or read, with idle times in between."""
         draw = self.random
@@ -86,7 +98,13 @@
     def trouble(self):
         """Choose the next faults."""
         draw = self.random
-        draw.choice((self.cut_primary, self.release, self.cut_and_release))()
+        faults = (
+            self.cut_primary,
+            self.release,
+            self.cut_and_release,
+            self.crash_primaries,
+        )
+        draw.choice(faults)()
         if draw.random() < 0.5:
             self.delay_replicas(draw.uniform(0.05, 1.0), draw.uniform(1.0, 8.0))
         if draw.random() < 0.3:
@@ -122,6 +140,31 @@
         for server in self.servers.values():
             server.lag = 0.002
 
+    def crash_primaries(self):
+        """Crash primaries one after the other while the replicas receive late."""
+        draw = self.random
+        self.delay_replicas(draw.uniform(0.3, 6.0), draw.uniform(1.0, 6.0))
+        for number in range(draw.choice((1, 2, 2))):
+            at = number * draw.uniform(1.8, 3.5) + draw.uniform(0.1, 0.8)
+            self.after(at, self.crash_primary, draw.uniform(1.0, 5.0))
+
+    def crash_primary(self, seconds):
+        """Crash the primary; it comes back with its log after some seconds."""
+        primary = self.find_primary()
+        if not primary.process_down:
+            self.crash(primary.name)
+            self.after(seconds, self.come_back, primary)
+
+    def come_back(self, server):
+        """Start a server again, as a replica if another one was promoted."""
+        server.process_down = False
+        server.started += 1
+        primary = self.find_primary()
+        if primary is not server:
+            server.leads = False
+            if not primary.process_down:
+                self.follow(server, primary)
+
     def heal(self, server):
         """Reach a server again; an old primary steps down a second later."""
         server.unreachable_from = set()
@@ -193,7 +236,8 @@
 
 def list_violations(world) -> list[str]:
     """Return what the orders and the acknowledged statements of a play violate."""
-    return list_order_violations(world) + _list_stale_reads(world)
+    found = list_order_violations(world) + _list_stale_reads(world)
+    return found + world.brought_back
 
 
 def _list_stale_reads(world) -> list[str]:
--- a/tests/direct/test_direct_failover.py
+++ b/tests/direct/test_direct_failover.py
@@ -418,6 +418,62 @@
         assert answer.refusal is not None
 
 
+class TestRolledBackCommits:
+    def crash_two_primaries(self):
+        """Return a world in which the primary of term 2 has crashed as well.
+
+        s1 comes back with commits that the promotion of s2 has rolled back.
+        """
+        world = start(vms=8)
+        world.connect("vm1", 1)
+        old, new, behind = world.servers.values()
+        for text in ("WRITE x 1", "WRITE x 2"):
+            assert world.execute("vm1", 1, text).refusal is None
+        world.advance(0.05)
+        behind.replication_paused = True
+        assert world.execute("vm1", 1, "WRITE x 3").refusal is None
+        world.advance(0.05)
+        new.replication_paused = True
+        for text in ("WRITE x 4", "WRITE x 5"):
+            assert world.execute("vm1", 1, text).refusal is None
+        world.crash("s1")
+        world.advance(4)
+        assert new.leads and new.term == 2
+        world.connect("vm1", 2)
+        assert world.execute("vm1", 2, "WRITE x 6").refusal is None
+        world.crash("s2")
+        old.process_down = old.leads = False
+        return world
+
+    def test_are_not_brought_back_by_the_next_promotion(self):
+        """Guards against commits of a newer term that are replaced by older ones."""
+        world = self.crash_two_primaries()
+        world.advance(5)
+        assert [server for _, _, server, _ in world.orders] == ["s2", "s3"]
+
+    def test_server_without_them_is_waited_for(self):
+        """Guards against the same while that server is out of reach."""
+        world = self.crash_two_primaries()
+        world.drain("s3")
+        world.advance(5)
+        assert [server for _, _, server, _ in world.orders] == ["s2"]
+        assert world.find_logs("candidate_rolled_back")
+        world.servers["s2"].process_down = False
+        world.advance(3)
+        world.connect("vm1", 3)
+        answer = world.execute("vm1", 3, "WRITE x 7")
+        assert answer.refusal is None and answer.signature.startswith("s2")
+
+    def test_server_with_them_leads_if_no_other_one_is_left(self):
+        """Guards against a database without a primary for good."""
+        world = self.crash_two_primaries()
+        world.crash("s3")
+        for name in ("s2", "s3"):
+            world.servers[name].listed = False
+        world.advance(30)
+        assert world.orders[-1][2] == "s1"
+
+
 class TestLeavingPrimary:
     def test_hands_over_without_losing_a_commit(self):
         """Guards against commits lost by a planned replacement."""
--- a/tests/users_platform/test_objects.py
+++ b/tests/users_platform/test_objects.py
@@ -8,7 +8,8 @@
 import pytest
 import yaml
 
-from siskinhold.direct import Consistency, LeaderRecord, LeaderState
+from siskinhold.direct import Consistency, LeaderRecord, LeaderState, TermStart
+from siskinhold.model import Position
 from siskinhold_platform import SettingsUnreadable, load_settings
 from siskinhold_platform._objects import (
     ObjectUnreadable,
@@ -101,6 +102,7 @@
             vm="vm",
             attempt="a1",
             holder="vm2",
+            starts=(TermStart(term=3, position=Position(1, 64)),),
         )
         assert decode_leader(encode_leader(record)) == record
 
