--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -330,8 +330,9 @@
         give_up_claim(state, database, promotion)
         return
     end_suspensions(state, database)
-    if promotion.ordered and leader.server == promotion.candidate:
-        note_start(database, leader.term, promotion.positions[leader.server])
+    started_at = promotion.positions.get(leader.server)
+    if promotion.ordered and leader.server == promotion.candidate and started_at:
+        note_start(database, leader.term, started_at)
     if promotion.orders_open:
         # An order without an answer may arrive after one with a newer token.
         database.goes_on_at = state.now + ORDER_LEASE
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -231,7 +231,8 @@
     best = max(fenced, key=lambda s: rank_candidate(state, database, s))
     if not is_listed_long(state, best):
         return
-    if was_rolled_back(database, promotion.positions[best.entry.server]):
+    position = promotion.positions.get(best.entry.server, Position(0, 0))
+    if was_rolled_back(database, position):
         if database.rolled_back_since is None:
             database.rolled_back_since = state.now
             log_promotion(
--- a/src/siskinhold/direct/_write_proof.py
+++ b/src/siskinhold/direct/_write_proof.py
@@ -59,13 +59,19 @@
 
 
 def _holds(member: Server, position: Position | None) -> bool:
-    """Return whether a member is known to have received a position of the log."""
+    """Return whether a member is known to have received a position of the log.
+
+    A greater position of a newer term does not show that.
+    """
     if position is None:
         return False
-    evidence = member.evidence
-    if evidence is not None and evidence.position >= position:
-        return True
-    return member.received is not None and member.received >= position
+    ends = [member.received]
+    if member.evidence is not None:
+        ends.append(member.evidence.position)
+    for end in ends:
+        if end is not None and end.term == position.term and end >= position:
+            return True
+    return False
 
 
 def _attests(member: Server, leader: Leadership, since: float) -> bool:
