--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -37,11 +37,11 @@
 has ended.
 """
 
-LIST_VALIDITY = 4.0
+LIST_VALIDITY = 2.5
 """Seconds after the request of a list of servers for which it contains every server
 that may lead; longer than the gap between two up-to-date lists."""
 
-NEW_SERVER_PERIOD = LIST_VALIDITY + 0.5
+NEW_SERVER_PERIOD = LIST_VALIDITY + 0.3
 """Seconds for which a server must have been listed before it is promoted."""
 
 FLOOR_INTERVAL = 0.05
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -16,7 +16,7 @@
 an unresponsive connection is noticed, and is shorter than the time within which a new
 configuration must be in force."""
 
-FRESH_LIST_INTERVAL = 1.9
+FRESH_LIST_INTERVAL = 0.9
 """Seconds after an up-to-date list of servers in which further reads may be stale."""
 
 POLL_INTERVAL = 1.0
