Log what a graceful shutdown answered, closed and cut off

A VM wrote when a shutdown began and when it ended, so its log could not tell a statement that ran at a server from one that waited, a relayed one, or an answer that was written but not sent. shutdown_complete counts callers and outcomes from SIGTERM on, each statement that is cut off has a line with its server and state, and callers_closed counts unanswered statements and unsent bytes at the exit.

--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -14,6 +14,8 @@
     A session that is to be closed is closed if it has no open transaction.
     """
     session.active_at = state.now
+    if state.shutdown_at is not None:
+        state.stop_counts.count_answer(answer.refusal)
     out.append(
         ReplyCaller(
             session=session.number,
@@ -27,6 +29,7 @@
         )
     )
     if session.closing and session.transaction is None:
+        state.stop_counts.callers_closed += 1
         out.append(CloseCaller(session=session.number))
 
 
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -105,6 +105,8 @@
     if _find_route(state, database) is None:
         _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
         return
+    if state.shutdown_at is not None:
+        state.stop_counts.callers_accepted += 1
     state.sessions[session] = Session(
         number=session, database=database, active_at=state.now
     )
@@ -120,6 +122,8 @@
     out: Effects,
 ) -> None:
     """Refuse a caller's connection, with a log line that names the reason."""
+    if state.shutdown_at is not None:
+        state.stop_counts.callers_refused += 1
     version = state.configuration.version if state.configuration else 0
     out.append(
         Log(
@@ -356,4 +360,5 @@
     Callers don't count that as a failure.
     """
     state.sessions.pop(session.number, None)
+    state.stop_counts.callers_closed += 1
     out.append(CloseCaller(session=session.number))
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -3,7 +3,7 @@
 from ._effects import AnnounceReadiness, CloseIdleRelays, Log, Stop
 from ._runs import abandon_transaction
 from ._sessions import close_idle_session
-from ._state import DirectState, Effects
+from ._state import DirectState, Effects, Job
 
 DRAIN_NOTICE_PERIOD = 2.3
 """Seconds until sessions are closed after their next answer: the load balancer needs
@@ -19,6 +19,9 @@
 STOP_MARGIN = 0.4
 """Seconds before the end of the grace period at which the process stops in any case."""
 
+MAX_CUT_LINES = 50
+"""Log lines about statements that a shutdown cuts off."""
+
 
 def request_shutdown(state: DirectState, out: Effects) -> None:
     """Start a graceful shutdown: report this VM as not ready, but stay in service."""
@@ -45,7 +48,7 @@
     aborted after half of the grace period. The process stops once no session is open,
     and in any case shortly before the period ends.
     """
-    if state.shutdown_at is None:
+    if state.shutdown_at is None or state.stopped:
         return
     elapsed = state.now - state.shutdown_at
     if elapsed >= state.grace * TRANSACTION_GRACE_RATIO:
@@ -60,9 +63,52 @@
         if state.relayed:
             out.append(CloseIdleRelays(answered_only=not closes_idle))
         if not state.sessions and not state.relayed:
-            out.append(Stop())
+            _stop(state, out)
+            return
     if elapsed >= state.grace - STOP_MARGIN:
-        out.append(Stop())
+        _stop(state, out)
+
+
+def _stop(state: DirectState, out: Effects) -> None:
+    """End the process; log what the shutdown did, and the statements it cuts off."""
+    state.stopped = True
+    cut = [session for session in state.sessions.values() if session.work is not None]
+    for session in cut[:MAX_CUT_LINES]:
+        _log_cut(state, session.work, out)
+    took = state.now - state.shutdown_at
+    out.append(
+        Log(
+            event="shutdown_complete",
+            fields=(
+                ("took_ms", round(took * 1000)),
+                *state.stop_counts.to_fields(),
+                ("sessions", len(state.sessions)),
+                ("relays", len(state.relayed)),
+                ("cut", len(cut)),
+            ),
+            essential=True,
+        )
+    )
+    out.append(Stop())
+
+
+def _log_cut(state: DirectState, job: Job, out: Effects) -> None:
+    """Log a statement whose connection ends without an answer."""
+    out.append(
+        Log(
+            event="cut",
+            fields=(
+                ("request", job.statement.request),
+                ("session", job.session.number),
+                ("route", job.route.database),
+                ("kind", job.statement.kind.value),
+                ("server", job.server),
+                ("state", job.state.value),
+                ("waited_ms", round((state.now - job.arrived_at) * 1000)),
+            ),
+            essential=True,
+        )
+    )
 
 
 def _abort_idle_transactions(state: DirectState, out: Effects) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -11,6 +11,7 @@
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._server_state import Connection, Server
 from ._starts import StartCounts
+from ._stop_counts import StopCounts
 from ._types import (
     Answer,
     Configuration,
@@ -340,6 +341,8 @@
         relayed: sessions that are relayed to a holder.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
+        stop_counts: what has happened since then.
+        stopped: whether the end of the process was ordered.
         pending_updates: names of databases whose queue and unconfirmed answers have to
             be reconsidered.
     """
@@ -384,6 +387,8 @@
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
+    stop_counts: StopCounts = field(default_factory=StopCounts)
+    stopped: bool = False
     pending_updates: set[str] = field(default_factory=set)
 
     @property
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -178,6 +178,20 @@
             session=self._session,
         )
 
+    @property
+    def unanswered(self) -> int:
+        """Number of statements that were read and have no whole answer yet."""
+        if self._relay is not None:
+            return max(0, self._relay.outstanding)
+        return self._busy + len(self._queued) + len(self._buffered_lines)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that were written but not sent yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     @property
     def relay_connection(self) -> RelayProtocol | None:
         """The relay's open connection to a holder, None without one."""
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -210,8 +210,19 @@
             connection.close()
 
     async def stop(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections, with a line on what is lost."""
         for server in self._servers:
             server.close()
-        for connection in list(self.connections.values()):
+        unanswered = unsent = 0
+        for connection in self.open:
+            unanswered += connection.unanswered
+            unsent += connection.unsent
+        _log.log(
+            logging.WARNING if unanswered or unsent else logging.INFO,
+            "event=callers_closed open=%d unanswered=%d unsent_bytes=%d",
+            len(self.open),
+            unanswered,
+            unsent,
+        )
+        for connection in list(self.open):
             connection.close()
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -94,6 +94,11 @@
         if self.transport is None:
             self._lost()
 
+    @property
+    def outstanding(self) -> int:
+        """Number of forwarded lines that the holder has not answered yet."""
+        return self._outstanding
+
     @property
     def idle(self) -> bool:
         """Whether neither a statement nor a transaction is open."""
