Answer every statement before a stopped VM ends

Callers saw connections end without an answer when the VM that they were connected to got SIGTERM, though their statements ran at a server.

The load balancer sends callers to a VM that is not ready while fewer than half of its zone are, and callers may come back by themselves; then there is always an open session, and the statements of the last moment were cut off. Statements that waited for a connection were too.

Change: a shutdown has phases, each a share of the grace. Callers and BEGIN are refused as not run after half of it, waiting and arriving statements after 0.7, and the deadline of each statement is at most 0.87 of it, so that the queue refuses at once what can't end by then and the rest is answered at that time. A session counts as open until its connection has ended.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -15,6 +15,7 @@
 from ._results import deliver_result
 from ._runs import begin_job, fail_job, fail_transaction, run_statement
 from ._state import Database, DirectState, Effects, Job, JobState
+from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase
 from ._switchover import record_overload
 from ._types import Answer, Refusal
 from ._write_proof import is_write_proved, request_write_proof
@@ -34,10 +35,13 @@
 def submit_job(state: DirectState, job: Job, out: Effects) -> None:
     """Run a job on its transaction's connection, or queue it for a free one.
 
-    It fails at once if its database is unknown, or if it commits writes whose outcome
-    could not be proved.
+    It fails at once if its database is unknown, if it commits writes whose outcome
+    could not be proved, or if a shutdown leaves it no time.
     """
     job.session.work = job
+    if find_stop_phase(state) >= StopPhase.STARTS_OVER:
+        fail_job(state, job, Refusal.OVERLOAD, SHUTDOWN, out)
+        return
     transaction = job.session.transaction
     database = state.databases.get(job.route.service)
     if transaction is not None and transaction.connection is not None:
@@ -72,7 +76,15 @@
 
 
 def _refuse_or_place_jobs(state: DirectState, database: Database, out: Effects) -> None:
-    """Refuse jobs that can't be served in time, then send those that can run now."""
+    """Refuse jobs that can't be served in time, then send those that can run now.
+
+    Shortly before the end of a shutdown all are refused.
+    """
+    if find_stop_phase(state) >= StopPhase.STARTS_OVER:
+        queue, database.queue = database.queue, []
+        for job in queue:
+            fail_job(state, job, Refusal.OVERLOAD, SHUTDOWN, out)
+        return
     for job, reason, wait in list_unservable(state, database):
         database.queue.remove(job)
         if reason == QUEUE_FULL:
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -6,6 +6,7 @@
 from ._runs import fail_job, fail_transaction, requeue_job
 from ._server_state import Connection
 from ._state import DirectState, Effects, Job, JobState
+from ._stop_phases import SHUTDOWN
 from ._types import Answer, Refusal
 
 
@@ -83,6 +84,8 @@
 def expire_job(state: DirectState, job: Job, out: Effects) -> None:
     """Answer a job whose deadline has passed, and close the connections it runs on.
 
+    A shutdown limits the deadline, see `limit_deadline`.
+
     The answer is an overload if the job is queued, in doubt if it may have committed
     writes, else a timeout. A transaction is aborted, unless the job is a `COMMIT` that
     was started.
@@ -94,6 +97,9 @@
             database.queue.remove(job)
         fail_job(state, job, Refusal.OVERLOAD, "timeout_in_queue", out)
         return
+    reason = "timeout"
+    if job.deadline < job.arrived_at + job.route.timeout:
+        reason = SHUTDOWN
     started = job.sent_at >= job.arrived_at
     in_doubt = job.writes and started and (job.commits or transaction is None)
     if job.commits and transaction is not None and not transaction.wrote:
@@ -101,12 +107,13 @@
     for connection in job.connections:
         if job.state is JobState.RUNNING and connection.number in state.connections:
             connection.pending.clear()
-            record_failure(state, connection.server, out)
-            close_connection(state, connection, out, "statement_timeout")
+            if reason != SHUTDOWN:
+                record_failure(state, connection.server, out)
+            close_connection(state, connection, out, f"statement_{reason}")
     if transaction is not None and not job.commits:
-        fail_transaction(state, job, "timeout", out)
+        fail_transaction(state, job, reason, out)
         return
     if job.commits:
         job.session.transaction = None
     refusal = Refusal.IN_DOUBT if in_doubt else Refusal.TIMEOUT
-    end_job(state, job, Answer(refusal=refusal, detail="timeout"), "timeout", out)
+    end_job(state, job, Answer(refusal=refusal, detail=reason), reason, out)
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -56,7 +56,7 @@
     handle_holders_unavailable,
     handle_statement,
 )
-from ._shutdown import advance_shutdown, request_shutdown
+from ._shutdown import advance_shutdown, request_shutdown, stop_if_idle
 from ._state import Database, DirectState, Effects, JobState
 from ._suspicions import handle_suspicions
 
@@ -231,6 +231,14 @@
         )
 
 
+def _handle_caller_closed(
+    state: DirectState, event: CallerClosed, out: Effects
+) -> None:
+    """Remove a caller's session; a shutdown may have waited for it."""
+    handle_caller_closed(state, event, out)
+    stop_if_idle(state, out)
+
+
 def _handle_tick(state: DirectState, event: TimeAdvanced, out: Effects) -> None:
     """Do the periodic work: maintenance, failover, deadlines, hedging and shutdown.
 
@@ -299,7 +307,7 @@
 _HANDLERS = {
     CallerOpened: handle_caller_opened,
     CallerStatement: handle_statement,
-    CallerClosed: handle_caller_closed,
+    CallerClosed: _handle_caller_closed,
     BackendOpened: handle_backend_opened,
     BackendAnswered: handle_backend_answer,
     BackendLost: handle_backend_lost,
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -29,8 +29,19 @@
         )
     )
     if session.closing and session.transaction is None:
+        close_session(state, session, out)
+
+
+def close_session(state: DirectState, session: Session, out: Effects) -> None:
+    """Close a session without a running statement.
+
+    It ends once its caller has got everything, and its connection is closed. Callers
+    don't count that as a failure.
+    """
+    if not session.close_ordered:
+        session.close_ordered = True
         state.stop_counts.callers_closed += 1
-        out.append(CloseCaller(session=session.number))
+    out.append(CloseCaller(session=session.number))
 
 
 def refuse(
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,7 +1,7 @@
 """Callers' sessions: admission, and handling or submission of their statements."""
 
 from ._dispatch import submit_job
-from ._effects import AcceptCaller, CloseCaller, Log, Observe, RefuseCaller, RelayCaller
+from ._effects import AcceptCaller, Log, Observe, RefuseCaller, RelayCaller
 from ._events import CallerClosed, CallerOpened, CallerStatement, HoldersUnavailable
 from ._holders import (
     REFUSING_HOLDER_DELAY,
@@ -20,6 +20,7 @@
     Session,
     Transaction,
 )
+from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase, limit_deadline
 from ._types import Consistency, Refusal, Route, Statement, StatementKind
 
 ADMISSION_TIMEOUT = 1.5
@@ -30,8 +31,11 @@
     """Accept, relay or refuse a caller that has connected.
 
     While it is unknown which VM serves it, the caller waits for up to
-    `ADMISSION_TIMEOUT`.
+    `ADMISSION_TIMEOUT`. From the middle of a shutdown on it is refused at once.
     """
+    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
+        _refuse_for_shutdown(state, event.session, event.database, out)
+        return
     caller = PendingCaller(database=event.database, at=state.now, relayed=event.relayed)
     if not _try_admit(state, event.session, caller, out):
         state.pending_callers[event.session] = caller
@@ -54,6 +58,13 @@
             )
 
 
+def refuse_pending_callers(state: DirectState, out: Effects) -> None:
+    """Refuse the callers that are neither accepted nor relayed at a shutdown."""
+    for session, caller in state.pending_callers.items():
+        _refuse_for_shutdown(state, session, caller.database, out)
+    state.pending_callers.clear()
+
+
 def _try_admit(
     state: DirectState, session: int, caller: PendingCaller, out: Effects
 ) -> bool:
@@ -108,7 +119,10 @@
     if state.shutdown_at is not None:
         state.stop_counts.callers_accepted += 1
     state.sessions[session] = Session(
-        number=session, database=database, active_at=state.now
+        number=session,
+        database=database,
+        active_at=state.now,
+        closing=find_stop_phase(state) >= StopPhase.DRAINING,
     )
     out.append(AcceptCaller(session=session))
 
@@ -120,8 +134,15 @@
     refusal: Refusal,
     reason: str,
     out: Effects,
+    *,
+    detail: str = "",
+    essential: bool = True,
 ) -> None:
-    """Refuse a caller's connection, with a log line that names the reason."""
+    """Refuse a caller's connection, with a log line that names the reason.
+
+    Args:
+        detail: text sent to the caller; the database by default.
+    """
     if state.shutdown_at is not None:
         state.stop_counts.callers_refused += 1
     version = state.configuration.version if state.configuration else 0
@@ -134,10 +155,27 @@
                 ("configuration", version),
                 ("reason", reason),
             ),
-            essential=True,
+            essential=essential,
         )
     )
-    out.append(RefuseCaller(session=session, refusal=refusal, detail=database))
+    detail = detail or database
+    out.append(RefuseCaller(session=session, refusal=refusal, detail=detail))
+
+
+def _refuse_for_shutdown(
+    state: DirectState, session: int, database: str, out: Effects
+) -> None:
+    """Refuse a caller that another VM can serve; there may be many of them."""
+    _refuse_caller(
+        state,
+        session,
+        database,
+        Refusal.OVERLOAD,
+        SHUTDOWN,
+        out,
+        detail=SHUTDOWN,
+        essential=False,
+    )
 
 
 def handle_caller_closed(state: DirectState, event: CallerClosed, out: Effects) -> None:
@@ -216,6 +254,9 @@
     if session.transaction is not None:
         refuse(state, session, statement, Refusal.MALFORMED, "nested_begin", out)
         return
+    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
+        refuse(state, session, statement, Refusal.OVERLOAD, SHUTDOWN, out)
+        return
     route = _find_route(state, session.database)
     if route is None:
         refuse(state, session, statement, Refusal.NO_DATABASE, "no_route", out)
@@ -339,7 +380,7 @@
         route=route,
         arrived_at=state.now,
         since=transaction.began_at if transaction else state.now,
-        deadline=state.now + route.timeout,
+        deadline=limit_deadline(state, state.now + route.timeout),
         writes=writes,
         commits=commits,
         leader_only=leader_only,
@@ -352,13 +393,3 @@
     if state.configuration is None:
         return None
     return state.configuration.routes.get(database)
-
-
-def close_idle_session(state: DirectState, session: Session, out: Effects) -> None:
-    """Close a session without a running statement or an open transaction.
-
-    Callers don't count that as a failure.
-    """
-    state.sessions.pop(session.number, None)
-    state.stop_counts.callers_closed += 1
-    out.append(CloseCaller(session=session.number))
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,23 +1,11 @@
-"""Graceful shutdown, which gives open statements and transactions time to end."""
+"""Graceful shutdown, which answers every statement that was read before the end."""
 
 from ._effects import AnnounceReadiness, CloseIdleRelays, Log, Stop
+from ._replies import close_session
 from ._runs import abandon_transaction
-from ._sessions import close_idle_session
-from ._state import DirectState, Effects, Job
-
-DRAIN_NOTICE_PERIOD = 2.3
-"""Seconds until sessions are closed after their next answer: the load balancer needs
-two failed probes, at one per second, before it sends new callers elsewhere."""
-
-IDLE_CLOSE_RATIO = 0.7
-"""Share of the grace period after which sessions that stayed idle are closed. A
-statement that is on its way at that moment gets no answer, so it comes late."""
-
-TRANSACTION_GRACE_RATIO = 0.5
-"""Share of the grace period after which idle open transactions are aborted."""
-
-STOP_MARGIN = 0.4
-"""Seconds before the end of the grace period at which the process stops in any case."""
+from ._sessions import refuse_pending_callers
+from ._state import DirectState, Effects, Job, Session
+from ._stop_phases import StopPhase, find_stop_phase, limit_deadline
 
 MAX_CUT_LINES = 50
 """Log lines about statements that a shutdown cuts off."""
@@ -29,6 +17,11 @@
         return
     state.shutdown_at = state.now
     state.ready = False
+    for session in state.sessions.values():
+        job = session.work
+        if job is not None:
+            job.deadline = limit_deadline(state, job.deadline)
+            job.latest_end = min(job.latest_end, job.deadline)
     out.append(AnnounceReadiness(ready=False))
     out.append(
         Log(
@@ -42,33 +35,59 @@
 def advance_shutdown(state: DirectState, out: Effects) -> None:
     """Advance a graceful shutdown; called at each tick.
 
-    Once the load balancer has had time to notice, sessions and relays are closed right
-    after an answer, so that no statement crosses with the end of its connection. Those
-    that stay idle are closed later. Open transactions without a running statement are
-    aborted after half of the grace period. The process stops once no session is open,
-    and in any case shortly before the period ends.
+    The phases are those of `StopPhase`. The process stops once no session is open
+    after the notice to the load balancer, and in any case shortly before the grace
+    period ends.
     """
-    if state.shutdown_at is None or state.stopped:
+    phase = find_stop_phase(state)
+    if phase is StopPhase.NONE or state.stopped:
         return
-    elapsed = state.now - state.shutdown_at
-    if elapsed >= state.grace * TRANSACTION_GRACE_RATIO:
+    if phase >= StopPhase.INTAKE_OVER:
         _abort_idle_transactions(state, out)
-    if elapsed >= min(DRAIN_NOTICE_PERIOD, state.grace * TRANSACTION_GRACE_RATIO):
-        closes_idle = elapsed >= state.grace * IDLE_CLOSE_RATIO
-        for session in list(state.sessions.values()):
+        refuse_pending_callers(state, out)
+    if phase >= StopPhase.STARTS_OVER:
+        state.pending_updates.update(state.databases)
+    if phase >= StopPhase.DRAINING:
+        for session in state.sessions.values():
             session.closing = True
-            idle = session.work is None and session.transaction is None
-            if closes_idle and idle:
-                close_idle_session(state, session, out)
+            if _may_close(session, phase):
+                close_session(state, session, out)
         if state.relayed:
-            out.append(CloseIdleRelays(answered_only=not closes_idle))
-        if not state.sessions and not state.relayed:
-            _stop(state, out)
-            return
-    if elapsed >= state.grace - STOP_MARGIN:
+            answered_only = phase < StopPhase.STARTS_OVER
+            out.append(CloseIdleRelays(answered_only=answered_only))
+    if phase is StopPhase.ENDING:
+        _stop(state, out)
+    else:
+        stop_if_idle(state, out)
+
+
+def stop_if_idle(state: DirectState, out: Effects) -> None:
+    """Stop the process if a shutdown has nothing left to wait for."""
+    if state.stopped or find_stop_phase(state) < StopPhase.DRAINING:
+        return
+    if not state.sessions and not state.relayed and not state.pending_callers:
         _stop(state, out)
 
 
+def _may_close(session: Session, phase: StopPhase) -> bool:
+    """Return whether to close a session that waits for its caller."""
+    if session.work is not None:
+        return False
+    if phase >= StopPhase.ANSWERING:
+        return True
+    return phase >= StopPhase.STARTS_OVER and session.transaction is None
+
+
+def _abort_idle_transactions(state: DirectState, out: Effects) -> None:
+    """Abort the open transactions that have no running statement."""
+    for session in state.sessions.values():
+        transaction = session.transaction
+        if transaction is None or transaction.failed or session.work is not None:
+            continue
+        abandon_transaction(state, transaction, out)
+        transaction.failure_unreported = True
+
+
 def _stop(state: DirectState, out: Effects) -> None:
     """End the process; log what the shutdown did, and the statements it cuts off."""
     state.stopped = True
@@ -109,13 +128,3 @@
             essential=True,
         )
     )
-
-
-def _abort_idle_transactions(state: DirectState, out: Effects) -> None:
-    """Abort the open transactions that have no running statement."""
-    for session in state.sessions.values():
-        transaction = session.transaction
-        if transaction is None or transaction.failed or session.work is not None:
-            continue
-        abandon_transaction(state, transaction, out)
-        transaction.failure_unreported = True
