Answer statements that were read ahead before a session ends

A caller that sent several statements in one packet got no answer to the later ones if its session ended with the first answer, as at a shutdown; one that sent a statement behind its CONNECT line got none at all if it was accepted later or relayed, and one that left with RELEASE behind a statement lost that answer.

Cause: the connection was closed whatever lines had been read from it, and a statement of a session that was not open yet was dropped by the core.

Change: lines that arrive before the caller is accepted or relayed, or while a statement runs, wait and are handled in order. A session that is closed after an answer ends once none is left; the core repeats the order after each answer.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -23,8 +23,8 @@
 """Seconds that sent data may stay unacknowledged before a caller counts as lost: longer
 than any deadline of a caller, as a shorter pause of the network does no harm."""
 
-MAX_QUEUED_STATEMENTS = 64
-"""Statements of one caller that may wait while another one runs."""
+MAX_LINES_AHEAD = 64
+"""Lines of one caller that may wait while a statement runs."""
 
 LINGER_PERIOD = 2.0
 """Seconds for which the rest of a line that is too long is read and dropped."""
@@ -41,11 +41,10 @@
         self._relayed = relayed
         self._session = 0
         self._busy = False
-        self._queued: deque[Statement] = deque()
+        self._lines_ahead: deque[bytes] = deque()
         self._connect_line = b""
         self._relay: RelayProtocol | None = None
         self._relaying = False
-        self._buffered_lines: list[bytes] = []
         self._opened_at = 0.0
         self._write_ended = False
 
@@ -71,7 +70,7 @@
         if self in self._callers.open:
             self._callers.open.remove(self)
             self._callers.relayed -= self._relaying
-        self._queued.clear()
+        self._lines_ahead.clear()
         if self._relay is not None:
             self._relay.close()
         if not self._session:
@@ -83,15 +82,27 @@
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the caller if the connection is relayed, else handle it.
 
-        While a holder is being searched, the line is buffered; while a statement runs,
-        further statements are queued.
+        Until the caller is accepted or relayed, and while a statement runs, further
+        lines wait; each is handled after the answer to the one before.
         """
-        if self._relaying:
-            if self._relay is None:
-                self._buffered_lines.append(line)
-            else:
-                self._relay.forward(line)
+        if self._write_ended:
             return
+        if self._relay is not None:
+            self._relay.forward(line)
+        elif not self._busy:
+            self._handle_message(line)
+        elif len(self._lines_ahead) >= MAX_LINES_AHEAD:
+            self._reject_line("too_many_statements_ahead")
+        else:
+            self._lines_ahead.append(line)
+
+    def _handle_lines_ahead(self) -> None:
+        """Handle the lines that waited, up to the next one that takes time."""
+        while self._lines_ahead and not self._busy and not self._write_ended:
+            self._handle_message(self._lines_ahead.popleft())
+
+    def _handle_message(self, line: bytes) -> None:
+        """Handle a line of a caller that is not relayed."""
         message = self._callers.codec.parse_caller_line(line)
         if isinstance(message, DisconnectRequest):
             self.close()
@@ -101,11 +112,6 @@
         elif isinstance(message, MalformedLine) or not self._session:
             reason = getattr(message, "reason", "statement_before_hello")
             self._reject_line(reason)
-        elif self._busy:
-            if len(self._queued) >= MAX_QUEUED_STATEMENTS:
-                self._reject_line("too_many_statements_ahead")
-                return
-            self._queued.append(message)
         else:
             self._submit_statement(message)
 
@@ -127,6 +133,7 @@
         if self._session:
             self._reject_line("second_hello")
             return
+        self._busy = True
         self._session = self._callers.allocate_session()
         self._callers.connections[self._session] = self
         self._callers.emit(
@@ -138,10 +145,16 @@
             )
         )
 
+    def accept(self) -> None:
+        """Accept the caller, then handle the lines that it sent ahead."""
+        self._busy = False
+        self.write(self._callers.codec.encode_acceptance())
+        self._handle_lines_ahead()
+
     async def relay(self, effect: RelayCaller) -> None:
         """Relay the connection to the first connection holder that accepts it.
 
-        Lines that arrive during the search are buffered and forwarded afterwards.
+        Lines that arrive during the search wait and are forwarded afterwards.
         """
         if self.transport is None:
             return
@@ -165,9 +178,8 @@
             return
         self._relay = relay
         relay.start_forwarding()
-        for line in self._buffered_lines:
-            relay.forward(line)
-        self._buffered_lines.clear()
+        while self._lines_ahead:
+            relay.forward(self._lines_ahead.popleft())
 
     def _make_relay(self) -> RelayProtocol:
         """Return the protocol of a relay for this connection."""
@@ -181,9 +193,10 @@
     @property
     def unanswered(self) -> int:
         """Number of statements that were read and have no whole answer yet."""
+        waiting = self._busy + len(self._lines_ahead)
         if self._relay is not None:
-            return max(0, self._relay.outstanding)
-        return self._busy + len(self._queued) + len(self._buffered_lines)
+            waiting = max(0, self._relay.outstanding)
+        return waiting
 
     @property
     def unsent(self) -> int:
@@ -211,7 +224,7 @@
             self.close()
 
     def _submit_statement(self, statement: Statement) -> None:
-        """Emit a statement; later ones are queued until it is answered."""
+        """Emit a statement; later lines wait until it is answered."""
         self._busy = True
         self._callers.emit(
             CallerStatement(at=read_clock(), session=self._session, statement=statement)
@@ -230,11 +243,15 @@
         self.write(self._callers.codec.encode_refusal(Refusal.MALFORMED, reason))
 
     def answer(self, answer: Answer) -> None:
-        """Send the answer and submit the next queued statement, if any."""
+        """Send the answer, then handle the lines that waited for it."""
         self._busy = False
         self.write(self._callers.codec.encode_answer(answer))
-        if self._queued and self.transport is not None:
-            self._submit_statement(self._queued.popleft())
+        self._handle_lines_ahead()
+
+    def finish_if_answered(self) -> None:
+        """End the connection unless a statement that was read has no answer yet."""
+        if not self.unanswered:
+            self.close()
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closed or closing."""
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -133,7 +133,7 @@
         """Accept a caller's connection."""
         connection = self.connections.get(effect.session)
         if connection is not None:
-            connection.write(self.codec.encode_acceptance())
+            connection.accept()
 
     def relay(self, effect: RelayCaller) -> None:
         """Start to relay a caller's connection to a connection holder."""
@@ -204,10 +204,13 @@
             connection.answer(effect.answer)
 
     def close(self, effect: CloseCaller) -> None:
-        """Close a caller's connection after all written data is sent."""
+        """Close a caller's connection, unless it has sent a further statement.
+
+        The core repeats the effect after that statement's answer.
+        """
         connection = self.connections.get(effect.session)
         if connection is not None:
-            connection.close()
+            connection.finish_if_answered()
 
     async def stop(self) -> None:
         """Stop listening and close all connections, with a line on what is lost."""
--- /dev/null
+++ b/tests/users_platform/test_caller_ends.py
@@ -0,0 +1,150 @@
+"""Tests of ends of callers' connections: nothing that was read lacks its answer."""
+
+import asyncio
+import contextlib
+
+from siskinhold.direct import (
+    AcceptCaller,
+    Answer,
+    CallerOpened,
+    CallerStatement,
+    CloseCaller,
+    RelayCaller,
+    ReplyCaller,
+)
+from siskinhold.lines._callers import LineCallers
+from siskinhold.listener import open_listener
+from siskinhold_platform import WireCodec
+
+from .test_relay import run_holder
+
+CONNECT = b"CONNECT orders u1\r\n"
+
+
+class Vm:
+    """A VM's callers, whose events are recorded; the test gives the effects."""
+
+    def __init__(self) -> None:
+        self.listener = open_listener("127.0.0.1", 0)
+        self.port = self.listener.getsockname()[1]
+        self.opened: list[int] = []
+        self.statements: list[str] = []
+        self.on_statement = None
+        self.writers = []
+        self.callers = LineCallers(
+            host="127.0.0.1",
+            port=self.port,
+            relay_port=0,
+            codec=WireCodec(),
+            limit=100,
+            listener=self.listener,
+        )
+
+    def emit(self, event) -> None:
+        """Record an event."""
+        if isinstance(event, CallerOpened):
+            self.opened.append(event.session)
+        elif isinstance(event, CallerStatement):
+            self.statements.append(event.statement.text)
+            if self.on_statement is not None:
+                self.on_statement(event)
+
+    async def connect(self, data: bytes):
+        """Connect a caller that sends some bytes, and wait for its session."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers.append(writer)
+        count = len(self.opened)
+        writer.write(data)
+        while len(self.opened) == count:
+            await asyncio.sleep(0.005)
+        return reader, writer, self.opened[-1]
+
+    def accept(self, session: int) -> None:
+        """Accept a caller."""
+        self.callers.accept(AcceptCaller(session=session))
+
+    def reply(self, session: int, *rows: str) -> None:
+        """Answer a caller's statement."""
+        self.callers.reply(ReplyCaller(session=session, answer=Answer(rows=rows)))
+
+    def close(self, session: int) -> None:
+        """End a caller's connection."""
+        self.callers.close(CloseCaller(session=session))
+
+    async def wait_for_statements(self, count: int) -> None:
+        """Wait until that many statements were submitted."""
+        async with asyncio.timeout(2):
+            while len(self.statements) < count:
+                await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def run_vm():
+    """Run the callers' side of a VM."""
+    vm = Vm()
+    await vm.callers.start(vm.emit)
+    try:
+        yield vm
+    finally:
+        for writer in vm.writers:
+            writer.transport.abort()
+        await vm.callers.stop()
+
+
+async def read_all(reader) -> bytes:
+    """Return all bytes up to the end of a connection."""
+    return await asyncio.wait_for(reader.read(-1), 5)
+
+
+class TestLinesReadAhead:
+    async def test_statement_behind_the_connect_line_is_submitted(self):
+        """Guards against a statement that is dropped before its caller is accepted."""
+        async with run_vm() as vm:
+            data = CONNECT + b"QUERY 1 READ x\r\n"
+            reader, _, session = await vm.connect(data)
+            await asyncio.sleep(0.05)
+            assert not vm.statements
+            vm.accept(session)
+            await vm.wait_for_statements(1)
+            vm.reply(session, "one")
+            vm.close(session)
+            received = await read_all(reader)
+            assert received.startswith(b"READY I -\r\nROW one\r\n")
+
+    async def test_statement_behind_the_connect_line_is_relayed(self):
+        """Guards against a statement that is dropped while a relay is sought."""
+        answers = (b"READY I -\r\n", b"COMPLETE a\r\nREADY I -\r\n")
+        async with run_vm() as vm, run_holder("a", *answers) as holder:
+            data = CONNECT + b"QUERY 1 READ x\r\n"
+            reader, _, session = await vm.connect(data)
+            vm.callers.relay(RelayCaller(session=session, holders=(holder,)))
+            for expected in (b"READY I -\r\n", b"COMPLETE a\r\n"):
+                assert await asyncio.wait_for(reader.readline(), 2) == expected
+
+    async def test_session_ends_after_the_last_statement_that_was_read(self):
+        """Guards against a close that drops statements sent in one packet."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            writer.write(b"QUERY 1 READ x\r\nQUERY 2 READ y\r\n")
+            await vm.wait_for_statements(1)
+            await asyncio.sleep(0.05)
+            vm.reply(session, "one")
+            vm.close(session)
+            await vm.wait_for_statements(2)
+            vm.reply(session, "two")
+            vm.close(session)
+            received = await read_all(reader)
+            assert received.count(b"COMPLETE") == 2
+            assert b"ROW one" in received and b"ROW two" in received
+
+    async def test_release_waits_for_the_answer_before_it(self):
+        """Guards against an answer that is dropped as the caller leaves after it."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            writer.write(b"QUERY 1 READ x\r\nRELEASE\r\n")
+            await vm.wait_for_statements(1)
+            await asyncio.sleep(0.05)
+            vm.reply(session, "one")
+            assert b"ROW one" in await read_all(reader)
