End callers' connections without a reset

A caller that sent a further statement while its VM closed the session could get a reset connection instead of the answer that was already written.

Cause: TCP resets a connection that is closed with unread bytes and drops what is still to be sent. Statements of callers that are sent right after an answer, or behind a CONNECT line that is refused, are such bytes.

Change: a connection that the VM ends is shut down for writing after its last answer, and read until its caller closes it, or for 0.5 s after all was sent.

Evidence: test_answer_outlasts_a_close_with_unread_bytes and test_refusal_outlasts_unread_bytes failed on the code before with ConnectionResetError on loopback, and pass now.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -26,8 +26,12 @@
 MAX_LINES_AHEAD = 64
 """Lines of one caller that may wait while a statement runs."""
 
-LINGER_PERIOD = 2.0
-"""Seconds for which the rest of a line that is too long is read and dropped."""
+LINGER_PERIOD = 0.5
+"""Seconds for which a connection that this VM has ended is read until its caller closes
+it, from when the last answer was sent."""
+
+REJECTION_LINGER_PERIOD = 2.0
+"""The same after a rejected line, the rest of which may be long."""
 
 _log = logging.getLogger(__name__)
 
@@ -56,7 +60,7 @@
             reason = "too_many_connections"
             _log.warning("event=caller_rejected reason=%s", reason)
             self.write(self._callers.codec.encode_refusal(Refusal.OVERLOAD, reason))
-            self.close()
+            self.finish()
             return
         self._callers.open.add(self)
 
@@ -79,6 +83,11 @@
         at = read_clock()
         self._callers.emit(CallerClosed(at=at, session=self._session))
 
+    def data_received(self, data: bytes) -> None:
+        """Handle all complete lines, none once this VM has ended the connection."""
+        if not self._write_ended:
+            super().data_received(data)
+
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the caller if the connection is relayed, else handle it.
 
@@ -116,17 +125,8 @@
             self._submit_statement(message)
 
     def handle_overflow(self) -> None:
-        """Reject a line that is too long.
-
-        The rest of it is still read for a while: a connection that is closed with
-        unread bytes is reset, which may take the answer with it.
-        """
-        self._write_rejection("line_too_long")
-        if self.transport is None or self.transport.is_closing():
-            return
-        self.transport.write_eof()
-        self._write_ended = True
-        asyncio.get_running_loop().call_later(LINGER_PERIOD, self.close)
+        """Reject a line that is too long."""
+        self._reject_line("line_too_long")
 
     def _open_session(self, message: ConnectRequest) -> None:
         """Report a caller that has named its database."""
@@ -231,16 +231,12 @@
         )
 
     def _reject_line(self, reason: str) -> None:
-        """Refuse the caller's line and close the connection."""
-        self._write_rejection(reason)
-        self.close()
-
-    def _write_rejection(self, reason: str) -> None:
-        """Refuse the caller's line."""
+        """Refuse the caller's line and end the connection."""
         _log.warning(
             "event=caller_line_rejected session=%d reason=%s", self._session, reason
         )
         self.write(self._callers.codec.encode_refusal(Refusal.MALFORMED, reason))
+        self.finish(linger=REJECTION_LINGER_PERIOD)
 
     def answer(self, answer: Answer) -> None:
         """Send the answer, then handle the lines that waited for it."""
@@ -251,7 +247,7 @@
     def finish_if_answered(self) -> None:
         """End the connection unless a statement that was read has no answer yet."""
         if not self.unanswered:
-            self.close()
+            self.finish()
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closed or closing."""
@@ -260,6 +256,32 @@
         if not self._write_ended:
             self.transport.write(data)
 
+    def finish(self, *, linger: float = LINGER_PERIOD) -> None:
+        """End the connection once all written data is sent, without a reset.
+
+        What the caller still sends is read and dropped: a connection that is closed
+        with unread bytes is reset, which may take the last answer with it.
+
+        Args:
+            linger: seconds after which it is closed if its caller has not done so.
+        """
+        if self._write_ended or self.transport is None or self.transport.is_closing():
+            return
+        self._write_ended = True
+        self.transport.write_eof()
+        self._close_after(linger)
+
+    def _close_after(self, linger: float) -> None:
+        """Close the connection some seconds after all data was sent."""
+        asyncio.get_running_loop().call_later(linger, self._end_linger, linger)
+
+    def _end_linger(self, linger: float) -> None:
+        """Close the connection, or wait again if its caller reads slowly."""
+        if self.unsent:
+            self._close_after(linger)
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close the connection after all written data is sent."""
         if self.transport is not None:
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -195,7 +195,7 @@
         connection = self.connections.pop(effect.session, None)
         if connection is not None:
             connection.write(self.codec.encode_refusal(effect.refusal, effect.detail))
-            connection.close()
+            connection.finish()
 
     def reply(self, effect: ReplyCaller) -> None:
         """Answer a statement."""
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 
 from siskinhold.direct import (
     AcceptCaller,
@@ -9,6 +10,8 @@
     CallerOpened,
     CallerStatement,
     CloseCaller,
+    Refusal,
+    RefuseCaller,
     RelayCaller,
     ReplyCaller,
 )
@@ -20,6 +23,9 @@
 
 CONNECT = b"CONNECT orders u1\r\n"
 
+LARGE_ROWS = tuple(f"{number:07d}" * 100 for number in range(4000))
+"""Rows that fill the buffers of a connection."""
+
 
 class Vm:
     """A VM's callers, whose events are recorded; the test gives the effects."""
@@ -148,3 +154,35 @@
             await asyncio.sleep(0.05)
             vm.reply(session, "one")
             assert b"ROW one" in await read_all(reader)
+
+
+class TestEnds:
+    async def test_answer_outlasts_a_close_with_unread_bytes(self):
+        """Guards against a reset that takes the last answer with it."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            descriptor = writer.get_extra_info("socket").fileno()
+
+            def answer_and_close(event):
+                os.write(descriptor, b"QUERY 2 READ y\r\n")
+                vm.reply(session, *LARGE_ROWS)
+                vm.close(session)
+
+            vm.on_statement = answer_and_close
+            writer.write(b"QUERY 1 READ x\r\n")
+            received = await read_all(reader)
+            assert received.count(b"ROW") == len(LARGE_ROWS)
+            assert received.endswith(b"COMPLETE -\r\nREADY I -\r\n")
+            assert len(vm.statements) == 1
+
+    async def test_refusal_outlasts_unread_bytes(self):
+        """Guards against a refused caller that sees only a reset."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            descriptor = writer.get_extra_info("socket").fileno()
+            os.write(descriptor, b"QUERY 1 READ x\r\n")
+            refusal = Refusal.OVERLOAD
+            effect = RefuseCaller(session=session, refusal=refusal, detail="shutdown")
+            vm.callers.refuse(effect)
+            assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
