Send what was written before the process ends

A slow caller lost the end of its answer when its VM ended, and a caller whose first line arrived at that moment got no answer.

Cause: the core ended the process as soon as it had answered, with output still buffered in the process, and dropped what was read after that.

Change: the process stops listening and refuses first lines from the moment the core ends it, ends all connections, and gives callers 0.2 s for the rest.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -133,6 +133,11 @@
         if self._session:
             self._reject_line("second_hello")
             return
+        if self._callers.refusing:
+            reason = "shutdown"
+            self.write(self._callers.codec.encode_refusal(Refusal.OVERLOAD, reason))
+            self.finish()
+            return
         self._busy = True
         self._session = self._callers.allocate_session()
         self._callers.connections[self._session] = self
@@ -286,3 +291,8 @@
         """Close the connection after all written data is sent."""
         if self.transport is not None:
             self.transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -1,6 +1,7 @@
 """Connections of callers over the line protocol."""
 
 import asyncio
+import contextlib
 import functools
 import logging
 import socket
@@ -33,6 +34,12 @@
 RELAY_CHECK_INTERVAL = 0.2
 """Seconds between two searches for holders that owe an answer."""
 
+EXIT_PERIOD = 0.2
+"""Seconds that callers have to receive what was written before the process ends."""
+
+EXIT_CHECK_INTERVAL = 0.01
+"""Seconds between two checks whether they have."""
+
 _log = logging.getLogger(__name__)
 
 Emit = Callable[[Event], None]
@@ -70,6 +77,7 @@
         self.connections: dict[int, CallerProtocol] = {}
         self.open: set[CallerProtocol] = set()
         self.relayed = 0
+        self.refusing = False
         self._next = 1
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task] = set()
@@ -185,6 +193,12 @@
             "event=relays_given_up holder=%s ended=%d kept=%d", holder.name, ended, kept
         )
 
+    def refuse_callers(self) -> None:
+        """Listen no more, and refuse the callers that have not named a database."""
+        self.refusing = True
+        for server in self._servers:
+            server.close()
+
     def stop_accepting_relays(self) -> None:
         """Accept no more callers that other VMs relay."""
         for server in self._servers[1:]:
@@ -204,7 +218,7 @@
             connection.answer(effect.answer)
 
     def close(self, effect: CloseCaller) -> None:
-        """Close a caller's connection, unless it has sent a further statement.
+        """End a caller's connection, unless it has sent a further statement.
 
         The core repeats the effect after that statement's answer.
         """
@@ -213,9 +227,17 @@
             connection.finish_if_answered()
 
     async def stop(self) -> None:
-        """Stop listening and close all connections, with a line on what is lost."""
-        for server in self._servers:
-            server.close()
+        """Stop listening and end all connections, with a line on what is lost.
+
+        Callers have `EXIT_PERIOD` to receive what was written.
+        """
+        self.refuse_callers()
+        for connection in list(self.open):
+            connection.finish()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(EXIT_PERIOD):
+                while self.open:
+                    await asyncio.sleep(EXIT_CHECK_INTERVAL)
         unanswered = unsent = 0
         for connection in self.open:
             unanswered += connection.unanswered
@@ -228,4 +250,4 @@
             unsent,
         )
         for connection in list(self.open):
-            connection.close()
+            connection.abort()
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -139,7 +139,7 @@
             AnnounceReadiness: self._set_readiness,
             Log: self._write_line,
             Observe: self._observe,
-            Stop: lambda effect: self.stopped.set(),
+            Stop: self._stop,
         }
 
     def start(self) -> None:
@@ -399,6 +399,11 @@
         )
         self.emit(PromotionAnswered(at=read_clock(), call=effect.call, outcome=outcome))
 
+    def _stop(self, effect: Stop) -> None:
+        """End the work of the core; nothing that arrives later is answered by it."""
+        self.stopped.set()
+        self._callers.refuse_callers()
+
     def _set_readiness(self, effect: AnnounceReadiness) -> None:
         """Set the answer to readiness probes."""
         self._probe.ready = effect.ready
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -170,11 +170,11 @@
     async def stop(self) -> None:
         """Cancel all tasks and close all connections."""
         self.driver.stop()
+        await self._callers.stop()
         for task in self._tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        await self._callers.stop()
         await self._backends.stop()
         await self._probe.stop()
         await self._client.close()
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -186,3 +186,27 @@
             effect = RefuseCaller(session=session, refusal=refusal, detail="shutdown")
             vm.callers.refuse(effect)
             assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
+
+    async def test_process_ends_after_a_slow_caller_has_its_answer(self):
+        """Guards against an answer that is lost as the process ends."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            writer.write(b"QUERY 1 READ x\r\n")
+            await vm.wait_for_statements(1)
+            rows = LARGE_ROWS * 8
+            vm.reply(session, *rows)
+            reading = asyncio.create_task(read_all(reader))
+            await vm.callers.stop()
+            for connection in list(vm.callers.open):
+                connection.transport.abort()
+            assert (await reading).count(b"ROW") == len(rows)
+
+    async def test_caller_that_connects_at_the_end_is_refused(self):
+        """Guards against a first line that is read as the process ends."""
+        async with run_vm() as vm:
+            reader, writer = await asyncio.open_connection("127.0.0.1", vm.port)
+            await asyncio.sleep(0.05)
+            vm.callers.refuse_callers()
+            writer.write(CONNECT)
+            assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
