Answer relayed statements that their holder does not answer

On a VM that relays its callers, a statement whose holder was lost, or that still ran when the VM ended, got no answer: the caller's connection just ended. An open transaction was cut off by the end of the VM, with its COMMIT under way.

Cause: a relay passed lines on and kept no account of them; the end of either connection closed the other one.

Change: a relay keeps the lines that have no answer. At the end of a shutdown, and when the holder is lost, the relaying VM answers them: as not run or aborted where nothing can be kept, as in doubt for a write or a COMMIT that may have arrived. From half of the grace on, a relayed transaction without a running statement is rolled back, and its next statement is answered as aborted.

Evidence: without the missing answers, seven tests of TestRelays fail, among them that of a holder that is lost; all pass now.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -20,7 +20,7 @@
     AskVms,
     CloseBackend,
     CloseCaller,
-    CloseIdleRelays,
+    CloseRelays,
     Effect,
     ListSuspicions,
     ListVms,
@@ -67,7 +67,14 @@
 )
 from ._holders import needs_servers
 from ._reducer import compute_tick_delay, reduce
-from ._relays import RelayActivity, find_silent_holders, may_give_up
+from ._relays import (
+    RelayActivity,
+    RelayClosing,
+    RelayedStatement,
+    choose_relay_answers,
+    find_silent_holders,
+    may_give_up,
+)
 from ._settings import VmSettings
 from ._state import DirectState
 from ._types import (
@@ -112,7 +119,7 @@
     "DirectState",
     "FIRST_ERA",
     "Effect",
-    "CloseIdleRelays",
+    "CloseRelays",
     "Event",
     "AcceptCaller",
     "HoldersUnavailable",
@@ -136,6 +143,8 @@
     "RefuseCaller",
     "RegisterVm",
     "RelayActivity",
+    "RelayClosing",
+    "RelayedStatement",
     "RelayCaller",
     "RemoveVm",
     "ReplyCaller",
@@ -162,6 +171,7 @@
     "VmsAsked",
     "VmsRead",
     "WriteLeaderRecord",
+    "choose_relay_answers",
     "compute_tick_delay",
     "reduce",
     "find_silent_holders",
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ._relays import RelayClosing
 from ._types import Answer, Command, LeaderRecord, Refusal, Revision, Suspicion, VmEntry
 
 
@@ -21,14 +22,10 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class CloseIdleRelays:
-    """Close the relays without a running statement or an open transaction.
+class CloseRelays:
+    """Close relays for a shutdown, after every statement that was read is answered."""
 
-    Args:
-        answered_only: whether to close each one only right after its next answer.
-    """
-
-    answered_only: bool
+    closing: RelayClosing
 
 
 @dataclass(slots=True, kw_only=True)
@@ -241,7 +238,7 @@
 Effect = (
     AcceptCaller
     | RelayCaller
-    | CloseIdleRelays
+    | CloseRelays
     | RefuseCaller
     | ReplyCaller
     | CloseCaller
--- a/src/siskinhold/direct/_relays.py
+++ b/src/siskinhold/direct/_relays.py
@@ -1,14 +1,16 @@
-"""Detection of connection holders that have stopped answering their relays.
+"""Ends of relays, and detection of connection holders that stopped answering.
 
-It matters when a holder loses power or is cut off: its callers would wait for answers
-until their deadlines. A holder that is only suspected is first checked by a connection
-attempt. What its callers can repeat elsewhere is then given up; a caller that can't
-repeat its statement keeps waiting, as the holder may be only silent for a while.
+Detection matters when a holder loses power or is cut off: its callers would wait for
+answers until their deadlines. A holder that is only suspected is first checked by a
+connection attempt. What its callers can repeat elsewhere is then given up; a caller
+that can't repeat its statement keeps waiting, as the holder may be only silent for a
+while.
 """
 
+import enum
 from dataclasses import dataclass
 
-from ._types import Statement, StatementKind, TransactionState
+from ._types import Refusal, Statement, StatementKind, TransactionState
 
 SILENCE_TIMEOUT = 0.5
 """Seconds without a byte from a holder that owes an answer until it is checked."""
@@ -70,3 +72,71 @@
         return True
     # Whether a prepared statement writes is known only to the holder.
     return statement.kind not in (StatementKind.WRITE, StatementKind.EXECUTE)
+
+
+class RelayClosing(enum.IntEnum):
+    """Which relays a shutdown closes; each includes those before.
+
+    Attributes:
+        ANSWERED: those that the next answer leaves idle.
+        TRANSACTIONS: those with an open transaction and no running statement. The
+            holder rolls it back, and the caller's next statement is aborted.
+        IDLE: those without a running statement.
+        ALL: those with a running statement, which is answered as in doubt if it may
+            have an effect.
+    """
+
+    ANSWERED = 1
+    TRANSACTIONS = 2
+    IDLE = 3
+    ALL = 4
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayedStatement:
+    """A caller's statement that its holder has not answered.
+
+    Args:
+        forwarded: whether it may have reached the holder.
+    """
+
+    statement: Statement
+    forwarded: bool
+
+
+def choose_relay_answers(
+    statements: list[RelayedStatement], state: TransactionState
+) -> list[Refusal]:
+    """Return the answers to statements whose holder no longer answers them.
+
+    The end of the connection rolls back an open transaction at the holder, unless its
+    `COMMIT` has arrived there.
+
+    Args:
+        statements: in the order in which the caller sent them.
+        state: state of the caller's transaction before the first one.
+    """
+    commits = False
+    for relayed in statements:
+        if relayed.forwarded and relayed.statement.kind is StatementKind.COMMIT:
+            commits = True
+    refusals = []
+    for relayed in statements:
+        kind = relayed.statement.kind
+        in_transaction = state is not TransactionState.NONE
+        writes = kind in (StatementKind.WRITE, StatementKind.EXECUTE)
+        if in_transaction:
+            uncertain = commits
+        else:
+            uncertain = writes or kind is StatementKind.COMMIT
+        if relayed.forwarded and uncertain:
+            refusals.append(Refusal.IN_DOUBT)
+        elif in_transaction:
+            refusals.append(Refusal.ABORTED)
+        else:
+            refusals.append(Refusal.OVERLOAD)
+        if kind is StatementKind.BEGIN:
+            state = TransactionState.OPEN
+        elif kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            state = TransactionState.NONE
+    return refusals
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,6 +1,7 @@
 """Graceful shutdown, which answers every statement that was read before the end."""
 
-from ._effects import AnnounceReadiness, CloseIdleRelays, Log, Stop
+from ._effects import AnnounceReadiness, CloseRelays, Log, Stop
+from ._relays import RelayClosing
 from ._replies import close_session
 from ._runs import abandon_transaction
 from ._sessions import refuse_pending_callers
@@ -10,6 +11,14 @@
 MAX_CUT_LINES = 50
 """Log lines about statements that a shutdown cuts off."""
 
+_CLOSED_RELAYS = {
+    StopPhase.DRAINING: RelayClosing.ANSWERED,
+    StopPhase.INTAKE_OVER: RelayClosing.TRANSACTIONS,
+    StopPhase.STARTS_OVER: RelayClosing.IDLE,
+    StopPhase.ANSWERING: RelayClosing.ALL,
+    StopPhase.ENDING: RelayClosing.ALL,
+}
+
 
 def request_shutdown(state: DirectState, out: Effects) -> None:
     """Start a graceful shutdown: report this VM as not ready, but stay in service."""
@@ -53,8 +62,7 @@
             if _may_close(session, phase):
                 close_session(state, session, out)
         if state.relayed:
-            answered_only = phase < StopPhase.STARTS_OVER
-            out.append(CloseIdleRelays(answered_only=answered_only))
+            out.append(CloseRelays(closing=_CLOSED_RELAYS[phase]))
     if phase is StopPhase.ENDING:
         _stop(state, out)
     else:
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -12,6 +12,7 @@
     HoldersUnavailable,
     Refusal,
     RelayCaller,
+    RelayClosing,
     Statement,
 )
 from ._clock import read_clock
@@ -98,6 +99,8 @@
             return
         if self._relay is not None:
             self._relay.forward(line)
+            if self._relay.detached:
+                self._end_relay()
         elif not self._busy:
             self._handle_message(line)
         elif len(self._lines_ahead) >= MAX_LINES_AHEAD:
@@ -183,15 +186,19 @@
             return
         self._relay = relay
         relay.start_forwarding()
+        self._forward_lines_ahead()
+
+    def _forward_lines_ahead(self) -> None:
+        """Forward the lines that waited for the relay."""
         while self._lines_ahead:
-            relay.forward(self._lines_ahead.popleft())
+            self._relay.forward(self._lines_ahead.popleft())
 
     def _make_relay(self) -> RelayProtocol:
         """Return the protocol of a relay for this connection."""
         return RelayProtocol(
             codec=self._callers.codec,
             write=self.write,
-            lost=self.close,
+            lost=self._end_relay,
             session=self._session,
         )
 
@@ -215,18 +222,25 @@
         """The relay's open connection to a holder, None without one."""
         return self._relay
 
-    def close_idle_relay(self, *, answered_only: bool) -> None:
-        """Close a relayed connection once it is idle.
-
-        Args:
-            answered_only: whether to wait for the next answer in any case.
-        """
-        if self._relay is None:
+    def close_relay(self, closing: RelayClosing) -> None:
+        """Close a relayed connection if a shutdown demands it, or after an answer."""
+        relay = self._relay
+        if relay is None:
             return
-        if answered_only or not self._relay.idle:
-            self._relay.close_after_answer()
-        else:
-            self.close()
+        relay.close_after_answer()
+        if closing is RelayClosing.ALL:
+            self._end_relay()
+        elif relay.idle and closing is RelayClosing.IDLE:
+            self._end_relay()
+        elif relay.rests_in_transaction and closing >= RelayClosing.TRANSACTIONS:
+            relay.detach()
+
+    def _end_relay(self) -> None:
+        """Answer the statements that the holder has not, and end the connection."""
+        self._forward_lines_ahead()
+        self.write(self._relay.encode_missing_answers())
+        self._relay.detach()
+        self.finish()
 
     def _submit_statement(self, statement: Statement) -> None:
         """Emit a statement; later lines wait until it is answered."""
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -10,7 +10,7 @@
 from ..direct import (
     AcceptCaller,
     CloseCaller,
-    CloseIdleRelays,
+    CloseRelays,
     Event,
     HoldersUnavailable,
     RefuseCaller,
@@ -152,14 +152,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def close_idle_relays(self, effect: CloseIdleRelays) -> None:
-        """Close relays without a running statement or an open transaction.
-
-        With `answered_only`, each is closed right after its next answer: a caller
-        whose statement is under way at that moment would get none.
-        """
+    def close_relays(self, effect: CloseRelays) -> None:
+        """Close relays for a shutdown."""
         for connection in list(self.connections.values()):
-            connection.close_idle_relay(answered_only=effect.answered_only)
+            connection.close_relay(effect.closing)
 
     async def watch_relays(self) -> None:
         """Give up the relays of holders that don't answer; never returns."""
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -10,7 +10,7 @@
     AskVms,
     CloseBackend,
     CloseCaller,
-    CloseIdleRelays,
+    CloseRelays,
     DirectState,
     Effect,
     Event,
@@ -118,7 +118,7 @@
         self._handlers = {
             AcceptCaller: callers.accept,
             RelayCaller: callers.relay,
-            CloseIdleRelays: callers.close_idle_relays,
+            CloseRelays: callers.close_relays,
             RefuseCaller: callers.refuse,
             ReplyCaller: callers.reply,
             CloseCaller: callers.close,
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import logging
+from collections import deque
 from dataclasses import dataclass, field
 
 from ..direct import (
+    Answer,
     Refusal,
     RelayActivity,
+    RelayedStatement,
     Statement,
     TransactionState,
     VmEntry,
+    choose_relay_answers,
     may_give_up,
 )
 from ._clock import read_clock
@@ -41,6 +45,14 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Line:
+    """A caller's line without an answer, and whether it was written to the holder."""
+
+    data: bytes
+    forwarded: bool
+
+
 class RelayProtocol(LineProtocol):
     """A relay's connection to a holder; it forwards lines unchanged both ways.
 
@@ -61,7 +73,10 @@
         self._session = session
         self._forwarding = False
         self._buffered_lines: list[bytes] = []
-        self._outstanding = 1
+        # The first line that awaits an answer is that of the connection itself.
+        self._unanswered: deque[_Line] = deque([_Line(data=b"", forwarded=True)])
+        self._partly_answered = False
+        self._detached = False
         self._state = TransactionState.NONE
         self._last_line = b""
         self._sent_at = 0.0
@@ -96,20 +111,30 @@
 
     @property
     def outstanding(self) -> int:
-        """Number of forwarded lines that the holder has not answered yet."""
-        return self._outstanding
+        """Number of lines that the holder has not answered yet."""
+        return len(self._unanswered)
 
     @property
     def idle(self) -> bool:
         """Whether neither a statement nor a transaction is open."""
-        return self._outstanding <= 0 and self._state is TransactionState.NONE
+        return not self._unanswered and self._state is TransactionState.NONE
+
+    @property
+    def rests_in_transaction(self) -> bool:
+        """Whether a transaction is open without a running statement."""
+        return not self._unanswered and self._state is not TransactionState.NONE
+
+    @property
+    def detached(self) -> bool:
+        """Whether the connection to the holder was closed by `detach`."""
+        return self._detached
 
     @property
     def activity(self) -> RelayActivity:
         """Recent traffic, by which a silent holder is found."""
         return RelayActivity(
             holder=self.holder.name,
-            waiting_since=self._sent_at if self._outstanding > 0 else None,
+            waiting_since=self._sent_at if self._unanswered else None,
             received_at=self._received_at,
         )
 
@@ -119,7 +144,7 @@
         Returns:
             whether it was closed.
         """
-        statement = self._find_statement() if self._outstanding > 0 else None
+        statement = self._find_statement() if self._unanswered else None
         if not may_give_up(statement, self._state):
             return False
         if self.transport is not None:
@@ -148,12 +173,17 @@
         )
 
     def forward(self, line: bytes) -> None:
-        """Forward a line of the caller to the holder."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        if self._outstanding <= 0:
+        """Forward a line of the caller to the holder.
+
+        One that can't be forwarded any more gets its answer from
+        `encode_missing_answers`.
+        """
+        forwarded = self.transport is not None and not self.transport.is_closing()
+        if not self._unanswered:
             self._sent_at = read_clock()
-        self._outstanding += 1
+        self._unanswered.append(_Line(data=line, forwarded=forwarded))
+        if not forwarded:
+            return
         self._last_line = line
         self.transport.write(line + LINE_END)
         if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
@@ -172,8 +202,12 @@
             # The holder's own line, by the same request, tells the cause.
             refusal = answer_line.refusal.value if answer_line.refusal else "unknown"
             self._log_statement(logging.INFO, "relayed_failure", refusal)
+        if answer_line.kind in (AnswerLineKind.DONE, AnswerLineKind.REFUSED):
+            self._partly_answered = True
         if answer_line.kind is AnswerLineKind.READY:
-            self._outstanding -= 1
+            if self._unanswered:
+                self._unanswered.popleft()
+            self._partly_answered = False
             self._state = answer_line.transaction
             if self._closing and self.idle:
                 self.close()
@@ -186,11 +220,46 @@
         """Report that the connection to the holder is lost."""
         self.transport = None
         self.answered.set()
-        if self._forwarding:
-            if self._outstanding > 0 and self._last_line:
+        if self._forwarding and not self._detached:
+            if self._unanswered and self._last_line:
                 self._log_statement(logging.WARNING, "relay_lost", repr(error))
             self._lost()
 
+    def detach(self) -> None:
+        """Close the connection to the holder, which rolls back a transaction there."""
+        self._detached = True
+        self.close()
+
+    def encode_missing_answers(self) -> bytes:
+        """Return the answers to the statements that the holder has not answered."""
+        parts = []
+        statements = []
+        for index, line in enumerate(self._unanswered):
+            message = self._codec.parse_caller_line(line.data)
+            if not isinstance(message, Statement):
+                continue
+            if index == 0 and self._partly_answered:
+                # The result was forwarded; only the end of the answer is missing.
+                parts.append(self._codec.encode_acceptance())
+                continue
+            relayed = RelayedStatement(statement=message, forwarded=line.forwarded)
+            statements.append(relayed)
+        self._unanswered.clear()
+        refusals = choose_relay_answers(statements, self._state)
+        for relayed, refusal in zip(statements, refusals, strict=True):
+            answer = Answer(refusal=refusal, detail="relay ended")
+            parts.append(self._codec.encode_answer(answer))
+            _log.info(
+                "event=relay_answered session=%d request=%s holder=%s forwarded=%s "
+                "outcome=%s",
+                self._session,
+                relayed.statement.request,
+                self.holder.name if self.holder is not None else "",
+                relayed.forwarded,
+                refusal.value,
+            )
+        return b"".join(parts)
+
     def close_after_answer(self) -> None:
         """Close the connection right after the next answer that leaves it idle."""
         self._closing = True
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -4,16 +4,23 @@
 import contextlib
 import os
 
+import pytest
+
 from siskinhold.direct import (
     AcceptCaller,
     Answer,
     CallerOpened,
     CallerStatement,
     CloseCaller,
+    CloseRelays,
     Refusal,
     RefuseCaller,
     RelayCaller,
+    RelayClosing,
+    RelayedStatement,
     ReplyCaller,
+    TransactionState,
+    choose_relay_answers,
 )
 from siskinhold.lines._callers import LineCallers
 from siskinhold.listener import open_listener
@@ -23,6 +30,8 @@
 
 CONNECT = b"CONNECT orders u1\r\n"
 
+READY = b"READY I -\r\n"
+
 LARGE_ROWS = tuple(f"{number:07d}" * 100 for number in range(4000))
 """Rows that fill the buffers of a connection."""
 
@@ -210,3 +219,122 @@
             vm.callers.refuse_callers()
             writer.write(CONNECT)
             assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
+
+
+class TestRelays:
+    async def relay(self, vm, holder, *lines: bytes):
+        """Relay a caller that sends some lines after it was accepted."""
+        reader, writer, session = await vm.connect(CONNECT)
+        vm.callers.relay(RelayCaller(session=session, holders=(holder,)))
+        assert await asyncio.wait_for(reader.readline(), 2) == READY
+        writer.write(b"".join(lines))
+        await asyncio.sleep(0.05)
+        return reader, writer
+
+    async def close_relays(self, vm, closing: RelayClosing) -> None:
+        """Carry out a step of a shutdown."""
+        vm.callers.close_relays(CloseRelays(closing=closing))
+
+    @pytest.mark.parametrize(
+        "line, code",
+        [
+            (b"QUERY 1 READ x\r\n", b"OVERLOAD"),
+            (b"QUERY 1 WRITE x 1\r\n", b"INDOUBT"),
+            (b"QUERY 1 EXECUTE s1 x\r\n", b"INDOUBT"),
+        ],
+    )
+    async def test_statement_at_the_holder_is_answered_at_the_end(self, line, code):
+        """Guards against a relayed statement that is cut off as its VM ends."""
+        async with run_vm() as vm, run_holder("a", READY, None) as holder:
+            reader, _ = await self.relay(vm, holder, line)
+            await self.close_relays(vm, RelayClosing.IDLE)
+            await asyncio.sleep(0.05)
+            assert not reader.at_eof()
+            await self.close_relays(vm, RelayClosing.ALL)
+            answer = b"ERROR " + code + b" relay ended\r\n" + READY
+            assert await read_all(reader) == answer
+
+    async def test_statement_of_a_lost_holder_is_answered(self):
+        """Guards against a connection that ends silently as its holder is lost."""
+        async with run_vm() as vm, run_holder("a", READY) as holder:
+            reader, writer = await self.relay(vm, holder)
+            (connection,) = vm.callers.connections.values()
+            writer.write(b"QUERY 1 READ x\r\nQUERY 2 WRITE x 1\r\n")
+            await asyncio.sleep(0.05)
+            connection.relay_connection.transport.abort()
+            received = await read_all(reader)
+            assert received.count(b"ERROR OVERLOAD") == 1
+            assert received.count(b"ERROR INDOUBT") == 1
+
+    async def test_rest_of_an_answer_is_completed(self):
+        """Guards against a second result for an answer that was cut off."""
+        answers = (READY, b"ROW one\r\nCOMPLETE a\r\n")
+        async with run_vm() as vm, run_holder("a", *answers) as holder:
+            reader, _ = await self.relay(vm, holder, b"QUERY 1 READ x\r\n")
+            await self.close_relays(vm, RelayClosing.ALL)
+            assert await read_all(reader) == answers[1] + READY
+
+    async def test_refused_connection_gets_no_further_line(self):
+        """Guards against an answer to nothing behind a holder's refusal."""
+        refusal = b"ERROR NODB orders\r\n"
+        async with run_vm() as vm, run_holder("a", refusal) as holder:
+            reader, _, session = await vm.connect(CONNECT)
+            vm.callers.relay(RelayCaller(session=session, holders=(holder,)))
+            assert await asyncio.wait_for(reader.readline(), 2) == refusal
+            (connection,) = vm.callers.connections.values()
+            connection.relay_connection.transport.abort()
+            assert await read_all(reader) == b""
+
+    async def test_idle_transaction_is_aborted_with_the_next_statement(self):
+        """Guards against a transaction whose COMMIT is cut off as its VM ends."""
+        answers = (READY, b"COMPLETE -\r\nREADY T -\r\n")
+        async with run_vm() as vm, run_holder("a", *answers) as holder:
+            reader, writer = await self.relay(vm, holder, b"QUERY 1 BEGIN\r\n")
+            await self.close_relays(vm, RelayClosing.TRANSACTIONS)
+            await asyncio.sleep(0.05)
+            writer.write(b"QUERY 2 COMMIT\r\n")
+            received = await read_all(reader)
+            assert received == answers[1] + b"ERROR ABORTED relay ended\r\n" + READY
+
+    async def test_statement_that_crosses_the_close_is_answered(self):
+        """Guards against a statement that is dropped once its relay is closing."""
+        async with run_vm() as vm, run_holder("a", READY) as holder:
+            reader, writer = await self.relay(vm, holder)
+            (connection,) = vm.callers.connections.values()
+            connection.relay_connection.close()
+            connection.handle_line(b"QUERY 1 WRITE x 1")
+            answer = b"ERROR OVERLOAD relay ended\r\n" + READY
+            assert await read_all(reader) == answer
+
+
+def find_relay_answers(state: TransactionState, *texts: str) -> list[Refusal]:
+    """Return the answers to statements; those after an empty text did not get far."""
+    relayed = []
+    forwarded = True
+    for text in texts:
+        if not text:
+            forwarded = False
+            continue
+        statement = WireCodec().parse_caller_line(f"QUERY 1 {text}".encode())
+        relayed.append(RelayedStatement(statement=statement, forwarded=forwarded))
+    return choose_relay_answers(relayed, state)
+
+
+class TestRelayAnswers:
+    def test_only_a_commit_makes_a_transaction_uncertain(self):
+        """Guards against "not run" for what a holder may have committed."""
+        found = find_relay_answers(TransactionState.OPEN, "WRITE x 1", "COMMIT")
+        assert found == [Refusal.IN_DOUBT, Refusal.IN_DOUBT]
+        found = find_relay_answers(TransactionState.OPEN, "WRITE x 1", "", "COMMIT")
+        assert found == [Refusal.ABORTED, Refusal.ABORTED]
+
+    def test_statements_after_a_transaction_stand_alone(self):
+        """Guards against an aborted transaction that had ended before."""
+        texts = ("ROLLBACK", "READ x", "WRITE x 1", "", "WRITE x 2")
+        found = find_relay_answers(TransactionState.OPEN, *texts)
+        assert found == [
+            Refusal.ABORTED,
+            Refusal.OVERLOAD,
+            Refusal.IN_DOUBT,
+            Refusal.OVERLOAD,
+        ]
