Let signals wait until a VM has started

A VM that got SIGTERM or SIGHUP while it started reset the connections of its callers, also of those whose lines it had read.

Cause: the process listens before the program is loaded, and serves callers before it installed its signal handlers; until then both signals kill it.

Change: handlers are installed before callers are served, and what they ask for is done once the service has started.

Evidence: test_stop_of_a_starting_vm_answers_its_callers and test_reload_of_a_starting_vm_keeps_its_callers failed on the code before (no answer, connection reset) and pass now.

--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -72,6 +72,9 @@
         self._read_fingerprint = fingerprint
         self._tasks: list[asyncio.Task] = []
         self._client: PlatformClient | None = None
+        self._started = False
+        self._shutdown_requested = False
+        self._reload_requested = False
 
     async def start(self) -> None:
         """Listen, and start the tasks that follow the store.
@@ -81,6 +84,7 @@
         """
         settings = self._settings
         loop = asyncio.get_running_loop()
+        self._catch_signals(loop)
         self._log = DecisionLog(vm=settings.name)
         logging.basicConfig(
             level=logging.WARNING,
@@ -125,9 +129,11 @@
         self.driver.start()
         for name, start in self._list_tasks(health).items():
             self._tasks.append(loop.create_task(keep_running(name, start)))
-        loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
-        loop.add_signal_handler(signal.SIGINT, self._begin_shutdown)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        self._started = True
+        if self._shutdown_requested:
+            self.driver.request_shutdown()
+        if self._reload_requested:
+            self._reload_settings()
         self._log_event(
             "started",
             pid=os.getpid(),
@@ -194,9 +200,17 @@
         health.begin_era()
         self.driver.report_era(era)
 
+    def _catch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Handle signals from now on; they take effect once the service has started."""
+        loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
+        loop.add_signal_handler(signal.SIGINT, self._begin_shutdown)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+
     def _begin_shutdown(self) -> None:
         """Begin a graceful shutdown."""
-        self.driver.request_shutdown()
+        self._shutdown_requested = True
+        if self._started:
+            self.driver.request_shutdown()
 
     async def _watch_settings(self) -> None:
         """Reload the settings whenever their file changes; never returns.
@@ -217,6 +231,9 @@
 
         Other changed settings are only logged; they apply after a restart.
         """
+        if not self._started:
+            self._reload_requested = True
+            return
         settings = self._reload()
         if settings is None:
             self._log_event("reload_failed", reason="settings_unreadable")
