Serve callers of a stopping VM up to 0.7 of the grace

Callers of VMs that were stopped together were refused 3 s after SIGTERM, though the VMs could still serve them, and a caller that had set a session value was disconnected before the statement that needs it.

Cause: callers and BEGIN were refused and transactions aborted from half of the grace on, and a session that was accepted after the notice was closed after its first answer, also one to SET or PREPARE.

Change: callers and BEGIN are refused from 0.7 of the grace on, and nothing is started from 0.8 on, when idle transactions are aborted; what runs is answered at 0.85. Answers to SET, PREPARE and DEALLOC end no session, and a session is idle only 0.3 s after its last statement or its start.

--- a/src/siskinhold/direct/_relays.py
+++ b/src/siskinhold/direct/_relays.py
@@ -79,16 +79,16 @@
 
     Attributes:
         ANSWERED: those that the next answer leaves idle.
+        IDLE: those without a running statement or an open transaction.
         TRANSACTIONS: those with an open transaction and no running statement. The
             holder rolls it back, and the caller's next statement is aborted.
-        IDLE: those without a running statement.
         ALL: those with a running statement, which is answered as in doubt if it may
             have an effect.
     """
 
     ANSWERED = 1
-    TRANSACTIONS = 2
-    IDLE = 3
+    IDLE = 2
+    TRANSACTIONS = 3
     ALL = 4
 
 
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -8,10 +8,21 @@
 """Answer to a successful statement that needs no backend server."""
 
 
-def reply(state: DirectState, session: Session, answer: Answer, out: Effects) -> None:
+def reply(
+    state: DirectState,
+    session: Session,
+    answer: Answer,
+    out: Effects,
+    *,
+    ends_session: bool = True,
+) -> None:
     """Answer the current statement of a session, with its transaction's state.
 
     A session that is to be closed is closed if it has no open transaction.
+
+    Args:
+        ends_session: False for an answer after which the caller will go on, as it has
+            only prepared what it wants to run.
     """
     session.active_at = state.now
     if state.shutdown_at is not None:
@@ -28,7 +39,7 @@
             ),
         )
     )
-    if session.closing and session.transaction is None:
+    if ends_session and session.closing and session.transaction is None:
         close_session(state, session, out)
 
 
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -31,7 +31,7 @@
     """Accept, relay or refuse a caller that has connected.
 
     While it is unknown which VM serves it, the caller waits for up to
-    `ADMISSION_TIMEOUT`. From the middle of a shutdown on it is refused at once.
+    `ADMISSION_TIMEOUT`. Late in a shutdown it is refused at once.
     """
     if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
         _refuse_for_shutdown(state, event.session, event.database, out)
@@ -301,13 +301,13 @@
 def _set(state, session: Session, statement: Statement, out: Effects) -> None:
     """Store a session value; connections get it before the next statement."""
     session.values[statement.name] = statement.value
-    reply(state, session, DONE, out)
+    reply(state, session, DONE, out, ends_session=False)
 
 
 def _prepare(state, session: Session, statement: Statement, out: Effects) -> None:
     """Store a prepared statement; a connection prepares it when it is executed."""
     session.prepared[statement.name] = (statement.writes, statement.shape)
-    reply(state, session, DONE, out)
+    reply(state, session, DONE, out, ends_session=False)
 
 
 def _deallocate(state, session: Session, statement: Statement, out: Effects) -> None:
@@ -315,7 +315,7 @@
     if session.prepared.pop(statement.name, None) is None:
         refuse(state, session, statement, Refusal.NO_STATEMENT, "not_prepared", out)
         return
-    reply(state, session, DONE, out)
+    reply(state, session, DONE, out, ends_session=False)
 
 
 def _execute(state, session: Session, statement: Statement, out: Effects) -> None:
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -6,15 +6,15 @@
 from ._runs import abandon_transaction
 from ._sessions import refuse_pending_callers
 from ._state import DirectState, Effects, Job, Session
-from ._stop_phases import StopPhase, find_stop_phase, limit_deadline
+from ._stop_phases import MIN_IDLE_PERIOD, StopPhase, find_stop_phase, limit_deadline
 
 MAX_CUT_LINES = 50
 """Log lines about statements that a shutdown cuts off."""
 
 _CLOSED_RELAYS = {
     StopPhase.DRAINING: RelayClosing.ANSWERED,
-    StopPhase.INTAKE_OVER: RelayClosing.TRANSACTIONS,
-    StopPhase.STARTS_OVER: RelayClosing.IDLE,
+    StopPhase.INTAKE_OVER: RelayClosing.IDLE,
+    StopPhase.STARTS_OVER: RelayClosing.TRANSACTIONS,
     StopPhase.ANSWERING: RelayClosing.ALL,
     StopPhase.ENDING: RelayClosing.ALL,
 }
@@ -52,14 +52,14 @@
     if phase is StopPhase.NONE or state.stopped:
         return
     if phase >= StopPhase.INTAKE_OVER:
-        _abort_idle_transactions(state, out)
         refuse_pending_callers(state, out)
     if phase >= StopPhase.STARTS_OVER:
+        _abort_idle_transactions(state, out)
         state.pending_updates.update(state.databases)
     if phase >= StopPhase.DRAINING:
         for session in state.sessions.values():
             session.closing = True
-            if _may_close(session, phase):
+            if _may_close(state, session, phase):
                 close_session(state, session, out)
         if state.relayed:
             out.append(CloseRelays(closing=_CLOSED_RELAYS[phase]))
@@ -77,13 +77,16 @@
         _stop(state, out)
 
 
-def _may_close(session: Session, phase: StopPhase) -> bool:
+def _may_close(state: DirectState, session: Session, phase: StopPhase) -> bool:
     """Return whether to close a session that waits for its caller."""
     if session.work is not None:
         return False
     if phase >= StopPhase.ANSWERING:
         return True
-    return phase >= StopPhase.STARTS_OVER and session.transaction is None
+    if phase < StopPhase.INTAKE_OVER or session.transaction is not None:
+        return False
+    idle = state.now - session.active_at
+    return idle >= MIN_IDLE_PERIOD or phase >= StopPhase.STARTS_OVER
 
 
 def _abort_idle_transactions(state: DirectState, out: Effects) -> None:
--- a/src/siskinhold/direct/_stop_phases.py
+++ b/src/siskinhold/direct/_stop_phases.py
@@ -8,19 +8,25 @@
 """Seconds until sessions are closed after their next answer: the load balancer needs
 two failed probes, at one per second, before it sends new callers elsewhere."""
 
-INTAKE_RATIO = 0.5
-"""Share of the grace period in which callers and transactions are accepted."""
+INTAKE_RATIO = 0.7
+"""Share of the grace period in which callers and transactions are accepted. Idle
+sessions are closed after it: a statement that is on its way at that moment gets no
+answer, so it comes late."""
 
-START_RATIO = 0.7
+START_RATIO = 0.8
 """Share of the grace period in which statements are started."""
 
-ANSWER_RATIO = 0.87
+ANSWER_RATIO = 0.85
 """Share of the grace period in which a started statement may end. What follows is left
 to send the answers."""
 
-STOP_RATIO = 0.93
+STOP_RATIO = 0.9
 """Share of the grace period after which the process stops in any case."""
 
+MIN_IDLE_PERIOD = 0.3
+"""Seconds without a statement after which a session counts as idle: a new caller sends
+its first one a round trip after it was accepted."""
+
 SHUTDOWN = "shutdown"
 """Reason of answers that are due to a shutdown."""
 
@@ -32,10 +38,10 @@
         NONE: no shutdown was requested.
         NOTICE: this VM is not ready, and serves as before.
         DRAINING: a session is closed after an answer that leaves it idle.
-        INTAKE_OVER: new callers and transactions are refused, and open transactions
-            without a running statement are aborted.
-        STARTS_OVER: statements that wait or arrive are refused, and idle sessions are
+        INTAKE_OVER: new callers and transactions are refused, and idle sessions are
             closed.
+        STARTS_OVER: statements that wait or arrive are refused, and open transactions
+            without a running statement are aborted.
         ANSWERING: running statements have been answered, and all sessions are closed.
         ENDING: the process stops.
     """
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -230,7 +230,7 @@
         relay.close_after_answer()
         if closing is RelayClosing.ALL:
             self._end_relay()
-        elif relay.idle and closing is RelayClosing.IDLE:
+        elif relay.idle and closing >= RelayClosing.IDLE:
             self._end_relay()
         elif relay.rests_in_transaction and closing >= RelayClosing.TRANSACTIONS:
             relay.detach()
