End a caller's connection only after all that has arrived is answered

A caller that sent SET and a write in one packet got only the first answer from a VM that was stopping, as did callers whose statement arrived while the VM was too slow to read it before it closed an idle session. A line that was rejected, too long or the 65th that waited, took the answer of the running statement with it, and a caller whose event had failed in the core was left without an end.

Cause: the end was decided within the call that handles the first line of a packet, before the rest of it and what waits in the socket was handled. Rejections did not wait for their turn, and the end that follows a failed event was taken for one that waits for an answer.

Change: the end waits for a pass of the event loop, in which the socket is read, and is dropped if a statement was read. A rejection waits for the answers before it, and its caller's further lines are ignored. The end after a failed event does not wait. A caller whose holder is still sought at the end is refused. A caller that is rejected for want of descriptors does not linger.

Evidence: found by a review with failing tests. The new tests of TestLinesReadAhead and TestEnds fail without the change and pass with it.

--- a/src/siskinhold/direct/_containment.py
+++ b/src/siskinhold/direct/_containment.py
@@ -33,7 +33,7 @@
         )
     )
     if isinstance(event, CALLER_EVENTS):
-        out.append(CloseCaller(session=event.session))
+        out.append(CloseCaller(session=event.session, unanswered=True))
         return
     if not isinstance(event, BACKEND_EVENTS):
         return
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -47,9 +47,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class CloseCaller:
-    """Close a caller's connection after sending all buffered output."""
+    """Close a caller's connection after sending all buffered output.
+
+    Args:
+        unanswered: whether to close it though a statement that was read has no answer;
+            otherwise the effect is repeated after that answer.
+    """
 
     session: int
+    unanswered: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -52,6 +52,8 @@
         self._relaying = False
         self._opened_at = 0.0
         self._write_ended = False
+        self._finishing = False
+        self._rejection = ""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Refuse the connection if there are too many."""
@@ -61,7 +63,8 @@
             reason = "too_many_connections"
             _log.warning("event=caller_rejected reason=%s", reason)
             self.write(self._callers.codec.encode_refusal(Refusal.OVERLOAD, reason))
-            self.finish()
+            # It would take a descriptor while it lingers.
+            self.close()
             return
         self._callers.open.add(self)
 
@@ -95,7 +98,7 @@
         Until the caller is accepted or relayed, and while a statement runs, further
         lines wait; each is handled after the answer to the one before.
         """
-        if self._write_ended:
+        if self._write_ended or self._rejection:
             return
         if self._relay is not None:
             self._relay.forward(line)
@@ -112,6 +115,8 @@
         """Handle the lines that waited, up to the next one that takes time."""
         while self._lines_ahead and not self._busy and not self._write_ended:
             self._handle_message(self._lines_ahead.popleft())
+        if self._rejection and not self._busy:
+            self._reject_line(self._rejection)
 
     def _handle_message(self, line: bytes) -> None:
         """Handle a line of a caller that is not relayed."""
@@ -137,9 +142,7 @@
             self._reject_line("second_hello")
             return
         if self._callers.refusing:
-            reason = "shutdown"
-            self.write(self._callers.codec.encode_refusal(Refusal.OVERLOAD, reason))
-            self.finish()
+            self._refuse_for_shutdown()
             return
         self._busy = True
         self._session = self._callers.allocate_session()
@@ -159,6 +162,12 @@
         self.write(self._callers.codec.encode_acceptance())
         self._handle_lines_ahead()
 
+    def _refuse_for_shutdown(self) -> None:
+        """Refuse a caller that was neither accepted nor relayed."""
+        refusal = Refusal.OVERLOAD
+        self.write(self._callers.codec.encode_refusal(refusal, "shutdown"))
+        self.finish()
+
     async def relay(self, effect: RelayCaller) -> None:
         """Relay the connection to the first connection holder that accepts it.
 
@@ -181,7 +190,7 @@
             )
         if relay is None:
             return
-        if self.transport is None:
+        if self.transport is None or self._write_ended:
             relay.close()
             return
         self._relay = relay
@@ -226,6 +235,8 @@
         """Close a relayed connection if a shutdown demands it, or after an answer."""
         relay = self._relay
         if relay is None:
+            if self._relaying and closing is RelayClosing.ALL:
+                self._refuse_for_shutdown()
             return
         relay.close_after_answer()
         if closing is RelayClosing.ALL:
@@ -245,12 +256,19 @@
     def _submit_statement(self, statement: Statement) -> None:
         """Emit a statement; later lines wait until it is answered."""
         self._busy = True
+        self._finishing = False
         self._callers.emit(
             CallerStatement(at=read_clock(), session=self._session, statement=statement)
         )
 
     def _reject_line(self, reason: str) -> None:
-        """Refuse the caller's line and end the connection."""
+        """Refuse the caller's line and end the connection.
+
+        Statements before that line are answered first.
+        """
+        if self._busy and self._relay is None:
+            self._rejection = reason
+            return
         _log.warning(
             "event=caller_line_rejected session=%d reason=%s", self._session, reason
         )
@@ -264,8 +282,17 @@
         self._handle_lines_ahead()
 
     def finish_if_answered(self) -> None:
-        """End the connection unless a statement that was read has no answer yet."""
-        if not self.unanswered:
+        """End the connection unless a statement has arrived that has no answer yet.
+
+        What waits in the socket is read first, which takes a pass of the event loop.
+        """
+        self._finishing = True
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._finish_unless_used)
+
+    def _finish_unless_used(self) -> None:
+        """End the connection if no further statement has arrived."""
+        if self._finishing and not self.unanswered:
             self.finish()
 
     def write(self, data: bytes) -> None:
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -35,7 +35,10 @@
 """Seconds between two searches for holders that owe an answer."""
 
 EXIT_PERIOD = 0.2
-"""Seconds that callers have to receive what was written before the process ends."""
+"""Seconds that callers have to take what was written before the process ends."""
+
+CLOSE_PERIOD = 0.05
+"""Seconds that callers then have to close their connections."""
 
 EXIT_CHECK_INTERVAL = 0.01
 """Seconds between two checks whether they have."""
@@ -214,24 +217,30 @@
             connection.answer(effect.answer)
 
     def close(self, effect: CloseCaller) -> None:
-        """End a caller's connection, unless it has sent a further statement.
-
-        The core repeats the effect after that statement's answer.
-        """
+        """End a caller's connection, as the effect demands."""
         connection = self.connections.get(effect.session)
-        if connection is not None:
+        if connection is None:
+            return
+        if effect.unanswered:
+            connection.finish()
+        else:
             connection.finish_if_answered()
 
     async def stop(self) -> None:
         """Stop listening and end all connections, with a line on what is lost.
 
-        Callers have `EXIT_PERIOD` to receive what was written.
+        Callers have `EXIT_PERIOD` to take what was written, and `CLOSE_PERIOD` to close
+        their side.
         """
         self.refuse_callers()
         for connection in list(self.open):
             connection.finish()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(EXIT_PERIOD):
+                while any(connection.unsent for connection in self.open):
+                    await asyncio.sleep(EXIT_CHECK_INTERVAL)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_PERIOD):
                 while self.open:
                     await asyncio.sleep(EXIT_CHECK_INTERVAL)
         unanswered = unsent = 0
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -164,6 +164,34 @@
             vm.reply(session, "one")
             assert b"ROW one" in await read_all(reader)
 
+    async def test_packet_of_statements_that_are_answered_at_once(self):
+        """Guards against a close before all lines of a packet were handled."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+
+            def answer_and_close(event):
+                vm.reply(session)
+                vm.close(session)
+
+            vm.on_statement = answer_and_close
+            writer.write(b"QUERY 1 SET a 1\r\n" * 5)
+            assert (await read_all(reader)).count(b"COMPLETE") == 5
+
+    async def test_rejected_line_does_not_overtake_an_answer(self):
+        """Guards against a running statement without an answer behind a bad line."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            writer.write(b"QUERY 1 READ x\r\n" * 70)
+            await vm.wait_for_statements(1)
+            await asyncio.sleep(0.05)
+            vm.on_statement = lambda event: vm.reply(session, "row")
+            vm.reply(session, "row")
+            received = await read_all(reader)
+            assert received.count(b"COMPLETE") == 65
+            assert received.endswith(b"ERROR MALFORMED too_many_statements_ahead\r\n")
+
 
 class TestEnds:
     async def test_answer_outlasts_a_close_with_unread_bytes(self):
@@ -176,7 +204,7 @@
             def answer_and_close(event):
                 os.write(descriptor, b"QUERY 2 READ y\r\n")
                 vm.reply(session, *LARGE_ROWS)
-                vm.close(session)
+                vm.callers.close(CloseCaller(session=session, unanswered=True))
 
             vm.on_statement = answer_and_close
             writer.write(b"QUERY 1 READ x\r\n")
@@ -185,6 +213,33 @@
             assert received.endswith(b"COMPLETE -\r\nREADY I -\r\n")
             assert len(vm.statements) == 1
 
+    async def test_statement_that_arrives_with_the_answer_is_answered(self):
+        """Guards against a close that drops what waits in the socket."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            descriptor = writer.get_extra_info("socket").fileno()
+
+            def answer_and_close(event):
+                if len(vm.statements) == 1:
+                    os.write(descriptor, b"QUERY 2 READ y\r\n")
+                vm.reply(session, "one")
+                vm.close(session)
+
+            vm.on_statement = answer_and_close
+            writer.write(b"QUERY 1 READ x\r\n")
+            assert (await read_all(reader)).count(b"COMPLETE") == 2
+
+    async def test_failed_event_ends_the_connection(self):
+        """Guards against a caller that waits though its statement failed to be read."""
+        async with run_vm() as vm:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.accept(session)
+            writer.write(b"QUERY 1 READ x\r\n")
+            await vm.wait_for_statements(1)
+            vm.callers.close(CloseCaller(session=session, unanswered=True))
+            assert await read_all(reader) == READY
+
     async def test_refusal_outlasts_unread_bytes(self):
         """Guards against a refused caller that sees only a reset."""
         async with run_vm() as vm:
@@ -296,6 +351,15 @@
             received = await read_all(reader)
             assert received == answers[1] + b"ERROR ABORTED relay ended\r\n" + READY
 
+    async def test_caller_whose_holder_is_sought_is_refused_at_the_end(self):
+        """Guards against a caller without an answer as its VM ends."""
+        async with run_vm() as vm, run_holder("a", None) as holder:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.callers.relay(RelayCaller(session=session, holders=(holder,)))
+            await asyncio.sleep(0.05)
+            await self.close_relays(vm, RelayClosing.ALL)
+            assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
+
     async def test_statement_that_crosses_the_close_is_answered(self):
         """Guards against a statement that is dropped once its relay is closing."""
         async with run_vm() as vm, run_holder("a", READY) as holder:
