Answer a relayed write as in doubt where it may stand alone

A relaying VM could answer a single write as aborted though its holder had committed it: behind a COMMIT or ROLLBACK whose result, but not its end, had arrived, and behind a BEGIN without an answer, which may have been refused.

Cause: the missing answers were chosen by the transaction's state before the first of them, and BEGIN was taken to succeed.

Change: a result that was forwarded moves the state on, and a write behind an unanswered BEGIN is in doubt. The end of an answer in a transaction reports that it has failed. Lines behind a refused connection get no answer.

Evidence: found by a review; the three new tests fail without the change.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -72,6 +72,7 @@
     RelayClosing,
     RelayedStatement,
     choose_relay_answers,
+    find_next_state,
     find_silent_holders,
     may_give_up,
 )
@@ -174,6 +175,7 @@
     "choose_relay_answers",
     "compute_tick_delay",
     "reduce",
+    "find_next_state",
     "find_silent_holders",
     "may_give_up",
     "needs_servers",
--- a/src/siskinhold/direct/_relays.py
+++ b/src/siskinhold/direct/_relays.py
@@ -104,6 +104,15 @@
     forwarded: bool
 
 
+def find_next_state(statement: Statement, state: TransactionState) -> TransactionState:
+    """Return the state of a caller's transaction after a statement that was run."""
+    if statement.kind is StatementKind.BEGIN:
+        return TransactionState.OPEN
+    if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+        return TransactionState.NONE
+    return state
+
+
 def choose_relay_answers(
     statements: list[RelayedStatement], state: TransactionState
 ) -> list[Refusal]:
@@ -117,6 +126,8 @@
         state: state of the caller's transaction before the first one.
     """
     commits = False
+    # A BEGIN without an answer may have been refused.
+    began = True
     for relayed in statements:
         if relayed.forwarded and relayed.statement.kind is StatementKind.COMMIT:
             commits = True
@@ -125,7 +136,7 @@
         kind = relayed.statement.kind
         in_transaction = state is not TransactionState.NONE
         writes = kind in (StatementKind.WRITE, StatementKind.EXECUTE)
-        if in_transaction:
+        if in_transaction and began:
             uncertain = commits
         else:
             uncertain = writes or kind is StatementKind.COMMIT
@@ -136,7 +147,6 @@
         else:
             refusals.append(Refusal.OVERLOAD)
         if kind is StatementKind.BEGIN:
-            state = TransactionState.OPEN
-        elif kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
-            state = TransactionState.NONE
+            began = False
+        state = find_next_state(relayed.statement, state)
     return refusals
--- a/src/siskinhold/lines/_codec.py
+++ b/src/siskinhold/lines/_codec.py
@@ -86,6 +86,14 @@
     def encode_acceptance(self) -> bytes:
         """Return the line that accepts a caller's connection."""
 
+    @abc.abstractmethod
+    def encode_ready(self, *, failed: bool) -> bytes:
+        """Return the line that ends an answer whose result was sent before.
+
+        Args:
+            failed: whether the caller is in a transaction, which has failed.
+        """
+
     @abc.abstractmethod
     def encode_refusal(self, refusal: Refusal, detail: str) -> bytes:
         """Return the line that refuses a caller's connection or a line of a caller."""
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -14,6 +14,7 @@
     TransactionState,
     VmEntry,
     choose_relay_answers,
+    find_next_state,
     may_give_up,
 )
 from ._clock import read_clock
@@ -234,13 +235,18 @@
         """Return the answers to the statements that the holder has not answered."""
         parts = []
         statements = []
+        if self._unanswered and not self._unanswered[0].data:
+            # The holder refused the connection.
+            self._unanswered.clear()
         for index, line in enumerate(self._unanswered):
             message = self._codec.parse_caller_line(line.data)
             if not isinstance(message, Statement):
                 continue
             if index == 0 and self._partly_answered:
                 # The result was forwarded; only the end of the answer is missing.
-                parts.append(self._codec.encode_acceptance())
+                self._state = find_next_state(message, self._state)
+                failed = self._state is not TransactionState.NONE
+                parts.append(self._codec.encode_ready(failed=failed))
                 continue
             relayed = RelayedStatement(statement=message, forwarded=line.forwarded)
             statements.append(relayed)
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -360,6 +360,26 @@
             await self.close_relays(vm, RelayClosing.ALL)
             assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
 
+    async def test_rest_of_an_answer_in_a_transaction_reports_its_failure(self):
+        """Guards against a transaction that is reported as ended while rolled back."""
+        answers = (READY, b"COMPLETE -\r\nREADY T -\r\n", b"COMPLETE a\r\n")
+        lines = (b"QUERY 1 BEGIN\r\n", b"QUERY 2 WRITE x 1\r\n")
+        async with run_vm() as vm, run_holder("a", *answers) as holder:
+            reader, _ = await self.relay(vm, holder, *lines)
+            await self.close_relays(vm, RelayClosing.ALL)
+            received = await read_all(reader)
+            assert received == answers[1] + answers[2] + b"READY E -\r\n"
+
+    @pytest.mark.parametrize("text", ["COMMIT", "ROLLBACK"])
+    async def test_write_behind_a_partly_answered_end_is_in_doubt(self, text):
+        """Guards against "aborted" for a single write behind a transaction."""
+        answers = (READY, b"COMPLETE -\r\nREADY T -\r\n", b"COMPLETE a\r\n", None)
+        lines = (f"QUERY 2 {text}\r\n".encode(), b"QUERY 3 WRITE x 1\r\n")
+        async with run_vm() as vm, run_holder("a", *answers) as holder:
+            reader, _ = await self.relay(vm, holder, b"QUERY 1 BEGIN\r\n", *lines)
+            await self.close_relays(vm, RelayClosing.ALL)
+            assert b"ERROR INDOUBT" in await read_all(reader)
+
     async def test_statement_that_crosses_the_close_is_answered(self):
         """Guards against a statement that is dropped once its relay is closing."""
         async with run_vm() as vm, run_holder("a", READY) as holder:
@@ -392,6 +412,11 @@
         found = find_relay_answers(TransactionState.OPEN, "WRITE x 1", "", "COMMIT")
         assert found == [Refusal.ABORTED, Refusal.ABORTED]
 
+    def test_write_behind_a_begin_that_may_have_been_refused_is_in_doubt(self):
+        """Guards against "aborted" for a write that may have run on its own."""
+        found = find_relay_answers(TransactionState.NONE, "BEGIN", "WRITE x 1")
+        assert found == [Refusal.OVERLOAD, Refusal.IN_DOUBT]
+
     def test_statements_after_a_transaction_stand_alone(self):
         """Guards against an aborted transaction that had ended before."""
         texts = ("ROLLBACK", "READ x", "WRITE x 1", "", "WRITE x 2")
