Keep a shutdown's promises through reloads, pauses and failing duties

A stop could still leave statements without an answer: if a reload shortened the grace meanwhile, if a pause of the process let the answers and the end fall into one tick, or if a periodic duty failed in each tick. A write that was sent along with a BEGIN which the stop refused ran as a single write. SIGTERM during the load of the program reset the callers that waited in the backlog, and one during the start counted the grace from the end of the start. Reads were hedged after the time up to which statements are started.

Cause: the phases followed the grace in force instead of the one at SIGTERM, the process ended in the tick that gave the last answers, and the shutdown was the last duty of a tick. A refused BEGIN left no transaction.

Change: the grace is that of the request, which counts from the signal. The last phase answers whatever still runs and ends the process 20 ms later; the shutdown advances after a failure of other duties. A refused BEGIN opens a failed transaction, so that what follows is aborted. Signals that end the process are blocked from before it listens until they are handled.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -137,6 +137,8 @@
 
     If no connection is free for a read, one more is opened.
     """
+    if find_stop_phase(state) >= StopPhase.STARTS_OVER:
+        return
     for job in list_overdue_reads(state, database):
         first = job.connections[0]
         after = None
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -268,9 +268,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class ShutdownRequested:
-    """A graceful shutdown of the VM was requested."""
+    """A graceful shutdown of the VM was requested.
+
+    Args:
+        requested_at: when it was, if that was before the VM had started.
+    """
 
     at: float
+    requested_at: float | None = None
 
 
 Event = (
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -58,6 +58,7 @@
 )
 from ._shutdown import advance_shutdown, request_shutdown, stop_if_idle
 from ._state import Database, DirectState, Effects, JobState
+from ._stop_phases import StopPhase, find_stop_phase
 from ._suspicions import handle_suspicions
 
 BUSY_TICK_INTERVAL = 0.02
@@ -113,6 +114,8 @@
 
 def compute_tick_delay(state: DirectState) -> float:
     """Return the number of seconds until the next `TimeAdvanced` is due."""
+    if find_stop_phase(state) >= StopPhase.STARTS_OVER:
+        return BUSY_TICK_INTERVAL
     for database in state.databases.values():
         if database.queue or database.unconfirmed or database.promotion:
             return BUSY_TICK_INTERVAL
@@ -249,6 +252,15 @@
     state.tick_skipped = state.now < state.work_resumes_at
     if state.tick_skipped:
         return
+    try:
+        _do_periodic_work(state, out)
+    finally:
+        advance_shutdown(state, out)
+        _update_readiness(state, out)
+
+
+def _do_periodic_work(state: DirectState, out: Effects) -> None:
+    """Do the periodic work but for the shutdown."""
     maintain_servers(state, out)
     register_again(state, out)
     refresh_vms(state, out)
@@ -262,8 +274,6 @@
         busy = database.queue or database.unconfirmed
         if busy or state.now - database.last_read_at < 2.0:
             state.pending_updates.add(database.name)
-    advance_shutdown(state, out)
-    _update_readiness(state, out)
 
 
 def _expire_overdue(state: DirectState, out: Effects) -> None:
@@ -322,5 +332,5 @@
     SuspicionsAnswered: handle_suspicions,
     PromotionAnswered: handle_promotion_answer,
     TimeAdvanced: _handle_tick,
-    ShutdownRequested: lambda state, event, out: request_shutdown(state, out),
+    ShutdownRequested: request_shutdown,
 }
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -9,7 +9,7 @@
     choose_relay_targets,
     knows_vms,
 )
-from ._replies import DONE, refuse, reply
+from ._replies import DONE, close_session, refuse, reply
 from ._runs import abandon_transaction
 from ._state import (
     DirectState,
@@ -254,20 +254,25 @@
     if session.transaction is not None:
         refuse(state, session, statement, Refusal.MALFORMED, "nested_begin", out)
         return
-    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
-        refuse(state, session, statement, Refusal.OVERLOAD, SHUTDOWN, out)
-        return
     route = _find_route(state, session.database)
     if route is None:
         refuse(state, session, statement, Refusal.NO_DATABASE, "no_route", out)
         return
-    session.transaction = Transaction(
+    transaction = Transaction(
         session=session,
         route=route,
         read_only=statement.read_only,
         began_at=state.now,
         active_at=state.now,
     )
+    session.transaction = transaction
+    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
+        # Statements that were sent along with it must not run on their own.
+        transaction.failed = True
+        transaction.failure_unreported = True
+        refuse(state, session, statement, Refusal.OVERLOAD, SHUTDOWN, out)
+        close_session(state, session, out)
+        return
     reply(state, session, DONE, out)
 
 
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,6 +1,8 @@
 """Graceful shutdown, which answers every statement that was read before the end."""
 
 from ._effects import AnnounceReadiness, CloseRelays, Log, Stop
+from ._events import ShutdownRequested
+from ._losses import expire_job
 from ._relays import RelayClosing
 from ._replies import close_session
 from ._runs import abandon_transaction
@@ -8,6 +10,9 @@
 from ._state import DirectState, Effects, Job, Session
 from ._stop_phases import MIN_IDLE_PERIOD, StopPhase, find_stop_phase, limit_deadline
 
+ENDING_PERIOD = 0.02
+"""Seconds in which what was read behind the last answers is answered, too."""
+
 MAX_CUT_LINES = 50
 """Log lines about statements that a shutdown cuts off."""
 
@@ -20,11 +25,16 @@
 }
 
 
-def request_shutdown(state: DirectState, out: Effects) -> None:
+def request_shutdown(
+    state: DirectState, event: ShutdownRequested, out: Effects
+) -> None:
     """Start a graceful shutdown: report this VM as not ready, but stay in service."""
     if state.shutdown_at is not None:
         return
     state.shutdown_at = state.now
+    if event.requested_at is not None:
+        state.shutdown_at = event.requested_at
+    state.stop_grace = state.grace
     state.ready = False
     for session in state.sessions.values():
         job = session.work
@@ -64,9 +74,21 @@
         if state.relayed:
             out.append(CloseRelays(closing=_CLOSED_RELAYS[phase]))
     if phase is StopPhase.ENDING:
-        _stop(state, out)
-    else:
-        stop_if_idle(state, out)
+        _answer_all(state, out)
+        if state.ending_at is None:
+            state.ending_at = state.now
+        if state.now - state.ending_at >= ENDING_PERIOD:
+            _stop(state, out)
+            return
+    stop_if_idle(state, out)
+
+
+def _answer_all(state: DirectState, out: Effects) -> None:
+    """Answer all statements that still have none, and close their sessions."""
+    for session in list(state.sessions.values()):
+        if session.work is not None:
+            expire_job(state, session.work, out)
+        close_session(state, session, out)
 
 
 def stop_if_idle(state: DirectState, out: Effects) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -343,6 +343,8 @@
         relayed: sessions that are relayed to a holder.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
+        stop_grace: the grace period when it was requested.
+        ending_at: when all statements were answered for its end, None before.
         stop_counts: what has happened since then.
         stopped: whether the end of the process was ordered.
         pending_updates: names of databases whose queue and unconfirmed answers have to
@@ -389,6 +391,8 @@
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
+    stop_grace: float = 0.0
+    ending_at: float | None = None
     stop_counts: StopCounts = field(default_factory=StopCounts)
     stopped: bool = False
     pending_updates: set[str] = field(default_factory=set)
--- a/src/siskinhold/direct/_stop_phases.py
+++ b/src/siskinhold/direct/_stop_phases.py
@@ -61,11 +61,11 @@
         return StopPhase.NONE
     elapsed = state.now - state.shutdown_at
     ends = (
-        (min(DRAIN_NOTICE_PERIOD, state.grace * INTAKE_RATIO), StopPhase.NOTICE),
-        (state.grace * INTAKE_RATIO, StopPhase.DRAINING),
-        (state.grace * START_RATIO, StopPhase.INTAKE_OVER),
-        (state.grace * ANSWER_RATIO, StopPhase.STARTS_OVER),
-        (state.grace * STOP_RATIO, StopPhase.ANSWERING),
+        (min(DRAIN_NOTICE_PERIOD, state.stop_grace * INTAKE_RATIO), StopPhase.NOTICE),
+        (state.stop_grace * INTAKE_RATIO, StopPhase.DRAINING),
+        (state.stop_grace * START_RATIO, StopPhase.INTAKE_OVER),
+        (state.stop_grace * ANSWER_RATIO, StopPhase.STARTS_OVER),
+        (state.stop_grace * STOP_RATIO, StopPhase.ANSWERING),
     )
     for end, phase in ends:
         if elapsed < end:
@@ -77,4 +77,4 @@
     """Return a statement's deadline, limited by when a shutdown answers it."""
     if state.shutdown_at is None:
         return deadline
-    return min(deadline, state.shutdown_at + state.grace * ANSWER_RATIO)
+    return min(deadline, state.shutdown_at + state.stop_grace * ANSWER_RATIO)
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -158,10 +158,14 @@
         """Report a newer era of the store to the core."""
         self.emit(StoreEraBegan(at=read_clock(), era=era))
 
-    def request_shutdown(self) -> None:
-        """Begin a graceful shutdown; `stopped` is set when it is complete."""
+    def request_shutdown(self, requested_at: float | None = None) -> None:
+        """Begin a graceful shutdown; `stopped` is set when it is complete.
+
+        Args:
+            requested_at: when it was requested, now by default.
+        """
         self._callers.stop_accepting_relays()
-        self.emit(ShutdownRequested(at=read_clock()))
+        self.emit(ShutdownRequested(at=read_clock(), requested_at=requested_at))
 
     def emit(self, event: Event) -> None:
         """Reduce an event and carry out its effects.
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -13,6 +13,7 @@
 from prometheus_client import CollectorRegistry
 
 from ..direct import DirectState, Log, VmEntry, VmSettings, needs_servers
+from ..listener import STOP_SIGNALS
 from ..observability import Metrics
 from ._backends import LineBackends
 from ._callers import LineCallers
@@ -50,6 +51,8 @@
         fingerprint: returns a value that changes with the settings file, None if it is
             unreadable.
         listener: socket that already listens for callers; by default one is opened.
+        signals_blocked_at: when the process began to block `STOP_SIGNALS`, by
+            `read_clock`; None if it does not.
     """
 
     def __init__(
@@ -62,8 +65,10 @@
         reload,
         fingerprint,
         listener: socket.socket | None = None,
+        signals_blocked_at: float | None = None,
     ) -> None:
         self._listener = listener
+        self._signals_blocked_at = signals_blocked_at
         self._settings = settings
         self._codec = codec
         self._make_client = make_client
@@ -73,7 +78,7 @@
         self._tasks: list[asyncio.Task] = []
         self._client: PlatformClient | None = None
         self._started = False
-        self._shutdown_requested = False
+        self._shutdown_requested_at: float | None = None
         self._reload_requested = False
 
     async def start(self) -> None:
@@ -130,8 +135,8 @@
         for name, start in self._list_tasks(health).items():
             self._tasks.append(loop.create_task(keep_running(name, start)))
         self._started = True
-        if self._shutdown_requested:
-            self.driver.request_shutdown()
+        if self._shutdown_requested_at is not None:
+            self.driver.request_shutdown(self._shutdown_requested_at)
         if self._reload_requested:
             self._reload_settings()
         self._log_event(
@@ -202,15 +207,20 @@
 
     def _catch_signals(self, loop: asyncio.AbstractEventLoop) -> None:
         """Handle signals from now on; they take effect once the service has started."""
-        loop.add_signal_handler(signal.SIGTERM, self._begin_shutdown)
-        loop.add_signal_handler(signal.SIGINT, self._begin_shutdown)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self._begin_shutdown)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        if STOP_SIGNALS & signal.sigpending():
+            # It may have been sent as early as the process began to block it.
+            self._shutdown_requested_at = self._signals_blocked_at
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
 
     def _begin_shutdown(self) -> None:
         """Begin a graceful shutdown."""
-        self._shutdown_requested = True
         if self._started:
             self.driver.request_shutdown()
+        elif self._shutdown_requested_at is None:
+            self._shutdown_requested_at = read_clock()
 
     async def _watch_settings(self) -> None:
         """Reload the settings whenever their file changes; never returns.
--- a/src/siskinhold/listener.py
+++ b/src/siskinhold/listener.py
@@ -1,11 +1,16 @@
-"""The listening socket for callers.
+"""The listening socket for callers, and the signals that end its process.
 
 Imports only the standard library, because a program may open the socket before it
 imports the rest.
 """
 
+import signal
 import socket
 
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+"""Signals that end the process gracefully. A program that opens the socket early blocks
+them until then, and the service unblocks them."""
+
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 
--- a/tests/direct/test_direct_stops.py
+++ b/tests/direct/test_direct_stops.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from siskinhold.direct import ConfigurationRead, Refusal, TransactionState
+from siskinhold.direct import (
+    ConfigurationRead,
+    Refusal,
+    ShutdownRequested,
+    TransactionState,
+    _reducer,
+)
 
 from .world import World
 
@@ -164,10 +170,23 @@
         world.advance(INTAKE_PERIOD + 0.001)
         answer = world.execute("vm1", 1, "BEGIN")
         assert answer.refusal is Refusal.OVERLOAD
-        assert answer.transaction is TransactionState.NONE
+        assert answer.transaction is TransactionState.FAILED
         world.advance(0.1)
         assert ("vm1", 1, None) in world.closed
 
+    def test_statement_behind_a_refused_begin_does_not_run(self):
+        """Guards against a single write that its caller sent in a transaction."""
+        world = start()
+        world.connect("vm1", 1)
+        world.shut_down("vm1")
+        world.advance(INTAKE_PERIOD + 0.001)
+        for text in ("BEGIN", "WRITE x 1", "COMMIT"):
+            world.send_statement("vm1", 1, text)
+        world.advance(0.1)
+        refusals = [answer.refusal for _, answer in world.replies["vm1", 1]]
+        assert refusals == [Refusal.OVERLOAD, Refusal.ABORTED, Refusal.ABORTED]
+        assert not world.servers["s1"].commits
+
     def test_pending_callers_are_refused(self):
         """Guards against a caller that waits for the configuration of an ended VM."""
         world = start()
@@ -206,6 +225,42 @@
         world.advance(1.5)
         assert "vm1" in world.stopped
 
+    def test_shorter_grace_in_a_reload_cuts_nothing_off(self):
+        """Guards against a running statement that outlasts the new grace."""
+        world = start()
+        change_timeout(world, 8.0)
+        world.connect("vm1", 1)
+        world.servers["s1"].statement_time = 9.0
+        world.shut_down("vm1")
+        world.send_statement("vm1", 1, "WRITE x 1")
+        world.states["vm1"].grace = 3.0
+        world.advance(GRACE)
+        assert world.replies["vm1", 1][-1][1].refusal is Refusal.IN_DOUBT
+        assert not world.find_logs("cut")
+
+    def test_failing_periodic_work_does_not_keep_the_vm(self, monkeypatch):
+        """Guards against a VM that has to be killed as one of its duties fails."""
+        world = start()
+        world.connect("vm1", 1)
+
+        def fail(state, out):
+            raise RuntimeError("duty failed")
+
+        monkeypatch.setattr(_reducer, "watch_primaries", fail)
+        world.shut_down("vm1")
+        world.advance(GRACE)
+        assert "vm1" in world.stopped
+
+    def test_grace_counts_from_a_signal_during_the_start(self):
+        """Guards against a process that outlasts a grace that began earlier."""
+        world = start()
+        world.connect("vm1", 1)
+        world.execute("vm1", 1, "BEGIN")
+        event = ShutdownRequested(at=world.now, requested_at=world.now - 1.5)
+        world.dispatch("vm1", event)
+        world.advance(GRACE - 1.5)
+        assert "vm1" in world.stopped
+
 
 class TestReport:
     def test_counts_what_was_answered(self):
--- a/tests/users_platform/test_signals_at_start.py
+++ b/tests/users_platform/test_signals_at_start.py
@@ -62,6 +62,20 @@
             client.close()
             assert await asyncio.wait_for(vm.process.wait(), 6) == 0
 
+    async def test_stop_of_a_loading_program_answers_its_callers(self, tmp_path):
+        """Guards against SIGTERM that resets callers that wait for the program."""
+        gate = tmp_path / "gate"
+        async with run_deployment(tmp_path) as (deployment, (vm,)):
+            await start_again(vm, tmp_path, SLOW_MODULE.format(gate=str(gate)))
+            client = await open_caller(vm)
+            vm.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            gate.touch()
+            assert await client.read_line() == "READY I -"
+            assert (await client.execute("READ x"))[0] == "ROW none"
+            client.close()
+            assert await asyncio.wait_for(vm.process.wait(), 6) == 0
+
     async def test_reload_of_a_starting_vm_keeps_its_callers(self, tmp_path):
         """Guards against SIGHUP that kills a process with waiting callers."""
         gate = tmp_path / "gate"
