--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -196,6 +196,8 @@
             connection.values = {}
         elif kind is CommandKind.SET:
             connection.values[command.name] = command.value
+        elif kind is CommandKind.PREPARE:
+            connection.prepared[command.name] = command.value
         elif kind in (CommandKind.RUN, CommandKind.EXECUTE):
             end, refusal, rows = self._run_statement(connection, command, now)
         open_state = TransactionState.OPEN if connection.open else TransactionState.NONE
@@ -214,7 +216,7 @@
         return end, answer
 
     def _run_statement(self, connection, command, now):
-        text = command.text
+        text = command.text or connection.prepared.get(command.name, "")
         word = text.split(" ")[0]
         writes = word == "WRITE"
         if self.answer_busy:
@@ -251,6 +253,7 @@
         self.number = number
         self.server = server
         self.values: dict[str, str] = {}
+        self.prepared: dict[str, str] = {}
         self.open = ""
         self.wrote = False
         self.committed = None
