Stop VMs in the soak under callers that stay

The callers of the soak choose another VM after each failure, and took a connection that ended for one of unknown outcome. So it never showed that a VM that was stopped left statements without an answer.

Each statement of a VM that was neither killed nor paused must get a whole answer. Links and processes, faults, and these callers have modules of their own.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -35,13 +35,29 @@
         action="store_true",
         help="also restore the store, delay writes, drain servers and change routes",
     )
+    parser.add_argument(
+        "--stops",
+        action="store_true",
+        help="also stop VMs in series and at once, under callers that stay",
+    )
+    parser.add_argument(
+        "--connections",
+        type=int,
+        default=34,
+        help="connections of an instance; few for many VMs make some of them relay",
+    )
     options = parser.parse_args()
     first, _, last = options.seeds.partition(":")
     broken = 0
     for seed in range(int(first), int(last or int(first) + 1)):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         soak = Soak(
-            seed=seed, vms=options.vms, folder=folder, restores=options.restores
+            seed=seed,
+            vms=options.vms,
+            folder=folder,
+            restores=options.restores,
+            stops=options.stops,
+            connections=options.connections,
         )
         report = asyncio.run(soak.run(options.seconds))
         print(f"seed={seed} {report} logs={folder}", flush=True)
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -9,14 +9,16 @@
 
 import yaml
 
+from .soak_callers import StayingCallers
+from .soak_faults import Faults
+from .soak_processes import CONTACT_PERIOD, Link, VmProcess
 from .standins import (
+    CONNECTIONS,
     ROUTES,
     Client,
     Deployment,
-    Instance,
     find_ports,
     make_configuration,
-    spawn_vm,
 )
 
 NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
@@ -28,120 +30,9 @@
 LONE_ENDS = ("", "", "\n", "\r", "\n\r", "\r\r")
 """Texts around keys and numbers: a line ends at CR LF only."""
 
-CONTACT_PERIOD = 4.0
-"""Seconds without a disturbance after which the bounds of time hold for a VM."""
-
 CONFIGURATION_PERIOD = 3.0
 """Seconds after which a configuration must be in force."""
 
-DRAIN_PERIOD = 7.0
-"""Seconds after which a draining instance must get no more statements."""
-
-
-class Link:
-    """A loopback proxy whose connections can be delayed, reset, refused or blocked.
-
-    Args:
-        port: port to which connections are forwarded.
-    """
-
-    def __init__(self, *, port: int) -> None:
-        self.target = port
-        self.port = 0
-        self.delay = 0.0
-        self.blocked = {"up": False, "down": False}
-        self.refuse = False
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def reset(self) -> None:
-        """Reset all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    def heal(self) -> None:
-        """End all faults; connections that lost data are reset."""
-        if any(self.blocked.values()):
-            self.reset()
-        self.delay = 0.0
-        self.refuse = False
-        self.blocked = {"up": False, "down": False}
-
-    async def stop(self) -> None:
-        """Stop listening and reset all connections."""
-        self._server.close()
-        self.reset()
-
-    async def _serve(self, reader, writer) -> None:
-        if self.refuse:
-            writer.transport.abort()
-            return
-        try:
-            target_reader, target_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target
-            )
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, target_writer}
-        await asyncio.gather(
-            self._forward(reader, target_writer, "up"),
-            self._forward(target_reader, writer, "down"),
-        )
-        self._writers -= {writer, target_writer}
-
-    async def _forward(self, reader, writer, way: str) -> None:
-        with contextlib.suppress(ConnectionError):
-            while data := await reader.read(1 << 16):
-                if self.delay:
-                    await asyncio.sleep(self.delay)
-                if not self.blocked[way]:
-                    writer.write(data)
-        writer.close()
-
-
-class VmProcess:
-    """A VM's program in its own process."""
-
-    def __init__(self, *, name: str, path: Path, ports: tuple, output: Path) -> None:
-        self.name = name
-        self.path = path
-        self.ports = ports
-        self.output = output
-        self.process: asyncio.subprocess.Process | None = None
-        self.disturbed_until = 0.0
-
-    @property
-    def in_touch(self) -> bool:
-        """Whether the VM and its way to the store have been undisturbed for a while."""
-        return time.monotonic() >= self.disturbed_until + CONTACT_PERIOD
-
-    def disturb(self, seconds: float) -> None:
-        """Record a disturbance that lasts for some seconds from now."""
-        until = time.monotonic() + seconds
-        self.disturbed_until = max(self.disturbed_until, until)
-
-    async def start(self) -> None:
-        """Start the program."""
-        self.disturb(1)
-        self.process = await spawn_vm(self.path, self.output)
-
-    def send(self, number: int) -> None:
-        """Send a signal if the process is running."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def stop(self) -> None:
-        """Kill the process."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        await self.process.wait()
-
 
 class Soak:
     """One seeded run.
@@ -152,20 +43,40 @@
         folder: directory for settings files and logs.
         restores: whether the store is restored from older copies, while instances
             leave and the configuration changes.
+        stops: whether VMs are stopped in series and at once, under callers that stay.
+        connections: number of connections that each instance accepts; if it is below
+            three for each VM, some VMs relay their callers.
     """
 
     def __init__(
-        self, *, seed: int, vms: int, folder: Path, restores: bool = False
+        self,
+        *,
+        seed: int,
+        vms: int,
+        folder: Path,
+        restores: bool = False,
+        stops: bool = False,
+        connections: int = CONNECTIONS,
     ) -> None:
         self._random = random.Random(seed)
         self._folder = folder
-        self._deployment = Deployment()
+        self._deployment = Deployment(connections=connections)
         self._count = vms
         self._restores = restores
-        self._injecting = True
         self._vms: list[VmProcess] = []
         self._links: list[Link] = []
         self._store_links: list[Link] = []
+        self._faults = Faults(
+            random=self._random,
+            deployment=self._deployment,
+            vms=self._vms,
+            links=self._links,
+            store_links=self._store_links,
+            restores=restores,
+            stops=stops,
+        )
+        self._staying = StayingCallers(random=self._random, vms=self._vms)
+        self._stops = stops
         self._running = True
         self._acknowledged: dict[str, int] = {}
         self._kept: dict[str, int] = {}
@@ -177,7 +88,7 @@
             self._keys.append(f"{before}k{index}{after}")
         self._clients: list[Client] = []
         self.violations: list[str] = []
-        self.counts = {"done": 0, "refused": 0, "in_doubt": 0, "faults": 0}
+        self.counts = {"done": 0, "refused": 0, "in_doubt": 0}
         self._reported_not_run: dict[tuple[str, int], str] = {}
 
     async def run(self, seconds: float) -> str:
@@ -188,7 +99,9 @@
         tasks.append(asyncio.create_task(self._restart_exited_vms()))
         if self._restores:
             tasks.append(asyncio.create_task(self._change_routes()))
-        injection = asyncio.create_task(self._inject_faults())
+        if self._stops:
+            tasks += self._staying.start()
+        injection = asyncio.create_task(self._faults.inject())
         await asyncio.sleep(seconds)
         injection.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -196,13 +109,19 @@
         await self._heal_all()
         await self._check_recovery()
         self._running = False
+        self._staying.stop()
         await asyncio.wait(tasks, timeout=8)
         for task in tasks:
             task.cancel()
+        self._reported_not_run.update(self._staying.refused)
+        self._clients += self._staying.clients
         self._check_writes()
+        self._check_answers()
         self._check_promotions()
         self._check_texts()
         await self._stop()
+        self.violations += self._faults.violations
+        self.counts.update(self._faults.counts)
         return " ".join(f"{key}={value}" for key, value in self.counts.items())
 
     async def _start(self) -> None:
@@ -252,142 +171,6 @@
                     await vm.start()
             await asyncio.sleep(0.2)
 
-    async def _inject_faults(self) -> None:
-        faults = (
-            self._signal_vm,
-            self._signal_vm,
-            self._pause_vm,
-            self._disturb_link,
-            self._disturb_link,
-            self._disturb_store,
-            self._crash_instance,
-        )
-        if self._restores:
-            faults += (
-                self._restore_store,
-                self._drain_instance,
-                self._delay_writes,
-                self._crash_primary,
-            )
-        running: set[asyncio.Task] = set()
-        try:
-            while True:
-                fault = self._random.choice(faults)
-                self.counts["faults"] += 1
-                running.add(asyncio.create_task(fault()))
-                await asyncio.sleep(self._random.uniform(0.3, 2.5))
-        finally:
-            for task in running:
-                task.cancel()
-
-    async def _signal_vm(self) -> None:
-        numbers = (signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
-        vm = self._random.choice(self._vms)
-        vm.disturb(0)
-        vm.send(self._random.choice(numbers))
-
-    async def _pause_vm(self) -> None:
-        vm = self._random.choice(self._vms)
-        vm.send(signal.SIGSTOP)
-        seconds = self._random.uniform(0.2, 4.0)
-        vm.disturb(seconds)
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            vm.send(signal.SIGCONT)
-
-    async def _disturb_link(self) -> None:
-        await self._disturb(self._random.choice(self._links), ())
-
-    async def _disturb_store(self) -> None:
-        index = self._random.randrange(len(self._vms))
-        await self._disturb(self._store_links[index], (self._vms[index],))
-
-    async def _disturb(self, link: Link, vms: tuple[VmProcess, ...]) -> None:
-        way = self._random.choice(("delay", "reset", "up", "down", "both", "refuse"))
-        if way == "reset":
-            link.reset()
-            return
-        if way == "delay":
-            link.delay = self._random.uniform(0.01, 0.3)
-        elif way == "refuse":
-            link.refuse = True
-            link.reset()
-        else:
-            for each in ("up", "down") if way == "both" else (way,):
-                link.blocked[each] = True
-        seconds = self._random.uniform(0.5, 5.0)
-        for vm in vms:
-            vm.disturb(seconds)
-        await asyncio.sleep(seconds)
-        link.heal()
-
-    async def _crash_instance(self) -> None:
-        await self._crash(self._random.choice(self._deployment.instances))
-
-    async def _crash_primary(self) -> None:
-        await self._crash(self._deployment.group.leader)
-
-    async def _crash(self, instance: Instance) -> None:
-        if not instance.running:
-            return
-        await instance.stop()
-        try:
-            await asyncio.sleep(self._random.uniform(0.5, 5.0))
-        finally:
-            await instance.start()
-
-    async def _restore_store(self) -> None:
-        store = self._deployment.store
-        if store.down:
-            return
-        seconds, delay = self._random.uniform(0.1, 2.0), self._random.uniform(0, 1.5)
-        for vm in self._vms:
-            vm.disturb(seconds + delay)
-        store.down = True
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            store.restore(self._random.uniform(0.5, 12.0), delay=delay)
-            store.down = False
-
-    async def _delay_writes(self) -> None:
-        store = self._deployment.store
-        store.write_delay = self._random.uniform(0.5, 6.0)
-        seconds = self._random.uniform(0.2, 2.0)
-        for vm in self._vms:
-            vm.disturb(seconds)
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            store.write_delay = None
-
-    async def _drain_instance(self) -> None:
-        await self._drain(self._random.choice(self._deployment.instances))
-
-    async def _drain(self, instance: Instance) -> None:
-        """Have an instance announce that it leaves, and check how long it is used.
-
-        It then ends, and starts again.
-        """
-        states = {i.state for i in self._deployment.instances if i.running}
-        if self._deployment.store.down or states != {"ready"} or not instance.running:
-            return
-        instance.state = "draining"
-        self._deployment.store.refresh()
-        injecting = self._injecting
-        try:
-            await asyncio.sleep(DRAIN_PERIOD)
-            executed = len(instance.executed)
-            await asyncio.sleep(1)
-            if len(instance.executed) > executed and not injecting:
-                self.violations.append(f"{instance.name}: still used while draining")
-        finally:
-            instance.state = "ready"
-            if instance.running:
-                await instance.stop()
-                await instance.start()
-
     async def _change_routes(self) -> None:
         """Add routes; each VM that is in touch must serve them in time.
 
@@ -401,8 +184,11 @@
                 added.append((time.monotonic(), f"r{len(added)}"))
                 routes[added[-1][1]] = "primary"
                 version = 1 + len(added)
-                store.put("config", "main", make_configuration(version, routes))
-            if self._injecting and self._random.random() < 0.1:
+                connections = self._deployment.connections
+                store.put(
+                    "config", "main", make_configuration(version, routes, connections)
+                )
+            if self._faults.injecting and self._random.random() < 0.1:
                 for number in range(self._random.randrange(100)):
                     store.put("notes", "n", number)
             await asyncio.sleep(0.2)
@@ -418,7 +204,7 @@
                     self.violations.append(f"{vm.name}: {due[-1]} is not in force")
 
     async def _heal_all(self) -> None:
-        self._injecting = False
+        self._faults.injecting = False
         for link in self._links + self._store_links:
             link.heal()
         for vm in self._vms:
@@ -431,9 +217,9 @@
     async def _check_recovery(self) -> None:
         checks = [asyncio.sleep(12)]
         if self._restores:
-            await self._restore_store()
+            await self._faults.restore_store()
             await asyncio.sleep(CONTACT_PERIOD)
-            checks.append(self._drain(self._deployment.group.leader))
+            checks.append(self._faults.drain(self._deployment.group.leader))
         before = self.counts["done"]
         await asyncio.gather(*checks)
         if self.counts["done"] - before < 10:
@@ -591,6 +377,14 @@
                         f"{instance.name} ran {text!r} as {request}, not as sent"
                     )
 
+    def _check_answers(self) -> None:
+        """Check that the callers that stay got whole answers."""
+        if not self._stops:
+            return
+        found = self._staying.list_unanswered(self._deployment.instances)
+        self.violations += found
+        self.counts["statements"] = len(self._staying.sent)
+
     def _check_promotions(self) -> None:
         highest, holder = 0, ""
         promotions = self._deployment.store.promotions
--- /dev/null
+++ b/tests/users_platform/soak_faults.py
@@ -0,0 +1,246 @@
+"""Faults of the soak: signals, pauses, links, the store, crashes and drains."""
+
+import asyncio
+import random
+import signal
+import time
+
+from .soak_processes import Link, VmProcess
+from .standins import Deployment, Instance
+
+DRAIN_PERIOD = 7.0
+"""Seconds after which a draining instance must get no more statements."""
+
+GRACE = 6.0
+"""Seconds that a VM may take to end after SIGTERM."""
+
+SERVICE_TIME = 0.002
+"""Usual seconds that an instance takes for a statement."""
+
+
+class Faults:
+    """Injects faults into a deployment, chosen at random.
+
+    Args:
+        random: decides the faults and their times.
+        restores: whether the store is restored from older copies, and instances leave.
+        stops: whether VMs are stopped in series and at once, and seldom killed.
+
+    Attributes:
+        violations: texts about checks that failed.
+        counts: numbers of events, for the report.
+    """
+
+    def __init__(
+        self,
+        *,
+        random: random.Random,
+        deployment: Deployment,
+        vms: list[VmProcess],
+        links: list[Link],
+        store_links: list[Link],
+        restores: bool,
+        stops: bool,
+    ) -> None:
+        self._random = random
+        self.deployment = deployment
+        self.vms = vms
+        self.links = links
+        self.store_links = store_links
+        self.restores = restores
+        self.stops = stops
+        self.injecting = True
+        self.violations: list[str] = []
+        self.counts = {"faults": 0}
+        self._checks: set[asyncio.Task] = set()
+
+    async def inject(self) -> None:
+        """Begin a fault from time to time until the task is cancelled."""
+        faults = (
+            self._signal_vm,
+            self._signal_vm,
+            self._pause_vm,
+            self._disturb_link,
+            self._disturb_link,
+            self._disturb_store,
+            self._crash_instance,
+        )
+        if self.stops:
+            faults = tuple(fault for fault in faults if fault != self._pause_vm)
+            faults += (self._slow_down, self._reload)
+        if self.restores:
+            faults += (
+                self.restore_store,
+                self._drain_instance,
+                self._delay_writes,
+                self._crash_primary,
+            )
+        running: set[asyncio.Task] = set()
+        if self.stops:
+            running.add(asyncio.create_task(self._keep_stopping()))
+        try:
+            while True:
+                fault = self._random.choice(faults)
+                self.counts["faults"] += 1
+                running.add(asyncio.create_task(fault()))
+                await asyncio.sleep(self._random.uniform(0.3, 2.5))
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _signal_vm(self) -> None:
+        numbers = (signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
+        vm = self._random.choice(self.vms)
+        vm.disturb(0)
+        vm.send(self._random.choice(numbers))
+
+    async def _pause_vm(self) -> None:
+        vm = self._random.choice(self.vms)
+        vm.send(signal.SIGSTOP)
+        seconds = self._random.uniform(0.2, 4.0)
+        vm.disturb(seconds)
+        vm.break_off(seconds)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            vm.send(signal.SIGCONT)
+
+    async def _disturb_link(self) -> None:
+        await self._disturb(self._random.choice(self.links), ())
+
+    async def _disturb_store(self) -> None:
+        index = self._random.randrange(len(self.vms))
+        await self._disturb(self.store_links[index], (self.vms[index],))
+
+    async def _disturb(self, link: Link, vms: tuple[VmProcess, ...]) -> None:
+        way = self._random.choice(("delay", "reset", "up", "down", "both", "refuse"))
+        if way == "reset":
+            link.reset()
+            return
+        if way == "delay":
+            link.delay = self._random.uniform(0.01, 0.3)
+        elif way == "refuse":
+            link.refuse = True
+            link.reset()
+        else:
+            for each in ("up", "down") if way == "both" else (way,):
+                link.blocked[each] = True
+        seconds = self._random.uniform(0.5, 5.0)
+        for vm in vms:
+            vm.disturb(seconds)
+        await asyncio.sleep(seconds)
+        link.heal()
+
+    async def _crash_instance(self) -> None:
+        await self._crash(self._random.choice(self.deployment.instances))
+
+    async def _crash_primary(self) -> None:
+        await self._crash(self.deployment.group.leader)
+
+    async def _crash(self, instance: Instance) -> None:
+        if not instance.running:
+            return
+        await instance.stop()
+        try:
+            await asyncio.sleep(self._random.uniform(0.5, 5.0))
+        finally:
+            await instance.start()
+
+    async def restore_store(self) -> None:
+        """Restore the store from an older copy, after a time without it."""
+        store = self.deployment.store
+        if store.down:
+            return
+        seconds, delay = self._random.uniform(0.1, 2.0), self._random.uniform(0, 1.5)
+        for vm in self.vms:
+            vm.disturb(seconds + delay)
+        store.down = True
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            store.restore(self._random.uniform(0.5, 12.0), delay=delay)
+            store.down = False
+
+    async def _delay_writes(self) -> None:
+        store = self.deployment.store
+        store.write_delay = self._random.uniform(0.5, 6.0)
+        seconds = self._random.uniform(0.2, 2.0)
+        for vm in self.vms:
+            vm.disturb(seconds)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            store.write_delay = None
+
+    async def _drain_instance(self) -> None:
+        await self.drain(self._random.choice(self.deployment.instances))
+
+    async def drain(self, instance: Instance) -> None:
+        """Have an instance announce that it leaves, and check how long it is used.
+
+        It then ends, and starts again.
+        """
+        states = {i.state for i in self.deployment.instances if i.running}
+        if self.deployment.store.down or states != {"ready"} or not instance.running:
+            return
+        instance.state = "draining"
+        self.deployment.store.refresh()
+        injecting = self.injecting
+        try:
+            await asyncio.sleep(DRAIN_PERIOD)
+            executed = len(instance.executed)
+            await asyncio.sleep(1)
+            if len(instance.executed) > executed and not injecting:
+                self.violations.append(f"{instance.name}: still used while draining")
+        finally:
+            instance.state = "ready"
+            if instance.running:
+                await instance.stop()
+                await instance.start()
+
+    async def _keep_stopping(self) -> None:
+        while True:
+            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+            await self._stop_vms()
+
+    async def _stop_vms(self) -> None:
+        """Stop VMs, one after the other or at about the same time."""
+        vms = self._random.sample(self.vms, self._random.randint(1, len(self.vms)))
+        gap = self._random.choice((0.0, 0.3, 3.0, GRACE + 1.0))
+        for vm in vms:
+            await self._stop_vm(vm)
+            if self._random.random() < 0.3:
+                # Stopped again right after its start.
+                asyncio.get_running_loop().call_later(
+                    GRACE + self._random.uniform(0, 1), vm.send, signal.SIGTERM
+                )
+            await asyncio.sleep(gap)
+
+    async def _stop_vm(self, vm: VmProcess) -> None:
+        """Stop a VM, and check that its process ends within the grace period."""
+        if vm.process.returncode is not None:
+            return
+        process, sent_at = vm.process, time.monotonic()
+        vm.disturb(0)
+        vm.send(signal.SIGTERM)
+        self.counts["stops"] = self.counts.get("stops", 0) + 1
+
+        async def check() -> None:
+            await asyncio.sleep(GRACE)
+            ended_at = time.monotonic()
+            if process.returncode is None and not vm.was_broken(sent_at, ended_at):
+                self.violations.append(f"{vm.name}: runs after its grace period")
+
+        self._checks.add(asyncio.create_task(check()))
+
+    async def _reload(self) -> None:
+        self._random.choice(self.vms).send(signal.SIGHUP)
+
+    async def _slow_down(self) -> None:
+        """Have an instance run statements slowly for a while."""
+        instance = self._random.choice(self.deployment.instances)
+        instance.service_time = self._random.choice((0.1, 0.7, 3.0, 9.0))
+        try:
+            await asyncio.sleep(self._random.uniform(0.5, 6.0))
+        finally:
+            instance.service_time = SERVICE_TIME
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -24,6 +24,9 @@
 }
 """Types of the routes of the first configuration, by database."""
 
+CONNECTIONS = 34
+"""Usual number of connections that an instance accepts."""
+
 MAX_COPIES = 2000
 """Number of changes of the store after which the oldest copy is dropped."""
 
@@ -98,7 +101,15 @@
     """
 
     def __init__(
-        self, *, group, service, name, zone, leads, service_time=0.002, limit=34
+        self,
+        *,
+        group,
+        service,
+        name,
+        zone,
+        leads,
+        service_time=0.002,
+        limit=CONNECTIONS,
     ):
         self.group = group
         group.instances.append(self)
@@ -117,6 +128,7 @@
         self.starts = 0
         self.state = "ready"
         self.slots = asyncio.Semaphore(4)
+        self.received: set[str] = set()
         self.executed: list[tuple[str, str, tuple[int, int]]] = []
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
@@ -272,6 +284,7 @@
         return done
 
     async def _run_statement(self, session, request, verb, words) -> bytes:
+        self.received.add(request)
         writes = verb == "WRITE"
         if verb == "EXECUTE":
             mode, _ = session.prepared.get(words[1], ("", ""))
@@ -581,8 +594,14 @@
         request.transport.abort()
 
 
-def make_configuration(version: int, routes: dict[str, str]) -> dict:
-    """Return a configuration with one route for each database name and type."""
+def make_configuration(
+    version: int, routes: dict[str, str], connections: int = CONNECTIONS
+) -> dict:
+    """Return a configuration with one route for each database name and type.
+
+    Args:
+        connections: number of connections that each instance accepts.
+    """
     listed = []
     for host, kind in routes.items():
         listed.append(
@@ -606,7 +625,7 @@
             {
                 "name": "db",
                 "health_path": "/health",
-                "max_connections": 34,
+                "max_connections": connections,
                 "protocol": "h1",
                 "tls": False,
                 "sync_replicas": 0,
@@ -617,9 +636,14 @@
 
 
 class Deployment:
-    """Three instances and a store, and the settings of VMs that use them."""
+    """Three instances and a store, and the settings of VMs that use them.
 
-    def __init__(self) -> None:
+    Args:
+        connections: number of connections that each instance accepts.
+    """
+
+    def __init__(self, *, connections: int = CONNECTIONS) -> None:
+        self.connections = connections
         self.group = Group(lag=0.005)
         self.instances = []
         for index, zone in enumerate(("a", "b", "c")):
@@ -630,6 +654,7 @@
                     name=f"i-{index}",
                     zone=zone,
                     leads=index == 0,
+                    limit=connections,
                 )
             )
         self.store = Store(instances=self.instances)
@@ -644,7 +669,9 @@
     def publish(self) -> None:
         """Write the entries of the instances and the first configuration."""
         self.store.refresh()
-        self.store.put("config", "main", make_configuration(1, ROUTES))
+        self.store.put(
+            "config", "main", make_configuration(1, ROUTES, self.connections)
+        )
 
     async def stop(self) -> None:
         """Stop the instances and the store."""
@@ -686,7 +713,7 @@
 
     def __init__(self, *, reader, writer, port: int) -> None:
         self.port = port
-        self._reader = reader
+        self.reader = reader
         self._writer = writer
         self._requests = 0
         self.sent: dict[str, str] = {}
@@ -708,17 +735,25 @@
 
     async def read_line(self) -> str:
         """Return the next line."""
-        return await asyncio.wait_for(read_line(self._reader), 5)
+        return await asyncio.wait_for(read_line(self.reader), 5)
+
+    def send(self, texts: list[str]) -> list[tuple[str, str]]:
+        """Send statements in one packet; return their request ids and texts."""
+        sent = []
+        for text in texts:
+            self._requests += 1
+            sent.append((f"{id(self):x}{self._requests:x}", text))
+        self.sent.update(sent)
+        lines = [f"QUERY {request} {text}\r\n" for request, text in sent]
+        self._writer.write("".join(lines).encode())
+        return sent
 
     async def execute(self, text: str) -> list[str]:
         """Send a statement; return the lines of its answer."""
-        self._requests += 1
-        request = f"{id(self):x}{self._requests:x}"
-        self.sent[request] = text
-        self._writer.write(f"QUERY {request} {text}\r\n".encode())
+        self.send([text])
         lines = []
         while True:
-            line = await asyncio.wait_for(read_line(self._reader), 5)
+            line = await asyncio.wait_for(read_line(self.reader), 5)
             if not line:
                 return lines
             lines.append(line)
@@ -728,7 +763,7 @@
     async def send_raw(self, data: bytes) -> bytes:
         """Send bytes; return all data received until the connection ends."""
         self._writer.write(data)
-        return await asyncio.wait_for(self._reader.read(), 5)
+        return await asyncio.wait_for(self.reader.read(), 5)
 
     def close(self) -> None:
         """Close the connection."""
--- a/tests/users_platform/test_service.py
+++ b/tests/users_platform/test_service.py
@@ -11,7 +11,7 @@
 import pytest
 import yaml
 
-from .soak import Link
+from .soak_processes import Link
 from .standins import (
     Client,
     Deployment,
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -17,3 +17,11 @@
         await soak.run(6)
         assert soak.violations == []
         assert soak.counts["done"] > 100
+
+    async def test_short_run_with_stops_has_no_violations(self, tmp_path):
+        """Guards against callers without an answer from a VM that is stopped."""
+        soak = Soak(seed=2, vms=2, folder=tmp_path, stops=True)
+        await soak.run(8)
+        assert soak.violations == []
+        assert soak.counts["done"] > 100
+        assert soak.counts["stops"] > 1
