--- /dev/null
+++ b/tests/users_platform/test_stops.py
@@ -0,0 +1,479 @@
+"""Tests with processes that are stopped while callers send statements."""
+
+import asyncio
+import contextlib
+import functools
+import signal
+import socket
+from dataclasses import dataclass, field
+
+import yaml
+
+from .standins import ROUTES, Client, make_configuration, read_line, spawn_vm
+from .test_service import Vm, run_deployment
+
+GRACE = 6.0
+"""Seconds from SIGTERM to SIGKILL, as in the settings of the VMs."""
+
+SLACK = 0.1
+"""Seconds before the end of its connection in which a statement may be sent without
+being read by the VM, unless a server has run it."""
+
+WARM_UP = 0.3
+"""Seconds from the first callers to SIGTERM."""
+
+SERVICE_TIMES = (0.6, 0.3, 0.05)
+"""Seconds that statements take at the primary and at the two replicas."""
+
+DOCUMENT_ROWS = 200
+"""Rows of a large answer."""
+
+DOCUMENT_ROW = "x" * 100_000
+"""One row of it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Sent:
+    """A statement, or a `CONNECT` line, and what came back.
+
+    Args:
+        request: id of the statement, empty for a `CONNECT` line.
+        text: its text.
+        sent_at: when it was sent.
+        ended_at: when its answer or the connection ended.
+        lines: lines of the answer.
+    """
+
+    request: str
+    text: str
+    sent_at: float
+    ended_at: float | None = None
+    lines: list[str] = field(default_factory=list)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer has its terminal line and the line after it."""
+        if not self.request:
+            return bool(self.lines)
+        if len(self.lines) < 2 or not self.lines[-1].startswith("READY "):
+            return False
+        return self.lines[-2].startswith(("COMPLETE ", "ERROR "))
+
+
+class Traffic:
+    """All statements that were sent to one VM.
+
+    Args:
+        vm: the VM.
+    """
+
+    def __init__(self, *, vm: Vm) -> None:
+        self.vm = vm
+        self.clock = asyncio.get_running_loop().time
+        self.sent: list[Sent] = []
+        self.spare: list[str] = []
+
+    @property
+    def running(self) -> bool:
+        """Whether the VM's process runs."""
+        return self.vm.process.returncode is None
+
+    def record(self, text: str, *, request: bool = True) -> Sent:
+        """Record a statement that is sent now."""
+        name = f"{len(self.sent):x}" if request else ""
+        sent = Sent(request=name, text=text, sent_at=self.clock())
+        self.sent.append(sent)
+        return sent
+
+    def list_lost(self, deployment) -> list[str]:
+        """Return the statements that the VM has read and not answered whole."""
+        executed = set()
+        for instance in deployment.instances:
+            executed.update(request for request, _, _ in instance.executed)
+        found = []
+        for sent in self.sent:
+            if sent.is_whole:
+                continue
+            age = sent.ended_at - sent.sent_at
+            if sent.request in executed or age > SLACK:
+                ran = sent.request in executed
+                lines = [line[:20] for line in sent.lines]
+                found.append(f"{sent.request} {sent.text} {age:.3f} {ran=} {lines}")
+        return found
+
+
+class Session:
+    """A caller's connection to a VM.
+
+    Args:
+        traffic: records the statements.
+        stream: reader and writer of the connection.
+    """
+
+    def __init__(self, *, traffic: Traffic, stream) -> None:
+        self._traffic = traffic
+        self._reader, self._writer = stream
+        self.open = True
+
+    @classmethod
+    async def connect(
+        cls,
+        traffic: Traffic,
+        database: str,
+        *ahead: str,
+        receive_buffer: int | None = None,
+    ) -> "Session":
+        """Connect, with statements in the packet of the first line.
+
+        Raises:
+            OSError: if the VM does not listen.
+        """
+        connection = socket.socket()
+        connection.setblocking(False)
+        if receive_buffer is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_connect(connection, ("127.0.0.1", traffic.vm.ports[0]))
+            limit = receive_buffer or 1 << 20
+            stream = await asyncio.open_connection(sock=connection, limit=limit)
+        except OSError:
+            connection.close()
+            raise
+        session = cls(traffic=traffic, stream=stream)
+        first = traffic.record(f"CONNECT {database} u1", request=False)
+        behind = session.send(*ahead, first=first.text)
+        await session.receive(first)
+        if first.lines and first.lines[0].startswith("ERROR"):
+            for sent in behind:
+                # The refusal of the connection answers what was sent behind it.
+                sent.lines += [*first.lines, "READY refused"]
+        for sent in behind:
+            await session.receive(sent)
+        return session
+
+    def send(self, *texts: str, first: str = "") -> list[Sent]:
+        """Send statements in one packet."""
+        lines = [first] if first else []
+        statements = []
+        for text in texts:
+            sent = self._traffic.record(text)
+            lines.append(f"QUERY {sent.request} {text}")
+            statements.append(sent)
+        with contextlib.suppress(ConnectionError):
+            self._writer.write("".join(f"{line}\r\n" for line in lines).encode())
+        return statements
+
+    async def receive(self, sent: Sent) -> None:
+        """Read the answer to a statement."""
+        while self.open and not sent.is_whole:
+            try:
+                async with asyncio.timeout(GRACE + 2):
+                    line = await read_line(self._reader)
+            except ConnectionError:
+                line = ""
+            if line:
+                sent.lines.append(line)
+            else:
+                self.open = False
+        sent.ended_at = self._traffic.clock()
+
+    async def execute(self, *texts: str) -> Sent:
+        """Send statements in one packet; return the last one with its answer."""
+        statements = self.send(*texts)
+        for sent in statements:
+            await self.receive(sent)
+        return statements[-1]
+
+    async def read_slowly(self, sent: Sent, rate: float) -> None:
+        """Read the answer to a statement, at a number of bytes per second."""
+        data = bytearray()
+        loop, began = asyncio.get_running_loop(), self._traffic.clock()
+        try:
+            while not data.endswith(b"READY I -\r\n"):
+                received = await self._reader.read(8192)
+                if not received:
+                    break
+                data += received
+                delay = began + len(data) / rate - loop.time()
+                await asyncio.sleep(max(0.0, delay))
+        except ConnectionError:
+            self.open = False
+        sent.lines = data.decode().split("\r\n")[:-1]
+        sent.ended_at = self._traffic.clock()
+
+    async def read_end(self) -> bytes:
+        """Return what comes until the connection ends."""
+        with contextlib.suppress(ConnectionError):
+            return await asyncio.wait_for(self._reader.read(), GRACE + 2)
+        return b""
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
+@contextlib.asynccontextmanager
+async def run_vms(tmp_path):
+    """Run two VMs and servers that are slow; yield the deployment and the VMs."""
+    async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+        for instance, seconds in zip(deployment.instances, SERVICE_TIMES, strict=True):
+            instance.service_time = seconds
+        yield deployment, vms
+
+
+async def stop(vm: Vm) -> float:
+    """Send SIGTERM; return the seconds until the process has ended by itself."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    vm.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(GRACE):
+        code = await vm.process.wait()
+    assert code == 0
+    return loop.time() - began
+
+
+async def stop_with_callers(deployment, traffic: Traffic, *callers) -> None:
+    """Stop a VM while callers use it; check that none lost an answer."""
+    tasks = [asyncio.create_task(caller) for caller in callers]
+    await asyncio.sleep(WARM_UP)
+    await stop(traffic.vm)
+    async with asyncio.timeout(GRACE):
+        await asyncio.gather(*tasks)
+    assert len(traffic.sent) > len(callers)
+    assert traffic.list_lost(deployment) == []
+
+
+async def run_sessions(traffic: Traffic, database: str, use, *ahead: str) -> None:
+    """Connect again and again until the VM is gone.
+
+    Args:
+        use: coroutine function that uses a session until it is to be closed.
+        ahead: statements that are sent with the first line.
+    """
+    while traffic.running:
+        await asyncio.sleep(0.01)
+        try:
+            session = await Session.connect(traffic, database, *ahead)
+        except ConnectionError:
+            continue
+        if session.open:
+            await use(session)
+        session.close()
+
+
+async def read_once(session: Session) -> None:
+    """Use a session for one read."""
+    await session.execute("READ x")
+
+
+async def read_until_closed(session: Session) -> None:
+    """Use a session for reads until it is closed."""
+    while session.open:
+        sent = await session.execute("READ x")
+        if sent.lines and sent.lines[0].startswith("ERROR"):
+            await asyncio.sleep(0.1)
+
+
+async def send_ahead_until_closed(session: Session) -> None:
+    """Use a session for packets of four statements until it is closed."""
+    while session.open:
+        await session.execute("SET v 1", "READ x", "READ y", "READ z")
+
+
+async def run_transactions(session: Session, pause: float = 0.2) -> None:
+    """Use a session for transactions until it is closed."""
+    while session.open:
+        for text in ("BEGIN", "READ x", "WRITE x 1", "COMMIT"):
+            sent = await session.execute(text)
+            if not session.open or sent.lines[-1].startswith("READY E"):
+                break
+            await asyncio.sleep(pause)
+        if session.open and sent.lines[-1].startswith("READY E"):
+            await session.execute("ROLLBACK")
+
+
+class TestCallers:
+    async def test_callers_that_return_until_the_end_are_answered(self, tmp_path):
+        """Guards against statements that end without an answer as new ones come."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            callers = []
+            for database in ROUTES:
+                callers.append(run_sessions(traffic, database, read_once))
+                callers.append(
+                    run_sessions(traffic, database, read_until_closed, "READ y")
+                )
+            await stop_with_callers(deployment, traffic, *callers)
+
+    async def test_open_connections_are_answered_until_they_are_closed(self, tmp_path):
+        """Guards against a connection that is closed before its last answer."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            callers = []
+            for database in ROUTES:
+                for _ in range(2):
+                    session = await Session.connect(traffic, database)
+                    callers.append(read_until_closed(session))
+            # Callers that ignore the end must not delay it beyond the grace period.
+            idle = [await Session.connect(traffic, "orders") for _ in range(3)]
+            await stop_with_callers(deployment, traffic, *callers)
+            for session in idle:
+                session.close()
+
+    async def test_transactions_are_answered(self, tmp_path):
+        """Guards against a transaction whose statement or commit gets no answer."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            callers = []
+            run_without_pauses = functools.partial(run_transactions, pause=0)
+            for use in (run_transactions, run_without_pauses):
+                for database in ("orders", "crew"):
+                    callers.append(run_sessions(traffic, database, use))
+            await stop_with_callers(deployment, traffic, *callers)
+
+    async def test_statements_that_were_sent_ahead_are_answered(self, tmp_path):
+        """Guards against statements that are dropped as an answer ends the session."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            callers = []
+            for database in ROUTES:
+                session = await Session.connect(traffic, database)
+                callers.append(send_ahead_until_closed(session))
+            await stop_with_callers(deployment, traffic, *callers)
+
+
+class TestStart:
+    async def test_statement_sent_ahead_of_acceptance_is_answered(self, tmp_path):
+        """Guards against a statement that is dropped as its caller still waits."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            deployment.store.down = True
+            vm.process.kill()
+            await vm.process.wait()
+            vm.output.unlink()
+            vm.process = await spawn_vm(vm.path, vm.output)
+            async with asyncio.timeout(5):
+                while "event=started" not in vm.read_output():
+                    await asyncio.sleep(0.01)
+            traffic = Traffic(vm=vm)
+            caller = asyncio.create_task(Session.connect(traffic, "views", "READ x"))
+            await asyncio.sleep(0.1)
+            vm.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            deployment.store.down = False
+            session = await caller
+            session.close()
+            assert traffic.list_lost(deployment) == []
+
+
+class TestLargeAnswers:
+    async def test_slow_caller_gets_its_answer_whole(self, tmp_path):
+        """Guards against a process that ends with a part of an answer unsent."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            session = await self.connect(deployment, traffic)
+            stopping = asyncio.create_task(stop(vm))
+            await asyncio.sleep(2)
+            (sent,) = session.send("READ document")
+            await asyncio.sleep(2.4)
+            await session.read_slowly(sent, 25_000_000)
+            session.close()
+            await stopping
+            self.check_document(sent)
+
+    async def test_answer_before_a_further_statement_arrives_whole(self, tmp_path):
+        """Guards against a reset that destroys an answer that was sent before it."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            traffic = Traffic(vm=vm)
+            session = await self.connect(deployment, traffic)
+            stopping = asyncio.create_task(stop(vm))
+            await asyncio.sleep(2)
+            (sent,) = session.send("READ document")
+            reading = asyncio.create_task(session.read_slowly(sent, 14_000_000))
+            await asyncio.sleep(1)
+            session.send("READ x")
+            await reading
+            session.close()
+            await stopping
+            self.check_document(sent)
+
+    async def connect(self, deployment, traffic: Traffic) -> Session:
+        """Store a document of many rows, and connect a caller with a small buffer."""
+        for instance in deployment.instances:
+            instance.data["document"] = "\r\nROW ".join([DOCUMENT_ROW] * DOCUMENT_ROWS)
+        return await Session.connect(traffic, "orders", receive_buffer=16384)
+
+    def check_document(self, sent: Sent) -> None:
+        """Check that an answer has all rows and its last two lines."""
+        assert len(sent.lines) >= DOCUMENT_ROWS + 2
+        assert sent.lines[:DOCUMENT_ROWS] == [f"ROW {DOCUMENT_ROW}"] * DOCUMENT_ROWS
+        assert sent.lines[DOCUMENT_ROWS].startswith("COMPLETE ")
+        assert sent.lines[DOCUMENT_ROWS + 1].startswith("READY ")
+
+
+class TestRelays:
+    async def test_statement_sent_ahead_of_the_relay_is_answered(self, tmp_path):
+        """Guards against a statement that is dropped as no holder is found yet."""
+        async with self.run_relay(tmp_path) as (deployment, _, relaying):
+            traffic = Traffic(vm=relaying)
+            caller = asyncio.create_task(Session.connect(traffic, "views", "READ x"))
+            done, _ = await asyncio.wait([caller], timeout=2)
+            relaying.process.kill()
+            await caller
+            assert done
+            assert traffic.list_lost(deployment) == []
+
+    async def test_relaying_vm_forwards_all_answers(self, tmp_path):
+        """Guards against a relay that is cut while its holder works."""
+        async with self.run_relay(tmp_path) as (deployment, _, relaying):
+            traffic = Traffic(vm=relaying)
+            await stop_with_callers(deployment, traffic, *self.make_callers(traffic))
+            assert "event=shutdown_requested sessions=0" in relaying.read_output()
+
+    async def test_stopped_holder_answers_all_relayed_statements(self, tmp_path):
+        """Guards against callers of another VM that get no answer."""
+        async with self.run_relay(tmp_path) as (deployment, holder, relaying):
+            traffic = Traffic(vm=relaying)
+            callers = self.make_callers(traffic)
+            tasks = [asyncio.create_task(caller) for caller in callers]
+            await asyncio.sleep(WARM_UP)
+            await stop(holder)
+            relaying.process.kill()
+            killed_at = traffic.clock()
+            await asyncio.gather(*tasks)
+            # What this test itself cuts off does not count.
+            kept = [s for s in traffic.sent if s.ended_at < killed_at]
+            assert len(kept) > len(callers)
+            traffic.sent = kept
+            assert traffic.list_lost(deployment) == []
+
+    def make_callers(self, traffic: Traffic) -> list:
+        """Return callers of each kind."""
+        return [
+            run_sessions(traffic, "views", read_once),
+            run_sessions(traffic, "views", read_until_closed),
+            run_sessions(traffic, "orders", read_until_closed),
+            run_sessions(traffic, "orders", run_transactions),
+        ]
+
+    @contextlib.asynccontextmanager
+    async def run_relay(self, tmp_path):
+        """Run two VMs of which one relays its callers; yield it last."""
+        async with run_vms(tmp_path) as (deployment, (holder, relaying)):
+            configuration = make_configuration(2, ROUTES)
+            configuration["services"][0]["max_connections"] = 5
+            deployment.store.put("config", "main", configuration)
+            async with asyncio.timeout(5):
+                while ("vms", "vm-0") not in deployment.store.objects:
+                    await asyncio.sleep(0.01)
+            fields = yaml.safe_load(relaying.path.read_text())
+            fields["limits"]["cpu_share"] = 0.25
+            relaying.output.unlink()
+            await relaying.restart(fields)
+            async with asyncio.timeout(5):
+                while "is_holder=False" not in relaying.read_output():
+                    await asyncio.sleep(0.05)
+            client, first_line = await Client.connect(relaying.ports[0], "views")
+            assert first_line == "READY I -"
+            client.close()
+            yield deployment, holder, relaying
