--- a/tests/users_platform/test_stops.py
+++ b/tests/users_platform/test_stops.py
@@ -4,20 +4,12 @@
 import contextlib
 import functools
 import signal
-import socket
-from dataclasses import dataclass, field
 
 import yaml
 
-from .standins import ROUTES, Client, make_configuration, read_line, spawn_vm
+from .standins import ROUTES, Client, make_configuration, spawn_vm
 from .test_service import Vm, run_deployment
-
-GRACE = 6.0
-"""Seconds from SIGTERM to SIGKILL, as in the settings of the VMs."""
-
-SLACK = 0.1
-"""Seconds before the end of its connection in which a statement may be sent without
-being read by the VM, unless a server has run it."""
+from .traffic import GRACE, Sent, Session, Traffic
 
 WARM_UP = 0.3
 """Seconds from the first callers to SIGTERM."""
@@ -32,187 +24,6 @@
 """One row of it."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Sent:
-    """A statement, or a `CONNECT` line, and what came back.
-
-    Args:
-        request: id of the statement, empty for a `CONNECT` line.
-        text: its text.
-        sent_at: when it was sent.
-        ended_at: when its answer or the connection ended.
-        lines: lines of the answer.
-    """
-
-    request: str
-    text: str
-    sent_at: float
-    ended_at: float | None = None
-    lines: list[str] = field(default_factory=list)
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the answer has its terminal line and the line after it."""
-        if not self.request:
-            return bool(self.lines)
-        if len(self.lines) < 2 or not self.lines[-1].startswith("READY "):
-            return False
-        return self.lines[-2].startswith(("COMPLETE ", "ERROR "))
-
-
-class Traffic:
-    """All statements that were sent to one VM.
-
-    Args:
-        vm: the VM.
-    """
-
-    def __init__(self, *, vm: Vm) -> None:
-        self.vm = vm
-        self.clock = asyncio.get_running_loop().time
-        self.sent: list[Sent] = []
-        self.spare: list[str] = []
-
-    @property
-    def running(self) -> bool:
-        """Whether the VM's process runs."""
-        return self.vm.process.returncode is None
-
-    def record(self, text: str, *, request: bool = True) -> Sent:
-        """Record a statement that is sent now."""
-        name = f"{len(self.sent):x}" if request else ""
-        sent = Sent(request=name, text=text, sent_at=self.clock())
-        self.sent.append(sent)
-        return sent
-
-    def list_lost(self, deployment) -> list[str]:
-        """Return the statements that the VM has read and not answered whole."""
-        executed = set()
-        for instance in deployment.instances:
-            executed.update(request for request, _, _ in instance.executed)
-        found = []
-        for sent in self.sent:
-            if sent.is_whole:
-                continue
-            age = sent.ended_at - sent.sent_at
-            if sent.request in executed or age > SLACK:
-                ran = sent.request in executed
-                lines = [line[:20] for line in sent.lines]
-                found.append(f"{sent.request} {sent.text} {age:.3f} {ran=} {lines}")
-        return found
-
-
-class Session:
-    """A caller's connection to a VM.
-
-    Args:
-        traffic: records the statements.
-        stream: reader and writer of the connection.
-    """
-
-    def __init__(self, *, traffic: Traffic, stream) -> None:
-        self._traffic = traffic
-        self._reader, self._writer = stream
-        self.open = True
-
-    @classmethod
-    async def connect(
-        cls,
-        traffic: Traffic,
-        database: str,
-        *ahead: str,
-        receive_buffer: int | None = None,
-    ) -> "Session":
-        """Connect, with statements in the packet of the first line.
-
-        Raises:
-            OSError: if the VM does not listen.
-        """
-        connection = socket.socket()
-        connection.setblocking(False)
-        if receive_buffer is not None:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        loop = asyncio.get_running_loop()
-        try:
-            await loop.sock_connect(connection, ("127.0.0.1", traffic.vm.ports[0]))
-            limit = receive_buffer or 1 << 20
-            stream = await asyncio.open_connection(sock=connection, limit=limit)
-        except OSError:
-            connection.close()
-            raise
-        session = cls(traffic=traffic, stream=stream)
-        first = traffic.record(f"CONNECT {database} u1", request=False)
-        behind = session.send(*ahead, first=first.text)
-        await session.receive(first)
-        if first.lines and first.lines[0].startswith("ERROR"):
-            for sent in behind:
-                # The refusal of the connection answers what was sent behind it.
-                sent.lines += [*first.lines, "READY refused"]
-        for sent in behind:
-            await session.receive(sent)
-        return session
-
-    def send(self, *texts: str, first: str = "") -> list[Sent]:
-        """Send statements in one packet."""
-        lines = [first] if first else []
-        statements = []
-        for text in texts:
-            sent = self._traffic.record(text)
-            lines.append(f"QUERY {sent.request} {text}")
-            statements.append(sent)
-        with contextlib.suppress(ConnectionError):
-            self._writer.write("".join(f"{line}\r\n" for line in lines).encode())
-        return statements
-
-    async def receive(self, sent: Sent) -> None:
-        """Read the answer to a statement."""
-        while self.open and not sent.is_whole:
-            try:
-                async with asyncio.timeout(GRACE + 2):
-                    line = await read_line(self._reader)
-            except ConnectionError:
-                line = ""
-            if line:
-                sent.lines.append(line)
-            else:
-                self.open = False
-        sent.ended_at = self._traffic.clock()
-
-    async def execute(self, *texts: str) -> Sent:
-        """Send statements in one packet; return the last one with its answer."""
-        statements = self.send(*texts)
-        for sent in statements:
-            await self.receive(sent)
-        return statements[-1]
-
-    async def read_slowly(self, sent: Sent, rate: float) -> None:
-        """Read the answer to a statement, at a number of bytes per second."""
-        data = bytearray()
-        loop, began = asyncio.get_running_loop(), self._traffic.clock()
-        try:
-            while not data.endswith(b"READY I -\r\n"):
-                received = await self._reader.read(8192)
-                if not received:
-                    break
-                data += received
-                delay = began + len(data) / rate - loop.time()
-                await asyncio.sleep(max(0.0, delay))
-        except ConnectionError:
-            self.open = False
-        sent.lines = data.decode().split("\r\n")[:-1]
-        sent.ended_at = self._traffic.clock()
-
-    async def read_end(self) -> bytes:
-        """Return what comes until the connection ends."""
-        with contextlib.suppress(ConnectionError):
-            return await asyncio.wait_for(self._reader.read(), GRACE + 2)
-        return b""
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
-
-
 @contextlib.asynccontextmanager
 async def run_vms(tmp_path):
     """Run two VMs and servers that are slow; yield the deployment and the VMs."""
@@ -293,6 +104,37 @@
             await session.execute("ROLLBACK")
 
 
+def make_long_configuration() -> dict:
+    """Return a configuration whose timeouts exceed the grace period."""
+    configuration = make_configuration(2, ROUTES)
+    for route in configuration["routes"]:
+        route["timeout_ms"] = 9000
+        route["target_latency_ms"] = 8000
+    return configuration
+
+
+async def run_long_statements(deployment, vm: Vm) -> list[str]:
+    """Stop a VM while a read, a write and a read in a transaction run.
+
+    Their servers answer after the end of the grace period.
+
+    Returns:
+        the error codes of the answers.
+    """
+    traffic = Traffic(vm=vm)
+    sessions = [await Session.connect(traffic, "orders") for _ in range(3)]
+    await sessions[2].execute("BEGIN")
+    await sessions[2].execute("READ y")
+    for instance in deployment.instances:
+        instance.service_time = GRACE
+    callers = []
+    texts = ("READ x", "WRITE x 1", "READ x")
+    for session, text in zip(sessions, texts, strict=True):
+        callers.append(session.execute(text))
+    await stop_with_callers(deployment, traffic, *callers)
+    return [sent.lines[0].split(" ")[1] for sent in traffic.sent[-3:]]
+
+
 class TestCallers:
     async def test_callers_that_return_until_the_end_are_answered(self, tmp_path):
         """Guards against statements that end without an answer as new ones come."""
@@ -411,7 +253,26 @@
         assert sent.lines[DOCUMENT_ROWS + 1].startswith("READY ")
 
 
+class TestLongStatements:
+    async def test_statements_that_outlast_the_stop_are_answered(self, tmp_path):
+        """Guards against a statement that is cut as its server works for too long."""
+        async with run_vms(tmp_path) as (deployment, (vm, _)):
+            deployment.store.put("config", "main", make_long_configuration())
+            await asyncio.sleep(0.5)
+            codes = await run_long_statements(deployment, vm)
+            assert codes == ["TIMEOUT", "INDOUBT", "ABORTED"]
+
+
 class TestRelays:
+    async def test_relayed_statements_that_outlast_the_stop_are_answered(
+        self, tmp_path
+    ):
+        """Guards against a relayed statement that is cut while its holder works."""
+        async with self.run_relay(tmp_path, make_long_configuration()) as deployed:
+            deployment, _, relaying = deployed
+            codes = await run_long_statements(deployment, relaying)
+            assert codes == ["OVERLOAD", "INDOUBT", "ABORTED"]
+
     async def test_statement_sent_ahead_of_the_relay_is_answered(self, tmp_path):
         """Guards against a statement that is dropped as no holder is found yet."""
         async with self.run_relay(tmp_path) as (deployment, _, relaying):
@@ -457,10 +318,11 @@
         ]
 
     @contextlib.asynccontextmanager
-    async def run_relay(self, tmp_path):
+    async def run_relay(self, tmp_path, configuration: dict | None = None):
         """Run two VMs of which one relays its callers; yield it last."""
-        async with run_vms(tmp_path) as (deployment, (holder, relaying)):
+        if configuration is None:
             configuration = make_configuration(2, ROUTES)
+        async with run_vms(tmp_path) as (deployment, (holder, relaying)):
             configuration["services"][0]["max_connections"] = 5
             deployment.store.put("config", "main", configuration)
             async with asyncio.timeout(5):
