--- a/tests/users_platform/test_stops.py
+++ b/tests/users_platform/test_stops.py
@@ -25,14 +25,51 @@
 
 
 @contextlib.asynccontextmanager
-async def run_vms(tmp_path):
-    """Run two VMs and servers that are slow; yield the deployment and the VMs."""
-    async with run_deployment(tmp_path, vms=2) as (deployment, vms):
+async def run_vms(path, *, timeout: float = 1.5, max_connections: int = 34):
+    """Run two VMs and servers that are slow; yield the deployment and the VMs.
+
+    Args:
+        path: directory for their files.
+        timeout: seconds that a statement may take.
+        max_connections: connection limit of the servers.
+    """
+    path.mkdir(exist_ok=True)
+    configuration = make_configuration(2, ROUTES)
+    configuration["services"][0]["max_connections"] = max_connections
+    for route in configuration["routes"]:
+        route["timeout_ms"] = route["target_latency_ms"] = round(timeout * 1000)
+    async with run_deployment(path, vms=2) as (deployment, vms):
         for instance, seconds in zip(deployment.instances, SERVICE_TIMES, strict=True):
             instance.service_time = seconds
+        deployment.store.put("config", "main", configuration)
+        for vm in vms:
+            await wait_for_line(vm, "event=configuration_applied version=2")
         yield deployment, vms
 
 
+@contextlib.asynccontextmanager
+async def run_relay(path, *, timeout: float = 1.5):
+    """Run two VMs of which one relays its callers; yield it last."""
+    options = {"timeout": timeout, "max_connections": 5}
+    async with run_vms(path, **options) as (deployment, (holder, relaying)):
+        fields = yaml.safe_load(relaying.path.read_text())
+        fields["limits"]["cpu_share"] = 0.25
+        relaying.output.unlink()
+        await relaying.restart(fields)
+        await wait_for_line(relaying, "is_holder=False")
+        client, first_line = await Client.connect(relaying.ports[0], "views")
+        assert first_line == "READY I -"
+        client.close()
+        yield deployment, holder, relaying
+
+
+async def wait_for_line(vm: Vm, text: str) -> None:
+    """Wait until a VM has logged a line with a text."""
+    async with asyncio.timeout(5):
+        while text not in vm.read_output():
+            await asyncio.sleep(0.02)
+
+
 async def stop(vm: Vm) -> float:
     """Send SIGTERM; return the seconds until the process has ended by itself."""
     loop = asyncio.get_running_loop()
@@ -90,6 +127,7 @@
     """Use a session for packets of four statements until it is closed."""
     while session.open:
         await session.execute("SET v 1", "READ x", "READ y", "READ z")
+        await asyncio.sleep(0.02)
 
 
 async def run_transactions(session: Session, pause: float = 0.2) -> None:
@@ -102,15 +140,7 @@
             await asyncio.sleep(pause)
         if session.open and sent.lines[-1].startswith("READY E"):
             await session.execute("ROLLBACK")
-
-
-def make_long_configuration() -> dict:
-    """Return a configuration whose timeouts exceed the grace period."""
-    configuration = make_configuration(2, ROUTES)
-    for route in configuration["routes"]:
-        route["timeout_ms"] = 9000
-        route["target_latency_ms"] = 8000
-    return configuration
+            await asyncio.sleep(0.1)
 
 
 async def run_long_statements(deployment, vm: Vm) -> list[str]:
@@ -132,6 +162,8 @@
     for session, text in zip(sessions, texts, strict=True):
         callers.append(session.execute(text))
     await stop_with_callers(deployment, traffic, *callers)
+    for session in sessions:
+        session.close()
     return [sent.lines[0].split(" ")[1] for sent in traffic.sent[-3:]]
 
 
@@ -194,9 +226,7 @@
             await vm.process.wait()
             vm.output.unlink()
             vm.process = await spawn_vm(vm.path, vm.output)
-            async with asyncio.timeout(5):
-                while "event=started" not in vm.read_output():
-                    await asyncio.sleep(0.01)
+            await wait_for_line(vm, "event=started")
             traffic = Traffic(vm=vm)
             caller = asyncio.create_task(Session.connect(traffic, "views", "READ x"))
             await asyncio.sleep(0.1)
@@ -256,26 +286,26 @@
 class TestLongStatements:
     async def test_statements_that_outlast_the_stop_are_answered(self, tmp_path):
         """Guards against a statement that is cut as its server works for too long."""
-        async with run_vms(tmp_path) as (deployment, (vm, _)):
-            deployment.store.put("config", "main", make_long_configuration())
-            await asyncio.sleep(0.5)
-            codes = await run_long_statements(deployment, vm)
-            assert codes == ["TIMEOUT", "INDOUBT", "ABORTED"]
+        both = (self.stop_vm(tmp_path / "a"), self.stop_relaying_vm(tmp_path / "b"))
+        codes, relayed_codes = await asyncio.gather(*both)
+        assert codes == ["TIMEOUT", "INDOUBT", "ABORTED"]
+        assert relayed_codes == ["OVERLOAD", "INDOUBT", "ABORTED"]
 
+    async def stop_vm(self, path) -> list[str]:
+        """Stop a VM that has connections to the servers."""
+        async with run_vms(path, timeout=9) as (deployment, (vm, _)):
+            return await run_long_statements(deployment, vm)
+
+    async def stop_relaying_vm(self, path) -> list[str]:
+        """Stop a VM that relays its callers."""
+        async with run_relay(path, timeout=9) as (deployment, _, relaying):
+            return await run_long_statements(deployment, relaying)
 
-class TestRelays:
-    async def test_relayed_statements_that_outlast_the_stop_are_answered(
-        self, tmp_path
-    ):
-        """Guards against a relayed statement that is cut while its holder works."""
-        async with self.run_relay(tmp_path, make_long_configuration()) as deployed:
-            deployment, _, relaying = deployed
-            codes = await run_long_statements(deployment, relaying)
-            assert codes == ["OVERLOAD", "INDOUBT", "ABORTED"]
 
+class TestRelays:
     async def test_statement_sent_ahead_of_the_relay_is_answered(self, tmp_path):
         """Guards against a statement that is dropped as no holder is found yet."""
-        async with self.run_relay(tmp_path) as (deployment, _, relaying):
+        async with run_relay(tmp_path) as (deployment, _, relaying):
             traffic = Traffic(vm=relaying)
             caller = asyncio.create_task(Session.connect(traffic, "views", "READ x"))
             done, _ = await asyncio.wait([caller], timeout=2)
@@ -286,14 +316,14 @@
 
     async def test_relaying_vm_forwards_all_answers(self, tmp_path):
         """Guards against a relay that is cut while its holder works."""
-        async with self.run_relay(tmp_path) as (deployment, _, relaying):
+        async with run_relay(tmp_path) as (deployment, _, relaying):
             traffic = Traffic(vm=relaying)
             await stop_with_callers(deployment, traffic, *self.make_callers(traffic))
             assert "event=shutdown_requested sessions=0" in relaying.read_output()
 
     async def test_stopped_holder_answers_all_relayed_statements(self, tmp_path):
         """Guards against callers of another VM that get no answer."""
-        async with self.run_relay(tmp_path) as (deployment, holder, relaying):
+        async with run_relay(tmp_path) as (deployment, holder, relaying):
             traffic = Traffic(vm=relaying)
             callers = self.make_callers(traffic)
             tasks = [asyncio.create_task(caller) for caller in callers]
@@ -316,26 +346,3 @@
             run_sessions(traffic, "orders", read_until_closed),
             run_sessions(traffic, "orders", run_transactions),
         ]
-
-    @contextlib.asynccontextmanager
-    async def run_relay(self, tmp_path, configuration: dict | None = None):
-        """Run two VMs of which one relays its callers; yield it last."""
-        if configuration is None:
-            configuration = make_configuration(2, ROUTES)
-        async with run_vms(tmp_path) as (deployment, (holder, relaying)):
-            configuration["services"][0]["max_connections"] = 5
-            deployment.store.put("config", "main", configuration)
-            async with asyncio.timeout(5):
-                while ("vms", "vm-0") not in deployment.store.objects:
-                    await asyncio.sleep(0.01)
-            fields = yaml.safe_load(relaying.path.read_text())
-            fields["limits"]["cpu_share"] = 0.25
-            relaying.output.unlink()
-            await relaying.restart(fields)
-            async with asyncio.timeout(5):
-                while "is_holder=False" not in relaying.read_output():
-                    await asyncio.sleep(0.05)
-            client, first_line = await Client.connect(relaying.ports[0], "views")
-            assert first_line == "READY I -"
-            client.close()
-            yield deployment, holder, relaying
--- a/tests/users_platform/traffic.py
+++ b/tests/users_platform/traffic.py
@@ -55,7 +55,6 @@
         self.vm = vm
         self.clock = asyncio.get_running_loop().time
         self.sent: list[Sent] = []
-        self.spare: list[str] = []
 
     @property
     def running(self) -> bool:
@@ -160,6 +159,7 @@
                 sent.lines.append(line)
             else:
                 self.open = False
+                self.close()
         sent.ended_at = self._traffic.clock()
 
     async def execute(self, *texts: str) -> Sent:
@@ -186,12 +186,6 @@
         sent.lines = data.decode().split("\r\n")[:-1]
         sent.ended_at = self._traffic.clock()
 
-    async def read_end(self) -> bytes:
-        """Return what comes until the connection ends."""
-        with contextlib.suppress(ConnectionError):
-            return await asyncio.wait_for(self._reader.read(), GRACE + 2)
-        return b""
-
     def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+        """Close the connection at once."""
+        self._writer.transport.abort()
