--- a/tests/users_platform/traffic.py
+++ b/tests/users_platform/traffic.py
@@ -169,6 +169,13 @@
             await self.receive(sent)
         return statements[-1]
 
+    async def pause(self, seconds: float = 0.02) -> None:
+        """Wait, and notice whether the VM has ended the connection meanwhile."""
+        await asyncio.sleep(seconds)
+        if self.open and self._reader.at_eof():
+            self.open = False
+            self.close()
+
     async def read_slowly(self, sent: Sent, rate: float) -> None:
         """Read the answer to a statement, at a number of bytes per second."""
         data = bytearray()
