Wait for slow callers before a stopped VM ends

Callers that read a large answer slowly lost their connection in the middle of it when their VM shut down.

Cause: a closed connection was aborted one second after the close, even while its answer was being written. The shutdown counted statements but not the sessions whose answers were still on their way, so the process could end before that second was over.

Change: a closing connection is aborted one second after the last byte was sent. The shutdown also waits for sessions to end, within the drain time.

--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -164,8 +164,8 @@
         """Close a caller's connection after writing a reply already given.
 
         A caller with a running statement is disconnected. Any other caller gets
-        the answer that its next statement did not run, and is disconnected after
-        `_CLOSE_GRACE_SECONDS` at the latest.
+        the answer that its next statement did not run, and is disconnected
+        `_CLOSE_GRACE_SECONDS` after all answers have been sent.
         """
         connection = self._connections.get(effect.session)
         if connection is None or connection.closing:
@@ -178,8 +178,23 @@
             connection.stream.writer.close()
         elif not connection.busy:
             connection.announce_close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSE_GRACE_SECONDS, self._expire, connection, False)
+
+    def _expire(self, connection: CallerConnection, was_unsent: bool) -> None:
+        """Disconnect a closing caller, or wait on if an answer is not sent yet.
+
+        Args:
+            was_unsent: whether an answer was not sent at the last check; the caller
+                then gets the whole time again.
+        """
         transport = connection.stream.writer.transport
-        asyncio.get_running_loop().call_later(_CLOSE_GRACE_SECONDS, transport.abort)
+        unsent = connection.busy or transport.get_write_buffer_size() > 0
+        if transport.is_closing() or not (unsent or was_unsent):
+            transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSE_GRACE_SECONDS, self._expire, connection, unsent)
 
     def stop_listening(self) -> None:
         """Stop accepting callers; existing connections stay open."""
--- a/src/siskinhold/core/_shutdown.py
+++ b/src/siskinhold/core/_shutdown.py
@@ -75,17 +75,14 @@
 
 
 def _count_in_flight(node: NodeState) -> int:
-    """Return the number of statements, jobs and transactions in flight.
+    """Return the number of jobs, transactions and sessions in flight.
 
-    It counts the unanswered jobs and open transactions of this VM's pools, and the
-    statements in progress of its sessions and their transactions at a pool owner.
-    Work of its own sessions in its own pools is counted on both sides.
+    It counts the unanswered jobs and open transactions of this VM's pools, and its
+    sessions with their statements in progress. A session ends when its caller has
+    received the last answer, which takes a slow caller a while.
     """
     count = len(node.pools.jobs) + len(node.pools.transactions)
-    count += len(node.sessions.requests)
-    for session in node.sessions.sessions.values():
-        if session.transaction is not None and session.transaction.owner:
-            count += 1
+    count += len(node.sessions.requests) + len(node.sessions.sessions)
     return count
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -32,6 +32,31 @@
 
 
 class TestDrain:
+    def test_callers_that_receive_slowly(self):
+        """Guards against a VM that ends while its last answers are on their way."""
+
+        async def script():
+            fleet = Fleet(deployment=CRANNOG, vm_count=3, lag=0.2)
+            await fleet.start()
+            name, *_ = sorted(fleet.databases)
+            vm = fleet.find_owner(name)
+            vm.callers.delay = 0.4
+            callers = [vm.callers.connect(database=name) for _ in range(20)]
+            await asyncio.sleep(1.0)
+            shutdown = asyncio.create_task(vm.shut_down())
+            pending = []
+            for caller in callers:
+                await asyncio.sleep(0.08)
+                if not caller.closed:
+                    reply = caller.run(StatementKind.WRITE, WRITE)
+                    pending.append(asyncio.create_task(reply))
+            await asyncio.wait_for(shutdown, 5.0)
+            for reply in await asyncio.gather(*pending):
+                assert isinstance(reply.outcome, (Done, NotRun)), reply.outcome
+            await fleet.stop()
+
+        run(script)
+
     def test_callers_that_write_without_a_pause(self):
         """The drain completes in seconds and every statement is done or not run.
 
