Answer all statements that have arrived at a close

Callers got a reset in place of the last answer, or no answer to a statement that their VM had read, when it closed their connection.

Cause: a closing connection announced that the next command did not run, read one command and closed. A second one that had arrived already got no answer, and a close with unread bytes resets the connection, which may destroy answers on their way.

Change: commands that have arrived are refused one by one, then the close is announced and the write side closed.

--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -29,6 +29,8 @@
 _ROWS_PER_TURN = 1_000
 # Rows of at least this size are split into several packets.
 _MIN_SPLIT_BYTES = 0xFFFFFF - 1
+# Stands for a command that was discarded; its kind does not matter.
+_TOO_LARGE = bytes((Commands.COM_QUERY,))
 _UNANSWERED_COMMANDS = {Commands.COM_STMT_CLOSE, Commands.COM_STMT_SEND_LONG_DATA}
 
 
@@ -59,6 +61,7 @@
     session: CallerSession
     closing = False
     busy = False
+    announced = False
 
     async def serve(self, *, handshake_timeout: float, command_limit: int) -> None:
         """Authenticate the caller and run its commands until the connection ends.
@@ -79,41 +82,63 @@
         self.stream.limit = command_limit
         self.session.open()
         while not self.closing:
-            self.stream.reset_seq()
-            try:
-                data = await self.stream.read()
-            except PacketTooLarge:
-                if self.closing:
-                    return
-                await self._refuse_too_large(command_limit)
-                continue
-            if not data or data[0] == Commands.COM_QUIT or self.closing:
+            data = await self._read_command(command_limit)
+            if not data or data[0] == Commands.COM_QUIT:
                 return
+            if self.closing:
+                await self._refuse_for_shutdown(data[0])
+                break
             self.busy = True
             await self._run_command(data[0], data[1:])
             self.busy = False
-        await self._read_last_command()
+        await self._end(command_limit)
+
+    async def _read_command(self, limit: int) -> bytes:
+        """Return the next command; one that is too large is refused and skipped.
+
+        A command that exceeds the limit ends a closing connection like any other.
+        """
+        while True:
+            self.stream.reset_seq()
+            try:
+                return await self.stream.read()
+            except PacketTooLarge:
+                if self.closing:
+                    return _TOO_LARGE
+                await self._refuse_too_large(limit)
 
     def announce_close(self) -> None:
         """Answer the caller's next command in advance: it did not run.
 
         The command may already be in transit. The packet has the sequence number
         of an answer, so a stock client accepts it as the answer to that command.
+        A command that has arrived, even in part, is answered when it was read.
         """
+        if self.stream.reader.has_buffered:
+            return
+        self.announced = True
         self.stream.write_last_answer(make_error(SHUTDOWN_ERROR))
 
-    async def _read_last_command(self) -> None:
-        """Answer one more command in advance and read it without running it.
+    async def _refuse_for_shutdown(self, command: int) -> None:
+        """Answer a command that was read after the close, unless this was done."""
+        if not self.announced and command not in _UNANSWERED_COMMANDS:
+            await self._write_error(SHUTDOWN_ERROR)
+
+    async def _end(self, limit: int) -> None:
+        """Refuse the commands that have arrived, announce the close and await the end.
 
         Closing with unread data would reset the connection, and the reset could
-        overtake the answer.
+        overtake the answers.
         """
-        self.announce_close()
-        self.stream.reset_seq()
-        try:
-            await self.stream.read()
-        except PacketTooLarge:
-            return
+        while not self.announced:
+            self.announce_close()
+            if self.announced:
+                break
+            data = await self._read_command(limit)
+            if not data or data[0] == Commands.COM_QUIT:
+                return
+            await self._refuse_for_shutdown(data[0])
+        await self.stream.discard_input()
 
     async def authenticate(self, *args: object, **kwargs: object) -> None:
         """Check the caller's password scramble.
--- a/src/siskinhold/adapters/_caller_stream.py
+++ b/src/siskinhold/adapters/_caller_stream.py
@@ -41,6 +41,11 @@
     _received = 0
     _excess = b""
 
+    @property
+    def has_buffered(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return bool(self._buffer)
+
     def feed_data(self, data: bytes) -> None:
         """Buffer bytes from the transport."""
         if self.awaits_tls:
@@ -160,6 +165,11 @@
         self._set_writer(asyncio.StreamWriter(secure, plain, self.reader, loop))
         self._packets.seq.value = sequence
 
+    async def discard_input(self) -> None:
+        """Read and discard what arrives until the caller closes the connection."""
+        while await self.reader.read(_DISCARD_CHUNK_BYTES):
+            continue
+
     def write_last_answer(self, packet: bytes) -> None:
         """Write the answer to a command not yet received, and close the write side.
 
--- a/tests/test_caller_closing.py
+++ b/tests/test_caller_closing.py
@@ -5,12 +5,28 @@
 from test_callers import EntryVm, run, run_failing
 
 from siskinhold.effects import CloseCaller
-from siskinhold.events import StatementReceived
+from siskinhold.events import CallerClosed, StatementReceived
 from siskinhold.model import Column, Done
 
 LARGE_RESULT = Done(columns=(Column("v"),), rows=((b"x" * 1_000,),) * 40_000)
 
 
+def frame(body):
+    return len(body).to_bytes(3, "little") + b"\0" + body
+
+
+async def read_packet(reader):
+    """Read one packet; return its sequence number and payload."""
+    header = await reader.readexactly(4)
+    body = await reader.readexactly(int.from_bytes(header[:3], "little"))
+    return header[3], body
+
+
+def is_shutdown_error(packet):
+    sequence, body = packet
+    return sequence == 1 and body[:3] == b"\xff" + (1053).to_bytes(2, "little")
+
+
 def close(entry, session):
     entry.callers.close(CloseCaller(session=session, reason="test"))
 
@@ -47,3 +63,52 @@
             async with asyncio.timeout(3):
                 await entry.callers.stop()
             task.cancel()
+
+
+class TestPipelinedStatements:
+    async def test_statements_read_before_the_close(self):
+        """Guards against read statements that get no answer at a close."""
+        async with EntryVm() as entry:
+            entry.replies["INSERT a"] = None
+            connection = await entry.connect()
+            for sql in (b"INSERT a", b"INSERT b", b"INSERT c"):
+                connection._writer.write(frame(b"\x03" + sql))
+            received = await entry.wait_for(StatementReceived)
+            await asyncio.sleep(0.1)
+            entry.reply(received.session, Done())
+            close(entry, received.session)
+            async with asyncio.timeout(3):
+                _, done = await read_packet(connection._reader)
+                assert done[0] == 0
+                assert is_shutdown_error(await read_packet(connection._reader))
+                assert is_shutdown_error(await read_packet(connection._reader))
+            assert entry.received_sql() == ["INSERT a"]
+
+    async def test_statement_that_arrived_right_before_the_close(self):
+        """Guards against the last of two statements that get a single answer."""
+        async with EntryVm() as entry:
+            connection = await entry.connect()
+            (number,) = entry.callers._connections
+            reader = entry.callers._connections[number].stream.reader
+            reader.feed_data(frame(b"\x03INSERT a") + frame(b"\x03INSERT b"))
+            close(entry, number)
+            async with asyncio.timeout(3):
+                assert is_shutdown_error(await read_packet(connection._reader))
+                assert is_shutdown_error(await read_packet(connection._reader))
+            assert entry.received_sql() == []
+
+    async def test_bytes_that_cross_the_close(self):
+        """Guards against a reset by unread bytes that destroys the last answer."""
+        async with EntryVm() as entry:
+            connection = await entry.connect()
+            (number,) = entry.callers._connections
+            close(entry, number)
+            for _ in range(20):
+                connection._writer.write(frame(b"\x03INSERT '" + b"x" * 200_000 + b"'"))
+            await asyncio.sleep(0.3)
+            async with asyncio.timeout(3):
+                assert is_shutdown_error(await read_packet(connection._reader))
+                assert await connection._reader.read() == b""
+            connection.close()
+            await entry.wait_for(CallerClosed)
+            assert entry.received_sql() == []
