Answer callers that log in while a VM stops

Callers whose login was in progress as the drain ended got a reset. One that completed it in the same moment could send a statement that was read and never answered.

Cause: the shutdown waits for sessions only, which begin with the login. The stop then aborted the connections in the handshake, and the driver dropped all events.

Change: the stop lets logins complete for the time that all closing connections have, and announces the close to these callers too. The driver refuses statements that arrive after the last event of the reducer, as unknown if they have an idempotency key.

--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -201,16 +201,17 @@
         self._server.close()
 
     async def stop(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections.
+
+        A caller that has not logged in may still do so, and is told then that its
+        first statement did not run.
+        """
         self._server.close()
         tasks = list(self._tasks.values())
         for number, connection in list(self._connections.items()):
-            if connection.closing:
-                continue
             if connection.session.opened:
-                connection.stream.writer.close()
-            else:
-                self._tasks[number].cancel()
+                self.close(effects.CloseCaller(session=number, reason="stopped"))
+            connection.closing = True
         if tasks:
             _, pending = await asyncio.wait(tasks, timeout=_CLOSE_GRACE_SECONDS)
             for task in pending:
--- a/src/siskinhold/runtime/_driver.py
+++ b/src/siskinhold/runtime/_driver.py
@@ -13,6 +13,7 @@
 from ..effects import Effect
 from ..events import Event
 from ..messages import Envelope
+from ..model import NotRun, NotRunReason, Outcome, RequestId, Unknown, UnknownReason
 
 
 class AdapterFailed(OSError):
@@ -143,12 +144,33 @@
         self._set_timer()
 
     def _handle_event(self, event: Event) -> None:
-        """Reduce an event and perform its effects; does nothing after `stop`."""
+        """Reduce an event and perform its effects; discards it after the stop.
+
+        A statement of a caller that logged in during the stop is refused.
+        """
         if self.stopped.is_set():
+            if isinstance(event, events.StatementReceived):
+                self._refuse(event)
             return
         for effect in reduce(self.node, event):
             self._perform(effect)
 
+    def _refuse(self, event: events.StatementReceived) -> None:
+        """Answer a statement that the reducer does not get: it did not run."""
+        identity = self.node.identity
+        outcome: Outcome = NotRun(reason=NotRunReason.SHUTDOWN)
+        if event.marks.key:
+            # An earlier request with the key may have run through another VM.
+            outcome = Unknown(reason=UnknownReason.KEY_UNSETTLED)
+        self._callers.reply(
+            effects.ReplyCaller(
+                session=event.session,
+                request=RequestId(identity.name, identity.incarnation, 0),
+                outcome=outcome,
+                positions={},
+            )
+        )
+
     def _perform(self, effect: Effect) -> None:
         self._handlers[type(effect)](effect)
 
--- a/tests/test_caller_closing.py
+++ b/tests/test_caller_closing.py
@@ -112,3 +112,20 @@
             connection.close()
             await entry.wait_for(CallerClosed)
             assert entry.received_sql() == []
+
+
+class TestHandshake:
+    async def test_login_that_crosses_the_stop(self):
+        """Guards against a login without an answer as the VM stops."""
+        async with EntryVm() as entry:
+            _, writer = await entry.open_socket()
+            connecting = asyncio.create_task(entry.connect())
+            while len(entry.callers._connections) < 2:
+                await asyncio.sleep(0)
+            stopping = asyncio.create_task(entry.callers.stop())
+            connection = await connecting
+            assert (await run_failing(connection, "INSERT a"))[0] == 1053
+            async with asyncio.timeout(3):
+                await stopping
+            writer.close()
+            assert entry.received_sql() == []
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,7 +4,7 @@
 
 import looptime
 
-from siskinhold.model import Done, NotRun, StatementKind
+from siskinhold.model import Done, Marks, NotRun, NotRunReason, StatementKind, Unknown
 from siskinhold_trial.fakes import CallerConnectionClosed
 from siskinhold_trial.fleet import CRANNOG, Fleet
 
@@ -91,3 +91,30 @@
             await fleet.stop()
 
         run(script)
+
+    def test_statement_during_the_stop(self):
+        """Guards against a statement that is read and dropped as the VM stops."""
+
+        async def script():
+            fleet = Fleet(deployment=CRANNOG, vm_count=3)
+            await fleet.start()
+            name, *_ = sorted(fleet.databases)
+            vm = fleet.find_owner(name)
+            # A caller that completes its login when the drain is over.
+            vm.driver.request_shutdown()
+            vm.callers._listening = True
+            await asyncio.sleep(0.9)
+            vm.callers.delay = 0.15
+            late = vm.callers.connect(database=name)
+            vm.callers.delay = 0.0
+            await vm.driver.stopped.wait()
+            await asyncio.sleep(0.1)
+            running = late.run(StatementKind.WRITE, WRITE)
+            reply = await asyncio.wait_for(running, 5.0)
+            assert reply.outcome == NotRun(reason=NotRunReason.SHUTDOWN)
+            marks = Marks(once=True, key="order-1")
+            reply = await late.run(StatementKind.WRITE, WRITE, marks)
+            assert isinstance(reply.outcome, Unknown)
+            await fleet.stop()
+
+        run(script)
