Answer what still runs at the end of the drain time

Callers whose statement ran for longer than the drain time, or whose transaction was open, lost their connection without an answer as the VM ended.

Cause: after 60 s the VM closed all sessions and stopped, whatever was in progress.

Change: after 57 s all jobs and statements in progress are answered. What waits or only reads did not run, a statement in a transaction is lost with it, and a COMMIT or single write that was sent to a server is unknown. Open transactions are abandoned, and reads of other VMs' callers are returned to their entry VM. The callers have 2 s to receive the answers.

Evidence: test_statements_that_still_run (a read, a write, a statement in a transaction and a COMMIT, at the owner and at another VM) failed on the code before: the shutdown took more than 60 s, and with 70 s allowed the connections ended without an answer.

--- a/src/siskinhold/core/_answers.py
+++ b/src/siskinhold/core/_answers.py
@@ -227,12 +227,8 @@
     job = node.pools.jobs.get(action.request)
     if job is None:
         return
-    pool = find_pool(node, job.request.database, job.region)
-    waiting = job.connection == 0 or (pool is not None and job in pool.pinned)
-    if pool is not None and waiting:
-        pool.queue.remove(job)
-        if job in pool.pinned:
-            pool.pinned.remove(job)
+    if is_waiting(node, job):
+        withdraw(node, job)
         refuse(node, job, _find_refusal_reason(node, job), out)
         return
     if job.answered is not None:
@@ -241,6 +237,24 @@
     answer_unknown(node, job, UnknownReason.DEADLINE, out)
 
 
+def is_waiting(node: NodeState, job: Job) -> bool:
+    """Return whether a job waits in its pool and was not sent to a server."""
+    pool = find_pool(node, job.request.database, job.region)
+    if pool is None:
+        return False
+    return job.connection == 0 or job in pool.pinned
+
+
+def withdraw(node: NodeState, job: Job) -> None:
+    """Remove a job from the queues of its pool."""
+    pool = find_pool(node, job.request.database, job.region)
+    if pool is None:
+        return
+    pool.queue.remove(job)
+    if job in pool.pinned:
+        pool.pinned.remove(job)
+
+
 def _find_refusal_reason(node: NodeState, job: Job) -> NotRunReason:
     """Return why a job has not been started by its deadline."""
     if job.needs_primary and not is_primary_known(node, job.request.database):
@@ -261,11 +275,7 @@
     """
     job = node.pools.jobs.pop(message.request, None)
     if job is not None:
-        pool = find_pool(node, job.request.database, job.region)
-        if pool is not None:
-            pool.queue.remove(job)
-            if job in pool.pinned:
-                pool.pinned.remove(job)
+        withdraw(node, job)
     if message.transaction is not None:
         roll_back(node, message.transaction, out)
 
--- a/src/siskinhold/core/_shutdown.py
+++ b/src/siskinhold/core/_shutdown.py
@@ -4,6 +4,7 @@
 
 from ..effects import CloseCaller, Stop, StopListening
 from ..events import ShutdownRequested
+from ._cut_off import cut_off
 from ._entries import close_if_drained
 from ._state import Effects, NodeState, record
 from ._timers import TimerAction
@@ -13,9 +14,12 @@
 MIN_DRAIN_DELAY = 1.0
 """Seconds for the other VMs and the load balancer to learn that this VM leaves,
 before its sessions are drained."""
-DRAIN_TIMEOUT = 60.0
+ANSWER_TIMEOUT = 57.0
 """Seconds from the start of the shutdown, `MIN_DRAIN_DELAY` included, after which
-the VM stops even if something is still in flight."""
+statements still in flight are answered as not run or unknown."""
+DRAIN_TIMEOUT = 59.0
+"""Seconds from the start of the shutdown after which the VM stops even if callers have
+not received their answers."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,10 +42,15 @@
 
 
 def _check_drain(node: NodeState, action: DrainCheck, out: Effects) -> None:
-    """Stop the VM if nothing is in flight or `DRAIN_TIMEOUT` has passed."""
+    """Stop the VM if nothing is in flight or `DRAIN_TIMEOUT` has passed.
+
+    What is still in flight at `ANSWER_TIMEOUT` is answered and closed.
+    """
     elapsed = node.now - node.shutdown_began
     if elapsed >= MIN_DRAIN_DELAY:
         _drain_sessions(node, out)
+    if elapsed >= ANSWER_TIMEOUT:
+        cut_off(node, out)
     waiting = elapsed < MIN_DRAIN_DELAY or _count_in_flight(node) > 0
     if waiting and elapsed < DRAIN_TIMEOUT:
         node.timers.schedule(node.now + CHECK_INTERVAL, DrainCheck())
--- a/src/siskinhold/model/_outcomes.py
+++ b/src/siskinhold/model/_outcomes.py
@@ -29,6 +29,7 @@
     OWNER_LOST = "owner_lost"
     TERM_NOT_CONFIRMED = "term_not_confirmed"
     KEY_UNSETTLED = "key_unsettled"
+    SHUTDOWN = "shutdown"
 
 
 class Column(Struct, frozen=True):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,8 +3,17 @@
 import asyncio
 
 import looptime
-
-from siskinhold.model import Done, Marks, NotRun, NotRunReason, StatementKind, Unknown
+import pytest
+
+from siskinhold.model import (
+    Done,
+    Marks,
+    NotRun,
+    NotRunReason,
+    StatementKind,
+    Unknown,
+    UnknownReason,
+)
 from siskinhold_trial.fakes import CallerConnectionClosed
 from siskinhold_trial.fleet import CRANNOG, Fleet
 
@@ -118,3 +127,68 @@
             await fleet.stop()
 
         run(script)
+
+
+LONG = Marks(deadline_ms=600_000)
+
+
+async def open_transaction(vm, name, key):
+    caller = vm.callers.connect(database=name)
+    await caller.run(StatementKind.BEGIN, "BEGIN")
+    sql = WRITE.replace("'a'", f"'{key}'")
+    await caller.run(StatementKind.WRITE, sql, LONG)
+    return caller
+
+
+class TestEndOfTheDrainTime:
+    @pytest.mark.parametrize("stopped", ["owner", "entry"])
+    def test_statements_that_still_run(self, stopped):
+        """Guards against statements without an answer as the drain time ends."""
+
+        async def script():
+            times = [0.002]
+            fleet = Fleet(
+                deployment=CRANNOG,
+                vm_count=6,
+                service_time=lambda generator: times[0],
+            )
+            await fleet.start()
+            name, *_ = sorted(fleet.databases)
+            owners = {name: fleet.find_owner(name) for name in fleet.databases}
+            entry = owners[name]
+            if stopped == "entry":
+                entry, *_ = [
+                    vm for vm in fleet.vms.values() if vm not in owners.values()
+                ]
+            reader = entry.callers.connect(database=name)
+            writer = entry.callers.connect(database=name)
+            inside, committing, idle = [
+                await open_transaction(entry, name, key) for key in "bcd"
+            ]
+            begun = entry.callers.connect(database=name)
+            await begun.run(StatementKind.BEGIN, "BEGIN")
+            await asyncio.sleep(1.0)
+            times[0] = 500.0
+            started = fleet.world.now()
+            read = "SELECT v FROM kv WHERE k='a'"
+            tasks = [
+                asyncio.create_task(caller.run(kind, sql, LONG))
+                for caller, kind, sql in (
+                    (reader, StatementKind.READ, read),
+                    (writer, StatementKind.WRITE, WRITE),
+                    (inside, StatementKind.WRITE, WRITE.replace("'a'", "'b'")),
+                    (committing, StatementKind.COMMIT, "COMMIT"),
+                )
+            ]
+            await asyncio.sleep(0.1)
+            await asyncio.wait_for(entry.shut_down(), 60.0)
+            outcomes = [reply.outcome for reply in await asyncio.gather(*tasks)]
+            assert fleet.world.now() - started < 60.0
+            assert outcomes[0] == NotRun(reason=NotRunReason.SHUTDOWN)
+            assert outcomes[1] == Unknown(reason=UnknownReason.SHUTDOWN)
+            assert outcomes[2] == NotRun(reason=NotRunReason.TRANSACTION_LOST)
+            assert outcomes[3] == Unknown(reason=UnknownReason.SHUTDOWN)
+            assert idle.closed and begun.closed
+            await fleet.stop()
+
+        run(script)
