Handle signals before the first port is open

SIGTERM during the last moments of a VM's start killed the process, though callers could already be connected.

Cause: the signal handlers were installed after the adapters had been started.

Change: they are installed before. A signal during the start is kept, and the graceful shutdown begins when the start is complete; a second one ends the process at once.

Evidence: test_signal_right_after_listening ended with signal 15 on the code before, and with exit code 0 now.

--- a/src/siskinhold/programs/_proxy_service.py
+++ b/src/siskinhold/programs/_proxy_service.py
@@ -62,6 +62,8 @@
         self._operator: OperatorServer | None = None
         self._recorder: TimelineRecorder | None = None
         self._registration: asyncio.Task | None = None
+        self._started = False
+        self._early_signal = False
 
     async def start(self) -> None:
         """Start all adapters and join the fleet.
@@ -87,6 +89,7 @@
             peers=_make_peers(settings),
             recorder=self._recorder,
         )
+        self._catch_signals()
         try:
             await self._start_operator(node)
             await self._driver.start()
@@ -94,7 +97,6 @@
             await self._stop_adapters()
             raise
         self._registration = asyncio.create_task(self._register(store))
-        self._catch_signals()
         _log.info(
             "event=proxy_started vm=%s incarnation=%d pid=%d callers=%d peers=%d "
             "operator=%d",
@@ -105,6 +107,9 @@
             settings.peers.port,
             settings.operator.port,
         )
+        self._started = True
+        if self._early_signal:
+            self._driver.request_shutdown()
 
     async def wait(self) -> None:
         """Wait until a graceful shutdown is complete."""
@@ -144,18 +149,27 @@
             await asyncio.sleep(REGISTER_RETRY_INTERVAL)
 
     def _catch_signals(self) -> None:
-        """Handle SIGTERM and SIGINT on the running event loop."""
+        """Handle SIGTERM and SIGINT on the running event loop.
+
+        It precedes the start, since callers may connect before the start is complete.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._begin_shutdown, number)
 
     def _begin_shutdown(self, number: int) -> None:
-        """Start a graceful shutdown; a second signal ends the process at once."""
-        if self._driver.node.shutting_down:
+        """Start a graceful shutdown; a second signal ends the process at once.
+
+        During the start, the shutdown is put off until the start is complete.
+        """
+        if self._early_signal or self._driver.node.shutting_down:
             _log.warning("event=ended_at_once signal=%d", number)
             # Open sessions are abandoned, so there is nothing to clean up.
             os._exit(128 + number)
         _log.info("event=shutdown_requested signal=%d", number)
+        if not self._started:
+            self._early_signal = True
+            return
         self._driver.request_shutdown()
 
     async def _stop_adapters(self) -> None:
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -4,6 +4,7 @@
 import functools
 import signal
 import socket
+import sys
 
 import pymysql
 import pytest
@@ -18,6 +19,21 @@
 ZONES = ("leinster-a", "leinster-b", "munster-a")
 VMS = ONE, TWO, REMOTE = tuple(f"vm-{zone}" for zone in ZONES)
 
+SIGNAL_AFTER_LISTENING = """
+import os, signal, sys
+from siskinhold.adapters import MysqlCallers
+from siskinhold.programs import proxy
+
+start = MysqlCallers.start
+
+async def start_and_signal(callers, emit):
+    await start(callers, emit)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+MysqlCallers.start = start_and_signal
+proxy.main([sys.argv[1]])
+"""
+
 
 @pytest_asyncio.fixture(loop_scope="module", scope="module")
 async def fleet(tmp_path_factory):
@@ -141,6 +157,25 @@
         assert lines[-1].startswith("failure=file_unusable place='[callers] tls")
 
 
+class TestSignalDuringTheStart:
+    async def test_signal_right_after_listening(self, processes, tmp_path):
+        """Guards against a VM that a signal kills while callers can connect."""
+        deployment = LocalDeployment(folder=tmp_path, processes=processes)
+        deployment.store_url = "http://127.0.0.1:1"
+        deployment.add_vms(("leinster-a",))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            SIGNAL_AFTER_LISTENING,
+            deployment.vms[ONE].settings,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        async with asyncio.timeout(20):
+            _, errors = await process.communicate()
+        assert process.returncode == 0, errors.decode()
+        assert "event=shutdown_requested signal=15" in errors.decode()
+
+
 class TestTickets:
     @pytest.mark.parametrize(
         "old, new, fault",
