Log what a shutdown answered, closed and cut off

A VM's log said that a shutdown began and that the process ended, so it could not tell a statement that was refused from one that was cut off. The line callers_closed counts answers by outcome and closed connections since the shutdown began, and what was cut: statements without an answer and unsent bytes. It is a warning if anything was cut.

Two tests check the line for a caller that reads nothing and for refused statements.

--- a/src/siskinhold/adapters/_caller_connection.py
+++ b/src/siskinhold/adapters/_caller_connection.py
@@ -62,6 +62,7 @@
     closing = False
     busy = False
     announced = False
+    refused = 0
 
     async def serve(self, *, handshake_timeout: float, command_limit: int) -> None:
         """Authenticate the caller and run its commands until the connection ends.
@@ -121,7 +122,10 @@
 
     async def _refuse_for_shutdown(self, command: int) -> None:
         """Answer a command that was read after the close, unless this was done."""
-        if not self.announced and command not in _UNANSWERED_COMMANDS:
+        if command in _UNANSWERED_COMMANDS:
+            return
+        self.refused += 1
+        if not self.announced:
             await self._write_error(SHUTDOWN_ERROR)
 
     async def _end(self, limit: int) -> None:
@@ -130,10 +134,10 @@
         Closing with unread data would reset the connection, and the reset could
         overtake the answers.
         """
-        while not self.announced:
+        last = self.announced
+        while not last:
             self.announce_close()
-            if self.announced:
-                break
+            last = self.announced
             data = await self._read_command(limit)
             if not data or data[0] == Commands.COM_QUIT:
                 return
--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -49,6 +49,7 @@
 from ._caller_packets import TOO_MANY_SESSIONS, make_error
 from ._caller_session import CallerSession
 from ._caller_stream import CallerProtocol, CallerStream, EofReader, PacketMalformed
+from ._closing_counts import ClosingCounts
 from ._interfaces import Callers, Emit
 
 _log = logging.getLogger(__name__)
@@ -133,6 +134,7 @@
         self._connections: dict[int, CallerConnection] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._next_session = 1
+        self._counts = ClosingCounts()
 
     @property
     def port(self) -> int:
@@ -159,6 +161,8 @@
                 effect.session,
                 effect.request,
             )
+            return
+        self._counts.add(effect.outcome)
 
     def close(self, effect: effects.CloseCaller) -> None:
         """Close a caller's connection after writing a reply already given.
@@ -174,7 +178,9 @@
             "event=caller_closing session=%d reason=%s", effect.session, effect.reason
         )
         connection.closing = True
+        self._counts.closed += 1
         if connection.session.waiting:
+            self._counts.unanswered += 1
             connection.stream.writer.close()
         elif not connection.busy:
             connection.announce_close()
@@ -199,6 +205,7 @@
     def stop_listening(self) -> None:
         """Stop accepting callers; existing connections stay open."""
         self._server.close()
+        self._counts = ClosingCounts()
 
     async def stop(self) -> None:
         """Stop listening and close all connections.
@@ -214,10 +221,21 @@
             connection.closing = True
         if tasks:
             _, pending = await asyncio.wait(tasks, timeout=_CLOSE_GRACE_SECONDS)
+            self._count_cut_answers()
             for task in pending:
                 task.cancel()
             await asyncio.gather(*pending, return_exceptions=True)
         await self._server.wait_closed()
+        cut = self._counts.unanswered or self._counts.unsent_bytes
+        level = logging.WARNING if cut else logging.INFO
+        _log.log(level, "event=callers_closed %s", self._counts)
+
+    def _count_cut_answers(self) -> None:
+        """Count the answers that the open connections have not been sent."""
+        for connection in self._connections.values():
+            transport = connection.stream.writer.transport
+            self._counts.unsent_bytes += transport.get_write_buffer_size()
+            self._counts.unanswered += connection.busy
 
     async def _serve(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends; refuses it if there are too many."""
@@ -237,6 +255,7 @@
             await self._serve_session(connection, number)
         finally:
             session.end()
+            self._counts.not_run += connection.refused
             del self._connections[number]
             del self._tasks[number]
             stream.writer.close()
--- a/tests/test_caller_closing.py
+++ b/tests/test_caller_closing.py
@@ -1,6 +1,7 @@
 """The end of callers' connections when a VM shuts down, over real sockets."""
 
 import asyncio
+import logging
 
 from test_callers import EntryVm, run, run_failing
 
@@ -49,7 +50,7 @@
             assert len(rows) == len(LARGE_RESULT.rows)
             assert (await run_failing(connection, "INSERT b"))[0] == 1053
 
-    async def test_caller_that_reads_nothing(self):
+    async def test_caller_that_reads_nothing(self, caplog):
         """Guards against a caller that keeps a stopped VM from ending."""
         async with EntryVm() as entry:
             entry.replies["SELECT v"] = None
@@ -60,13 +61,17 @@
             entry.reply(received.session, LARGE_RESULT)
             close(entry, received.session)
             await asyncio.sleep(0.1)
+            caplog.clear()
             async with asyncio.timeout(3):
                 await entry.callers.stop()
+            (line,) = [text for text in caplog.messages if "callers_closed" in text]
+            assert "done=1" in line and " closed=1 unanswered=1 " in line
+            assert "unsent_bytes=0" not in line
             task.cancel()
 
 
 class TestPipelinedStatements:
-    async def test_statements_read_before_the_close(self):
+    async def test_statements_read_before_the_close(self, caplog):
         """Guards against read statements that get no answer at a close."""
         async with EntryVm() as entry:
             entry.replies["INSERT a"] = None
@@ -83,6 +88,11 @@
                 assert is_shutdown_error(await read_packet(connection._reader))
                 assert is_shutdown_error(await read_packet(connection._reader))
             assert entry.received_sql() == ["INSERT a"]
+            caplog.set_level(logging.INFO)
+            connection.close()
+            await entry.callers.stop()
+            assert "done=1 failed=0 not_run=2 unknown=0 closed=1" in caplog.text
+            assert "unanswered=0 unsent_bytes=0" in caplog.text
 
     async def test_statement_that_arrived_right_before_the_close(self):
         """Guards against the last of two statements that get a single answer."""
