Shut VMs down with slow callers in the proof campaign

The campaign's callers got each answer within milliseconds, so a VM that ended while its last answers were on their way passed. Every other graceful shutdown of a VM has callers with a one-way delay of 0.3 s now. A test covers a slow caller over TLS, too.

--- a/src/siskinhold_trial/proof/_faults.py
+++ b/src/siskinhold_trial/proof/_faults.py
@@ -12,6 +12,9 @@
 from siskinhold_trial.fleet import Fleet
 from siskinhold_trial.history import Drain
 
+SLOW_CALLER_DELAY = 0.3
+"""One-way delay, in seconds, to the slow callers of a VM that shuts down."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Fault:
@@ -257,11 +260,16 @@
 
 
 async def restart_vm_gracefully(fleet: Fleet, rng: random.Random) -> None:
-    """Shut a VM down gracefully and start it again."""
+    """Shut a VM down gracefully and start it again.
+
+    The first of its processes, and then every other one, has slow callers at its end.
+    """
     vm = _pick_vm(fleet, rng)
     if vm is None:
         return
     with _reserve_vm(fleet, vm):
+        if vm.incarnation % 2:
+            vm.callers.delay = SLOW_CALLER_DELAY
         await vm.shut_down()
         await asyncio.sleep(0.5)
         await vm.start()
--- a/tests/test_caller_closing.py
+++ b/tests/test_caller_closing.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from test_callers import EntryVm, run, run_failing
+from test_callers import EntryVm, make_contexts, run, run_failing
 
 from siskinhold.effects import CloseCaller
 from siskinhold.events import CallerClosed, StatementReceived
@@ -50,6 +50,23 @@
             assert len(rows) == len(LARGE_RESULT.rows)
             assert (await run_failing(connection, "INSERT b"))[0] == 1053
 
+    async def test_large_answer_over_tls(self, tmp_path):
+        """Guards against an answer cut off in the buffers of a TLS connection."""
+        server, client = make_contexts(tmp_path)
+        async with EntryVm(ssl=server) as entry:
+            entry.replies["SELECT v"] = None
+            connection = await entry.connect(ssl=client)
+            connection._writer.transport.pause_reading()
+            task = asyncio.create_task(run(connection, "SELECT v"))
+            received = await entry.wait_for(StatementReceived)
+            entry.reply(received.session, LARGE_RESULT)
+            close(entry, received.session)
+            await asyncio.sleep(2.5)
+            connection._writer.transport.resume_reading()
+            async with asyncio.timeout(5):
+                _, rows = await task
+            assert len(rows) == len(LARGE_RESULT.rows)
+
     async def test_caller_that_reads_nothing(self, caplog):
         """Guards against a caller that keeps a stopped VM from ending."""
         async with EntryVm() as entry:
