--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -49,6 +49,7 @@
 from ._caller_packets import TOO_MANY_SESSIONS, make_error
 from ._caller_session import CallerSession
 from ._caller_stream import CallerProtocol, CallerStream, EofReader, PacketMalformed
+from ._closing_counts import ClosingCounts
 from ._interfaces import Callers, Emit
 
 _log = logging.getLogger(__name__)
@@ -133,6 +134,7 @@
         self._connections: dict[int, CallerConnection] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._next_session = 1
+        self._counts = ClosingCounts()
 
     @property
     def port(self) -> int:
@@ -159,13 +161,15 @@
                 effect.session,
                 effect.request,
             )
+            return
+        self._counts.add(effect.outcome)
 
     def close(self, effect: effects.CloseCaller) -> None:
         """Close a caller's connection after writing a reply already given.
 
         A caller with a running statement is disconnected. Any other caller gets
-        the answer that its next statement did not run, and is disconnected after
-        `_CLOSE_GRACE_SECONDS` at the latest.
+        the answer that its next statement did not run, and is disconnected
+        `_CLOSE_GRACE_SECONDS` after all answers have been sent.
         """
         connection = self._connections.get(effect.session)
         if connection is None or connection.closing:
@@ -174,34 +178,64 @@
             "event=caller_closing session=%d reason=%s", effect.session, effect.reason
         )
         connection.closing = True
+        self._counts.closed += 1
         if connection.session.waiting:
+            self._counts.unanswered += 1
             connection.stream.writer.close()
         elif not connection.busy:
             connection.announce_close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSE_GRACE_SECONDS, self._expire, connection, False)
+
+    def _expire(self, connection: CallerConnection, was_unsent: bool) -> None:
+        """Disconnect a closing caller, or wait on if an answer is not sent yet.
+
+        Args:
+            was_unsent: whether an answer was not sent at the last check; the caller
+                then gets the whole time again.
+        """
         transport = connection.stream.writer.transport
-        asyncio.get_running_loop().call_later(_CLOSE_GRACE_SECONDS, transport.abort)
+        unsent = connection.busy or transport.get_write_buffer_size() > 0
+        if transport.is_closing() or not (unsent or was_unsent):
+            transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSE_GRACE_SECONDS, self._expire, connection, unsent)
 
     def stop_listening(self) -> None:
         """Stop accepting callers; existing connections stay open."""
         self._server.close()
+        self._counts = ClosingCounts()
 
     async def stop(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections.
+
+        A caller that has not logged in may still do so, and is told then that its
+        first statement did not run.
+        """
         self._server.close()
         tasks = list(self._tasks.values())
         for number, connection in list(self._connections.items()):
-            if connection.closing:
-                continue
             if connection.session.opened:
-                connection.stream.writer.close()
-            else:
-                self._tasks[number].cancel()
+                self.close(effects.CloseCaller(session=number, reason="stopped"))
+            connection.closing = True
         if tasks:
             _, pending = await asyncio.wait(tasks, timeout=_CLOSE_GRACE_SECONDS)
+            self._count_cut_answers()
             for task in pending:
                 task.cancel()
             await asyncio.gather(*pending, return_exceptions=True)
         await self._server.wait_closed()
+        cut = self._counts.unanswered or self._counts.unsent_bytes
+        level = logging.WARNING if cut else logging.INFO
+        _log.log(level, "event=callers_closed %s", self._counts)
+
+    def _count_cut_answers(self) -> None:
+        """Count the answers that the open connections have not been sent."""
+        for connection in self._connections.values():
+            transport = connection.stream.writer.transport
+            self._counts.unsent_bytes += transport.get_write_buffer_size()
+            self._counts.unanswered += connection.busy
 
     async def _serve(self, reader: EofReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends; refuses it if there are too many."""
@@ -221,6 +255,7 @@
             await self._serve_session(connection, number)
         finally:
             session.end()
+            self._counts.not_run += connection.refused
             del self._connections[number]
             del self._tasks[number]
             stream.writer.close()
