Handle statements that arrive while the last answer is sent

A caller that sent a statement while a large answer was still on its way to it got no answer if its session had been closed behind that answer: the end dropped what was read. The end now waits until all was sent.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -31,6 +31,9 @@
 """Seconds for which a connection that this VM has ended is read until its caller closes
 it, from when the last answer was sent."""
 
+SEND_CHECK_INTERVAL = 0.02
+"""Seconds between two checks whether the answers before an end were sent."""
+
 REJECTION_LINGER_PERIOD = 2.0
 """The same after a rejected line, the rest of which may be long."""
 
@@ -284,15 +287,23 @@
     def finish_if_answered(self) -> None:
         """End the connection unless a statement has arrived that has no answer yet.
 
-        What waits in the socket is read first, which takes a pass of the event loop.
+        What waits in the socket is read first, which takes a pass of the event loop,
+        and while answers are still being sent, statements go on being handled.
         """
+        if self._finishing:
+            return
         self._finishing = True
         loop = asyncio.get_running_loop()
         loop.call_soon(loop.call_soon, self._finish_unless_used)
 
     def _finish_unless_used(self) -> None:
         """End the connection if no further statement has arrived."""
-        if self._finishing and not self.unanswered:
+        if not self._finishing or self.unanswered:
+            self._finishing = False
+        elif self.unsent:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SEND_CHECK_INTERVAL, self._finish_unless_used)
+        else:
             self.finish()
 
     def write(self, data: bytes) -> None:
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -226,11 +226,15 @@
         else:
             connection.finish_if_answered()
 
-    async def stop(self) -> None:
-        """Stop listening and end all connections, with a line on what is lost.
+    async def stop(self) -> dict[str, int]:
+        """Stop listening and end all connections.
 
         Callers have `EXIT_PERIOD` to take what was written, and `CLOSE_PERIOD` to close
         their side.
+
+        Returns:
+            what was cut off: connections that were still open, statements without a
+            whole answer, and bytes that were not sent.
         """
         self.refuse_callers()
         for connection in list(self.open):
@@ -247,12 +251,11 @@
         for connection in self.open:
             unanswered += connection.unanswered
             unsent += connection.unsent
-        _log.log(
-            logging.WARNING if unanswered or unsent else logging.INFO,
-            "event=callers_closed open=%d unanswered=%d unsent_bytes=%d",
-            len(self.open),
-            unanswered,
-            unsent,
-        )
-        for connection in list(self.open):
+        still_open = list(self.open)
+        for connection in still_open:
             connection.abort()
+        return {
+            "open": len(still_open),
+            "unanswered": unanswered,
+            "unsent_bytes": unsent,
+        }
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -181,7 +181,8 @@
     async def stop(self) -> None:
         """Cancel all tasks and close all connections."""
         self.driver.stop()
-        await self._callers.stop()
+        cut_off = await self._callers.stop()
+        self._log_event("callers_closed", **cut_off)
         for task in self._tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
