Restore the stand-in store to a moment, not to an age, in its tests

It restored the state of 0.06 s ago, 0.05 s after a write; 0.01 s of delay are enough for the restored state to hold the write, so that the watch is valid.

The test now restores the state from before the write, whenever that was, and what is written again after the restore comes 1 s later, not 0.1 s. It checks the same.

--- a/tests/users_platform/test_standins.py
+++ b/tests/users_platform/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import pytest
@@ -59,11 +60,11 @@
             store.put("vms", "late", {})
             store.put("config", "main", {"version": 2})
             store.refresh()
-            store.restore(0.02, delay=0.05)
+            store.restore(0.02, delay=0.5)
             assert store.revision == 2
             assert (await call("GET", "servers"))[2]["items"] == []
             assert store.objects == copied
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.6)
             found = {
                 key: item["meta"]["revision"] for key, item in store.objects.items()
             }
@@ -78,14 +79,15 @@
         """Guards against a watch that is told of a restore by more than its number."""
         async with run_store() as (store, call):
             await asyncio.sleep(0.02)
+            began = time.monotonic()
             store.put("config", "main", {"version": 1})
             waiting = asyncio.create_task(call("GET", "config?watch=2&wait_ms=9000"))
             await asyncio.sleep(0.05)
-            store.restore(0.06, delay=0.1)
+            store.restore(time.monotonic() - began, delay=1.0)
             # The HTTP client repeats a call whose connection was cut off.
             assert (await waiting)[0] == 410
             assert store.calls == [("GET", "config")] * 2
-            await asyncio.sleep(0.15)
+            await asyncio.sleep(1.1)
             status, _, content = await call("GET", "config?watch=2&wait_ms=0")
             assert (status, content["events"]) == (200, [])
 
