--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -49,8 +49,8 @@
     It ends once its caller has got everything, and its connection is closed. Callers
     don't count that as a failure.
     """
-    if not session.close_ordered:
-        session.close_ordered = True
+    if not session.end_ordered:
+        session.end_ordered = True
         state.stop_counts.callers_closed += 1
     out.append(CloseCaller(session=session.number))
 
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -20,7 +20,7 @@
     StopPhase.DRAINING: RelayClosing.ANSWERED,
     StopPhase.INTAKE_OVER: RelayClosing.IDLE,
     StopPhase.STARTS_OVER: RelayClosing.TRANSACTIONS,
-    StopPhase.ANSWERING: RelayClosing.ALL,
+    StopPhase.ANSWERED: RelayClosing.ALL,
     StopPhase.ENDING: RelayClosing.ALL,
 }
 
@@ -103,7 +103,7 @@
     """Return whether to close a session that waits for its caller."""
     if session.work is not None:
         return False
-    if phase >= StopPhase.ANSWERING:
+    if phase >= StopPhase.ANSWERED:
         return True
     if phase < StopPhase.INTAKE_OVER or session.transaction is not None:
         return False
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -176,7 +176,7 @@
         position: log position of the session's last acknowledged commit.
         work: the statement under way.
         closing: whether to close the session once it has no open transaction.
-        close_ordered: whether its connection is to be closed.
+        end_ordered: whether its connection is to be closed.
         active_at: when its last statement arrived or was answered.
     """
 
@@ -188,7 +188,7 @@
     transaction: Transaction | None = None
     work: "Job | None" = None
     closing: bool = False
-    close_ordered: bool = False
+    end_ordered: bool = False
     active_at: float = 0.0
 
     @property
--- a/src/siskinhold/direct/_stop_phases.py
+++ b/src/siskinhold/direct/_stop_phases.py
@@ -42,7 +42,7 @@
             closed.
         STARTS_OVER: statements that wait or arrive are refused, and open transactions
             without a running statement are aborted.
-        ANSWERING: running statements have been answered, and all sessions are closed.
+        ANSWERED: running statements have been answered, and all sessions are closed.
         ENDING: the process stops.
     """
 
@@ -51,7 +51,7 @@
     DRAINING = 2
     INTAKE_OVER = 3
     STARTS_OVER = 4
-    ANSWERING = 5
+    ANSWERED = 5
     ENDING = 6
 
 
@@ -65,7 +65,7 @@
         (state.stop_grace * INTAKE_RATIO, StopPhase.DRAINING),
         (state.stop_grace * START_RATIO, StopPhase.INTAKE_OVER),
         (state.stop_grace * ANSWER_RATIO, StopPhase.STARTS_OVER),
-        (state.stop_grace * STOP_RATIO, StopPhase.ANSWERING),
+        (state.stop_grace * STOP_RATIO, StopPhase.ANSWERED),
     )
     for end, phase in ends:
         if elapsed < end:
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -41,7 +41,12 @@
 
 
 class CallerProtocol(LineProtocol):
-    """One caller's connection; it submits one statement at a time."""
+    """One caller's connection; it submits one statement at a time.
+
+    `finish` ends it after all written data, `finish_if_answered` only if its caller is
+    owed no answer; `close` does not wait for the caller's end, and `abort` drops what
+    was not sent.
+    """
 
     def __init__(self, *, callers, relayed: bool) -> None:
         super().__init__(user_timeout=USER_TIMEOUT)
@@ -246,7 +251,7 @@
             self._end_relay()
         elif relay.idle and closing >= RelayClosing.IDLE:
             self._end_relay()
-        elif relay.rests_in_transaction and closing >= RelayClosing.TRANSACTIONS:
+        elif relay.idle_in_transaction and closing >= RelayClosing.TRANSACTIONS:
             relay.detach()
 
     def _end_relay(self) -> None:
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -121,7 +121,7 @@
         return not self._unanswered and self._state is TransactionState.NONE
 
     @property
-    def rests_in_transaction(self) -> bool:
+    def idle_in_transaction(self) -> bool:
         """Whether a transaction is open without a running statement."""
         return not self._unanswered and self._state is not TransactionState.NONE
 
