Reject a line at once while a holder is sought

A relayed caller whose line was too long while its VM still sought a holder got neither the rejection nor further answers: the rejection waited for the answer to a statement, and none runs there. test_line_that_is_rejected_while_a_holder_is_sought failed before.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -185,6 +185,9 @@
             return
         self._relaying = True
         self._callers.relayed += 1
+        if self._rejection:
+            self._reject_line(self._rejection)
+            return
         search = await open_relay(effect.holders, self._connect_line, self._make_relay)
         relay = search.relay
         if search.silent or search.refused:
@@ -274,7 +277,7 @@
 
         Statements before that line are answered first.
         """
-        if self._busy and self._relay is None:
+        if self._busy and not self._relaying:
             self._rejection = reason
             return
         _log.warning(
--- a/tests/users_platform/test_caller_ends.py
+++ b/tests/users_platform/test_caller_ends.py
@@ -360,6 +360,18 @@
             await self.close_relays(vm, RelayClosing.ALL)
             assert await read_all(reader) == b"ERROR OVERLOAD shutdown\r\n"
 
+    @pytest.mark.parametrize("wait", [0.0, 0.05])
+    async def test_line_that_is_rejected_while_a_holder_is_sought(self, wait):
+        """Guards against a caller that waits for a rejection that never comes."""
+        async with run_vm() as vm, run_holder("a", None) as holder:
+            reader, writer, session = await vm.connect(CONNECT)
+            vm.callers.relay(RelayCaller(session=session, holders=(holder,)))
+            (connection,) = vm.callers.connections.values()
+            await asyncio.sleep(wait)
+            connection.handle_overflow()
+            rejection = b"ERROR MALFORMED line_too_long\r\n"
+            assert (await read_all(reader)).endswith(rejection)
+
     async def test_rest_of_an_answer_in_a_transaction_reports_its_failure(self):
         """Guards against a transaction that is reported as ended while rolled back."""
         answers = (READY, b"COMPLETE -\r\nREADY T -\r\n", b"COMPLETE a\r\n")
