Stop each VM at least once in a soak of stops

The faults of a run draw from one generator in turn, so the draws depend on the time, and a pause of 7 s after the first stop left no time for a second one.

--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -199,6 +199,12 @@
                 await instance.start()
 
     async def _keep_stopping(self) -> None:
+        """Stop each VM once, then some of them again and again."""
+        for vm in self.vms:
+            while vm.process.returncode is not None:
+                await asyncio.sleep(0.1)
+            await self._stop_vm(vm)
+            await asyncio.sleep(self._random.uniform(0.0, 1.0))
         while True:
             await asyncio.sleep(self._random.uniform(0.2, 2.0))
             await self._stop_vms()
