Serve each client account at one home, under its own connections

Callers' keys were ignored: every statement on the deployment with accounts ran under the VM's name, with keys that no configuration held, also after they were withdrawn.

A key of the first line names a client account by the configuration in force. Each account has a home, one connection holder on which all VMs agree by reports of presence; callers are relayed there. Connections to servers belong to an account. A configuration is relied on only for a time after the store has shown that it is the newest.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -14,6 +14,7 @@
 - floor: the minimum log position that a session's reads must see.
 """
 
+from ._account_state import AccountState
 from ._effects import (
     AcceptCaller,
     AnnounceReadiness,
@@ -37,6 +38,7 @@
     RelayCaller,
     RemoveVm,
     ReplyCaller,
+    ReportPresence,
     SendCommands,
     Stop,
     WriteLeaderRecord,
@@ -46,13 +48,16 @@
     BackendLost,
     BackendOpened,
     CallerClosed,
+    CallerMoved,
     CallerOpened,
     CallerStatement,
+    ConfigurationConfirmed,
     ConfigurationRead,
     Event,
     HoldersUnavailable,
     LeaderRecordAnswered,
     LossReason,
+    PresenceHeard,
     PromotionAnswered,
     PromotionOutcome,
     ServersRead,
@@ -76,10 +81,11 @@
     find_silent_holders,
     may_give_up,
 )
-from ._settings import VmSettings
+from ._settings import AccountBounds, VmSettings
 from ._state import DirectState
 from ._types import (
     FIRST_ERA,
+    Account,
     Answer,
     Command,
     CommandKind,
@@ -99,8 +105,16 @@
     TransactionState,
     VmEntry,
 )
+from .accounts import uses_accounts
 
 __all__ = [
+    "Account",
+    "AccountBounds",
+    "AccountState",
+    "CallerMoved",
+    "ConfigurationConfirmed",
+    "PresenceHeard",
+    "ReportPresence",
     "AnnounceReadiness",
     "AskVms",
     "Answer",
@@ -179,4 +193,5 @@
     "find_silent_holders",
     "may_give_up",
     "needs_servers",
+    "uses_accounts",
 ]
--- /dev/null
+++ b/src/siskinhold/direct/_account_state.py
@@ -0,0 +1,41 @@
+"""State of client accounts at one VM."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ._settings import AccountBounds
+
+
+@dataclass(slots=True, kw_only=True)
+class Presence:
+    """The newest report of another connection holder.
+
+    Args:
+        heard_at: when it arrived.
+        serving: whether that VM serves client accounts.
+    """
+
+    heard_at: float
+    serving: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class AccountState:
+    """What a VM knows of client accounts beside the configuration.
+
+    Args:
+        bounds: how promptly keys and rates must take effect.
+        confirmed_at: time before which every accepted configuration is known here.
+        presences: newest reports of other holders, by name.
+        reported_at: when this VM last reported its own presence.
+        reported_serving: what it reported then.
+        homes: names of the VMs that serve a key's account, by the key's digest; only
+            of keys whose callers this VM relays. The least recently used come first.
+    """
+
+    bounds: AccountBounds = AccountBounds()
+    confirmed_at: float = -1000.0
+    presences: dict[str, Presence] = field(default_factory=dict)
+    reported_at: float = -1000.0
+    reported_serving: bool = False
+    homes: OrderedDict[bytes, tuple[str, ...]] = field(default_factory=OrderedDict)
--- a/src/siskinhold/direct/_connections.py
+++ b/src/siskinhold/direct/_connections.py
@@ -2,10 +2,11 @@
 
 from ._effects import CloseBackend, Log, Observe, OpenBackend, SendCommands
 from ._events import LossReason
-from ._holders import compute_connection_share
+from ._holders import SPARE_HOLDERS, compute_connection_share
 from ._server_state import Connection, ConnectionState, PendingCommand, Purpose, Server
 from ._state import DirectState, Effects, Job, Session
 from ._types import Command, CommandKind
+from .accounts import list_likely_homes, uses_accounts
 
 SPARE_SHARES = 2
 """VMs beyond the registered ones for which a server's connections must suffice."""
@@ -36,6 +37,10 @@
 """Seconds after which an idle connection beyond `MIN_IDLE_CONNECTIONS` is closed:
 longer than the gaps between statements under a load that needs it."""
 
+ACCOUNT_IDLE_TIMEOUT = 20.0
+"""The same for connections of client accounts: each account uses few of them, and a
+new one takes a slot of the server."""
+
 MIN_IDLE_CONNECTIONS = 1
 """Statement connections to a server that stay open while they are idle."""
 
@@ -50,12 +55,22 @@
     if configuration is None or state.now - state.started_at < STARTUP_PERIOD:
         return MIN_CONNECTIONS
     total = configuration.connections.get(server.entry.service, 0)
+    if uses_accounts(state):
+        homes = list_likely_homes(state)
+        if homes and all(vm.name != state.vm for vm in homes):
+            return MIN_CONNECTIONS
+        return max(MIN_CONNECTIONS, total // (len(homes) + SPARE_HOLDERS))
     share = compute_connection_share(state, total, SPARE_SHARES, ASSUMED_VMS)
     return max(MIN_CONNECTIONS, share)
 
 
 def open_connection(
-    state: DirectState, server: Server, out: Effects, *, control: bool = False
+    state: DirectState,
+    server: Server,
+    out: Effects,
+    *,
+    control: bool = False,
+    account: str = "",
 ) -> None:
     """Start to open a connection, unless a retry delay or overload forbids it.
 
@@ -65,7 +80,11 @@
         return
     number = state.allocate_number()
     connection = Connection(
-        number=number, server=server, control=control, opened_at=state.now
+        number=number,
+        server=server,
+        control=control,
+        opened_at=state.now,
+        account=account,
     )
     server.connections[number] = connection
     state.connections[number] = connection
@@ -76,29 +95,51 @@
             port=server.entry.port,
             service=server.entry.service,
             server=server.entry.server,
+            account=account,
         )
     )
     out.append(Observe(metric="backend_connections_opened_total"))
 
 
-def grow_pool(state: DirectState, server: Server, out: Effects) -> bool:
+def grow_pool(
+    state: DirectState, server: Server, out: Effects, account: str = ""
+) -> bool:
     """Open a statement connection within the limit; return whether one is opening.
 
-    Connections are opened one at a time, since each opening takes a slot of the server.
+    Connections of an account are opened one at a time, since each opening takes a slot
+    of the server. At the limit, an idle connection of another account makes room.
     """
     for connection in server.connections.values():
         if connection.state is ConnectionState.OPENING:
-            return True
+            if connection.account == account:
+                return True
     if len(server.connections) >= compute_connection_limit(state, server):
-        return False
+        idle = _find_replaceable(server, account)
+        if idle is None or state.now < max(server.retry_at, server.overloaded_until):
+            return False
+        close_connection(state, idle, out, "other_account")
     before = len(server.connections)
-    open_connection(state, server, out)
+    open_connection(state, server, out, account=account)
     return len(server.connections) > before
 
 
-def has_pool(server: Server) -> bool:
+def _find_replaceable(server: Server, account: str) -> Connection | None:
+    """Return the idle connection of another account that was unused for longest."""
+    found = None
+    for connection in server.connections.values():
+        if connection.control or not connection.idle or connection.account == account:
+            continue
+        if found is None or connection.used_at < found.used_at:
+            found = connection
+    return found
+
+
+def has_pool(server: Server, account: str = "") -> bool:
     """Return whether there is a statement connection to a server, open or opening."""
-    return any(not connection.control for connection in server.connections.values())
+    for connection in server.connections.values():
+        if not connection.control and connection.account == account:
+            return True
+    return False
 
 
 def ensure_control_connection(state: DirectState, server: Server, out: Effects) -> None:
@@ -130,10 +171,13 @@
     full = (
         state.now < server.overloaded_until + OVERLOAD_DELAY
         and session.transaction is None
+        and not session.account
     )
     for connection in server.connections.values():
         if connection.control and not full or not connection.idle:
             continue
+        if connection.account != session.account:
+            continue
         if connection.values == session.values:
             return connection
         found = connection
@@ -148,10 +192,11 @@
     """
     pool = [c for c in server.connections.values() if not c.control]
     surplus = len(pool) - MIN_IDLE_CONNECTIONS
+    timeout = ACCOUNT_IDLE_TIMEOUT if uses_accounts(state) else IDLE_TIMEOUT
     for connection in pool:
         if surplus <= 0:
             return
-        if connection.idle and state.now - connection.used_at >= IDLE_TIMEOUT:
+        if connection.idle and state.now - connection.used_at >= timeout:
             close_connection(state, connection, out, "idle")
             surplus -= 1
 
--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -119,15 +119,15 @@
         if connection is None:
             full.append(server)
             continue
-        if full and not has_pool(full[0]):
+        if full and not has_pool(full[0], job.session.account):
             # It lost its connections; without new ones it would stay unused.
-            grow_pool(state, full[0], out)
+            grow_pool(state, full[0], out, job.session.account)
         postpone_next_trial(state, server, after)
         database.starts.record(job.route.priority, state.now)
         begin_job(state, job, connection, after, out)
         return True
     for server in full:
-        if grow_pool(state, server, out):
+        if grow_pool(state, server, out, job.session.account):
             break
     return False
 
@@ -172,7 +172,7 @@
             out.append(Observe(metric="hedges_total"))
             break
         if not job.hedged and others:
-            grow_pool(state, others[0], out)
+            grow_pool(state, others[0], out, job.session.account)
 
 
 def _resolve_unconfirmed(state: DirectState, database: Database, out: Effects) -> None:
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -21,6 +21,18 @@
     holders: tuple[VmEntry, ...]
 
 
+@dataclass(slots=True, kw_only=True)
+class ReportPresence:
+    """Report to other connection holders that this VM runs, by one datagram each.
+
+    Args:
+        serving: whether this VM serves client accounts.
+    """
+
+    vms: tuple[VmEntry, ...]
+    serving: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class CloseRelays:
     """Close relays for a shutdown, after every statement that was read is answered."""
@@ -60,13 +72,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class OpenBackend:
-    """Open a connection to a backend server, naming the server that is expected."""
+    """Open a connection to a backend server, naming the server that is expected.
+
+    Args:
+        account: the client account that it serves, empty for the proxy itself.
+    """
 
     connection: int
     host: str
     port: int
     service: str
     server: str
+    account: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -244,6 +261,7 @@
 Effect = (
     AcceptCaller
     | RelayCaller
+    | ReportPresence
     | CloseRelays
     | RefuseCaller
     | ReplyCaller
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -1,7 +1,7 @@
 """Events of the direct core. Each carries `at`, in seconds of the runtime's clock."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ._types import (
     Answer,
@@ -21,12 +21,14 @@
 
     Args:
         relayed: whether another VM relays it.
+        key: the key that identifies the caller, empty without one.
     """
 
     at: float
     session: int
     database: str
     relayed: bool = False
+    key: str = field(default="", repr=False)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -154,6 +156,45 @@
     session: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class CallerMoved:
+    """A connection holder told which VMs serve the account of a relayed caller.
+
+    Args:
+        vms: names of the VMs, the preferred one first.
+    """
+
+    at: float
+    session: int
+    vms: tuple[str, ...]
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigurationConfirmed:
+    """The store showed that no newer configuration had been accepted before a time.
+
+    Args:
+        confirmed_at: that time, in seconds of the runtime's clock.
+    """
+
+    at: float
+    confirmed_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class PresenceHeard:
+    """Another connection holder reported that it runs.
+
+    Args:
+        vm: its name.
+        serving: whether it serves client accounts.
+    """
+
+    at: float
+    vm: str
+    serving: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class VmProbed:
     """A probe of another VM has ended.
@@ -289,6 +330,9 @@
     | ServersRead
     | VmsRead
     | HoldersUnavailable
+    | CallerMoved
+    | ConfigurationConfirmed
+    | PresenceHeard
     | VmProbed
     | VmsAsked
     | LeaderRecordAnswered
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -11,6 +11,7 @@
 from ._effects import ListVms, PublishConnections, RegisterVm
 from ._state import DirectState, Effects
 from ._types import VmEntry
+from .accounts import list_known_homes
 
 MIN_POOL_CONNECTIONS = 3
 """Lower limit of a VM's connections to a server: one for control, two for jobs."""
@@ -189,12 +190,21 @@
     out.append(PublishConnections(connections=state.connections_limit))
 
 
-def choose_relay_targets(state: DirectState, session: int) -> list[VmEntry]:
+def choose_relay_targets(
+    state: DirectState, session: int, key: str = ""
+) -> list[VmEntry]:
     """Return the holders to which a caller may be relayed, nearest first.
 
-    Holders that were unavailable are left out for a while. Holders at the same distance
-    are in a different order for each session, which spreads the callers.
+    Those that are known to serve the caller's key come before all others. Holders that
+    were unavailable are left out for a while. Holders at the same distance are in a
+    different order for each session, which spreads the callers.
     """
+    known = []
+    for vm in list_known_homes(state, key):
+        if state.now >= state.skipped_holders.get(vm.name, 0.0):
+            known.append(vm)
+    if known:
+        return known
     ranked = []
     for vm in state.holders:
         if state.now < state.skipped_holders.get(vm.name, 0.0):
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -10,12 +10,15 @@
     BackendLost,
     BackendOpened,
     CallerClosed,
+    CallerMoved,
     CallerOpened,
     CallerStatement,
+    ConfigurationConfirmed,
     ConfigurationRead,
     Event,
     HoldersUnavailable,
     LeaderRecordAnswered,
+    PresenceHeard,
     PromotionAnswered,
     ServersRead,
     ShutdownRequested,
@@ -52,6 +55,7 @@
 from ._sessions import (
     admit_pending_callers,
     handle_caller_closed,
+    handle_caller_moved,
     handle_caller_opened,
     handle_holders_unavailable,
     handle_statement,
@@ -60,6 +64,12 @@
 from ._state import Database, DirectState, Effects, JobState
 from ._stop_phases import StopPhase, find_stop_phase
 from ._suspicions import handle_suspicions
+from .accounts import (
+    close_displaced_sessions,
+    confirm_configuration,
+    record_presence,
+    report_presence,
+)
 
 BUSY_TICK_INTERVAL = 0.02
 """Seconds between two ticks while statements wait, or without a stable primary."""
@@ -234,6 +244,18 @@
         )
 
 
+def _confirm_configuration(
+    state: DirectState, event: ConfigurationConfirmed, out: Effects
+) -> None:
+    """Record that no newer configuration had been accepted before a time."""
+    confirm_configuration(state, event.confirmed_at)
+
+
+def _hear_presence(state: DirectState, event: PresenceHeard, out: Effects) -> None:
+    """Record another holder's report."""
+    record_presence(state, event.vm, event.serving, out)
+
+
 def _handle_caller_closed(
     state: DirectState, event: CallerClosed, out: Effects
 ) -> None:
@@ -255,6 +277,8 @@
     try:
         _do_periodic_work(state, out)
     finally:
+        report_presence(state, out)
+        close_displaced_sessions(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
@@ -325,6 +349,9 @@
     ServersRead: apply_servers,
     VmsRead: _apply_vms,
     HoldersUnavailable: handle_holders_unavailable,
+    CallerMoved: handle_caller_moved,
+    ConfigurationConfirmed: _confirm_configuration,
+    PresenceHeard: _hear_presence,
     VmProbed: handle_vm_probed,
     VmsAsked: handle_vms_asked,
     LeaderRecordAnswered: handle_leader_record,
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -82,6 +82,7 @@
         control: whether it is the control connection, which is reserved for the proxy's
             own commands.
         opened_at: when the attempt to open it began.
+        account: client account that it serves, empty without one.
         values: session values that were set on it.
         prepared: statements prepared on it: whether they write, and their text.
         pending: commands without an answer yet, in the order of sending.
@@ -93,6 +94,7 @@
     server: "Server"
     control: bool
     opened_at: float
+    account: str = ""
     state: ConnectionState = ConnectionState.OPENING
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[tuple[bool, str]] = field(default_factory=set)
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,8 +1,16 @@
 """Callers' sessions: admission, and handling or submission of their statements."""
 
+import dataclasses
+
 from ._dispatch import submit_job
 from ._effects import AcceptCaller, Log, Observe, RefuseCaller, RelayCaller
-from ._events import CallerClosed, CallerOpened, CallerStatement, HoldersUnavailable
+from ._events import (
+    CallerClosed,
+    CallerMoved,
+    CallerOpened,
+    CallerStatement,
+    HoldersUnavailable,
+)
 from ._holders import (
     REFUSING_HOLDER_DELAY,
     UNREACHABLE_HOLDER_DELAY,
@@ -22,10 +30,27 @@
 )
 from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase, limit_deadline
 from ._types import Consistency, Refusal, Route, Statement, StatementKind
+from .accounts import (
+    KeyFault,
+    find_home,
+    find_key_fault,
+    list_home_targets,
+    name_account,
+    note_homes,
+    uses_accounts,
+)
+from .rates import admit_operation, refuse_rate
 
 ADMISSION_TIMEOUT = 1.5
 """Seconds a caller may wait until it is admitted; callers time out after 2 s."""
 
+MOVE_RETRY_DELAY = 0.15
+"""Seconds until a caller is relayed again while the home of its account is lost: the
+next holder takes over when it has missed the home's reports."""
+
+MAX_QUICK_MOVES = 2
+"""Times that a caller is relayed again at once after a holder named others."""
+
 
 def handle_caller_opened(state: DirectState, event: CallerOpened, out: Effects) -> None:
     """Accept, relay or refuse a caller that has connected.
@@ -36,7 +61,9 @@
     if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
         _refuse_for_shutdown(state, event.session, event.database, out)
         return
-    caller = PendingCaller(database=event.database, at=state.now, relayed=event.relayed)
+    caller = PendingCaller(
+        database=event.database, at=state.now, relayed=event.relayed, key=event.key
+    )
     if not _try_admit(state, event.session, caller, out):
         state.pending_callers[event.session] = caller
 
@@ -69,20 +96,74 @@
     state: DirectState, session: int, caller: PendingCaller, out: Effects
 ) -> bool:
     """Accept, relay or refuse a caller; return False if it has to wait."""
-    if not knows_vms(state):
+    if not knows_vms(state) or state.now < caller.retry_at:
         return False
     if not state.is_holder and not caller.relayed:
-        targets = choose_relay_targets(state, session)
+        targets = choose_relay_targets(state, session, caller.key)
         if targets:
-            state.relayed.add(session)
+            state.relayed[session] = caller
             out.append(RelayCaller(session=session, holders=tuple(targets)))
             return True
     if state.configuration is None:
         return False
-    _open_session(state, session, caller.database, out)
+    route = _find_route(state, caller.database)
+    account = ""
+    if route is not None and uses_accounts(state):
+        account = name_account(state, caller.key)
+        if not route.anonymous:
+            placed = _try_place_caller(state, session, caller, account, out)
+            if placed is not None:
+                return placed
+    _open_session(state, session, caller, account, out)
     return True
 
 
+def _try_place_caller(
+    state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
+) -> bool | None:
+    """Refuse a caller with an unknown key, or send it to its account's home.
+
+    Returns:
+        None if this VM is the home; False if the caller has to wait for one.
+    """
+    if not account:
+        database = caller.database
+        _refuse_caller(
+            state, session, database, Refusal.DENIED, "unknown_key", out, detail="key"
+        )
+        return True
+    home = find_home(state, account)
+    if home is None:
+        return False
+    if home.name == state.vm:
+        return None
+    targets = list_home_targets(state, account, home)
+    if caller.relayed:
+        names = ",".join(vm.name for vm in targets)
+        out.append(RefuseCaller(session=session, refusal=Refusal.MOVED, detail=names))
+        return True
+    state.relayed[session] = caller
+    out.append(RelayCaller(session=session, holders=tuple(targets)))
+    return True
+
+
+def handle_caller_moved(state: DirectState, event: CallerMoved, out: Effects) -> None:
+    """Relay a caller to the VMs that a holder named, shortly later if one is lost."""
+    caller = state.relayed.pop(event.session, None)
+    if caller is None:
+        return
+    note_homes(state, caller.key, event.vms)
+    lost = False
+    for vm in event.vms:
+        lost = lost or state.now < state.skipped_holders.get(vm, 0.0)
+    delay = MOVE_RETRY_DELAY if lost or caller.moves >= MAX_QUICK_MOVES else 0.0
+    caller = dataclasses.replace(
+        caller, moves=caller.moves + 1, retry_at=state.now + delay
+    )
+    if not _try_admit(state, event.session, caller, out):
+        state.pending_callers[event.session] = caller
+
+
 def handle_holders_unavailable(
     state: DirectState, event: HoldersUnavailable, out: Effects
 ) -> None:
@@ -91,8 +172,7 @@
         _skip_holder(state, vm, "silent", UNREACHABLE_HOLDER_DELAY, out)
     for vm in event.refused:
         _skip_holder(state, vm, "refused", REFUSING_HOLDER_DELAY, out)
-    if event.session in state.relayed:
-        state.relayed.discard(event.session)
+    if state.relayed.pop(event.session, None) is not None:
         out.append(
             RefuseCaller(
                 session=event.session, refusal=Refusal.OVERLOAD, detail="no_holder"
@@ -110,9 +190,10 @@
 
 
 def _open_session(
-    state: DirectState, session: int, database: str, out: Effects
+    state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
 ) -> None:
     """Accept a caller, or refuse it if its database has no route."""
+    database = caller.database
     if _find_route(state, database) is None:
         _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
         return
@@ -121,6 +202,8 @@
     state.sessions[session] = Session(
         number=session,
         database=database,
+        account=account,
+        key=caller.key,
         active_at=state.now,
         closing=find_stop_phase(state) >= StopPhase.DRAINING,
     )
@@ -185,7 +268,7 @@
     transaction is rolled back when the answer arrives.
     """
     state.pending_callers.pop(event.session, None)
-    state.relayed.discard(event.session)
+    state.relayed.pop(event.session, None)
     session = state.sessions.pop(event.session, None)
     if session is None:
         return
@@ -224,9 +307,38 @@
     if handler is None:
         refuse(state, session, statement, Refusal.MALFORMED, "malformed", out)
         return
+    if session.account and statement.kind is not StatementKind.ROLLBACK:
+        reason = find_key_fault(state, session)
+        if reason is not None:
+            _refuse_account(state, session, statement, reason, out)
+            return
     handler(state, session, statement, out)
 
 
+def _refuse_account(
+    state: DirectState,
+    session: Session,
+    statement: Statement,
+    reason: KeyFault,
+    out: Effects,
+) -> None:
+    """Refuse a statement whose key this VM may not serve; its transaction is aborted.
+
+    The session is closed: its caller may find another VM, or its new account.
+    """
+    session.closing = True
+    refusal = Refusal.OVERLOAD
+    if reason is KeyFault.WITHDRAWN:
+        refusal = Refusal.DENIED
+    transaction = session.transaction
+    if transaction is not None:
+        abandon_transaction(state, transaction, out)
+        refusal = Refusal.ABORTED
+        if statement.kind is StatementKind.COMMIT:
+            session.transaction = None
+    refuse(state, session, statement, refusal, reason.value, out)
+
+
 def _handle_after_failure(state, session: Session, statement: Statement, out) -> None:
     """Answer a statement in a failed transaction.
 
@@ -266,10 +378,16 @@
         active_at=state.now,
     )
     session.transaction = transaction
-    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
+    stopping = find_stop_phase(state) >= StopPhase.INTAKE_OVER
+    wait = None if stopping else admit_operation(state, session, route)
+    if stopping or wait is not None:
         # Statements that were sent along with it must not run on their own.
         transaction.failed = True
         transaction.failure_unreported = True
+    if wait is not None:
+        refuse_rate(state, session, statement, wait, out)
+        return
+    if stopping:
         refuse(state, session, statement, Refusal.OVERLOAD, SHUTDOWN, out)
         close_session(state, session, out)
         return
@@ -374,6 +492,11 @@
     if route is None:
         refuse(state, session, statement, Refusal.NO_DATABASE, "no_route", out)
         return
+    if transaction is None:
+        wait = admit_operation(state, session, route)
+        if wait is not None:
+            refuse_rate(state, session, statement, wait, out)
+            return
     leader_only = route.consistency is Consistency.PRIMARY
     if transaction is None:
         leader_only |= writes
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -2,6 +2,27 @@
 
 from dataclasses import dataclass
 
+DEFAULT_MEMORY = 300 << 20
+"""Memory limit of a process in bytes, if the settings name none."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AccountBounds:
+    """Bounds on the keys and rates of client accounts.
+
+    Args:
+        withdrawal: seconds after which no statement may run that was sent with a key
+            that a configuration has withdrawn; None if there is no such bound.
+        window: seconds over which operations are counted.
+        excess: share of an account's limit by which the count may exceed it.
+        slack: operations by which it may exceed it further.
+    """
+
+    withdrawal: float | None = None
+    window: float = 5.0
+    excess: float = 0.0
+    slack: float = 0.0
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class VmSettings:
@@ -24,6 +45,8 @@
         promotion: host and port of the service that takes promotion orders.
         grace: time from SIGTERM to SIGKILL, in seconds.
         descriptors: limit of file descriptors, most of them for callers' connections.
+        memory: memory limit of the process, in bytes.
+        account_bounds: how promptly keys and rates of client accounts must take effect.
     """
 
     name: str
@@ -41,3 +64,5 @@
     promotion: str
     grace: float
     descriptors: int
+    memory: int = DEFAULT_MEMORY
+    account_bounds: AccountBounds = AccountBounds()
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..model import Position
+from ._account_state import AccountState
 from ._effects import Effect
 from ._events import ServersRead
 from ._promotion_state import Completion, OpenClaim, Promotion
@@ -178,10 +179,14 @@
         closing: whether to close the session once it has no open transaction.
         end_ordered: whether its connection is to be closed.
         active_at: when its last statement arrived or was answered.
+        account: name of its client account, empty without one.
+        key: the key by which its caller was identified.
     """
 
     number: int
     database: str
+    account: str = ""
+    key: str = field(default="", repr=False)
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, tuple[bool, str]] = field(default_factory=dict)
     position: Position | None = None
@@ -274,11 +279,17 @@
     Args:
         at: when it connected.
         relayed: whether another VM relays it.
+        key: the key that identifies it.
+        moves: how often a holder named other VMs for it.
+        retry_at: earliest time of the next attempt to relay it.
     """
 
     database: str
     at: float
     relayed: bool
+    key: str = field(default="", repr=False)
+    moves: int = 0
+    retry_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -340,7 +351,8 @@
             servers.
         is_holder: whether this VM is a connection holder.
         skipped_holders: holders that were unavailable, with the time of the next try.
-        relayed: sessions that are relayed to a holder.
+        relayed: callers that are relayed to a holder, by session.
+        accounts: what is known of client accounts beside the configuration.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
         stop_grace: the grace period when it was requested.
@@ -387,7 +399,8 @@
     holders: list[VmEntry] = field(default_factory=list)
     is_holder: bool = True
     skipped_holders: dict[str, float] = field(default_factory=dict)
-    relayed: set[int] = field(default_factory=set)
+    relayed: dict[int, PendingCaller] = field(default_factory=dict)
+    accounts: AccountState = field(default_factory=AccountState)
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -1,7 +1,7 @@
 """Statements, commands and answers of the line protocol, without its wire names."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..model import Position
 
@@ -33,6 +33,8 @@
         NO_STATEMENT: no prepared statement has that name.
         IN_DOUBT: it may have been committed.
         UNRECOGNIZED: the server sent an unknown reason.
+        DENIED: the caller's key belongs to no client account.
+        MOVED: another VM serves the caller's account; VMs tell each other only.
     """
 
     BUSY = "busy"
@@ -48,6 +50,8 @@
     TIMEOUT = "timeout"
     IN_DOUBT = "in_doubt"
     UNRECOGNIZED = "unrecognized"
+    DENIED = "denied"
+    MOVED = "moved"
 
 
 NOT_RUN = frozenset(
@@ -201,6 +205,7 @@
         priority: 0 is the most urgent.
         staleness: greatest age of commits that a read may miss, in seconds; without
             effect on routes to the primary.
+        anonymous: whether callers need no key.
     """
 
     database: str
@@ -210,6 +215,22 @@
     target: float
     priority: int
     staleness: float
+    anonymous: bool = False
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Account:
+    """A client account.
+
+    Args:
+        rate: operations that it may run each second, in the whole fleet; None for no
+            limit.
+        burst: operations that it may run at once after a pause.
+    """
+
+    name: str
+    rate: float | None = None
+    burst: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -222,12 +243,16 @@
         connections: connection limit of a single server, by service.
         idle_transaction: time after which an idle transaction may be ended, in
             seconds.
+        accounts: the client accounts by name, None if callers have no keys.
+        keys: name of the account that each key belongs to.
     """
 
     version: int
     routes: dict[str, Route]
     connections: dict[str, int]
     idle_transaction: float
+    accounts: dict[str, Account] | None = None
+    keys: dict[str, str] = field(default_factory=dict, repr=False)
 
 
 FIRST_ERA = 1
--- /dev/null
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -0,0 +1,50 @@
+"""Client accounts: who a caller is, which VM serves it, whether its key still holds.
+
+Each account has a home: one connection holder that serves all of its callers, so that
+its connections to backend servers and its count of operations are in one place. See
+`_homes` for the choice and `_keys` for the withdrawal of keys.
+"""
+
+from ._homes import (
+    find_home,
+    is_account_home,
+    list_likely_homes,
+    rank_homes,
+    record_presence,
+    report_presence,
+)
+from ._keys import (
+    KeyFault,
+    confirm_configuration,
+    find_account,
+    find_key_fault,
+    is_confirmed,
+    name_account,
+    uses_accounts,
+)
+from ._relocation import (
+    close_displaced_sessions,
+    list_home_targets,
+    list_known_homes,
+    note_homes,
+)
+
+__all__ = [
+    "KeyFault",
+    "close_displaced_sessions",
+    "confirm_configuration",
+    "find_account",
+    "find_home",
+    "find_key_fault",
+    "is_account_home",
+    "is_confirmed",
+    "list_home_targets",
+    "list_known_homes",
+    "list_likely_homes",
+    "name_account",
+    "note_homes",
+    "rank_homes",
+    "record_presence",
+    "report_presence",
+    "uses_accounts",
+]
--- /dev/null
+++ b/src/siskinhold/direct/accounts/_keys.py
@@ -0,0 +1,79 @@
+"""Keys of callers: whose they are, and whether this VM may still rely on them.
+
+A withdrawn key must not be served longer than a bound, also by a VM that the store
+turns away. So a VM relies on its configuration only for a time after the store has
+shown that it is the newest one; then it refuses callers with keys as not run.
+"""
+
+import enum
+
+from .._state import DirectState, Session
+from .._types import Account
+
+CONFIRMED_SHARE = 0.95
+"""Share of the bound for which a confirmed configuration is relied on. The rest allows
+for clocks that run at different rates."""
+
+
+class KeyFault(enum.Enum):
+    """Why a session's key can't be served.
+
+    Attributes:
+        WITHDRAWN: it belongs to no account any more.
+        REASSIGNED: it belongs to another account than when the session was opened.
+        UNCONFIRMED: it may have been withdrawn without this VM's knowledge.
+    """
+
+    WITHDRAWN = "key_withdrawn"
+    REASSIGNED = "key_reassigned"
+    UNCONFIRMED = "keys_unconfirmed"
+
+
+def uses_accounts(state: DirectState) -> bool:
+    """Return whether callers are identified by keys."""
+    configuration = state.configuration
+    return configuration is not None and configuration.accounts is not None
+
+
+def name_account(state: DirectState, key: str) -> str:
+    """Return the name of the account that a key belongs to, empty for none."""
+    return state.configuration.keys.get(key, "") if key else ""
+
+
+def find_account(state: DirectState, session: Session) -> Account | None:
+    """Return the account of a session, None if its key no longer belongs to it."""
+    if not session.account or name_account(state, session.key) != session.account:
+        return None
+    return state.configuration.accounts.get(session.account)
+
+
+def find_key_fault(state: DirectState, session: Session) -> KeyFault | None:
+    """Return why a session's statements may not run, None if they may."""
+    if not uses_accounts(state):
+        return KeyFault.REASSIGNED
+    account = name_account(state, session.key)
+    if not account:
+        return KeyFault.WITHDRAWN
+    if account != session.account:
+        return KeyFault.REASSIGNED
+    if not is_confirmed(state):
+        return KeyFault.UNCONFIRMED
+    return None
+
+
+def confirm_configuration(state: DirectState, confirmed_at: float) -> None:
+    """Record that the store had accepted no newer configuration before a time."""
+    accounts = state.accounts
+    accounts.confirmed_at = max(accounts.confirmed_at, confirmed_at)
+
+
+def is_confirmed(state: DirectState, share: float = CONFIRMED_SHARE) -> bool:
+    """Return whether the configuration is recent enough to rely on its keys.
+
+    Args:
+        share: share of the bound within which it must have been confirmed.
+    """
+    bound = state.accounts.bounds.withdrawal
+    if bound is None:
+        return True
+    return state.now - state.accounts.confirmed_at < share * bound
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -80,7 +80,7 @@
                 )
                 self.connections[effect.connection] = protocol
                 request = self.codec.encode_connect_request(
-                    effect.service, self.vm, effect.server
+                    effect.service, effect.account or self.vm, effect.server
                 )
                 protocol.transport.write(request)
                 await protocol.opened.wait()
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -7,6 +7,7 @@
 from ..direct import (
     Answer,
     CallerClosed,
+    CallerMoved,
     CallerOpened,
     CallerStatement,
     HoldersUnavailable,
@@ -161,6 +162,7 @@
                 session=self._session,
                 database=message.database,
                 relayed=self._relayed,
+                key=message.key,
             )
         )
 
@@ -196,10 +198,18 @@
                     at=read_clock(),
                     silent=tuple(search.silent),
                     refused=tuple(search.refused),
-                    session=self._session if relay is None else 0,
+                    session=self._session if relay is None and not search.moved else 0,
                 )
             )
         if relay is None:
+            self._relaying = False
+            self._callers.relayed -= 1
+            if search.moved and self.transport is not None:
+                self._callers.emit(
+                    CallerMoved(
+                        at=read_clock(), session=self._session, vms=search.moved
+                    )
+                )
             return
         if self.transport is None or self._write_ended:
             relay.close()
--- a/src/siskinhold/lines/_codec.py
+++ b/src/siskinhold/lines/_codec.py
@@ -2,7 +2,7 @@
 
 import abc
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..direct import Answer, Command, Refusal, ServerReport, Statement, TransactionState
 from ..model import Position
@@ -16,9 +16,14 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ConnectRequest:
-    """A caller's first line, which names its database."""
+    """A caller's first line, which names its database.
+
+    Args:
+        key: the key that identifies the caller, empty without one.
+    """
 
     database: str
+    key: str = field(default="", repr=False)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -103,8 +108,12 @@
         """Return the lines that answer a caller's statement."""
 
     @abc.abstractmethod
-    def encode_connect_request(self, service: str, vm: str, server: str) -> bytes:
-        """Return the first line of a connection to a backend server."""
+    def encode_connect_request(self, service: str, user: str, server: str) -> bytes:
+        """Return the first line of a connection to a backend server.
+
+        Args:
+            user: name of the client account that it serves, else of this VM.
+        """
 
     @abc.abstractmethod
     def encode_command(self, command: Command) -> bytes:
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -31,6 +31,7 @@
     RelayCaller,
     RemoveVm,
     ReplyCaller,
+    ReportPresence,
     SendCommands,
     ShutdownRequested,
     Stop,
@@ -54,6 +55,7 @@
 from ._clock import read_clock
 from ._inquiries import ask_vms
 from ._log import DecisionLog
+from ._presence import PresencePort
 from ._probe import ProbeServer
 from ._relay import is_reachable
 from ._supervision import log_failure
@@ -111,6 +113,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._suspicions: dict[str, Suspicion] = {}
+        self.presence: PresencePort | None = None
         self._awaited_suspicions: list[ListSuspicions] = []
         self._suspicion_readers = 0
         self._suspicions_read_at = 0.0
@@ -118,6 +121,7 @@
         self._handlers = {
             AcceptCaller: callers.accept,
             RelayCaller: callers.relay,
+            ReportPresence: self._report_presence,
             CloseRelays: callers.close_relays,
             RefuseCaller: callers.refuse,
             ReplyCaller: callers.reply,
@@ -322,6 +326,11 @@
             found[suspicion.service] = (*others, suspicion)
         return found
 
+    def _report_presence(self, effect: ReportPresence) -> None:
+        """Report this VM's presence to other holders."""
+        if self.presence is not None:
+            self.presence.send(effect)
+
     def _list_vms(self, effect: ListVms) -> None:
         """Start to read the list of VMs."""
         self._spawn(self._report_vms(effect.fresh))
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -7,7 +7,15 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from ..direct import ConfigurationRead, Event, ServersRead, VmEntry
+from ..direct import (
+    ConfigurationConfirmed,
+    ConfigurationRead,
+    DirectState,
+    Event,
+    ServersRead,
+    VmEntry,
+    uses_accounts,
+)
 from ._client import HistoryGone, PlatformClient, StoreUnavailable
 from ._clock import read_clock
 
@@ -16,6 +24,13 @@
 an unresponsive connection is noticed, and is shorter than the time within which a new
 configuration must be in force."""
 
+WATCHES_PER_BOUND = 5
+"""Watches that fit into the time within which a key's withdrawal must take effect: a
+watch is confirmed when it ends, by the time at which it was sent."""
+
+DEAF_PERIOD = 1.0
+"""Seconds of changes that a watch may miss before the store drops its history."""
+
 FRESH_LIST_INTERVAL = 0.9
 """Seconds after an up-to-date list of servers in which further reads may be stale."""
 
@@ -126,11 +141,20 @@
         self._failures = 0
 
 
+def compute_watch_timeout(state: DirectState) -> float:
+    """Return the seconds that a watch on the configuration waits."""
+    bound = state.accounts.bounds.withdrawal
+    if bound is None or not uses_accounts(state):
+        return WATCH_TIMEOUT
+    return min(WATCH_TIMEOUT, bound / WATCHES_PER_BOUND)
+
+
 async def follow_configuration(
     client: PlatformClient,
     emit: Callable[[Event], None],
     is_needed: Callable[[], bool],
     health: StoreHealth,
+    get_watch_timeout: Callable[[], float] = lambda: WATCH_TIMEOUT,
 ) -> None:
     """Emit each new configuration as soon as the store reports it; never returns.
 
@@ -142,6 +166,7 @@
     Args:
         is_needed: returns whether this VM needs the data now.
         health: is updated with the success of each call.
+        get_watch_timeout: returns the seconds that a watch waits.
     """
     backoff = _RetryBackoff(name="configuration", health=health)
     revision = None
@@ -154,17 +179,21 @@
             await _wait_until_needed(is_needed)
             # A stale read could return an older version than callers may see.
             revision, fresh = None, True
+        confirmed_at = None
         try:
             if revision is None:
                 read_at = read_clock()
                 revision, configuration = await client.read_configuration(fresh=fresh)
+                confirmed_at = read_at if fresh else None
                 if not fresh and health.era_began_recently:
                     revision = None
                 fresh = revision is None
             else:
+                sent_at = read_clock()
                 revision, configuration = await health.limit_watch(
-                    client.watch_configuration(revision, WATCH_TIMEOUT)
+                    client.watch_configuration(revision, get_watch_timeout())
                 )
+                confirmed_at = sent_at - DEAF_PERIOD
                 watched = True
         except HistoryGone:
             # A stale read could return a revision whose history is dropped as well.
@@ -182,6 +211,9 @@
             backoff.record_success()
         if configuration is not None:
             emit(ConfigurationRead(at=read_clock(), configuration=configuration))
+        if confirmed_at is not None:
+            now = read_clock()
+            emit(ConfigurationConfirmed(at=now, confirmed_at=confirmed_at))
 
 
 async def _wait_until_needed(is_needed: Callable[[], bool]) -> None:
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -96,11 +96,21 @@
         if not self._buffered_lines:
             return False
         answer_line = self._codec.parse_answer_line(self._buffered_lines[0])
-        return (
-            answer_line.kind is AnswerLineKind.READY
-            or answer_line.refusal is not Refusal.OVERLOAD
+        return answer_line.kind is AnswerLineKind.READY or answer_line.refusal not in (
+            Refusal.OVERLOAD,
+            Refusal.MOVED,
         )
 
+    @property
+    def other_homes(self) -> tuple[str, ...]:
+        """Names of the VMs that serve the caller instead of this holder, if it told."""
+        if not self._buffered_lines:
+            return ()
+        answer_line = self._codec.parse_answer_line(self._buffered_lines[0])
+        if answer_line.refusal is not Refusal.MOVED:
+            return ()
+        return tuple(name for name in answer_line.text.split(",") if name)
+
     def start_forwarding(self) -> None:
         """Forward the buffered lines and all later ones to the caller."""
         self._forwarding = True
@@ -284,11 +294,13 @@
         relay: the connection to the holder, None if there is none.
         silent: names of holders that did not answer in time.
         refused: names of holders that refused, as their process is down or not ready.
+        moved: names of the VMs that serve the caller, as a holder told.
     """
 
     relay: RelayProtocol | None = None
     silent: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
+    moved: tuple[str, ...] = ()
 
 
 async def open_relay(
@@ -308,7 +320,7 @@
                 relay = await _connect_to_holder(
                     holder, connect_line, make_protocol, search
                 )
-                if relay is not None:
+                if relay is not None or search.moved:
                     search.relay = relay
                     break
     except TimeoutError:
@@ -350,6 +362,10 @@
         raise
     if protocol.accepted:
         return protocol
+    search.moved = protocol.other_homes
+    if search.moved:
+        protocol.close()
+        return None
     search.refused.append(holder.name)
     protocol.close()
     return None
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -12,7 +12,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from ..direct import DirectState, Log, VmEntry, VmSettings, needs_servers
+from ..direct import AccountState, DirectState, Log, VmEntry, VmSettings, needs_servers
 from ..listener import STOP_SIGNALS
 from ..observability import Metrics
 from ._backends import LineBackends
@@ -21,11 +21,18 @@
 from ._clock import read_clock
 from ._codec import LineCodec
 from ._driver import DirectDriver
-from ._feeds import StoreHealth, follow_configuration, follow_servers, register_vm
+from ._feeds import (
+    StoreHealth,
+    compute_watch_timeout,
+    follow_configuration,
+    follow_servers,
+    register_vm,
+)
 from ._http import HttpAnswer
 from ._inquiries import answer_inquiry
 from ._log import DecisionLog, LineHandler
 from ._metrics import METRICS
+from ._presence import PresencePort
 from ._probe import ProbeServer
 from ._sharing import answer_snapshot, request_snapshots
 from ._supervision import keep_running
@@ -131,6 +138,14 @@
         self._backends.start(self.driver.emit)
         await self._callers.start(self.driver.emit)
         await self._probe.start()
+        self._presence = PresencePort(
+            host=settings.host,
+            port=settings.metrics_port,
+            state=self.driver.state,
+            emit=self.driver.emit,
+        )
+        await self._presence.start()
+        self.driver.presence = self._presence
         self.driver.start()
         for name, start in self._list_tasks(health).items():
             self._tasks.append(loop.create_task(keep_running(name, start)))
@@ -159,7 +174,12 @@
                 register_vm, client, _make_vm_entry(self._settings), health
             ),
             "configuration": functools.partial(
-                follow_configuration, client, emit, self._needs_store_data, health
+                follow_configuration,
+                client,
+                emit,
+                self._needs_store_data,
+                health,
+                functools.partial(compute_watch_timeout, self.driver.state),
             ),
             "servers": functools.partial(
                 follow_servers, client, emit, self._needs_store_data, health
@@ -187,6 +207,7 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self._presence.stop()
         await self._backends.stop()
         await self._probe.stop()
         await self._client.close()
@@ -289,4 +310,5 @@
         regions=settings.regions,
         grace=settings.grace,
         random=random.Random(secrets.randbits(64)),
+        accounts=AccountState(bounds=settings.account_bounds),
     )
