Count each account's operations at its home

Operations of an account were not counted: demand beyond its rate ran on all VMs.

The home of an account admits its operations by rate and burst, a part of them while it doesn't hear most holders or replaces a silent one. A new home starts with what the limit's tolerance allows.

--- a/src/siskinhold/direct/_rate_state.py
+++ b/src/siskinhold/direct/_rate_state.py
@@ -1,8 +1,26 @@
 """State of the limits on client accounts' operations at one VM."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True)
+class Allowance:
+    """Operations that an account may begin now at its home.
+
+    Args:
+        operations: their number at `counted_at`.
+        refused: operations that were refused since `refused_since`.
+        refused_since: when the first of them was.
+    """
+
+    operations: float
+    counted_at: float
+    refused: int = 0
+    refused_since: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
 class RateState:
-    """Counts of operations by client account."""
+    """Allowances by client account, of the accounts whose home this VM is."""
+
+    allowances: dict[str, Allowance] = field(default_factory=dict)
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -70,6 +70,7 @@
     record_presence,
     report_presence,
 )
+from .rates import maintain_rates
 
 BUSY_TICK_INTERVAL = 0.02
 """Seconds between two ticks while statements wait, or without a stable primary."""
@@ -279,6 +280,7 @@
     finally:
         report_presence(state, out)
         close_displaced_sessions(state, out)
+        maintain_rates(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -62,8 +62,14 @@
     refusal: Refusal,
     reason: str,
     out: Effects,
+    *,
+    detail: str = "",
 ) -> None:
-    """Refuse a statement that was not submitted to a backend server."""
+    """Refuse a statement that was not submitted to a backend server.
+
+    Args:
+        detail: text sent to the caller; the reason by default.
+    """
     out.append(
         Log(
             event="refused",
@@ -77,7 +83,7 @@
         )
     )
     out.append(Observe(metric="refused_total", label=reason))
-    reply(state, session, Answer(refusal=refusal, detail=reason), out)
+    reply(state, session, Answer(refusal=refusal, detail=detail or reason), out)
 
 
 def end_job(
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -10,6 +10,7 @@
 from ._effects import Effect
 from ._events import ServersRead
 from ._promotion_state import Completion, OpenClaim, Promotion
+from ._rate_state import RateState
 from ._server_state import Connection, Server
 from ._starts import StartCounts
 from ._stop_counts import StopCounts
@@ -353,6 +354,7 @@
         skipped_holders: holders that were unavailable, with the time of the next try.
         relayed: callers that are relayed to a holder, by session.
         accounts: what is known of client accounts beside the configuration.
+        rates: counts of their operations.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
         stop_grace: the grace period when it was requested.
@@ -401,6 +403,7 @@
     skipped_holders: dict[str, float] = field(default_factory=dict)
     relayed: dict[int, PendingCaller] = field(default_factory=dict)
     accounts: AccountState = field(default_factory=AccountState)
+    rates: RateState = field(default_factory=RateState)
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -7,7 +7,9 @@
 
 from ._homes import (
     find_home,
+    hears_majority,
     is_account_home,
+    is_home_certain,
     list_likely_homes,
     rank_homes,
     record_presence,
@@ -36,7 +38,9 @@
     "find_account",
     "find_home",
     "find_key_fault",
+    "hears_majority",
     "is_account_home",
+    "is_home_certain",
     "is_confirmed",
     "list_home_targets",
     "list_known_homes",
--- a/src/siskinhold/direct/accounts/_homes.py
+++ b/src/siskinhold/direct/accounts/_homes.py
@@ -80,10 +80,35 @@
     """Return whether a holder serves accounts, as far as this VM knows."""
     if vm == state.vm:
         return may_serve(state)
+    return _is_heard(state, vm) and state.accounts.presences[vm].serving
+
+
+def hears_majority(state: DirectState) -> bool:
+    """Return whether this VM hears most of the holders, itself among them."""
+    heard = 1
+    for vm in state.holders:
+        if vm.name != state.vm and _is_heard(state, vm.name):
+            heard += 1
+    return 2 * heard > len(state.holders)
+
+
+def is_home_certain(state: DirectState, account: str) -> bool:
+    """Return whether no holder that ranks before this VM may still serve an account.
+
+    One that is silent may; one that reported that it serves no accounts does not.
+    """
+    for vm in rank_homes(state, account):
+        if vm.name == state.vm:
+            return True
+        if not _is_heard(state, vm.name):
+            return False
+    return False
+
+
+def _is_heard(state: DirectState, vm: str) -> bool:
+    """Return whether a holder reported its presence a short time ago."""
     presence = state.accounts.presences.get(vm)
-    if presence is None:
-        return False
-    return presence.serving and state.now - presence.heard_at < PRESENCE_TIMEOUT
+    return presence is not None and state.now - presence.heard_at < PRESENCE_TIMEOUT
 
 
 def may_serve(state: DirectState) -> bool:
--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -1,12 +1,26 @@
-"""Admission of operations within the rate of their client account."""
+"""Admission of operations within the rate of their client account.
 
+The load that this answers: accounts that send many times what they may, at all VMs at
+once. An account's home counts all of its operations, so no VM has to ask another one.
+"""
+
+from .._effects import Log
+from .._rate_state import Allowance
 from .._replies import refuse
 from .._state import DirectState, Effects, Session
-from .._types import Refusal, Route, Statement
+from .._types import Account, Refusal, Route, Statement
+from ..accounts import is_account_home
+from ._shares import compute_first_allowance, compute_share
 
 RATE_EXCEEDED = "rate_exceeded"
 """Refusal reason of operations beyond the rate of their account."""
 
+MAX_WAIT = 60.0
+"""Longest time in seconds after which a caller is told to return."""
+
+REPORT_INTERVAL = 1.0
+"""Seconds of refusals of an account that one log line sums up."""
+
 
 def admit_operation(state: DirectState, session: Session, route: Route) -> float | None:
     """Count an operation that is about to begin: a transaction or a single statement.
@@ -14,7 +28,38 @@
     Returns:
         None if it may run, else the seconds after which one may.
     """
-    return None
+    if not session.account or route.anonymous or state.configuration is None:
+        return None
+    account = (state.configuration.accounts or {}).get(session.account)
+    if account is None or account.rate is None:
+        return None
+    allowance = _update_allowance(state, account)
+    if allowance.operations >= 1.0:
+        allowance.operations -= 1.0
+        return None
+    if not allowance.refused:
+        allowance.refused_since = state.now
+    allowance.refused += 1
+    rate = account.rate * compute_share(state, account.name)
+    if rate <= 0.0:
+        return MAX_WAIT
+    return min(MAX_WAIT, (1.0 - allowance.operations) / rate)
+
+
+def _update_allowance(state: DirectState, account: Account) -> Allowance:
+    """Return an account's allowance, with what has accrued since it was last used."""
+    allowance = state.rates.allowances.get(account.name)
+    if allowance is None:
+        operations = compute_first_allowance(state, account)
+        allowance = Allowance(operations=operations, counted_at=state.now)
+        state.rates.allowances[account.name] = allowance
+    rate = account.rate * compute_share(state, account.name)
+    accrued = rate * (state.now - allowance.counted_at)
+    # A single operation must be possible whatever the burst is.
+    limit = max(account.burst, 1.0)
+    allowance.operations = min(limit, allowance.operations + accrued)
+    allowance.counted_at = state.now
+    return allowance
 
 
 def refuse_rate(
@@ -25,4 +70,41 @@
     out: Effects,
 ) -> None:
     """Refuse an operation beyond the rate as not run, with the time of a retry."""
-    refuse(state, session, statement, Refusal.OVERLOAD, RATE_EXCEEDED, out)
+    detail = f"{RATE_EXCEEDED} retry_after_ms={round(wait * 1000)}"
+    refuse(
+        state, session, statement, Refusal.OVERLOAD, RATE_EXCEEDED, out, detail=detail
+    )
+
+
+def maintain_rates(state: DirectState, out: Effects) -> None:
+    """Forget allowances of accounts with another home, and log refusals; at each tick.
+
+    A VM that becomes an account's home again starts anew: it can't know what another
+    home admitted meanwhile.
+    """
+    for name, allowance in list(state.rates.allowances.items()):
+        if not is_account_home(state, name):
+            del state.rates.allowances[name]
+        elif not allowance.refused:
+            continue
+        elif state.now - allowance.refused_since < REPORT_INTERVAL:
+            continue
+        _log_refusals(state, name, allowance, out)
+
+
+def _log_refusals(
+    state: DirectState, name: str, allowance: Allowance, out: Effects
+) -> None:
+    """Log how many operations of an account were refused, and by which limit."""
+    if not allowance.refused:
+        return
+    account = state.configuration.accounts.get(name)
+    fields = (
+        ("account", name),
+        ("refused", allowance.refused),
+        ("rate", account.rate if account is not None else 0),
+        ("share", round(compute_share(state, name), 2)),
+        ("version", state.configuration.version),
+    )
+    out.append(Log(event="account_limited", fields=fields, essential=True))
+    allowance.refused = 0
