--- a/src/siskinhold/direct/_account_state.py
+++ b/src/siskinhold/direct/_account_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ._settings import AccountBounds
+from ._types import VmEntry
 
 
 @dataclass(slots=True, kw_only=True)
@@ -13,10 +14,13 @@
     Args:
         heard_at: when it arrived.
         serving: whether that VM serves client accounts.
+        demands: operations a second that callers ask of it, of the accounts that come
+            near their rate.
     """
 
     heard_at: float
     serving: bool
+    demands: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +35,8 @@
         reported_serving: what it reported then.
         homes: names of the VMs that serve a key's account, by the key's digest; only
             of keys whose callers this VM relays. The least recently used come first.
+        ranks: orders of the holders by account.
+        ranked: the list of holders that these orders are of.
     """
 
     bounds: AccountBounds = AccountBounds()
@@ -39,3 +45,5 @@
     reported_at: float = -1000.0
     reported_serving: bool = False
     homes: OrderedDict[bytes, tuple[str, ...]] = field(default_factory=OrderedDict)
+    ranks: dict[str, list[VmEntry]] = field(default_factory=dict)
+    ranked: list[VmEntry] | None = None
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -1,6 +1,6 @@
 """Effects of the direct core."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ._relays import RelayClosing
 from ._types import Answer, Command, LeaderRecord, Refusal, Revision, Suspicion, VmEntry
@@ -27,10 +27,13 @@
 
     Args:
         serving: whether this VM serves client accounts.
+        demands: operations a second that callers ask of this VM, of the accounts that
+            come near their rate.
     """
 
     vms: tuple[VmEntry, ...]
     serving: bool
+    demands: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -188,11 +188,14 @@
     Args:
         vm: its name.
         serving: whether it serves client accounts.
+        demands: operations a second that callers ask of it, of the accounts that come
+            near their rate.
     """
 
     at: float
     vm: str
     serving: bool
+    demands: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -195,7 +195,7 @@
 ) -> list[VmEntry]:
     """Return the holders to which a caller may be relayed, nearest first.
 
-    Those that are known to serve the caller's key come before all others. Holders that
+    Those that are known to serve the caller come before all others. Holders that
     were unavailable are left out for a while. Holders at the same distance are in a
     different order for each session, which spreads the callers.
     """
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -69,8 +69,9 @@
     confirm_configuration,
     record_presence,
     report_presence,
+    uses_accounts,
 )
-from .rates import maintain_rates
+from .rates import list_demands, maintain_rates
 
 BUSY_TICK_INTERVAL = 0.02
 """Seconds between two ticks while statements wait, or without a stable primary."""
@@ -254,7 +255,7 @@
 
 def _hear_presence(state: DirectState, event: PresenceHeard, out: Effects) -> None:
     """Record another holder's report."""
-    record_presence(state, event.vm, event.serving, out)
+    record_presence(state, event, out)
 
 
 def _handle_caller_closed(
@@ -278,13 +279,20 @@
     try:
         _do_periodic_work(state, out)
     finally:
-        report_presence(state, out)
-        close_displaced_sessions(state, out)
-        maintain_rates(state, out)
+        _maintain_accounts(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
 
+def _maintain_accounts(state: DirectState, out: Effects) -> None:
+    """Report this VM's presence, and end what it no longer serves."""
+    if not uses_accounts(state):
+        return
+    report_presence(state, list_demands(state), out)
+    close_displaced_sessions(state, out)
+    maintain_rates(state, out)
+
+
 def _do_periodic_work(state: DirectState, out: Effects) -> None:
     """Do the periodic work but for the shutdown."""
     maintain_servers(state, out)
--- a/src/siskinhold/direct/accounts/_homes.py
+++ b/src/siskinhold/direct/accounts/_homes.py
@@ -1,14 +1,16 @@
 """Choice of the connection holder that serves an account, on which all VMs agree.
 
-All holders rank the holders for an account in the same order, and the first one that
-runs is its home. Holders report their presence to each other, so that the next one
-takes over within a second of a loss, and yields once the first one is back.
+An account has one home in each region: the holders of the region are ranked for it, and
+the first one that runs serves the callers of that region's VMs. Holders report their
+presence to each other, so that the next one takes over within a second of a loss, and
+yields once the first one is back.
 """
 
 import hashlib
 
 from .._account_state import Presence
 from .._effects import Log, ReportPresence
+from .._events import PresenceHeard
 from .._state import DirectState, Effects
 from .._types import VmEntry
 from ._keys import is_confirmed, uses_accounts
@@ -20,8 +22,9 @@
 """Seconds without a report after which a holder counts as lost: more than three reports
 in a row would have to be dropped."""
 
-LISTENING_PERIOD = 0.9
-"""Seconds after the start in which a VM only listens for the others' reports."""
+LISTENING_PERIOD = 0.4
+"""Seconds after the start in which a VM only listens for the others' reports: longer
+than the interval of those reports."""
 
 SERVING_SHARE = 0.8
 """Share of the withdrawal bound within which the configuration must be confirmed for a
@@ -29,41 +32,49 @@
 
 
 def rank_homes(state: DirectState, account: str) -> list[VmEntry]:
-    """Return the holders in the order in which they are to serve an account.
+    """Return the holders in the order in which they are to serve this region's callers.
 
-    Those of the region with most servers come first, as most statements go there.
+    Those of the region come first, and among them one of each availability zone: fewer
+    homes have larger pools, which more accounts share.
     """
-    region = find_home_region(state)
-    ranked = []
+    accounts = state.accounts
+    if accounts.ranked is not state.holders:
+        accounts.ranked = state.holders
+        accounts.ranks = {}
+    ranked = accounts.ranks.get(account)
+    if ranked is None:
+        ranked = _rank_holders(state, account)
+        accounts.ranks[account] = ranked
+    return ranked
+
+
+def _rank_holders(state: DirectState, account: str) -> list[VmEntry]:
+    """Return the holders in an order of the account's own, see `rank_homes`."""
+    usual = {vm.name for vm in list_likely_homes(state)}
+    keyed = []
     for vm in state.holders:
-        remote = state.regions.get(vm.zone) != region
-        ranked.append((remote, _hash(f"{account}/{vm.name}"), vm))
-    ranked.sort(key=lambda entry: entry[:2])
-    return [vm for _, _, vm in ranked]
-
-
-def find_home_region(state: DirectState) -> str:
-    """Return the region with most listed servers, the first by name of several."""
-    counts: dict[str, int] = {}
-    for server in state.servers.values():
-        if server.gone_at is None:
-            region = state.regions.get(server.entry.zone, "")
-            counts[region] = counts.get(region, 0) + 1
-    return min(counts, key=lambda region: (-counts[region], region), default="")
+        remote = state.regions.get(vm.zone) != state.region
+        standby = vm.name not in usual
+        keyed.append((remote, standby, _hash(f"{account}/{vm.name}"), vm))
+    keyed.sort(key=lambda entry: entry[:3])
+    return [entry[-1] for entry in keyed]
 
 
 def list_likely_homes(state: DirectState) -> list[VmEntry]:
-    """Return the holders that are homes while they run: those of the home region."""
-    region = find_home_region(state)
-    found = []
+    """Return the holders that are homes while all run: one in each availability zone.
+
+    If all VMs are holders, all are homes.
+    """
+    if len(state.holders) == len(state.vms):
+        return state.holders
+    found: dict[str, VmEntry] = {}
     for vm in state.holders:
-        if state.regions.get(vm.zone) == region:
-            found.append(vm)
-    return found
+        found.setdefault(vm.zone, vm)
+    return list(found.values())
 
 
 def find_home(state: DirectState, account: str) -> VmEntry | None:
-    """Return the holder that serves an account now, None if none is known to run."""
+    """Return the holder that serves an account in this region now, None without one."""
     for vm in rank_homes(state, account):
         if _is_serving(state, vm.name):
             return vm
@@ -124,18 +135,35 @@
     return state.now - state.started_at >= LISTENING_PERIOD
 
 
-def record_presence(state: DirectState, vm: str, serving: bool, out: Effects) -> None:
+def record_presence(state: DirectState, event: PresenceHeard, out: Effects) -> None:
     """Record a report of another holder."""
-    presence = state.accounts.presences.get(vm)
+    presence = state.accounts.presences.get(event.vm)
     lost = presence is None or state.now - presence.heard_at >= PRESENCE_TIMEOUT
-    if lost or presence.serving != serving:
-        fields = (("holder", vm), ("serving", serving))
+    if lost or presence.serving != event.serving:
+        fields = (("holder", event.vm), ("serving", event.serving))
         out.append(Log(event="holder_heard", fields=fields, essential=True))
-    state.accounts.presences[vm] = Presence(heard_at=state.now, serving=serving)
+    state.accounts.presences[event.vm] = Presence(
+        heard_at=state.now, serving=event.serving, demands=event.demands
+    )
+
 
+def list_heard_demands(state: DirectState, account: str) -> list[float]:
+    """Return the operations a second of an account that other holders are asked for."""
+    found = []
+    for vm, presence in state.accounts.presences.items():
+        if account in presence.demands and _is_heard(state, vm):
+            found.append(presence.demands[account])
+    return found
 
-def report_presence(state: DirectState, out: Effects) -> None:
-    """Report this VM's presence to the other holders, at once after a change."""
+
+def report_presence(
+    state: DirectState, demands: dict[str, float], out: Effects
+) -> None:
+    """Report this VM's presence to the other holders, at once after a change.
+
+    Args:
+        demands: operations a second of the accounts that come near their rate.
+    """
     if not state.is_holder or not uses_accounts(state):
         return
     accounts = state.accounts
@@ -150,7 +178,7 @@
     accounts.reported_serving = serving
     others = tuple(vm for vm in state.holders if vm.name != state.vm)
     if others:
-        out.append(ReportPresence(vms=others, serving=serving))
+        out.append(ReportPresence(vms=others, serving=serving, demands=demands))
 
 
 def _hash(text: str) -> bytes:
--- a/src/siskinhold/direct/accounts/_relocation.py
+++ b/src/siskinhold/direct/accounts/_relocation.py
@@ -41,7 +41,9 @@
 
 def list_known_homes(state: DirectState, key: str) -> list[VmEntry]:
     """Return the remembered VMs for a key that are still registered."""
-    names = state.accounts.homes.get(_make_digest(key), ()) if key else ()
+    if not state.accounts.homes or not key:
+        return []
+    names = state.accounts.homes.get(_make_digest(key), ())
     known = {vm.name: vm for vm in state.vms}
     return [known[name] for name in names if name in known]
 
--- a/src/siskinhold/direct/rates/__init__.py
+++ b/src/siskinhold/direct/rates/__init__.py
@@ -1,5 +1,5 @@
 """Limits on the operations of client accounts in the whole fleet."""
 
-from ._admission import admit_operation, maintain_rates, refuse_rate
+from ._admission import admit_operation, list_demands, maintain_rates, refuse_rate
 
-__all__ = ["admit_operation", "maintain_rates", "refuse_rate"]
+__all__ = ["admit_operation", "list_demands", "maintain_rates", "refuse_rate"]
--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -1,7 +1,8 @@
 """Admission of operations within the rate of their client account.
 
 The load that this answers: accounts that send many times what they may, at all VMs at
-once. An account's home counts all of its operations, so no VM has to ask another one.
+once. An account's homes, one in each region, count its operations and
+share the rate by the demand that they report to each other.
 """
 
 from .._effects import Log
@@ -18,6 +19,16 @@
 MAX_WAIT = 60.0
 """Longest time in seconds after which a caller is told to return."""
 
+MEASURE_INTERVAL = 0.25
+"""Seconds over which an account's demand is measured."""
+
+REPORTED_SHARE = 0.2
+"""Share of an account's rate from which its demand is reported to other homes. Those
+below it don't exceed the rate together."""
+
+MAX_DEMANDS = 60
+"""Demands in one report, which has to fit into one datagram."""
+
 REPORT_INTERVAL = 1.0
 """Seconds of refusals of an account that one log line sums up."""
 
@@ -34,13 +45,14 @@
     if account is None or account.rate is None:
         return None
     allowance = _update_allowance(state, account)
+    allowance.asked += 1
     if allowance.operations >= 1.0:
         allowance.operations -= 1.0
         return None
     if not allowance.refused:
         allowance.refused_since = state.now
     allowance.refused += 1
-    rate = account.rate * compute_share(state, account.name)
+    rate = account.rate * allowance.share
     if rate <= 0.0:
         return MAX_WAIT
     return min(MAX_WAIT, (1.0 - allowance.operations) / rate)
@@ -51,12 +63,14 @@
     allowance = state.rates.allowances.get(account.name)
     if allowance is None:
         operations = compute_first_allowance(state, account)
-        allowance = Allowance(operations=operations, counted_at=state.now)
+        allowance = Allowance(
+            operations=operations, counted_at=state.now, measured_at=state.now
+        )
         state.rates.allowances[account.name] = allowance
-    rate = account.rate * compute_share(state, account.name)
-    accrued = rate * (state.now - allowance.counted_at)
+        allowance.share = compute_share(state, account)
+    accrued = account.rate * allowance.share * (state.now - allowance.counted_at)
     # A single operation must be possible whatever the burst is.
-    limit = max(account.burst, 1.0)
+    limit = max(account.burst * allowance.share, 1.0)
     allowance.operations = min(limit, allowance.operations + accrued)
     allowance.counted_at = state.now
     return allowance
@@ -77,19 +91,39 @@
 
 
 def maintain_rates(state: DirectState, out: Effects) -> None:
-    """Forget allowances of accounts with another home, and log refusals; at each tick.
+    """Measure demand, log refusals, and forget accounts with other homes; at each tick.
 
     A VM that becomes an account's home again starts anew: it can't know what another
     home admitted meanwhile.
     """
     for name, allowance in list(state.rates.allowances.items()):
+        elapsed = state.now - allowance.measured_at
+        if elapsed < MEASURE_INTERVAL:
+            continue
+        allowance.demand = (allowance.demand + allowance.asked / elapsed) / 2
+        allowance.asked = 0
+        allowance.measured_at = state.now
+        account = state.configuration.accounts.get(name)
+        if account is not None:
+            allowance.share = compute_share(state, account)
         if not is_account_home(state, name):
             del state.rates.allowances[name]
-        elif not allowance.refused:
-            continue
-        elif state.now - allowance.refused_since < REPORT_INTERVAL:
+        elif state.now - allowance.refused_since >= REPORT_INTERVAL:
+            _log_refusals(state, name, allowance, out)
+
+
+def list_demands(state: DirectState) -> dict[str, float]:
+    """Return the demands that other VMs have to know: those near an account's rate."""
+    ranked = []
+    for name, allowance in state.rates.allowances.items():
+        account = state.configuration.accounts.get(name)
+        if account is None or not account.rate:
             continue
-        _log_refusals(state, name, allowance, out)
+        share = allowance.demand / account.rate
+        if share >= REPORTED_SHARE:
+            ranked.append((share, name, allowance.demand))
+    ranked.sort(reverse=True)
+    return {name: round(demand, 2) for _, name, demand in ranked[:MAX_DEMANDS]}
 
 
 def _log_refusals(
@@ -103,7 +137,7 @@
         ("account", name),
         ("refused", allowance.refused),
         ("rate", account.rate if account is not None else 0),
-        ("share", round(compute_share(state, name), 2)),
+        ("share", round(allowance.share, 2)),
         ("version", state.configuration.version),
     )
     out.append(Log(event="account_limited", fields=fields, essential=True))
