--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -7,6 +7,7 @@
 import pytest
 
 from siskinhold.direct import (
+    ConfigurationRead,
     DirectState,
     LeaderRecord,
     LeaderState,
@@ -262,13 +263,13 @@
         health = StoreHealth()
         client.follow_era(lambda era: health.begin_era())
         versions = []
+
+        def record(event):
+            if isinstance(event, ConfigurationRead):
+                versions.append(event.configuration.version)
+
         feed = asyncio.ensure_future(
-            follow_configuration(
-                client,
-                lambda event: versions.append(event.configuration.version),
-                lambda: True,
-                health,
-            )
+            follow_configuration(client, record, lambda: True, health)
         )
         for version in (1, 2):
             store.put("config", "main", make_configuration(version, {}))
