--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -78,8 +78,12 @@
     """
     if not knows_vms(state):
         return False
-    if state.sessions or state.pending_callers:
+    if state.sessions:
         return True
+    for caller in state.pending_callers.values():
+        # One that a holder sent to others waits for these.
+        if not caller.moves:
+            return True
     if state.connections_limit or not state.vms_known:
         return state.is_holder
     if state.now - state.started_at >= CONNECTION_LIMIT_TIMEOUT:
