Move connections to backend servers to a package of their own

The module held the limits, the pool, the commands and the state of reachability. It becomes the package pools with a face of a few names; nothing else changes.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -1,6 +1,5 @@
 """Claims of a database's leader record, which entitle a VM to order a promotion."""
 
-from ._connections import find_control_connection, send
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._evidence import handle_store_proof
@@ -29,6 +28,7 @@
 from ._server_state import Purpose
 from ._state import Database, DirectState, Effects
 from ._types import Command, CommandKind, LeaderRecord, LeaderState
+from .pools import find_control_connection, send
 
 COMPLETION_RETRY_INTERVAL = 1.0
 """Seconds between two attempts to complete a record."""
--- a/src/siskinhold/direct/_containment.py
+++ b/src/siskinhold/direct/_containment.py
@@ -1,10 +1,10 @@
 """Limits an unexpected error to the connection whose event brought it about."""
 
-from ._connections import close_connection
 from ._effects import CloseCaller, Log
 from ._events import BackendAnswered, BackendOpened, CallerOpened, CallerStatement
 from ._losses import handle_connection_loss
 from ._state import DirectState, Effects
+from .pools import close_connection
 
 CALLER_EVENTS = (CallerOpened, CallerStatement)
 """Events after whose failure the caller's connection is closed."""
--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -1,11 +1,5 @@
 """Placement or refusal of waiting jobs, hedging, and release of proved answers."""
 
-from ._connections import (
-    apply_session_values,
-    find_idle_connection,
-    grow_pool,
-    has_pool,
-)
 from ._effects import Log, Observe
 from ._evidence import can_prove, find_confirmed_time, request_proof
 from ._hedging import list_overdue_reads
@@ -19,6 +13,7 @@
 from ._switchover import record_overload
 from ._types import Answer, Refusal
 from ._write_proof import is_write_proved, request_write_proof
+from .pools import apply_session_values, find_idle_connection, grow_pool, has_pool
 
 FLOOR_REFRESH_INTERVAL = 0.6
 """Age of the newest floor, in seconds, at which a new one is requested while reads
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -22,13 +22,13 @@
 """
 
 from ..model import Position
-from ._connections import find_control_connection, send
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._leaders import DropReason, drop_leader, probe_leader
 from ._server_state import Evidence, Purpose, Server
 from ._state import Database, DirectState, Effects, Floor, Leadership
 from ._types import Command, CommandKind, LeaderState
+from .pools import find_control_connection, send
 
 DEPARTED_MEMBER_PERIOD = 5.0
 """Seconds for which a draining or removed member is still needed for proof.
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -3,11 +3,11 @@
 import enum
 
 from ..model import Position
-from ._connections import find_control_connection, send
 from ._effects import Log
 from ._server_state import Purpose, Server
 from ._state import Database, DirectState, Effects, Leadership
 from ._types import Answer, Command, CommandKind, Refusal, TermStart, TransactionState
+from .pools import find_control_connection, send
 
 ATTESTATION_RETRY_DELAY = 0.05
 """Seconds until a server that refused a status query is queried again."""
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -1,6 +1,5 @@
 """Outcome of jobs whose connection is lost or whose deadline has passed."""
 
-from ._connections import close_connection
 from ._outliers import record_failure
 from ._replies import end_job
 from ._runs import fail_job, fail_transaction, requeue_job
@@ -8,6 +7,7 @@
 from ._state import DirectState, Effects, Job, JobState
 from ._stop_phases import SHUTDOWN
 from ._types import Answer, Refusal
+from .pools import close_connection
 
 
 def handle_connection_loss(
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -12,7 +12,6 @@
     was_rolled_back,
 )
 from ._claims import give_up_claim
-from ._connections import find_control_connection, send
 from ._effects import OrderPromotion
 from ._events import PromotionAnswered, PromotionOutcome
 from ._evidence import count_majority, list_members
@@ -29,6 +28,7 @@
 from ._server_state import Purpose, Server
 from ._state import Database, DirectState, Effects
 from ._types import Answer, Command, CommandKind
+from .pools import find_control_connection, send
 
 STEP_DOWN_TIMEOUT = 0.3
 """Seconds to wait for the step-down of a primary that is to be replaced."""
--- a/src/siskinhold/direct/_queue.py
+++ b/src/siskinhold/direct/_queue.py
@@ -6,13 +6,13 @@
 admitted them.
 """
 
-from ._connections import compute_connection_limit
 from ._evidence import STORE_UNAVAILABLE_PERIOD, can_prove
 from ._lag import estimate_catch_up
 from ._lease import find_claim_time
 from ._placement import accepts_leader_jobs, find_required_position
 from ._server_state import Server
 from ._state import Database, DirectState, Job
+from .pools import compute_connection_limit
 
 EXPECTED_DETECTION_TIME = 0.9
 """Usual number of seconds from the loss of a primary to the promotion order."""
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -1,6 +1,5 @@
 """Handling of backend servers' answers to callers' statements and their setup."""
 
-from ._connections import close_connection
 from ._effects import Observe
 from ._losses import handle_connection_loss
 from ._outliers import record_failure, record_success
@@ -15,6 +14,7 @@
 from ._server_state import Connection, PendingCommand, Server
 from ._state import DirectState, Effects, Job, JobState, Transaction
 from ._types import NOT_RUN, Answer, Consistency, Refusal
+from .pools import close_connection
 
 MAX_READ_ATTEMPTS = 3
 """Runs of a read that servers fail, after which its caller gets the failure."""
--- a/src/siskinhold/direct/_resumptions.py
+++ b/src/siskinhold/direct/_resumptions.py
@@ -5,12 +5,12 @@
 attest that there is none. So its status is queried first.
 """
 
-from ._connections import find_control_connection, send
 from ._promotion import SUSPENSION_TIMEOUT
 from ._promotion_state import PromotionStep
 from ._server_state import Purpose, Server
 from ._state import DirectState, Effects
 from ._types import Answer, Command, CommandKind
+from .pools import find_control_connection, send
 
 RESUMPTION_RETRY_DELAY = 0.2
 """Seconds until the status of a server that may not be resumed yet is queried again."""
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -1,12 +1,6 @@
 """Jobs on connections: sending, requeueing and failing them."""
 
 from ..model import Position
-from ._connections import (
-    apply_session_values,
-    close_connection,
-    prepare_statement,
-    send,
-)
 from ._effects import Log, Observe
 from ._hedging import replenish_hedge_budget
 from ._leaders import DropReason, drop_leader
@@ -15,6 +9,7 @@
 from ._server_state import Connection, Purpose, Server
 from ._state import DirectState, Effects, Job, JobState, Transaction
 from ._types import Answer, Command, CommandKind, Refusal, StatementKind
+from .pools import apply_session_values, close_connection, prepare_statement, send
 
 
 def begin_job(
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -2,18 +2,6 @@
 
 from dataclasses import replace
 
-from ._connections import (
-    OVERLOAD_DELAY,
-    close_connection,
-    close_idle_connections,
-    ensure_control_connection,
-    find_control_connection,
-    handle_server_loss,
-    mark_reachable,
-    record_open_failure,
-    remove_connection,
-    send,
-)
 from ._effects import Log
 from ._events import (
     BackendAnswered,
@@ -49,6 +37,18 @@
 from ._state import Database, DirectState, Effects, JobState
 from ._switchover import handle_backlog_answer, request_backlogs
 from ._types import Command, CommandKind, ServerEntry
+from .pools import (
+    OVERLOAD_DELAY,
+    close_connection,
+    close_idle_connections,
+    ensure_control_connection,
+    find_control_connection,
+    handle_server_loss,
+    mark_reachable,
+    record_open_failure,
+    remove_connection,
+    send,
+)
 
 GONE_SERVER_RETENTION = 6.0
 """Seconds after which a server that is no longer listed is removed from the state."""
--- a/src/siskinhold/direct/_switchover.py
+++ b/src/siskinhold/direct/_switchover.py
@@ -8,10 +8,10 @@
 """
 
 from ..model import Position
-from ._connections import find_control_connection, send
 from ._server_state import Backlog, Purpose, Server
 from ._state import Database, DirectState, Effects
 from ._types import Answer, Command, CommandKind
+from .pools import find_control_connection, send
 
 OVERLOAD_PERIOD = 1.0
 """Seconds of refusals without a gap of that length after which a primary counts as
--- /dev/null
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -0,0 +1,81 @@
+"""Commands that are sent on connections to backend servers."""
+
+from .._effects import SendCommands
+from .._server_state import Connection, PendingCommand, Purpose
+from .._state import DirectState, Effects, Job, Session
+from .._types import Command, CommandKind
+
+
+def send(
+    state: DirectState,
+    connection: Connection,
+    command: Command,
+    purpose: Purpose,
+    out: Effects,
+    job: Job | None = None,
+) -> None:
+    """Send a command, and record its purpose for the handling of its answer.
+
+    Consecutive commands on a connection are joined into one effect. A `RESET` clears
+    the recorded values and prepared statements.
+    """
+    connection.pending.append(
+        PendingCommand(purpose=purpose, sent_at=state.now, work=job)
+    )
+    connection.used_at = state.now
+    if command.kind is CommandKind.RESET:
+        connection.values.clear()
+        connection.prepared.clear()
+    if (
+        out
+        and isinstance(out[-1], SendCommands)
+        and out[-1].connection == connection.number
+    ):
+        last = out.pop()
+        out.append(
+            SendCommands(
+                connection=connection.number, commands=(*last.commands, command)
+            )
+        )
+        return
+    out.append(SendCommands(connection=connection.number, commands=(command,)))
+
+
+def apply_session_values(
+    state: DirectState, connection: Connection, session: Session, out: Effects
+) -> None:
+    """Set the session values of a caller on a connection before its statement runs.
+
+    Values that are set already are not sent again. A connection with values that the
+    session lacks is reset first.
+    """
+    extra = [name for name in connection.values if name not in session.values]
+    if extra:
+        send(state, connection, Command(kind=CommandKind.RESET), Purpose.SETUP, out)
+    for name, value in session.values.items():
+        if connection.values.get(name) == value:
+            continue
+        command = Command(kind=CommandKind.SET, name=name, value=value)
+        send(state, connection, command, Purpose.SETUP, out)
+        connection.values[name] = value
+
+
+def prepare_statement(
+    state: DirectState,
+    connection: Connection,
+    writes: bool,
+    shape: str,
+    out: Effects,
+) -> str:
+    """Prepare a statement unless it is prepared already; return its name.
+
+    The name is derived from the statement, as the names of different callers collide.
+    """
+    name = f"{'w' if writes else 'r'}_{shape}"
+    if (writes, shape) not in connection.prepared:
+        command = Command(
+            kind=CommandKind.PREPARE, name=name, value=shape, writes=writes
+        )
+        send(state, connection, command, Purpose.SETUP, out)
+        connection.prepared.add((writes, shape))
+    return name
--- a/tests/direct/stop_campaign.py
+++ b/tests/direct/stop_campaign.py
@@ -14,7 +14,7 @@
     StatementKind,
     Stop,
 )
-from siskinhold.direct._connections import find_control_connection
+from siskinhold.direct.pools import find_control_connection
 
 from .stop_callers import KINDS, Request
 from .world import LATENCY, World
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -60,8 +60,8 @@
     compute_tick_delay,
     reduce,
 )
-from siskinhold.direct._connections import find_control_connection
 from siskinhold.direct._lease import ATTEMPT_TIMEOUT, ORDER_LEASE as PRODUCT_LEASE
+from siskinhold.direct.pools import find_control_connection
 from siskinhold.model import Position
 
 LATENCY = 0.001
