Give a pooled connection one life, through which every end passes

The states of a connection and how they follow from each other are a module of their own. A transaction that fails is rolled back at once. A connection is free again only after an answer that shows no open transaction; else it is closed, also when the rollback is refused. A statement of another account than the connection's is refused by an error. The simulation checks each pooled connection after each event.

--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -5,6 +5,7 @@
 from ._outliers import record_failure, record_success
 from ._replies import end_job
 from ._runs import (
+    abandon_transaction,
     fail_transaction,
     record_refusal,
     requeue_job,
@@ -105,7 +106,7 @@
         if transaction is not None:
             transaction.connection = None
     elif in_transaction and answer.refusal is not None:
-        transaction.failed = True
+        abandon_transaction(state, transaction, out)
     job.server = server.entry.server
     if answer.refusal is not None:
         if job.commits:
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..model import Position
+from ._connection_life import ConnectionState, check_transition
 from ._types import ServerEntry
 
 if TYPE_CHECKING:
@@ -66,13 +67,6 @@
     work: "Job | None" = None
 
 
-class ConnectionState(enum.Enum):
-    """Whether a connection is open yet."""
-
-    OPENING = "opening"
-    OPEN = "open"
-
-
 @dataclass(slots=True, kw_only=True)
 class Connection:
     """A connection to a backend server.
@@ -83,6 +77,7 @@
             own commands.
         opened_at: when the attempt to open it began.
         account: client account that it serves, empty without one.
+        state: where it is in its life, see `_connection_life`.
         values: session values that were set on it.
         prepared: statements prepared on it: whether they write, and their text.
         pending: commands without an answer yet, in the order of sending.
@@ -104,12 +99,22 @@
 
     @property
     def idle(self) -> bool:
-        """Whether it is open and has neither pending commands nor a transaction."""
-        return (
-            self.state is ConnectionState.OPEN
-            and not self.pending
-            and self.transaction is None
-        )
+        """Whether a caller's statement may be sent on it."""
+        return self.state is ConnectionState.FREE
+
+    @property
+    def open(self) -> bool:
+        """Whether the server has accepted it, and it has not ended."""
+        return self.state not in (ConnectionState.OPENING, ConnectionState.CLOSED)
+
+    def advance(self, state: ConnectionState) -> None:
+        """Enter another state of its life.
+
+        Raises:
+            IllegalTransition: if the state does not follow from the present one.
+        """
+        check_transition(self.state, state, control=self.control)
+        self.state = state
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from ._connection_life import ConnectionState
 from ._effects import Log
 from ._events import (
     BackendAnswered,
@@ -33,7 +34,7 @@
     handle_suspension_status,
     resume_replication,
 )
-from ._server_state import ConnectionState, Purpose, Server
+from ._server_state import Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
 from ._switchover import handle_backlog_answer, request_backlogs
 from ._types import Command, CommandKind, ServerEntry
@@ -48,6 +49,7 @@
     record_open_failure,
     remove_connection,
     send,
+    settle,
 )
 
 GONE_SERVER_RETENTION = 6.0
@@ -183,7 +185,7 @@
     connection = state.connections.get(event.connection)
     if connection is None:
         return
-    connection.state = ConnectionState.OPEN
+    connection.advance(ConnectionState.FREE)
     connection.used_at = state.now
     server = connection.server
     mark_reachable(state, server, out)
@@ -203,8 +205,8 @@
     if connection is None:
         return
     server = connection.server
-    remove_connection(state, connection)
     opening = connection.state is ConnectionState.OPENING
+    remove_connection(state, connection)
     if event.reason is LossReason.OVERLOAD:
         server.overloaded_until = state.now + OVERLOAD_DELAY
     elif opening:
@@ -267,6 +269,7 @@
         handle_fence_answer(state, server, pending.sent_at, answer)
     elif pending.purpose is Purpose.STEP_DOWN:
         handle_step_down_answer(state, server, pending.sent_at, answer)
+    settle(state, connection, answer, out)
 
 
 def maintain_servers(state: DirectState, out: Effects) -> None:
--- a/src/siskinhold/direct/pools/__init__.py
+++ b/src/siskinhold/direct/pools/__init__.py
@@ -1,7 +1,7 @@
 """Pools of connections to backend servers, and the commands sent on them."""
 
 from ._closing import close_connection, remove_connection
-from ._commands import apply_session_values, prepare_statement, send
+from ._commands import apply_session_values, prepare_statement, send, settle
 from ._growth import (
     close_idle_connections,
     ensure_control_connection,
@@ -35,4 +35,5 @@
     "record_open_failure",
     "remove_connection",
     "send",
+    "settle",
 ]
--- a/src/siskinhold/direct/pools/_closing.py
+++ b/src/siskinhold/direct/pools/_closing.py
@@ -1,5 +1,6 @@
 """End of connections to backend servers."""
 
+from .._connection_life import ConnectionState
 from .._effects import CloseBackend, Log
 from .._server_state import Connection
 from .._state import DirectState, Effects
@@ -7,6 +8,7 @@
 
 def remove_connection(state: DirectState, connection: Connection) -> None:
     """Remove a connection that has ended from the state; its jobs are not handled."""
+    connection.advance(ConnectionState.CLOSED)
     connection.server.connections.pop(connection.number, None)
     state.connections.pop(connection.number, None)
 
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -1,9 +1,21 @@
 """Commands that are sent on connections to backend servers."""
 
+from .._connection_life import ConnectionState
 from .._effects import SendCommands
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
-from .._types import Command, CommandKind
+from .._types import Answer, Command, CommandKind, TransactionState
+from ._closing import close_connection
+
+_STATES = {
+    Purpose.SETUP: ConnectionState.PREPARING,
+    Purpose.CLEANUP: ConnectionState.CLEANING,
+}
+"""State that a command brings about by its purpose, if it is not `IN_USE`."""
+
+
+class WrongAccount(Exception):
+    """A statement was about to run on a connection of another client account."""
 
 
 def send(
@@ -18,7 +30,14 @@
 
     Consecutive commands on a connection are joined into one effect. A `RESET` clears
     the recorded values and prepared statements.
+
+    Raises:
+        IllegalTransition: if the connection may not be used for that purpose.
+        WrongAccount: if it serves another account than the job's.
     """
+    if job is not None and job.session.account != connection.account:
+        raise WrongAccount(f"connection {connection.number} serves another account")
+    connection.advance(_STATES.get(purpose, ConnectionState.IN_USE))
     connection.pending.append(
         PendingCommand(purpose=purpose, sent_at=state.now, work=job)
     )
@@ -79,3 +98,23 @@
         send(state, connection, command, Purpose.SETUP, out)
         connection.prepared.add((writes, shape))
     return name
+
+
+def settle(
+    state: DirectState, connection: Connection, answer: Answer, out: Effects
+) -> None:
+    """Make a connection free after its last answer, or close it if it may not be.
+
+    It is closed if the server did not confirm that no transaction is open. A control
+    connection stays open, and is not free until an answer confirms that.
+    """
+    if not connection.open or connection.pending:
+        return
+    if connection.transaction is not None:
+        connection.advance(ConnectionState.IN_USE)
+    elif answer.transaction is TransactionState.NONE:
+        connection.advance(ConnectionState.FREE)
+    elif connection.control:
+        connection.advance(ConnectionState.CLEANING)
+    else:
+        close_connection(state, connection, out, "transaction_uncertain")
--- a/src/siskinhold/direct/pools/_growth.py
+++ b/src/siskinhold/direct/pools/_growth.py
@@ -1,7 +1,8 @@
 """Opening, choice and closing of the connections in a pool."""
 
+from .._connection_life import ConnectionState
 from .._effects import Observe, OpenBackend
-from .._server_state import Connection, ConnectionState, Server
+from .._server_state import Connection, Server
 from .._state import DirectState, Effects, Session
 from ..accounts import uses_accounts
 from ._closing import close_connection
@@ -109,7 +110,7 @@
 def find_control_connection(server: Server) -> Connection | None:
     """Return the control connection to a server, None unless it is open."""
     for connection in server.connections.values():
-        if connection.control and connection.state is ConnectionState.OPEN:
+        if connection.control and connection.open:
             return connection
     return None
 
--- a/src/siskinhold/direct/pools/_reachability.py
+++ b/src/siskinhold/direct/pools/_reachability.py
@@ -2,7 +2,7 @@
 
 from .._effects import Log
 from .._events import LossReason
-from .._server_state import ConnectionState, Server
+from .._server_state import Server
 from .._state import DirectState, Effects
 from ._closing import close_connection
 
@@ -51,7 +51,7 @@
     )
     server.retry_at = state.now + pause
     for connection in server.connections.values():
-        if connection.state is ConnectionState.OPEN:
+        if connection.open:
             return
     _mark_down(state, server, reason.value, out)
 
@@ -67,9 +67,9 @@
     """
     if reason is LossReason.SILENT:
         for connection in list(server.connections.values()):
-            if connection.state is ConnectionState.OPEN and connection.idle:
+            if connection.idle:
                 close_connection(state, connection, out, "server_unresponsive")
-    elif any(c.state is ConnectionState.OPEN for c in server.connections.values()):
+    elif any(c.open for c in server.connections.values()):
         return
     _mark_down(state, server, reason.value, out)
 
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -64,6 +64,8 @@
 from siskinhold.direct.pools import find_control_connection
 from siskinhold.model import Position
 
+from .pool_checks import list_pool_faults
+
 LATENCY = 0.001
 """Seconds from a VM to a server or the store, one way."""
 
@@ -126,6 +128,7 @@
         self.lose_answers = 0
         self.breaks_off_for: set[str] = set()
         self.fails_statements = False
+        self.refuses_rollbacks = False
         self.answer_busy = 0
 
     def reaches(self, vm: str) -> bool:
@@ -172,6 +175,8 @@
                 refusal = Refusal.READ_ONLY
         elif kind is CommandKind.BEGIN_READ:
             connection.open = "read"
+        elif kind is CommandKind.ROLLBACK and self.refuses_rollbacks:
+            refusal = Refusal.BUSY
         elif kind is CommandKind.ROLLBACK:
             connection.open = ""
             connection.wrote = False
@@ -460,7 +465,11 @@
         if vm in self.paused:
             self.at(self.now + 0.01, lambda: self.dispatch_later(vm, event))
             return
-        for effect in reduce(self.states[vm], event):
+        effects = reduce(self.states[vm], event)
+        ticked = isinstance(event, TimeAdvanced)
+        faults = list_pool_faults(self.states[vm], ticked=ticked)
+        assert not faults, f"{vm} after {type(event).__name__}: {faults}"
+        for effect in effects:
             self.perform(vm, effect)
 
     def dispatch_later(self, vm, event):
