--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -1,11 +1,11 @@
 """Handling of backend servers' answers to callers' statements and their setup."""
 
-from ._connections import close_connection
 from ._effects import Observe
 from ._losses import handle_connection_loss
 from ._outliers import record_failure, record_success
 from ._replies import end_job
 from ._runs import (
+    abandon_transaction,
     fail_transaction,
     record_refusal,
     requeue_job,
@@ -15,6 +15,7 @@
 from ._server_state import Connection, PendingCommand, Server
 from ._state import DirectState, Effects, Job, JobState, Transaction
 from ._types import NOT_RUN, Answer, Consistency, Refusal
+from .pools import close_connection
 
 MAX_READ_ATTEMPTS = 3
 """Runs of a read that servers fail, after which its caller gets the failure."""
@@ -105,7 +106,7 @@
         if transaction is not None:
             transaction.connection = None
     elif in_transaction and answer.refusal is not None:
-        transaction.failed = True
+        abandon_transaction(state, transaction, out)
     job.server = server.entry.server
     if answer.refusal is not None:
         if job.commits:
