Send reads to other servers while one is slower than usual

A server that slows down kept its reads until a moving average over all kinds of statements reached four times that of the fastest server, and got none back afterwards, as nothing renewed its average. Statements are now compared with the usual time of their kind in the server's zone; a slowed server gets reads after pauses, which its answers lengthen and shorten.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -19,6 +19,7 @@
 from ._switchover import record_overload
 from ._types import Answer, Refusal
 from ._write_proof import is_write_proved, request_write_proof
+from .room import record_placement
 
 FLOOR_REFRESH_INTERVAL = 0.6
 """Age of the newest floor, in seconds, at which a new one is requested while reads
@@ -123,6 +124,7 @@
             # It lost its connections; without new ones it would stay unused.
             grow_pool(state, full[0], out, job.session.account)
         postpone_next_trial(state, server, after)
+        record_placement(state, server, out)
         database.starts.record(job.route.priority, state.now)
         begin_job(state, job, connection, after, out)
         return True
--- a/src/siskinhold/direct/_placement.py
+++ b/src/siskinhold/direct/_placement.py
@@ -8,6 +8,7 @@
 from ._evidence import find_floor
 from ._server_state import Server
 from ._state import Database, DirectState, Job
+from .room import defer_slowed_servers, was_judged
 
 REMOTE_READ_DELAY = 0.03
 """Seconds a read waits for a server of its region before it may go to another region:
@@ -128,13 +129,15 @@
         failing = state.now < server.failing_until
         lagging = state.now < server.lagging_until
         slow = server.service_time > 4 * _find_shortest_service_time(state, database)
+        slow = slow and not was_judged(state, server)
         rank = (failing, lagging, slow, distance, server is leader)
         ranked.append((*rank, server.entry.server))
     ranked.sort()
     if ranked and not ranked[0][0]:
         # Failing servers get statements only if there is no other one.
         ranked = [entry for entry in ranked if not entry[0]]
-    return [state.servers[entry[-1]] for entry in ranked]
+    servers = [state.servers[entry[-1]] for entry in ranked]
+    return defer_slowed_servers(state, job, servers)
 
 
 def _has_server_in_region(state: DirectState, database: Database) -> bool:
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -15,6 +15,7 @@
 from ._server_state import Connection, PendingCommand, Server
 from ._state import DirectState, Effects, Job, JobState, Transaction
 from ._types import NOT_RUN, Answer, Consistency, Refusal
+from .room import record_answer_time
 
 MAX_READ_ATTEMPTS = 3
 """Runs of a read that servers fail, after which its caller gets the failure."""
@@ -76,6 +77,8 @@
         # pause of this VM counted as service time would have it refuse statements.
         server.record_service_time(state.now, elapsed)
         out.append(Observe(metric="service_seconds", value=elapsed))
+        if answer.refusal is None:
+            record_answer_time(state, server, job, elapsed, out)
     _record_outcome(state, server, answer, out)
     transaction = job.session.transaction
     in_transaction = connection.transaction is not None
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..model import Position
+from ._speed_state import Slowdown
 from ._types import ServerEntry
 
 if TYPE_CHECKING:
@@ -179,6 +180,7 @@
         failing_period: length of that period, 0 after a success.
         service_time: moving average of the time of a statement, in seconds.
         service_time_updated_at: when the average was last updated.
+        slowdown: how much longer than usual it takes, see `room`.
         overloaded_until: until when no further connections are opened, as the server
             refused one because it has too many.
     """
@@ -211,6 +213,7 @@
     failing_period: float = 0.0
     service_time: float = DEFAULT_SERVICE_TIME
     service_time_updated_at: float = -100.0
+    slowdown: Slowdown = field(default_factory=Slowdown)
     overloaded_until: float = 0.0
 
     def record_service_time(self, now: float, seconds: float) -> None:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -12,6 +12,7 @@
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._rate_state import RateState
 from ._server_state import Connection, Server
+from ._speed_state import SpeedState
 from ._starts import StartCounts
 from ._stop_counts import StopCounts
 from ._types import (
@@ -355,6 +356,7 @@
         relayed: callers that are relayed to a holder, by session.
         accounts: what is known of client accounts beside the configuration.
         rates: counts of their operations.
+        speeds: usual times of statements at the servers.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
         stop_grace: the grace period when it was requested.
@@ -404,6 +406,7 @@
     relayed: dict[int, PendingCaller] = field(default_factory=dict)
     accounts: AccountState = field(default_factory=AccountState)
     rates: RateState = field(default_factory=RateState)
+    speeds: SpeedState = field(default_factory=SpeedState)
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -12,6 +12,8 @@
     ),
     "retries_total": define_counter("Statements sent again, by cause.", "cause"),
     "hedges_total": define_counter("Reads sent a second time."),
+    "slowdowns_total": define_counter("Backend servers found to be slower than usual."),
+    "slowed_server_reads_total": define_counter("Statements sent to such a server."),
     "service_seconds": define_histogram("Time of a statement at the backend server."),
     "confirmation_seconds": define_histogram(
         "Time until a primary was proved to lead."
