--- a/src/siskinhold/direct/room/_choice.py
+++ b/src/siskinhold/direct/room/_choice.py
@@ -10,7 +10,7 @@
 
 from .._effects import Observe
 from .._server_state import Server
-from .._state import DirectState, Job
+from .._state import DirectState, Effects, Job
 from ._speeds import count_own_statements
 
 JUDGED_PERIOD = 10.0
@@ -21,8 +21,10 @@
 def was_judged(state: DirectState, server: Server) -> bool:
     """Return whether a server was recently found to be slowed or recovered."""
     slowdown = server.slowdown
+    if not state.speeds.enabled:
+        return False
     if slowdown.slowed_at is not None:
-        return state.speeds.enabled
+        return True
     return state.now - slowdown.recovered_at < JUDGED_PERIOD
 
 
@@ -45,7 +47,7 @@
     return [server for server in servers if server not in paused] + paused
 
 
-def record_placement(state: DirectState, server: Server, out) -> None:
+def record_placement(state: DirectState, server: Server, out: Effects) -> None:
     """Start a slowed server's pause after it was given a read."""
     slowdown = server.slowdown
     if slowdown.slowed_at is None:
