Limit what a slowed server gets at once, and give its reads back by steps

One read after each pause gave a slowed server all its reads back at once; with a server that is slow under several statements the load swung in full each second. The limit now grows by two statements a second and is halved by a slow answer.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -14,12 +14,13 @@
 from ._replies import end_job
 from ._results import deliver_result
 from ._runs import begin_job, fail_job, fail_transaction, run_statement
+from ._server_state import Server
 from ._state import Database, DirectState, Effects, Job, JobState
 from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase
 from ._switchover import record_overload
 from ._types import Answer, Refusal
 from ._write_proof import is_write_proved, request_write_proof
-from .room import record_placement
+from .room import record_placement, was_judged
 
 FLOOR_REFRESH_INTERVAL = 0.6
 """Age of the newest floor, in seconds, at which a new one is requested while reads
@@ -120,8 +121,8 @@
         if connection is None:
             full.append(server)
             continue
-        if full and not has_pool(full[0], job.session.account):
-            # It lost its connections; without new ones it would stay unused.
+        if full and _needs_connections(state, full[0], job):
+            # Without new connections it would stay unused.
             grow_pool(state, full[0], out, job.session.account)
         postpone_next_trial(state, server, after)
         record_placement(state, server, out)
@@ -134,6 +135,13 @@
     return False
 
 
+def _needs_connections(state: DirectState, server: Server, job: Job) -> bool:
+    """Return whether a server lost its connections, or those of a slow period."""
+    if was_judged(state, server):
+        return True
+    return not has_pool(server, job.session.account)
+
+
 def hedge_reads(state: DirectState, database: Database, out: Effects) -> None:
     """Send overdue reads a second time, preferably to another server.
 
--- a/src/siskinhold/direct/_hedging.py
+++ b/src/siskinhold/direct/_hedging.py
@@ -8,6 +8,7 @@
 
 from ._server_state import Server
 from ._state import Database, DirectState, Job, JobState
+from .room import estimate_slowdown
 
 HEDGE_DELAY_FACTOR = 8.0
 """Multiple of a server's service time after which a read is hedged."""
@@ -38,7 +39,7 @@
             continue
         if session.transaction is not None or not job.connections:
             continue
-        limit = compute_hedge_delay(job.connections[0].server)
+        limit = compute_hedge_delay(state, job.connections[0].server)
         if state.now - job.sent_at < limit:
             continue
         if database.hedge_budget < len(found) + 1:
@@ -47,6 +48,10 @@
     return found
 
 
-def compute_hedge_delay(server: Server) -> float:
-    """Return after how many seconds a read on a server is overdue."""
-    return max(MIN_HEDGE_DELAY, HEDGE_DELAY_FACTOR * server.service_time)
+def compute_hedge_delay(state: DirectState, server: Server) -> float:
+    """Return after how many seconds a read on a server is overdue.
+
+    A slowed server's reads are overdue after as long as they were before.
+    """
+    usual = server.service_time / estimate_slowdown(state, server)
+    return max(MIN_HEDGE_DELAY, HEDGE_DELAY_FACTOR * usual)
--- a/src/siskinhold/direct/_speed_state.py
+++ b/src/siskinhold/direct/_speed_state.py
@@ -13,16 +13,21 @@
         answers: answers counted since the start or the last recovery.
         slowed_at: when the server was found to be slower than usual, None unless it is.
         recovered_at: when it was last found to be as fast as usual again.
-        pause: seconds between two reads that it gets while another server is faster.
+        limit: statements of this VM at once from which it gets no read while another
+            server is faster.
+        pause: seconds between two such reads, 0 without a pause.
         next_read_at: earliest time of the next one.
+        adjusted_at: when the limit was last changed.
     """
 
     mean: float = 0.0
     answers: int = 0
     slowed_at: float | None = None
     recovered_at: float = -100.0
+    limit: float = 1.0
     pause: float = 0.0
     next_read_at: float = 0.0
+    adjusted_at: float = -100.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/room/_choice.py
+++ b/src/siskinhold/direct/room/_choice.py
@@ -47,6 +47,14 @@
     return [server for server in servers if server not in paused] + paused
 
 
+def estimate_slowdown(state: DirectState, server: Server) -> float:
+    """Return the multiple of the usual time that a server takes, 1 unless slowed."""
+    slowdown = server.slowdown
+    if not state.speeds.enabled or slowdown.slowed_at is None:
+        return 1.0
+    return max(1.0, math.exp(slowdown.mean))
+
+
 def record_placement(state: DirectState, server: Server, out: Effects) -> None:
     """Start a slowed server's pause after it was given a read."""
     slowdown = server.slowdown
@@ -61,7 +69,9 @@
     slowdown = server.slowdown
     if slowdown.slowed_at is None:
         return False
-    return state.now < slowdown.next_read_at or count_own_statements(server) > 0
+    if state.now < slowdown.next_read_at:
+        return True
+    return count_own_statements(server) >= slowdown.limit
 
 
 def _has_faster(
--- a/src/siskinhold/direct/room/_speeds.py
+++ b/src/siskinhold/direct/room/_speeds.py
@@ -41,8 +41,15 @@
 MAX_PAUSE = 0.8
 """Upper limit of the seconds between two reads: a recovery shows within about it."""
 
-MIN_PAUSE = 0.05
-"""Pause under which a slowed server counts as recovered."""
+LIMIT_DECREASE = 0.5
+"""Factor of the limit after a slow answer."""
+
+LIMIT_GROWTH = 2.0
+"""Increase of the limit per second of usual answers: a server with four slots has all
+its reads back after two seconds."""
+
+MAX_GROWTH_PERIOD = 0.25
+"""Seconds without answers for which the limit grows at most."""
 
 
 def record_answer_time(
@@ -53,6 +60,7 @@
     Time that it spent behind other statements of this VM is not counted: a server with
     fewer slots than this VM has connections is not slow.
     """
+    sent_at = state.now - seconds
     waiting = count_own_statements(server) + 1
     seconds *= min(1.0, max(1, server.entry.slots) / waiting)
     logarithm = math.log(max(seconds, 1e-4))
@@ -60,7 +68,7 @@
     usual = state.speeds.usual.setdefault(kind, UsualTime())
     slowdown = server.slowdown
     if usual.answers >= MIN_USUAL_ANSWERS:
-        _judge(state, server, logarithm - usual.mean, out)
+        _judge(state, server, logarithm - usual.mean, sent_at, out)
     slowed_at = slowdown.slowed_at
     if slowed_at is None or state.now - slowed_at >= ACCEPTANCE_PERIOD:
         usual.answers += 1
@@ -78,7 +86,9 @@
     return count
 
 
-def _judge(state: DirectState, server: Server, deviation: float, out: Effects) -> None:
+def _judge(
+    state: DirectState, server: Server, deviation: float, sent_at: float, out: Effects
+) -> None:
     """Count an answer, and find whether the server has slowed down or recovered.
 
     Args:
@@ -88,7 +98,7 @@
     slowdown.answers += 1
     slowdown.mean += ANSWER_WEIGHT * (deviation - slowdown.mean)
     if slowdown.slowed_at is not None:
-        _adjust_pause(state, server, deviation, out)
+        _adjust_limit(state, server, deviation, sent_at, out)
         return
     if slowdown.answers < MIN_ANSWERS or slowdown.mean < math.log(SLOW_FACTOR):
         return
@@ -101,20 +111,33 @@
     out.append(Observe(metric="slowdowns_total"))
 
 
-def _adjust_pause(
-    state: DirectState, server: Server, deviation: float, out: Effects
+def _adjust_limit(
+    state: DirectState, server: Server, deviation: float, sent_at: float, out: Effects
 ) -> None:
-    """Double the pause after a slow answer and halve it after a usual one.
+    """Adjust what a slowed server gets: less after a slow answer, else more.
 
-    Once it is short, the server has recovered.
+    Below one statement at once, its reads are spread by a pause. Once the limit exceeds
+    the server's slots, it has recovered.
     """
     slowdown = server.slowdown
     if deviation > math.log(USUAL_FACTOR):
-        slowdown.pause = min(MAX_PAUSE, 2 * slowdown.pause)
+        if sent_at < slowdown.adjusted_at and slowdown.limit > 1.0:
+            # It was sent under the higher limit, which has been reduced for it.
+            return
+        if slowdown.limit > 1.0:
+            slowdown.limit = max(1.0, slowdown.limit * LIMIT_DECREASE)
+        else:
+            slowdown.pause = min(MAX_PAUSE, max(FIRST_PAUSE, 2 * slowdown.pause))
+        slowdown.adjusted_at = state.now
+        return
+    if slowdown.pause > 0:
+        slowdown.pause = slowdown.pause / 4 if slowdown.pause > FIRST_PAUSE else 0.0
+        slowdown.next_read_at = min(slowdown.next_read_at, state.now + slowdown.pause)
     else:
-        slowdown.pause /= 2
-    slowdown.next_read_at = min(slowdown.next_read_at, state.now + slowdown.pause)
-    if slowdown.pause >= MIN_PAUSE:
+        elapsed = min(state.now - slowdown.adjusted_at, MAX_GROWTH_PERIOD)
+        slowdown.limit += LIMIT_GROWTH * elapsed
+    slowdown.adjusted_at = state.now
+    if slowdown.limit <= server.entry.slots:
         return
     after = round((state.now - slowdown.slowed_at) * 1000)
     server.slowdown = Slowdown(recovered_at=state.now)
--- /dev/null
+++ b/tests/direct/test_direct_room.py
@@ -0,0 +1,199 @@
+"""Tests of the load that servers get while they are slower than usual."""
+
+import pytest
+
+from .test_direct_load import TARGET, run_load, run_mixed_load
+from .world import FakeServer, World
+
+SHORT, LONG = 0.004, 0.03
+"""Seconds that a server takes for short and for long statements."""
+
+READS = [("views", "READ long", 30), ("crew", "READ x", 60)]
+"""Reads per second of two routes, one with long statements."""
+
+
+class UnevenServer(FakeServer):
+    """A server whose statement times depend on their text and on its load.
+
+    Args:
+        slowness: multiple of the usual times.
+        crowd: statements at once from which `slowness` applies.
+        slow_for: VMs for which it applies, all by default.
+    """
+
+    slowness = 1.0
+    crowd = 1
+    slow_for: set[str] | None = None
+
+    def run(self, connection, command, now):
+        text = command.text or ""
+        self.statement_time = LONG if "long" in text else SHORT
+        busy = 1 + sum(end > now for end in self.free_at)
+        if self.slow_for is None or connection.vm in self.slow_for:
+            if busy >= self.crowd:
+                self.statement_time *= self.slowness
+        return super().run(connection, command, now)
+
+
+def start(*, enabled=True, **options):
+    """Return a world of uneven servers whose VMs know the usual times."""
+    world = World(**options)
+    for server in world.servers.values():
+        server.__class__ = UnevenServer
+    for state in world.states.values():
+        state.speeds.enabled = enabled
+    world.advance(2)
+    run_reads(world, seconds=3)
+    return world
+
+
+def run_reads(world, *, seconds, loads=READS, vm="vm2"):
+    """Run reads at a VM whose zone has the server `s2`."""
+    return run_mixed_load(world, loads=loads, seconds=seconds, vm=vm)
+
+
+def count_reads(server, since, until=1e9):
+    """Return how many statements a server has run in a period."""
+    return sum(since <= at < until for at, _, _ in server.ran)
+
+
+def list_durations(outcomes):
+    """Return the durations of statements, none of which was refused, in order."""
+    assert all(outcome.answer.refusal is None for outcome in outcomes)
+    return sorted(outcome.duration for outcome in outcomes)
+
+
+class TestSlowedServer:
+    @pytest.mark.parametrize("enabled", [False, True])
+    def test_most_reads_are_answered_as_fast_as_usual(self, enabled):
+        """Guards against reads that queue at the near server, which became too slow.
+
+        Load: 90 reads per second, for which a server that is ten times slower has no
+        room.
+        """
+        world = start(enabled=enabled)
+        world.servers["s2"].slowness = 10.0
+        outcomes = run_reads(world, seconds=6)
+        late = [o for o in outcomes if o.duration > 0.5 * TARGET]
+        assert (len(late) <= 0.04 * len(outcomes)) is enabled
+        assert all(outcome.answer.refusal is None for outcome in outcomes)
+
+    def test_is_found_within_a_second(self):
+        """Guards against a change that is seen after many more statements."""
+        world = start()
+        world.servers["s2"].slowness = 5.0
+        began = world.now
+        run_reads(world, seconds=3)
+        at, vm, _, fields = world.find_logs("server_slowed")[0]
+        assert (vm, fields["server"]) == ("vm2", "s2") and at < began + 1
+        assert len(world.find_logs("server_slowed")) == 1
+
+    @pytest.mark.parametrize("enabled", [False, True])
+    def test_gets_its_reads_back_when_it_recovers(self, enabled):
+        """Guards against a server that stays avoided as nothing shows its recovery."""
+        world = start(enabled=enabled)
+        server = world.servers["s2"]
+        server.slowness = 10.0
+        run_reads(world, seconds=3)
+        server.slowness = 1.0
+        began = world.now
+        run_reads(world, seconds=5)
+        kept = count_reads(server, began + 2, began + 5)
+        assert (kept >= 0.8 * 90 * 3) is enabled
+
+    def test_primary_keeps_its_room_for_writes(self):
+        """Guards against writes that wait behind reads which replicas could run.
+
+        Load: reads beside writes at a primary that became ten times slower.
+        """
+        durations = {}
+        for enabled in (False, True):
+            world = start(enabled=enabled)
+            loads = [*READS, ("orders", "WRITE x 1", 20)]
+            run_reads(world, seconds=3, loads=loads, vm="vm1")
+            world.servers["s1"].slowness = 10.0
+            outcomes = run_reads(world, seconds=4, loads=loads, vm="vm1")
+            writes = [o for o in outcomes if o.database == "orders"]
+            durations[enabled] = sum(list_durations(writes)) / len(writes)
+        assert durations[True] < 0.8 * durations[False]
+
+    def test_slow_for_one_zone_is_avoided_there_only(self):
+        """Guards against VMs that leave a server because it is slow for others."""
+        world = start()
+        run_reads(world, seconds=2, vm="vm1")
+        world.servers["s2"].slowness = 10.0
+        world.servers["s2"].slow_for = {"vm2"}
+        run_reads(world, seconds=3)
+        run_reads(world, seconds=3, vm="vm1")
+        assert {vm for _, vm, *_ in world.find_logs("server_slowed")} == {"vm2"}
+
+    def test_slow_under_a_crowd_gets_what_it_takes_well(self):
+        """Guards against a server that is avoided altogether, or swings in full.
+
+        Load: 180 reads per second at a server that is eight times slower whenever it
+        runs three statements at once.
+        """
+        loads = [("views", "READ long", 60), ("crew", "READ x", 120)]
+        late = {}
+        for enabled in (False, True):
+            world = start(enabled=enabled)
+            server = world.servers["s2"]
+            server.slowness, server.crowd = 8.0, 3
+            began = world.now
+            outcomes = run_reads(world, seconds=6, loads=loads)
+            late[enabled] = sum(o.duration > 0.5 * TARGET for o in outcomes)
+            if enabled:
+                assert count_reads(server, began) >= 60
+        assert late[True] < 0.5 * late[False]
+
+    def test_all_slowed_are_used_as_usual(self):
+        """Guards against refusals and detours while no server is faster."""
+        world = start()
+        run_reads(world, seconds=2, vm="vm1")
+        run_reads(world, seconds=2, vm="vm3")
+        for server in world.servers.values():
+            server.slowness = 4.0
+        began = world.now
+        list_durations(run_reads(world, seconds=4))
+        assert count_reads(world.servers["s2"], began) >= 0.5 * 90 * 4
+
+
+class TestCalmServer:
+    @pytest.mark.parametrize(
+        "loads",
+        [
+            [("crew", "READ x", 1)],
+            [("views", "READ long", 2), ("crew", "READ x", 300)],
+            [("views", "READ long", 100), ("crew", "READ x", 2)],
+        ],
+    )
+    def test_is_not_slowed_by_its_load(self, loads):
+        """Guards against little traffic or long statements that look like slowness."""
+        places = {}
+        for enabled in (False, True):
+            world = start(enabled=enabled)
+            began = world.now
+            run_reads(world, seconds=6, loads=loads)
+            assert not world.find_logs("server_slowed") or not enabled
+            places[enabled] = [
+                count_reads(server, began) for server in world.servers.values()
+            ]
+        assert places[True] == places[False]
+
+    def test_is_not_slowed_by_own_queue(self):
+        """Guards against statements of this VM that wait for each other's slots.
+
+        Load: short reads at 1.5 times the capacity of a server with one slot.
+        """
+        world = start(slots=1)
+        run_load(
+            world, rate=1.5 / SHORT, seconds=3, database="crew", text="READ x", vm="vm2"
+        )
+        assert not world.find_logs("server_slowed")
+
+    def test_replica_behind_is_not_slowed(self):
+        """Guards against quick refusals or waits for the log that count as speed."""
+        world = start()
+        world.servers["s2"].applies_at = world.now + 3
+        run_reads(world, seconds=3, loads=[*READS, ("orders", "WRITE x 1", 20)])
+        assert not world.find_logs("server_slowed")
