--- a/src/siskinhold/direct/_speed_state.py
+++ b/src/siskinhold/direct/_speed_state.py
@@ -18,6 +18,7 @@
         pause: seconds between two such reads, 0 without a pause.
         next_read_at: earliest time of the next one.
         adjusted_at: when the limit was last changed.
+        setbacks: how often it was too high with several statements at once.
     """
 
     mean: float = 0.0
@@ -28,6 +29,7 @@
     pause: float = 0.0
     next_read_at: float = 0.0
     adjusted_at: float = -100.0
+    setbacks: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/room/_speeds.py
+++ b/src/siskinhold/direct/room/_speeds.py
@@ -46,7 +46,8 @@
 
 LIMIT_GROWTH = 2.0
 """Increase of the limit per second of usual answers: a server with four slots has all
-its reads back after two seconds."""
+its reads back after two seconds. It is divided by one more after each setback, as each
+further attempt costs callers slow answers."""
 
 MAX_GROWTH_PERIOD = 0.25
 """Seconds without answers for which the limit grows at most."""
@@ -125,6 +126,7 @@
             # It was sent under the higher limit, which has been reduced for it.
             return
         if slowdown.limit > 1.0:
+            slowdown.setbacks += slowdown.limit >= 2.0
             slowdown.limit = max(1.0, slowdown.limit * LIMIT_DECREASE)
         else:
             slowdown.pause = min(MAX_PAUSE, max(FIRST_PAUSE, 2 * slowdown.pause))
@@ -135,7 +137,7 @@
         slowdown.next_read_at = min(slowdown.next_read_at, state.now + slowdown.pause)
     else:
         elapsed = min(state.now - slowdown.adjusted_at, MAX_GROWTH_PERIOD)
-        slowdown.limit += LIMIT_GROWTH * elapsed
+        slowdown.limit += LIMIT_GROWTH * elapsed / (1 + slowdown.setbacks)
     slowdown.adjusted_at = state.now
     if slowdown.limit <= server.entry.slots:
         return
