--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -82,6 +82,7 @@
     may_give_up,
 )
 from ._settings import AccountBounds, VmSettings
+from ._speed_state import SpeedState
 from ._state import DirectState
 from ._types import (
     FIRST_ERA,
@@ -170,6 +171,7 @@
     "ServerReport",
     "ServersRead",
     "ShutdownRequested",
+    "SpeedState",
     "Statement",
     "StatementKind",
     "Stop",
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -46,6 +46,7 @@
         grace: time from SIGTERM to SIGKILL, in seconds.
         descriptors: limit of file descriptors, most of them for callers' connections.
         memory: memory limit of the process, in bytes.
+        avoids_slow_servers: whether reads avoid servers that are slower than usual.
         account_bounds: how promptly keys and rates of client accounts must take effect.
     """
 
@@ -65,4 +66,5 @@
     grace: float
     descriptors: int
     memory: int = DEFAULT_MEMORY
+    avoids_slow_servers: bool = False
     account_bounds: AccountBounds = AccountBounds()
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -12,7 +12,15 @@
 
 from prometheus_client import CollectorRegistry
 
-from ..direct import AccountState, DirectState, Log, VmEntry, VmSettings, needs_servers
+from ..direct import (
+    AccountState,
+    DirectState,
+    Log,
+    SpeedState,
+    VmEntry,
+    VmSettings,
+    needs_servers,
+)
 from ..listener import STOP_SIGNALS
 from ..observability import Metrics
 from ._backends import LineBackends
@@ -311,4 +319,5 @@
         grace=settings.grace,
         random=random.Random(secrets.randbits(64)),
         accounts=AccountState(bounds=settings.account_bounds),
+        speeds=SpeedState(enabled=settings.avoids_slow_servers),
     )
