Keep anonymous routes open to callers with keys

A caller with a known key on a route that needs none was bound to its key: it was refused while the configuration was not confirmed or once the key was withdrawn, and closed on every VM but its account's home.

Only routes that need a key check it. A session of another route takes over the account of its key before each transaction. A session that was opened before a configuration listed accounts needs a key from then on.

--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -34,6 +34,7 @@
     KeyFault,
     find_home,
     find_key_fault,
+    is_key_required,
     list_home_targets,
     name_account,
     note_homes,
@@ -307,11 +308,13 @@
     if handler is None:
         refuse(state, session, statement, Refusal.MALFORMED, "malformed", out)
         return
-    if session.account and statement.kind is not StatementKind.ROLLBACK:
+    if is_key_required(state, session):
         reason = find_key_fault(state, session)
-        if reason is not None:
+        if reason is not None and statement.kind is not StatementKind.ROLLBACK:
             _refuse_account(state, session, statement, reason, out)
             return
+    elif transaction is None and uses_accounts(state):
+        session.account = name_account(state, session.key)
     handler(state, session, statement, out)
 
 
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -21,6 +21,7 @@
     find_account,
     find_key_fault,
     is_confirmed,
+    is_key_required,
     name_account,
     uses_accounts,
 )
@@ -42,6 +43,7 @@
     "is_account_home",
     "is_home_certain",
     "is_confirmed",
+    "is_key_required",
     "list_home_targets",
     "list_known_homes",
     "list_likely_homes",
--- a/src/siskinhold/direct/accounts/_keys.py
+++ b/src/siskinhold/direct/accounts/_keys.py
@@ -47,10 +47,22 @@
     return state.configuration.accounts.get(session.account)
 
 
+def is_key_required(state: DirectState, session: Session) -> bool:
+    """Return whether a session needs a key that holds.
+
+    A route that becomes anonymous frees its sessions, and one that ceases to be binds
+    them.
+    """
+    if not uses_accounts(state):
+        return bool(session.account)
+    route = state.configuration.routes.get(session.database)
+    return route is not None and not route.anonymous
+
+
 def find_key_fault(state: DirectState, session: Session) -> KeyFault | None:
     """Return why a session's statements may not run, None if they may."""
     if not uses_accounts(state):
-        return KeyFault.REASSIGNED
+        return KeyFault.WITHDRAWN
     account = name_account(state, session.key)
     if not account:
         return KeyFault.WITHDRAWN
--- a/src/siskinhold/direct/accounts/_relocation.py
+++ b/src/siskinhold/direct/accounts/_relocation.py
@@ -8,7 +8,7 @@
 from .._stop_phases import MIN_IDLE_PERIOD
 from .._types import VmEntry
 from ._homes import is_account_home, rank_homes
-from ._keys import find_account, uses_accounts
+from ._keys import find_account, is_key_required, uses_accounts
 
 MAX_HOMES = 3
 """Holders that are named for an account: its home and the next ones."""
@@ -57,7 +57,7 @@
     homes: dict[str, bool] = {}
     for session in list(state.sessions.values()):
         account = session.account
-        if not account:
+        if not account or not is_key_required(state, session):
             continue
         if account not in homes:
             homes[account] = is_account_home(state, account)
