Bound what two homes of an account admit together

VMs that don't hear each other took shares of 1.0, 0.8 and 0.2 of an account's rate. A VM that hears the others without being heard, two VMs without a link between them, and a VM that was paused while another one took over exceeded the limit together.

Reports name the holders that their sender hears. Nothing accrues during a pause. A home that replaces a lost one goes on with the whole rate. The order of holders is kept until the holders or the region change, as it was computed for each statement.

--- a/src/siskinhold/direct/_account_state.py
+++ b/src/siskinhold/direct/_account_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ._settings import AccountBounds
+from ._types import VmEntry
 
 
 @dataclass(slots=True, kw_only=True)
@@ -13,10 +14,12 @@
     Args:
         heard_at: when it arrived.
         serving: whether that VM serves client accounts.
+        heard: names of the holders whose reports it receives.
     """
 
     heard_at: float
     serving: bool
+    heard: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +34,8 @@
         reported_serving: what it reported then.
         homes: names of the VMs that serve a key's account, by the key's digest; only
             of keys whose callers this VM relays. The least recently used come first.
+        ranks: holders in the order in which they serve an account, by its name.
+        ranked: region and holders to which `ranks` applies.
     """
 
     bounds: AccountBounds = AccountBounds()
@@ -39,3 +44,5 @@
     reported_at: float = -1000.0
     reported_serving: bool = False
     homes: OrderedDict[bytes, tuple[str, ...]] = field(default_factory=OrderedDict)
+    ranks: dict[str, list[VmEntry]] = field(default_factory=dict)
+    ranked: tuple[str, tuple[VmEntry, ...]] = ("", ())
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -27,10 +27,12 @@
 
     Args:
         serving: whether this VM serves client accounts.
+        heard: names of the holders whose reports this VM receives.
     """
 
     vms: tuple[VmEntry, ...]
     serving: bool
+    heard: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -188,11 +188,13 @@
     Args:
         vm: its name.
         serving: whether it serves client accounts.
+        heard: names of the holders whose reports it receives.
     """
 
     at: float
     vm: str
     serving: bool
+    heard: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -68,7 +68,9 @@
     close_displaced_sessions,
     confirm_configuration,
     record_presence,
+    refresh_ranks,
     report_presence,
+    uses_accounts,
 )
 from .rates import maintain_rates
 
@@ -254,7 +256,7 @@
 
 def _hear_presence(state: DirectState, event: PresenceHeard, out: Effects) -> None:
     """Record another holder's report."""
-    record_presence(state, event.vm, event.serving, out)
+    record_presence(state, event.vm, event.serving, event.heard, out)
 
 
 def _handle_caller_closed(
@@ -278,6 +280,8 @@
     try:
         _do_periodic_work(state, out)
     finally:
+        if uses_accounts(state):
+            refresh_ranks(state)
         report_presence(state, out)
         close_displaced_sessions(state, out)
         maintain_rates(state, out)
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -13,6 +13,7 @@
     list_likely_homes,
     rank_homes,
     record_presence,
+    refresh_ranks,
     report_presence,
 )
 from ._keys import (
@@ -51,6 +52,7 @@
     "note_homes",
     "rank_homes",
     "record_presence",
+    "refresh_ranks",
     "report_presence",
     "uses_accounts",
 ]
--- a/src/siskinhold/direct/accounts/_homes.py
+++ b/src/siskinhold/direct/accounts/_homes.py
@@ -33,7 +33,23 @@
 
     Those of the region with most servers come first, as most statements go there.
     """
-    region = find_home_region(state)
+    ranks = state.accounts.ranks
+    if account not in ranks:
+        ranks[account] = _compute_rank(state, account)
+    return ranks[account]
+
+
+def refresh_ranks(state: DirectState) -> None:
+    """Drop the remembered order of holders if it no longer applies; at each tick."""
+    ranked = (find_home_region(state), tuple(state.holders))
+    if ranked != state.accounts.ranked:
+        state.accounts.ranked = ranked
+        state.accounts.ranks.clear()
+
+
+def _compute_rank(state: DirectState, account: str) -> list[VmEntry]:
+    """Return the holders in the order in which they are to serve an account."""
+    region = state.accounts.ranked[0]
     ranked = []
     for vm in state.holders:
         remote = state.regions.get(vm.zone) != region
@@ -84,27 +100,39 @@
 
 
 def hears_majority(state: DirectState) -> bool:
-    """Return whether this VM hears most of the holders, itself among them."""
-    heard = 1
+    """Return whether most of the holders and this VM hear each other.
+
+    A VM that hears the others without being heard is replaced by them.
+    """
+    mutual = 1
     for vm in state.holders:
-        if vm.name != state.vm and _is_heard(state, vm.name):
-            heard += 1
-    return 2 * heard > len(state.holders)
+        if vm.name == state.vm or not _is_heard(state, vm.name):
+            continue
+        mutual += state.vm in state.accounts.presences[vm.name].heard
+    return 2 * mutual > len(state.holders)
 
 
 def is_home_certain(state: DirectState, account: str) -> bool:
-    """Return whether no holder that ranks before this VM may still serve an account.
+    """Return whether no holder that ranks before this VM is known to run.
 
-    One that is silent may; one that reported that it serves no accounts does not.
+    One that this VM does not hear may still be heard by the others.
     """
     for vm in rank_homes(state, account):
         if vm.name == state.vm:
             return True
-        if not _is_heard(state, vm.name):
+        if not _is_heard(state, vm.name) and _is_heard_by_others(state, vm.name):
             return False
     return False
 
 
+def _is_heard_by_others(state: DirectState, vm: str) -> bool:
+    """Return whether another holder reported a short time ago that it hears a VM."""
+    for name, presence in state.accounts.presences.items():
+        if vm in presence.heard and _is_heard(state, name):
+            return True
+    return False
+
+
 def _is_heard(state: DirectState, vm: str) -> bool:
     """Return whether a holder reported its presence a short time ago."""
     presence = state.accounts.presences.get(vm)
@@ -124,14 +152,22 @@
     return state.now - state.started_at >= LISTENING_PERIOD
 
 
-def record_presence(state: DirectState, vm: str, serving: bool, out: Effects) -> None:
+def record_presence(
+    state: DirectState,
+    vm: str,
+    serving: bool,
+    heard: tuple[str, ...],
+    out: Effects,
+) -> None:
     """Record a report of another holder."""
     presence = state.accounts.presences.get(vm)
     lost = presence is None or state.now - presence.heard_at >= PRESENCE_TIMEOUT
     if lost or presence.serving != serving:
         fields = (("holder", vm), ("serving", serving))
         out.append(Log(event="holder_heard", fields=fields, essential=True))
-    state.accounts.presences[vm] = Presence(heard_at=state.now, serving=serving)
+    state.accounts.presences[vm] = Presence(
+        heard_at=state.now, serving=serving, heard=frozenset(heard)
+    )
 
 
 def report_presence(state: DirectState, out: Effects) -> None:
@@ -149,8 +185,9 @@
     accounts.reported_at = state.now
     accounts.reported_serving = serving
     others = tuple(vm for vm in state.holders if vm.name != state.vm)
+    heard = tuple(vm.name for vm in others if _is_heard(state, vm.name))
     if others:
-        out.append(ReportPresence(vms=others, serving=serving))
+        out.append(ReportPresence(vms=others, serving=serving, heard=heard))
 
 
 def _hash(text: str) -> bytes:
--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -40,7 +40,7 @@
     if not allowance.refused:
         allowance.refused_since = state.now
     allowance.refused += 1
-    rate = account.rate * compute_share(state, account.name)
+    rate = account.rate * compute_share(state, account)
     if rate <= 0.0:
         return MAX_WAIT
     return min(MAX_WAIT, (1.0 - allowance.operations) / rate)
@@ -53,8 +53,9 @@
         operations = compute_first_allowance(state, account)
         allowance = Allowance(operations=operations, counted_at=state.now)
         state.rates.allowances[account.name] = allowance
-    rate = account.rate * compute_share(state, account.name)
-    accrued = rate * (state.now - allowance.counted_at)
+    rate = account.rate * compute_share(state, account)
+    # Another VM may have been the home while this one was paused.
+    accrued = rate * (state.now - max(allowance.counted_at, state.resumed_at))
     # A single operation must be possible whatever the burst is.
     limit = max(account.burst, 1.0)
     allowance.operations = min(limit, allowance.operations + accrued)
@@ -83,13 +84,15 @@
     home admitted meanwhile.
     """
     for name, allowance in list(state.rates.allowances.items()):
-        if not is_account_home(state, name):
+        account = (state.configuration.accounts or {}).get(name)
+        limited = account is not None and account.rate is not None
+        if not limited or not is_account_home(state, name):
             del state.rates.allowances[name]
-        elif not allowance.refused:
+            _log_refusals(state, name, allowance, out)
             continue
-        elif state.now - allowance.refused_since < REPORT_INTERVAL:
-            continue
-        _log_refusals(state, name, allowance, out)
+        _update_allowance(state, account)
+        if state.now - allowance.refused_since >= REPORT_INTERVAL:
+            _log_refusals(state, name, allowance, out)
 
 
 def _log_refusals(
@@ -98,12 +101,12 @@
     """Log how many operations of an account were refused, and by which limit."""
     if not allowance.refused:
         return
-    account = state.configuration.accounts.get(name)
+    account = (state.configuration.accounts or {}).get(name)
     fields = (
         ("account", name),
         ("refused", allowance.refused),
-        ("rate", account.rate if account is not None else 0),
-        ("share", round(compute_share(state, name), 2)),
+        ("rate", account.rate if account else 0),
+        ("share", round(compute_share(state, account), 2) if account else 0),
         ("version", state.configuration.version),
     )
     out.append(Log(event="account_limited", fields=fields, essential=True))
--- a/src/siskinhold/lines/_presence.py
+++ b/src/siskinhold/lines/_presence.py
@@ -9,7 +9,7 @@
 from ..direct import DirectState, Event, PresenceHeard, ReportPresence
 from ._clock import read_clock
 
-MAX_REPORT = 512
+MAX_REPORT = 4096
 """Bytes of the longest report that is read."""
 
 _log = logging.getLogger(__name__)
@@ -21,10 +21,12 @@
     Args:
         vm: its name.
         serving: whether it serves client accounts.
+        heard: names of the holders whose reports it receives.
     """
 
     vm: str
     serving: bool
+    heard: tuple[str, ...] = ()
 
 
 class PresencePort(asyncio.DatagramProtocol):
@@ -75,7 +77,9 @@
         """Send a report; one that is lost is replaced by the next."""
         if self._transport is None:
             return
-        report = PresenceReport(vm=self._state.vm, serving=effect.serving)
+        report = PresenceReport(
+            vm=self._state.vm, serving=effect.serving, heard=effect.heard
+        )
         data = msgspec.json.encode(report)
         for vm in effect.vms:
             self._transport.sendto(data, (vm.host, vm.information_port))
@@ -91,7 +95,10 @@
         for vm in self._state.vms:
             if vm.name == report.vm and vm.host == address[0]:
                 event = PresenceHeard(
-                    at=read_clock(), vm=report.vm, serving=report.serving
+                    at=read_clock(),
+                    vm=report.vm,
+                    serving=report.serving,
+                    heard=report.heard,
                 )
                 self._emit(event)
                 return
