Name a malformed account in the log without its keys

Keys that were one text were taken as keys of one letter each, and an error on a member of another type showed its value, which may hold keys. An account with null for its keys stopped the whole version.

--- a/tests/users_platform/test_objects.py
+++ b/tests/users_platform/test_objects.py
@@ -92,6 +92,67 @@
             decode_configuration(spec)
 
 
+def make_accounts(*changes):
+    """Return a configuration with an account for each change of its fields."""
+    spec = make_configuration(7, {"orders": "primary"})
+    spec["tenants"] = []
+    for index, change in enumerate(changes):
+        account = {"name": f"a{index}", "api_keys": [f"sk-{index}"]}
+        spec["tenants"].append({**account, "rate_per_s": 5, "burst": 10, **change})
+    return spec
+
+
+class TestAccounts:
+    def test_accounts_with_and_without_keys_and_limits(self):
+        """Guards against an account without keys that stops a new version, and a limit
+        of 0 that counts as none."""
+        none = {"api_keys": None, "rate_per_s": None, "burst": None}
+        spec = make_accounts({}, {"api_keys": [], "rate_per_s": 0}, none)
+        configuration = decode_configuration(spec)
+        assert configuration.keys == {"sk-0": "a0"}
+        limits = [(a.rate, a.burst) for a in configuration.accounts.values()]
+        assert limits == [(5.0, 10.0), (0.0, 10.0), (None, 0.0)]
+        assert "sk-0" not in repr(configuration)
+
+    def test_many_keys(self):
+        """Guards against a decoding whose time grows with the square of the keys."""
+        keys = [f"sk-{number}" for number in range(10_000)]
+        configuration = decode_configuration(make_accounts({"api_keys": keys}))
+        assert len(configuration.keys) == 10_000
+
+    @pytest.mark.parametrize(
+        ("change", "named"),
+        [
+            ({"api_keys": ["sk-0", "sk-1"]}, "'a0' and 'a1'"),
+            ({"api_keys": "sk-1"}, "'a1': the keys are no list"),
+            ({"api_keys": {"sk-1": 1}}, "'a1': the keys are no list"),
+            ({"api_keys": ["sk-1", ["sk-2"]]}, "'a1': a key is no text"),
+            ({"api_keys": [""]}, "'a1': a key is no text"),
+            ({"rate_per_s": -1}, "'a1': rate_per_s is -1"),
+            ({"rate_per_s": ["sk-1"]}, "'a1': rate_per_s is a list"),
+            ({"burst": float("nan")}, "'a1': burst is nan"),
+            ({"burst": True}, "'a1': burst is a bool"),
+            ({"name": "a0"}, "'a0' is listed twice"),
+            ({"name": ["sk-1"]}, "a list is no string"),
+            ({"name": None}, "a NoneType is no string"),
+        ],
+    )
+    def test_unusable_account_is_named_and_its_key_is_not(self, change, named):
+        """Guards against an error that does not lead to the account, and a key in the
+        log."""
+        with pytest.raises(ObjectUnreadable) as caught:
+            decode_configuration(make_accounts({}, change))
+        assert named in str(caught.value)
+        assert "sk-" not in str(caught.value)
+
+    @pytest.mark.parametrize("accounts", ["sk-1", {"sk-1": {}}, ["sk-1"], [None], 7])
+    def test_other_content_is_unreadable(self, accounts):
+        """Guards against a crash, or a key in the log, on a malformed list."""
+        with pytest.raises(ObjectUnreadable) as caught:
+            decode_configuration(make_accounts() | {"tenants": accounts})
+        assert "sk-" not in str(caught.value)
+
+
 class TestLeaderRecords:
     def test_round_trip(self):
         """Guards against a VM that can't recognize its own claim in the store."""
