Keep what is left of an account's rate at a displaced home

Two VMs that took turns as an account's home each began anew at every turn. Where a limit has no tolerance, a new home refused the first operation of each account.

A displaced home keeps what is left, at most what a new home gets, without more accruing, for the window of the limit. A new home admits one operation at least.

--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -4,7 +4,7 @@
 once. An account's home counts all of its operations, so no VM has to ask another one.
 """
 
-from .._effects import Log
+from .._effects import Log, Observe
 from .._rate_state import Allowance
 from .._replies import refuse
 from .._state import DirectState, Effects, Session
@@ -40,7 +40,8 @@
     if not allowance.refused:
         allowance.refused_since = state.now
     allowance.refused += 1
-    rate = account.rate * compute_share(state, account)
+    # Without a share of its own, a VM refuses for a moment only.
+    rate = account.rate * (compute_share(state, account) or 1.0)
     if rate <= 0.0:
         return MAX_WAIT
     return min(MAX_WAIT, (1.0 - allowance.operations) / rate)
@@ -53,6 +54,9 @@
         operations = compute_first_allowance(state, account)
         allowance = Allowance(operations=operations, counted_at=state.now)
         state.rates.allowances[account.name] = allowance
+    if allowance.displaced_at is not None:
+        allowance.displaced_at = None
+        allowance.counted_at = state.now
     rate = account.rate * compute_share(state, account)
     # Another VM may have been the home while this one was paused.
     accrued = rate * (state.now - max(allowance.counted_at, state.resumed_at))
@@ -71,6 +75,7 @@
     out: Effects,
 ) -> None:
     """Refuse an operation beyond the rate as not run, with the time of a retry."""
+    out.append(Observe(metric="rate_refusals_total", label=session.account))
     detail = f"{RATE_EXCEEDED} retry_after_ms={round(wait * 1000)}"
     refuse(
         state, session, statement, Refusal.OVERLOAD, RATE_EXCEEDED, out, detail=detail
@@ -78,23 +83,38 @@
 
 
 def maintain_rates(state: DirectState, out: Effects) -> None:
-    """Forget allowances of accounts with another home, and log refusals; at each tick.
-
-    A VM that becomes an account's home again starts anew: it can't know what another
-    home admitted meanwhile.
-    """
+    """Update the allowances, and log refusals; at each tick."""
     for name, allowance in list(state.rates.allowances.items()):
         account = (state.configuration.accounts or {}).get(name)
         limited = account is not None and account.rate is not None
-        if not limited or not is_account_home(state, name):
+        if not limited:
             del state.rates.allowances[name]
+            continue
+        if not is_account_home(state, name):
             _log_refusals(state, name, allowance, out)
+            _suspend_allowance(state, account, allowance)
             continue
         _update_allowance(state, account)
         if state.now - allowance.refused_since >= REPORT_INTERVAL:
             _log_refusals(state, name, allowance, out)
 
 
+def _suspend_allowance(
+    state: DirectState, account: Account, allowance: Allowance
+) -> None:
+    """Keep what is left at a VM that is no longer an account's home, for a window.
+
+    If it becomes the home again within that time, what it has begun to admit as a new
+    home counts: homes that take turns would each begin anew.
+    """
+    if allowance.displaced_at is None:
+        allowance.displaced_at = state.now
+        first = compute_first_allowance(state, account)
+        allowance.operations = min(allowance.operations, first)
+    elif state.now - allowance.displaced_at >= state.accounts.bounds.window:
+        del state.rates.allowances[account.name]
+
+
 def _log_refusals(
     state: DirectState, name: str, allowance: Allowance, out: Effects
 ) -> None:
--- a/src/siskinhold/direct/rates/_shares.py
+++ b/src/siskinhold/direct/rates/_shares.py
@@ -32,11 +32,12 @@
 def compute_first_allowance(state: DirectState, account: Account) -> float:
     """Return the operations that a new home may admit at once.
 
-    The home before may have just admitted all that the limit allows.
+    The home before may have just admitted all that the limit allows. One operation is
+    admitted also where a limit has no tolerance: most accounts are far below theirs.
     """
-    if not hears_majority(state) or not is_home_certain(state, account.name):
-        return 0.0
-    return min(account.burst, _compute_part(state, account))
+    if account.rate <= 0.0:
+        return min(account.burst, _compute_part(state, account))
+    return min(max(account.burst, 1.0), max(1.0, _compute_part(state, account)))
 
 
 def _compute_part(state: DirectState, account: Account) -> float:
