Show operators which accounts a VM serves, limits and refuses

The line of a refused statement names the account and the version, that of a new version its accounts and keys. A caller that no home took in time is refused with no_home; it was no_configuration.

--- a/src/siskinhold/direct/_account_state.py
+++ b/src/siskinhold/direct/_account_state.py
@@ -32,6 +32,7 @@
         presences: newest reports of other holders, by name.
         reported_at: when this VM last reported its own presence.
         reported_serving: what it reported then.
+        observed_at: when the gauges about accounts were last updated.
         homes: names of the VMs that serve a key's account, by the key's digest; only
             of keys whose callers this VM relays. The least recently used come first.
         ranks: holders in the order in which they serve an account, by its name.
@@ -43,6 +44,7 @@
     presences: dict[str, Presence] = field(default_factory=dict)
     reported_at: float = -1000.0
     reported_serving: bool = False
+    observed_at: float = -1000.0
     homes: OrderedDict[bytes, tuple[str, ...]] = field(default_factory=OrderedDict)
     ranks: dict[str, list[VmEntry]] = field(default_factory=dict)
     ranked: tuple[str, tuple[VmEntry, ...]] = ("", ())
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -67,6 +67,7 @@
 from .accounts import (
     close_displaced_sessions,
     confirm_configuration,
+    observe_accounts,
     record_presence,
     refresh_ranks,
     report_presence,
@@ -181,6 +182,8 @@
                 ("version", configuration.version),
                 ("before", old.version if old is not None else 0),
                 ("routes", len(configuration.routes)),
+                ("accounts", len(configuration.accounts or ())),
+                ("keys", len(configuration.keys)),
             ),
             essential=True,
         )
@@ -285,6 +288,7 @@
         report_presence(state, out)
         close_displaced_sessions(state, out)
         maintain_rates(state, out)
+        observe_accounts(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -70,18 +70,17 @@
     Args:
         detail: text sent to the caller; the reason by default.
     """
-    out.append(
-        Log(
-            event="refused",
-            fields=(
-                ("request", statement.request),
-                ("session", session.number),
-                ("database", session.database),
-                ("outcome", refusal.value),
-                ("reason", reason),
-            ),
-        )
-    )
+    fields = [
+        ("request", statement.request),
+        ("session", session.number),
+        ("database", session.database),
+        ("outcome", refusal.value),
+        ("reason", reason),
+    ]
+    if session.account:
+        version = state.configuration.version if state.configuration else 0
+        fields += [("account", session.account), ("configuration", version)]
+    out.append(Log(event="refused", fields=tuple(fields)))
     out.append(Observe(metric="refused_total", label=reason))
     reply(state, session, Answer(refusal=refusal, detail=detail or reason), out)
 
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -76,13 +76,9 @@
             del state.pending_callers[session]
         elif state.now - caller.at >= ADMISSION_TIMEOUT:
             del state.pending_callers[session]
+            reason = "no_home" if uses_accounts(state) else "no_configuration"
             _refuse_caller(
-                state,
-                session,
-                caller.database,
-                Refusal.OVERLOAD,
-                "no_configuration",
-                out,
+                state, session, caller.database, Refusal.OVERLOAD, reason, out
             )
 
 
@@ -129,6 +125,7 @@
     """
     if not account:
         database = caller.database
+        out.append(Observe(metric="key_refusals_total", label="unknown_key"))
         _refuse_caller(
             state, session, database, Refusal.DENIED, "unknown_key", out, detail="key"
         )
@@ -140,6 +137,7 @@
         return None
     targets = list_home_targets(state, account, home)
     if caller.relayed:
+        out.append(Observe(metric="callers_moved_total"))
         names = ",".join(vm.name for vm in targets)
         out.append(RefuseCaller(session=session, refusal=Refusal.MOVED, detail=names))
         return True
@@ -339,6 +337,7 @@
         refusal = Refusal.ABORTED
         if statement.kind is StatementKind.COMMIT:
             session.transaction = None
+    out.append(Observe(metric="key_refusals_total", label=reason.value))
     refuse(state, session, statement, refusal, reason.value, out)
 
 
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -26,6 +26,7 @@
     name_account,
     uses_accounts,
 )
+from ._observation import observe_accounts
 from ._relocation import (
     close_displaced_sessions,
     list_home_targets,
@@ -50,6 +51,7 @@
     "list_likely_homes",
     "name_account",
     "note_homes",
+    "observe_accounts",
     "rank_homes",
     "record_presence",
     "refresh_ranks",
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a VM that runs the direct core."""
 
-from ..observability import Metric, define_counter, define_histogram
+from ..observability import Metric, define_counter, define_gauge, define_histogram
 
 METRICS: dict[str, Metric] = {
     "statements_total": define_counter("Statements of callers, by kind.", "kind"),
@@ -22,5 +22,21 @@
     "backend_connections_opened_total": define_counter(
         "Connections opened to backend servers."
     ),
+    "rate_refusals_total": define_counter(
+        "Operations beyond the rate of their client account, by account.", "account"
+    ),
+    "key_refusals_total": define_counter(
+        "Callers and statements refused because of their key, by reason.", "reason"
+    ),
+    "callers_moved_total": define_counter(
+        "Relayed callers whose account another VM serves."
+    ),
+    "accounts_served": define_gauge(
+        "Client accounts with callers whose home this VM is."
+    ),
+    "accounts_home": define_gauge("1 if this VM may be the home of accounts, else 0."),
+    "configuration_age_seconds": define_gauge(
+        "Time since the configuration was known to be the newest one."
+    ),
 }
 """Metrics by name, without the common prefix."""
