--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -129,6 +129,7 @@
         self.state = "ready"
         self.slots = asyncio.Semaphore(4)
         self.received: set[str] = set()
+        self.users: set[str] = set()
         self.executed: list[tuple[str, str, tuple[int, int]]] = []
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
@@ -229,6 +230,7 @@
         if len(self._writers) > self.limit:
             writer.write(b"ERROR OVERLOAD -\r\n")
             return
+        self.users.add(connect_request[2])
         session = _Session()
         writer.write(self._ready(session))
         while line := await read_line(reader):
@@ -635,6 +637,14 @@
     }
 
 
+def add_accounts(configuration: dict, keys: dict[str, list[str]]) -> dict:
+    """Return a configuration with an account for each name, and its keys."""
+    tenants = []
+    for name, held in keys.items():
+        tenants.append({"name": name, "api_keys": held, "rate_per_s": 50, "burst": 50})
+    return configuration | {"tenants": tenants}
+
+
 class Deployment:
     """Three instances and a store, and the settings of VMs that use them.
 
@@ -697,7 +707,12 @@
             },
             "internal_ports": [ports[2], ports[2] + 5],
             "limits": {"max_fds": 1024, "cpu_share": 0.5, "cores": 2},
-            "bounds": {"grace_s": 6},
+            "bounds": {
+                "grace_s": 6,
+                "revoke_strict": True,
+                "revoke_ms": 5000,
+                "quota_slack": 20,
+            },
             "platform": {"address": f"127.0.0.1:{self.store.port}"},
             "cloud_api": {"address": f"127.0.0.1:{self.store.port}"},
             "a_field_of_the_future": 1,
@@ -719,18 +734,20 @@
         self.sent: dict[str, str] = {}
 
     @classmethod
-    async def connect(cls, port: int, database: str) -> tuple["Client", str]:
+    async def connect(
+        cls, port: int, database: str, key: str = "u1"
+    ) -> tuple["Client", str]:
         """Connect; return the client and the first line of the answer."""
-        client = await cls.open(port, database)
+        client = await cls.open(port, database, key)
         return client, await client.read_line()
 
     @classmethod
-    async def open(cls, port: int, database: str) -> "Client":
+    async def open(cls, port: int, database: str, key: str = "u1") -> "Client":
         """Connect without waiting for an answer."""
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", port, limit=LINE_LIMIT
         )
-        writer.write(f"CONNECT {database} u1\r\n".encode())
+        writer.write(f"CONNECT {database} {key}\r\n".encode())
         return cls(reader=reader, writer=writer, port=port)
 
     async def read_line(self) -> str:
