--- a/tests/direct/test_direct_rates.py
+++ b/tests/direct/test_direct_rates.py
@@ -62,6 +62,14 @@
         world.press(0.6)
 
 
+def rest_and_return(world, first, second):
+    world.store_down = {first}
+    world.states[first].accounts.confirmed_at = 0.0
+    world.advance(3.5)
+    world.press(0.4)
+    world.store_down = set()
+
+
 def cut_pair(world, first, second):
     world.unheard = {(first, second), (second, first)}
 
@@ -88,6 +96,7 @@
     pause,
     restart_all,
     take_turns,
+    rest_and_return,
     cut_pair,
     cut_off,
     mute,
@@ -135,7 +144,6 @@
     def test_lower_limit_binds_one_window_later(self):
         """Guards against operations that were saved up under the higher limit."""
         world = make_world(40)
-        world.press(1)
         world.change(rate=4, burst=4 * BURST)
         changed_at = world.now
         world.press(2 * BOUNDS.window)
