--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -26,9 +26,9 @@
 
 class TestCallerLines:
     def test_connect_request_names_the_database(self):
-        """Guards against reading the caller's identity as the database name."""
+        """Guards against reading the caller's key as its database, or losing it."""
         assert CODEC.parse_caller_line(b"CONNECT lepu270 u3f1") == ConnectRequest(
-            database="lepu270"
+            database="lepu270", key="u3f1"
         )
 
     def test_execute_keeps_its_arguments(self):
