--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -1,5 +1,11 @@
 """Reducer of the direct core: maps events to effects."""
 
+from ._callers import (
+    admit_pending_callers,
+    handle_caller_moved,
+    handle_caller_opened,
+    handle_holders_unavailable,
+)
 from ._claims import handle_leader_record
 from ._containment import contain_failure
 from ._departures import handle_vm_probed, probe_vms
@@ -52,14 +58,7 @@
     handle_backend_opened,
     maintain_servers,
 )
-from ._sessions import (
-    admit_pending_callers,
-    handle_caller_closed,
-    handle_caller_moved,
-    handle_caller_opened,
-    handle_holders_unavailable,
-    handle_statement,
-)
+from ._sessions import handle_caller_closed, handle_statement
 from ._shutdown import advance_shutdown, request_shutdown, stop_if_idle
 from ._state import Database, DirectState, Effects, JobState
 from ._stop_phases import StopPhase, find_stop_phase
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,264 +1,23 @@
-"""Callers' sessions: admission, and handling or submission of their statements."""
-
-import dataclasses
+"""Callers' sessions: handling or submission of their statements."""
 
+from ._callers import find_route
 from ._dispatch import submit_job
-from ._effects import AcceptCaller, Log, Observe, RefuseCaller, RelayCaller
-from ._events import (
-    CallerClosed,
-    CallerMoved,
-    CallerOpened,
-    CallerStatement,
-    HoldersUnavailable,
-)
-from ._holders import (
-    REFUSING_HOLDER_DELAY,
-    UNREACHABLE_HOLDER_DELAY,
-    choose_relay_targets,
-    knows_vms,
-)
+from ._effects import Observe
+from ._events import CallerClosed, CallerStatement
 from ._replies import DONE, close_session, refuse, reply
 from ._runs import abandon_transaction
-from ._state import (
-    DirectState,
-    Effects,
-    Job,
-    JobState,
-    PendingCaller,
-    Session,
-    Transaction,
-)
+from ._state import DirectState, Effects, Job, JobState, Session, Transaction
 from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase, limit_deadline
-from ._types import Consistency, Refusal, Route, Statement, StatementKind
+from ._types import Consistency, Refusal, Statement, StatementKind
 from .accounts import (
     KeyFault,
-    find_home,
     find_key_fault,
     is_key_required,
-    list_home_targets,
     name_account,
-    note_homes,
     uses_accounts,
 )
 from .rates import admit_operation, refuse_rate
 
-ADMISSION_TIMEOUT = 1.5
-"""Seconds a caller may wait until it is admitted; callers time out after 2 s."""
-
-MOVE_RETRY_DELAY = 0.15
-"""Seconds until a caller is relayed again while the home of its account is lost: the
-next holder takes over when it has missed the home's reports."""
-
-MAX_QUICK_MOVES = 2
-"""Times that a caller is relayed again at once after a holder named others."""
-
-
-def handle_caller_opened(state: DirectState, event: CallerOpened, out: Effects) -> None:
-    """Accept, relay or refuse a caller that has connected.
-
-    While it is unknown which VM serves it, the caller waits for up to
-    `ADMISSION_TIMEOUT`. Late in a shutdown it is refused at once.
-    """
-    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
-        _refuse_for_shutdown(state, event.session, event.database, out)
-        return
-    caller = PendingCaller(
-        database=event.database, at=state.now, relayed=event.relayed, key=event.key
-    )
-    if not _try_admit(state, event.session, caller, out):
-        state.pending_callers[event.session] = caller
-
-
-def admit_pending_callers(state: DirectState, out: Effects) -> None:
-    """Accept or relay pending callers, and refuse them after `ADMISSION_TIMEOUT`."""
-    for session, caller in list(state.pending_callers.items()):
-        if _try_admit(state, session, caller, out):
-            del state.pending_callers[session]
-        elif state.now - caller.at >= ADMISSION_TIMEOUT:
-            del state.pending_callers[session]
-            reason = "no_home" if uses_accounts(state) else "no_configuration"
-            _refuse_caller(
-                state, session, caller.database, Refusal.OVERLOAD, reason, out
-            )
-
-
-def refuse_pending_callers(state: DirectState, out: Effects) -> None:
-    """Refuse the callers that are neither accepted nor relayed at a shutdown."""
-    for session, caller in state.pending_callers.items():
-        _refuse_for_shutdown(state, session, caller.database, out)
-    state.pending_callers.clear()
-
-
-def _try_admit(
-    state: DirectState, session: int, caller: PendingCaller, out: Effects
-) -> bool:
-    """Accept, relay or refuse a caller; return False if it has to wait."""
-    if not knows_vms(state) or state.now < caller.retry_at:
-        return False
-    if not state.is_holder and not caller.relayed:
-        targets = choose_relay_targets(state, session, caller.key)
-        if targets:
-            state.relayed[session] = caller
-            out.append(RelayCaller(session=session, holders=tuple(targets)))
-            return True
-    if state.configuration is None:
-        return False
-    route = _find_route(state, caller.database)
-    account = ""
-    if route is not None and uses_accounts(state):
-        account = name_account(state, caller.key)
-        if not route.anonymous:
-            placed = _try_place_caller(state, session, caller, account, out)
-            if placed is not None:
-                return placed
-    _open_session(state, session, caller, account, out)
-    return True
-
-
-def _try_place_caller(
-    state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
-) -> bool | None:
-    """Refuse a caller with an unknown key, or send it to its account's home.
-
-    Returns:
-        None if this VM is the home; False if the caller has to wait for one.
-    """
-    if not account:
-        database = caller.database
-        out.append(Observe(metric="key_refusals_total", label="unknown_key"))
-        _refuse_caller(
-            state, session, database, Refusal.DENIED, "unknown_key", out, detail="key"
-        )
-        return True
-    home = find_home(state, account)
-    if home is None:
-        return False
-    if home.name == state.vm:
-        return None
-    targets = list_home_targets(state, account, home)
-    if caller.relayed:
-        out.append(Observe(metric="callers_moved_total"))
-        names = ",".join(vm.name for vm in targets)
-        out.append(RefuseCaller(session=session, refusal=Refusal.MOVED, detail=names))
-        return True
-    state.relayed[session] = caller
-    out.append(RelayCaller(session=session, holders=tuple(targets)))
-    return True
-
-
-def handle_caller_moved(state: DirectState, event: CallerMoved, out: Effects) -> None:
-    """Relay a caller to the VMs that a holder named, shortly later if one is lost."""
-    caller = state.relayed.pop(event.session, None)
-    if caller is None:
-        return
-    note_homes(state, caller.key, event.vms)
-    lost = False
-    for vm in event.vms:
-        lost = lost or state.now < state.skipped_holders.get(vm, 0.0)
-    delay = MOVE_RETRY_DELAY if lost or caller.moves >= MAX_QUICK_MOVES else 0.0
-    caller = dataclasses.replace(
-        caller, moves=caller.moves + 1, retry_at=state.now + delay
-    )
-    if not _try_admit(state, event.session, caller, out):
-        state.pending_callers[event.session] = caller
-
-
-def handle_holders_unavailable(
-    state: DirectState, event: HoldersUnavailable, out: Effects
-) -> None:
-    """Skip unavailable holders for a while; refuse a caller that none accepted."""
-    for vm in event.silent:
-        _skip_holder(state, vm, "silent", UNREACHABLE_HOLDER_DELAY, out)
-    for vm in event.refused:
-        _skip_holder(state, vm, "refused", REFUSING_HOLDER_DELAY, out)
-    if state.relayed.pop(event.session, None) is not None:
-        out.append(
-            RefuseCaller(
-                session=event.session, refusal=Refusal.OVERLOAD, detail="no_holder"
-            )
-        )
-
-
-def _skip_holder(
-    state: DirectState, vm: str, reason: str, seconds: float, out: Effects
-) -> None:
-    """Relay no caller to a holder for a number of seconds."""
-    state.skipped_holders[vm] = state.now + seconds
-    fields = (("holder", vm), ("reason", reason))
-    out.append(Log(event="holder_lost", fields=fields, essential=True))
-
-
-def _open_session(
-    state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
-) -> None:
-    """Accept a caller, or refuse it if its database has no route."""
-    database = caller.database
-    if _find_route(state, database) is None:
-        _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
-        return
-    if state.shutdown_at is not None:
-        state.stop_counts.callers_accepted += 1
-    state.sessions[session] = Session(
-        number=session,
-        database=database,
-        account=account,
-        key=caller.key,
-        active_at=state.now,
-        closing=find_stop_phase(state) >= StopPhase.DRAINING,
-    )
-    out.append(AcceptCaller(session=session))
-
-
-def _refuse_caller(
-    state: DirectState,
-    session: int,
-    database: str,
-    refusal: Refusal,
-    reason: str,
-    out: Effects,
-    *,
-    detail: str = "",
-    essential: bool = True,
-) -> None:
-    """Refuse a caller's connection, with a log line that names the reason.
-
-    Args:
-        detail: text sent to the caller; the database by default.
-    """
-    if state.shutdown_at is not None:
-        state.stop_counts.callers_refused += 1
-    version = state.configuration.version if state.configuration else 0
-    out.append(
-        Log(
-            event="caller_refused",
-            fields=(
-                ("session", session),
-                ("database", database),
-                ("configuration", version),
-                ("reason", reason),
-            ),
-            essential=essential,
-        )
-    )
-    detail = detail or database
-    out.append(RefuseCaller(session=session, refusal=refusal, detail=detail))
-
-
-def _refuse_for_shutdown(
-    state: DirectState, session: int, database: str, out: Effects
-) -> None:
-    """Refuse a caller that another VM can serve; there may be many of them."""
-    _refuse_caller(
-        state,
-        session,
-        database,
-        Refusal.OVERLOAD,
-        SHUTDOWN,
-        out,
-        detail=SHUTDOWN,
-        essential=False,
-    )
-
 
 def handle_caller_closed(state: DirectState, event: CallerClosed, out: Effects) -> None:
     """Remove a caller's session and its job, and roll back its open transaction.
@@ -368,7 +127,7 @@
     if session.transaction is not None:
         refuse(state, session, statement, Refusal.MALFORMED, "nested_begin", out)
         return
-    route = _find_route(state, session.database)
+    route = find_route(state, session.database)
     if route is None:
         refuse(state, session, statement, Refusal.NO_DATABASE, "no_route", out)
         return
@@ -490,7 +249,7 @@
     that may write, or if it is a single write.
     """
     transaction = session.transaction
-    route = transaction.route if transaction else _find_route(state, session.database)
+    route = transaction.route if transaction else find_route(state, session.database)
     if route is None:
         refuse(state, session, statement, Refusal.NO_DATABASE, "no_route", out)
         return
@@ -516,10 +275,3 @@
         leader_only=leader_only,
     )
     submit_job(state, job, out)
-
-
-def _find_route(state: DirectState, database: str) -> Route | None:
-    """Return the route of a database name in the configuration, None without one."""
-    if state.configuration is None:
-        return None
-    return state.configuration.routes.get(database)
--- a/src/siskinhold/direct/_shutdown.py
+++ b/src/siskinhold/direct/_shutdown.py
@@ -1,12 +1,12 @@
 """Graceful shutdown, which answers every statement that was read before the end."""
 
+from ._callers import refuse_pending_callers
 from ._effects import AnnounceReadiness, CloseRelays, Log, Stop
 from ._events import ShutdownRequested
 from ._losses import expire_job
 from ._relays import RelayClosing
 from ._replies import close_session
 from ._runs import abandon_transaction
-from ._sessions import refuse_pending_callers
 from ._state import DirectState, Effects, Job, Session
 from ._stop_phases import MIN_IDLE_PERIOD, StopPhase, find_stop_phase, limit_deadline
 
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -223,8 +223,7 @@
     """A client account.
 
     Args:
-        rate: operations that it may run each second, in the whole fleet; None for no
-            limit.
+        rate: operations a second in the whole fleet; None for no limit.
         burst: operations that it may run at once after a pause.
     """
 
