--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -15,6 +15,7 @@
 sys.path[:0] = [str(ROOT / part) for part in ("src", "platform", "tests")]
 
 from users_platform.soak import Soak  # noqa: E402
+from users_platform.soak_accounts import AccountsSoak  # noqa: E402
 
 
 def main() -> None:
@@ -40,6 +41,11 @@
         action="store_true",
         help="also stop VMs in series and at once, under callers that stay",
     )
+    parser.add_argument(
+        "--accounts",
+        action="store_true",
+        help="also exceed an account's rate while its keys change",
+    )
     parser.add_argument(
         "--connections",
         type=int,
@@ -51,7 +57,8 @@
     broken = 0
     for seed in range(int(first), int(last or int(first) + 1)):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = Soak(
+        make_soak = AccountsSoak if options.accounts else Soak
+        soak = make_soak(
             seed=seed,
             vms=options.vms,
             folder=folder,
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -130,6 +130,7 @@
         self.slots = asyncio.Semaphore(4)
         self.received: set[str] = set()
         self.users: set[str] = set()
+        self.arrivals: list[tuple[float, str, str]] = []
         self.executed: list[tuple[str, str, tuple[int, int]]] = []
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
@@ -232,6 +233,7 @@
             return
         self.users.add(connect_request[2])
         session = _Session()
+        session.user = connect_request[2]
         writer.write(self._ready(session))
         while line := await read_line(reader):
             word, request, text = line.split(" ", 2)
@@ -296,6 +298,7 @@
             words = words[1:]
         if writes and not self.leads:
             return f"ERROR READONLY {self.name}\r\n".encode()
+        self.arrivals.append((time.monotonic(), session.user, request))
         async with self.slots:
             await asyncio.sleep(self.service_time)
         self.executed.append((request, " ".join(words), self.applied))
@@ -324,6 +327,7 @@
 
 class _Session:
     def __init__(self) -> None:
+        self.user = ""
         self.state = "I"
         self.plain = False
         self.values: dict[str, str] = {}
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -1,6 +1,7 @@
 """Runs the fault soak briefly with a fixed seed."""
 
 from .soak import Soak
+from .soak_accounts import AccountsSoak
 
 
 class TestSoak:
@@ -25,3 +26,10 @@
         assert soak.violations == []
         assert soak.counts["done"] > 100
         assert soak.counts["stops"] > 1
+
+    async def test_short_run_with_accounts_has_no_violations(self, tmp_path):
+        """Guards against withdrawn keys that run, and an account beyond its rate."""
+        soak = AccountsSoak(seed=3, vms=3, folder=tmp_path)
+        await soak.run(8)
+        assert soak.violations == []
+        assert soak.counts["done"] > 100
