Use a resting second home in the test of a returning one

A home's allowance grows from its first use on, so the scenario did not fail without the cap on a displaced home's rest. With it out: 163 operations of 152 allowed.

--- a/tests/direct/test_direct_rates.py
+++ b/tests/direct/test_direct_rates.py
@@ -65,7 +65,9 @@
 def rest_and_return(world, first, second):
     world.store_down = {first}
     world.states[first].accounts.confirmed_at = 0.0
-    world.advance(3.5)
+    world.advance(0.5)
+    world.press(0.1)
+    world.advance(3)
     world.press(0.4)
     world.store_down = set()
 
