Share connections among client accounts without opening needless ones

VMs that relay connect to no server for callers with keys. A home starts with two statement connections to each server instead of one. An account takes others' connections up to half of a home's; a nearer connection, or one for a second run, replaces none; no more than two are opened to a server at once.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -116,7 +116,7 @@
             continue
         if full and not has_pool(full[0], job.session.account):
             # It lost its connections; without new ones it would stay unused.
-            grow_pool(state, full[0], out, job.session.account)
+            grow_pool(state, full[0], out, job.session.account, replace=False)
         postpone_next_trial(state, server, after)
         database.starts.record(job.route.priority, state.now)
         begin_job(state, job, connection, after, out)
@@ -167,7 +167,7 @@
             out.append(Observe(metric="hedges_total"))
             break
         if not job.hedged and others:
-            grow_pool(state, others[0], out, job.session.account)
+            grow_pool(state, others[0], out, job.session.account, replace=False)
 
 
 def _resolve_unconfirmed(state: DirectState, database: Database, out: Effects) -> None:
--- a/src/siskinhold/direct/_holders.py
+++ b/src/siskinhold/direct/_holders.py
@@ -11,7 +11,7 @@
 from ._effects import ListVms, PublishConnections, RegisterVm
 from ._state import DirectState, Effects
 from ._types import VmEntry
-from .accounts import list_known_homes
+from .accounts import list_known_homes, uses_accounts
 
 MIN_POOL_CONNECTIONS = 3
 """Lower limit of a VM's connections to a server: one for control, two for jobs."""
@@ -74,11 +74,12 @@
     A VM that relays its callers does not need them, unless it has callers that no
     holder accepts. The configuration is large: if all VMs read it when they start
     together, it saturates the link between regions. While the connection limit is
-    unknown, as at the first start of a fleet, only likely holders need them.
+    unknown, as at the first start of a fleet, only likely holders need them. A caller
+    that waits for the home of its account needs none of them here.
     """
     if not knows_vms(state):
         return False
-    if state.sessions or state.pending_callers:
+    if state.sessions or any(not c.moves for c in state.pending_callers.values()):
         return True
     if state.connections_limit or not state.vms_known:
         return state.is_holder
@@ -87,6 +88,16 @@
     return _is_likely_holder(state)
 
 
+def needs_connections(state: DirectState) -> bool:
+    """Return whether this VM needs connections to the backend servers.
+
+    With client accounts, one that is no holder serves only callers without a key.
+    """
+    if not needs_servers(state):
+        return False
+    return state.is_holder or bool(state.sessions) or not uses_accounts(state)
+
+
 def _is_likely_holder(state: DirectState) -> bool:
     """Return whether this VM is among the first that are chosen as holders.
 
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -70,6 +70,7 @@
     record_presence,
     report_presence,
 )
+from .pools import report_pools
 from .rates import maintain_rates
 
 BUSY_TICK_INTERVAL = 0.02
@@ -281,6 +282,7 @@
         report_presence(state, out)
         close_displaced_sessions(state, out)
         maintain_rates(state, out)
+        report_pools(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -12,7 +12,7 @@
     ServersRead,
 )
 from ._evidence import NEW_SERVER_PERIOD, record_evidence
-from ._holders import knows_vms, needs_servers
+from ._holders import knows_vms, needs_connections, needs_servers
 from ._leaders import (
     DropReason,
     drop_leader,
@@ -137,7 +137,7 @@
         server = Server(entry=entry, listed_at=state.now)
         state.servers[entry.server] = server
         _log_server(state, "server_found", server, out)
-        if state.vms_known and needs_servers(state):
+        if state.vms_known and needs_connections(state):
             ensure_control_connection(state, server, out)
     old = server.entry
     if old.draining and old.started == entry.started:
@@ -209,6 +209,7 @@
     remove_connection(state, connection)
     if event.reason is LossReason.OVERLOAD:
         server.overloaded_until = state.now + OVERLOAD_DELAY
+        state.pools.refused += 1
     elif opening:
         record_open_failure(state, server, event.reason, out)
     else:
@@ -277,6 +278,8 @@
     if not needs_servers(state):
         _close_released_connections(state, out)
         return
+    if not needs_connections(state):
+        return
     for server in list(state.servers.values()):
         _maintain_server(state, server, out)
     for database in state.databases.values():
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -9,6 +9,7 @@
 from ._account_state import AccountState
 from ._effects import Effect
 from ._events import ServersRead
+from ._pool_state import PoolState
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._rate_state import RateState
 from ._server_state import Connection, Server
@@ -355,6 +356,7 @@
         relayed: callers that are relayed to a holder, by session.
         accounts: what is known of client accounts beside the configuration.
         rates: counts of their operations.
+        pools: counts of what happens to connections to backend servers.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
         stop_grace: the grace period when it was requested.
@@ -404,6 +406,7 @@
     relayed: dict[int, PendingCaller] = field(default_factory=dict)
     accounts: AccountState = field(default_factory=AccountState)
     rates: RateState = field(default_factory=RateState)
+    pools: PoolState = field(default_factory=PoolState)
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
--- a/src/siskinhold/direct/pools/__init__.py
+++ b/src/siskinhold/direct/pools/__init__.py
@@ -17,6 +17,7 @@
     mark_reachable,
     record_open_failure,
 )
+from ._report import report_pools
 
 __all__ = [
     "OVERLOAD_DELAY",
@@ -34,6 +35,7 @@
     "prepare_statement",
     "record_open_failure",
     "remove_connection",
+    "report_pools",
     "send",
     "settle",
 ]
--- a/src/siskinhold/direct/pools/_growth.py
+++ b/src/siskinhold/direct/pools/_growth.py
@@ -17,6 +17,13 @@
 """The same for connections of client accounts: each account uses few of them, and a
 new one takes a slot of the server."""
 
+MAX_OPENING = 2
+"""Statement connections that are opened to a server at once."""
+
+MAX_ACCOUNT_SHARE = 0.5
+"""Share of a home's connections to a server up to which an account may replace those of
+other accounts."""
+
 MIN_IDLE_CONNECTIONS = 1
 """Statement connections to a server that stay open while they are idle."""
 
@@ -59,35 +66,66 @@
 
 
 def grow_pool(
-    state: DirectState, server: Server, out: Effects, account: str = ""
+    state: DirectState,
+    server: Server,
+    out: Effects,
+    account: str = "",
+    *,
+    replace: bool = True,
 ) -> bool:
     """Open a statement connection within the limit; return whether one is opening.
 
-    Connections of an account are opened one at a time, since each opening takes a slot
-    of the server. At the limit, an idle connection of another account makes room.
+    Each account opens one at a time, and no more than `MAX_OPENING` are opened to a
+    server, as each opening takes a slot of it. At the limit, an idle connection of
+    another account makes room.
+
+    Args:
+        replace: False to open a connection only if there is room for it.
     """
+    opening = 0
     for connection in server.connections.values():
-        if connection.state is ConnectionState.OPENING:
-            if connection.account == account:
-                return True
-    if len(server.connections) >= compute_connection_limit(state, server):
-        idle = _find_replaceable(server, account)
-        if idle is None or state.now < max(server.retry_at, server.overloaded_until):
+        if connection.state is not ConnectionState.OPENING:
+            continue
+        if connection.account == account:
+            return True
+        opening += not connection.control
+    if opening >= MAX_OPENING:
+        return False
+    limit = compute_connection_limit(state, server)
+    if len(server.connections) >= limit:
+        if not replace or state.now < max(server.retry_at, server.overloaded_until):
+            return False
+        idle = _find_replaceable(server, account, limit)
+        if idle is None:
             return False
         close_connection(state, idle, out, "other_account")
+        state.pools.replaced += 1
+        out.append(Observe(metric="backend_connections_replaced_total"))
     before = len(server.connections)
     open_connection(state, server, out, account=account)
     return len(server.connections) > before
 
 
-def _find_replaceable(server: Server, account: str) -> Connection | None:
-    """Return the idle connection of another account that was unused for longest."""
+def _find_replaceable(server: Server, account: str, limit: int) -> Connection | None:
+    """Return the idle connection of another account that was unused for longest.
+
+    None for an account with `MAX_ACCOUNT_SHARE` of the connections: it may have more
+    only while there is room, so that its load leaves the others theirs.
+    """
     found = None
+    held = 0
     for connection in server.connections.values():
-        if connection.control or not connection.idle or connection.account == account:
+        if connection.control:
+            continue
+        if connection.account == account:
+            held += 1
+            continue
+        if not connection.idle:
             continue
         if found is None or connection.used_at < found.used_at:
             found = connection
+    if held >= MAX_ACCOUNT_SHARE * (limit - 1):
+        return None
     return found
 
 
--- a/src/siskinhold/direct/pools/_limits.py
+++ b/src/siskinhold/direct/pools/_limits.py
@@ -14,6 +14,9 @@
 MIN_CONNECTIONS = 2
 """Connections to a server that every VM may have: one for control, one for jobs."""
 
+START_CONNECTIONS = 2
+"""Statement connections to a server that a home may have when it has just started."""
+
 STARTUP_PERIOD = 2.0
 """Seconds after the start in which a VM opens no more than `MIN_CONNECTIONS`. Servers
 drop the connections of VMs that lost power after 3 s, of which the start takes 1 s;
@@ -24,16 +27,45 @@
     """Return the number of connections that this VM may have to a server.
 
     The VMs share the server's limit evenly, with a reserve for VMs that join. A VM that
-    has just started opens fewer.
+    has just started opens fewer. With client accounts only their homes share it.
     """
     configuration = state.configuration
-    if configuration is None or state.now - state.started_at < STARTUP_PERIOD:
+    if configuration is None:
         return MIN_CONNECTIONS
     total = configuration.connections.get(server.entry.service, 0)
+    starting = state.now - state.started_at < STARTUP_PERIOD
     if uses_accounts(state):
-        homes = list_likely_homes(state)
-        if homes and all(vm.name != state.vm for vm in homes):
-            return MIN_CONNECTIONS
-        return max(MIN_CONNECTIONS, total // (len(homes) + SPARE_HOLDERS))
+        return _compute_home_limit(state, total, starting)
+    if starting:
+        return MIN_CONNECTIONS
     share = compute_connection_share(state, total, SPARE_SHARES, ASSUMED_VMS)
     return max(MIN_CONNECTIONS, share)
+
+
+def _compute_home_limit(state: DirectState, total: int, starting: bool) -> int:
+    """Return the limit of a home; the share of one more is left for a home that joins.
+
+    Args:
+        total: the server's connection limit.
+        starting: whether this VM has just started.
+    """
+    homes = _count_homes(state)
+    if not homes:
+        return MIN_CONNECTIONS
+    limit = max(MIN_CONNECTIONS, total // (homes + SPARE_HOLDERS))
+    if starting:
+        return min(limit, 1 + START_CONNECTIONS)
+    return limit
+
+
+def _count_homes(state: DirectState) -> int:
+    """Return how many homes share a server's connections, 0 if this VM is none.
+
+    A holder of another region that has callers of accounts stands in for a lost home.
+    """
+    homes = list_likely_homes(state)
+    if any(vm.name == state.vm for vm in homes):
+        return len(homes)
+    if not any(session.account for session in state.sessions.values()):
+        return 0
+    return sum(state.regions.get(vm.zone) == state.region for vm in state.holders)
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a VM that runs the direct core."""
 
-from ..observability import Metric, define_counter, define_histogram
+from ..observability import Metric, define_counter, define_gauge, define_histogram
 
 METRICS: dict[str, Metric] = {
     "statements_total": define_counter("Statements of callers, by kind.", "kind"),
@@ -22,5 +22,11 @@
     "backend_connections_opened_total": define_counter(
         "Connections opened to backend servers."
     ),
+    "backend_connections": define_gauge(
+        "Connections to backend servers, by state.", "state"
+    ),
+    "backend_connections_replaced_total": define_counter(
+        "Idle connections that gave way to one of another client account."
+    ),
 }
 """Metrics by name, without the common prefix."""
--- a/src/siskinhold/observability/__init__.py
+++ b/src/siskinhold/observability/__init__.py
@@ -1,6 +1,13 @@
 """Metrics and log formatting shared by all programs."""
 
-from ._metrics import Metric, MetricKind, Metrics, define_counter, define_histogram
+from ._metrics import (
+    Metric,
+    MetricKind,
+    Metrics,
+    define_counter,
+    define_gauge,
+    define_histogram,
+)
 from ._quote import quote
 
 __all__ = [
@@ -8,6 +15,7 @@
     "MetricKind",
     "Metrics",
     "define_counter",
+    "define_gauge",
     "define_histogram",
     "quote",
 ]
--- a/src/siskinhold/observability/_metrics.py
+++ b/src/siskinhold/observability/_metrics.py
@@ -52,6 +52,11 @@
     return Metric(kind=MetricKind.COUNTER, help=help_text, label=label)
 
 
+def define_gauge(help_text: str, label: str = "") -> Metric:
+    """Return the definition of a gauge."""
+    return Metric(kind=MetricKind.GAUGE, help=help_text, label=label)
+
+
 def define_histogram(help_text: str, label: str = "") -> Metric:
     """Return the definition of a histogram of durations in seconds."""
     return Metric(kind=MetricKind.HISTOGRAM, help=help_text, label=label)
--- a/tests/direct/test_direct_pools.py
+++ b/tests/direct/test_direct_pools.py
@@ -1,13 +1,19 @@
 """Tests of pooled connections: their ends, their accounts and how they are shared."""
 
+import dataclasses
+
 import pytest
 
-from siskinhold.direct import Refusal
+from siskinhold.direct import Refusal, needs_servers
 from siskinhold.direct._connection_life import (
     ConnectionState as State,
     IllegalTransition,
     check_transition,
 )
+from siskinhold.direct._holders import needs_connections
+from siskinhold.direct._server_state import Server
+from siskinhold.direct._state import PendingCaller
+from siskinhold.direct.pools import compute_connection_limit, grow_pool
 
 from .world import World
 
@@ -103,3 +109,86 @@
         for session in range(20, 40):
             refusals = [answer.refusal for _, answer in world.replies["vm1", session]]
             assert refusals == [Refusal.OVERLOAD]
+
+
+def make_home(*, vm="vm1", started=10.0):
+    """Return the state of a VM, one of six homes by default, and a server.
+
+    Args:
+        started: seconds since its start.
+    """
+    world = World(vms=9)
+    state = world.states[vm]
+    state.started_at, state.now = world.now, world.now + started
+    state.configuration = dataclasses.replace(
+        world.configure(), connections={"db": 70}, accounts={}
+    )
+    for server in world.servers.values():
+        state.servers[server.name] = Server(entry=server.entry())
+    return state, state.servers["s1"]
+
+
+def fill(state, server, counts):
+    """Open free connections of accounts, used at rising times."""
+    for account, number in counts:
+        for _ in range(number):
+            assert grow_pool(state, server, [], account)
+            for connection in server.connections.values():
+                if connection.state is State.OPENING:
+                    connection.advance(State.FREE)
+                    connection.used_at = state.now
+                    state.now += 0.1
+
+
+def list_accounts(server):
+    """Return the accounts of a server's connections in the order of their opening."""
+    return [connection.account for connection in server.connections.values()]
+
+
+class TestSharing:
+    def test_large_account_uses_all_room_and_leaves_others_their_connections(self):
+        """Guards against a large account that takes the connections of small ones."""
+        state, server = make_home()
+        fill(state, server, [("small", 1), ("large", 9)])
+        assert not grow_pool(state, server, [], "large")
+        assert list_accounts(server) == ["small"] + 9 * ["large"]
+
+    def test_small_account_gets_a_connection_of_a_large_one(self):
+        """Guards against accounts that wait while others' connections are idle."""
+        state, server = make_home()
+        fill(state, server, [("large", 10)])
+        assert grow_pool(state, server, [], "small")
+        assert list_accounts(server) == 9 * ["large"] + ["small"]
+
+    def test_what_is_only_preferred_replaces_nothing(self):
+        """Guards against connections that are swapped though another one is free."""
+        state, server = make_home()
+        fill(state, server, [("large", 10)])
+        assert not grow_pool(state, server, [], "small", replace=False)
+
+    def test_few_are_opened_at_once(self):
+        """Guards against a server whose slots all open connections after a restart."""
+        state, server = make_home()
+        opening = [grow_pool(state, server, [], f"account{i}") for i in range(8)]
+        assert opening == [True, True] + 6 * [False]
+
+    @pytest.mark.parametrize(
+        ("options", "limit"),
+        [({}, 10), ({"started": 1.0}, 3), ({"vm": "vm3"}, 2)],
+    )
+    def test_homes_share_what_the_server_accepts(self, options, limit):
+        """Guards against servers over their limit while holders come and go."""
+        state, server = make_home(**options)
+        assert compute_connection_limit(state, server) == limit
+
+    @pytest.mark.parametrize(("moves", "needed"), [(0, True), (1, False)])
+    def test_vm_that_relays_connects_to_no_server_for_a_caller_that_moves(
+        self, moves, needed
+    ):
+        """Guards against all VMs that connect to all servers when a home is lost."""
+        state, _ = make_home(vm="vm3")
+        state.is_holder, state.connections_limit = False, 70
+        caller = PendingCaller(database="db", at=state.now, relayed=False, moves=moves)
+        state.pending_callers[1] = caller
+        assert needs_servers(state) is needed
+        assert not needs_connections(state)
