Close a connection on which a command would be wrong

The error alone left the connection as it was, and a tick that met it would have met it again. A command that the connection's state or account forbids is not sent, and the connection is closed.

--- a/src/siskinhold/direct/pools/__init__.py
+++ b/src/siskinhold/direct/pools/__init__.py
@@ -1,7 +1,13 @@
 """Pools of connections to backend servers, and the commands sent on them."""
 
 from ._closing import close_connection, remove_connection
-from ._commands import apply_session_values, prepare_statement, send, settle
+from ._commands import (
+    WrongAccount,
+    apply_session_values,
+    prepare_statement,
+    send,
+    settle,
+)
 from ._growth import (
     close_idle_connections,
     ensure_control_connection,
@@ -21,6 +27,7 @@
 
 __all__ = [
     "OVERLOAD_DELAY",
+    "WrongAccount",
     "apply_session_values",
     "close_connection",
     "close_idle_connections",
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -1,6 +1,6 @@
 """Commands that are sent on connections to backend servers."""
 
-from .._connection_life import ConnectionState
+from .._connection_life import ConnectionState, IllegalTransition
 from .._effects import SendCommands
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
@@ -18,6 +18,18 @@
     """A statement was about to run on a connection of another client account."""
 
 
+def _enter_use(connection: Connection, purpose: Purpose, job: Job | None) -> None:
+    """Enter the state that a command brings about.
+
+    Raises:
+        IllegalTransition: if the connection may not be used for that purpose.
+        WrongAccount: if it serves another account than the job's.
+    """
+    if job is not None and job.session.account != connection.account:
+        raise WrongAccount(f"connection {connection.number} serves another account")
+    connection.advance(_STATES.get(purpose, ConnectionState.IN_USE))
+
+
 def send(
     state: DirectState,
     connection: Connection,
@@ -32,12 +44,16 @@
     the recorded values and prepared statements.
 
     Raises:
-        IllegalTransition: if the connection may not be used for that purpose.
-        WrongAccount: if it serves another account than the job's.
+        IllegalTransition: if the connection may not be used for that purpose; it is
+            closed then.
+        WrongAccount: if it serves another account than the job's; likewise.
     """
-    if job is not None and job.session.account != connection.account:
-        raise WrongAccount(f"connection {connection.number} serves another account")
-    connection.advance(_STATES.get(purpose, ConnectionState.IN_USE))
+    try:
+        _enter_use(connection, purpose, job)
+    except (IllegalTransition, WrongAccount):
+        if connection.state is not ConnectionState.CLOSED:
+            close_connection(state, connection, out, "misused")
+        raise
     connection.pending.append(
         PendingCommand(purpose=purpose, sent_at=state.now, work=job)
     )
