--- a/tests/direct/test_direct_pools.py
+++ b/tests/direct/test_direct_pools.py
@@ -73,6 +73,13 @@
         with pytest.raises(IllegalTransition):
             check_transition(State.CLEANING, after, control=False)
 
+    @pytest.mark.parametrize("after", State)
+    @pytest.mark.parametrize("control", [False, True])
+    def test_closed_connection_stays_closed(self, after, control):
+        """Guards against the reuse of a connection that has ended."""
+        with pytest.raises(IllegalTransition):
+            check_transition(State.CLOSED, after, control=control)
+
     def test_statement_of_another_account_closes_the_connection(self):
         """Guards against a statement that runs as another client account."""
         world = start()
