--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -118,7 +118,7 @@
             continue
         if full and _needs_connections(state, full[0], job):
             # Without new connections it would stay unused.
-            grow_pool(state, full[0], out, job.session.account)
+            grow_pool(state, full[0], out, job.session.account, replace=False)
         postpone_next_trial(state, server, after)
         record_placement(state, server, out)
         database.starts.record(job.route.priority, state.now)
@@ -177,7 +177,7 @@
             out.append(Observe(metric="hedges_total"))
             break
         if not job.hedged and others:
-            grow_pool(state, others[0], out, job.session.account)
+            grow_pool(state, others[0], out, job.session.account, replace=False)
 
 
 def _resolve_unconfirmed(state: DirectState, database: Database, out: Effects) -> None:
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -71,6 +71,7 @@
     report_presence,
     uses_accounts,
 )
+from .pools import report_pools
 from .rates import list_demands, maintain_rates, note_reported
 
 BUSY_TICK_INTERVAL = 0.02
@@ -282,6 +283,7 @@
         _do_periodic_work(state, out)
     finally:
         _maintain_accounts(state, out)
+        report_pools(state, out)
         advance_shutdown(state, out)
         _update_readiness(state, out)
 
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -9,6 +9,7 @@
 from ._account_state import AccountState
 from ._effects import Effect
 from ._events import ServersRead
+from ._pool_state import PoolState
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._rate_state import RateState
 from ._server_state import Connection, Server
@@ -357,6 +358,7 @@
         accounts: what is known of client accounts beside the configuration.
         rates: counts of their operations.
         speeds: usual times of statements at the servers.
+        pools: counts of what happens to connections to backend servers.
         ready: whether this VM was last reported as ready for callers.
         shutdown_at: when the shutdown was requested, None before.
         stop_grace: the grace period when it was requested.
@@ -407,6 +409,7 @@
     accounts: AccountState = field(default_factory=AccountState)
     rates: RateState = field(default_factory=RateState)
     speeds: SpeedState = field(default_factory=SpeedState)
+    pools: PoolState = field(default_factory=PoolState)
     vms_requested_at: float = -100.0
     ready: bool = False
     shutdown_at: float | None = None
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -40,5 +40,11 @@
     "configuration_age_seconds": define_gauge(
         "Time since the configuration was known to be the newest one."
     ),
+    "backend_connections": define_gauge(
+        "Connections to backend servers, by state.", "state"
+    ),
+    "backend_connections_replaced_total": define_counter(
+        "Idle connections that gave way to one of another client account."
+    ),
 }
 """Metrics by name, without the common prefix."""
