Count a slow answer once against a slowed server's limit

Answers in the usual time renewed the moment since which slow ones count, so that slow answers among quick ones hardly lowered the limit.

--- a/src/siskinhold/direct/_speed_state.py
+++ b/src/siskinhold/direct/_speed_state.py
@@ -18,6 +18,7 @@
         pause: seconds between two such reads, 0 without a pause.
         next_read_at: earliest time of the next one.
         adjusted_at: when the limit was last changed.
+        reduced_at: when it was last reduced.
         setbacks: how often it was too high with several statements at once.
     """
 
@@ -29,6 +30,7 @@
     pause: float = 0.0
     next_read_at: float = 0.0
     adjusted_at: float = -100.0
+    reduced_at: float = -100.0
     setbacks: int = 0
 
 
--- a/src/siskinhold/direct/room/_speeds.py
+++ b/src/siskinhold/direct/room/_speeds.py
@@ -122,15 +122,15 @@
     """
     slowdown = server.slowdown
     if deviation > math.log(USUAL_FACTOR):
-        if sent_at < slowdown.adjusted_at and slowdown.limit > 1.0:
-            # It was sent under the higher limit, which has been reduced for it.
+        if sent_at < slowdown.reduced_at:
+            # It was sent under the higher limit, which has been reduced since.
             return
         if slowdown.limit > 1.0:
             slowdown.setbacks += slowdown.limit >= 2.0
             slowdown.limit = max(1.0, slowdown.limit * LIMIT_DECREASE)
         else:
             slowdown.pause = min(MAX_PAUSE, max(FIRST_PAUSE, 2 * slowdown.pause))
-        slowdown.adjusted_at = state.now
+        slowdown.reduced_at = slowdown.adjusted_at = state.now
         return
     if slowdown.pause > 0:
         slowdown.pause = slowdown.pause / 4 if slowdown.pause > FIRST_PAUSE else 0.0
