Prove writes by every other server, or by the store

A promotion ends the suspensions that were made for it, and a replica may learn of the new term later.

Every other server now has to hold the write or attest; if one does not, the leader record confirms it. Without the store a majority attests 0.2 s after the answer, without members that were seen to be suspended.

test_replica_that_has_not_learned_of_the_term_stays_suspended demanded a suspension that the platform ends. It now demands that the replica has not learned of the term, and that its word proves no write.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -249,16 +249,19 @@
     """Request proof for the unconfirmed answers, and a new floor for recent reads."""
     reads_since = -1.0
     last_write = None
+    oldest_write = state.now
     for job in database.unconfirmed:
         if not job.proof_strict:
             reads_since = max(reads_since, job.proof_since)
-        elif last_write is None or job.proof_since >= last_write.proof_since:
+            continue
+        oldest_write = min(oldest_write, job.proof_since)
+        if last_write is None or job.proof_since >= last_write.proof_since:
             last_write = job
     if database.leader is not None and reads_since >= 0:
         request_proof(state, database, reads_since, out)
     if database.leader is not None and last_write is not None:
         position, since = last_write.answer.position, last_write.proof_since
-        request_write_proof(state, database, position, since, out)
+        request_write_proof(state, database, position, since, oldest_write, out)
     refresh = FLOOR_REFRESH_INTERVAL
     if state.now - database.lagging_seen_at < LAGGING_PERIOD:
         refresh = LAGGING_FLOOR_REFRESH_INTERVAL
--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -178,7 +178,7 @@
     witnesses = list_witnesses(state, database)
     times = []
     for member in witnesses:
-        if member.attested_term <= leader.term:
+        if member.attested_term <= leader.term and is_trusted(state, database, member):
             times.append(member.attested_at)
     needed = count_needed(state, witnesses)
     if needed == 0:
@@ -189,7 +189,7 @@
     return min(server.lead_confirmed_at, times[needed - 1])
 
 
-def _is_store_unavailable(state: DirectState, database: Database) -> bool:
+def is_store_unavailable(state: DirectState, database: Database) -> bool:
     """Return whether the last confirming read had no usable answer, or is overdue."""
     if state.now - database.store_failed_at < STORE_UNAVAILABLE_PERIOD:
         return True
@@ -231,7 +231,7 @@
     if not unreachable:
         return
     request_store_proof(state, database, since, out)
-    if _is_store_unavailable(state, database):
+    if is_store_unavailable(state, database):
         if leader is not None and leader.lead_confirmed_at < since:
             probe_leader(state, leader, out)
         for member in list_witnesses(state, database):
@@ -258,6 +258,27 @@
     return True
 
 
+def is_trusted(state: DirectState, database: Database, member: Server) -> bool:
+    """Return whether a member has not been suspended since no newer term had begun.
+
+    The end of its suspension may be a promotion whose term it has yet to learn of.
+    """
+    return member.released_at <= _find_unreplaced_time(state, database)
+
+
+def _find_unreplaced_time(state: DirectState, database: Database) -> float:
+    """Return the latest time at which no newer term is known to have begun, or -1."""
+    leader = database.leader
+    if leader is None:
+        return -1.0
+    attested_at = min(state.now, state.servers_read_at + LIST_VALIDITY)
+    for member in list_witnesses(state, database):
+        if member.attested_term > leader.term:
+            return database.store_confirmed_at
+        attested_at = min(attested_at, member.attested_at)
+    return max(attested_at, database.store_confirmed_at)
+
+
 def can_prove(state: DirectState, database: Database) -> bool:
     """Return whether it seems possible to prove that the primary leads.
 
@@ -268,9 +289,10 @@
     reached = [w for w in witnesses if w.down_at is None and find_control_connection(w)]
     if len(reached) == len(witnesses):
         return True
-    if len(reached) + 1 >= count_majority(len(witnesses) + 1):
+    if not is_store_unavailable(state, database):
         return True
-    return not _is_store_unavailable(state, database)
+    trusted = [w for w in reached if is_trusted(state, database, w)]
+    return len(trusted) + 1 >= count_majority(len(witnesses) + 1)
 
 
 def _request_evidence(
@@ -336,11 +358,11 @@
     if event.outcome is StoreOutcome.ABSENT:
         confirmed = True
     else:
-        confirmed = (
-            record is not None
-            and record.state is LeaderState.STABLE
-            and record.term <= leader.term
-        )
+        stable = record is not None and record.state is LeaderState.STABLE
+        confirmed = stable and record.term <= leader.term
+        if record is not None and not stable and record.term < leader.term:
+            # Its promotion is over, but its VM may not complete the record.
+            database.store_failed_at = state.now
         if record is not None and record.term > leader.term:
             database.min_term = record.term
             drop_leader(state, database, DropReason.RECORD, out)
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -139,8 +139,8 @@
         handle_leader_status(state, server, sent_at, answer, out)
         return
     server.write_refused_at = max(server.write_refused_at, sent_at)
-    server.attested_at = sent_at
-    server.attested_term = max(status.term, status.suspended_term)
+    term = max(status.term, status.suspended_term)
+    server.record_attestation(state.now, sent_at, term)
     database = state.databases.get(server.entry.service)
     leader = database.leader if database is not None else None
     if leader is not None and status.term > leader.term:
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -157,6 +157,8 @@
         attested_at: send time of the newest status query that it answered as a replica.
         attested_term: the newest term that it knew of or was suspended for in that
             answer.
+        released_at: when an older term was last seen in such an answer than before, as
+            a suspension has ended.
         attestation_retry_at: earliest time of the next query for an attestation, after
             the server refused one.
         received: end of its received log in its newest status report.
@@ -194,6 +196,7 @@
     down_at: float | None = None
     attested_at: float = -1.0
     attested_term: int = 0
+    released_at: float = -100.0
     attestation_retry_at: float = 0.0
     received: Position | None = None
     lead_confirmed_at: float = -1.0
@@ -213,6 +216,13 @@
     service_time_updated_at: float = -100.0
     overloaded_until: float = 0.0
 
+    def record_attestation(self, now: float, sent_at: float, term: int) -> None:
+        """Record the newest term that a status report shows."""
+        if term < self.attested_term:
+            self.released_at = now
+        self.attested_at = sent_at
+        self.attested_term = term
+
     def record_service_time(self, now: float, seconds: float) -> None:
         """Update the moving average with the time of a statement."""
         if now - self.service_time_updated_at >= SERVICE_TIME_MAX_AGE:
--- a/src/siskinhold/direct/_write_proof.py
+++ b/src/siskinhold/direct/_write_proof.py
@@ -4,26 +4,37 @@
 in this VM's list of servers, so neither the positions of the servers nor their refusals
 of write transactions show that.
 
-Before a promotion is ordered, a majority of the members is suspended for its term:
-these receive nothing more of an older term, and their status reports show the new one.
-So a write is proved once a majority, the primary among them, has received it or
-attests, after its answer arrived, that it knows of no newer term. A member of both
-majorities would otherwise have received the write after it was suspended, or have
-reported the term. If too few members answer, the leader record is read from the store:
-it is written before the suspensions.
+A promotion ends the suspensions that were made for it, and a replica learns of its term
+later: until then the replica attests that it knows of no newer term, and may receive
+from the old primary. Only the promoted server knows at once. So a write is proved once
+every other server has received it or attests, after its answer arrived, that it knows
+of no newer term: one that was promoted before the write does neither. If a server does
+not answer, the leader record is read from the store: it is written before a promotion
+is ordered.
+
+Without the store, a majority has to attest: before a promotion is ordered, a majority
+is suspended for its term, so the two share a server. That one may have yet to learn of
+the term. So it is asked `LEARNING_PERIOD` after the answer arrived, and a server that
+was seen to be suspended does not count until no newer term is known to have begun.
 """
 
 from ..model import Position
 from ._evidence import (
+    LIST_VALIDITY,
     count_needed,
+    is_store_unavailable,
+    is_trusted,
     list_witnesses,
     request_attestation,
     request_store_proof,
 )
-from ._placement import measure_distance
 from ._server_state import Server
 from ._state import Database, DirectState, Effects, Leadership
 
+LEARNING_PERIOD = 0.2
+"""Seconds in which a replica learns of a promotion that has taken effect: many times
+the latency between regions."""
+
 
 def is_write_proved(
     state: DirectState, database: Database, position: Position | None, since: float
@@ -40,11 +51,19 @@
     if database.store_confirmed_at >= since:
         return True
     witnesses = list_witnesses(state, database)
-    proved = 0
+    complete = state.servers_read_at + LIST_VALIDITY >= since
+    late = since + LEARNING_PERIOD
+    attested = 0
     for member in witnesses:
-        if _holds(member, position) or _attests(member, leader, since):
-            proved += 1
-    return proved >= count_needed(state, witnesses)
+        if not _attests(member, leader, since) and not _holds(member, position):
+            complete = False
+        if _attests(member, leader, late) and is_trusted(state, database, member):
+            attested += 1
+    if complete:
+        return True
+    if not is_store_unavailable(state, database):
+        return False
+    return attested >= count_needed(state, witnesses)
 
 
 def is_attested_by_all(state: DirectState, database: Database, since: float) -> bool:
@@ -84,26 +103,29 @@
     database: Database,
     position: Position | None,
     since: float,
+    oldest: float,
     out: Effects,
 ) -> None:
     """Request proof of a write, unless it is requested.
 
-    The nearest witnesses are queried that suffice for a majority. If too few can be
-    reached, the store is read.
+    The witnesses are queried. If one can't be reached, the store is read, and if that
+    is unavailable, the witnesses are queried once more after `LEARNING_PERIOD`.
 
     Args:
         position: the write's position in the leader's log.
         since: when its answer arrived.
+        oldest: when that of the oldest write without proof arrived.
     """
-    witnesses = list_witnesses(state, database)
-    witnesses.sort(key=lambda member: measure_distance(state, member))
-    missing = count_needed(state, witnesses)
-    for member in witnesses:
-        if missing <= 0:
-            return
+    complete = state.servers_read_at + LIST_VALIDITY >= since
+    for member in list_witnesses(state, database):
         if _holds(member, position):
-            missing -= 1
-        elif request_attestation(state, member, since, out):
-            missing -= 1
-    if missing > 0:
-        request_store_proof(state, database, since, out)
+            continue
+        complete &= request_attestation(state, member, since, out)
+    if complete:
+        return
+    request_store_proof(state, database, since, out)
+    late = oldest + LEARNING_PERIOD
+    if state.now < late or not is_store_unavailable(state, database):
+        return
+    for member in list_witnesses(state, database):
+        request_attestation(state, member, late, out)
--- a/tests/direct/test_direct_membership.py
+++ b/tests/direct/test_direct_membership.py
@@ -64,8 +64,8 @@
 
 
 class TestResumption:
-    def test_replica_that_has_not_learned_of_the_term_stays_suspended(self):
-        """Guards against an attestation by a replica that was resumed too early.
+    def test_replica_that_has_not_learned_of_the_term_attests_nothing(self):
+        """Guards against an attestation by a replica that a promotion has released.
 
         vm3 reaches the old primary and that replica alone.
         """
@@ -76,7 +76,31 @@
         world.servers["s2"].unreachable_from = {"vm3"}
         case.lose_primary()
         case.check_writes(8)
-        assert world.orders and world.servers["s3"].suspended_term == 2
+        assert world.orders and world.servers["s3"].term == 1
+        assert world.servers["s3"].suspended_term == 0
+
+
+class TestReleasedReplica:
+    """A promotion ends the suspension of replicas that learn of its term later."""
+
+    @pytest.mark.parametrize("idle", [0.0, 0.5])
+    @pytest.mark.parametrize("store", ["reached", "lost"])
+    def test_does_not_attest_that_the_old_primary_leads(self, idle, store):
+        """Guards against acknowledged writes at an old primary after a promotion.
+
+        vm3 reaches all servers, and goes on to write or pauses until the order.
+        """
+        world = start(vms=8)
+        world.follow = lambda replica, primary: None
+        case = Replacement(world=world, candidate="s2", offset=0.2)
+        if store == "lost":
+            world.store_down = {"vm3"}
+        case.lose_primary()
+        world.advance(idle)
+        case.check_writes(4)
+        assert world.orders
+        assert world.servers["s3"].term == 1
+        assert world.servers["s3"].suspended_term == 0
 
 
 class TestPromotedServer:
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -596,7 +596,7 @@
             server.applied = server.received
 
     def promote(self, name):
-        """Make a server the primary of the next term.
+        """Make a server the primary of the next term, which ends all suspensions.
 
         Log positions show the term only after its first commit.
         """
@@ -610,10 +610,11 @@
         server.suspended_term = 0
         for other in self.servers.values():
             if other is not server and not other.leads:
+                other.suspended_term = 0
                 self.follow(other, server)
 
     def follow(self, replica, primary):
-        """Have a replica learn of a new primary, which ends its suspension."""
+        """Have a replica learn of a new primary."""
         if replica.leads or replica.term >= primary.term:
             return
         replica.term = primary.term
