Keep the record open while an earlier order may take effect

A VM gave up an attempt whose order had been accepted 9 ms before, claimed again, found the old primary back under another id and completed the record for it.

The VM now counts an order until 5 s after it was sent, or until it was rejected or the ordered server is found to lead, across its later promotions: none of them completes or withdraws the record before that. The new test fails on the code before.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -17,6 +17,7 @@
     CALL_TIMEOUT,
     STEP_RETRY_INTERVAL,
     enter_step,
+    find_effect_end,
     is_resuming,
     log_promotion,
     may_call,
@@ -262,8 +263,8 @@
     """Have the claim of a promotion that ends without an order withdrawn.
 
     An open record keeps other VMs from a claim for `CLAIM_TIMEOUT`, and from proving by
-    the store that the primary leads. After an order nothing is withdrawn: it may still
-    take effect.
+    the store that the primary leads. So nothing is withdrawn while an order, or one of
+    an earlier promotion, may still take effect.
     """
     claim = promotion.claim
     if promotion.ordered:
@@ -279,6 +280,7 @@
             holder=promotion.holder,
             withdraws=True,
             resumes_until=state.now + RESUMPTION_TIMEOUT,
+            repeat_at=find_effect_end(database, promotion.leader),
         )
     elif promotion.claim_sent:
         database.open_claim = OpenClaim(
@@ -330,6 +332,7 @@
             attempt=record.attempt,
             holder=record.holder,
             withdraws=True,
+            repeat_at=find_effect_end(database, record.server),
         )
         complete_record(state, database, out)
 
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -38,6 +38,7 @@
     GONE_LEADER_TIMEOUT,
     SWITCHOVER_CAUSE,
     enter_step,
+    find_effect_end,
     find_rank,
     log_promotion,
     to_milliseconds,
@@ -64,9 +65,6 @@
 """Seconds for which a server that was seen to lead counts as a primary that still
 applies its log: several times the interval at which it is probed."""
 
-ORDER_EFFECT_PERIOD = 5.0
-"""Seconds after a claim in which a promotion that it ordered may take effect."""
-
 RANK_DELAY = 0.08
 """Seconds that each VM waits for the one ranked before it to claim the leader record:
 longer than a claim takes across regions."""
@@ -210,7 +208,7 @@
         if not _awaits_order(state, database, promotion):
             _finish_promotion(state, database, promotion, out)
             return
-        candidate = state.servers.get(promotion.candidate)
+        candidate = state.servers.get(database.ordered_server)
         if candidate is not None:
             probe_leader(state, candidate, out)
         return
@@ -278,11 +276,11 @@
     primary that was found, though the ordered one leads in a newer term soon.
     """
     claim = promotion.claim
-    if claim is None or state.now - claim.sent_at > ORDER_EFFECT_PERIOD:
+    if claim is None:
         return False
     if promotion.step is PromotionStep.ORDERING and promotion.call:
         return not has_expired(state, claim)
-    return promotion.ordered and database.leader.server != promotion.candidate
+    return state.now < find_effect_end(database, database.leader.server)
 
 
 def _update_cause(state: DirectState, promotion: Promotion, cause: str) -> None:
--- a/src/siskinhold/direct/_promotion.py
+++ b/src/siskinhold/direct/_promotion.py
@@ -290,6 +290,7 @@
     promotion.ordered = True
     promotion.orders_open += 1
     database.ordered_at = state.now
+    database.ordered_server = promotion.candidate
     log_promotion(
         state,
         database,
@@ -334,6 +335,7 @@
     if event.outcome is PromotionOutcome.ACCEPTED:
         enter_step(state, promotion, PromotionStep.TAKING_EFFECT)
     elif event.outcome is PromotionOutcome.REJECTED:
+        database.ordered_server = ""
         promotion.positions.pop(promotion.candidate, None)
         promotion.fenced.clear()
         enter_step(state, promotion, PromotionStep.COMPARING)
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -18,6 +18,9 @@
 """Seconds until an unanswered store call is repeated: longer than the slowest answer
 that the platform's documentation allows."""
 
+ORDER_EFFECT_PERIOD = 5.0
+"""Seconds after an order in which it may take effect."""
+
 STEP_RETRY_INTERVAL = 0.2
 """Seconds between two attempts at a step that failed."""
 
@@ -103,6 +106,16 @@
     return state.now >= promotion.repeat_at
 
 
+def find_effect_end(database: Database, server: str) -> float:
+    """Return until when an order by this VM may replace a primary that was found.
+
+    The order of a promotion that was given up counts as well.
+    """
+    if database.ordered_server in ("", server):
+        return -1.0
+    return database.ordered_at + ORDER_EFFECT_PERIOD
+
+
 def is_resuming(state: DirectState, database: Database) -> bool:
     """Return whether a server of a database has yet to be resumed by this VM."""
     for server in state.members(database.name):
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -93,6 +93,8 @@
             before the first primary.
         completion_read_at: earliest time of the next read that watches it.
         ordered_at: when this VM last ordered a promotion.
+        ordered_server: the server whose promotion it ordered, empty once the order was
+            rejected.
         goes_on_at: earliest time of this VM's next claim within its own lease.
         term_starts: where the newest terms began, the oldest first.
         rolled_back_since: since when all candidates have commits that a promotion has
@@ -135,6 +137,7 @@
     completed_term: int = 0
     completion_read_at: float = 0.0
     ordered_at: float = -100.0
+    ordered_server: str = ""
     goes_on_at: float = 0.0
     settled_attempt: str = ""
     term_starts: tuple[TermStart, ...] = ()
--- a/tests/direct/test_direct_late_orders.py
+++ b/tests/direct/test_direct_late_orders.py
@@ -1,7 +1,12 @@
 """Tests of the lease: late orders, and leases that nobody needs to wait for."""
 
+from dataclasses import replace
+
 import pytest
 
+from siskinhold.direct import LeaderState
+from siskinhold.direct._lease import ATTEMPT_TIMEOUT
+
 from .test_direct_lease import (
     await_completion,
     await_effect,
@@ -54,6 +59,36 @@
     return gaps
 
 
+class TestOrderOfAnEarlierPromotion:
+    def test_record_does_not_confirm_the_old_primary_before_it_takes_effect(self):
+        """Guards against writes at an old primary that the store has confirmed.
+
+        The attempt ends after the order was accepted, the next one is claimed but can't
+        suspend the replicas, and the old primary is back before the order takes effect.
+        """
+        world = World(vms=3)
+        world.connect("vm2", 1)
+        world.advance(2.0)
+        old = world.servers["s1"]
+        old.down = True
+        promoted = []
+        world.promote = promoted.append
+        while not promoted:
+            world.advance(0.005)
+        state = world.states[world.orders[0][1]]
+        promotion = state.databases["db"].promotion
+        promotion.claim = replace(promotion.claim, sent_at=world.now - ATTEMPT_TIMEOUT)
+        for name in ("s2", "s3"):
+            world.servers[name].status_time = 5.0
+        while len(world.claims) < 2:
+            world.advance(0.005)
+        old.down = False
+        world.advance(2.5)
+        del world.promote
+        world.promote(promoted[0])
+        assert world.record.state is LeaderState.PROMOTING
+
+
 class TestOrderUnderWay:
     @pytest.mark.parametrize("delay", (0.7, 0.9))
     def test_holder_does_not_go_on_while_an_order_of_its_last_claim_is_under_way(
