Bound what a process holds for its callers

Cause: lines sent ahead, lines that never end, session values and answers that nobody takes were kept without a limit on their bytes, and HTTP ports kept any number of connections.

Change: one account per process, whose limit follows from its memory. Reading from a caller that sends much ahead stops, none of its statements starts while its answers wait, and at the limit of the process the largest holders are closed. Relays pause in both directions. Sessions, answers of servers and of the store are bounded, callers that stop in the middle are closed after 15 s, and HTTP ports keep 48 connections, the longest waiting of which makes way.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -81,7 +81,7 @@
     find_silent_holders,
     may_give_up,
 )
-from ._settings import AccountBounds, VmSettings
+from ._settings import AccountBounds, CallerLimits, VmSettings, compute_caller_limits
 from ._state import DirectState
 from ._types import (
     FIRST_ERA,
@@ -110,6 +110,7 @@
 __all__ = [
     "Account",
     "AccountBounds",
+    "CallerLimits",
     "AccountState",
     "CallerMoved",
     "ConfigurationConfirmed",
@@ -183,6 +184,7 @@
     "VmEntry",
     "VmProbed",
     "VmSettings",
+    "compute_caller_limits",
     "VmsAsked",
     "VmsRead",
     "WriteLeaderRecord",
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -51,10 +51,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class ReplyCaller:
-    """Answer a caller's statement."""
+    """Answer a caller's statement.
+
+    Args:
+        held: bytes of the session's values and prepared statements.
+    """
 
     session: int
     answer: Answer
+    held: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -37,6 +37,7 @@
                 detail=answer.detail,
                 transaction=session.state,
             ),
+            held=session.held,
         )
     )
     if ends_session and session.closing and session.transaction is None:
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -19,6 +19,7 @@
 )
 from ._replies import DONE, close_session, refuse, reply
 from ._runs import abandon_transaction
+from ._session_memory import try_hold
 from ._state import (
     DirectState,
     Effects,
@@ -423,21 +424,31 @@
 
 def _set(state, session: Session, statement: Statement, out: Effects) -> None:
     """Store a session value; connections get it before the next statement."""
+    old = session.values.get(statement.name)
+    if not try_hold(state, session, statement.name, old, statement.value):
+        refuse(state, session, statement, Refusal.OVERLOAD, "session_too_large", out)
+        return
     session.values[statement.name] = statement.value
     reply(state, session, DONE, out, ends_session=False)
 
 
 def _prepare(state, session: Session, statement: Statement, out: Effects) -> None:
     """Store a prepared statement; a connection prepares it when it is executed."""
+    _, old = session.prepared.get(statement.name, (False, None))
+    if not try_hold(state, session, statement.name, old, statement.shape):
+        refuse(state, session, statement, Refusal.OVERLOAD, "session_too_large", out)
+        return
     session.prepared[statement.name] = (statement.writes, statement.shape)
     reply(state, session, DONE, out, ends_session=False)
 
 
 def _deallocate(state, session: Session, statement: Statement, out: Effects) -> None:
     """Remove a prepared statement from the session."""
-    if session.prepared.pop(statement.name, None) is None:
+    prepared = session.prepared.pop(statement.name, None)
+    if prepared is None:
         refuse(state, session, statement, Refusal.NO_STATEMENT, "not_prepared", out)
         return
+    try_hold(state, session, statement.name, prepared[1], None)
     reply(state, session, DONE, out, ends_session=False)
 
 
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -5,6 +5,15 @@
 DEFAULT_MEMORY = 300 << 20
 """Memory limit of a process in bytes, if the settings name none."""
 
+PROCESS_MEMORY = 64 << 20
+"""Bytes of a process for the program, its configuration and idle connections."""
+
+MIN_CALLER_MEMORY = 8 << 20
+"""Bytes that a process may hold for its callers, however little memory it has."""
+
+COPIES = 4
+"""Times that a message is in memory while it is handled."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AccountBounds:
@@ -24,6 +33,43 @@
     slack: float = 0.0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerLimits:
+    """Limits on what callers make a process hold.
+
+    Args:
+        memory: bytes that it holds for all callers together; above it, the largest
+            holders are closed.
+        ahead: bytes that a caller may send ahead while a statement runs or answers wait
+            to be taken; above it, nothing more is read.
+        session: bytes of a session's values and prepared statements.
+        answer: bytes of the rows of one answer of a backend server.
+        line_timeout: seconds in which a line that has begun must end.
+        answer_timeout: seconds in which a caller must take some of an answer.
+        requests: connections that each HTTP port keeps open.
+    """
+
+    memory: int = 0
+    ahead: int = 256 << 10
+    session: int = 2 << 20
+    answer: int = 0
+    line_timeout: float = 15.0
+    answer_timeout: float = 15.0
+    requests: int = 48
+
+
+def compute_caller_limits(memory: int = DEFAULT_MEMORY) -> CallerLimits:
+    """Return the limits that follow from the memory limit of a process.
+
+    What it holds takes several times its size while it is parsed, encoded and sent.
+
+    Args:
+        memory: memory limit of the process, in bytes.
+    """
+    share = max(MIN_CALLER_MEMORY, (memory - PROCESS_MEMORY) // COPIES)
+    return CallerLimits(memory=share, answer=share // 8)
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class VmSettings:
     """Location, addresses and limits of a VM.
@@ -47,6 +93,7 @@
         descriptors: limit of file descriptors, most of them for callers' connections.
         memory: memory limit of the process, in bytes.
         account_bounds: how promptly keys and rates of client accounts must take effect.
+        caller_limits: limits on what callers make the process hold.
     """
 
     name: str
@@ -66,3 +113,4 @@
     descriptors: int
     memory: int = DEFAULT_MEMORY
     account_bounds: AccountBounds = AccountBounds()
+    caller_limits: CallerLimits = compute_caller_limits()
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -12,6 +12,7 @@
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._rate_state import RateState
 from ._server_state import Connection, Server
+from ._settings import CallerLimits
 from ._starts import StartCounts
 from ._stop_counts import StopCounts
 from ._types import (
@@ -180,6 +181,7 @@
         closing: whether to close the session once it has no open transaction.
         end_ordered: whether its connection is to be closed.
         active_at: when its last statement arrived or was answered.
+        held: bytes of its values and prepared statements.
         account: name of its client account, empty without one.
         key: the key by which its caller was identified.
     """
@@ -196,6 +198,7 @@
     closing: bool = False
     end_ordered: bool = False
     active_at: float = 0.0
+    held: int = 0
 
     @property
     def state(self) -> TransactionState:
@@ -324,6 +327,7 @@
         zone: its availability zone.
         regions: region by availability zone.
         grace: time from SIGTERM to SIGKILL, in seconds.
+        session_limit: bytes that values and prepared statements of a session may take.
         random: seeded generator for every random choice.
         store_era: the store's newest known era, 0 while it has reported none.
         store_era_since: when this VM learned of that era.
@@ -370,6 +374,7 @@
     regions: dict[str, str]
     grace: float
     random: random.Random
+    session_limit: int = CallerLimits().session
     now: float = 0.0
     started_at: float = 0.0
     configuration: Configuration | None = None
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -1,6 +1,8 @@
 """Connections to backend servers over the line protocol."""
 
 import asyncio
+import logging
+import sys
 from collections import deque
 from collections.abc import Callable
 
@@ -19,6 +21,7 @@
 )
 from ._clock import read_clock
 from ._codec import AnswerLine, AnswerLineKind, LineCodec
+from ._memory import Holder, MemoryAccount
 from ._protocol import LineProtocol
 
 CONNECT_TIMEOUT = 0.7
@@ -39,6 +42,11 @@
 )
 """Commands whose answer is the server's status report."""
 
+UNCOUNTED_BYTES = 1 << 16
+"""Bytes of an answer up to which it is not counted while it arrives."""
+
+_log = logging.getLogger(__name__)
+
 Emit = Callable[[Event], None]
 
 
@@ -48,9 +56,23 @@
     Args:
         vm: name that this VM gives to servers when it connects.
         codec: encodes commands and parses answers.
+        memory: account of what the process holds.
+        answer_limit: bytes of the rows of one answer; a larger one is dropped.
+        observe: called with the name and the value of a metric.
     """
 
-    def __init__(self, *, vm: str, codec: LineCodec) -> None:
+    def __init__(
+        self,
+        *,
+        vm: str,
+        codec: LineCodec,
+        memory: MemoryAccount,
+        answer_limit: int,
+        observe: Callable,
+    ) -> None:
+        self.observe = observe
+        self.memory = memory
+        self.answer_limit = answer_limit
         self.vm = vm
         self.codec = codec
         self.connections: dict[int, _BackendProtocol] = {}
@@ -123,9 +145,11 @@
             protocol.abort()
 
 
-class _BackendProtocol(LineProtocol):
+class _BackendProtocol(LineProtocol, Holder):
     """One connection to a backend server."""
 
+    kind = "server"
+
     def __init__(
         self, *, backends: LineBackends, number: int, user_timeout: float
     ) -> None:
@@ -135,9 +159,49 @@
         self.outstanding: deque[CommandKind] = deque()
         self.opened = asyncio.Event()
         self._rows: list[str] = []
+        self._row_bytes = 0
+        self._too_large = False
         self._final_line: AnswerLine | None = None
         self._ended = False
 
+    @property
+    def held(self) -> int:
+        """Bytes of the answer that arrives, and of what is still to be sent."""
+        unsent = 0
+        if self.transport is not None:
+            unsent = self.transport.get_write_buffer_size()
+        return len(self._buffer) + self._row_bytes + unsent
+
+    def release(self) -> None:
+        """Drop the rows of the answer; the caller is told at its end."""
+        if not self._too_large:
+            self._backends.observe("answers_dropped_total", 1)
+            _log.warning(
+                "event=answer_dropped connection=%d held=%d", self._number, self.held
+            )
+        self._drop_rows()
+        self._too_large = True
+
+    def _drop_rows(self) -> None:
+        """Forget the rows of the answer."""
+        self._rows = []
+        self._row_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Handle all complete lines, and count what is held meanwhile."""
+        super().data_received(data)
+        if len(self._buffer) + self._row_bytes > UNCOUNTED_BYTES:
+            self._backends.memory.update(self)
+
+    def _add_row(self, row: str) -> None:
+        """Keep a row of the answer unless the answer is too large."""
+        if self._too_large:
+            return
+        self._rows.append(row)
+        self._row_bytes += sys.getsizeof(row)
+        if self._row_bytes > self._backends.answer_limit:
+            self.release()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Report the loss unless it was reported before."""
         silent = isinstance(error, TimeoutError)
@@ -157,6 +221,9 @@
         """Abort the connection without an event."""
         self._ended = True
         self.opened.set()
+        self._drop_rows()
+        self._buffer.clear()
+        self._backends.memory.remove(self)
         if self.transport is not None:
             self.transport.abort()
             self.transport = None
@@ -169,7 +236,7 @@
         """Add a line to the current answer; emit the answer once it is complete."""
         answer_line = self._backends.codec.parse_answer_line(line)
         if answer_line.kind is AnswerLineKind.ROW:
-            self._rows.append(answer_line.text)
+            self._add_row(answer_line.text)
         elif answer_line.kind is AnswerLineKind.GARBLED:
             self.fail(LossReason.GARBLED)
         elif not self.opened.is_set():
@@ -209,16 +276,21 @@
             self.fail(LossReason.GARBLED)
             return
         rows = tuple(self._rows)
-        self._rows = []
+        self._drop_rows()
+        self._backends.memory.remove(self)
+        refusal, detail = final_line.refusal, final_line.text
+        if self._too_large:
+            self._too_large = False
+            refusal, detail = Refusal.FAILED, "answer_too_large"
         self._final_line = None
         status = None
         if self.outstanding.popleft() in STATUS_COMMANDS:
             status = self._backends.codec.parse_status_rows(rows)
         answer = Answer(
             rows=rows,
-            signature=final_line.text if final_line.refusal is None else "-",
-            refusal=final_line.refusal,
-            detail=final_line.text if final_line.refusal is not None else "",
+            signature=detail if refusal is None else "-",
+            refusal=refusal,
+            detail=detail if refusal is not None else "",
             transaction=ready.transaction,
             position=ready.position,
             status=status,
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import sys
 from collections import deque
 
 from ..direct import (
@@ -18,6 +19,7 @@
 )
 from ._clock import read_clock
 from ._codec import ConnectRequest, DisconnectRequest, MalformedLine
+from ._memory import Holder
 from ._protocol import LineProtocol
 from ._relay import RelayProtocol, open_relay
 
@@ -41,7 +43,7 @@
 _log = logging.getLogger(__name__)
 
 
-class CallerProtocol(LineProtocol):
+class CallerProtocol(LineProtocol, Holder):
     """One caller's connection; it submits one statement at a time.
 
     `finish` ends it after all written data, `finish_if_answered` only if its caller is
@@ -49,6 +51,8 @@
     was not sent.
     """
 
+    kind = "caller"
+
     def __init__(self, *, callers, relayed: bool) -> None:
         super().__init__(user_timeout=USER_TIMEOUT)
         self._callers = callers
@@ -63,6 +67,14 @@
         self._write_ended = False
         self._finishing = False
         self._rejection = ""
+        self._ahead_bytes = 0
+        self._running_bytes = 0
+        self._session_bytes = 0
+        self._partial_since = 0.0
+        self._progress = (0, 0.0)
+        self._reading_paused = False
+        self._write_paused = False
+        self._released = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Refuse the connection if there are too many."""
@@ -81,13 +93,115 @@
         """Return whether it was opened before a time and no line has arrived yet."""
         return not self._session and self._opened_at < opened_before
 
+    def find_stall(self, now: float) -> str:
+        """Return what the caller has stopped to do in the middle, empty for nothing."""
+        limits = self._callers.limits
+        unsent, since = self._progress
+        if not self.unsent or self.unsent != unsent:
+            self._progress = (self.unsent, now)
+        elif now - since >= limits.answer_timeout:
+            return "answer_not_taken"
+        if self._partial_since and not self._reading_paused:
+            if now - self._partial_since >= limits.line_timeout:
+                return "line_not_ended"
+        return ""
+
+    @property
+    def held(self) -> int:
+        """Bytes that this process holds for the caller."""
+        if self._released:
+            return 0
+        held = len(self._buffer) + self._ahead_bytes + self._running_bytes
+        if self._relay is not None:
+            held += self._relay.held
+        return held + self._session_bytes + self.unsent
+
+    def release(self) -> None:
+        """Refuse the caller, or cut it off if it is owed an answer."""
+        _log.warning(
+            "event=caller_released session=%d peer=%s held=%d buffered=%d ahead=%d "
+            "running=%d session_bytes=%d unsent=%d",
+            self._session,
+            self.peer,
+            self.held,
+            len(self._buffer),
+            self._ahead_bytes,
+            self._running_bytes,
+            self._session_bytes,
+            self.unsent,
+        )
+        owed = self.unanswered or self.unsent or self._relaying
+        self._drop_lines()
+        self._released = True
+        if owed:
+            self.abort()
+            return
+        refusal = self._callers.codec.encode_refusal(Refusal.OVERLOAD, "memory")
+        self.write(refusal)
+        self._write_ended = True
+        self.close()
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller, for log lines."""
+        if self.transport is None:
+            return ""
+        peer = self.transport.get_extra_info("peername") or ("", 0)
+        return f"{peer[0]}:{peer[1]}"
+
+    def _drop_lines(self) -> None:
+        """Forget what was read and not yet handled."""
+        self._lines_ahead.clear()
+        self._buffer.clear()
+        self._ahead_bytes = 0
+
+    def pause_writing(self) -> None:
+        """Handle no further statements until the caller has taken its answers."""
+        self._write_paused = True
+        if self._relay is not None:
+            self._relay.pause()
+
+    def resume_writing(self) -> None:
+        """Go on once the caller has taken most of its answers."""
+        self._write_paused = False
+        if self._relay is not None:
+            self._relay.resume()
+        else:
+            self._handle_lines_ahead()
+        self._update_flow()
+
+    def _update_flow(self) -> None:
+        """Count what is held; read on only if little has been sent ahead."""
+        self._callers.memory.update(self)
+        if self.transport is None or self.transport.is_closing():
+            return
+        waiting = len(self._buffer) + self._ahead_bytes
+        awaiting = self._busy or self._write_paused
+        if self._relay is not None:
+            waiting += self._relay.waiting_bytes
+            awaiting = awaiting or self._relay.outstanding > 0
+        pause = awaiting and waiting > self._callers.limits.ahead
+        if pause and not self._write_ended and not self._reading_paused:
+            self._reading_paused = True
+            self._callers.observe("reading_paused_total")
+            self.transport.pause_reading()
+        elif self._reading_paused and not pause:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read from the caller again; a line that has begun gets its whole time."""
+        self._reading_paused = False
+        self._partial_since = read_clock() if self._buffer else 0.0
+        self.transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Report that the caller has disconnected."""
         self.transport = None
         if self in self._callers.open:
             self._callers.open.remove(self)
             self._callers.relayed -= self._relaying
-        self._lines_ahead.clear()
+        self._drop_lines()
+        self._callers.memory.remove(self)
         if self._relay is not None:
             self._relay.close()
         if not self._session:
@@ -98,8 +212,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle all complete lines, none once this VM has ended the connection."""
-        if not self._write_ended:
-            super().data_received(data)
+        if self._write_ended or self._released:
+            return
+        super().data_received(data)
+        if not self._buffer:
+            self._partial_since = 0.0
+        elif not self._partial_since or len(self._buffer) < len(data):
+            self._partial_since = read_clock()
+        self._update_flow()
 
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the caller if the connection is relayed, else handle it.
@@ -107,23 +227,32 @@
         Until the caller is accepted or relayed, and while a statement runs, further
         lines wait; each is handled after the answer to the one before.
         """
-        if self._write_ended or self._rejection:
+        if self._write_ended or self._rejection or self._released:
             return
         if self._relay is not None:
             self._relay.forward(line)
             if self._relay.detached:
                 self._end_relay()
-        elif not self._busy:
+        elif not self._busy and not self._write_paused:
             self._handle_message(line)
         elif len(self._lines_ahead) >= MAX_LINES_AHEAD:
             self._reject_line("too_many_statements_ahead")
         else:
             self._lines_ahead.append(line)
+            self._ahead_bytes += len(line)
+
+    def _take_line_ahead(self) -> bytes:
+        """Return the oldest line that waits, which it does no longer."""
+        line = self._lines_ahead.popleft()
+        self._ahead_bytes -= len(line)
+        return line
 
     def _handle_lines_ahead(self) -> None:
         """Handle the lines that waited, up to the next one that takes time."""
         while self._lines_ahead and not self._busy and not self._write_ended:
-            self._handle_message(self._lines_ahead.popleft())
+            if self._write_paused or self._released:
+                return
+            self._handle_message(self._take_line_ahead())
         if self._rejection and not self._busy:
             self._reject_line(self._rejection)
 
@@ -217,21 +346,27 @@
         self._relay = relay
         relay.start_forwarding()
         self._forward_lines_ahead()
+        self._update_flow()
 
     def _forward_lines_ahead(self) -> None:
         """Forward the lines that waited for the relay."""
         while self._lines_ahead:
-            self._relay.forward(self._lines_ahead.popleft())
+            self._relay.forward(self._take_line_ahead())
 
     def _make_relay(self) -> RelayProtocol:
         """Return the protocol of a relay for this connection."""
         return RelayProtocol(
             codec=self._callers.codec,
-            write=self.write,
+            write=self._write_relayed,
             lost=self._end_relay,
             session=self._session,
         )
 
+    def _write_relayed(self, data: bytes) -> None:
+        """Send a part of a holder's answer."""
+        self.write(data)
+        self._update_flow()
+
     @property
     def unanswered(self) -> int:
         """Number of statements that were read and have no whole answer yet."""
@@ -278,6 +413,8 @@
         """Emit a statement; later lines wait until it is answered."""
         self._busy = True
         self._finishing = False
+        self._running_bytes = sys.getsizeof(statement.text)
+        self._running_bytes += sys.getsizeof(statement.value)
         self._callers.emit(
             CallerStatement(at=read_clock(), session=self._session, statement=statement)
         )
@@ -287,7 +424,8 @@
 
         Statements before that line are answered first.
         """
-        if self._busy and not self._relaying:
+        waiting = self._busy or (self._write_paused and self._lines_ahead)
+        if waiting and not self._relaying:
             self._rejection = reason
             return
         _log.warning(
@@ -296,11 +434,18 @@
         self.write(self._callers.codec.encode_refusal(Refusal.MALFORMED, reason))
         self.finish(linger=REJECTION_LINGER_PERIOD)
 
-    def answer(self, answer: Answer) -> None:
-        """Send the answer, then handle the lines that waited for it."""
+    def answer(self, answer: Answer, held: int) -> None:
+        """Send the answer, then handle the lines that waited for it.
+
+        Args:
+            held: bytes of the session's values and prepared statements.
+        """
         self._busy = False
+        self._running_bytes = 0
+        self._session_bytes = held
         self.write(self._callers.codec.encode_answer(answer))
         self._handle_lines_ahead()
+        self._update_flow()
 
     def finish_if_answered(self) -> None:
         """End the connection unless a statement has arrived that has no answer yet.
@@ -343,6 +488,8 @@
         if self._write_ended or self.transport is None or self.transport.is_closing():
             return
         self._write_ended = True
+        if self._reading_paused:
+            self._resume_reading()
         self.transport.write_eof()
         self._close_after(linger)
 
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -9,6 +9,7 @@
 
 from ..direct import (
     AcceptCaller,
+    CallerLimits,
     CloseCaller,
     CloseRelays,
     Event,
@@ -17,12 +18,14 @@
     RelayCaller,
     ReplyCaller,
     VmEntry,
+    compute_caller_limits,
     find_silent_holders,
 )
 from ..listener import BACKLOG, open_listener
 from ._caller_protocol import CallerProtocol
 from ._clock import read_clock
 from ._codec import LineCodec
+from ._memory import MemoryAccount
 from ._relay import is_reachable
 
 FIRST_LINE_TIMEOUT = 5.0
@@ -59,6 +62,9 @@
         limit: maximum number of file descriptors for callers. A caller takes one, and
             one that is relayed takes two.
         listener: socket that already listens on the port; by default one is opened.
+        limits: limits on what callers make the process hold.
+        observe: called with the name, the value and the label of a metric.
+        memory: account of what the process holds; by default one is created.
     """
 
     def __init__(
@@ -70,6 +76,9 @@
         codec: LineCodec,
         limit: int,
         listener: socket.socket | None = None,
+        limits: CallerLimits = compute_caller_limits(),
+        observe: Callable[[str, float, str], None] | None = None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self._host = host
         self._port = port
@@ -77,6 +86,11 @@
         self._listener = listener
         self.codec = codec
         self.limit = limit
+        self.limits = limits
+        self._observe = observe
+        if memory is None:
+            memory = MemoryAccount(limit=limits.memory, observe=self.observe)
+        self.memory = memory
         self.connections: dict[int, CallerProtocol] = {}
         self.open: set[CallerProtocol] = set()
         self.relayed = 0
@@ -123,8 +137,13 @@
         """Whether no descriptor is left for a further caller."""
         return len(self.open) + self.relayed >= self.limit
 
+    def observe(self, metric: str, value: float = 1, label: str = "") -> None:
+        """Add a value to a metric."""
+        if self._observe is not None:
+            self._observe(metric, value, label)
+
     async def watch_silent_callers(self) -> None:
-        """Close connections whose caller sends nothing; never returns.
+        """Close connections whose caller has stopped; never returns.
 
         They take descriptors that other callers need.
         """
@@ -139,6 +158,26 @@
                 connection.close()
             if silent:
                 _log.warning("event=silent_callers_closed count=%d", len(silent))
+            self._close_stalled(now)
+            self.observe("held_bytes", self.memory.total)
+
+    def _close_stalled(self, now: float) -> None:
+        """Close connections whose caller has stopped in the middle of something."""
+        closed: dict[str, list[str]] = {}
+        for connection in list(self.open):
+            reason = connection.find_stall(now)
+            if not reason:
+                continue
+            closed.setdefault(reason, []).append(connection.peer)
+            self.observe("stalled_callers_total", 1, reason)
+            connection.abort()
+        for reason, peers in closed.items():
+            _log.warning(
+                "event=stalled_callers_closed reason=%s count=%d first=%s",
+                reason,
+                len(peers),
+                peers[0],
+            )
 
     def accept(self, effect: AcceptCaller) -> None:
         """Accept a caller's connection."""
@@ -214,7 +253,7 @@
         """Answer a statement."""
         connection = self.connections.get(effect.session)
         if connection is not None:
-            connection.answer(effect.answer)
+            connection.answer(effect.answer, effect.held)
 
     def close(self, effect: CloseCaller) -> None:
         """End a caller's connection, as the effect demands."""
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -31,6 +31,15 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of `SO_LINGER` with which a closed connection discards its unsent bytes."""
 
+MAX_ANSWER_SIZE = 8 << 20
+"""Bytes of an answer's body; an answer with a larger one has failed."""
+
+MAX_CONNECTIONS = 48
+"""Connections that a server keeps open by default."""
+
+CLOSE_TIMEOUT = 2.0
+"""Seconds in which the other side must take what was sent before a close."""
+
 REQUEST_TIMEOUT = 5.0
 """Seconds that the server waits for the next bytes of a request."""
 
@@ -226,6 +235,7 @@
         status = 0
         headers = {}
         content = []
+        size = 0
         while True:
             event = self._state.next_event()
             if event is h11.NEED_DATA:
@@ -239,6 +249,9 @@
                 for name, value in event.headers:
                     headers[name.decode("ascii")] = value.decode("latin-1")
             elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_ANSWER_SIZE:
+                    raise HttpFailure(f"answer exceeds {MAX_ANSWER_SIZE} bytes")
                 content.append(bytes(event.data))
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 return HttpAnswer(
@@ -282,9 +295,23 @@
         port: TCP port.
         answer: returns the answer for a path, or a coroutine that does; None for
             status 404.
+        max_connections: connections that are kept open; for a further one, the one
+            that has waited longest for a request is closed.
+        observe: called with the name and the value of a metric.
     """
 
-    def __init__(self, *, host: str, port: int, answer: Callable) -> None:
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        answer: Callable,
+        max_connections: int = MAX_CONNECTIONS,
+        observe: Callable | None = None,
+    ) -> None:
+        self._max_connections = max_connections
+        self._observe = observe
+        self._open: dict[asyncio.StreamWriter, bool] = {}
         self._host = host
         self._port = port
         self._answer = answer
@@ -308,6 +335,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer requests on a connection until either side closes it."""
+        if len(self._open) >= self._max_connections:
+            self._close_longest_waiting()
+        self._open[writer] = True
         state = h11.Connection(our_role=h11.SERVER)
         try:
             while await self._serve_one(state, reader, writer):
@@ -318,7 +348,23 @@
         except h11.RemoteProtocolError:
             writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
         finally:
+            self._open.pop(writer, None)
             writer.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_TIMEOUT, writer.transport.abort)
+
+    def _close_longest_waiting(self) -> None:
+        """Close the connection that has waited longest for a request.
+
+        While all are being answered, it is the oldest one.
+        """
+        found = next((writer for writer, waits in self._open.items() if waits), None)
+        if found is None:
+            found = next(iter(self._open))
+        del self._open[found]
+        found.transport.abort()
+        if self._observe is not None:
+            self._observe("requests_closed_total", 1)
 
     async def _serve_one(self, state, reader, writer) -> bool:
         """Answer one request; return whether the connection can be reused."""
@@ -334,6 +380,10 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
+        # Its place among those that wait is the last one again afterwards.
+        if self._open.pop(writer, None) is None:
+            return False
+        self._open[writer] = False
         answer = self._answer(path)
         if asyncio.iscoroutine(answer):
             answer = await answer
@@ -348,6 +398,8 @@
                 await self._send(state, writer, answer)
             finally:
                 self._large_answers -= 1
+        if writer in self._open:
+            self._open[writer] = True
         return state.our_state is h11.DONE and state.their_state is h11.DONE
 
     async def _send(self, state, writer, answer: HttpAnswer) -> None:
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -40,7 +40,7 @@
 """Connection attempts to a silent holder, each with `CONNECT_TIMEOUT`, until it counts
 as lost: a single packet may get lost."""
 
-MAX_WRITE_BUFFER = 1 << 20
+MAX_WRITE_BUFFER = 2 << 20
 """Unsent bytes above which a relay is aborted, as the holder doesn't read."""
 
 _log = logging.getLogger(__name__)
@@ -83,6 +83,8 @@
         self._sent_at = 0.0
         self._received_at = 0.0
         self._closing = False
+        self._paused = False
+        self.waiting_bytes = 0
         self.holder: VmEntry | None = None
         self.answered = asyncio.Event()
 
@@ -120,6 +122,27 @@
         if self.transport is None:
             self._lost()
 
+    @property
+    def held(self) -> int:
+        """Bytes that it holds in either direction."""
+        unsent = 0
+        if self.transport is not None:
+            unsent = self.transport.get_write_buffer_size()
+        return self.waiting_bytes + unsent + len(self._buffer)
+
+    def pause(self) -> None:
+        """Read no more from the holder until the caller has taken its answers."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read from the holder again."""
+        if self._paused:
+            self._paused = False
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+
     @property
     def outstanding(self) -> int:
         """Number of lines that the holder has not answered yet."""
@@ -143,9 +166,10 @@
     @property
     def activity(self) -> RelayActivity:
         """Recent traffic, by which a silent holder is found."""
+        waits = self._unanswered and not self._paused
         return RelayActivity(
             holder=self.holder.name,
-            waiting_since=self._sent_at if self._unanswered else None,
+            waiting_since=self._sent_at if waits else None,
             received_at=self._received_at,
         )
 
@@ -193,6 +217,7 @@
         if not self._unanswered:
             self._sent_at = read_clock()
         self._unanswered.append(_Line(data=line, forwarded=forwarded))
+        self.waiting_bytes += len(line)
         if not forwarded:
             return
         self._last_line = line
@@ -217,7 +242,7 @@
             self._partly_answered = True
         if answer_line.kind is AnswerLineKind.READY:
             if self._unanswered:
-                self._unanswered.popleft()
+                self.waiting_bytes -= len(self._unanswered.popleft().data)
             self._partly_answered = False
             self._state = answer_line.transaction
             if self._closing and self.idle:
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -31,6 +31,7 @@
 from ._http import HttpAnswer
 from ._inquiries import answer_inquiry
 from ._log import DecisionLog, LineHandler
+from ._memory import MemoryAccount
 from ._metrics import METRICS
 from ._presence import PresencePort
 from ._probe import ProbeServer
@@ -104,6 +105,9 @@
         )
         logging.getLogger("siskinhold").setLevel(logging.INFO)
         registry = CollectorRegistry()
+        metrics = Metrics(METRICS, registry)
+        limits = settings.caller_limits
+        memory = MemoryAccount(limit=limits.memory, observe=metrics.observe)
         self._client = self._make_client(settings)
         self._callers = LineCallers(
             host=settings.host,
@@ -112,8 +116,17 @@
             listener=self._listener,
             codec=self._codec,
             limit=max(1, settings.descriptors - RESERVED_DESCRIPTORS),
+            limits=limits,
+            observe=metrics.observe,
+            memory=memory,
+        )
+        self._backends = LineBackends(
+            vm=settings.name,
+            codec=self._codec,
+            memory=memory,
+            answer_limit=limits.answer,
+            observe=metrics.observe,
         )
-        self._backends = LineBackends(vm=settings.name, codec=self._codec)
         self._probe = ProbeServer(
             host=settings.host,
             ready_path=self._ready_path,
@@ -121,6 +134,8 @@
             metrics_port=settings.metrics_port,
             control_port=settings.control_port,
             registry=registry,
+            max_connections=limits.requests,
+            observe=metrics.observe,
         )
         self.driver = DirectDriver(
             entry=_make_vm_entry(settings),
@@ -130,7 +145,7 @@
             client=self._client,
             probe=self._probe,
             log=self._log,
-            metrics=Metrics(METRICS, registry),
+            metrics=metrics,
         )
         self._probe.answer_peer = self._answer_peer
         health = StoreHealth()
@@ -309,6 +324,7 @@
         zone=settings.zone,
         regions=settings.regions,
         grace=settings.grace,
+        session_limit=settings.caller_limits.session,
         random=random.Random(secrets.randbits(64)),
         accounts=AccountState(bounds=settings.account_bounds),
     )
