Close HTTP connections that pipeline, and split the callers' flow

Closed connections kept their buffers for 2 s.

Change: a connection that sends a request before the answer to the last one is closed after that answer, and closing waits only for unsent bytes. What is held for a caller, and the connections of an HTTP port, have modules of their own.

--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -167,10 +167,7 @@
     @property
     def held(self) -> int:
         """Bytes of the answer that arrives, and of what is still to be sent."""
-        unsent = 0
-        if self.transport is not None:
-            unsent = self.transport.get_write_buffer_size()
-        return len(self._buffer) + self._row_bytes + unsent
+        return len(self._buffer) + self._row_bytes + self.unsent
 
     def release(self) -> None:
         """Drop the rows of the answer; the caller is told at its end."""
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import sys
-from collections import deque
 
 from ..direct import (
     Answer,
@@ -17,10 +16,9 @@
     RelayClosing,
     Statement,
 )
+from ._caller_flow import CallerFlow
 from ._clock import read_clock
 from ._codec import ConnectRequest, DisconnectRequest, MalformedLine
-from ._memory import Holder
-from ._protocol import LineProtocol
 from ._relay import RelayProtocol, open_relay
 
 USER_TIMEOUT = 10.0
@@ -43,7 +41,7 @@
 _log = logging.getLogger(__name__)
 
 
-class CallerProtocol(LineProtocol, Holder):
+class CallerProtocol(CallerFlow):
     """One caller's connection; it submits one statement at a time.
 
     `finish` ends it after all written data, `finish_if_answered` only if its caller is
@@ -51,30 +49,13 @@
     was not sent.
     """
 
-    kind = "caller"
-
     def __init__(self, *, callers, relayed: bool) -> None:
-        super().__init__(user_timeout=USER_TIMEOUT)
-        self._callers = callers
+        super().__init__(callers=callers, user_timeout=USER_TIMEOUT)
         self._relayed = relayed
-        self._session = 0
-        self._busy = False
-        self._lines_ahead: deque[bytes] = deque()
         self._connect_line = b""
-        self._relay: RelayProtocol | None = None
-        self._relaying = False
         self._opened_at = 0.0
-        self._write_ended = False
         self._finishing = False
         self._rejection = ""
-        self._ahead_bytes = 0
-        self._running_bytes = 0
-        self._session_bytes = 0
-        self._partial_since = 0.0
-        self._progress = (0, 0.0)
-        self._reading_paused = False
-        self._write_paused = False
-        self._released = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Refuse the connection if there are too many."""
@@ -93,107 +74,6 @@
         """Return whether it was opened before a time and no line has arrived yet."""
         return not self._session and self._opened_at < opened_before
 
-    def find_stall(self, now: float) -> str:
-        """Return what the caller has stopped to do in the middle, empty for nothing."""
-        limits = self._callers.limits
-        unsent, since = self._progress
-        if not self.unsent or self.unsent != unsent:
-            self._progress = (self.unsent, now)
-        elif now - since >= limits.answer_timeout:
-            return "answer_not_taken"
-        if self._partial_since and not self._reading_paused:
-            if now - self._partial_since >= limits.line_timeout:
-                return "line_not_ended"
-        return ""
-
-    @property
-    def held(self) -> int:
-        """Bytes that this process holds for the caller."""
-        if self._released:
-            return 0
-        held = len(self._buffer) + self._ahead_bytes + self._running_bytes
-        if self._relay is not None:
-            held += self._relay.held
-        return held + self._session_bytes + self.unsent
-
-    def release(self) -> None:
-        """Refuse the caller, or cut it off if it is owed an answer."""
-        _log.warning(
-            "event=caller_released session=%d peer=%s held=%d buffered=%d ahead=%d "
-            "running=%d session_bytes=%d unsent=%d",
-            self._session,
-            self.peer,
-            self.held,
-            len(self._buffer),
-            self._ahead_bytes,
-            self._running_bytes,
-            self._session_bytes,
-            self.unsent,
-        )
-        owed = self.unanswered or self.unsent or self._relaying
-        self._drop_lines()
-        self._released = True
-        if owed:
-            self.abort()
-            return
-        refusal = self._callers.codec.encode_refusal(Refusal.OVERLOAD, "memory")
-        self.write(refusal)
-        self._write_ended = True
-        self.close()
-
-    @property
-    def peer(self) -> str:
-        """Address of the caller, for log lines."""
-        if self.transport is None:
-            return ""
-        peer = self.transport.get_extra_info("peername") or ("", 0)
-        return f"{peer[0]}:{peer[1]}"
-
-    def _drop_lines(self) -> None:
-        """Forget what was read and not yet handled."""
-        self._lines_ahead.clear()
-        self._buffer.clear()
-        self._ahead_bytes = 0
-
-    def pause_writing(self) -> None:
-        """Handle no further statements until the caller has taken its answers."""
-        self._write_paused = True
-        if self._relay is not None:
-            self._relay.pause()
-
-    def resume_writing(self) -> None:
-        """Go on once the caller has taken most of its answers."""
-        self._write_paused = False
-        if self._relay is not None:
-            self._relay.resume()
-        else:
-            self._handle_lines_ahead()
-        self._update_flow()
-
-    def _update_flow(self) -> None:
-        """Count what is held; read on only if little has been sent ahead."""
-        self._callers.memory.update(self)
-        if self.transport is None or self.transport.is_closing():
-            return
-        waiting = len(self._buffer) + self._ahead_bytes
-        awaiting = self._busy or self._write_paused
-        if self._relay is not None:
-            waiting += self._relay.waiting_bytes
-            awaiting = awaiting or self._relay.outstanding > 0
-        pause = awaiting and waiting > self._callers.limits.ahead
-        if pause and not self._write_ended and not self._reading_paused:
-            self._reading_paused = True
-            self._callers.observe("reading_paused_total")
-            self.transport.pause_reading()
-        elif self._reading_paused and not pause:
-            self._resume_reading()
-
-    def _resume_reading(self) -> None:
-        """Read from the caller again; a line that has begun gets its whole time."""
-        self._reading_paused = False
-        self._partial_since = read_clock() if self._buffer else 0.0
-        self.transport.resume_reading()
-
     def connection_lost(self, error: Exception | None) -> None:
         """Report that the caller has disconnected."""
         self.transport = None
@@ -241,12 +121,6 @@
             self._lines_ahead.append(line)
             self._ahead_bytes += len(line)
 
-    def _take_line_ahead(self) -> bytes:
-        """Return the oldest line that waits, which it does no longer."""
-        line = self._lines_ahead.popleft()
-        self._ahead_bytes -= len(line)
-        return line
-
     def _handle_lines_ahead(self) -> None:
         """Handle the lines that waited, up to the next one that takes time."""
         while self._lines_ahead and not self._busy and not self._write_ended:
@@ -375,13 +249,6 @@
             waiting = max(0, self._relay.outstanding)
         return waiting
 
-    @property
-    def unsent(self) -> int:
-        """Bytes that were written but not sent yet."""
-        if self.transport is None:
-            return 0
-        return self.transport.get_write_buffer_size()
-
     @property
     def relay_connection(self) -> RelayProtocol | None:
         """The relay's open connection to a holder, None without one."""
@@ -488,8 +355,7 @@
         if self._write_ended or self.transport is None or self.transport.is_closing():
             return
         self._write_ended = True
-        if self._reading_paused:
-            self._resume_reading()
+        self.resume()
         self.transport.write_eof()
         self._close_after(linger)
 
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -14,6 +14,7 @@
 import h11
 
 from ._clock import read_clock
+from ._http_connections import MAX_CONNECTIONS, OpenConnections
 
 CHUNK_SIZE = 1 << 16
 """Maximum number of bytes in one read."""
@@ -34,12 +35,6 @@
 MAX_ANSWER_SIZE = 8 << 20
 """Bytes of an answer's body; an answer with a larger one has failed."""
 
-MAX_CONNECTIONS = 48
-"""Connections that a server keeps open by default."""
-
-CLOSE_TIMEOUT = 2.0
-"""Seconds in which the other side must take what was sent before a close."""
-
 REQUEST_TIMEOUT = 5.0
 """Seconds that the server waits for the next bytes of a request."""
 
@@ -232,10 +227,9 @@
             data += self._state.send(h11.Data(data=body))
         data += self._state.send(h11.EndOfMessage())
         self._writer.write(data)
-        status = 0
+        status = size = 0
         headers = {}
         content = []
-        size = 0
         while True:
             event = self._state.next_event()
             if event is h11.NEED_DATA:
@@ -285,7 +279,7 @@
 
 
 class HttpServer:
-    """Answers `GET` requests on one port, without pipelining.
+    """Answers `GET` requests on one port; a connection that pipelines is closed.
 
     A request for a large answer gets status 503 while `MAX_LARGE_ANSWERS` are being
     sent: many VMs may ask for the configuration at once over a slow link.
@@ -295,8 +289,7 @@
         port: TCP port.
         answer: returns the answer for a path, or a coroutine that does; None for
             status 404.
-        max_connections: connections that are kept open; for a further one, the one
-            that has waited longest for a request is closed.
+        max_connections: connections that are kept open, see `OpenConnections`.
         observe: called with the name and the value of a metric.
     """
 
@@ -309,9 +302,7 @@
         max_connections: int = MAX_CONNECTIONS,
         observe: Callable | None = None,
     ) -> None:
-        self._max_connections = max_connections
-        self._observe = observe
-        self._open: dict[asyncio.StreamWriter, bool] = {}
+        self._open = OpenConnections(limit=max_connections, observe=observe)
         self._host = host
         self._port = port
         self._answer = answer
@@ -335,9 +326,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer requests on a connection until either side closes it."""
-        if len(self._open) >= self._max_connections:
-            self._close_longest_waiting()
-        self._open[writer] = True
+        self._open.add(writer)
         state = h11.Connection(our_role=h11.SERVER)
         try:
             while await self._serve_one(state, reader, writer):
@@ -348,23 +337,7 @@
         except h11.RemoteProtocolError:
             writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
         finally:
-            self._open.pop(writer, None)
-            writer.close()
-            loop = asyncio.get_running_loop()
-            loop.call_later(CLOSE_TIMEOUT, writer.transport.abort)
-
-    def _close_longest_waiting(self) -> None:
-        """Close the connection that has waited longest for a request.
-
-        While all are being answered, it is the oldest one.
-        """
-        found = next((writer for writer, waits in self._open.items() if waits), None)
-        if found is None:
-            found = next(iter(self._open))
-        del self._open[found]
-        found.transport.abort()
-        if self._observe is not None:
-            self._observe("requests_closed_total", 1)
+            self._open.close(writer)
 
     async def _serve_one(self, state, reader, writer) -> bool:
         """Answer one request; return whether the connection can be reused."""
@@ -380,10 +353,8 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
-        # Its place among those that wait is the last one again afterwards.
-        if self._open.pop(writer, None) is None:
+        if not self._open.begin_answer(writer):
             return False
-        self._open[writer] = False
         answer = self._answer(path)
         if asyncio.iscoroutine(answer):
             answer = await answer
@@ -398,9 +369,9 @@
                 await self._send(state, writer, answer)
             finally:
                 self._large_answers -= 1
-        if writer in self._open:
-            self._open[writer] = True
-        return state.our_state is h11.DONE and state.their_state is h11.DONE
+        self._open.end_answer(writer)
+        done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        return done and not state.trailing_data[0]
 
     async def _send(self, state, writer, answer: HttpAnswer) -> None:
         """Send an answer; return once the other side has taken nearly all of it.
--- a/src/siskinhold/lines/_protocol.py
+++ b/src/siskinhold/lines/_protocol.py
@@ -28,6 +28,7 @@
         self._user_timeout = user_timeout
         self._buffer = bytearray()
         self._overflowed = False
+        self._reading_paused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the socket options that detect an unresponsive connection."""
@@ -47,6 +48,27 @@
         for level, name, value in options:
             connection.setsockopt(level, name, value)
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that were written but not sent yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
+    def pause(self) -> None:
+        """Read no more until `resume` is called."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._reading_paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again if reading is paused."""
+        if not self._reading_paused:
+            return
+        self._reading_paused = False
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Handle all complete lines; keep the rest for the next call.
 
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -22,8 +22,7 @@
 from ._protocol import LineProtocol
 
 CONNECT_TIMEOUT = 0.25
-"""Seconds to connect before the next holder is tried: ten round trips to the other
-region."""
+"""Seconds to connect before the next holder is tried: ten round trips to a region."""
 
 ACCEPT_TIMEOUT = 0.6
 """Seconds that a connected holder has to accept the caller before the next is tried. A
@@ -40,9 +39,6 @@
 """Connection attempts to a silent holder, each with `CONNECT_TIMEOUT`, until it counts
 as lost: a single packet may get lost."""
 
-MAX_WRITE_BUFFER = 2 << 20
-"""Unsent bytes above which a relay is aborted, as the holder doesn't read."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -83,7 +79,6 @@
         self._sent_at = 0.0
         self._received_at = 0.0
         self._closing = False
-        self._paused = False
         self.waiting_bytes = 0
         self.holder: VmEntry | None = None
         self.answered = asyncio.Event()
@@ -116,32 +111,15 @@
     def start_forwarding(self) -> None:
         """Forward the buffered lines and all later ones to the caller."""
         self._forwarding = True
-        buffered_lines, self._buffered_lines = self._buffered_lines, []
-        for line in buffered_lines:
-            self.handle_line(line)
+        while self._buffered_lines:
+            self.handle_line(self._buffered_lines.pop(0))
         if self.transport is None:
             self._lost()
 
     @property
     def held(self) -> int:
         """Bytes that it holds in either direction."""
-        unsent = 0
-        if self.transport is not None:
-            unsent = self.transport.get_write_buffer_size()
-        return self.waiting_bytes + unsent + len(self._buffer)
-
-    def pause(self) -> None:
-        """Read no more from the holder until the caller has taken its answers."""
-        if self.transport is not None and not self.transport.is_closing():
-            self._paused = True
-            self.transport.pause_reading()
-
-    def resume(self) -> None:
-        """Read from the holder again."""
-        if self._paused:
-            self._paused = False
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
+        return self.waiting_bytes + self.unsent + len(self._buffer)
 
     @property
     def outstanding(self) -> int:
@@ -166,7 +144,7 @@
     @property
     def activity(self) -> RelayActivity:
         """Recent traffic, by which a silent holder is found."""
-        waits = self._unanswered and not self._paused
+        waits = self._unanswered and not self._reading_paused
         return RelayActivity(
             holder=self.holder.name,
             waiting_since=self._sent_at if waits else None,
@@ -222,8 +200,6 @@
             return
         self._last_line = line
         self.transport.write(line + LINE_END)
-        if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
-            self.transport.abort()
 
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the holder to the caller, or buffer it."""
