--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections import deque
+import sys
 
 from ..direct import (
     Answer,
@@ -16,9 +16,9 @@
     RelayClosing,
     Statement,
 )
+from ._caller_flow import CallerFlow
 from ._clock import read_clock
 from ._codec import ConnectRequest, DisconnectRequest, MalformedLine
-from ._protocol import LineProtocol
 from ._relay import RelayProtocol, open_relay
 
 USER_TIMEOUT = 10.0
@@ -41,7 +41,7 @@
 _log = logging.getLogger(__name__)
 
 
-class CallerProtocol(LineProtocol):
+class CallerProtocol(CallerFlow):
     """One caller's connection; it submits one statement at a time.
 
     `finish` ends it after all written data, `finish_if_answered` only if its caller is
@@ -50,17 +50,10 @@
     """
 
     def __init__(self, *, callers, relayed: bool) -> None:
-        super().__init__(user_timeout=USER_TIMEOUT)
-        self._callers = callers
+        super().__init__(callers=callers, user_timeout=USER_TIMEOUT)
         self._relayed = relayed
-        self._session = 0
-        self._busy = False
-        self._lines_ahead: deque[bytes] = deque()
         self._connect_line = b""
-        self._relay: RelayProtocol | None = None
-        self._relaying = False
         self._opened_at = 0.0
-        self._write_ended = False
         self._finishing = False
         self._rejection = ""
 
@@ -87,7 +80,8 @@
         if self in self._callers.open:
             self._callers.open.remove(self)
             self._callers.relayed -= self._relaying
-        self._lines_ahead.clear()
+        self._drop_lines()
+        self._callers.memory.remove(self)
         if self._relay is not None:
             self._relay.close()
         if not self._session:
@@ -98,8 +92,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle all complete lines, none once this VM has ended the connection."""
-        if not self._write_ended:
-            super().data_received(data)
+        if self._write_ended or self._released:
+            return
+        super().data_received(data)
+        if not self._buffer:
+            self._partial_since = 0.0
+        elif not self._partial_since or len(self._buffer) < len(data):
+            self._partial_since = read_clock()
+        self._update_flow()
 
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the caller if the connection is relayed, else handle it.
@@ -107,23 +107,26 @@
         Until the caller is accepted or relayed, and while a statement runs, further
         lines wait; each is handled after the answer to the one before.
         """
-        if self._write_ended or self._rejection:
+        if self._write_ended or self._rejection or self._released:
             return
         if self._relay is not None:
             self._relay.forward(line)
             if self._relay.detached:
                 self._end_relay()
-        elif not self._busy:
+        elif not self._busy and not self._write_paused:
             self._handle_message(line)
         elif len(self._lines_ahead) >= MAX_LINES_AHEAD:
             self._reject_line("too_many_statements_ahead")
         else:
             self._lines_ahead.append(line)
+            self._ahead_bytes += len(line)
 
     def _handle_lines_ahead(self) -> None:
         """Handle the lines that waited, up to the next one that takes time."""
         while self._lines_ahead and not self._busy and not self._write_ended:
-            self._handle_message(self._lines_ahead.popleft())
+            if self._write_paused or self._released:
+                return
+            self._handle_message(self._take_line_ahead())
         if self._rejection and not self._busy:
             self._reject_line(self._rejection)
 
@@ -217,21 +220,27 @@
         self._relay = relay
         relay.start_forwarding()
         self._forward_lines_ahead()
+        self._update_flow()
 
     def _forward_lines_ahead(self) -> None:
         """Forward the lines that waited for the relay."""
         while self._lines_ahead:
-            self._relay.forward(self._lines_ahead.popleft())
+            self._relay.forward(self._take_line_ahead())
 
     def _make_relay(self) -> RelayProtocol:
         """Return the protocol of a relay for this connection."""
         return RelayProtocol(
             codec=self._callers.codec,
-            write=self.write,
+            write=self._write_relayed,
             lost=self._end_relay,
             session=self._session,
         )
 
+    def _write_relayed(self, data: bytes) -> None:
+        """Send a part of a holder's answer."""
+        self.write(data)
+        self._update_flow()
+
     @property
     def unanswered(self) -> int:
         """Number of statements that were read and have no whole answer yet."""
@@ -240,13 +249,6 @@
             waiting = max(0, self._relay.outstanding)
         return waiting
 
-    @property
-    def unsent(self) -> int:
-        """Bytes that were written but not sent yet."""
-        if self.transport is None:
-            return 0
-        return self.transport.get_write_buffer_size()
-
     @property
     def relay_connection(self) -> RelayProtocol | None:
         """The relay's open connection to a holder, None without one."""
@@ -278,6 +280,8 @@
         """Emit a statement; later lines wait until it is answered."""
         self._busy = True
         self._finishing = False
+        self._running_bytes = sys.getsizeof(statement.text)
+        self._running_bytes += sys.getsizeof(statement.value)
         self._callers.emit(
             CallerStatement(at=read_clock(), session=self._session, statement=statement)
         )
@@ -287,7 +291,8 @@
 
         Statements before that line are answered first.
         """
-        if self._busy and not self._relaying:
+        waiting = self._busy or (self._write_paused and self._lines_ahead)
+        if waiting and not self._relaying:
             self._rejection = reason
             return
         _log.warning(
@@ -296,11 +301,18 @@
         self.write(self._callers.codec.encode_refusal(Refusal.MALFORMED, reason))
         self.finish(linger=REJECTION_LINGER_PERIOD)
 
-    def answer(self, answer: Answer) -> None:
-        """Send the answer, then handle the lines that waited for it."""
+    def answer(self, answer: Answer, held: int) -> None:
+        """Send the answer, then handle the lines that waited for it.
+
+        Args:
+            held: bytes of the session's values and prepared statements.
+        """
         self._busy = False
+        self._running_bytes = 0
+        self._session_bytes = held
         self.write(self._callers.codec.encode_answer(answer))
         self._handle_lines_ahead()
+        self._update_flow()
 
     def finish_if_answered(self) -> None:
         """End the connection unless a statement has arrived that has no answer yet.
@@ -343,6 +355,7 @@
         if self._write_ended or self.transport is None or self.transport.is_closing():
             return
         self._write_ended = True
+        self.resume()
         self.transport.write_eof()
         self._close_after(linger)
 
--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -14,6 +14,7 @@
 import h11
 
 from ._clock import read_clock
+from ._http_connections import MAX_CONNECTIONS, OpenConnections
 
 CHUNK_SIZE = 1 << 16
 """Maximum number of bytes in one read."""
@@ -31,6 +32,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of `SO_LINGER` with which a closed connection discards its unsent bytes."""
 
+MAX_ANSWER_SIZE = 8 << 20
+"""Bytes of an answer's body; an answer with a larger one has failed."""
+
 REQUEST_TIMEOUT = 5.0
 """Seconds that the server waits for the next bytes of a request."""
 
@@ -223,7 +227,7 @@
             data += self._state.send(h11.Data(data=body))
         data += self._state.send(h11.EndOfMessage())
         self._writer.write(data)
-        status = 0
+        status = size = 0
         headers = {}
         content = []
         while True:
@@ -239,6 +243,9 @@
                 for name, value in event.headers:
                     headers[name.decode("ascii")] = value.decode("latin-1")
             elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_ANSWER_SIZE:
+                    raise HttpFailure(f"answer exceeds {MAX_ANSWER_SIZE} bytes")
                 content.append(bytes(event.data))
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 return HttpAnswer(
@@ -272,7 +279,7 @@
 
 
 class HttpServer:
-    """Answers `GET` requests on one port, without pipelining.
+    """Answers `GET` requests on one port; a connection that pipelines is closed.
 
     A request for a large answer gets status 503 while `MAX_LARGE_ANSWERS` are being
     sent: many VMs may ask for the configuration at once over a slow link.
@@ -282,9 +289,20 @@
         port: TCP port.
         answer: returns the answer for a path, or a coroutine that does; None for
             status 404.
+        max_connections: connections that are kept open, see `OpenConnections`.
+        observe: called with the name and the value of a metric.
     """
 
-    def __init__(self, *, host: str, port: int, answer: Callable) -> None:
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        answer: Callable,
+        max_connections: int = MAX_CONNECTIONS,
+        observe: Callable | None = None,
+    ) -> None:
+        self._open = OpenConnections(limit=max_connections, observe=observe)
         self._host = host
         self._port = port
         self._answer = answer
@@ -308,6 +326,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer requests on a connection until either side closes it."""
+        self._open.add(writer)
         state = h11.Connection(our_role=h11.SERVER)
         try:
             while await self._serve_one(state, reader, writer):
@@ -318,7 +337,7 @@
         except h11.RemoteProtocolError:
             writer.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
         finally:
-            writer.close()
+            self._open.close(writer)
 
     async def _serve_one(self, state, reader, writer) -> bool:
         """Answer one request; return whether the connection can be reused."""
@@ -334,6 +353,8 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
+        if not self._open.begin_answer(writer):
+            return False
         answer = self._answer(path)
         if asyncio.iscoroutine(answer):
             answer = await answer
@@ -348,7 +369,9 @@
                 await self._send(state, writer, answer)
             finally:
                 self._large_answers -= 1
-        return state.our_state is h11.DONE and state.their_state is h11.DONE
+        self._open.end_answer(writer)
+        done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        return done and not state.trailing_data[0]
 
     async def _send(self, state, writer, answer: HttpAnswer) -> None:
         """Send an answer; return once the other side has taken nearly all of it.
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -46,5 +46,21 @@
     "backend_connections_replaced_total": define_counter(
         "Idle connections that gave way to one of another client account."
     ),
+    "held_bytes": define_gauge("Bytes held for callers, once a second."),
+    "holders_released_total": define_counter(
+        "Connections that held the most at the limit of the process.", "kind"
+    ),
+    "reading_paused_total": define_counter(
+        "Times that a caller had sent too much ahead."
+    ),
+    "stalled_callers_total": define_counter(
+        "Callers that stopped in the middle, by reason.", "reason"
+    ),
+    "answers_dropped_total": define_counter(
+        "Answers of backend servers that were too large."
+    ),
+    "requests_closed_total": define_counter(
+        "Connections to HTTP ports that were closed for newer ones."
+    ),
 }
 """Metrics by name, without the common prefix."""
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -22,8 +22,7 @@
 from ._protocol import LineProtocol
 
 CONNECT_TIMEOUT = 0.25
-"""Seconds to connect before the next holder is tried: ten round trips to the other
-region."""
+"""Seconds to connect before the next holder is tried: ten round trips to a region."""
 
 ACCEPT_TIMEOUT = 0.6
 """Seconds that a connected holder has to accept the caller before the next is tried. A
@@ -40,9 +39,6 @@
 """Connection attempts to a silent holder, each with `CONNECT_TIMEOUT`, until it counts
 as lost: a single packet may get lost."""
 
-MAX_WRITE_BUFFER = 1 << 20
-"""Unsent bytes above which a relay is aborted, as the holder doesn't read."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -83,6 +79,7 @@
         self._sent_at = 0.0
         self._received_at = 0.0
         self._closing = False
+        self.waiting_bytes = 0
         self.holder: VmEntry | None = None
         self.answered = asyncio.Event()
 
@@ -114,12 +111,16 @@
     def start_forwarding(self) -> None:
         """Forward the buffered lines and all later ones to the caller."""
         self._forwarding = True
-        buffered_lines, self._buffered_lines = self._buffered_lines, []
-        for line in buffered_lines:
-            self.handle_line(line)
+        while self._buffered_lines:
+            self.handle_line(self._buffered_lines.pop(0))
         if self.transport is None:
             self._lost()
 
+    @property
+    def held(self) -> int:
+        """Bytes that it holds in either direction."""
+        return self.waiting_bytes + self.unsent + len(self._buffer)
+
     @property
     def outstanding(self) -> int:
         """Number of lines that the holder has not answered yet."""
@@ -143,9 +144,10 @@
     @property
     def activity(self) -> RelayActivity:
         """Recent traffic, by which a silent holder is found."""
+        waits = self._unanswered and not self._reading_paused
         return RelayActivity(
             holder=self.holder.name,
-            waiting_since=self._sent_at if self._unanswered else None,
+            waiting_since=self._sent_at if waits else None,
             received_at=self._received_at,
         )
 
@@ -193,12 +195,11 @@
         if not self._unanswered:
             self._sent_at = read_clock()
         self._unanswered.append(_Line(data=line, forwarded=forwarded))
+        self.waiting_bytes += len(line)
         if not forwarded:
             return
         self._last_line = line
         self.transport.write(line + LINE_END)
-        if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
-            self.transport.abort()
 
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the holder to the caller, or buffer it."""
@@ -217,7 +218,7 @@
             self._partly_answered = True
         if answer_line.kind is AnswerLineKind.READY:
             if self._unanswered:
-                self._unanswered.popleft()
+                self.waiting_bytes -= len(self._unanswered.popleft().data)
             self._partly_answered = False
             self._state = answer_line.transaction
             if self._closing and self.idle:
