--- a/tests/direct/test_direct_pools.py
+++ b/tests/direct/test_direct_pools.py
@@ -130,7 +130,9 @@
 
 
 def make_home(*, vm="vm1", started=10.0):
-    """Return the state of a VM, one of six homes by default, and a server.
+    """Return the state of a VM, one of three homes by default, and a server.
+
+    Each of the three zones has a home and a holder that stands by.
 
     Args:
         started: seconds since its start.
@@ -139,8 +141,9 @@
     state = world.states[vm]
     state.started_at, state.now = world.now, world.now + started
     state.configuration = dataclasses.replace(
-        world.configure(), connections={"db": 70}, accounts={}
+        world.configure(), connections={"db": 40}, accounts={}
     )
+    state.holders = list(state.vms[:6])
     for server in world.servers.values():
         state.servers[server.name] = Server(entry=server.entry())
     return state, state.servers["s1"]
@@ -192,7 +195,7 @@
 
     @pytest.mark.parametrize(
         ("options", "limit"),
-        [({}, 10), ({"started": 1.0}, 3), ({"vm": "vm3"}, 2)],
+        [({}, 10), ({"started": 1.0}, 3), ({"vm": "vm4"}, 2)],
     )
     def test_homes_share_what_the_server_accepts(self, options, limit):
         """Guards against servers over their limit while holders come and go."""
