--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -22,7 +22,7 @@
 MEASURE_INTERVAL = 0.25
 """Seconds over which an account's demand is measured."""
 
-MAX_DEMANDS = 60
+MAX_DEMANDS = 40
 """Demands in one report, which has to fit into one datagram."""
 
 REPORT_INTERVAL = 1.0
