Leave room at servers for control connections, and refuse at once without a home

Holders without any home kept relayed callers waiting, so VMs that only relay took them for silent, read the configuration and connected to all servers. Feeds retried after 2 s.

A home's limit leaves a control connection for each holder, idle connections of accounts are closed after 4 s, callers are refused at once while no VM serves accounts, and the feed of the configuration retries after 0.5 s where keys may be withdrawn.

--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -24,6 +24,9 @@
 ADMISSION_TIMEOUT = 1.5
 """Seconds a caller may wait until it is admitted; callers time out after 2 s."""
 
+FIRST_HOME_PERIOD = 1.5
+"""Seconds after the start in which a caller waits for its account's home."""
+
 MOVE_RETRY_DELAY = 0.15
 """Seconds until a caller is relayed again while the home of its account is lost: the
 next holder takes over when it has missed the home's reports."""
@@ -111,7 +114,12 @@
         return True
     home = find_home(state, account)
     if home is None:
-        return False
+        if state.now - state.started_at < FIRST_HOME_PERIOD:
+            return False
+        # While all VMs lack the store, waiting would be in vain.
+        database = caller.database
+        _refuse_caller(state, session, database, Refusal.OVERLOAD, "no_home", out)
+        return True
     if home.name == state.vm:
         return None
     targets = list_home_targets(state, account, home)
--- a/src/siskinhold/direct/pools/_growth.py
+++ b/src/siskinhold/direct/pools/_growth.py
@@ -13,9 +13,9 @@
 """Seconds after which an idle connection beyond `MIN_IDLE_CONNECTIONS` is closed:
 longer than the gaps between statements under a load that needs it."""
 
-ACCOUNT_IDLE_TIMEOUT = 20.0
-"""The same for connections of client accounts: each account uses few of them, and a
-new one takes a slot of the server."""
+ACCOUNT_IDLE_TIMEOUT = 4.0
+"""The same for connections of client accounts, each of which uses few of them. Kept for
+longer, they would leave no room for homes that take over."""
 
 MAX_OPENING = 2
 """Statement connections that are opened to a server at once."""
--- a/src/siskinhold/direct/pools/_limits.py
+++ b/src/siskinhold/direct/pools/_limits.py
@@ -43,7 +43,10 @@
 
 
 def _compute_home_limit(state: DirectState, total: int, starting: bool) -> int:
-    """Return the limit of a home; the share of one more is left for a home that joins.
+    """Return the limit of a home.
+
+    A control connection of each holder and the share of one more home are left over: a
+    home without a control connection can't find the primary.
 
     Args:
         total: the server's connection limit.
@@ -52,7 +55,9 @@
     homes = _count_homes(state)
     if not homes:
         return MIN_CONNECTIONS
-    limit = max(MIN_CONNECTIONS, total // (homes + SPARE_HOLDERS))
+    limit = max(
+        MIN_CONNECTIONS, (total - len(state.holders)) // (homes + SPARE_HOLDERS)
+    )
     if starting:
         return min(limit, 1 + START_CONNECTIONS)
     return limit
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -59,6 +59,9 @@
 MAX_RETRY_DELAY = 2.0
 """Maximum seconds until a failed call is retried."""
 
+CONFIRMING_RETRY_DELAY = 0.5
+"""The same for a VM that has to know of withdrawn keys: callers wait for it."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -122,12 +125,12 @@
         self._health = health
         self._failures = 0
 
-    async def pause(self, error: Exception) -> None:
-        """Record a failure and wait before the next attempt."""
+    async def pause(self, error: Exception, limit: float = MAX_RETRY_DELAY) -> None:
+        """Record a failure and wait before the next attempt, for `limit` at most."""
         if self._failures == 0:
             _log.warning("event=feed_lost feed=%s error=%s", self._name, error)
             self._health.mark(self._name, fails=True)
-        delay = min(MAX_RETRY_DELAY, FIRST_RETRY_DELAY * 2 ** min(self._failures, 8))
+        delay = min(limit, FIRST_RETRY_DELAY * 2 ** min(self._failures, 8))
         self._failures += 1
         await asyncio.sleep(delay)
 
@@ -203,9 +206,12 @@
             watched = False
             continue
         except StoreUnavailable as error:
-            # A store that is overloaded may still answer stale reads.
-            fresh = not fresh
-            await backoff.pause(error)
+            # A store that is overloaded may still answer stale reads, but these don't
+            # show whether keys were withdrawn.
+            confirms = get_watch_timeout() < WATCH_TIMEOUT
+            fresh = not fresh or confirms
+            limit = CONFIRMING_RETRY_DELAY if confirms else MAX_RETRY_DELAY
+            await backoff.pause(error, limit)
             continue
         if revision is not None:
             backoff.record_success()
