--- a/src/siskinhold/direct/_evidence.py
+++ b/src/siskinhold/direct/_evidence.py
@@ -22,11 +22,12 @@
 """
 
 from ..model import Position
+from ._database_state import Floor, Leadership
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._leaders import DropReason, drop_leader, probe_leader
 from ._server_state import Evidence, Purpose, Server
-from ._state import Database, DirectState, Effects, Floor, Leadership
+from ._state import Database, DirectState, Effects
 from ._types import Command, CommandKind, LeaderState
 from .pools import find_control_connection, send
 
--- a/src/siskinhold/direct/_leaders.py
+++ b/src/siskinhold/direct/_leaders.py
@@ -3,9 +3,10 @@
 import enum
 
 from ..model import Position
+from ._database_state import Leadership
 from ._effects import Log
 from ._server_state import Purpose, Server
-from ._state import Database, DirectState, Effects, Leadership
+from ._state import Database, DirectState, Effects
 from ._types import Answer, Command, CommandKind, Refusal, TermStart, TransactionState
 from .pools import find_control_connection, send
 
--- a/src/siskinhold/direct/_write_proof.py
+++ b/src/siskinhold/direct/_write_proof.py
@@ -19,6 +19,7 @@
 """
 
 from ..model import Position
+from ._database_state import Leadership
 from ._evidence import (
     LIST_VALIDITY,
     count_needed,
@@ -29,7 +30,7 @@
     request_store_proof,
 )
 from ._server_state import Server
-from ._state import Database, DirectState, Effects, Leadership
+from ._state import Database, DirectState, Effects
 
 LEARNING_PERIOD = 0.2
 """Seconds in which a replica learns of a promotion that has taken effect: many times
--- a/tests/direct/test_direct_restored_store.py
+++ b/tests/direct/test_direct_restored_store.py
@@ -18,9 +18,9 @@
     WriteLeaderRecord,
     reduce,
 )
+from siskinhold.direct._database_state import Leadership
 from siskinhold.direct._promotion_steps import find_rank
 from siskinhold.direct._records import RECORDS_PER_SECOND
-from siskinhold.direct._state import Leadership
 
 from .world import World
 
