Measure the demand of small accounts over a second

An account with few operations fell below the reported share between them, and each time had a small share of its rate for 0.6 s. The tests of rates pass as before.

--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -1,8 +1,8 @@
 """Admission of operations within the rate of their client account.
 
 The load that this answers: accounts that send many times what they may, at all VMs at
-once. An account's homes, one in each region, count its operations and
-share the rate by the demand that they report to each other.
+once. An account's homes, one in each region, count its operations and share the rate
+by the demand that they report to each other.
 """
 
 from .._effects import Log, Observe
@@ -22,6 +22,10 @@
 MEASURE_INTERVAL = 0.25
 """Seconds over which an account's demand is measured."""
 
+DEMAND_WEIGHT = 0.25
+"""Weight of a measure in the moving average of the demand: small accounts, which send
+an operation now and then, stay reported."""
+
 MAX_DEMANDS = 40
 """Demands in one report, which has to fit into one datagram."""
 
@@ -117,7 +121,8 @@
             continue
         elapsed = state.now - allowance.measured_at
         if elapsed >= MEASURE_INTERVAL:
-            allowance.demand = (allowance.demand + allowance.asked / elapsed) / 2
+            asked = allowance.asked / elapsed
+            allowance.demand += DEMAND_WEIGHT * (asked - allowance.demand)
             allowance.asked = 0
             allowance.measured_at = state.now
         if not is_account_home(state, name):
