Count the end of a relayed caller once

A caller that left while its VM looked for a holder was taken off the count of relays twice, so that the VM would accept more callers than it has descriptors.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -205,9 +205,11 @@
                 )
             )
         if relay is None:
+            if self.transport is None:
+                return
             self._relaying = False
             self._callers.relayed -= 1
-            if search.moved and self.transport is not None:
+            if search.moved:
                 self._callers.emit(
                     CallerMoved(
                         at=read_clock(), session=self._session, vms=search.moved
