--- a/src/siskinhold/direct/accounts/_homes.py
+++ b/src/siskinhold/direct/accounts/_homes.py
@@ -157,6 +157,9 @@
     """Record a report of another holder."""
     presence = state.accounts.presences.get(event.vm)
     lost = presence is None or state.now - presence.heard_at >= PRESENCE_TIMEOUT
+    if lost:
+        # It has to learn soon that it is heard here.
+        state.accounts.reported_at = -REPORT_INTERVAL
     if lost or presence.serving != event.serving:
         fields = (("holder", event.vm), ("serving", event.serving))
         out.append(Log(event="holder_heard", fields=fields, essential=True))
