--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -67,7 +67,7 @@
         memory: memory limit of the process, in bytes.
     """
     share = max(MIN_CALLER_MEMORY, (memory - PROCESS_MEMORY) // COPIES)
-    return CallerLimits(memory=share, answer=share // 8)
+    return CallerLimits(memory=share, answer=share // 2)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
