Have servers of the tests read prepared statements as the wire defines

The stand-in for a server split statements at every blank, so a name or shape with a blank could not show, and it compared no prepared shapes or session values. Request ids of the tests' callers came from id(), which is given out again.

--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import sys
 import time
 from collections import deque
+from dataclasses import dataclass
 from pathlib import Path
 
 from aiohttp import web
@@ -44,6 +46,24 @@
     return line[:-2].decode()
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Run:
+    """A read, write or execution, as an instance understood it.
+
+    Args:
+        text: the text without its `AFTER`, with the name that the VM gave.
+        mode: whether a prepared statement reads or writes, empty without one.
+        shape: what was prepared under its name, empty without one.
+        values: the session values in force.
+    """
+
+    request: str
+    text: str
+    mode: str
+    shape: str
+    values: dict[str, str]
+
+
 class Group:
     """The instances of one service, and the replication between them.
 
@@ -132,6 +152,8 @@
         self.users: set[str] = set()
         self.arrivals: list[tuple[float, str, str]] = []
         self.executed: list[tuple[str, str, tuple[int, int]]] = []
+        self.runs: list[Run] | None = None
+        self.sessions: set[_Session] = set()
         self.data: dict[str, str] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -234,6 +256,13 @@
         self.users.add(connect_request[2])
         session = _Session()
         session.user = connect_request[2]
+        self.sessions.add(session)
+        try:
+            await self._answer_session(session, reader, writer)
+        finally:
+            self.sessions.discard(session)
+
+    async def _answer_session(self, session, reader, writer) -> None:
         writer.write(self._ready(session))
         while line := await read_line(reader):
             word, request, text = line.split(" ", 2)
@@ -246,24 +275,25 @@
         return f"READY {session.state} {term}.{number}\r\n".encode()
 
     async def _run(self, session, request, text) -> bytes:
-        words = text.split(" ")
-        if words[0] == "AFTER":
-            term, number = words[1].split(".")
+        verb, _, fields = text.partition(" ")
+        if verb == "AFTER":
+            position, _, text = fields.partition(" ")
+            term, number = position.split(".")
             if self.applied < (int(term), int(number)):
                 return f"ERROR LAGGING {self.name}\r\n".encode()
-            words = words[2:]
-        verb = words[0]
+            verb, _, fields = text.partition(" ")
         if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
-            return await self._run_statement(session, request, verb, words)
-        return self._run_control(session, verb, words)
+            return await self._run_statement(session, request, text)
+        return self._run_control(session, verb, fields)
 
-    def _run_control(self, session, verb, words) -> bytes:
+    def _run_control(self, session, verb, fields) -> bytes:
         done = b"COMPLETE -\r\n"
+        name, _, value = fields.partition(" ")
         if verb == "BEGIN":
-            if len(words) == 1 and not self.leads:
+            if not fields and not self.leads:
                 return f"ERROR READONLY {self.name}\r\n".encode()
             session.state = "T"
-            session.plain = len(words) == 1
+            session.plain = not fields
         elif verb == "ROLLBACK":
             session.state = "I"
             session.written.clear()
@@ -271,14 +301,18 @@
             session.values.clear()
             session.prepared.clear()
         elif verb == "SET":
-            session.values[words[1]] = words[2]
+            session.values[name] = value
         elif verb == "PREPARE":
-            session.prepared[words[1]] = (words[2], words[3])
+            mode, _, shape = value.partition(" ")
+            session.prepared[name] = (mode, shape)
+        elif verb == "DEALLOC":
+            if session.prepared.pop(fields, None) is None:
+                return b"ERROR NOSTMT -\r\n"
         elif verb in ("STATUS", "STEPDOWN", "SUSPEND", "RESUME"):
-            if verb == "STEPDOWN" and int(words[1]) > self.term:
+            if verb == "STEPDOWN" and int(fields) > self.term:
                 self.leads = False
             elif verb == "SUSPEND" and not self.leads:
-                self.held_term = max(self.held_term, int(words[1]))
+                self.held_term = max(self.held_term, int(fields))
             elif verb == "RESUME":
                 self.held_term = 0
             role = "primary" if self.leads else "replica"
@@ -287,24 +321,27 @@
             return row.encode() + done
         return done
 
-    async def _run_statement(self, session, request, verb, words) -> bytes:
+    async def _run_statement(self, session, request, text) -> bytes:
         self.received.add(request)
-        writes = verb == "WRITE"
+        verb, _, fields = text.partition(" ")
+        mode, shape = verb, ""
         if verb == "EXECUTE":
-            mode, _ = session.prepared.get(words[1], ("", ""))
-            if not mode:
+            name, _, fields = fields.partition(" ")
+            if name not in session.prepared:
                 return b"ERROR NOSTMT -\r\n"
-            writes = mode == "WRITE"
-            words = words[1:]
+            mode, shape = session.prepared[name]
+        writes = mode == "WRITE"
         if writes and not self.leads:
             return f"ERROR READONLY {self.name}\r\n".encode()
         self.arrivals.append((time.monotonic(), session.user, request))
+        self._record_run(session, request, text, mode if shape else "", shape)
         async with self.slots:
             await asyncio.sleep(self.service_time)
-        self.executed.append((request, " ".join(words), self.applied))
+        self.executed.append((request, text, self.applied))
         row = b""
         if writes:
-            session.written[words[1]] = " ".join(words[2:])
+            item, _, data = fields.partition(" ")
+            session.written[item] = data
             if session.state == "I":
                 self._commit(session, request)
         elif verb == "COMMIT":
@@ -316,10 +353,23 @@
                 self._commit(session, request)
             session.state = "I"
         else:
-            value = session.written.get(words[1], self.data.get(words[1], "none"))
+            value = session.written.get(fields, self.data.get(fields, "none"))
             row = f"ROW {value}\r\n".encode()
         return row + f"COMPLETE {self.name}.{request}\r\n".encode()
 
+    def _record_run(self, session, request, text, mode, shape) -> None:
+        """Record how a statement is understood, if runs are recorded."""
+        if self.runs is None:
+            return
+        run = Run(
+            request=request,
+            text=text,
+            mode=mode,
+            shape=shape,
+            values=dict(session.values),
+        )
+        self.runs.append(run)
+
     def _commit(self, session, request) -> None:
         self.group.commit(self, request, session.written)
         session.written.clear()
@@ -730,10 +780,13 @@
         port: port of the VM that it is connected to.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self, *, reader, writer, port: int) -> None:
         self.port = port
         self.reader = reader
         self._writer = writer
+        self._number = next(self._numbers)
         self._requests = 0
         self.sent: dict[str, str] = {}
 
@@ -763,7 +816,7 @@
         sent = []
         for text in texts:
             self._requests += 1
-            sent.append((f"{id(self):x}{self._requests:x}", text))
+            sent.append((f"c{self._number:x}-{self._requests:x}", text))
         self.sent.update(sent)
         lines = [f"QUERY {request} {text}\r\n" for request, text in sent]
         self._writer.write("".join(lines).encode())
