Log under which name a server got a prepared statement

Neither log nor metrics showed what a server keeps for a connection, so a record of mixed-up prepared statements couldn't be explained from them. The line statement_prepared names request, server, connection and name; the gauge backend_statements counts the statements.

--- a/src/siskinhold/direct/_pool_state.py
+++ b/src/siskinhold/direct/_pool_state.py
@@ -15,6 +15,7 @@
         logged_at: when the line was last written.
         counted_at: when the connections were last counted.
         counts: their number by state, as last reported.
+        statements: prepared statements that servers keep for them, likewise.
     """
 
     replaced: int = 0
@@ -22,3 +23,4 @@
     logged_at: float = -100.0
     counted_at: float = -100.0
     counts: dict[ConnectionState, int] = field(default_factory=dict)
+    statements: int = 0
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -76,9 +76,7 @@
         if job.writes and not job.commits:
             transaction.wrote = True
     if statement.kind is StatementKind.EXECUTE:
-        name = prepare_statement(
-            state, connection, statement.writes, statement.shape, out
-        )
+        name = prepare_statement(state, connection, statement, out)
         command = Command(
             kind=CommandKind.EXECUTE,
             request=statement.request,
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -1,10 +1,10 @@
 """Commands that are sent on connections to backend servers."""
 
 from .._connection_life import ConnectionState, IllegalTransition
-from .._effects import SendCommands
+from .._effects import Log, SendCommands
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
-from .._types import Answer, Command, CommandKind, TransactionState
+from .._types import Answer, Command, CommandKind, Statement, TransactionState
 from ._closing import close_connection
 
 _STATES = {
@@ -98,14 +98,14 @@
 def prepare_statement(
     state: DirectState,
     connection: Connection,
-    writes: bool,
-    shape: str,
+    statement: Statement,
     out: Effects,
 ) -> str:
-    """Prepare a statement unless it is prepared already; return its name.
+    """Prepare what a statement executes unless that is done; return its name.
 
-    The name is derived from the statement, as the names of different callers collide.
+    The name is derived from the text, as the names of different callers collide.
     """
+    writes, shape = statement.writes, statement.shape
     name = f"{'w' if writes else 'r'}_{shape}"
     if (writes, shape) not in connection.prepared:
         command = Command(
@@ -113,6 +113,14 @@
         )
         send(state, connection, command, Purpose.SETUP, out)
         connection.prepared.add((writes, shape))
+        fields = (
+            ("request", statement.request),
+            ("server", connection.server.entry.server),
+            ("connection", connection.number),
+            ("name", name),
+            ("bytes", len(shape)),
+        )
+        out.append(Log(event="statement_prepared", fields=fields))
     return name
 
 
--- a/src/siskinhold/direct/pools/_report.py
+++ b/src/siskinhold/direct/pools/_report.py
@@ -19,8 +19,10 @@
     pools.counted_at = state.now
     counts = dict.fromkeys(ConnectionState, 0)
     del counts[ConnectionState.CLOSED]
+    statements = 0
     for connection in state.connections.values():
         counts[connection.state] += 1
+        statements += len(connection.prepared)
     for life, number in counts.items():
         if pools.counts.get(life) == number:
             continue
@@ -28,6 +30,9 @@
             Observe(metric="backend_connections", value=number, label=life.value)
         )
     pools.counts = counts
+    if pools.statements != statements:
+        out.append(Observe(metric="backend_statements", value=statements))
+        pools.statements = statements
     if not pools.replaced and not pools.refused:
         return
     if state.now - pools.logged_at < LOG_INTERVAL:
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -43,6 +43,9 @@
     "backend_connections": define_gauge(
         "Connections to backend servers, by state.", "state"
     ),
+    "backend_statements": define_gauge(
+        "Prepared statements that servers keep for connections."
+    ),
     "backend_connections_replaced_total": define_counter(
         "Idle connections that gave way to one of another client account."
     ),
