Number prepared statements on server connections

The name at the server held the shape's text, and the wire ends a name at the first blank: for the shape 'q1 WRITE pc' a VM sent 'PREPARE w_q1 WRITE q1 WRITE pc', which prepares 'pc WRITE q1 WRITE pc' as w_q1, under which another caller's 'q1' then ran.

ServerSession mirrors what a server keeps for a connection. A statement is prepared as s and a number, which the connection never gives out again, so no text is read as a name.

Refusals other than NOSTMT no longer drop the record of what is prepared: the server keeps it, and dropped entries would be prepared anew under other names.

--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -93,7 +93,8 @@
         return
     if answer.refusal in NOT_RUN or answer.refusal is Refusal.NO_STATEMENT:
         record_refusal(state, server, answer.refusal, out)
-        connection.prepared.clear()
+        if answer.refusal is Refusal.NO_STATEMENT:
+            connection.kept.forget_statements()
         if in_transaction:
             fail_transaction(state, job, answer.refusal.value, out)
             return
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -7,6 +7,7 @@
 
 from ..model import Position
 from ._connection_life import ConnectionState, check_transition
+from ._server_session import ServerSession
 from ._speed_state import Slowdown
 from ._types import ServerEntry
 
@@ -79,8 +80,7 @@
         opened_at: when the attempt to open it began.
         account: client account that it serves, empty without one.
         state: where it is in its life, see `_connection_life`.
-        values: session values that were set on it.
-        prepared: statements prepared on it: whether they write, and their text.
+        kept: what the server keeps for it.
         pending: commands without an answer yet, in the order of sending.
         transaction: the caller's transaction that runs on it.
         used_at: when the last command was sent or the connection became open.
@@ -92,8 +92,7 @@
     opened_at: float
     account: str = ""
     state: ConnectionState = ConnectionState.OPENING
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: set[tuple[bool, str]] = field(default_factory=set)
+    kept: ServerSession = field(default_factory=ServerSession)
     pending: deque[PendingCommand] = field(default_factory=deque)
     transaction: "Transaction | None" = None
     used_at: float = 0.0
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -59,8 +59,7 @@
     )
     connection.used_at = state.now
     if command.kind is CommandKind.RESET:
-        connection.values.clear()
-        connection.prepared.clear()
+        connection.kept.clear()
     if (
         out
         and isinstance(out[-1], SendCommands)
@@ -84,43 +83,37 @@
     Values that are set already are not sent again. A connection with values that the
     session lacks is reset first.
     """
-    extra = [name for name in connection.values if name not in session.values]
+    kept = connection.kept
+    extra = [name for name in kept.values if name not in session.values]
     if extra:
         send(state, connection, Command(kind=CommandKind.RESET), Purpose.SETUP, out)
     for name, value in session.values.items():
-        if connection.values.get(name) == value:
+        if kept.values.get(name) == value:
             continue
         command = Command(kind=CommandKind.SET, name=name, value=value)
         send(state, connection, command, Purpose.SETUP, out)
-        connection.values[name] = value
+        kept.values[name] = value
 
 
 def prepare_statement(
-    state: DirectState,
-    connection: Connection,
-    statement: Statement,
-    out: Effects,
+    state: DirectState, connection: Connection, statement: Statement, out: Effects
 ) -> str:
-    """Prepare what a statement executes unless that is done; return its name.
-
-    The name is derived from the text, as the names of different callers collide.
-    """
+    """Prepare what a statement executes unless that is done; return its name."""
     writes, shape = statement.writes, statement.shape
-    name = f"{'w' if writes else 'r'}_{shape}"
-    if (writes, shape) not in connection.prepared:
-        command = Command(
-            kind=CommandKind.PREPARE, name=name, value=shape, writes=writes
-        )
-        send(state, connection, command, Purpose.SETUP, out)
-        connection.prepared.add((writes, shape))
-        fields = (
-            ("request", statement.request),
-            ("server", connection.server.entry.server),
-            ("connection", connection.number),
-            ("name", name),
-            ("bytes", len(shape)),
-        )
-        out.append(Log(event="statement_prepared", fields=fields))
+    name = connection.kept.find_statement(writes, shape)
+    if name is not None:
+        return name
+    name = connection.kept.add_statement(writes, shape)
+    command = Command(kind=CommandKind.PREPARE, name=name, value=shape, writes=writes)
+    send(state, connection, command, Purpose.SETUP, out)
+    fields = (
+        ("request", statement.request),
+        ("server", connection.server.entry.server),
+        ("connection", connection.number),
+        ("name", name),
+        ("bytes", len(shape)),
+    )
+    out.append(Log(event="statement_prepared", fields=fields))
     return name
 
 
--- a/src/siskinhold/direct/pools/_growth.py
+++ b/src/siskinhold/direct/pools/_growth.py
@@ -173,7 +173,7 @@
             continue
         if connection.account != session.account:
             continue
-        if connection.values == session.values:
+        if connection.kept.values == session.values:
             return connection
         found = connection
     return found
--- a/src/siskinhold/direct/pools/_report.py
+++ b/src/siskinhold/direct/pools/_report.py
@@ -22,7 +22,7 @@
     statements = 0
     for connection in state.connections.values():
         counts[connection.state] += 1
-        statements += len(connection.prepared)
+        statements += connection.kept.statement_count
     for life, number in counts.items():
         if pools.counts.get(life) == number:
             continue
--- a/tests/direct/test_direct_sessions.py
+++ b/tests/direct/test_direct_sessions.py
@@ -139,7 +139,7 @@
             for session, value in ((1, "a"), (2, "b")):
                 world.execute("vm1", session, "READ x")
                 used = [
-                    c.values.get("v")
+                    c.kept.values.get("v")
                     for c in world.states["vm1"].connections.values()
                     if c.used_at >= world.now - 0.03 and not c.control
                 ]
