Bound what servers keep for connections

A connection keeps at most 128 statements; those unused for longest are deallocated. A free connection keeps at most 64 KiB of values and statements, less where all free ones together would exceed kept_kb. Values beyond that, and a statement that the server doesn't know, lead to a RESET; a refused release closes the connection. Gauges count statements and bytes. Simulated servers drop statements at RESET, answer NOSTMT, and may refuse any command.

--- a/src/siskinhold/direct/_connection_life.py
+++ b/src/siskinhold/direct/_connection_life.py
@@ -12,7 +12,8 @@
         PREPARING: session values, a prepared statement or a `BEGIN` were sent for a
             caller's statement.
         IN_USE: it runs a statement, or a caller's transaction is open on it.
-        CLEANING: a transaction is being rolled back on it.
+        CLEANING: a transaction is being rolled back on it, or what the server keeps
+            for it is being released.
         CLOSED: it has ended.
     """
 
--- a/src/siskinhold/direct/_pool_state.py
+++ b/src/siskinhold/direct/_pool_state.py
@@ -16,6 +16,7 @@
         counted_at: when the connections were last counted.
         counts: their number by state, as last reported.
         statements: prepared statements that servers keep for them, likewise.
+        kept: bytes of session values and statements that servers keep, likewise.
     """
 
     replaced: int = 0
@@ -24,3 +25,4 @@
     counted_at: float = -100.0
     counts: dict[ConnectionState, int] = field(default_factory=dict)
     statements: int = 0
+    kept: int = 0
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -57,6 +57,15 @@
     requeue_job(state, job, connection.server, answer.refusal.value, out)
 
 
+def handle_release_answer(
+    state: DirectState, connection: Connection, answer: Answer, out: Effects
+) -> None:
+    """Close a connection whose server refused to release what it keeps for it."""
+    if answer.refusal is not None:
+        close_connection(state, connection, out, "release_refused")
+        handle_connection_loss(state, connection, out)
+
+
 def handle_job_answer(
     state: DirectState,
     connection: Connection,
@@ -94,7 +103,7 @@
     if answer.refusal in NOT_RUN or answer.refusal is Refusal.NO_STATEMENT:
         record_refusal(state, server, answer.refusal, out)
         if answer.refusal is Refusal.NO_STATEMENT:
-            connection.kept.forget_statements()
+            connection.kept.rejected = True
         if in_transaction:
             fail_transaction(state, job, answer.refusal.value, out)
             return
--- a/src/siskinhold/direct/_server_session.py
+++ b/src/siskinhold/direct/_server_session.py
@@ -1,5 +1,15 @@
 """What a server keeps for one connection: session values and prepared statements."""
 
+from collections import OrderedDict
+
+from ._text_size import measure_entry
+
+MAX_STATEMENTS = 128
+"""Prepared statements that a server keeps for one connection."""
+
+MAX_KEPT_BYTES = 64 << 10
+"""Bytes of values and statements that a server keeps for a free connection."""
+
 
 class ServerSession:
     """Mirrors what the server keeps for a connection until it is reset or closed.
@@ -8,14 +18,18 @@
     connection: a text may contain blanks and look like the name of another one.
 
     Attributes:
-        values: session values by name.
+        values: session values by name; changed by `set_value` only.
+        size: bytes of the values and statements.
+        rejected: whether the server did not know a statement that it should keep.
     """
 
-    __slots__ = ("values", "_names", "_numbers_used")
+    __slots__ = ("values", "size", "rejected", "_names", "_numbers_used")
 
     def __init__(self) -> None:
         self.values: dict[str, str] = {}
-        self._names: dict[tuple[bool, str], str] = {}
+        self.size = 0
+        self.rejected = False
+        self._names: OrderedDict[tuple[bool, str], str] = OrderedDict()
         self._numbers_used = 0
 
     @property
@@ -23,22 +37,49 @@
         """Number of prepared statements."""
         return len(self._names)
 
+    def set_value(self, name: str, value: str) -> None:
+        """Record a session value."""
+        self.size -= measure_entry(name, self.values.get(name))
+        self.size += measure_entry(name, value)
+        self.values[name] = value
+
     def find_statement(self, writes: bool, shape: str) -> str | None:
-        """Return the name of a statement, None if it isn't prepared."""
-        return self._names.get((writes, shape))
+        """Return the name of a statement and mark it as the last used one, or None."""
+        name = self._names.get((writes, shape))
+        if name is not None:
+            self._names.move_to_end((writes, shape))
+        return name
 
     def add_statement(self, writes: bool, shape: str) -> str:
         """Record a new statement; return its name."""
         self._numbers_used += 1
         name = f"s{self._numbers_used:x}"
         self._names[writes, shape] = name
+        self.size += measure_entry(name, shape)
         return name
 
-    def forget_statements(self) -> None:
-        """Record that the server may lack statements; their names stay used."""
-        self._names.clear()
+    def remove_excess(self, *, count: int, size: int) -> list[str]:
+        """Remove statements until both limits are met; return their names.
+
+        Those that exceed the size by themselves go first, then the least recently used
+        ones. The size may stay exceeded by the values.
+        """
+        removed = []
+        for key, name in list(self._names.items()):
+            if measure_entry(name, key[1]) > size:
+                removed.append(self._remove_statement(key))
+        while self._names and (len(self._names) > count or self.size > size):
+            removed.append(self._remove_statement(next(iter(self._names))))
+        return removed
 
     def clear(self) -> None:
         """Record that the connection was reset."""
         self.values.clear()
         self._names.clear()
+        self.size = 0
+        self.rejected = False
+
+    def _remove_statement(self, key: tuple[bool, str]) -> str:
+        name = self._names.pop(key)
+        self.size -= measure_entry(name, key[1])
+        return name
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -36,6 +36,7 @@
         LEAD_PROBE: to learn whether a server accepts a write transaction.
         ROLE: to learn the term of a server that leads, or to make it step down.
         CLEANUP: to end a transaction; the answer is ignored.
+        RELEASE: to release what the server keeps for a connection.
         POSITION: to learn a server's log position, which every answer carries.
         STEP_DOWN: to make the primary step down for a promotion.
         FENCE: to suspend a server's replication for a promotion.
@@ -51,6 +52,7 @@
     LEAD_PROBE = "lead_probe"
     ROLE = "role"
     CLEANUP = "cleanup"
+    RELEASE = "release"
     POSITION = "position"
     STEP_DOWN = "step_down"
     FENCE = "fence"
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -28,7 +28,7 @@
     handle_fence_answer,
     handle_step_down_answer,
 )
-from ._results import handle_job_answer, handle_setup_answer
+from ._results import handle_job_answer, handle_release_answer, handle_setup_answer
 from ._resumptions import (
     handle_resumption_answer,
     handle_suspension_status,
@@ -252,6 +252,8 @@
         handle_job_answer(state, connection, pending, answer, out)
     elif pending.purpose is Purpose.SETUP:
         handle_setup_answer(state, connection, pending, answer, out)
+    elif pending.purpose is Purpose.RELEASE:
+        handle_release_answer(state, connection, answer, out)
     elif pending.purpose is Purpose.LEAD_PROBE:
         handle_leader_probe_answer(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.ROLE:
--- a/src/siskinhold/direct/_session_memory.py
+++ b/src/siskinhold/direct/_session_memory.py
@@ -1,18 +1,7 @@
 """Limit on the values and prepared statements of one session."""
 
-import sys
-
 from ._state import DirectState, Session
-
-ENTRY_SIZE = 200
-"""Bytes that an entry of a dictionary takes beside its texts."""
-
-
-def measure_entry(name: str, text: str | None) -> int:
-    """Return the bytes of a value or prepared statement, 0 if there is none."""
-    if text is None:
-        return 0
-    return ENTRY_SIZE + sys.getsizeof(name) + sys.getsizeof(text)
+from ._text_size import measure_entry
 
 
 def try_hold(
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -43,6 +43,7 @@
         ahead: bytes that a caller may send ahead while a statement runs or answers wait
             to be taken; above it, nothing more is read.
         session: bytes of a session's values and prepared statements.
+        kept: bytes of those that servers keep for all free connections together.
         answer: bytes of the rows of one answer of a backend server.
         line_timeout: seconds in which a line that has begun must end.
         answer_timeout: seconds in which a caller must take some of an answer.
@@ -52,6 +53,7 @@
     memory: int = 0
     ahead: int = 256 << 10
     session: int = 2 << 20
+    kept: int = 4 << 20
     answer: int = 0
     line_timeout: float = 15.0
     answer_timeout: float = 15.0
@@ -67,7 +69,7 @@
         memory: memory limit of the process, in bytes.
     """
     share = max(MIN_CALLER_MEMORY, (memory - PROCESS_MEMORY) // COPIES)
-    return CallerLimits(memory=share, answer=share // 2)
+    return CallerLimits(memory=share, kept=share // 4, answer=share // 2)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -214,6 +214,7 @@
         regions: region by availability zone.
         grace: time from SIGTERM to SIGKILL, in seconds.
         session_limit: bytes that values and prepared statements of a session may take.
+        kept_limit: the same for those that servers keep for all free connections.
         random: seeded generator for every random choice.
         store_era: the store's newest known era, 0 while it has reported none.
         store_era_since: when this VM learned of that era.
@@ -263,6 +264,7 @@
     grace: float
     random: random.Random
     session_limit: int = CallerLimits().session
+    kept_limit: int = CallerLimits().kept
     now: float = 0.0
     started_at: float = 0.0
     configuration: Configuration | None = None
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -109,6 +109,7 @@
     RESET = "reset"
     SET = "set"
     PREPARE = "prepare"
+    DEALLOCATE = "deallocate"
     STATUS = "status"
     STEP_DOWN = "step_down"
     SUSPEND = "suspend"
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -1,7 +1,8 @@
 """Commands that are sent on connections to backend servers."""
 
 from .._connection_life import ConnectionState, IllegalTransition
-from .._effects import Log, SendCommands
+from .._effects import Log, Observe, SendCommands
+from .._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
 from .._types import Answer, Command, CommandKind, Statement, TransactionState
@@ -10,6 +11,7 @@
 _STATES = {
     Purpose.SETUP: ConnectionState.PREPARING,
     Purpose.CLEANUP: ConnectionState.CLEANING,
+    Purpose.RELEASE: ConnectionState.CLEANING,
 }
 """State that a command brings about by its purpose, if it is not `IN_USE`."""
 
@@ -92,18 +94,24 @@
             continue
         command = Command(kind=CommandKind.SET, name=name, value=value)
         send(state, connection, command, Purpose.SETUP, out)
-        kept.values[name] = value
+        kept.set_value(name, value)
 
 
 def prepare_statement(
     state: DirectState, connection: Connection, statement: Statement, out: Effects
 ) -> str:
-    """Prepare what a statement executes unless that is done; return its name."""
+    """Prepare what a statement executes unless that is done; return its name.
+
+    The statements that were unused for longest make room for it.
+    """
     writes, shape = statement.writes, statement.shape
-    name = connection.kept.find_statement(writes, shape)
+    kept = connection.kept
+    name = kept.find_statement(writes, shape)
     if name is not None:
         return name
-    name = connection.kept.add_statement(writes, shape)
+    removed = kept.remove_excess(count=MAX_STATEMENTS - 1, size=MAX_KEPT_BYTES)
+    _deallocate(state, connection, removed, Purpose.SETUP, out)
+    name = kept.add_statement(writes, shape)
     command = Command(kind=CommandKind.PREPARE, name=name, value=shape, writes=writes)
     send(state, connection, command, Purpose.SETUP, out)
     fields = (
@@ -117,11 +125,44 @@
     return name
 
 
+def _deallocate(
+    state: DirectState,
+    connection: Connection,
+    names: list[str],
+    purpose: Purpose,
+    out: Effects,
+) -> None:
+    """Have the server forget statements."""
+    for name in names:
+        command = Command(kind=CommandKind.DEALLOCATE, name=name)
+        send(state, connection, command, purpose, out)
+        out.append(Observe(metric="backend_statements_released_total"))
+
+
+def _release_kept(state: DirectState, connection: Connection, out: Effects) -> None:
+    """Have the server release what it keeps for a free connection beyond the limits.
+
+    All of it, if values exceed them or the server lacks a statement.
+    """
+    kept = connection.kept
+    share = state.kept_limit // len(state.connections)
+    limit = min(MAX_KEPT_BYTES, share)
+    if not kept.rejected and kept.size <= limit:
+        return
+    removed = kept.remove_excess(count=MAX_STATEMENTS, size=limit)
+    if kept.rejected or kept.size > limit:
+        command = Command(kind=CommandKind.RESET)
+        send(state, connection, command, Purpose.RELEASE, out)
+        return
+    _deallocate(state, connection, removed, Purpose.RELEASE, out)
+
+
 def settle(
     state: DirectState, connection: Connection, answer: Answer, out: Effects
 ) -> None:
     """Make a connection free after its last answer, or close it if it may not be.
 
+    What the server keeps for it beyond the limits is released first.
     It is closed if the server did not confirm that no transaction is open. A control
     connection stays open, and is not free until an answer confirms that.
     """
@@ -131,6 +172,7 @@
         connection.advance(ConnectionState.IN_USE)
     elif answer.transaction is TransactionState.NONE:
         connection.advance(ConnectionState.FREE)
+        _release_kept(state, connection, out)
     elif connection.control:
         connection.advance(ConnectionState.CLEANING)
     else:
--- a/src/siskinhold/direct/pools/_report.py
+++ b/src/siskinhold/direct/pools/_report.py
@@ -19,10 +19,11 @@
     pools.counted_at = state.now
     counts = dict.fromkeys(ConnectionState, 0)
     del counts[ConnectionState.CLOSED]
-    statements = 0
+    statements = size = 0
     for connection in state.connections.values():
         counts[connection.state] += 1
         statements += connection.kept.statement_count
+        size += connection.kept.size
     for life, number in counts.items():
         if pools.counts.get(life) == number:
             continue
@@ -30,9 +31,10 @@
             Observe(metric="backend_connections", value=number, label=life.value)
         )
     pools.counts = counts
-    if pools.statements != statements:
+    if (pools.statements, pools.kept) != (statements, size):
         out.append(Observe(metric="backend_statements", value=statements))
-        pools.statements = statements
+        out.append(Observe(metric="backend_kept_bytes", value=size))
+        pools.statements, pools.kept = statements, size
     if not pools.replaced and not pools.refused:
         return
     if state.now - pools.logged_at < LOG_INTERVAL:
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -46,6 +46,12 @@
     "backend_statements": define_gauge(
         "Prepared statements that servers keep for connections."
     ),
+    "backend_statements_released_total": define_counter(
+        "Prepared statements that servers forgot to make room."
+    ),
+    "backend_kept_bytes": define_gauge(
+        "Bytes of values and prepared statements that servers keep for connections."
+    ),
     "backend_connections_replaced_total": define_counter(
         "Idle connections that gave way to one of another client account."
     ),
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -333,6 +333,7 @@
         regions=settings.regions,
         grace=settings.grace,
         session_limit=settings.caller_limits.session,
+        kept_limit=settings.caller_limits.kept,
         random=random.Random(secrets.randbits(64)),
         accounts=AccountState(bounds=settings.account_bounds),
         speeds=SpeedState(enabled=settings.avoids_slow_servers),
--- /dev/null
+++ b/tests/direct/test_direct_kept_state.py
@@ -0,0 +1,136 @@
+"""Tests of what servers keep for connections: values and prepared statements."""
+
+from hypothesis import given, strategies
+
+from siskinhold.direct import CommandKind
+from siskinhold.direct._server_session import (
+    MAX_KEPT_BYTES,
+    MAX_STATEMENTS,
+    ServerSession,
+)
+
+from .test_direct_sessions import start
+
+SHAPES = strategies.text(alphabet="ab \t\r\n", min_size=1, max_size=6)
+
+
+def execute_shapes(world, shapes, *, session=1, vm="vm1"):
+    """Prepare and execute shapes under one name; return the last answer."""
+    for shape in shapes:
+        world.execute(vm, session, f"PREPARE s READ {shape}")
+        answer = world.execute(vm, session, "EXECUTE s k")
+        assert answer.refusal is None
+    return answer
+
+
+def list_kept(world):
+    """Return what servers keep: at them and as recorded, by connection."""
+    found = []
+    for (vm, number), connection in world.connections.items():
+        recorded = world.states[vm].connections.get(number)
+        if recorded is not None and connection.open is not None:
+            found.append((connection, recorded.kept))
+    return found
+
+
+class TestNames:
+    @given(strategies.lists(strategies.tuples(strategies.booleans(), SHAPES)))
+    def test_name_stands_for_one_statement_of_a_connection(self, statements):
+        """Guards against a text that makes one statement run under another's name."""
+        session = ServerSession()
+        known = {}
+        for index, statement in enumerate(statements):
+            if index % 7 == 6:
+                session.clear()
+            name = session.find_statement(*statement)
+            if name is None:
+                name = session.add_statement(*statement)
+                assert name not in known
+                known[name] = statement
+            assert known[name] == statement
+            assert name.isalnum() and len(name) < 16
+
+    @given(strategies.lists(SHAPES, max_size=20), strategies.integers(0, 10))
+    def test_size_is_that_of_what_is_kept(self, shapes, count):
+        """Guards against bytes that are counted twice, or after they were released."""
+        session = ServerSession()
+        for shape in shapes:
+            if session.find_statement(False, shape) is None:
+                session.add_statement(False, shape)
+            session.set_value(shape[0], shape)
+        removed = session.remove_excess(count=count, size=MAX_KEPT_BYTES)
+        assert session.statement_count == min(count, len(set(shapes)))
+        assert len(removed) == len(set(shapes)) - session.statement_count
+        session.remove_excess(count=0, size=0)
+        fresh = ServerSession()
+        for name, value in session.values.items():
+            fresh.set_value(name, value)
+        assert session.size == fresh.size
+
+
+class TestBounds:
+    def test_statements_of_a_connection_are_bounded_in_number(self):
+        """Guards against servers that keep each statement of callers who are gone."""
+        world = start()
+        world.connect("vm1", 1)
+        execute_shapes(world, [f"q{n}" for n in range(3 * MAX_STATEMENTS)])
+        for connection, kept in list_kept(world):
+            assert len(connection.prepared) == kept.statement_count <= MAX_STATEMENTS
+
+    def test_long_statement_is_released_after_its_run(self):
+        """Guards against long shapes that free connections keep."""
+        world = start()
+        world.connect("vm1", 1)
+        execute_shapes(world, ["q1", "x" * 2 * MAX_KEPT_BYTES])
+        world.advance(0.1)
+        for connection, kept in list_kept(world):
+            assert kept.size <= MAX_KEPT_BYTES
+            assert sum(map(len, connection.prepared.values())) <= MAX_KEPT_BYTES
+        assert any(connection.prepared for connection, _ in list_kept(world))
+
+    def test_long_values_of_a_caller_who_left_are_released(self):
+        """Guards against session values that outlive their session."""
+        world = start()
+        world.connect("vm1", 1)
+        world.execute("vm1", 1, "SET v " + "x" * 2 * MAX_KEPT_BYTES)
+        assert world.execute("vm1", 1, "READ x").refusal is None
+        world.disconnect("vm1", 1)
+        world.advance(0.1)
+        for connection, kept in list_kept(world):
+            assert not connection.values and not kept.values
+
+    def test_all_connections_share_the_limit_of_the_process(self):
+        """Guards against many connections that each keep what one may."""
+        world = start()
+        state = world.states["vm1"]
+        state.kept_limit = 4096
+        world.connect("vm1", 1)
+        execute_shapes(world, [f"q{n}".ljust(500, "x") for n in range(30)])
+        world.advance(0.1)
+        assert sum(c.kept.size for c in state.connections.values()) <= 4096
+
+
+class TestFailures:
+    def test_unknown_statement_is_prepared_again(self):
+        """Guards against a record of a statement that the server doesn't have."""
+        world = start()
+        world.connect("vm1", 1)
+        execute_shapes(world, ["q1"])
+        for connection, _ in list_kept(world):
+            connection.prepared.clear()
+        assert world.execute("vm1", 1, "EXECUTE s k").refusal is None
+        world.advance(0.1)
+        for connection, kept in list_kept(world):
+            assert len(connection.prepared) == kept.statement_count
+
+    def test_refused_release_closes_the_connection(self):
+        """Guards against a connection whose server keeps more than is recorded."""
+        world = start()
+        world.connect("vm1", 1)
+        world.servers["s1"].refuses.add(CommandKind.DEALLOCATE)
+        shape = "x" * 2 * MAX_KEPT_BYTES
+        answer = execute_shapes(world, ["q1", shape])
+        assert answer.refusal is None
+        world.advance(0.1)
+        assert not any(shape in c.prepared.values() for c, _ in list_kept(world))
+        assert world.find_logs("backend_closed")
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -96,8 +96,8 @@
         statement_time: seconds that a statement takes.
 
     A status query or a suspension takes `status_time`. A replica applies what it
-    receives before `applies_at` only then. Connections of the VMs in `breaks_off_for`
-    end with each statement.
+    receives before `applies_at` only then. Commands of the kinds in `refuses` are not
+    run. Connections of the VMs in `breaks_off_for` end with each statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -128,7 +128,7 @@
         self.lose_answers = 0
         self.breaks_off_for: set[str] = set()
         self.fails_statements = False
-        self.refuses_rollbacks = False
+        self.refuses: set[CommandKind] = set()
         self.answer_busy = 0
 
     def reaches(self, vm: str) -> bool:
@@ -166,7 +166,9 @@
         refusal = None
         status = None
         after = command.after
-        if after is not None and self.applied < after:
+        if kind in self.refuses:
+            refusal = Refusal.BUSY
+        elif after is not None and self.applied < after:
             refusal = Refusal.LAGGING
         elif kind is CommandKind.BEGIN:
             if self.leads:
@@ -175,8 +177,6 @@
                 refusal = Refusal.READ_ONLY
         elif kind is CommandKind.BEGIN_READ:
             connection.open = "read"
-        elif kind is CommandKind.ROLLBACK and self.refuses_rollbacks:
-            refusal = Refusal.BUSY
         elif kind is CommandKind.ROLLBACK:
             connection.open = ""
             connection.wrote = False
@@ -199,10 +199,14 @@
             )
         elif kind is CommandKind.RESET:
             connection.values = {}
+            connection.prepared = {}
         elif kind is CommandKind.SET:
             connection.values[command.name] = command.value
         elif kind is CommandKind.PREPARE:
             connection.prepared[command.name] = command.value
+        elif kind is CommandKind.DEALLOCATE:
+            if connection.prepared.pop(command.name, None) is None:
+                refusal = Refusal.NO_STATEMENT
         elif kind in (CommandKind.RUN, CommandKind.EXECUTE):
             end, refusal, rows = self._run_statement(connection, command, now)
         open_state = TransactionState.OPEN if connection.open else TransactionState.NONE
@@ -221,7 +225,9 @@
         return end, answer
 
     def _run_statement(self, connection, command, now):
-        text = command.text or connection.prepared.get(command.name, "")
+        text = command.text or connection.prepared.get(command.name)
+        if text is None:
+            return now, Refusal.NO_STATEMENT, ()
         word = text.split(" ")[0]
         writes = word == "WRITE"
         if self.answer_busy:
@@ -878,14 +884,21 @@
         "READ": StatementKind.READ,
         "WRITE": StatementKind.WRITE,
         "SET": StatementKind.SET,
+        "PREPARE": StatementKind.PREPARE,
+        "EXECUTE": StatementKind.EXECUTE,
+        "DEALLOC": StatementKind.DEALLOCATE,
     }[word]
     name, _, value = rest.partition(" ")
+    mode, shape = "", ""
+    if kind is StatementKind.PREPARE:
+        mode, _, shape = value.partition(" ")
     return Statement(
         request=request,
         kind=kind,
         text=text,
         name=name,
         value=value,
-        writes=kind is StatementKind.WRITE,
+        shape=shape,
+        writes="WRITE" in (word, mode),
         read_only=kind is StatementKind.BEGIN and rest == "READ",
     )
