Run no statement on a connection whose setup was refused

A server that refused a SET or RESET of the proxy ran the caller's statement, which was sent in the same packet, with the values of another caller (PINNED). A refused PREPARE closed the connection and counted as a failure of the server: a shape that a server refuses was sent 12 times in 0.17 s, had the primary avoided for 1.5 s and a promotion prepared.

A statement is sent once the server has accepted the last session value before it, as after a BEGIN. A refusal is recorded; the connection is reset when it is free, and the statement is queued again or refused as not run. A PREPARE is still sent along with the EXECUTE, as nothing else has the new name; its refusal answers the execution and leaves the connection in use. A write whose values were not confirmed in time is refused as not run in place of in doubt.

--- a/src/siskinhold/direct/_dispatch.py
+++ b/src/siskinhold/direct/_dispatch.py
@@ -14,7 +14,7 @@
 from ._switchover import record_overload
 from ._types import Answer, Refusal
 from ._write_proof import is_write_proved, request_write_proof
-from .pools import apply_session_values, find_idle_connection, grow_pool, has_pool
+from .pools import find_idle_connection, grow_pool, has_pool
 from .room import record_placement, was_judged
 
 FLOOR_REFRESH_INTERVAL = 0.6
@@ -161,7 +161,6 @@
                 continue
             job.hedged = True
             database.hedge_budget -= 1
-            apply_session_values(state, connection, job.session, out)
             run_statement(state, job, connection, out, after)
             out.append(
                 Log(
--- a/src/siskinhold/direct/_hedging.py
+++ b/src/siskinhold/direct/_hedging.py
@@ -40,7 +40,7 @@
         if session.transaction is not None or not job.connections:
             continue
         limit = compute_hedge_delay(state, job.connections[0].server)
-        if state.now - job.sent_at < limit:
+        if state.now - job.placed_at < limit:
             continue
         if database.hedge_budget < len(found) + 1:
             break
--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -74,7 +74,7 @@
             return
         fail_transaction(state, job, "connection_lost", out)
         return
-    if job.writes:
+    if job.writes and began:
         answer = Answer(refusal=Refusal.IN_DOUBT, detail="connection lost")
         end_job(state, job, answer, "connection_lost", out)
         return
@@ -86,7 +86,7 @@
 
     A shutdown limits the deadline, see `limit_deadline`.
 
-    The answer is an overload if the job is queued, in doubt if it may have committed
+    The answer is an overload if the job was not sent, in doubt if it may have committed
     writes, else a timeout. A transaction is aborted, unless the job is a `COMMIT` that
     was started.
     """
@@ -115,5 +115,9 @@
         return
     if job.commits:
         job.session.transaction = None
-    refusal = Refusal.IN_DOUBT if in_doubt else Refusal.TIMEOUT
+    refusal = Refusal.TIMEOUT
+    if in_doubt:
+        refusal = Refusal.IN_DOUBT
+    elif not started:
+        refusal = Refusal.OVERLOAD
     end_job(state, job, Answer(refusal=refusal, detail=reason), reason, out)
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -1,11 +1,14 @@
 """Handling of backend servers' answers to callers' statements and their setup."""
 
+from dataclasses import replace
+
 from ._effects import Observe
 from ._losses import handle_connection_loss
 from ._outliers import record_failure, record_success
 from ._replies import end_job
 from ._runs import (
     abandon_transaction,
+    fail_job,
     fail_transaction,
     record_refusal,
     requeue_job,
@@ -27,36 +30,100 @@
     connection: Connection,
     pending: PendingCommand,
     answer: Answer,
-    out,
+    out: Effects,
 ) -> None:
-    """Handle the answer to a command that precedes a caller's statement.
+    """Send a caller's statement once the last command before it was accepted.
 
-    After a `BEGIN`, which has a job, the statement is sent, or the job is queued again
-    if the server refused. After a refused `RESET`, `SET` or `PREPARE`, the connection
-    is closed.
+    If any was refused, the connection is reset when it is free.
     """
+    if answer.refusal is not None:
+        connection.kept.reject(answer)
     job = pending.work
-    if job is None:
-        if answer.refusal is not None:
-            close_connection(state, connection, out, "setup_refused")
-            handle_connection_loss(state, connection, out)
+    if job is None or not _is_awaited(state, job, connection, out):
         return
-    if job.state is JobState.ENDED:
-        roll_back(state, connection, out)
+    job.connections.remove(connection)
+    rejection = connection.kept.rejection
+    if rejection is None:
+        run_statement(state, job, connection, out, job.after)
+    elif not job.connections:
+        _refuse_setup(state, job, connection.server, rejection, out)
+
+
+def handle_begin_answer(
+    state: DirectState,
+    connection: Connection,
+    pending: PendingCommand,
+    answer: Answer,
+    out: Effects,
+) -> None:
+    """Send the first statement of a transaction that the server has begun.
+
+    If it refused, the job is queued again; likewise if it refused a session value.
+    """
+    job = pending.work
+    if not _is_awaited(state, job, connection, out):
         return
-    if answer.refusal is None:
-        job.connections = []
+    job.connections = []
+    rejection = connection.kept.rejection
+    if answer.refusal is None and rejection is None:
         run_statement(state, job, connection, out)
         return
+    if answer.refusal is None:
+        roll_back(state, connection, out)
+        _refuse_setup(state, job, connection.server, rejection, out)
+        return
     connection.transaction = None
     transaction = job.session.transaction
     if transaction is not None:
         transaction.connection = None
-    job.connections = []
     record_refusal(state, connection.server, answer.refusal, out)
     requeue_job(state, job, connection.server, answer.refusal.value, out)
 
 
+def handle_preparation_answer(
+    connection: Connection, pending: PendingCommand, answer: Answer
+) -> None:
+    """Have a refusal to prepare a statement answer its execution, which is next."""
+    if answer.refusal is None:
+        return
+    statement = pending.work.statement
+    connection.kept.forget_statement(statement.writes, statement.shape)
+    if connection.pending and connection.pending[0].work is pending.work:
+        connection.pending[0].preparation = answer
+
+
+def _is_awaited(
+    state: DirectState, job: Job, connection: Connection, out: Effects
+) -> bool:
+    """Return whether a job still needs a connection that was set up for it.
+
+    Otherwise the connection's transaction is rolled back.
+    """
+    if job.state is JobState.RUNNING and connection in job.connections:
+        return True
+    if connection.transaction is not None:
+        roll_back(state, connection, out)
+    return False
+
+
+def _refuse_setup(
+    state: DirectState, job: Job, server: Server, refusal: Answer, out: Effects
+) -> None:
+    """Queue a job again whose connection could not be set up, or refuse it.
+
+    Its statement was not sent.
+    """
+    transaction = job.session.transaction
+    reason = refusal.refusal.value
+    if transaction is not None and (transaction.connection or transaction.wrote):
+        fail_transaction(state, job, reason, out)
+    elif refusal.refusal in NOT_RUN:
+        record_refusal(state, server, refusal.refusal, out)
+        requeue_job(state, job, server, reason, out)
+    else:
+        fail_job(state, job, refusal.refusal, reason, out, detail=refusal.detail)
+
+
 def handle_release_answer(
     state: DirectState, connection: Connection, answer: Answer, out: Effects
 ) -> None:
@@ -81,6 +148,10 @@
     job = pending.work
     server = connection.server
     elapsed = state.now - pending.sent_at
+    if pending.preparation is None:
+        _record_outcome(state, connection, answer, out)
+    elif answer.refusal is not None:
+        answer = replace(answer, refusal=pending.preparation.refusal)
     ran = answer.refusal not in NOT_RUN and answer.refusal is not Refusal.NO_STATEMENT
     if ran and pending.sent_at >= state.resumed_at:
         # Refusals are quick; counted, they would make a lagging replica look fast. A
@@ -89,7 +160,6 @@
         out.append(Observe(metric="service_seconds", value=elapsed))
         if answer.refusal is None:
             record_answer_time(state, server, job, elapsed, out)
-    _record_outcome(state, server, answer, out)
     transaction = job.session.transaction
     in_transaction = connection.transaction is not None
     if job.state is not JobState.RUNNING or connection not in job.connections:
@@ -102,8 +172,6 @@
         return
     if answer.refusal in NOT_RUN or answer.refusal is Refusal.NO_STATEMENT:
         record_refusal(state, server, answer.refusal, out)
-        if answer.refusal is Refusal.NO_STATEMENT:
-            connection.kept.rejected = True
         if in_transaction:
             fail_transaction(state, job, answer.refusal.value, out)
             return
@@ -130,13 +198,18 @@
 
 
 def _record_outcome(
-    state: DirectState, server: Server, answer: Answer, out: Effects
+    state: DirectState, connection: Connection, answer: Answer, out: Effects
 ) -> None:
-    """Record whether a server failed a statement; refusals to run it say nothing."""
+    """Record whether a server failed a statement, or lacks one that it should keep.
+
+    Refusals to run it say nothing else.
+    """
     if answer.refusal is None:
-        record_success(server)
+        record_success(connection.server)
     elif answer.refusal in (Refusal.FAILED, Refusal.TIMEOUT):
-        record_failure(state, server, out)
+        record_failure(state, connection.server, out)
+    elif answer.refusal is Refusal.NO_STATEMENT:
+        connection.kept.reject(answer)
 
 
 def _may_run_again(job: Job, transaction: Transaction | None) -> bool:
--- a/src/siskinhold/direct/_runs.py
+++ b/src/siskinhold/direct/_runs.py
@@ -21,18 +21,19 @@
 ) -> None:
     """Start a job on an idle connection.
 
-    A single statement is sent at once. The first statement of a transaction is sent
-    when the server has accepted the `BEGIN`, see `handle_setup_answer`.
+    The first statement of a transaction is sent when the server has accepted the
+    `BEGIN`, see `handle_begin_answer`.
 
     Args:
         after: log position that the server must have applied.
     """
     session = job.session
-    apply_session_values(state, connection, session, out)
+    job.placed_at = state.now
     transaction = session.transaction
     if transaction is None:
         run_statement(state, job, connection, out, after)
         return
+    apply_session_values(state, connection, session, out)
     transaction.connection = connection
     connection.transaction = transaction
     job.state = JobState.RUNNING
@@ -46,7 +47,7 @@
         state,
         connection,
         Command(kind=kind, after=after if transaction.read_only else None),
-        Purpose.SETUP,
+        Purpose.BEGIN,
         out,
         job,
     )
@@ -59,28 +60,35 @@
     out: Effects,
     after: Position | None = None,
 ) -> None:
-    """Send a job's statement on a connection.
+    """Send a job's statement on a connection, once the session values are in force.
+
+    Sent along with a value that the server refuses, it would run with another one, see
+    `handle_setup_answer`. A prepared statement is sent along with its preparation: if
+    that is refused, nothing has its new name.
 
-    Session values that a transaction has changed are set first, and a prepared
-    statement is first prepared on the connection.
     Args:
         connection: that of the transaction if there is one; otherwise an idle one,
             which for a hedged read is its second.
         after: log position that the server must have applied.
     """
     session = job.session
+    job.state = JobState.RUNNING
+    job.connections.append(connection)
+    job.server = connection.server.entry.server
+    job.after = after
+    if apply_session_values(state, connection, session, out, job):
+        if len(job.connections) == 1:
+            job.sent_at = 0.0
+        return
     transaction = session.transaction
     statement = job.statement
-    if transaction is not None:
-        apply_session_values(state, connection, session, out)
-        if job.writes and not job.commits:
-            transaction.wrote = True
+    if transaction is not None and job.writes and not job.commits:
+        transaction.wrote = True
     if statement.kind is StatementKind.EXECUTE:
-        name = prepare_statement(state, connection, statement, out)
         command = Command(
             kind=CommandKind.EXECUTE,
             request=statement.request,
-            name=name,
+            name=prepare_statement(state, connection, job, out),
             value=statement.value,
             after=after,
         )
@@ -91,9 +99,6 @@
             text=statement.text,
             after=after,
         )
-    job.state = JobState.RUNNING
-    job.connections.append(connection)
-    job.server = connection.server.entry.server
     job.sent_at = state.now
     if transaction is None:
         job.attempts += 1
--- a/src/siskinhold/direct/_server_session.py
+++ b/src/siskinhold/direct/_server_session.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from ._text_size import measure_entry
+from ._types import Answer
 
 MAX_STATEMENTS = 128
 """Prepared statements that a server keeps for one connection."""
@@ -20,15 +21,16 @@
     Attributes:
         values: session values by name; changed by `set_value` only.
         size: bytes of the values and statements.
-        rejected: whether the server did not know a statement that it should keep.
+        rejection: the first refusal by which the server keeps something else than
+            recorded, None without one.
     """
 
-    __slots__ = ("values", "size", "rejected", "_names", "_numbers_used")
+    __slots__ = ("values", "size", "rejection", "_names", "_numbers_used")
 
     def __init__(self) -> None:
         self.values: dict[str, str] = {}
         self.size = 0
-        self.rejected = False
+        self.rejection: Answer | None = None
         self._names: OrderedDict[tuple[bool, str], str] = OrderedDict()
         self._numbers_used = 0
 
@@ -72,12 +74,22 @@
             removed.append(self._remove_statement(next(iter(self._names))))
         return removed
 
+    def forget_statement(self, writes: bool, shape: str) -> None:
+        """Record that the server refused to prepare a statement."""
+        if (writes, shape) in self._names:
+            self._remove_statement((writes, shape))
+
+    def reject(self, answer: Answer) -> None:
+        """Record a refusal by which the record is wrong until the next reset."""
+        if self.rejection is None:
+            self.rejection = answer
+
     def clear(self) -> None:
         """Record that the connection was reset."""
         self.values.clear()
         self._names.clear()
         self.size = 0
-        self.rejected = False
+        self.rejection = None
 
     def _remove_statement(self, key: tuple[bool, str]) -> str:
         name = self._names.pop(key)
--- a/src/siskinhold/direct/_server_state.py
+++ b/src/siskinhold/direct/_server_state.py
@@ -9,7 +9,7 @@
 from ._connection_life import ConnectionState, check_transition
 from ._server_session import ServerSession
 from ._speed_state import Slowdown
-from ._types import ServerEntry
+from ._types import Answer, ServerEntry
 
 if TYPE_CHECKING:
     from ._state import Job, Transaction
@@ -31,7 +31,9 @@
 
     Attributes:
         JOB: to run a caller's statement.
-        SETUP: to prepare a connection for a caller's statement.
+        SETUP: to set session values and make room before a caller's statement.
+        BEGIN: to begin a caller's transaction.
+        PREPARE: to prepare what the next command executes.
         PROBE: to learn the end of a server's received log for a promotion.
         LEAD_PROBE: to learn whether a server accepts a write transaction.
         ROLE: to learn the term of a server that leads, or to make it step down.
@@ -48,6 +50,8 @@
 
     JOB = "work"
     SETUP = "setup"
+    BEGIN = "begin"
+    PREPARE = "prepare"
     PROBE = "probe"
     LEAD_PROBE = "lead_probe"
     ROLE = "role"
@@ -64,11 +68,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class PendingCommand:
-    """A command that waits for its answer."""
+    """A command that waits for its answer.
+
+    Args:
+        preparation: the refusal to prepare what it executes.
+    """
 
     purpose: Purpose
     sent_at: float
     work: "Job | None" = None
+    preparation: Answer | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -28,7 +28,13 @@
     handle_fence_answer,
     handle_step_down_answer,
 )
-from ._results import handle_job_answer, handle_release_answer, handle_setup_answer
+from ._results import (
+    handle_begin_answer,
+    handle_job_answer,
+    handle_preparation_answer,
+    handle_release_answer,
+    handle_setup_answer,
+)
 from ._resumptions import (
     handle_resumption_answer,
     handle_suspension_status,
@@ -252,6 +258,10 @@
         handle_job_answer(state, connection, pending, answer, out)
     elif pending.purpose is Purpose.SETUP:
         handle_setup_answer(state, connection, pending, answer, out)
+    elif pending.purpose is Purpose.BEGIN:
+        handle_begin_answer(state, connection, pending, answer, out)
+    elif pending.purpose is Purpose.PREPARE:
+        handle_preparation_answer(connection, pending, answer)
     elif pending.purpose is Purpose.RELEASE:
         handle_release_answer(state, connection, answer, out)
     elif pending.purpose is Purpose.LEAD_PROBE:
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -130,7 +130,9 @@
         tried: servers that did not run it, with the time of their refusal.
         attempts: how often it was given to a connection.
         connections: connections on which it runs; several once it is hedged.
-        sent_at: when it was last sent.
+        placed_at: when it was last given to a first connection.
+        after: log position that its server must have applied.
+        sent_at: when it was last sent, 0 while its connection is set up.
         hedged: whether it was sent a second time.
         answer: the server's answer while it waits for proof.
         server: the server that last ran it.
@@ -154,6 +156,8 @@
     tried: dict[str, float] = field(default_factory=dict)
     attempts: int = 0
     connections: list[Connection] = field(default_factory=list)
+    placed_at: float = 0.0
+    after: Position | None = None
     sent_at: float = 0.0
     hedged: bool = False
     answer: Answer | None = None
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -5,11 +5,13 @@
 from .._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
-from .._types import Answer, Command, CommandKind, Statement, TransactionState
+from .._types import Answer, Command, CommandKind, TransactionState
 from ._closing import close_connection
 
 _STATES = {
     Purpose.SETUP: ConnectionState.PREPARING,
+    Purpose.BEGIN: ConnectionState.PREPARING,
+    Purpose.PREPARE: ConnectionState.PREPARING,
     Purpose.CLEANUP: ConnectionState.CLEANING,
     Purpose.RELEASE: ConnectionState.CLEANING,
 }
@@ -78,32 +80,49 @@
 
 
 def apply_session_values(
-    state: DirectState, connection: Connection, session: Session, out: Effects
-) -> None:
+    state: DirectState,
+    connection: Connection,
+    session: Session,
+    out: Effects,
+    job: Job | None = None,
+) -> bool:
     """Set the session values of a caller on a connection before its statement runs.
 
     Values that are set already are not sent again. A connection with values that the
     session lacks is reset first.
+
+    Args:
+        job: handled with the answer to the last command.
+
+    Returns:
+        whether anything was sent.
     """
     kept = connection.kept
-    extra = [name for name in kept.values if name not in session.values]
-    if extra:
-        send(state, connection, Command(kind=CommandKind.RESET), Purpose.SETUP, out)
+    commands = []
+    values = kept.values
+    if any(name not in session.values for name in values):
+        commands.append(Command(kind=CommandKind.RESET))
+        values = {}
     for name, value in session.values.items():
-        if kept.values.get(name) == value:
+        if values.get(name) == value:
             continue
-        command = Command(kind=CommandKind.SET, name=name, value=value)
-        send(state, connection, command, Purpose.SETUP, out)
-        kept.set_value(name, value)
+        commands.append(Command(kind=CommandKind.SET, name=name, value=value))
+    for command in commands:
+        work = job if command is commands[-1] else None
+        send(state, connection, command, Purpose.SETUP, out, work)
+        if command.kind is CommandKind.SET:
+            kept.set_value(command.name, command.value)
+    return bool(commands)
 
 
 def prepare_statement(
-    state: DirectState, connection: Connection, statement: Statement, out: Effects
+    state: DirectState, connection: Connection, job: Job, out: Effects
 ) -> str:
-    """Prepare what a statement executes unless that is done; return its name.
+    """Prepare what a job executes unless that is done; return its name.
 
     The statements that were unused for longest make room for it.
     """
+    statement = job.statement
     writes, shape = statement.writes, statement.shape
     kept = connection.kept
     name = kept.find_statement(writes, shape)
@@ -113,7 +132,7 @@
     _deallocate(state, connection, removed, Purpose.SETUP, out)
     name = kept.add_statement(writes, shape)
     command = Command(kind=CommandKind.PREPARE, name=name, value=shape, writes=writes)
-    send(state, connection, command, Purpose.SETUP, out)
+    send(state, connection, command, Purpose.PREPARE, out, job)
     fields = (
         ("request", statement.request),
         ("server", connection.server.entry.server),
@@ -142,15 +161,15 @@
 def _release_kept(state: DirectState, connection: Connection, out: Effects) -> None:
     """Have the server release what it keeps for a free connection beyond the limits.
 
-    All of it, if values exceed them or the server lacks a statement.
+    All of it, if values exceed them or the server keeps something else than recorded.
     """
     kept = connection.kept
     share = state.kept_limit // len(state.connections)
     limit = min(MAX_KEPT_BYTES, share)
-    if not kept.rejected and kept.size <= limit:
+    if kept.rejection is None and kept.size <= limit:
         return
     removed = kept.remove_excess(count=MAX_STATEMENTS, size=limit)
-    if kept.rejected or kept.size > limit:
+    if kept.rejection is not None or kept.size > limit:
         command = Command(kind=CommandKind.RESET)
         send(state, connection, command, Purpose.RELEASE, out)
         return
--- a/tests/direct/test_direct_kept_state.py
+++ b/tests/direct/test_direct_kept_state.py
@@ -1,8 +1,9 @@
 """Tests of what servers keep for connections: values and prepared statements."""
 
+import pytest
 from hypothesis import given, strategies
 
-from siskinhold.direct import CommandKind
+from siskinhold.direct import CommandKind, Refusal
 from siskinhold.direct._server_session import (
     MAX_KEPT_BYTES,
     MAX_STATEMENTS,
@@ -127,10 +128,61 @@
         """Guards against a connection whose server keeps more than is recorded."""
         world = start()
         world.connect("vm1", 1)
-        world.servers["s1"].refuses.add(CommandKind.DEALLOCATE)
+        world.servers["s1"].refuses[CommandKind.DEALLOCATE] = Refusal.BUSY
         shape = "x" * 2 * MAX_KEPT_BYTES
         answer = execute_shapes(world, ["q1", shape])
         assert answer.refusal is None
         world.advance(0.1)
         assert not any(shape in c.prepared.values() for c, _ in list_kept(world))
         assert world.find_logs("backend_closed")
+
+    @pytest.mark.parametrize("refusal", [Refusal.BUSY, Refusal.FAILED])
+    def test_refused_preparation_ends_in_its_own_execution(self, refusal):
+        """Guards against a shape that costs connections, or the primary its place."""
+        world = start()
+        world.connect("vm1", 1)
+        server = world.servers["s1"]
+        server.refuses[CommandKind.PREPARE] = refusal
+        world.execute("vm1", 1, "PREPARE s WRITE q1")
+        assert world.execute("vm1", 1, "EXECUTE s k").refusal is not None
+        assert not world.find_logs("backend_closed")
+        assert not world.find_logs("server_failing")
+        assert not server.ran
+        server.refuses.clear()
+        world.advance(0.1)
+        assert world.execute("vm1", 1, "EXECUTE s k").refusal is None
+
+    @pytest.mark.parametrize("kind", [CommandKind.SET, CommandKind.RESET])
+    @pytest.mark.parametrize("text", ["WRITE x 1", "READ x", "BEGIN"])
+    def test_statement_does_not_run_with_refused_session_values(self, kind, text):
+        """Guards against a statement that runs with another caller's values."""
+        world = start()
+        server = world.servers["s1"]
+        for session, value in ((1, "a"), (2, "b")):
+            world.connect("vm1", session)
+            world.execute("vm1", session, f"SET v{session} {value}")
+        assert world.execute("vm1", 1, "WRITE x 0").refusal is None
+        ran = len(server.ran)
+        server.refuses[kind] = Refusal.BUSY
+        world.send_statement("vm1", 2, text)
+        world.advance(0.3)
+        if text == "BEGIN":
+            world.send_statement("vm1", 2, "WRITE x 1")
+            world.advance(0.3)
+        server.refuses.clear()
+        world.advance(1.0)
+        assert all(values == {"v2": "b"} for values in server.ran_values[ran:])
+        for connection, kept in list_kept(world):
+            assert connection.values == kept.values
+
+    def test_statement_that_awaits_session_values_was_not_run(self):
+        """Guards against an outcome in doubt of a write that was never sent."""
+        world = start()
+        world.connect("vm1", 1)
+        world.execute("vm1", 1, "SET v a")
+        world.servers["s1"].hangs_at.add(CommandKind.SET)
+        world.send_statement("vm1", 1, "WRITE x 1")
+        world.advance(3)
+        _, answer = world.replies["vm1", 1][-1]
+        assert answer.refusal is Refusal.OVERLOAD
+        assert not world.servers["s1"].commits
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -97,7 +97,8 @@
 
     A status query or a suspension takes `status_time`. A replica applies what it
     receives before `applies_at` only then. Commands of the kinds in `refuses` are not
-    run. Connections of the VMs in `breaks_off_for` end with each statement.
+    run; a connection gets no more answers from one in `hangs_at` on. Connections of the
+    VMs in `breaks_off_for` end with each statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -124,11 +125,13 @@
         self.started = 1
         self.free_at = [0.0] * slots
         self.ran: list[tuple[float, str, str]] = []
+        self.ran_values: list[dict[str, str]] = []
         self.commits: list[tuple[float, int, int]] = []
         self.lose_answers = 0
         self.breaks_off_for: set[str] = set()
         self.fails_statements = False
-        self.refuses: set[CommandKind] = set()
+        self.refuses: dict[CommandKind, Refusal] = {}
+        self.hangs_at: set[CommandKind] = set()
         self.answer_busy = 0
 
     def reaches(self, vm: str) -> bool:
@@ -167,7 +170,7 @@
         status = None
         after = command.after
         if kind in self.refuses:
-            refusal = Refusal.BUSY
+            refusal = self.refuses[kind]
         elif after is not None and self.applied < after:
             refusal = Refusal.LAGGING
         elif kind is CommandKind.BEGIN:
@@ -239,6 +242,7 @@
             return now, Refusal.FAILED, ()
         end = self.occupy_slot(now, self.statement_time)
         self.ran.append((now, command.request, text))
+        self.ran_values.append(dict(connection.values))
         if writes and connection.open:
             connection.wrote = True
         commits = writes and not connection.open or word == "COMMIT"
@@ -266,6 +270,7 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         self.open = ""
+        self.hangs = False
         self.wrote = False
         self.committed = None
         self.ready_at = 0.0
@@ -563,6 +568,9 @@
                 lost = BackendLost(at=0, connection=number, reason=LossReason.CLOSED)
                 self.deliver(vm, self.now + LATENCY, lost)
                 return
+            connection.hangs |= command.kind in server.hangs_at
+            if connection.hangs:
+                return
             end, answer = server.run(connection, command, self.now)
             connection.ready_at = max(connection.ready_at, end)
             if command.request and server.lose_answers:
