Close connections whose rollback or release is not answered

A server that hung at a ROLLBACK or RESET of the proxy took a connection out of use for good: only answers to callers' statements were watched, and the kernel of a hung server still acknowledges.

--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -40,7 +40,7 @@
     handle_suspension_status,
     resume_replication,
 )
-from ._server_state import Purpose, Server
+from ._server_state import Connection, Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
 from ._switchover import handle_backlog_answer, request_backlogs
 from ._types import Command, CommandKind, ServerEntry
@@ -330,7 +330,7 @@
         ):
             close_connection(state, control, out, "control_unresponsive")
             handle_connection_loss(state, control, out)
-    _close_connections_of_ended_jobs(state, server, out)
+    _close_unanswered_connections(state, server, out)
     resume_replication(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
@@ -356,21 +356,33 @@
             drop_leader(state, database, DropReason.GONE, out)
 
 
-def _close_connections_of_ended_jobs(
+def _close_unanswered_connections(
     state: DirectState, server: Server, out: Effects
 ) -> None:
-    """Close connections on which the answer to an already ended job is overdue."""
+    """Close connections on which an answer is overdue that no caller waits for."""
     for connection in list(server.connections.values()):
-        if not connection.pending:
+        if not connection.pending or _is_awaited(connection):
             continue
-        oldest = connection.pending[0]
-        if oldest.work is None or oldest.work.state is not JobState.ENDED:
-            continue
-        if state.now - oldest.sent_at >= ABANDONED_ANSWER_TIMEOUT:
+        if state.now - connection.pending[0].sent_at >= ABANDONED_ANSWER_TIMEOUT:
             close_connection(state, connection, out, "answer_lost")
             handle_connection_loss(state, connection, out)
 
 
+def _is_awaited(connection: Connection) -> bool:
+    """Return whether a caller waits for an answer on a connection.
+
+    A control connection's own commands are watched by `_maintain_server`.
+    """
+    for pending in connection.pending:
+        if pending.work is None:
+            if connection.control:
+                return True
+            continue
+        if pending.work.state is not JobState.ENDED:
+            return True
+    return False
+
+
 def _ping(state: DirectState, server: Server, out: Effects) -> None:
     """Ping a server without traffic, so that its loss is detected early."""
     if server.down_at is not None:
