--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -1,5 +1,6 @@
 """Reducer of the direct core: maps events to effects."""
 
+from ._answers import handle_backend_answer
 from ._callers import (
     admit_pending_callers,
     handle_caller_moved,
@@ -53,7 +54,6 @@
 from ._runs import abandon_transaction
 from ._servers import (
     apply_servers,
-    handle_backend_answer,
     handle_backend_lost,
     handle_backend_opened,
     maintain_servers,
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -4,45 +4,16 @@
 
 from ._connection_life import ConnectionState
 from ._effects import Log
-from ._events import (
-    BackendAnswered,
-    BackendLost,
-    BackendOpened,
-    LossReason,
-    ServersRead,
-)
+from ._events import BackendLost, BackendOpened, LossReason, ServersRead
 from ._evidence import NEW_SERVER_PERIOD, record_evidence
 from ._holders import knows_vms, needs_connections, needs_servers
-from ._leaders import (
-    DropReason,
-    drop_leader,
-    handle_attestation,
-    handle_leader_probe_answer,
-    handle_leader_status,
-    probe_leader,
-)
+from ._leaders import DropReason, drop_leader, probe_leader
 from ._losses import handle_connection_loss
 from ._placement import accepts_leader_jobs
-from ._promotion import (
-    handle_candidate_status,
-    handle_fence_answer,
-    handle_step_down_answer,
-)
-from ._results import (
-    handle_begin_answer,
-    handle_job_answer,
-    handle_preparation_answer,
-    handle_release_answer,
-    handle_setup_answer,
-)
-from ._resumptions import (
-    handle_resumption_answer,
-    handle_suspension_status,
-    resume_replication,
-)
+from ._resumptions import resume_replication
 from ._server_state import Connection, Purpose, Server
 from ._state import Database, DirectState, Effects, JobState
-from ._switchover import handle_backlog_answer, request_backlogs
+from ._switchover import request_backlogs
 from ._types import Command, CommandKind, ServerEntry
 from .pools import (
     OVERLOAD_DELAY,
@@ -55,7 +26,6 @@
     record_open_failure,
     remove_connection,
     send,
-    settle,
 )
 
 GONE_SERVER_RETENTION = 6.0
@@ -238,53 +208,6 @@
         ensure_control_connection(state, server, out)
 
 
-def handle_backend_answer(
-    state: DirectState, event: BackendAnswered, out: Effects
-) -> None:
-    """Record the server's log position and pass the answer to its command's handler.
-
-    The handler follows from the command's purpose. Answers to `POSITION` and `CLEANUP`
-    commands need none.
-    """
-    connection = state.connections.get(event.connection)
-    if connection is None or not connection.pending:
-        return
-    pending = connection.pending.popleft()
-    server = connection.server
-    answer = event.answer
-    record_evidence(state, server, pending.sent_at, answer.position, out)
-    state.pending_updates.add(server.entry.service)
-    if pending.purpose is Purpose.JOB:
-        handle_job_answer(state, connection, pending, answer, out)
-    elif pending.purpose is Purpose.SETUP:
-        handle_setup_answer(state, connection, pending, answer, out)
-    elif pending.purpose is Purpose.BEGIN:
-        handle_begin_answer(state, connection, pending, answer, out)
-    elif pending.purpose is Purpose.PREPARE:
-        handle_preparation_answer(connection, pending, answer)
-    elif pending.purpose is Purpose.RELEASE:
-        handle_release_answer(state, connection, answer, out)
-    elif pending.purpose is Purpose.LEAD_PROBE:
-        handle_leader_probe_answer(state, server, pending.sent_at, answer, out)
-    elif pending.purpose is Purpose.ROLE:
-        handle_leader_status(state, server, pending.sent_at, answer, out)
-    elif pending.purpose is Purpose.ATTEST:
-        handle_attestation(state, server, pending.sent_at, answer, out)
-    elif pending.purpose is Purpose.SUSPENSION:
-        handle_suspension_status(state, server, answer, out)
-    elif pending.purpose is Purpose.RESUMPTION:
-        handle_resumption_answer(server, pending.sent_at)
-    elif pending.purpose is Purpose.BACKLOG:
-        handle_backlog_answer(server, pending.sent_at, answer)
-    elif pending.purpose is Purpose.PROBE:
-        handle_candidate_status(state, server, answer)
-    elif pending.purpose is Purpose.FENCE:
-        handle_fence_answer(state, server, pending.sent_at, answer)
-    elif pending.purpose is Purpose.STEP_DOWN:
-        handle_step_down_answer(state, server, pending.sent_at, answer)
-    settle(state, connection, answer, out)
-
-
 def maintain_servers(state: DirectState, out: Effects) -> None:
     """Maintain connections to servers and probe for primaries; called at each tick."""
     if not needs_servers(state):
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -22,9 +22,8 @@
 
 
 class Refusal(enum.Enum):
-    """Why a statement has no result.
+    """Why a statement has no result; `NOT_RUN` lists those with a safe retry.
 
-    `NOT_RUN` lists those after which a retry is safe.
     Attributes:
         ABORTED: its transaction failed and was not committed.
         LAGGING: the server has not applied the log up to the required position.
@@ -124,7 +123,7 @@
         request: the caller's request id; empty for a command of the proxy itself.
         text: for `RUN`, the caller's text.
         name: variable, or name of a prepared statement on this connection.
-        value: value of the variable, arguments, or text to prepare.
+        value: value of the variable, arguments, or shape to prepare.
         writes: for `PREPARE`, whether the statement writes.
         after: log position that the server must have applied.
         term: for `STEP_DOWN` and `SUSPEND`, the term of the next primary.
