Release large session values after a second without use

A session with values over 64 KiB had them sent anew with each statement, as the connection was reset once it was free: 50 MiB for 50 reads with 1 MiB of values, 1 MiB before connections were bounded.

Values and statements are counted apart. A free connection keeps larger values for a second, unless all connections together exceed kept_kb; values no longer have its statements removed. A statement that servers don't know is refused after three attempts instead of 80 in a second, and a refused RESET of a position query leaves no wrong record.

--- a/src/siskinhold/direct/_answers.py
+++ b/src/siskinhold/direct/_answers.py
@@ -15,6 +15,7 @@
 from ._results import (
     handle_begin_answer,
     handle_job_answer,
+    handle_position_answer,
     handle_preparation_answer,
     handle_release_answer,
     handle_setup_answer,
@@ -31,8 +32,8 @@
 ) -> None:
     """Record the server's log position and pass the answer to its command's handler.
 
-    The handler follows from the command's purpose. Answers to `POSITION` and `CLEANUP`
-    commands need none.
+    The handler follows from the command's purpose. Answers to `CLEANUP` commands need
+    none.
     """
     connection = state.connections.get(event.connection)
     if connection is None or not connection.pending:
@@ -52,6 +53,8 @@
         handle_preparation_answer(connection, pending, answer)
     elif pending.purpose is Purpose.RELEASE:
         handle_release_answer(state, connection, answer, out)
+    elif pending.purpose is Purpose.POSITION:
+        handle_position_answer(connection, answer)
     elif pending.purpose is Purpose.LEAD_PROBE:
         handle_leader_probe_answer(state, server, pending.sent_at, answer, out)
     elif pending.purpose is Purpose.ROLE:
--- a/src/siskinhold/direct/_results.py
+++ b/src/siskinhold/direct/_results.py
@@ -21,6 +21,9 @@
 from .pools import close_connection
 from .room import record_answer_time
 
+MAX_UNKNOWN_STATEMENTS = 3
+"""Attempts after which a statement that servers don't know is refused as not run."""
+
 MAX_READ_ATTEMPTS = 3
 """Runs of a read that servers fail, after which its caller gets the failure."""
 
@@ -124,6 +127,12 @@
         fail_job(state, job, refusal.refusal, reason, out, detail=refusal.detail)
 
 
+def handle_position_answer(connection: Connection, answer: Answer) -> None:
+    """Record a refusal of the `RESET` that showed a server's log position."""
+    if answer.refusal is not None:
+        connection.kept.reject(answer)
+
+
 def handle_release_answer(
     state: DirectState, connection: Connection, answer: Answer, out: Effects
 ) -> None:
@@ -175,6 +184,10 @@
         if in_transaction:
             fail_transaction(state, job, answer.refusal.value, out)
             return
+        unknown = answer.refusal is Refusal.NO_STATEMENT
+        if unknown and job.attempts >= MAX_UNKNOWN_STATEMENTS:
+            fail_job(state, job, Refusal.OVERLOAD, "statement_unknown", out)
+            return
         requeue_job(state, job, server, answer.refusal.value, out)
         return
     if answer.refusal is Refusal.FAILED and _may_run_again(job, transaction):
--- a/src/siskinhold/direct/_server_session.py
+++ b/src/siskinhold/direct/_server_session.py
@@ -9,7 +9,12 @@
 """Prepared statements that a server keeps for one connection."""
 
 MAX_KEPT_BYTES = 64 << 10
-"""Bytes of values and statements that a server keeps for a free connection."""
+"""Bytes of statements that a server keeps for a free connection; also of values once
+it was unused for `VALUES_RETENTION`."""
+
+VALUES_RETENTION = 1.0
+"""Seconds for which a free connection keeps larger values, as the next statement of the
+same session needs them again."""
 
 
 class ServerSession:
@@ -20,20 +25,34 @@
 
     Attributes:
         values: session values by name; changed by `set_value` only.
-        size: bytes of the values and statements.
+        values_size: bytes of the values.
+        statements_size: bytes of the statements.
         rejection: the first refusal by which the server keeps something else than
             recorded, None without one.
     """
 
-    __slots__ = ("values", "size", "rejection", "_names", "_numbers_used")
+    __slots__ = (
+        "values",
+        "values_size",
+        "statements_size",
+        "rejection",
+        "_names",
+        "_numbers_used",
+    )
 
     def __init__(self) -> None:
         self.values: dict[str, str] = {}
-        self.size = 0
+        self.values_size = 0
+        self.statements_size = 0
         self.rejection: Answer | None = None
         self._names: OrderedDict[tuple[bool, str], str] = OrderedDict()
         self._numbers_used = 0
 
+    @property
+    def size(self) -> int:
+        """Bytes of the values and statements."""
+        return self.values_size + self.statements_size
+
     @property
     def statement_count(self) -> int:
         """Number of prepared statements."""
@@ -41,8 +60,8 @@
 
     def set_value(self, name: str, value: str) -> None:
         """Record a session value."""
-        self.size -= measure_entry(name, self.values.get(name))
-        self.size += measure_entry(name, value)
+        self.values_size -= measure_entry(name, self.values.get(name))
+        self.values_size += measure_entry(name, value)
         self.values[name] = value
 
     def find_statement(self, writes: bool, shape: str) -> str | None:
@@ -57,20 +76,20 @@
         self._numbers_used += 1
         name = f"s{self._numbers_used:x}"
         self._names[writes, shape] = name
-        self.size += measure_entry(name, shape)
+        self.statements_size += measure_entry(name, shape)
         return name
 
     def remove_excess(self, *, count: int, size: int) -> list[str]:
         """Remove statements until both limits are met; return their names.
 
         Those that exceed the size by themselves go first, then the least recently used
-        ones. The size may stay exceeded by the values.
+        ones.
         """
         removed = []
         for key, name in list(self._names.items()):
             if measure_entry(name, key[1]) > size:
                 removed.append(self._remove_statement(key))
-        while self._names and (len(self._names) > count or self.size > size):
+        while len(self._names) > count or self.statements_size > size:
             removed.append(self._remove_statement(next(iter(self._names))))
         return removed
 
@@ -88,10 +107,11 @@
         """Record that the connection was reset."""
         self.values.clear()
         self._names.clear()
-        self.size = 0
+        self.values_size = 0
+        self.statements_size = 0
         self.rejection = None
 
     def _remove_statement(self, key: tuple[bool, str]) -> str:
         name = self._names.pop(key)
-        self.size -= measure_entry(name, key[1])
+        self.statements_size -= measure_entry(name, key[1])
         return name
--- a/src/siskinhold/direct/_servers.py
+++ b/src/siskinhold/direct/_servers.py
@@ -24,6 +24,7 @@
     handle_server_loss,
     mark_reachable,
     record_open_failure,
+    release_kept,
     remove_connection,
     send,
 )
@@ -254,6 +255,7 @@
             close_connection(state, control, out, "control_unresponsive")
             handle_connection_loss(state, control, out)
     _close_unanswered_connections(state, server, out)
+    _release_unused(state, server, out)
     resume_replication(state, server, out)
     left_at = server.draining_at if server.gone_at is None else server.gone_at
     if left_at is None:
@@ -291,6 +293,13 @@
             handle_connection_loss(state, connection, out)
 
 
+def _release_unused(state: DirectState, server: Server, out: Effects) -> None:
+    """Have a server release what it keeps for unused connections beyond the limits."""
+    for connection in server.connections.values():
+        if connection.idle and connection.kept.size:
+            release_kept(state, connection, out)
+
+
 def _is_awaited(connection: Connection) -> bool:
     """Return whether a caller waits for an answer on a connection.
 
--- a/src/siskinhold/direct/pools/__init__.py
+++ b/src/siskinhold/direct/pools/__init__.py
@@ -5,6 +5,7 @@
     WrongAccount,
     apply_session_values,
     prepare_statement,
+    release_kept,
     send,
     settle,
 )
@@ -40,6 +41,7 @@
     "has_pool",
     "mark_reachable",
     "prepare_statement",
+    "release_kept",
     "record_open_failure",
     "remove_connection",
     "report_pools",
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -2,7 +2,7 @@
 
 from .._connection_life import ConnectionState, IllegalTransition
 from .._effects import Log, Observe, SendCommands
-from .._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS
+from .._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS, VALUES_RETENTION
 from .._server_state import Connection, PendingCommand, Purpose
 from .._state import DirectState, Effects, Job, Session
 from .._types import Answer, Command, CommandKind, TransactionState
@@ -158,22 +158,26 @@
         out.append(Observe(metric="backend_statements_released_total"))
 
 
-def _release_kept(state: DirectState, connection: Connection, out: Effects) -> None:
+def release_kept(state: DirectState, connection: Connection, out: Effects) -> None:
     """Have the server release what it keeps for a free connection beyond the limits.
 
-    All of it, if values exceed them or the server keeps something else than recorded.
+    All of it, if that holds for the values, or if it differs from the record. Large
+    values are released once they were unused for a while, or at once if all connections
+    keep too much.
     """
     kept = connection.kept
-    share = state.kept_limit // len(state.connections)
-    limit = min(MAX_KEPT_BYTES, share)
-    if kept.rejection is None and kept.size <= limit:
-        return
-    removed = kept.remove_excess(count=MAX_STATEMENTS, size=limit)
-    if kept.rejection is not None or kept.size > limit:
+    limit = min(MAX_KEPT_BYTES, state.kept_limit // len(state.connections))
+    surplus = kept.values_size > limit
+    if surplus and state.now - connection.used_at < VALUES_RETENTION:
+        total = sum(c.kept.size for c in state.connections.values())
+        surplus = total > state.kept_limit
+    if surplus or kept.rejection is not None:
         command = Command(kind=CommandKind.RESET)
         send(state, connection, command, Purpose.RELEASE, out)
         return
-    _deallocate(state, connection, removed, Purpose.RELEASE, out)
+    if kept.statements_size > limit:
+        removed = kept.remove_excess(count=MAX_STATEMENTS, size=limit)
+        _deallocate(state, connection, removed, Purpose.RELEASE, out)
 
 
 def settle(
@@ -191,7 +195,7 @@
         connection.advance(ConnectionState.IN_USE)
     elif answer.transaction is TransactionState.NONE:
         connection.advance(ConnectionState.FREE)
-        _release_kept(state, connection, out)
+        release_kept(state, connection, out)
     elif connection.control:
         connection.advance(ConnectionState.CLEANING)
     else:
