--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -2,9 +2,15 @@
 
 import pytest
 
-from siskinhold_platform._objects import ObjectUnreadable, decode_server
+from siskinhold_platform._objects import (
+    ObjectUnreadable,
+    decode_server,
+    decode_vm,
+    encode_vm,
+)
 
 from .test_objects import make_entry
+from .test_tasks import make_vm_entry
 
 
 class TestEntries:
@@ -23,3 +29,31 @@
         """Guards against an entry that no VM can send to another."""
         with pytest.raises(ObjectUnreadable):
             decode_server("i-1", make_entry(zone="\ud800"))
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"address": "10.0.0.1:-1"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1: 8_0"},
+            {"slots": "5"},
+            {"slots": True},
+            {"slots": float("inf")},
+        ],
+    )
+    def test_text_that_python_takes_for_a_number_is_unreadable(self, change):
+        """Guards against a port to which connecting raises, and other types."""
+        with pytest.raises(ObjectUnreadable):
+            decode_server("i-1", make_entry(**change))
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"host": 7}, {"relay_port": 99999}, {"relay_port": "7441"}, {"size": "1"}],
+    )
+    def test_vm_whose_address_is_none_is_unreadable(self, change):
+        """Guards against a relay to a port to which connecting raises."""
+        spec = encode_vm(make_vm_entry("vm-1", port=7441))
+        assert decode_vm("vm-1", spec).relay_port == 7441
+        with pytest.raises(ObjectUnreadable):
+            decode_vm("vm-1", {**spec, **change})
