--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -1,7 +1,9 @@
 """Tests that texts of callers, operators and store entries read back the same."""
 
 import pytest
+from hypothesis import example, given, settings, strategies
 
+from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
     decode_server,
@@ -12,6 +14,29 @@
 from .test_objects import make_entry
 from .test_tasks import make_vm_entry
 
+CODEC = WireCodec()
+
+TEXT = strategies.text(alphabet="ab,./%~2 \r\né", min_size=1, max_size=6)
+"""Texts with separators of lines, lists, paths and names."""
+
+fuzz = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+class TestLines:
+    @fuzz
+    @given(TEXT, TEXT)
+    @example("a\r\nQUERY - RESET", "a b")
+    @example("a%20b", "a b")
+    def test_any_account_is_one_field_of_its_own(self, one, other):
+        """Guards against a line that an account's name adds, and accounts that a server
+        takes for one."""
+        lines = [CODEC.encode_connect_request("db", a, "i 1") for a in (one, other)]
+        for line in lines:
+            assert line.endswith(b" i 1\r\n") and line.count(b"\r\n") == 1
+            assert line.count(b" ") == 4
+        assert (lines[0] == lines[1]) is (one == other)
+        assert CODEC.encode_connect_request("db", "u", "i") == b"CONNECT db u i\r\n"
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
