Let bytes that are no text make only their object unreadable

A number passed as a route's host or service.

Such bytes are decoded to lone surrogates, and texts that hold these are refused where they are used: the entry, or the configuration, is unreadable.

--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -411,6 +411,8 @@
         self.down = False
         self.history_expired = False
         self.port = 0
+        # Replaces parts of a list's text; lone surrogates become single bytes.
+        self.encode = lambda text: text
         self._configuration: object = None
         self._copies = deque([(0.0, 1, {}, self.history, 0)], maxlen=MAX_COPIES)
         self._restores = 0
@@ -553,13 +555,14 @@
         after = request.query.get("after", "")
         items = [item for item in items if item["meta"]["name"] > after]
         page = items[:4]
-        return web.json_response(
-            {
-                "items": page,
-                "has_more": len(items) > len(page),
-                "store_revision": self.revision,
-            }
-        )
+        listed = {
+            "items": page,
+            "has_more": len(items) > len(page),
+            "store_revision": self.revision,
+        }
+        text = self.encode(json.dumps(listed))
+        body = text.encode(errors="surrogateescape")
+        return web.Response(body=body, content_type="application/json")
 
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -6,13 +6,14 @@
 from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
+    decode_configuration,
     decode_server,
     decode_vm,
     encode_vm,
 )
 
-from .test_objects import make_entry
-from .test_tasks import make_vm_entry
+from .test_objects import make_accounts, make_entry
+from .test_tasks import make_vm_entry, start_store
 
 CODEC = WireCodec()
 
@@ -55,6 +56,38 @@
         with pytest.raises(ObjectUnreadable):
             decode_server("i-1", make_entry(zone="\ud800"))
 
+    @pytest.mark.parametrize(
+        ("place", "text"),
+        [
+            (place, text)
+            for place in ("host", "service", "name", "api_keys")
+            for text in ("\ud800", 7)
+        ],
+    )
+    def test_configuration_with_another_type_or_a_surrogate(self, place, text):
+        """Guards against a configuration that no VM can send to another."""
+        spec = make_accounts({})
+        if place in ("host", "service"):
+            spec["routes"][0][place] = text
+        else:
+            spec["tenants"][0][place] = [text] if place == "api_keys" else text
+        with pytest.raises(ObjectUnreadable):
+            decode_configuration(spec)
+
+    async def test_unreadable_bytes_make_one_entry_unreadable(self):
+        """Guards against an entry whose bytes can't be read that hides the others."""
+        store, client = await start_store()
+        for name in ("i-1", "i-\udcff", "i-2"):
+            store.put("servers", name, make_entry())
+        store.put("servers", "i-3", make_entry(service="d\udcff"))
+        store.put("servers", "i-4", make_entry(other="\udcff"))
+        store.refresh = lambda: None
+        store.encode = lambda text: text.replace("\\udcff", "\udcff")
+        _, entries = await client.list_servers(fresh=True)
+        assert [entry.server for entry in entries] == ["i-1", "i-2", "i-4"]
+        await client.close()
+        await store.stop()
+
     @pytest.mark.parametrize(
         "change",
         [
