Refuse callers' statements whose id is that of own ones

PROTOCOL.md: statements that the system issues itself carry the id '-'. A caller's 'QUERY - READ x' was forwarded as it is, so a server could not tell it from one of siskinhold's.

--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import example, given, settings, strategies
 
+from siskinhold.direct import StatementKind
 from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
@@ -38,6 +39,14 @@
         assert (lines[0] == lines[1]) is (one == other)
         assert CODEC.encode_connect_request("db", "u", "i") == b"CONNECT db u i\r\n"
 
+    @pytest.mark.parametrize(
+        "text", ["READ x", "SET a b", "COMMIT", "PREPARE s READ q"]
+    )
+    def test_id_of_own_statements_is_refused(self, text):
+        """Guards against a caller's statement that looks like the system's own."""
+        message = CODEC.parse_caller_line(f"QUERY - {text}".encode())
+        assert message.kind is StatementKind.MALFORMED and message.request == "-"
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
