--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -47,6 +47,11 @@
         message = CODEC.parse_caller_line(f"QUERY - {text}".encode())
         assert message.kind is StatementKind.MALFORMED and message.request == "-"
 
+    def test_prepared_statement_without_a_name_is_refused(self):
+        """Guards against a statement that takes room and that nothing can execute."""
+        message = CODEC.parse_caller_line(b"QUERY 1 PREPARE  READ q")
+        assert message.kind is StatementKind.MALFORMED
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
