--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -100,16 +100,17 @@
                 retrying it, would add load to a slow link.
 
         Raises:
-            HttpFailure: if no complete answer arrives in time.
+            HttpFailure: if no complete answer arrives in time, or the path or a header
+                can't be sent.
         """
         fields = [("Host", f"{self._host}:{self._port}"), *headers]
         if body or method != "GET":
             fields.append(("Content-Length", str(len(body))))
-        request = h11.Request(method=method, target=path, headers=fields)
         connection = None
         if send_by is not None:
             timeout = min(timeout, max(0.0, send_by - read_clock()))
         try:
+            request = h11.Request(method=method, target=path, headers=fields)
             async with asyncio.timeout(timeout) as limit:
                 if send_by is None:
                     connection = await self._get_connection()
@@ -127,7 +128,7 @@
             # Idle connections to the same address are probably dead as well.
             self._abort_connections(connection)
             raise HttpFailure(f"no answer within {timeout} s") from None
-        except (OSError, h11.ProtocolError, EOFError) as error:
+        except (OSError, h11.ProtocolError, EOFError, UnicodeEncodeError) as error:
             self._abort_connections(connection)
             raise HttpFailure(repr(error)) from error
         except (asyncio.CancelledError, HttpFailure):
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import example, given, settings, strategies
 
-from siskinhold.direct import StatementKind
+from siskinhold.direct import LeaderRecord, LeaderState, Revision, StatementKind
+from siskinhold.lines import HttpClient, HttpFailure
 from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
@@ -129,3 +130,47 @@
         assert decode_vm("vm-1", spec).relay_port == 7441
         with pytest.raises(ObjectUnreadable):
             decode_vm("vm-1", {**spec, **change})
+
+
+def make_record(vm: str = "vm-1", attempt: str = "x") -> LeaderRecord:
+    return LeaderRecord(
+        state=LeaderState.PROMOTING,
+        server="i-1",
+        term=3,
+        vm=vm,
+        attempt=attempt,
+        holder="",
+    )
+
+
+class TestNames:
+    async def test_objects_are_found_under_their_names(self):
+        """Guards against a name that ends the path, or that can't be sent."""
+        store, client = await start_store()
+        names = ["a b", "a/b", "a?b", "a#b", "a%2Fb", "é", "a+b", "a:b@c", "\r\n", "a."]
+        for name in names:
+            record = make_record(attempt=name)
+            first = await client.write_leader(name, record, Revision(era=1))
+            record = make_record(vm=name, attempt=name)
+            await client.write_leader(name, record, first.revision)
+            await client.register_vm(make_vm_entry(name, port=7441), fresh=True)
+        for name in names:
+            assert (await client.read_leader(name, 1)).record.vm == name
+            await client.register_vm(make_vm_entry(name, port=7442), fresh=True)
+        listed, _ = await client.list_vms(fresh=True)
+        assert {vm.name: vm.relay_port for vm in listed} == dict.fromkeys(names, 7442)
+        await client.close()
+        await store.stop()
+
+    async def test_request_that_can_not_be_sent_has_failed(self):
+        """Guards against an error that ends the task, and all later calls, of a VM."""
+        client = HttpClient(host="127.0.0.1", port=1)
+        for path, header in (("/a b", "x"), ("/é", "x"), ("/", "a\r\nb"), ("/", "é")):
+            with pytest.raises(HttpFailure, match="Error"):
+                await client.request("GET", path, headers=(("N", header),), timeout=1)
+
+    @pytest.mark.parametrize("service", [".", ".."])
+    def test_service_that_no_path_can_name_is_unreadable(self, service):
+        """Guards against a record that is written and never found."""
+        with pytest.raises(ObjectUnreadable):
+            decode_server("i-1", make_entry(service=service))
