Take no leader record of another service

From the second era on, the leader record of service 'db' is named 'db.2'; so is the first era's record of a service called 'db.2'. After a restore, a VM read the latter as a claim of 'db', with another service's server, term and positions.

A record names its service; that of another one counts as unreadable and may be replaced after the usual wait. The names stay, as VMs of older versions share them; records without a service, which those write, are read as before. The test failed before.

--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -3,7 +3,13 @@
 import pytest
 from hypothesis import example, given, settings, strategies
 
-from siskinhold.direct import LeaderRecord, LeaderState, Revision, StatementKind
+from siskinhold.direct import (
+    LeaderRecord,
+    LeaderState,
+    Revision,
+    StatementKind,
+    StoreOutcome,
+)
 from siskinhold.lines import HttpClient, HttpFailure
 from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
@@ -174,3 +180,19 @@
         """Guards against a record that is written and never found."""
         with pytest.raises(ObjectUnreadable):
             decode_server("i-1", make_entry(service=service))
+
+    async def test_record_of_another_service_is_none(self):
+        """Guards against a claim of a database whose name ends like an era."""
+        store, client = await start_store()
+        await client.write_leader("db.2", make_record(), Revision(era=1))
+        store.era = 2
+        found = await client.read_leader("db", 2)
+        assert found.record is None
+        written = await client.write_leader("db", make_record("vm-2"), found.revision)
+        assert written.outcome is StoreOutcome.DONE
+        assert (await client.read_leader("db", 2)).record == make_record("vm-2")
+        assert (await client.read_leader("db.2", 2)).record is None
+        del store.objects["leaders", "db.2"]["spec"]["service"]
+        assert (await client.read_leader("db", 2)).record == make_record("vm-2")
+        await client.close()
+        await store.stop()
