--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -9,6 +9,7 @@
     Revision,
     StatementKind,
     StoreOutcome,
+    Suspicion,
 )
 from siskinhold.lines import HttpClient, HttpFailure
 from siskinhold_platform import WireCodec
@@ -196,3 +197,15 @@
         assert (await client.read_leader("db", 2)).record == make_record("vm-2")
         await client.close()
         await store.stop()
+
+    async def test_suspicions_have_names_of_their_own(self):
+        """Guards against a vote that that of another VM and service replaces."""
+        store, client = await start_store()
+        votes = []
+        for service, vm in (("a", "b.c"), ("a.b", "c"), ("a%2Eb", "c"), ("a", "b")):
+            votes.append(Suspicion(service=service, server="i", term=2, vm=vm))
+            await client.publish_suspicion(votes[-1])
+        assert set(await client.list_suspicions()) == set(votes)
+        assert ("suspicions", "a.b") in store.objects
+        await client.close()
+        await store.stop()
