Encode VMs' names in the list of other homes

A holder that isn't the home of a caller's account answers MOVED with the names of the homes, joined by commas. A name with a comma was read as two VMs, and one with CR LF ended the line. The names come from the store's entries of VMs.

'%', commas, CR and LF are percent-encoded; other names are sent as before. The test failed before.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -71,6 +71,7 @@
     VmsRead,
 )
 from ._holders import needs_servers
+from ._names import join_names, split_names
 from ._reducer import compute_tick_delay, reduce
 from ._relays import (
     RelayActivity,
@@ -193,8 +194,10 @@
     "choose_relay_answers",
     "compute_tick_delay",
     "reduce",
+    "split_names",
     "find_next_state",
     "find_silent_holders",
+    "join_names",
     "may_give_up",
     "needs_servers",
     "uses_accounts",
--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -10,6 +10,7 @@
     choose_relay_targets,
     knows_vms,
 )
+from ._names import join_names
 from ._state import DirectState, Effects, PendingCaller, Session
 from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase
 from ._types import Refusal, Route
@@ -125,7 +126,7 @@
     targets = list_home_targets(state, account, home)
     if caller.relayed:
         out.append(Observe(metric="callers_moved_total"))
-        names = ",".join(vm.name for vm in targets)
+        names = join_names(vm.name for vm in targets)
         out.append(RefuseCaller(session=session, refusal=Refusal.MOVED, detail=names))
         return True
     state.relayed[session] = caller
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -16,6 +16,7 @@
     choose_relay_answers,
     find_next_state,
     may_give_up,
+    split_names,
 )
 from ._clock import read_clock
 from ._codec import LINE_END, AnswerLineKind, LineCodec
@@ -106,7 +107,7 @@
         answer_line = self._codec.parse_answer_line(self._buffered_lines[0])
         if answer_line.refusal is not Refusal.MOVED:
             return ()
-        return tuple(name for name in answer_line.text.split(",") if name)
+        return split_names(answer_line.text)
 
     def start_forwarding(self) -> None:
         """Forward the buffered lines and all later ones to the caller."""
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -6,12 +6,15 @@
 from siskinhold.direct import (
     LeaderRecord,
     LeaderState,
+    Refusal,
     Revision,
     StatementKind,
     StoreOutcome,
     Suspicion,
+    join_names,
 )
 from siskinhold.lines import HttpClient, HttpFailure
+from siskinhold.lines._relay import RelayProtocol
 from siskinhold_platform import WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
@@ -60,6 +63,18 @@
         message = CODEC.parse_caller_line(b"QUERY 1 PREPARE  READ q")
         assert message.kind is StatementKind.MALFORMED
 
+    @fuzz
+    @given(strategies.lists(TEXT, min_size=1, max_size=4))
+    @example(["a,b", "\r\n"])
+    def test_names_of_other_homes_are_read_as_they_were(self, names):
+        """Guards against a caller that is sent to a VM that no one named."""
+        line = CODEC.encode_refusal(Refusal.MOVED, join_names(names))
+        relay = RelayProtocol(codec=CODEC, write=None, lost=None)
+        assert line.count(b"\r\n") == 1
+        relay.handle_line(line[:-2])
+        assert relay.other_homes == tuple(names)
+        assert join_names(("vm-1", "vm.2_é")) == "vm-1,vm.2_é"
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
