Refuse names of VMs that can't be sent

The name of a VM from its settings is the value of a promotion's header and the name of its object in the store. With CR LF, a letter beyond ASCII or a blank at an end, every order of a promotion raised and was never answered; '_connections' is the object of the connection limit, and '.' and '..' end up as other paths.

Such a node_name is refused at the start, with a message.

--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -15,7 +15,7 @@
 )
 from siskinhold.lines import HttpClient, HttpFailure
 from siskinhold.lines._relay import RelayProtocol
-from siskinhold_platform import WireCodec
+from siskinhold_platform import SettingsUnreadable, WireCodec
 from siskinhold_platform._objects import (
     ObjectUnreadable,
     decode_configuration,
@@ -23,7 +23,9 @@
     decode_vm,
     encode_vm,
 )
+from siskinhold_platform._settings import decode_settings
 
+from .standins import Deployment
 from .test_objects import make_accounts, make_entry
 from .test_tasks import make_vm_entry, start_store
 
@@ -153,6 +155,17 @@
         with pytest.raises(ObjectUnreadable):
             decode_vm("vm-1", {**spec, **change})
 
+    @pytest.mark.parametrize(
+        "name", ["", " a", "a\r\nb", "a\tb", "é", ".", "..", "_connections"]
+    )
+    def test_name_that_no_header_or_object_can_have_is_refused(self, name):
+        """Guards against a VM that can't order a promotion, or whose entry in the list
+        of VMs is that of the connection limit."""
+        fields = Deployment().make_settings("vm-1 a", (1, 2, 3))
+        assert decode_settings(fields).name == "vm-1 a"
+        with pytest.raises(SettingsUnreadable, match="node_name"):
+            decode_settings({**fields, "node_name": name})
+
 
 def make_record(vm: str = "vm-1", attempt: str = "x") -> LeaderRecord:
     return LeaderRecord(
