Encode no line that reads back differently

The encoder of the wire joined whatever it was given: a command with the text 'READ a\r\nb' became two lines, as did a refusal whose detail holds CR LF. Texts are checked where they enter; this is the last place where a missing check can be noticed.

It raises FieldUnencodable for a blank or nothing in an inner field, CR LF in any, and a lone surrogate. The detail of a refusal that can't be sent becomes '-'.

--- a/src/siskinhold/lines/__init__.py
+++ b/src/siskinhold/lines/__init__.py
@@ -9,6 +9,7 @@
     CallerMessage,
     ConnectRequest,
     DisconnectRequest,
+    FieldUnencodable,
     LineCodec,
     MalformedLine,
 )
@@ -22,6 +23,7 @@
     "ConnectRequest",
     "DirectService",
     "DisconnectRequest",
+    "FieldUnencodable",
     "HistoryGone",
     "HttpAnswer",
     "HttpClient",
--- a/src/siskinhold/lines/_backends.py
+++ b/src/siskinhold/lines/_backends.py
@@ -20,7 +20,7 @@
     SendCommands,
 )
 from ._clock import read_clock
-from ._codec import AnswerLine, AnswerLineKind, LineCodec
+from ._codec import AnswerLine, AnswerLineKind, FieldUnencodable, LineCodec
 from ._memory import Holder, MemoryAccount
 from ._protocol import LineProtocol
 
@@ -112,6 +112,14 @@
             reason = LossReason.REFUSED
         except OSError:
             reason = LossReason.SILENT
+        except (FieldUnencodable, OverflowError) as error:
+            # The entry is no usable one: a field of the line, or the port.
+            _log.error(
+                "event=connect_unencodable connection=%d error=%r",
+                effect.connection,
+                error,
+            )
+            reason = LossReason.GARBLED
         finally:
             self._opening.pop(effect.connection, None)
         if reason is not None:
@@ -122,10 +130,17 @@
         protocol = self.connections.get(effect.connection)
         if protocol is None or protocol.transport is None:
             return
-        data = []
-        for command in effect.commands:
-            protocol.outstanding.append(command.kind)
-            data.append(self.codec.encode_command(command))
+        try:
+            data = [self.codec.encode_command(command) for command in effect.commands]
+        except FieldUnencodable as error:
+            _log.error(
+                "event=command_unencodable connection=%d error=%r",
+                effect.connection,
+                error,
+            )
+            protocol.fail(LossReason.GARBLED)
+            return
+        protocol.outstanding.extend(command.kind for command in effect.commands)
         protocol.transport.write(b"".join(data))
 
     def close(self, effect: CloseBackend) -> None:
--- a/src/siskinhold/lines/_codec.py
+++ b/src/siskinhold/lines/_codec.py
@@ -14,6 +14,10 @@
 """Maximum length of a line in bytes without its end, as the wire format defines it."""
 
 
+class FieldUnencodable(ValueError):
+    """A text would read back differently as a field of a line."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ConnectRequest:
     """A caller's first line, which names its database.
@@ -113,11 +117,18 @@
 
         Args:
             user: name of the client account that it serves, else of this VM.
+
+        Raises:
+            FieldUnencodable: if a text can't be a field.
         """
 
     @abc.abstractmethod
     def encode_command(self, command: Command) -> bytes:
-        """Return the line of a command to a backend server."""
+        """Return the line of a command to a backend server.
+
+        Raises:
+            FieldUnencodable: if a text can't be a field.
+        """
 
     @abc.abstractmethod
     def parse_answer_line(self, line: bytes) -> AnswerLine:
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -1,19 +1,30 @@
 """Tests that texts of callers, operators and store entries read back the same."""
 
+import asyncio
+
 import pytest
 from hypothesis import example, given, settings, strategies
 
 from siskinhold.direct import (
+    Answer,
+    BackendOpened,
+    Command,
+    CommandKind,
     LeaderRecord,
     LeaderState,
+    LossReason,
+    OpenBackend,
     Refusal,
     Revision,
+    SendCommands,
     StatementKind,
     StoreOutcome,
     Suspicion,
     join_names,
 )
-from siskinhold.lines import HttpClient, HttpFailure
+from siskinhold.lines import FieldUnencodable, HttpClient, HttpFailure
+from siskinhold.lines._backends import LineBackends
+from siskinhold.lines._memory import MemoryAccount
 from siskinhold.lines._relay import RelayProtocol
 from siskinhold_platform import SettingsUnreadable, WireCodec
 from siskinhold_platform._objects import (
@@ -77,6 +88,61 @@
         assert relay.other_homes == tuple(names)
         assert join_names(("vm-1", "vm.2_é")) == "vm-1,vm.2_é"
 
+    @pytest.mark.parametrize("text", ["a b", "a\r\nb", "\ud800", ""])
+    def test_line_that_reads_back_differently_is_not_encoded(self, text):
+        """Guards against a smuggled line, should a check before it be missing."""
+        with pytest.raises(FieldUnencodable):
+            CODEC.encode_connect_request(text, "vm", "i-1")
+        with pytest.raises(FieldUnencodable):
+            CODEC.encode_command(Command(kind=CommandKind.RUN, request=text or " "))
+        line = CODEC.encode_refusal(Refusal.FAILED, text)
+        assert line in (b"ERROR FAILED a b\r\n", b"ERROR FAILED -\r\n")
+        answer = CODEC.encode_answer(Answer(refusal=Refusal.FAILED, detail=text))
+        assert answer == line + b"READY I -\r\n"
+
+    async def test_connection_whose_line_can_not_be_encoded_is_lost(self):
+        """Guards against a connection that stays open, or opening, for ever."""
+        writers = []
+        server = await asyncio.start_server(
+            lambda reader, writer: writers.append(writer)
+            or writer.write(b"READY I -\r\n"),
+            "127.0.0.1",
+        )
+        port = server.sockets[0].getsockname()[1]
+        events = []
+        backends = LineBackends(
+            vm="vm-1",
+            codec=CODEC,
+            memory=MemoryAccount(limit=1000, observe=print),
+            answer_limit=1000,
+            observe=print,
+        )
+        backends.start(events.append)
+        for number, service, to in (
+            (1, "a b", port),
+            (2, "db", 99999),
+            (3, "db", port),
+        ):
+            backends.open(
+                OpenBackend(
+                    connection=number,
+                    host="127.0.0.1",
+                    port=to,
+                    service=service,
+                    server="i-1",
+                )
+            )
+        await asyncio.sleep(0.3)
+        assert isinstance(events.pop(), BackendOpened)
+        command = Command(kind=CommandKind.RUN, text="READ a\r\nb", request="1")
+        backends.send(SendCommands(connection=3, commands=(command,)))
+        assert [event.connection for event in events] == [2, 1, 3]
+        assert {event.reason for event in events} == {LossReason.GARBLED}
+        await backends.stop()
+        for writer in writers:
+            writer.close()
+        server.close()
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
