Forget a relayed caller's line once it is answered

A relay kept the last line of its caller, of up to 1 MiB, until the next one or its end, and the account of memory did not count it once it was answered: idle callers that had sent one large message each held them all.

It is needed only while an answer is outstanding, and dropped with the last of these. The test failed before.

--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -220,6 +220,8 @@
         if answer_line.kind is AnswerLineKind.READY:
             if self._unanswered:
                 self.waiting_bytes -= len(self._unanswered.popleft().data)
+            if not self._unanswered:
+                self._last_line = b""
             self._partly_answered = False
             self._state = answer_line.transaction
             if self._closing and self.idle:
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -37,6 +37,7 @@
 from siskinhold_platform._settings import decode_settings
 
 from .standins import Deployment
+from .test_line_ends import OpenTransport
 from .test_objects import make_accounts, make_entry
 from .test_tasks import make_vm_entry, start_store
 
@@ -76,6 +77,20 @@
         message = CODEC.parse_caller_line(b"QUERY 1 PREPARE  READ q")
         assert message.kind is StatementKind.MALFORMED
 
+    def test_answered_line_is_not_kept(self):
+        """Guards against a message of 1 MiB that each idle relayed caller holds."""
+        relay = RelayProtocol(codec=CODEC, write=len, lost=None)
+        relay.transport = OpenTransport()
+        relay.transport.write = len
+        relay.start_forwarding()
+        relay.handle_line(b"READY I -")
+        relay.forward(b"QUERY 1 WRITE k " + b"x" * 1000)
+        relay.forward(b"QUERY 2 READ k")
+        for answered in (False, False, True):
+            assert (relay._last_line == b"") is answered
+            relay.handle_line(b"COMPLETE s")
+            relay.handle_line(b"READY I -")
+
     @fuzz
     @given(strategies.lists(TEXT, min_size=1, max_size=4))
     @example(["a,b", "\r\n"])
