Count the first lines of callers in the account of memory

A VM keeps the line with which a caller connects for relays, and the key in it, until the session ends: up to 2 MiB for each caller, which the limit of the process did not know of. The account showed 0 bytes for a key of 10,000.

A caller now counts with twice its first line. The test failed before.

--- a/src/siskinhold/lines/_caller_flow.py
+++ b/src/siskinhold/lines/_caller_flow.py
@@ -26,6 +26,7 @@
         super().__init__(user_timeout=user_timeout)
         self._callers = callers
         self._session = 0
+        self._connect_line = b""
         self._busy = False
         self._lines_ahead: deque[bytes] = deque()
         self._relay: RelayProtocol | None = None
@@ -58,6 +59,8 @@
         if self._released:
             return 0
         held = len(self._buffer) + self._ahead_bytes + self._running_bytes
+        # Kept for relays, and its key by the core, until the session ends.
+        held += 2 * len(self._connect_line)
         if self._relay is not None:
             held += self._relay.held
         return held + self._session_bytes + self.unsent
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -52,7 +52,6 @@
     def __init__(self, *, callers, relayed: bool) -> None:
         super().__init__(callers=callers, user_timeout=USER_TIMEOUT)
         self._relayed = relayed
-        self._connect_line = b""
         self._opened_at = 0.0
         self._finishing = False
         self._rejection = ""
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -24,6 +24,8 @@
 )
 from siskinhold.lines import FieldUnencodable, HttpClient, HttpFailure
 from siskinhold.lines._backends import LineBackends
+from siskinhold.lines._caller_protocol import CallerProtocol
+from siskinhold.lines._callers import LineCallers
 from siskinhold.lines._memory import MemoryAccount
 from siskinhold.lines._relay import RelayProtocol
 from siskinhold_platform import SettingsUnreadable, WireCodec
@@ -91,6 +93,18 @@
             relay.handle_line(b"COMPLETE s")
             relay.handle_line(b"READY I -")
 
+    def test_first_line_counts_while_the_session_lasts(self):
+        """Guards against keys of 1 MiB that no account of memory knows of."""
+        callers = LineCallers(
+            host="", port=0, relay_port=0, codec=CODEC, limit=9, memory=None
+        )
+        callers.emit = [].append
+        caller = CallerProtocol(callers=callers, relayed=False)
+        caller.transport = OpenTransport()
+        caller.transport.get_write_buffer_size = lambda: 0
+        caller.data_received(b"CONNECT db " + b"k" * 10_000 + b"\r\n")
+        assert callers.memory.total >= 20_000
+
     @fuzz
     @given(strategies.lists(TEXT, min_size=1, max_size=4))
     @example(["a,b", "\r\n"])
