Read only whole lines of pairs as events of the timeline

A caller's user name became an event: the timeline tool looked for pairs anywhere in a line, so 'caller_denied ... user='x vm=vm2 incarnation=1 clock=9 sequence=1 event=primary_changed '' of a VM that logs to one stream read as vm2's event. Printed values were quoted only for blanks: line ends, quotes and '=' printed as they are, and an unpaired surrogate ended the tool.

A line is split into pairs from its start; one with anything else, or a key twice, is no event. Printed values are quoted like those of the logs.

--- a/src/siskinhold/programs/timeline.py
+++ b/src/siskinhold/programs/timeline.py
@@ -13,10 +13,12 @@
 
 import cappa
 
+from ..observability import quote
+
 COLUMN_FIELDS = ("vm", "incarnation", "clock", "sequence", "wall", "event")
 """Fields that are printed in columns; the others follow as key=value pairs."""
 
-_PAIR = re.compile(r'([^\s=]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?=\s|$)')
+_PAIR = re.compile(r'([^\s="]+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?:\s+|\Z)')
 _REQUIRED = ("vm", "incarnation", "clock", "sequence", "event")
 
 
@@ -40,21 +42,45 @@
     clock: int
 
 
-def parse_line(line: str) -> Entry | None:
-    """Return the event that a line describes; None for any other line.
+def parse_pairs(line: str) -> list[tuple[str, str]] | None:
+    """Return the pairs of a line; None if it has anything but key=value pairs.
 
-    >>> parse_line('vm=a incarnation=1 clock=2 sequence=3 event=x cause="y z"').fields
-    ... # doctest: +ELLIPSIS
-    {'vm': 'a', ..., 'cause': 'y z'}
+    A text within another one, such as `user='a event=b'`, is no pair.
+
+    >>> parse_pairs('a=1 b="c d=2"'), parse_pairs("a=1 b")
+    ([('a', '1'), ('b', 'c d=2')], None)
     """
-    fields: dict[str, str] = {}
-    for key, value in _PAIR.findall(line):
+    pairs = []
+    line = line.strip()
+    end = 0
+    while end < len(line):
+        match = _PAIR.match(line, end)
+        if match is None:
+            return None
+        key, value = match.groups()
         if value.startswith('"'):
             try:
                 value = json.loads(value)
             except ValueError:
                 return None
-        fields[key] = value
+        pairs.append((key, value))
+        end = match.end()
+    return pairs
+
+
+def parse_line(line: str) -> Entry | None:
+    """Return the event that a line describes; None for any other line.
+
+    An event names each field once.
+
+    >>> parse_line('vm=a incarnation=1 clock=2 sequence=3 event=x cause="y z"').fields
+    ... # doctest: +ELLIPSIS
+    {'vm': 'a', ..., 'cause': 'y z'}
+    """
+    pairs = parse_pairs(line) or []
+    fields = dict(pairs)
+    if len(fields) < len(pairs):
+        return None
     if any(key not in fields for key in _REQUIRED):
         return None
     try:
@@ -125,8 +151,9 @@
     for entry in reversed(entries):
         cause = entry.fields.get("cause")
         if entry.fields.get("request") == request and cause:
-            event = entry.fields["event"]
-            return f"{request}: {event} on {entry.vm} because: {cause}"
+            event, vm = quote(entry.fields["event"]), quote(entry.vm)
+            text = cause if cause.isprintable() else json.dumps(cause)
+            return f"{request}: {event} on {vm} because: {text}"
     return f"{request}: no event names a cause"
 
 
@@ -134,7 +161,8 @@
 class Timeline:
     """Merge event logs in causal order.
 
-    Filters are joined by "and". Lines that are no events are passed over.
+    Filters are joined by "and". Lines that are no events, or hold anything but
+    key=value pairs, are passed over.
     """
 
     logs: Annotated[list[str], cappa.Arg(help="Log files; - for standard input.")]
@@ -204,14 +232,13 @@
     """Return an event as a line with columns, followed by key=value pairs."""
     columns = [
         f"{entry.clock:>8}",
-        entry.fields.get("wall", "-"),
-        f"{entry.vm}.{entry.incarnation}",
-        entry.fields["event"],
+        quote(entry.fields.get("wall", "-")),
+        quote(f"{entry.vm}.{entry.incarnation}"),
+        quote(entry.fields["event"]),
     ]
     for key, value in entry.fields.items():
         if key not in COLUMN_FIELDS:
-            quoted = json.dumps(value) if " " in value or not value else value
-            columns.append(f"{key}={quoted}")
+            columns.append(f"{key}={quote(value)}")
     return " ".join(columns)
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -12,7 +12,15 @@
 from siskinhold.adapters import METRICS, TimelineRecorder
 from siskinhold.effects import Observe, Record
 from siskinhold.model import RequestId
-from siskinhold.programs.timeline import main, merge_entries, parse_line
+from siskinhold.programs.timeline import (
+    Entry,
+    _format,
+    format_reason,
+    main,
+    merge_entries,
+    parse_line,
+    parse_pairs,
+)
 
 ID = RequestId("vm1", 3, 9)
 
@@ -33,6 +41,32 @@
     return exit_info.value.code, capsys.readouterr().out.splitlines()
 
 
+class TestReading:
+    """Lines of other writers, and printed lines."""
+
+    def test_text_within_another_line_is_no_event(self):
+        """A caller's text in a line of the program's log is not read as an event.
+
+        Guards against a user name that appears in the timeline as an event of a VM.
+        """
+        event = "vm=vm2 incarnation=1 clock=9 sequence=1 event=primary_changed"
+        assert parse_line(event).vm == "vm2"
+        for quoted in (repr(f"x {event} "), json.dumps(f"x {event}"), f"x {event}"):
+            assert parse_line(f"event=caller_denied session=3 user={quoted}") is None
+
+    @given(st.text(min_size=1), st.text(min_size=1))
+    def test_printed_pairs_are_read_back(self, cause, value):
+        """A printed event is one encodable line that holds the text of each field."""
+        fields = {"event": "x", "cause": cause, "k": value, "request": "r"}
+        entry = Entry(fields=fields, vm="a", incarnation=1, sequence=1, clock=1)
+        line = _format(entry)
+        assert len(line.encode().splitlines()) == len(line.splitlines()) == 1
+        pairs = parse_pairs(line.partition(" x ")[2])
+        assert dict(pairs) == {"cause": cause, "k": value, "request": "r"}
+        reason = format_reason([entry], "r")
+        assert reason.encode() and len(reason.splitlines()) == 1
+
+
 class TestRecorder:
     """Timeline lines and metrics."""
 
