--- a/src/siskinhold/observability/__init__.py
+++ b/src/siskinhold/observability/__init__.py
@@ -8,7 +8,7 @@
     define_gauge,
     define_histogram,
 )
-from ._quote import quote
+from ._quote import quote, quote_start
 
 __all__ = [
     "Metric",
@@ -18,4 +18,5 @@
     "define_gauge",
     "define_histogram",
     "quote",
+    "quote_start",
 ]
