Quote the arguments of event records in log lines

'event=relay_lost ... request=%s' and 18 other log calls put texts of callers, servers or the store into their line as they are: a blank in a request id made pairs of its rest, also within text=, and '\r' or U+2028 ended a line of siskinhold-proxy for some readers. Others used repr, which no reader of JSON quotes takes back. A library's message that began with 'event=' passed for an event of siskinhold.

Both handlers format a record whose format begins with 'event=' by format_event, which quotes its arguments, clipped to 512 bytes each, for %s and %r alike; anything else is quoted whole.

--- a/src/siskinhold/adapters/_callers.py
+++ b/src/siskinhold/adapters/_callers.py
@@ -228,7 +228,7 @@
         await self._server.wait_closed()
         cut = self._counts.unanswered or self._counts.unsent_bytes
         level = logging.WARNING if cut else logging.INFO
-        _log.log(level, "event=callers_closed %s", self._counts)
+        _log.log(level, f"event=callers_closed {self._counts}")
 
     def _count_cut_answers(self) -> None:
         """Count the answers that the open connections have not been sent."""
--- a/src/siskinhold/lines/_log.py
+++ b/src/siskinhold/lines/_log.py
@@ -5,7 +5,7 @@
 import select
 
 from ..direct import Log
-from ..observability import quote, quote_start
+from ..observability import format_event, quote, quote_start
 
 LINES_PER_SECOND = 60
 """Average rate limit of lines that are not essential, in lines per second."""
@@ -129,7 +129,8 @@
 class LineHandler(logging.Handler):
     """Forwards records of the standard library's loggers to a `DecisionLog`.
 
-    Warnings and errors are essential lines.
+    Warnings and errors are essential lines. The text of an event is a line of its own
+    pairs, whose values are quoted before the text is.
     """
 
     def __init__(self, *, log: DecisionLog, clock) -> None:
@@ -139,7 +140,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record as one line."""
-        fields = [("level", record.levelname), ("text", record.getMessage())]
+        text = format_event(record) or record.getMessage()
+        fields = [("level", record.levelname), ("text", text)]
         if record.exc_info and record.exc_info[1] is not None:
             fields.append(("error", repr(record.exc_info[1])))
         essential = record.levelno >= logging.WARNING
--- a/src/siskinhold/observability/__init__.py
+++ b/src/siskinhold/observability/__init__.py
@@ -8,7 +8,7 @@
     define_gauge,
     define_histogram,
 )
-from ._quote import quote, quote_start
+from ._quote import format_event, quote, quote_start
 
 __all__ = [
     "Metric",
@@ -17,6 +17,7 @@
     "define_counter",
     "define_gauge",
     "define_histogram",
+    "format_event",
     "quote",
     "quote_start",
 ]
--- a/src/siskinhold/observability/_quote.py
+++ b/src/siskinhold/observability/_quote.py
@@ -1,6 +1,10 @@
 """Quoting of values in `key=value` log lines."""
 
 import json
+import logging
+
+MAX_ARGUMENT_BYTES = 512
+"""Bytes of a text that an event's log record takes as an argument."""
 
 
 def quote(value: object) -> str:
@@ -33,3 +37,35 @@
         start = start[: len(start) * 3 // 4]
         quoted = quote(start)
     return quoted if len(start) == len(text) else f"{quoted} clipped={len(text)}"
+
+
+def format_event(record: logging.LogRecord) -> str | None:
+    """Return the pairs of a log record of an event; None for any other record.
+
+    The format of an event begins with `event=`. Its arguments are quoted, except
+    numbers.
+    """
+    if not isinstance(record.msg, str) or not record.msg.startswith("event="):
+        return None
+    if not isinstance(record.args, tuple):
+        return record.getMessage()
+    arguments = []
+    for value in record.args:
+        arguments.append(value if isinstance(value, (int, float)) else _Quoted(value))
+    return record.msg % tuple(arguments)
+
+
+class _Quoted:
+    """An argument of a format, quoted for both `%s` and `%r`."""
+
+    __slots__ = ("_value",)
+
+    def __init__(self, value: object) -> None:
+        self._value = value
+
+    def __str__(self) -> str:
+        return quote_start(self._value, MAX_ARGUMENT_BYTES)
+
+    def __repr__(self) -> str:
+        text = self._value if isinstance(self._value, str) else repr(self._value)
+        return quote_start(text, MAX_ARGUMENT_BYTES)
--- a/src/siskinhold/programs/_log.py
+++ b/src/siskinhold/programs/_log.py
@@ -3,6 +3,8 @@
 import logging
 import traceback
 
+from ..observability import format_event, quote, quote_start
+
 
 class LineFormatter(logging.Formatter):
     """Formats a record as one line, also if it has an exception.
@@ -14,13 +16,14 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line without a line break."""
-        text = record.getMessage()
-        if not text.startswith("event="):
-            text = f"event=log logger={record.name} message={text!r}"
+        text = format_event(record)
+        if text is None:
+            message = quote(record.getMessage())
+            text = f"event=log logger={quote(record.name)} message={message}"
         line = f"level={record.levelname} {text}"
         if record.exc_info and record.exc_info[1] is not None:
             line += f" {_describe(record.exc_info[1])}"
-        return line.replace("\n", "\\n")
+        return line
 
 
 def configure_log(level: str) -> None:
@@ -32,8 +35,9 @@
 
 def _describe(error: BaseException) -> str:
     """Return the type, the start of the text and the place of an exception."""
-    text = f"error={f'{type(error).__name__}: {error}'[:300]!r}"
+    text = f"error={quote_start(f'{type(error).__name__}: {error}', 300)}"
     frames = traceback.extract_tb(error.__traceback__)
     if not frames:
         return text
-    return f"{text} place={frames[-1].name}:{frames[-1].lineno}"
+    place = quote(f"{frames[-1].name}:{frames[-1].lineno}")
+    return f"{text} place={place}"
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -1,11 +1,13 @@
 """Lines of a VM's log: whole, of bounded length, and read back as written."""
 
+import logging
 import os
 
 from hypothesis import given, strategies as st
 
 from siskinhold.direct import Log
-from siskinhold.lines._log import DecisionLog
+from siskinhold.lines._log import DecisionLog, LineHandler
+from siskinhold.programs._log import LineFormatter
 from siskinhold.programs.timeline import parse_pairs
 
 LIMIT = 4096
@@ -72,3 +74,39 @@
                 assert text.startswith(value)
                 assert pairs[number + 1] == ("clipped", str(len(text)))
         assert sum(key.startswith("k") for key, _ in pairs) == len(values)
+
+
+class TestRecords:
+    """Records of the standard library's loggers."""
+
+    @given(st.text(max_size=40), st.sampled_from(("%s", "%r")), st.booleans())
+    def test_arguments_of_events_are_read_back(self, text, code, raised):
+        """A caller's text in an event is one pair, in both programs' lines.
+
+        Guards against a request id or user name that adds a pair or a line.
+        """
+        form = f"event=x session=%d user={code} reason=%s"
+        error = ValueError(text)
+        info = (ValueError, error, None) if raised else None
+        args = (3, text, error)
+        record = logging.LogRecord("siskinhold", 30, "", 1, form, args, info)
+        expected = [("event", "x"), ("session", "3"), ("user", text), ("reason", text)]
+        line = LineFormatter().format(record)
+        pairs = parse_pairs(line)
+        assert len(line.encode().splitlines()) == 1 and pairs[1:5] == expected
+        assert pairs[5:] == [("error", f"ValueError: {text}")] * raised
+        pipe = Pipe()
+        LineHandler(log=pipe.log, clock=lambda: 1.0).emit(record)
+        pairs = parse_pairs(pipe.read().decode())
+        pipe.close()
+        assert parse_pairs(dict(pairs)["text"]) == expected
+
+    @given(st.text(max_size=40))
+    def test_text_of_a_library_is_no_event(self, text):
+        """A library's message that reads like an event is quoted whole."""
+        message = f"event={text}"
+        record = logging.LogRecord("library", 30, "", 1, "%s", (message,), None)
+        pairs = parse_pairs(LineFormatter().format(record))
+        assert pairs[1:] == [("event", "log"), ("logger", "library")] + [
+            ("message", message)
+        ]
