Write any text as a metric label of its own

The name of a client account is the label of rate_refusals_total. An unpaired surrogate in one, which JSON can hold, raised in generate_latest, so /metrics of the VM answered nothing more; '\r' and U+2028 broke the line for some readers; an account named 'other' was added to the ones beyond the limit of 50; and a name could be of any length.

Such texts are quoted as JSON, and a digest follows the start of a long one, so that different texts remain different labels. The new test fails before (118 lines for 116 line ends, 'surrogates not allowed') and passes.

--- a/src/siskinhold/observability/_metrics.py
+++ b/src/siskinhold/observability/_metrics.py
@@ -1,6 +1,8 @@
 """Prometheus metrics with a limited number of label values."""
 
 import enum
+import hashlib
+import json
 import logging
 from dataclasses import dataclass, field
 
@@ -10,7 +12,13 @@
 """Prefix of all metric names."""
 
 MAX_LABEL_VALUES = 50
-"""Maximum number of label values per metric; further values become `other`."""
+"""Maximum number of label values per metric; further ones become `OTHER_LABEL`."""
+
+OTHER_LABEL = "other"
+"""Label of the values beyond that maximum; a value of this text is quoted."""
+
+MAX_LABEL_CHARACTERS = 128
+"""Characters of a label value; of a longer one, a digest follows the quoted start."""
 
 DURATION_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
 """Upper bounds of the histogram buckets for durations, in seconds."""
@@ -93,7 +101,8 @@
             return False
         collector = self._collectors.get(name) or self._create_collector(name, metric)
         if metric.label:
-            collector = collector.labels(self._limit_label(name, label))
+            text = _format_label(label)
+            collector = collector.labels(self._limit_label(name, text))
         if metric.kind is MetricKind.COUNTER:
             collector.inc(max(value, 0.0))
         elif metric.kind is MetricKind.GAUGE:
@@ -121,7 +130,7 @@
     def _limit_label(self, name: str, label: str) -> str:
         values = self._label_values.setdefault(name, set())
         if label not in values and len(values) >= MAX_LABEL_VALUES:
-            return "other"
+            return OTHER_LABEL
         values.add(label)
         return label
 
@@ -129,3 +138,21 @@
         if name not in self.refused:
             self.refused.add(name)
             _log.error("event=metric_refused metric=%s reason=unknown", name)
+
+
+def _format_label(text: str) -> str:
+    """Return a text as a label value, which no other text has.
+
+    The registry's page has one line for each label and must be encodable, so texts with
+    non-printable characters are quoted as in JSON.
+
+    >>> _format_label("a b"), _format_label("other")
+    ('a b', '"other"')
+    """
+    if len(text) > MAX_LABEL_CHARACTERS:
+        data = text.encode("utf-8", "surrogatepass")
+        digest = hashlib.blake2b(data, digest_size=8).hexdigest()
+        return f"{json.dumps(text[:MAX_LABEL_CHARACTERS])} {digest}"
+    if text == OTHER_LABEL or text[:1] == '"' or not text.isprintable():
+        return json.dumps(text)
+    return text
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,12 +6,13 @@
 
 import pytest
 from hypothesis import given, strategies as st
-from prometheus_client import CollectorRegistry
+from prometheus_client import CollectorRegistry, generate_latest
 
 from siskinhold import core
 from siskinhold.adapters import METRICS, TimelineRecorder
 from siskinhold.effects import Observe, Record
 from siskinhold.model import RequestId
+from siskinhold.observability import Metrics, define_counter
 from siskinhold.programs.timeline import (
     Entry,
     _format,
@@ -103,6 +104,27 @@
         recorder.close()
 
 
+class TestLabels:
+    @given(st.lists(st.text(max_size=300), min_size=1, max_size=9, unique=True))
+    def test_labels_are_told_apart(self, labels):
+        """Any texts are labels of their own, in a page of whole lines.
+
+        Guards against an account whose name ends the page of metrics, breaks a line or
+        counts as the accounts beyond the limit.
+        """
+        registry = CollectorRegistry()
+        metrics = Metrics({"c": define_counter("Help.", "account")}, registry)
+        for number in range(60):
+            metrics.observe(
+                "c", 1, labels[number] if number < len(labels) else f"filler{number}"
+            )
+        page = generate_latest(registry).decode()
+        lines = [x for x in page.splitlines() if x.startswith("siskinhold_c_total{")]
+        assert len(page.splitlines()) == page.count("\n") and len(lines) == 51
+        assert max(map(len, lines)) < 2000
+        assert lines[-1] == 'siskinhold_c_total{account="other"} 10.0'
+
+
 class TestKnownMetrics:
     def test_metrics_of_the_core_are_defined(self):
         """Each metric of the core is defined; guards against discarded values."""
