Compare idempotency keys letter by letter

With a column request_key whose collation ignores case, which is MySQL's default, a write marked once=K1 after one marked once=k1 was answered as repeated and never ran: INSERT fails with 1062, and the SELECT that tells a repetition from other duplicates used the same collation.

The SELECT returns the stored key, which must equal the statement's. Another one is refused with the server's error 1062. The new test, on a table that ignores case, got 'repeated' before and passes.

--- a/src/siskinhold/adapters/_statement_connections.py
+++ b/src/siskinhold/adapters/_statement_connections.py
@@ -162,14 +162,15 @@
         )
 
     async def _has_key(self, key: str) -> bool:
-        """Return whether the key exists; locks its row."""
+        """Return whether the key exists, letter by letter; locks its row."""
         # A non-locking read may use a snapshot that is older than the row.
-        key = self._raw.escape_string(key)
+        text = self._raw.escape_string(key)
         done = await self._raw.run(
-            "SELECT state FROM siskinhold_request"
-            f" WHERE request_key = '{key}' FOR UPDATE"
+            "SELECT request_key FROM siskinhold_request"
+            f" WHERE request_key = '{text}' FOR UPDATE"
         )
-        return bool(done.rows)
+        # The column's collation may equate keys that differ in case.
+        return any(row[0] == key.encode() for row in done.rows)
 
     async def _send(self, sql: str) -> Done:
         """Run a caller's statement; from here on, a loss counts as after sending it."""
--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -175,6 +175,23 @@
         assert event.outcome.affected_rows == 1
         assert await count(table) == 1
 
+    async def test_key_in_other_letters_is_not_repeated(self, table):
+        """A key that the table compares as equal to another one is refused.
+
+        Guards against "done" for a write that never ran, as its key differs from a
+        stored one in case only and the column's collation ignores case.
+        """
+        h, c = table.harness, table.connection
+        await h.run(c, "DROP TABLE siskinhold_request")
+        columns = "digest TEXT, state TEXT, created_at TEXT"
+        key = "request_key VARCHAR(64) COLLATE NOCASE PRIMARY KEY"
+        await h.run(c, f"CREATE TABLE siskinhold_request ({key}, {columns})")
+        assert (await h.run(c, self.insert, key="k1")).outcome.affected_rows == 1
+        other = (await h.run(c, self.insert, key="K1")).outcome
+        assert isinstance(other, Failed) and other.code == 1062
+        assert (await h.run(c, self.insert, key="k1")).outcome == Done(repeated=True)
+        assert await count(table) == 1
+
 
 class TestLoss:
     async def test_running_statement_may_have_been_sent(self, table):
