Take only MySQL's blanks as blanks in local statements

'USE orders' followed by a no-break space selected orders, while to MySQL the character is part of the name; 'SET @siskinhold_token = ...' dropped one too, and a hint 'once=K' and U+2003 'max_age_ms=5' was read as two marks. strip() and split() without an argument take all of Unicode's blanks, and the separators 0x1c to 0x1f.

They get the six blanks of MySQL. Five new cases of test_statements.py fail before and pass.

--- a/src/siskinhold/statements/_local.py
+++ b/src/siskinhold/statements/_local.py
@@ -8,7 +8,7 @@
 
 import re
 
-from ._text import strip_comments
+from ._text import BLANKS, strip_comments
 from ._types import (
     AcceptSetting,
     Classified,
@@ -91,7 +91,8 @@
     if keyword == "SELECT":
         if len(code) > _MAX_SELECT_CHARACTERS or not _MAY_BE_VALUES.match(code):
             return None
-    return matcher(strip_comments(sql).strip().rstrip(";").rstrip())
+    text = strip_comments(sql).strip(BLANKS).rstrip(";").rstrip(BLANKS)
+    return matcher(text)
 
 
 def _match_use(text: str) -> Classified | None:
@@ -129,7 +130,7 @@
         return None
     columns = []
     for item in match[1].split(","):
-        value = _VALUE.match(item.strip())
+        value = _VALUE.match(item.strip(BLANKS))
         if value is None:
             return None
         columns.append((value["alias"] or value["label"], _get_expression(value)))
--- a/src/siskinhold/statements/_marks.py
+++ b/src/siskinhold/statements/_marks.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from ..model import Marks
+from ._text import BLANKS
 from ._types import Fault, StatementError
 
 # Largest accepted values of max_age_ms and deadline_ms.
@@ -21,6 +22,7 @@
     r"/\*\s*siskinhold\s*:(.*)\*/\Z", re.DOTALL | re.IGNORECASE | re.ASCII
 )
 _HINT_ATTEMPT = re.compile(r"(?:/\*|#|--)[\s+!]*siskinhold\b", re.IGNORECASE | re.ASCII)
+_WORD = re.compile(rf"[^{BLANKS}]+")
 _KEY = re.compile(r"[\x21-\x7e]{1,64}\Z")
 _DIGITS = re.compile(r"[0-9]{1,9}\Z")
 
@@ -42,7 +44,7 @@
         hint = _HINT.match(comment)
         if hint is None:
             return _error(f"can't read malformed hint comment {comment[:80]!r}")
-        for word in hint[1].split():
+        for word in _WORD.findall(hint[1]):
             name, separator, text = word.partition("=")
             if name not in _HINT_NAMES:
                 return _error(f"unknown mark {name[:80]!r}")
--- a/src/siskinhold/statements/_text.py
+++ b/src/siskinhold/statements/_text.py
@@ -2,6 +2,9 @@
 
 import re
 
+BLANKS = " \t\n\v\f\r"
+"""What MySQL takes as blanks; to it, any other such character is part of a name."""
+
 _LITERAL_OR_COMMENT = re.compile(
     r"""
       '(?:[^'\\]|\\(?:.|\Z)|'')*+(?:'|\Z)
