Quote the host of a primary in GROUP FOLLOW

A quote or backslash in a host ended its string or the one of the next words. The ticket tool admits IP addresses only, but a VM takes tickets from the store and from other VMs without that check.

--- a/src/siskinhold/adapters/_server_status.py
+++ b/src/siskinhold/adapters/_server_status.py
@@ -17,7 +17,9 @@
 
 def build_follow(term: int, host: str, port: int) -> str:
     """Return the statement that makes a server replicate from a primary."""
-    return f"GROUP FOLLOW {term} '{host}' {port}"
+    # The tool for tickets admits IP addresses only, but a VM reads them from the store.
+    text = host.replace("\\", "\\\\").replace("'", "''")
+    return f"GROUP FOLLOW {term} '{text}' {port}"
 
 
 def build_show_activity(connection_id: int) -> str:
--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -7,6 +7,7 @@
 from backends_harness import Harness
 
 from siskinhold import effects, events
+from siskinhold.adapters._server_status import build_follow
 from siskinhold.model import ControlFailure, Done, Failed, Position, Role
 from siskinhold_trial.database import InstanceLimits, TrialDatabase
 
@@ -264,6 +265,11 @@
 
 
 class TestControl:
+    def test_host_is_one_string(self):
+        """Guards against a host in a ticket of the store that ends its string."""
+        assert build_follow(2, "::1", 3) == "GROUP FOLLOW 2 '::1' 3"
+        assert build_follow(2, "a' 1\\", 3) == "GROUP FOLLOW 2 'a'' 1\\\\' 3"
+
     async def test_status(self, harness):
         """Guards against misreading a server's status."""
         event = await harness.status(1)
