Open no connection for a name with a NUL

The login at a server ends a name at the first NUL and reads what follows as further fields. For the database 'trial', NUL, 'mysql_native_password', NUL, NUL, the trial server accepted a login for trial. Callers can't name such a database, but a ticket of the store that the tool has not checked can.

open_connection answers REJECTED. The new test got an open connection before and passes.

--- a/src/siskinhold/adapters/_raw_connections.py
+++ b/src/siskinhold/adapters/_raw_connections.py
@@ -249,8 +249,11 @@
     """Open a connection within its timeout.
 
     Raises:
-        ConnectionLost: if it can't be opened.
+        ConnectionLost: if it can't be opened, or if a NUL in a name would end its field
+            of the login and make fields of the rest.
     """
+    if "\0" in settings.user or "\0" in database:
+        raise ConnectionLost(ControlFailure.REJECTED)
     connection = RawConnection(
         settings=settings, host=host, port=port, database=database
     )
--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -251,6 +251,21 @@
         event = await harness.perform_and_wait(effect)
         assert event.failure is ControlFailure.REFUSED
 
+    async def test_open_with_a_name_that_ends_early(self, harness):
+        """A database name with a NUL opens no connection.
+
+        Guards against a connection to the database named by the text before the NUL,
+        where the field of a login ends.
+        """
+        effect = effects.OpenBackend(
+            connection=1,
+            server=harness.server(),
+            database="trial\0mysql_native_password\0\0",
+        )
+        event = await harness.perform_and_wait(effect)
+        assert isinstance(event, events.BackendClosed)
+        assert event.failure is ControlFailure.REJECTED
+
     async def test_connection_limit_spares_control(self, database, harness):
         """Guards against treating a server without free connections as failed."""
         database.servers[0].limits.connections = 1
