Keep names of tickets in their lines of the ticket tool

A group named 'g', line end, 'fault=...' added a line to the report of an invalid ticket, which is what a name that check refuses looks like, and an identity with a blank, which is accepted, made pairs of its rest. Names from the store and from operator ports were printed as they are.

They are quoted like values in log lines, and details and differences with non-printable characters are shown as JSON. The new test fails before with '\r' and '\t' and passes.

--- a/src/siskinhold/programs/_ticket_report.py
+++ b/src/siskinhold/programs/_ticket_report.py
@@ -1,12 +1,15 @@
 """Output of the ticket tool, as text or as JSON."""
 
 import enum
+import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ..adapters import DatabaseReport, OperatorStatus
 from ..model import ChangeTicket
+from ..observability import quote
 from ..tickets import DiffKind, DiffLine, TicketFault
 from ._ticket_store import StoreFault, StoreFaultKind
 
@@ -61,7 +64,8 @@
 def report_faults(faults: list[TicketFault]) -> Report:
     """Report the faults of an invalid ticket."""
     lines = [
-        f"fault={fault.kind.value} subject={fault.subject or '-'} {fault.detail}"
+        f"fault={fault.kind.value} subject={quote(fault.subject or '-')} "
+        f"{_format_text(fault.detail)}"
         for fault in faults
     ]
     return Report(
@@ -84,7 +88,7 @@
     if fault.winner is not None:
         winner = fault.winner
         words.append(f"number={winner.number} winner={winner.author!r}")
-        words.append(f"reason={winner.reason!r} identity={winner.identity}")
+        words.append(f"reason={winner.reason!r} identity={quote(winner.identity)}")
         body["winner"] = summarise_ticket(winner)
     if fault.detail:
         words.append(f"detail={fault.detail!r}")
@@ -109,7 +113,8 @@
         values = f"{line.before or ''} -> {line.after or ''}"
         if line.kind is not DiffKind.CHANGED:
             values = line.before or line.after
-        lines.append(f"{_SIGNS[line.kind]} {line.path} {values}".rstrip())
+        text = _format_text(f"{line.path} {values}".rstrip())
+        lines.append(f"{_SIGNS[line.kind]} {text}")
     body = {
         "number": number,
         "digest_before": digests[0],
@@ -123,10 +128,11 @@
     """Report the accepted tickets."""
     lines = []
     for ticket in tickets:
-        groups = ",".join(group.name for group in ticket.groups)
+        groups = _join_names(group.name for group in ticket.groups)
         lines.append(
             f"ticket={ticket.number} author={ticket.author!r} "
-            f"reason={ticket.reason!r} groups={groups} identity={ticket.identity}"
+            f"reason={ticket.reason!r} groups={groups} "
+            f"identity={quote(ticket.identity)}"
         )
     body = {"tickets": [summarise_ticket(ticket) for ticket in tickets]}
     return Report(code=ExitCode.DONE, result="done", lines=lines, body=body)
@@ -138,8 +144,8 @@
     for vm in status.vms:
         suspected = " suspected" if vm.suspected else ""
         lines.append(
-            f"vm={vm.name} region={vm.region} incarnation={vm.incarnation} "
-            f"state={vm.state.value} ticket={vm.ticket} "
+            f"vm={quote(vm.name)} region={quote(vm.region)} "
+            f"incarnation={vm.incarnation} state={vm.state.value} ticket={vm.ticket} "
             f"heard_seconds={vm.heard_seconds}{suspected}"
         )
     for database in status.databases:
@@ -163,7 +169,7 @@
 
 def report_waiting(ticket: ChangeTicket, lagging: list[str]) -> Report:
     """Report that a ticket waits until the one before is in force everywhere."""
-    names = ",".join(lagging)
+    names = _join_names(lagging)
     return Report(
         code=ExitCode.EARLIER_NOT_IN_FORCE,
         result="earlier_ticket_not_in_force",
@@ -188,13 +194,13 @@
 
 def _describe_database(database: DatabaseReport) -> list[str]:
     """Return the lines of a database and its servers."""
-    owners = ",".join(f"{region}:{vm}" for region, vm in database.owners.items())
+    owners = _join_names(f"{region}:{vm}" for region, vm in database.owners.items())
     lines = [
-        f"database={database.name} group={database.group} "
-        f"primary={database.primary} term={database.term} owners={owners}"
+        f"database={quote(database.name)} group={quote(database.group)} "
+        f"primary={quote(database.primary)} term={database.term} owners={owners}"
     ]
     for server in database.servers:
-        words = f"  server={server.name} state={server.state}"
+        words = f"  server={quote(server.name)} state={quote(server.state)}"
         status = server.status
         if status is None:
             lines.append(f"{words} status=none")
@@ -205,3 +211,14 @@
             f"age_seconds={server.status_age_seconds}"
         )
     return lines
+
+
+def _join_names(names: Iterable[str]) -> str:
+    """Return names as the value of a pair; a comma in one is not told apart."""
+    text = ",".join(names)
+    return quote(text) if text else ""
+
+
+def _format_text(text: str) -> str:
+    """Return a text that ends a line, as in JSON if it would not stay on the line."""
+    return text if text.isprintable() else json.dumps(text)
--- a/src/siskinhold/programs/_ticket_status.py
+++ b/src/siskinhold/programs/_ticket_status.py
@@ -9,6 +9,7 @@
 
 from ..adapters import OperatorStatus, StoreClient
 from ..model import VmAddress, VmState
+from ..observability import quote
 
 STATUS_TIMEOUT_SECONDS = 2.0
 POLL_INTERVAL_SECONDS = 0.2
@@ -150,7 +151,8 @@
     live = sum(vm.state is VmState.LIVE for vm in read.ok_value.vms)
     lagging = list_lagging_vms(read.ok_value, number)
     in_force = live - len(lagging)
-    return f"in_force={in_force} live={live} lagging={','.join(lagging)}"
+    names = quote(",".join(lagging)) if lagging else ""
+    return f"in_force={in_force} live={live} lagging={names}"
 
 
 def _build_operator_url(vm: VmAddress) -> str:
--- a/src/siskinhold/programs/ticket.py
+++ b/src/siskinhold/programs/ticket.py
@@ -25,6 +25,7 @@
 
 from ..adapters import StoreClient
 from ..model import ChangeTicket
+from ..observability import quote
 from ..tickets import (
     apply_ticket,
     check_ticket,
@@ -243,7 +244,8 @@
             result = await submit_ticket(client, ticket, era=history.era)
     if isinstance(result, Err):
         return report_store_fault(result.err_value, ticket)
-    line = f"event=ticket_accepted ticket={ticket.number} identity={ticket.identity}"
+    identity = quote(ticket.identity)
+    line = f"event=ticket_accepted ticket={ticket.number} identity={identity}"
     return Report(
         code=ExitCode.DONE,
         result="done",
@@ -329,7 +331,8 @@
             lines=[line],
             body=body | {"detail": waited.err_value},
         )
-    line = f"event=ticket_in_force ticket={ticket.number} identity={ticket.identity}"
+    identity = quote(ticket.identity)
+    line = f"event=ticket_in_force ticket={ticket.number} identity={identity}"
     return Report(code=ExitCode.DONE, result="done", lines=[line], body=body)
 
 
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import pytest_asyncio
+from hypothesis import given, strategies as st
 from result import Err, Ok
 from store_samples import (
     make_address,
@@ -26,9 +27,23 @@
     VmState,
 )
 from siskinhold.programs import ticket as tool
-from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
+from siskinhold.programs._ticket_report import (
+    report_diff,
+    report_faults,
+    report_history,
+    report_store_fault,
+    report_waiting,
+)
+from siskinhold.programs._ticket_store import StoreFault, StoreFaultKind, submit_ticket
+from siskinhold.programs.timeline import parse_pairs
 from siskinhold.store import ReadObject, decode_term, encode_term, term_key
-from siskinhold.tickets import check_ticket
+from siskinhold.tickets import (
+    TicketFault,
+    TicketFaultKind,
+    TicketState,
+    check_ticket,
+    diff_states,
+)
 from siskinhold_trial.store import Outage, StoreEngine, StoreFaults, StoreServer, VmList
 
 
@@ -130,6 +145,36 @@
         capsys.readouterr()
 
 
+class TestTexts:
+    @given(st.text(min_size=1), st.text(min_size=1))
+    def test_any_texts_stay_in_their_line(self, name, text):
+        """A report has a line for each item, whatever names and texts a ticket has.
+
+        Guards against a name that adds a fault or a ticket to the output.
+        """
+        group = DatabaseGroup(name=name)
+        ticket = ChangeTicket(
+            number=1, author=text, reason=text, identity=name, groups=(group,)
+        )
+        kind = TicketFaultKind.NAME_INVALID
+        fault = TicketFault(kind=kind, subject=name, detail=text)
+        taken = StoreFault(kind=StoreFaultKind.NUMBER_TAKEN, winner=ticket)
+        state = TicketState(groups={name: group})
+        differences = diff_states(TicketState(), state)
+        for report in (
+            report_faults([fault]),
+            report_history((ticket,)),
+            report_store_fault(taken, None),
+            report_diff(differences, number=1, digests=("", "")),
+            report_waiting(ticket, [name]),
+        ):
+            printed = report.render(as_json=False)
+            assert printed.encode().decode().splitlines() == report.lines
+            if "identity" in printed:
+                pair = printed.rpartition(" identity=")[2]
+                assert parse_pairs(f"identity={pair}") == [("identity", name)]
+
+
 class TestRaces:
     async def test_two_operators(self, harness):
         """One ticket wins, and the other operator gets its author and reason.
