--- a/tests/test_adapter_backends.py
+++ b/tests/test_adapter_backends.py
@@ -175,6 +175,19 @@
         assert event.outcome.affected_rows == 1
         assert await count(table) == 1
 
+    async def test_key_in_other_letters_is_not_repeated(self, table):
+        """Guards against "done" for a write that never ran, by a table's collation."""
+        h, c = table.harness, table.connection
+        await h.run(c, "DROP TABLE siskinhold_request")
+        columns = "digest TEXT, state TEXT, created_at TEXT"
+        key = "request_key VARCHAR(64) COLLATE NOCASE PRIMARY KEY"
+        await h.run(c, f"CREATE TABLE siskinhold_request ({key}, {columns})")
+        assert (await h.run(c, self.insert, key="k1")).outcome.affected_rows == 1
+        other = (await h.run(c, self.insert, key="K1")).outcome
+        assert isinstance(other, Failed) and other.code == 1062
+        assert (await h.run(c, self.insert, key="k1")).outcome == Done(repeated=True)
+        assert await count(table) == 1
+
 
 class TestLoss:
     async def test_running_statement_may_have_been_sent(self, table):
@@ -233,6 +246,13 @@
         event = await harness.perform_and_wait(effect)
         assert event.failure is ControlFailure.REFUSED
 
+    async def test_open_with_a_name_that_ends_early(self, harness):
+        """Guards against a login for the database named by the text before a NUL."""
+        server, name = harness.server(), "trial\0mysql_native_password\0\0"
+        effect = effects.OpenBackend(connection=1, server=server, database=name)
+        event = await harness.perform_and_wait(effect)
+        assert getattr(event, "failure", None) is ControlFailure.REJECTED
+
     async def test_connection_limit_spares_control(self, database, harness):
         """Guards against treating a server without free connections as failed."""
         database.servers[0].limits.connections = 1
--- a/tests/test_ticket_tool.py
+++ b/tests/test_ticket_tool.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import pytest_asyncio
+from hypothesis import given, strategies as st
 from result import Err, Ok
 from store_samples import (
     make_address,
@@ -27,8 +28,9 @@
 )
 from siskinhold.programs import ticket as tool
 from siskinhold.programs._ticket_store import StoreFaultKind, submit_ticket
+from siskinhold.programs.timeline import parse_pairs
 from siskinhold.store import ReadObject, decode_term, encode_term, term_key
-from siskinhold.tickets import check_ticket
+from siskinhold.tickets import TicketFault, TicketState, check_ticket, diff_states
 from siskinhold_trial.store import Outage, StoreEngine, StoreFaults, StoreServer, VmList
 
 
@@ -130,6 +132,30 @@
         capsys.readouterr()
 
 
+class TestTexts:
+    @given(st.text(min_size=1))
+    def test_any_text_stays_in_its_line(self, text):
+        """Guards against a name or text that adds a fault or a ticket to the output."""
+        ticket, groups = make_ticket(1, text, text), (DatabaseGroup(name=text),)
+        ticket = msgspec.structs.replace(ticket, reason=text, groups=groups)
+        state = TicketState(groups={text: groups[0]})
+        faults = tool.check_ticket(ticket, TicketState())
+        faults += [TicketFault(kind=faults[0].kind, subject=text, detail=text)]
+        taken = tool.StoreFault(kind=StoreFaultKind.NUMBER_TAKEN, winner=ticket)
+        diff = diff_states(TicketState(), state)
+        reports = [tool.report_faults(faults), tool.report_waiting(ticket, [text])]
+        reports += [tool.report_diff(diff, number=1, digests=("", ""))]
+        reports += [
+            tool.report_history((ticket,)),
+            tool.report_store_fault(taken, None),
+        ]
+        for report in reports:
+            printed = report.render(as_json=False)
+            assert printed.splitlines() == report.lines
+            _, found, pair = printed.rpartition(" identity=")
+            assert not found or parse_pairs(f"k={pair}") == [("k", text)]
+
+
 class TestRaces:
     async def test_two_operators(self, harness):
         """One ticket wins, and the other operator gets its author and reason.
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,12 +6,14 @@
 
 import pytest
 from hypothesis import given, strategies as st
-from prometheus_client import CollectorRegistry
+from prometheus_client import CollectorRegistry, generate_latest
 
 from siskinhold import core
 from siskinhold.adapters import METRICS, TimelineRecorder
 from siskinhold.effects import Observe, Record
 from siskinhold.model import RequestId
+from siskinhold.observability import Metrics, define_counter
+from siskinhold.programs import timeline
 from siskinhold.programs.timeline import main, merge_entries, parse_line
 
 ID = RequestId("vm1", 3, 9)
@@ -33,10 +35,32 @@
     return exit_info.value.code, capsys.readouterr().out.splitlines()
 
 
+class TestReading:
+    def test_text_within_another_line_is_no_event(self):
+        """Guards against a caller's user name that appears as an event of a VM."""
+        event = "vm=vm2 incarnation=1 clock=9 sequence=1 event=primary_changed"
+        assert parse_line(event).vm == "vm2"
+        for quoted in (repr(f"x {event} "), json.dumps(f"x {event}"), f"x {event}"):
+            assert parse_line(f"event=caller_denied session=3 user={quoted}") is None
+
+    @given(st.text(st.characters(), min_size=1))
+    def test_printed_pairs_are_read_back(self, text):
+        """A printed event is one encodable line that holds the text of each field."""
+        fields = {"event": "x", "cause": text, "k": text, "request": "r"}
+        entry = timeline.Entry(
+            fields=fields, vm="a", incarnation=1, sequence=1, clock=1
+        )
+        line, reason = timeline._format(entry), timeline.format_reason([entry], "r")
+        for printed in (line, reason):
+            assert len(printed.encode().splitlines()) == len(printed.splitlines()) == 1
+        pairs = timeline.parse_pairs(line.partition(" x ")[2])
+        assert {"event": "x", **dict(pairs)} == fields
+
+
 class TestRecorder:
     """Timeline lines and metrics."""
 
-    @given(st.text(), st.text())
+    @given(st.text(st.characters()), st.text(st.characters()))
     def test_line_round_trip(self, cause, value):
         """Any text is read back from its single line.
 
@@ -69,6 +93,21 @@
         recorder.close()
 
 
+class TestLabels:
+    @given(st.lists(st.text(st.characters(), max_size=300), max_size=9, unique=True))
+    def test_labels_are_told_apart(self, labels):
+        """Guards against an account's name that ends, breaks or joins their lines."""
+        registry = CollectorRegistry()
+        metrics = Metrics({"c": define_counter("Help.", "account")}, registry)
+        for label in [*labels, *(f"filler{number}" for number in range(60))]:
+            metrics.observe("c", 1, label)
+        page = generate_latest(registry).decode()
+        lines = [x for x in page.splitlines() if x.startswith("siskinhold_c_total{")]
+        assert len(page.splitlines()) == page.count("\n") and len(lines) == 51
+        assert max(map(len, lines)) < 2000
+        assert lines[-1].endswith(f'{{account="other"}} {len(labels) + 10.0}')
+
+
 class TestKnownMetrics:
     def test_metrics_of_the_core_are_defined(self):
         """Each metric of the core is defined; guards against discarded values."""
