Refuse statements whose line to a server would be too long

A read or prepared statement of nearly 1 MiB became longer than a message may be, by the log position or the number of the statement. Such a statement is refused as malformed; 64 bytes are kept free.

--- a/tests/users_platform/test_line_ends.py
+++ b/tests/users_platform/test_line_ends.py
@@ -11,6 +11,7 @@
 from siskinhold.direct import Answer, Command, CommandKind, Statement, StatementKind
 from siskinhold.lines import LINE_LIMIT, AnswerLineKind
 from siskinhold.lines._protocol import LineProtocol
+from siskinhold.model import Position
 from siskinhold_platform import WireCodec
 
 from .standins import Client, read_line
@@ -152,6 +153,25 @@
             message = CODEC.parse_caller_line(f"QUERY r {word} {rest}".encode())
             assert message.kind is StatementKind.MALFORMED
 
+    @pytest.mark.parametrize("text", ["READ ", "PREPARE p READ ", "EXECUTE p k "])
+    @pytest.mark.parametrize("spare", [0, 64])
+    def test_line_to_a_server_is_not_too_long(self, text, spare):
+        """Guards against a connection that a server breaks off at a long line."""
+        line = f"QUERY 1 {text}".ljust(LINE_LIMIT - spare, "x").encode()
+        statement = CODEC.parse_caller_line(line)
+        if not spare:
+            assert statement.kind is StatementKind.MALFORMED
+            return
+        command = Command(
+            kind=CommandKind[statement.kind.name.replace("READ", "RUN")],
+            request=statement.request,
+            text=statement.text,
+            name="s" + 15 * "f",
+            value=statement.shape or statement.value,
+            after=Position(2**64 - 1, 2**64 - 1),
+        )
+        assert len(CODEC.encode_command(command)) <= LINE_LIMIT + len(b"\r\n")
+
 
 class TestService:
     async def test_requests_and_rows_pass_unchanged(self, tmp_path):
