--- a/tests/direct/test_direct_kept_state.py
+++ b/tests/direct/test_direct_kept_state.py
@@ -186,17 +186,3 @@
         _, answer = world.replies["vm1", 1][-1]
         assert answer.refusal is Refusal.OVERLOAD
         assert not world.servers["s1"].commits
-
-    @pytest.mark.parametrize("kind", [CommandKind.ROLLBACK, CommandKind.RESET])
-    def test_connection_without_an_answer_to_a_release_is_closed(self, kind):
-        """Guards against connections that a server which hangs takes out of use."""
-        world = start()
-        world.connect("vm1", 1)
-        world.execute("vm1", 1, "SET v " + "x" * 2 * MAX_KEPT_BYTES)
-        world.execute("vm1", 1, "BEGIN")
-        world.servers["s1"].hangs_at.add(kind)
-        assert world.execute("vm1", 1, "WRITE x 1").refusal is None
-        world.execute("vm1", 1, "ROLLBACK")
-        world.advance(3)
-        for connection in world.states["vm1"].connections.values():
-            assert connection.control or not connection.pending
