Compare what simulated servers run with what callers set up

The simulated campaign of shutdowns had callers that prepared one read and one write of their own; nothing compared shapes or session values. Callers now prepare odd and long shapes under colliding names, set values and run transactions. After each run the shape, the mode and the values at the server are compared with what was acknowledged to the caller; names at servers must be plain, and free connections keep no more than their limits. Servers may refuse SET, RESET, PREPARE, DEALLOC and ROLLBACK for a while. The executed text shows whether it writes.

--- a/tests/direct/pool_checks.py
+++ b/tests/direct/pool_checks.py
@@ -1,6 +1,7 @@
 """Check of a VM's pooled connections, made after each event of the simulation."""
 
 from siskinhold.direct._connection_life import ConnectionState
+from siskinhold.direct._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS
 from siskinhold.direct._state import JobState
 
 ANSWER_TIMEOUT = 2.0
@@ -38,6 +39,11 @@
         accounts.add(transaction.session.account)
         if transaction.connection is not connection or transaction.failed:
             return "held by a transaction that has left it"
+    kept = connection.kept
+    if kept.statement_count > MAX_STATEMENTS:
+        return f"keeps {kept.statement_count} statements"
+    if life is ConnectionState.FREE and kept.size > MAX_KEPT_BYTES:
+        return f"is free and keeps {kept.size} bytes"
     if accounts - {connection.account}:
         return "used by another account"
     if life not in (ConnectionState.PREPARING, ConnectionState.IN_USE):
--- a/tests/direct/stop_callers.py
+++ b/tests/direct/stop_callers.py
@@ -1,28 +1,39 @@
 """Callers that keep using a VM until its process has ended, on simulated time."""
 
 from abc import ABC, abstractmethod
+from dataclasses import replace
 
-from siskinhold.direct import Refusal, Statement, StatementKind
+from siskinhold.direct import Refusal, StatementKind
 
 from .world import make_statement
 
 RETRY_DELAY = 0.05
 """Seconds after which a caller connects again."""
 
+NAMES = ("s1", "q1", "s\t1", "1")
+"""Names of prepared statements, which all callers use."""
+
+LONG_TEXT = 40_000
+"""Characters of a long text."""
+
 
 class Request:
     """A statement that a VM's core got, and what it answered.
 
     Args:
         transaction: number of the transaction that it belongs to, 0 for none.
+        text: what must run for it.
+        values: the session values with which it must run.
     """
 
-    def __init__(self, *, vm, session, statement, transaction, at):
+    def __init__(self, *, vm, session, statement, transaction, at, text, values):
         self.vm = vm
         self.session = session
         self.statement = statement
         self.transaction = transaction
         self.at = at
+        self.text = text
+        self.values = values
         self.answers = []
         self.left = False
 
@@ -86,10 +97,17 @@
         self.session = 0
         self.world.after(RETRY_DELAY, self.connect)
 
-    def make(self, word):
-        """Return a read, write or transaction statement."""
+    def make(self, word, writes=False):
+        """Return a statement; a read or write if only its word is given.
+
+        Args:
+            writes: whether what it executes writes.
+        """
         text = {"READ": "READ x", "WRITE": "WRITE x 1"}.get(word, word)
-        return make_statement(self.world.allocate_request(), text)
+        statement = make_statement(self.world.allocate_request(), text)
+        if statement.kind is StatementKind.EXECUTE:
+            return replace(statement, writes=writes)
+        return statement
 
 
 class SingleCaller(Caller):
@@ -155,39 +173,52 @@
 
 
 class PreparedCaller(Caller):
-    """Prepares statements and executes them."""
+    """Prepares odd shapes under names that others use too, sets values, executes."""
 
     def act(self):
-        """Prepare a read and a write, then execute them until the connection ends."""
-        yield self.prepare("r", "READ", writes=False)
-        yield self.prepare("w", "WRITE", writes=True)
-        for _ in range(self.random.choice((2, 10, 100))):
-            yield self.execute(self.random.choice("rw"))
-            yield self.random.choice((0.0, 0.05, 0.3))
-
-    def prepare(self, name, word, *, writes):
-        """Return a statement that prepares a read or a write."""
-        request = self.world.allocate_request()
-        return Statement(
-            request=request,
-            kind=StatementKind.PREPARE,
-            text=f"PREPARE {name}",
-            name=name,
-            shape=f"{word} x",
-            writes=writes,
-        )
-
-    def execute(self, name):
-        """Return a statement that executes a prepared one."""
-        request = self.world.allocate_request()
-        return Statement(
-            request=request,
-            kind=StatementKind.EXECUTE,
-            text=f"EXECUTE {name}",
-            name=name,
-            value="1",
-            writes=name == "w",
-        )
+        """Send statements, some in transactions, until the connection ends."""
+        prepared, name = {}, ""
+        transaction = ""
+        for _ in range(self.random.choice((5, 20, 100))):
+            actions = ("prepare", "set", "deallocate", "end") + ("execute",) * 4
+            action = self.random.choice(actions)
+            if action == "set":
+                text = f"SET {self.random.choice('abc')} {self.make_text()}"
+            elif action == "end" and transaction:
+                text = self.random.choice(("COMMIT", "ROLLBACK"))
+            elif action == "end":
+                text = self.random.choice(("BEGIN", "BEGIN READ"))
+            elif action == "prepare" or not prepared:
+                mode = self.random.choice(("READ", "WRITE"))
+                name = self.random.choice(NAMES)
+                text = f"PREPARE {name} {mode} {self.make_text()}"
+            elif action == "deallocate":
+                name = self.random.choice(list(prepared))
+                text = f"DEALLOC {name}"
+            else:
+                name = self.random.choice(list(prepared))
+                if (prepared[name], transaction) == ("WRITE", "BEGIN READ"):
+                    continue
+                text = f"EXECUTE {name} k {self.make_text()}"
+            answer = yield self.make(text, prepared.get(name) == "WRITE")
+            if answer.refusal is not None:
+                if transaction:
+                    yield self.make("ROLLBACK")
+                return
+            if action == "end":
+                transaction = "" if transaction else text
+            elif text.startswith("PREPARE"):
+                prepared[name] = mode
+            elif action == "deallocate":
+                del prepared[name]
+            yield self.random.choice((0.0, 0.0, 0.05, 0.3))
+
+    def make_text(self):
+        """Return a word, or several that blanks and lone line ends separate."""
+        texts = ("q1", "q1 WRITE pc", "s1 READ q1", "q\t1", "q1 ", "q\r\n1", "q=1")
+        if self.random.random() < 0.05:
+            return f"q{self.world.allocate_request()}".ljust(LONG_TEXT, "x")
+        return self.random.choice(texts)
 
 
 KINDS = (SingleCaller, SingleCaller, LongCaller, TransactionCaller) + (
--- a/tests/direct/stop_campaign.py
+++ b/tests/direct/stop_campaign.py
@@ -40,6 +40,15 @@
 )
 """Refusals which state that a single statement was not run."""
 
+COMMANDS = (
+    CommandKind.SET,
+    CommandKind.RESET,
+    CommandKind.PREPARE,
+    CommandKind.DEALLOCATE,
+    CommandKind.ROLLBACK,
+)
+"""Commands that a server may refuse."""
+
 BEGINS = (CommandKind.BEGIN, CommandKind.BEGIN_READ)
 
 
@@ -57,6 +66,8 @@
         self.pending = {}
         self.callers = {}
         self.transactions = {}
+        self.prepared = {}
+        self.values = {}
         self.violations = []
         self.stops = []
         self.committed = set()
@@ -91,6 +102,8 @@
         """Connect a caller; return its session."""
         self.next_session += 1
         session = self.next_session
+        self.prepared[caller.vm, session] = {}
+        self.values[caller.vm, session] = {}
         self.callers[caller.vm, session] = caller
         self.connect(caller.vm, session, caller.database)
         return session
@@ -119,6 +132,8 @@
             statement=statement,
             transaction=self.transactions.get(key, 0),
             at=self.now,
+            text=self.prepared[key].get(statement.name, statement.text),
+            values=dict(self.values[key]),
         )
         if statement.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
             self.transactions.pop(key, None)
@@ -159,6 +174,15 @@
                 self.report(f"surplus answer: {vm}, session {effect.session}")
             return
         request.answers.append(effect.answer)
+        statement = request.statement
+        if effect.answer.refusal is Refusal.NO_STATEMENT:
+            self.report(f"is unknown: {request}")
+        elif effect.answer.refusal is None:
+            if statement.kind is StatementKind.SET:
+                self.values[key][statement.name] = statement.value
+            elif statement.kind is StatementKind.PREPARE:
+                mode = "WRITE" if statement.writes else "READ"
+                self.prepared[key][statement.name] = f"{mode} {statement.shape}"
         begins = request.statement.kind is StatementKind.BEGIN
         if begins and effect.answer.refusal is not None:
             self.transactions.pop(key, None)
@@ -245,6 +269,15 @@
         control = find_control_connection(server)
         return control is not None and control.number == number
 
+    def check_run(self, connection, request, text):
+        """Report a run of another text, or with other values, than were set up."""
+        sent = self.requests[request]
+        if sent.text != text:
+            self.report(f"ran {text[:40]!r}, set up {sent.text[:40]!r}: {sent}")
+        if sent.values != connection.values:
+            set_up, found = str(sent.values)[:80], str(connection.values)[:80]
+            self.report(f"ran with {found}, set up {set_up}: {sent}")
+
     def replicate(self, leader, position):
         """Record the request that committed, and send its commit to the replicas."""
         self.committed.add(leader.ran[-1][1])
@@ -270,7 +303,13 @@
         server = self.random.choice(list(self.servers.values()))
         fault = self.random.choice(
             (self.slow_down, self.slow_down, self.lose_answers, self.be_busy)
-            + (self.lag_behind, self.crash_server, self.drain_server, self.lose_store)
+            + (
+                self.refuse_commands,
+                self.lag_behind,
+                self.crash_server,
+                self.drain_server,
+                self.lose_store,
+            )
         )
         fault(server)
         self.after(self.random.uniform(0.2, 3.0), self.fail_something)
@@ -296,6 +335,13 @@
         server.answer_busy = self.random.choice((1, 10, 1000))
         self.after(self.random.uniform(0.3, 4.0), setattr, server, "answer_busy", 0)
 
+    def refuse_commands(self, server):
+        """Have a server refuse some of the commands of VMs for a while."""
+        for kind in self.random.sample(COMMANDS, self.random.choice((1, 2))):
+            failed = kind is CommandKind.PREPARE and self.random.random() < 0.5
+            server.refuses[kind] = Refusal.FAILED if failed else Refusal.BUSY
+        self.after(self.random.uniform(0.1, 2.0), server.refuses.clear)
+
     def lag_behind(self, server):
         """Have a server receive commits late for a while."""
         server.lag = self.random.choice((0.1, 1.0, 3.0))
--- a/tests/direct/test_direct_kept_state.py
+++ b/tests/direct/test_direct_kept_state.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from siskinhold.direct import CommandKind
+from siskinhold.direct import CommandKind, Refusal
 from siskinhold.direct._server_session import (
     MAX_KEPT_BYTES,
     MAX_STATEMENTS,
@@ -131,7 +131,7 @@
         """Guards against a connection whose server keeps more than is recorded."""
         world = start()
         world.connect("vm1", 1)
-        world.servers["s1"].refuses.add(CommandKind.DEALLOCATE)
+        world.servers["s1"].refuses[CommandKind.DEALLOCATE] = Refusal.BUSY
         shape = "x" * 2 * MAX_KEPT_BYTES
         answer = execute_shapes(world, ["q1", shape])
         assert answer.refusal is None
--- a/tests/direct/test_direct_pools.py
+++ b/tests/direct/test_direct_pools.py
@@ -56,7 +56,7 @@
     def test_closes_its_connection_if_the_rollback_is_refused(self):
         """Guards against a statement that runs in another caller's transaction."""
         world = start()
-        world.servers["s1"].refuses.add(CommandKind.ROLLBACK)
+        world.servers["s1"].refuses[CommandKind.ROLLBACK] = Refusal.BUSY
         fail_transaction(world, 1)
         world.advance(0.1)
         assert not any(c.wrote for c in world.connections.values())
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -97,7 +97,8 @@
 
     A status query or a suspension takes `status_time`. A replica applies what it
     receives before `applies_at` only then. Commands of the kinds in `refuses` are not
-    run. Connections of the VMs in `breaks_off_for` end with each statement.
+    run; a connection gets no more answers from one in `hangs_at` on. Connections of the
+    VMs in `breaks_off_for` end with each statement.
     """
 
     def __init__(self, *, world, name, zone, leads, slots=4, statement_time=0.01):
@@ -124,11 +125,13 @@
         self.started = 1
         self.free_at = [0.0] * slots
         self.ran: list[tuple[float, str, str]] = []
+        self.ran_values: list[dict[str, str]] = []
         self.commits: list[tuple[float, int, int]] = []
         self.lose_answers = 0
         self.breaks_off_for: set[str] = set()
         self.fails_statements = False
-        self.refuses: set[CommandKind] = set()
+        self.refuses: dict[CommandKind, Refusal] = {}
+        self.hangs_at: set[CommandKind] = set()
         self.answer_busy = 0
 
     def reaches(self, vm: str) -> bool:
@@ -167,7 +170,7 @@
         status = None
         after = command.after
         if kind in self.refuses:
-            refusal = Refusal.BUSY
+            refusal = self.refuses[kind]
         elif after is not None and self.applied < after:
             refusal = Refusal.LAGGING
         elif kind is CommandKind.BEGIN:
@@ -203,7 +206,9 @@
         elif kind is CommandKind.SET:
             connection.values[command.name] = command.value
         elif kind is CommandKind.PREPARE:
+            assert command.name.isalnum(), f"{command.name!r} is no name"
             connection.prepared[command.name] = command.value
+            connection.writing[command.name] = command.writes
         elif kind is CommandKind.DEALLOCATE:
             if connection.prepared.pop(command.name, None) is None:
                 refusal = Refusal.NO_STATEMENT
@@ -225,9 +230,12 @@
         return end, answer
 
     def _run_statement(self, connection, command, now):
-        text = command.text or connection.prepared.get(command.name)
-        if text is None:
-            return now, Refusal.NO_STATEMENT, ()
+        text = command.text
+        if command.kind is CommandKind.EXECUTE:
+            if command.name not in connection.prepared:
+                return now, Refusal.NO_STATEMENT, ()
+            mode = "WRITE" if connection.writing[command.name] else "READ"
+            text = f"{mode} {connection.prepared[command.name]}"
         word = text.split(" ")[0]
         writes = word == "WRITE"
         if self.answer_busy:
@@ -239,6 +247,8 @@
             return now, Refusal.FAILED, ()
         end = self.occupy_slot(now, self.statement_time)
         self.ran.append((now, command.request, text))
+        self.ran_values.append(dict(connection.values))
+        self.world.check_run(connection, command.request, text)
         if writes and connection.open:
             connection.wrote = True
         commits = writes and not connection.open or word == "COMMIT"
@@ -265,7 +275,9 @@
         self.server = server
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
+        self.writing: dict[str, bool] = {}
         self.open = ""
+        self.hangs = False
         self.wrote = False
         self.committed = None
         self.ready_at = 0.0
@@ -563,6 +575,9 @@
                 lost = BackendLost(at=0, connection=number, reason=LossReason.CLOSED)
                 self.deliver(vm, self.now + LATENCY, lost)
                 return
+            connection.hangs |= command.kind in server.hangs_at
+            if connection.hangs:
+                return
             end, answer = server.run(connection, command, self.now)
             connection.ready_at = max(connection.ready_at, end)
             if command.request and server.lose_answers:
@@ -581,6 +596,9 @@
 
         self.at(self.now + LATENCY, arrive)
 
+    def check_run(self, connection, request, text):
+        """Check what a server runs; campaigns with preparing callers do."""
+
     def is_control_busy(self, vm, server):
         """Return whether a VM's control connection to a server awaits an answer."""
         control = find_control_connection(self.states[vm].servers[server])
