Have the soak prepare and set odd and long texts

Each run is compared with what its caller set up, also whether it ran inside a transaction; runs that nobody sent, an unknown prepared name, a log line that a text broke and a user that is no VM or account are violations.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -17,6 +17,9 @@
 from users_platform.soak import Soak  # noqa: E402
 from users_platform.soak_accounts import AccountsSoak  # noqa: E402
 
+MAX_PRINTED = 30
+"""Violations of a seed that are printed."""
+
 
 def main() -> None:
     """Run the given seeds and print the violations that each found."""
@@ -46,6 +49,18 @@
         action="store_true",
         help="also exceed an account's rate while its keys change",
     )
+    parser.add_argument(
+        "--texts",
+        type=float,
+        nargs="?",
+        const=0.2,
+        help="also prepare and set odd texts, a share of them long; check what is kept",
+    )
+    parser.add_argument(
+        "--refusals",
+        action="store_true",
+        help="also refuse commands that VMs send for themselves",
+    )
     parser.add_argument(
         "--connections",
         type=int,
@@ -64,12 +79,16 @@
             folder=folder,
             restores=options.restores,
             stops=options.stops,
+            texts=options.texts,
+            refusals=options.refusals,
             connections=options.connections,
         )
         report = asyncio.run(soak.run(options.seconds))
         print(f"seed={seed} {report} logs={folder}", flush=True)
-        for violation in soak.violations:
+        for violation in soak.violations[:MAX_PRINTED]:
             print(f"  {violation}", flush=True)
+        if soak.violations:
+            print(f"  violations={len(soak.violations)}", flush=True)
         broken += bool(soak.violations)
     print(f"seeds_broken={broken}", flush=True)
     raise SystemExit(1 if broken else 0)
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -9,8 +9,10 @@
 
 import yaml
 
+from .prepared_callers import Expected, PreparingCallers
 from .soak_callers import StayingCallers
 from .soak_faults import Faults
+from .soak_kept import KeptChecks
 from .soak_processes import CONTACT_PERIOD, Link, VmProcess
 from .standins import (
     CONNECTIONS,
@@ -24,6 +26,12 @@
 NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Error codes which state that the statement has no lasting effect."""
 
+TEXT_CALLERS = 6
+"""Number of callers that prepare and set odd texts."""
+
+TEXT_PAUSES = (0.0, 0.0, 0.01, 0.05)
+"""Seconds between their statements."""
+
 KEYS = 6
 """Number of keys; each has one writer."""
 
@@ -44,10 +52,16 @@
         restores: whether the store is restored from older copies, while instances
             leave and the configuration changes.
         stops: whether VMs are stopped in series and at once, under callers that stay.
+        texts: share of long ones among odd texts that callers prepare and set, while
+            what servers keep and the memory of the VMs are checked; None for no texts.
+        refusals: whether instances refuse commands that VMs send for themselves.
         connections: number of connections that each instance accepts; if it is below
             three for each VM, some VMs relay their callers.
     """
 
+    ACCOUNTS = ()
+    """Names of accounts, under which VMs connect to instances."""
+
     def __init__(
         self,
         *,
@@ -56,9 +70,19 @@
         folder: Path,
         restores: bool = False,
         stops: bool = False,
+        texts: float | None = None,
+        refusals: bool = False,
         connections: int = CONNECTIONS,
     ) -> None:
         self._random = random.Random(seed)
+        self._texts = texts is not None
+        self._ports: list[int] = []
+        self._preparing = PreparingCallers(
+            random=self._random,
+            ports=self._ports,
+            long_share=texts or 0.0,
+            pauses=TEXT_PAUSES,
+        )
         self._folder = folder
         self._deployment = Deployment(connections=connections)
         self._count = vms
@@ -74,6 +98,10 @@
             store_links=self._store_links,
             restores=restores,
             stops=stops,
+            refusals=refusals,
+        )
+        self._kept_checks = KeptChecks(
+            instances=self._deployment.instances, vms=self._vms, faults=self._faults
         )
         self._staying = StayingCallers(random=self._random, vms=self._vms)
         self._stops = stops
@@ -101,6 +129,9 @@
             tasks.append(asyncio.create_task(self._change_routes()))
         if self._stops:
             tasks += self._staying.start()
+        if self._texts:
+            tasks += self._preparing.start(TEXT_CALLERS)
+            checks = asyncio.create_task(self._kept_checks.repeat())
         injection = asyncio.create_task(self._faults.inject())
         await asyncio.sleep(seconds)
         injection.cancel()
@@ -110,6 +141,9 @@
         await self._check_recovery()
         self._running = False
         self._staying.stop()
+        self._preparing.stop()
+        if self._texts:
+            checks.cancel()
         await asyncio.wait(tasks, timeout=8)
         for task in tasks:
             task.cancel()
@@ -120,7 +154,8 @@
         self._check_promotions()
         self._check_texts()
         await self._stop()
-        self.violations += self._faults.violations
+        self.violations += self._faults.violations + self._kept_checks.violations
+        self.counts.update(self._kept_checks.counts)
         self.counts.update(self._faults.counts)
         return " ".join(f"{key}={value}" for key, value in self.counts.items())
 
@@ -128,6 +163,7 @@
         deployment = self._deployment
         for instance in deployment.instances:
             await instance.start()
+            instance.runs = []
             link = Link(port=instance.port)
             await link.start()
             instance.address_port = link.port
@@ -155,6 +191,7 @@
             )
             await vm.start()
             self._vms.append(vm)
+            self._ports.append(ports[0])
         await asyncio.sleep(3)
 
     async def _stop(self) -> None:
@@ -352,6 +389,8 @@
         found: dict[tuple[str, int], int] = {}
         for _, _, items in self._deployment.group.leader.log:
             for key, value in items.items():
+                if (key, value) in self._preparing.written:
+                    continue
                 try:
                     place = (key, int(value))
                 except ValueError:
@@ -366,16 +405,24 @@
                 self.violations.append(f"{place}: took effect despite {code}")
 
     def _check_texts(self) -> None:
-        """Check that instances ran what clients sent, and nothing else."""
-        sent = {}
+        """Check that instances ran what clients sent, as set up, and nothing else."""
         for client in self._clients:
-            sent.update(client.sent)
-        for instance in self._deployment.instances:
-            for request, text, _ in instance.executed:
-                if sent.get(request) != text:
-                    self.violations.append(
-                        f"{instance.name} ran {text!r} as {request}, not as sent"
-                    )
+            for request, text in client.sent.items():
+                self._preparing.expect(request, Expected(text=text))
+        instances = self._deployment.instances
+        self.violations += self._preparing.list_violations(instances)
+        users = {*self.ACCOUNTS, *(vm.name for vm in self._vms)}
+        for instance in instances:
+            for user in instance.users - users:
+                self.violations.append(f"{instance.name}: was sent the user {user!r}")
+        for vm in self._vms:
+            with vm.output.open(newline="") as file:
+                for line in file.read().splitlines():
+                    if not line.startswith("at="):
+                        self.violations.append(f"{vm.name}: has logged {line[:80]!r}")
+        if self._texts:
+            prepared = sum(bool(run.shape) for i in instances for run in i.runs)
+            self.counts["prepared_runs"] = prepared
 
     def _check_answers(self) -> None:
         """Check that the callers that stay got whole answers."""
--- a/tests/users_platform/soak_accounts.py
+++ b/tests/users_platform/soak_accounts.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+from .prepared_callers import KEYS
 from .soak import Soak
 from .standins import ROUTES, Client, make_configuration
 
@@ -20,6 +21,8 @@
 class AccountsSoak(Soak):
     """One seeded run; the other callers belong to an account without a rate."""
 
+    ACCOUNTS = ("steady", "busy")
+
     async def run(self, seconds: float) -> str:
         """Inject faults for some seconds, then check; return a line with counts."""
         self._held = ["sk-0"]
@@ -45,7 +48,7 @@
         routes = make_configuration(version, ROUTES, self._deployment.connections)
         busy = {"name": "busy", "api_keys": self._held}
         busy |= {"rate_per_s": RATE, "burst": RATE}
-        accounts = [{"name": "steady", "api_keys": ["u1"]}, busy]
+        accounts = [{"name": "steady", "api_keys": list(KEYS)}, busy]
         self._deployment.store.put("config", "main", routes | {"tenants": accounts})
 
     async def _change_keys(self) -> None:
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -14,6 +14,9 @@
 GRACE = 6.0
 """Seconds that a VM may take to end after SIGTERM."""
 
+COMMANDS = ("SET", "RESET", "PREPARE", "DEALLOC", "ROLLBACK")
+"""Commands that an instance may refuse."""
+
 SERVICE_TIME = 0.002
 """Usual seconds that an instance takes for a statement."""
 
@@ -25,6 +28,7 @@
         random: decides the faults and their times.
         restores: whether the store is restored from older copies, and instances leave.
         stops: whether VMs are stopped in series and at once, and seldom killed.
+        refusals: whether instances refuse commands for seconds.
 
     Attributes:
         violations: texts about checks that failed.
@@ -41,6 +45,7 @@
         store_links: list[Link],
         restores: bool,
         stops: bool,
+        refusals: bool = False,
     ) -> None:
         self._random = random
         self.deployment = deployment
@@ -49,6 +54,7 @@
         self.store_links = store_links
         self.restores = restores
         self.stops = stops
+        self.refusals = refusals
         self.injecting = True
         self.violations: list[str] = []
         self.counts = {"faults": 0}
@@ -75,6 +81,8 @@
                 self._delay_writes,
                 self._crash_primary,
             )
+        if self.refusals:
+            faults += (self._refuse_commands, self._refuse_commands)
         running: set[asyncio.Task] = set()
         if self.stops:
             running.add(asyncio.create_task(self._keep_stopping()))
@@ -242,6 +250,17 @@
     async def _reload(self) -> None:
         self._random.choice(self.vms).send(signal.SIGHUP)
 
+    async def _refuse_commands(self) -> None:
+        """Have an instance refuse some of the commands of VMs for a while."""
+        instance = self._random.choice(self.deployment.instances)
+        for word in self._random.sample(COMMANDS, self._random.randint(1, 3)):
+            failed = word == "PREPARE" and self._random.random() < 0.5
+            instance.refuses[word] = "FAILED" if failed else "BUSY"
+        try:
+            await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        finally:
+            instance.refuses.clear()
+
     async def _slow_down(self) -> None:
         """Have an instance run statements slowly for a while."""
         instance = self._random.choice(self.deployment.instances)
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -55,6 +55,7 @@
         mode: whether a prepared statement reads or writes, empty without one.
         shape: what was prepared under its name, empty without one.
         values: the session values in force.
+        open: whether a transaction is open on its connection.
     """
 
     request: str
@@ -62,6 +63,7 @@
     mode: str
     shape: str
     values: dict[str, str]
+    open: bool
 
 
 class Group:
@@ -118,6 +120,9 @@
         name: its id.
         service_time: seconds that a read, write or commit takes.
         limit: maximum number of connections.
+
+    Attributes:
+        refuses: words of the commands that it refuses, with the code.
     """
 
     def __init__(
@@ -147,6 +152,7 @@
         self.running = False
         self.starts = 0
         self.state = "ready"
+        self.refuses: dict[str, str] = {}
         self.slots = asyncio.Semaphore(4)
         self.received: set[str] = set()
         self.users: set[str] = set()
@@ -267,8 +273,10 @@
         while line := await read_line(reader):
             word, request, text = line.split(" ", 2)
             assert word == "QUERY"
+            session.idle_since = None
             answer = await self._run(session, request, text)
             writer.write(answer + self._ready(session))
+            session.idle_since = time.monotonic()
 
     def _ready(self, session) -> bytes:
         term, number = self.applied
@@ -276,6 +284,8 @@
 
     async def _run(self, session, request, text) -> bytes:
         verb, _, fields = text.partition(" ")
+        if verb in self.refuses:
+            return f"ERROR {self.refuses[verb]} -\r\n".encode()
         if verb == "AFTER":
             position, _, text = fields.partition(" ")
             term, number = position.split(".")
@@ -367,6 +377,7 @@
             mode=mode,
             shape=shape,
             values=dict(session.values),
+            open=session.state != "I",
         )
         self.runs.append(run)
 
@@ -380,10 +391,17 @@
         self.user = ""
         self.state = "I"
         self.plain = False
+        self.idle_since: float | None = None
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, str]] = {}
         self.written: dict[str, str] = {}
 
+    def measure_kept(self) -> int:
+        """Return the bytes of names, values and shapes that are kept."""
+        texts = [*self.values, *self.values.values(), *self.prepared]
+        texts += [shape for _, shape in self.prepared.values()]
+        return sum(len(text.encode()) for text in texts)
+
 
 class Store:
     """The object store and the promotion API over HTTP.
@@ -778,6 +796,9 @@
 
     Args:
         port: port of the VM that it is connected to.
+
+    Attributes:
+        mark: last characters of its request ids.
     """
 
     _numbers = itertools.count(1)
@@ -788,6 +809,7 @@
         self._writer = writer
         self._number = next(self._numbers)
         self._requests = 0
+        self.mark = ""
         self.sent: dict[str, str] = {}
 
     @classmethod
@@ -816,7 +838,8 @@
         sent = []
         for text in texts:
             self._requests += 1
-            sent.append((f"c{self._number:x}-{self._requests:x}", text))
+            request = f"c{self._number:x}-{self._requests:x}{self.mark}"
+            sent.append((request, text))
         self.sent.update(sent)
         lines = [f"QUERY {request} {text}\r\n" for request, text in sent]
         self._writer.write("".join(lines).encode())
--- a/tests/users_platform/test_prepared.py
+++ b/tests/users_platform/test_prepared.py
@@ -2,29 +2,18 @@
 
 import asyncio
 import random
-from pathlib import Path
 
 import pytest
 import yaml
 
 from .prepared_callers import PreparingCallers
+from .soak_kept import GROWTH_KB, read_resident_kb
 from .standins import Client
 from .test_service import run_deployment
 
 SHAPE_BYTES = 60_000
 """Bytes of a long shape, far below the longest message."""
 
-GROWTH_KB = 16 << 10
-"""Kilobytes by which a VM may grow while one caller uses ever new shapes."""
-
-
-def read_resident_kb(process: int) -> int:
-    """Return the resident memory of a process in kilobytes."""
-    for line in Path(f"/proc/{process}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1])
-    raise AssertionError("no resident memory")
-
 
 async def play_callers(deployment, vms, seed: int, seconds: float, **options):
     """Have six callers prepare and execute; return them once they have ended."""
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -1,5 +1,7 @@
 """Runs the fault soak briefly with a fixed seed."""
 
+import pytest
+
 from .soak import Soak
 from .soak_accounts import AccountsSoak
 
@@ -27,6 +29,14 @@
         assert soak.counts["done"] > 100
         assert soak.counts["stops"] > 1
 
+    @pytest.mark.parametrize("refusals", [False, True])
+    async def test_short_run_with_texts_has_no_violations(self, tmp_path, refusals):
+        """Guards against statements that run with other texts than were set up."""
+        soak = Soak(seed=5, vms=2, folder=tmp_path, texts=0.2, refusals=refusals)
+        await soak.run(5)
+        assert soak.violations == []
+        assert soak.counts["prepared_runs"] > 100
+
     async def test_short_run_with_accounts_has_no_violations(self, tmp_path):
         """Guards against withdrawn keys that run, and an account beyond its rate."""
         soak = AccountsSoak(seed=3, vms=3, folder=tmp_path)
