--- a/tests/direct/pool_checks.py
+++ b/tests/direct/pool_checks.py
@@ -1,8 +1,16 @@
 """Check of a VM's pooled connections, made after each event of the simulation."""
 
 from siskinhold.direct._connection_life import ConnectionState
+from siskinhold.direct._server_session import (
+    MAX_KEPT_BYTES,
+    MAX_STATEMENTS,
+    VALUES_RETENTION,
+)
 from siskinhold.direct._state import JobState
 
+RELEASE_SLACK = 0.5
+"""Seconds after which values that may be released have to be."""
+
 ANSWER_TIMEOUT = 2.0
 """Seconds for which an answer to an ended statement may be awaited."""
 
@@ -38,6 +46,15 @@
         accounts.add(transaction.session.account)
         if transaction.connection is not connection or transaction.failed:
             return "held by a transaction that has left it"
+    kept = connection.kept
+    if kept.statement_count > MAX_STATEMENTS:
+        return f"keeps {kept.statement_count} statements"
+    if life is ConnectionState.FREE:
+        if kept.statements_size > MAX_KEPT_BYTES:
+            return f"is free and keeps {kept.statements_size} bytes of statements"
+        overdue = state.now - connection.used_at > VALUES_RETENTION + RELEASE_SLACK
+        if overdue and kept.values_size > MAX_KEPT_BYTES:
+            return f"is unused and keeps {kept.values_size} bytes of values"
     if accounts - {connection.account}:
         return "used by another account"
     if life not in (ConnectionState.PREPARING, ConnectionState.IN_USE):
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -206,7 +206,9 @@
         elif kind is CommandKind.SET:
             connection.values[command.name] = command.value
         elif kind is CommandKind.PREPARE:
+            assert command.name.isalnum(), f"{command.name!r} is no name"
             connection.prepared[command.name] = command.value
+            connection.writing[command.name] = command.writes
         elif kind is CommandKind.DEALLOCATE:
             if connection.prepared.pop(command.name, None) is None:
                 refusal = Refusal.NO_STATEMENT
@@ -228,9 +230,12 @@
         return end, answer
 
     def _run_statement(self, connection, command, now):
-        text = command.text or connection.prepared.get(command.name)
-        if text is None:
-            return now, Refusal.NO_STATEMENT, ()
+        text = command.text
+        if command.kind is CommandKind.EXECUTE:
+            if command.name not in connection.prepared:
+                return now, Refusal.NO_STATEMENT, ()
+            mode = "WRITE" if connection.writing[command.name] else "READ"
+            text = f"{mode} {connection.prepared[command.name]}"
         word = text.split(" ")[0]
         writes = word == "WRITE"
         if self.answer_busy:
@@ -243,6 +248,7 @@
         end = self.occupy_slot(now, self.statement_time)
         self.ran.append((now, command.request, text))
         self.ran_values.append(dict(connection.values))
+        self.world.check_run(connection, command.request, text)
         if writes and connection.open:
             connection.wrote = True
         commits = writes and not connection.open or word == "COMMIT"
@@ -269,6 +275,7 @@
         self.server = server
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
+        self.writing: dict[str, bool] = {}
         self.open = ""
         self.hangs = False
         self.wrote = False
@@ -589,6 +596,9 @@
 
         self.at(self.now + LATENCY, arrive)
 
+    def check_run(self, connection, request, text):
+        """Check what a server runs; campaigns with preparing callers do."""
+
     def is_control_busy(self, vm, server):
         """Return whether a VM's control connection to a server awaits an answer."""
         control = find_control_connection(self.states[vm].servers[server])
