Keep reports of presence short enough to be read

A report lists up to 40 accounts by demand. Receivers drop reports above 4096 bytes, and with names of 120 characters one had 19,125: VMs would have taken each other for lost, and served no accounts. Names come from the operator.

Demands take at most 3072 bytes, the largest that fit. An account that isn't reported has the small share of one whose demand is unknown. The test failed before.

--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -5,6 +5,8 @@
 by the demand that they report to each other.
 """
 
+import json
+
 from .._effects import Log, Observe
 from .._rate_state import Allowance
 from .._replies import refuse
@@ -29,6 +31,12 @@
 MAX_DEMANDS = 40
 """Demands in one report, which has to fit into one datagram."""
 
+MAX_DEMANDS_SIZE = 3072
+"""Bytes of the demands in one report, which is 4096 bytes long at most."""
+
+DEMAND_SIZE = 24
+"""Bytes of a demand beside its account's name."""
+
 REPORT_INTERVAL = 1.0
 """Seconds of refusals of an account that one log line sums up."""
 
@@ -162,7 +170,16 @@
         if share >= REPORTED_SHARE:
             ranked.append((share, name, allowance.demand))
     ranked.sort(reverse=True)
-    return {name: round(demand, 2) for _, name, demand in ranked[:MAX_DEMANDS]}
+    listed = {}
+    room = MAX_DEMANDS_SIZE
+    for _, name, demand in ranked:
+        if len(listed) == MAX_DEMANDS:
+            break
+        size = len(json.dumps(name, ensure_ascii=False).encode()) + DEMAND_SIZE
+        if size <= room:
+            room -= size
+            listed[name] = round(demand, 2)
+    return listed
 
 
 def note_reported(state: DirectState, demands: dict[str, float]) -> None:
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -1,15 +1,19 @@
 """Tests that texts of callers, operators and store entries read back the same."""
 
 import asyncio
+import random
 
+import msgspec
 import pytest
 from hypothesis import example, given, settings, strategies
 
 from siskinhold.direct import (
+    Account,
     Answer,
     BackendOpened,
     Command,
     CommandKind,
+    DirectState,
     LeaderRecord,
     LeaderState,
     LossReason,
@@ -22,11 +26,14 @@
     Suspicion,
     join_names,
 )
+from siskinhold.direct._rate_state import Allowance
+from siskinhold.direct.rates import list_demands
 from siskinhold.lines import FieldUnencodable, HttpClient, HttpFailure
 from siskinhold.lines._backends import LineBackends
 from siskinhold.lines._caller_protocol import CallerProtocol
 from siskinhold.lines._callers import LineCallers
 from siskinhold.lines._memory import MemoryAccount
+from siskinhold.lines._presence import MAX_REPORT, PresenceReport
 from siskinhold.lines._relay import RelayProtocol
 from siskinhold_platform import SettingsUnreadable, WireCodec
 from siskinhold_platform._objects import (
@@ -172,6 +179,25 @@
             writer.close()
         server.close()
 
+    def test_report_with_long_names_is_not_dropped(self):
+        """Guards against VMs that take each other for lost as accounts have long
+        names."""
+        state = DirectState(
+            vm="vm-1", zone="a", regions={}, grace=1.0, random=random.Random(1)
+        )
+        names = [f"{number}" + "é\x01" * 60 for number in range(40)] + ["short"]
+        accounts = {n: Account(name=n, rate=1.0, burst=1.0) for n in names}
+        state.configuration = decode_configuration(make_accounts({}))
+        state.configuration.accounts.update(accounts)
+        for name in names:
+            state.rates.allowances[name] = Allowance(
+                operations=1.0, counted_at=0.0, measured_at=0.0, demand=1.0
+            )
+        demands = list_demands(state)
+        report = PresenceReport(vm="vm-1", serving=True, demands=demands)
+        assert "short" in demands and len(demands) > 1
+        assert len(msgspec.json.encode(report)) < MAX_REPORT - 900
+
 
 class TestEntries:
     @pytest.mark.parametrize("text", ["", "a b", "a\r\nb", "\ud800"])
