--- a/src/siskinhold/lines/_http.py
+++ b/src/siskinhold/lines/_http.py
@@ -100,8 +100,8 @@
                 retrying it, would add load to a slow link.
 
         Raises:
-            HttpFailure: if no complete answer arrives in time, or the path or a header
-                can't be sent.
+            HttpFailure: if no complete answer arrives in time, or the path, a header
+                or the address can't be used.
         """
         fields = [("Host", f"{self._host}:{self._port}"), *headers]
         if body or method != "GET":
@@ -128,7 +128,13 @@
             # Idle connections to the same address are probably dead as well.
             self._abort_connections(connection)
             raise HttpFailure(f"no answer within {timeout} s") from None
-        except (OSError, h11.ProtocolError, EOFError, UnicodeEncodeError) as error:
+        except (
+            OSError,
+            h11.ProtocolError,
+            EOFError,
+            UnicodeError,
+            OverflowError,
+        ) as error:
             self._abort_connections(connection)
             raise HttpFailure(repr(error)) from error
         except (asyncio.CancelledError, HttpFailure):
--- a/tests/users_platform/test_texts.py
+++ b/tests/users_platform/test_texts.py
@@ -287,6 +287,14 @@
         with pytest.raises(SettingsUnreadable, match="node_name"):
             decode_settings({**fields, "node_name": name})
 
+    @pytest.mark.parametrize("section", ["platform", "cloud_api"])
+    @pytest.mark.parametrize("address", ["nowhere", "h:8_0", "h:-1", ":80"])
+    def test_address_that_is_none_is_refused(self, section, address):
+        """Guards against a start that ends with a traceback, or at another port."""
+        fields = Deployment().make_settings("vm-1", (1, 2, 3))
+        with pytest.raises(SettingsUnreadable, match=f"{section}.address"):
+            decode_settings({**fields, section: {"address": address}})
+
 
 def make_record(vm: str = "vm-1", attempt: str = "x") -> LeaderRecord:
     return LeaderRecord(
@@ -324,6 +332,9 @@
         for path, header in (("/a b", "x"), ("/é", "x"), ("/", "a\r\nb"), ("/", "é")):
             with pytest.raises(HttpFailure, match="Error"):
                 await client.request("GET", path, headers=(("N", header),), timeout=1)
+        for host, port in (("a..b", 80), ("127.0.0.1", 99999)):
+            with pytest.raises(HttpFailure, match="Error"):
+                await HttpClient(host=host, port=port).request("GET", "/", timeout=1)
 
     @pytest.mark.parametrize("service", [".", ".."])
     def test_service_that_no_path_can_name_is_unreadable(self, service):
