Publish suspicions again after an unexpected error

One call for each database is under way at a time. If it ended with an error that nothing expected, as for names that no request could carry, the database stayed marked as under way, and this VM published nothing for it until its end.

The mark is removed however the calls end. The test failed before.

--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -264,19 +264,21 @@
         """
         published = None
         attempts = 0
-        while attempts < MAX_PUBLISH_ATTEMPTS:
-            suspicion = self._suspicions[service]
-            if suspicion is published:
-                break
-            attempts += 1
-            try:
-                await self._client.publish_suspicion(suspicion)
-                published = suspicion
-                attempts = 0
-            except StoreUnavailable as error:
-                self._write_failure("suspicion_unpublished", error)
-                await asyncio.sleep(PUBLISH_RETRY_DELAY)
-        del self._suspicions[service]
+        try:
+            while attempts < MAX_PUBLISH_ATTEMPTS:
+                suspicion = self._suspicions[service]
+                if suspicion is published:
+                    break
+                attempts += 1
+                try:
+                    await self._client.publish_suspicion(suspicion)
+                    published = suspicion
+                    attempts = 0
+                except StoreUnavailable as error:
+                    self._write_failure("suspicion_unpublished", error)
+                    await asyncio.sleep(PUBLISH_RETRY_DELAY)
+        finally:
+            del self._suspicions[service]
 
     def _list_suspicions(self, effect: ListSuspicions) -> None:
         """Read the suspicions of a database with the next read of all of them.
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -415,6 +415,18 @@
         await asyncio.sleep(0.5)
         assert [s.term for s in client.suspicions] == [1]
 
+    async def test_next_one_is_published_after_an_unexpected_error(self, monkeypatch):
+        """Guards against a database for which a VM publishes nothing any more."""
+        client = FakeClient()
+        driver = make_driver(client)
+        with monkeypatch.context() as patched:
+            patched.setattr(client, "publish_suspicion", int)
+            driver._publish_suspicion(make_suspicion(1))
+            await asyncio.sleep(0.05)
+        driver._publish_suspicion(make_suspicion(2))
+        await asyncio.sleep(0.2)
+        assert [s.term for s in client.suspicions] == [2]
+
     async def test_databases_share_a_read(self):
         """Guards against as many reads of all suspicions as an availability zone has
         primaries when it is lost: together they took all of a VM's memory."""
