Forget unavailable holders once they may be tried again

A VM kept the name of each holder that was ever unavailable, with the time from which it may be tried again. Replaced machines come under new names, so the table only grew.

Entries whose time has passed are removed with the next one; they mean the same as none. The test failed before (50 entries).

--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -171,6 +171,9 @@
     state: DirectState, vm: str, reason: str, seconds: float, out: Effects
 ) -> None:
     """Relay no caller to a holder for a number of seconds."""
+    for name, until in list(state.skipped_holders.items()):
+        if until <= state.now:
+            del state.skipped_holders[name]
     state.skipped_holders[vm] = state.now + seconds
     fields = (("holder", vm), ("reason", reason))
     out.append(Log(event="holder_lost", fields=fields, essential=True))
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -182,6 +182,14 @@
         assert not [e for e in out if isinstance(e, RefuseCaller)]
         assert needs_servers(state)
 
+    def test_lost_holders_are_forgotten_after_a_while(self):
+        """Guards against an entry for each VM that was ever replaced."""
+        state, _ = self.start("vm84")
+        for number in range(50):
+            lost = HoldersUnavailable(at=2.0 + 60 * number, silent=(f"old{number}",))
+            reduce(state, lost)
+        assert list(state.skipped_holders) == ["old49"]
+
     def test_configuration_that_is_not_followed_is_not_used(self):
         """Guards against callers that are served by a withdrawn route, as their VM
         relayed them until all its holders were lost."""
