--- a/src/siskinhold/adapters/_server_status.py
+++ b/src/siskinhold/adapters/_server_status.py
@@ -16,7 +16,11 @@
 
 
 def build_follow(term: int, host: str, port: int) -> str:
-    """Return the statement that makes a server replicate from a primary."""
+    r"""Return the statement that makes a server replicate from a primary.
+
+    >>> print(build_follow(2, "::1", 3), build_follow(2, "a' 1\\", 3))
+    GROUP FOLLOW 2 '::1' 3 GROUP FOLLOW 2 'a'' 1\\' 3
+    """
     # The tool for tickets admits IP addresses only, but a VM reads them from the store.
     text = host.replace("\\", "\\\\").replace("'", "''")
     return f"GROUP FOLLOW {term} '{text}' {port}"
