Refuse a read that has lost four connections

A read by which a server breaks off the connection was sent again until its deadline: 27 connections in 0.7 s, after which all three simulated servers counted as failing and other callers' writes were refused. It is refused as not run after four losses, fewer than those in a row by which a server counts as failing. Both cases of the test, on a primary route and on one that replicas serve, failed before.

--- a/src/siskinhold/direct/_losses.py
+++ b/src/siskinhold/direct/_losses.py
@@ -9,6 +9,10 @@
 from ._types import Answer, Refusal
 from .pools import close_connection
 
+MAX_LOSSES = 4
+"""Lost connections after which a statement is refused, as it may be their cause: fewer
+than those in a row by which a server counts as failing."""
+
 
 def handle_connection_loss(
     state: DirectState,
@@ -57,6 +61,7 @@
         return
     if connection in job.connections:
         job.connections.remove(connection)
+    job.losses += 1
     if job.connections:
         return
     transaction = job.session.transaction
@@ -78,6 +83,9 @@
         answer = Answer(refusal=Refusal.IN_DOUBT, detail="connection lost")
         end_job(state, job, answer, "connection_lost", out)
         return
+    if job.losses >= MAX_LOSSES:
+        fail_job(state, job, Refusal.OVERLOAD, "connections_lost", out)
+        return
     requeue_job(state, job, connection.server, "connection_lost", out)
 
 
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -129,6 +129,7 @@
         commits: whether it is a `COMMIT`.
         tried: servers that did not run it, with the time of their refusal.
         attempts: how often it was given to a connection.
+        losses: connections that were lost while they had it.
         connections: connections on which it runs; several once it is hedged.
         placed_at: when it was last given to a first connection.
         after: log position that its server must have applied.
@@ -155,6 +156,7 @@
     state: JobState = JobState.QUEUED
     tried: dict[str, float] = field(default_factory=dict)
     attempts: int = 0
+    losses: int = 0
     connections: list[Connection] = field(default_factory=list)
     placed_at: float = 0.0
     after: Position | None = None
--- a/tests/direct/test_direct_lost_setup.py
+++ b/tests/direct/test_direct_lost_setup.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from siskinhold.direct import CommandKind, Refusal
+from siskinhold.direct import BackendLost, CommandKind, LossReason, Refusal
 from siskinhold.direct._server_session import MAX_KEPT_BYTES, MAX_STATEMENTS
 
 from .test_direct_kept_state import execute_shapes, list_kept
@@ -239,6 +239,31 @@
             assert world.execute("vm1", 1, "READ x").refusal is None
         assert sent[0] <= 10 * 2 * len(value), f"{sent[0] >> 20} MiB for 50 reads"
 
+    @pytest.mark.parametrize("database", ["orders", "views"])
+    def test_read_that_breaks_connections_leaves_servers_to_others(self, database):
+        """Guards against one caller's read that makes servers count as failing."""
+        world = start()
+        send = world.send
+        broken_off = []
+
+        def send_other(vm, number, command):
+            if command.text != "READ bad":
+                send(vm, number, command)
+                return
+            del world.connections[vm, number]
+            broken_off.append(number)
+            lost = BackendLost(at=0, connection=number, reason=LossReason.CLOSED)
+            world.deliver(vm, world.now + 0.002, lost)
+
+        world.send = send_other
+        world.connect("vm1", 1, database)
+        world.connect("vm1", 2)
+        world.send_statement("vm1", 1, "READ bad")
+        world.advance(0.7)
+        assert world.execute("vm1", 2, "WRITE x 1").refusal is None
+        assert not world.find_logs("server_failing")
+        assert len(broken_off) <= 4
+
 
 class TestControlConnections:
     def test_lost_answer_is_not_replaced_by_that_of_another_command(self):
