Give each process of the tests ports of its own

A process claims a block of 2,000 ports by listening on the first one; other processes choose another block.

--- a/src/siskinhold_trial/processes/_processes.py
+++ b/src/siskinhold_trial/processes/_processes.py
@@ -21,16 +21,28 @@
 FIRST_PORT, LAST_PORT = 10_000, 32_000
 """Range of the ports that programs listen on: below the default start, 32,768, of the
 kernel's range for outgoing connections."""
+BLOCK_PORTS = 2000
+"""Ports that a process takes for itself."""
 _PR_SET_PDEATHSIG = 1
 
 
 def _cycle_ports() -> Iterator[int]:
-    """Yield all ports of the range again and again, starting at a random one.
+    """Yield the ports of a block again and again, which no other process has.
 
-    Test runs beside each other so rarely choose the same ports.
+    The first port of the block is bound for that as long as the process runs. All
+    ports are yielded if each block is taken.
     """
-    start = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
-    yield from range(start, LAST_PORT)
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        with socket.socket() as claim:
+            try:
+                claim.bind(("127.0.0.1", first))
+                claim.listen()
+            except OSError:
+                continue
+            while True:
+                yield from range(first + 1, first + BLOCK_PORTS)
     while True:
         yield from range(FIRST_PORT, LAST_PORT)
 
@@ -47,15 +59,14 @@
 
     They lie below the range from which the kernel takes ports for outgoing
     connections: one of those could take a port before the program listens on it. No
-    port is returned twice by a process before the range is used up.
+    port is returned twice by a process before its block is used up.
     """
     while True:
         first = next(_FIRST_PORTS)
-        if first + count <= LAST_PORT and _are_free(host, first, count):
-            # Skips the ports of this call.
-            for _ in range(count - 1):
-                next(_FIRST_PORTS)
-            return list(range(first, first + count))
+        others = [next(_FIRST_PORTS) for _ in range(count - 1)]
+        ports = list(range(first, first + count))
+        if others == ports[1:] and _are_free(host, first, count):
+            return ports
 
 
 def _are_free(host: str, first: int, count: int) -> bool:
