Count values and statements of an unused connection together

Since values are kept for a second, each of both had the limit of 64 KiB for itself. Once a connection was unused for that second, statements give way until both are below it. The new test failed with 98,903 bytes before; the check of the simulation counts both.

--- a/src/siskinhold/direct/_server_session.py
+++ b/src/siskinhold/direct/_server_session.py
@@ -9,8 +9,8 @@
 """Prepared statements that a server keeps for one connection."""
 
 MAX_KEPT_BYTES = 64 << 10
-"""Bytes of statements that a server keeps for a free connection; also of values once
-it was unused for `VALUES_RETENTION`."""
+"""Bytes of statements that a server keeps for a free connection, and of statements and
+values together once it was unused for `VALUES_RETENTION`."""
 
 VALUES_RETENTION = 1.0
 """Seconds for which a free connection keeps larger values, as the next statement of the
--- a/src/siskinhold/direct/pools/_commands.py
+++ b/src/siskinhold/direct/pools/_commands.py
@@ -168,15 +168,17 @@
     kept = connection.kept
     limit = min(MAX_KEPT_BYTES, state.kept_limit // len(state.connections))
     surplus = kept.values_size > limit
-    if surplus and state.now - connection.used_at < VALUES_RETENTION:
+    unused = state.now - connection.used_at >= VALUES_RETENTION
+    if surplus and not unused:
         total = sum(c.kept.size for c in state.connections.values())
         surplus = total > state.kept_limit
     if surplus or kept.rejection is not None:
         command = Command(kind=CommandKind.RESET)
         send(state, connection, command, Purpose.RELEASE, out)
         return
-    if kept.statements_size > limit:
-        removed = kept.remove_excess(count=MAX_STATEMENTS, size=limit)
+    room = limit - kept.values_size if unused else limit
+    if kept.statements_size > room:
+        removed = kept.remove_excess(count=MAX_STATEMENTS, size=room)
         _deallocate(state, connection, removed, Purpose.RELEASE, out)
 
 
--- a/tests/direct/pool_checks.py
+++ b/tests/direct/pool_checks.py
@@ -53,8 +53,8 @@
         if kept.statements_size > MAX_KEPT_BYTES:
             return f"is free and keeps {kept.statements_size} bytes of statements"
         overdue = state.now - connection.used_at > VALUES_RETENTION + RELEASE_SLACK
-        if overdue and kept.values_size > MAX_KEPT_BYTES:
-            return f"is unused and keeps {kept.values_size} bytes of values"
+        if overdue and kept.size > MAX_KEPT_BYTES:
+            return f"is unused and keeps {kept.size} bytes"
     if accounts - {connection.account}:
         return "used by another account"
     if life not in (ConnectionState.PREPARING, ConnectionState.IN_USE):
--- a/tests/direct/test_direct_kept_state.py
+++ b/tests/direct/test_direct_kept_state.py
@@ -103,6 +103,17 @@
         for connection, kept in list_kept(world):
             assert not connection.values and not kept.values
 
+    def test_values_and_statements_of_an_unused_connection_share_the_limit(self):
+        """Guards against a connection that keeps the limit of each."""
+        world = start()
+        world.connect("vm1", 1)
+        world.execute("vm1", 1, "SET v " + "x" * (MAX_KEPT_BYTES * 3 // 4))
+        execute_shapes(world, ["q" * (MAX_KEPT_BYTES * 3 // 4)])
+        world.advance(1.2)
+        for connection, kept in list_kept(world):
+            texts = [*connection.values.values(), *connection.prepared.values()]
+            assert sum(map(len, texts)) <= kept.size <= MAX_KEPT_BYTES
+
     def test_all_connections_share_the_limit_of_the_process(self):
         """Guards against many connections that each keep what one may."""
         world = start()
