Log the version, age and source of the copy behind a refusal

The log of a refused caller named the version of the configuration, but not how old this VM's copy of it was, where it had been read, or whether another VM relayed the caller. A holder's refusal of a relayed connection left no line at the relaying VM, and a standstill of a VM none at all. So the hypotheses on the refused route could not be told apart.

caller_refused, refused and configuration_applied now name the source of the copy, the first two its version and age; relayed_refusal names the holder; standstill_ended the seconds that a VM had stood still. The time of the last confirmation moves from the account state to that of the copy.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -15,6 +15,7 @@
 """
 
 from ._account_state import AccountState
+from ._copy_state import CopySource, CopyState
 from ._effects import (
     AcceptCaller,
     AnnounceReadiness,
@@ -116,6 +117,8 @@
     "AccountState",
     "CallerMoved",
     "ConfigurationConfirmed",
+    "CopySource",
+    "CopyState",
     "PresenceHeard",
     "ReportPresence",
     "AnnounceReadiness",
--- a/src/siskinhold/direct/_account_state.py
+++ b/src/siskinhold/direct/_account_state.py
@@ -31,7 +31,6 @@
 
     Args:
         bounds: how promptly keys and rates must take effect.
-        confirmed_at: time before which every accepted configuration is known here.
         presences: newest reports of other holders, by name.
         reported_at: when this VM last reported its own presence.
         reported_serving: what it reported then.
@@ -43,7 +42,6 @@
     """
 
     bounds: AccountBounds = AccountBounds()
-    confirmed_at: float = -1000.0
     presences: dict[str, Presence] = field(default_factory=dict)
     reported_at: float = -1000.0
     reported_serving: bool = False
--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from ._copies import describe_copy
 from ._effects import AcceptCaller, Log, Observe, RefuseCaller, RelayCaller
 from ._events import CallerMoved, CallerOpened, HoldersUnavailable
 from ._holders import (
@@ -42,12 +43,12 @@
     While it is unknown which VM serves it, the caller waits for up to
     `ADMISSION_TIMEOUT`. Late in a shutdown it is refused at once.
     """
-    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
-        _refuse_for_shutdown(state, event.session, event.database, out)
-        return
     caller = PendingCaller(
         database=event.database, at=state.now, relayed=event.relayed, key=event.key
     )
+    if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
+        _refuse_for_shutdown(state, event.session, caller, out)
+        return
     if not _try_admit(state, event.session, caller, out):
         state.pending_callers[event.session] = caller
 
@@ -60,15 +61,13 @@
         elif state.now - caller.at >= ADMISSION_TIMEOUT:
             del state.pending_callers[session]
             reason = "no_home" if uses_accounts(state) else "no_configuration"
-            _refuse_caller(
-                state, session, caller.database, Refusal.OVERLOAD, reason, out
-            )
+            _refuse_caller(state, session, caller, Refusal.OVERLOAD, reason, out)
 
 
 def refuse_pending_callers(state: DirectState, out: Effects) -> None:
     """Refuse the callers that are neither accepted nor relayed at a shutdown."""
     for session, caller in state.pending_callers.items():
-        _refuse_for_shutdown(state, session, caller.database, out)
+        _refuse_for_shutdown(state, session, caller, out)
     state.pending_callers.clear()
 
 
@@ -107,10 +106,9 @@
         None if this VM is the home; False if the caller has to wait for one.
     """
     if not account:
-        database = caller.database
         out.append(Observe(metric="key_refusals_total", label="unknown_key"))
         _refuse_caller(
-            state, session, database, Refusal.DENIED, "unknown_key", out, detail="key"
+            state, session, caller, Refusal.DENIED, "unknown_key", out, detail="key"
         )
         return True
     home = find_home(state, account)
@@ -118,8 +116,7 @@
         if state.now - state.started_at < FIRST_HOME_PERIOD:
             return False
         # While all VMs lack the store, waiting would be in vain.
-        database = caller.database
-        _refuse_caller(state, session, database, Refusal.OVERLOAD, "no_home", out)
+        _refuse_caller(state, session, caller, Refusal.OVERLOAD, "no_home", out)
         return True
     if home.name == state.vm:
         return None
@@ -183,15 +180,14 @@
     state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
 ) -> None:
     """Accept a caller, or refuse it if its database has no route."""
-    database = caller.database
-    if find_route(state, database) is None:
-        _refuse_caller(state, session, database, Refusal.NO_DATABASE, "no_route", out)
+    if find_route(state, caller.database) is None:
+        _refuse_caller(state, session, caller, Refusal.NO_DATABASE, "no_route", out)
         return
     if state.shutdown_at is not None:
         state.stop_counts.callers_accepted += 1
     state.sessions[session] = Session(
         number=session,
-        database=database,
+        database=caller.database,
         account=account,
         key=caller.key,
         active_at=state.now,
@@ -203,7 +199,7 @@
 def _refuse_caller(
     state: DirectState,
     session: int,
-    database: str,
+    caller: PendingCaller,
     refusal: Refusal,
     reason: str,
     out: Effects,
@@ -218,31 +214,31 @@
     """
     if state.shutdown_at is not None:
         state.stop_counts.callers_refused += 1
-    version = state.configuration.version if state.configuration else 0
     out.append(
         Log(
             event="caller_refused",
             fields=(
                 ("session", session),
-                ("database", database),
-                ("configuration", version),
+                ("database", caller.database),
+                ("relayed", caller.relayed),
+                *describe_copy(state),
                 ("reason", reason),
             ),
             essential=essential,
         )
     )
-    detail = detail or database
+    detail = detail or caller.database
     out.append(RefuseCaller(session=session, refusal=refusal, detail=detail))
 
 
 def _refuse_for_shutdown(
-    state: DirectState, session: int, database: str, out: Effects
+    state: DirectState, session: int, caller: PendingCaller, out: Effects
 ) -> None:
     """Refuse a caller that another VM can serve; there may be many of them."""
     _refuse_caller(
         state,
         session,
-        database,
+        caller,
         Refusal.OVERLOAD,
         SHUTDOWN,
         out,
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from ._copy_state import CopySource
 from ._types import (
     Answer,
     Configuration,
@@ -103,10 +104,15 @@
 
 @dataclass(slots=True, kw_only=True)
 class ConfigurationRead:
-    """The store reported a configuration."""
+    """A configuration was read.
+
+    Args:
+        source: where it was read.
+    """
 
     at: float
     configuration: Configuration
+    source: CopySource = CopySource.STORE
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -84,6 +84,9 @@
 """Seconds between two events from which this VM was paused, or too slow to work: three
 times the interval of ticks."""
 
+STANDSTILL_THRESHOLD = 1.0
+"""Seconds of a pause from which it is logged."""
+
 RESUME_PERIOD = 0.05
 """Seconds after a pause in which nothing is given up: what arrived meanwhile is handled
 first."""
@@ -103,7 +106,7 @@
     """
     out: Effects = []
     if state.started_at and event.at - state.now >= PAUSE_THRESHOLD:
-        _note_pause(state, event.at)
+        _note_pause(state, event.at, out)
     state.now = max(state.now, event.at)
     state.started_at = state.started_at or state.now
     try:
@@ -114,13 +117,17 @@
     return out
 
 
-def _note_pause(state: DirectState, at: float) -> None:
+def _note_pause(state: DirectState, at: float, out: Effects) -> None:
     """Record that this VM was paused until `at`, and postpone its periodic work.
 
     The work is not postponed again before it was done: a VM all of whose events come
     late would never do it.
     """
     state.resumed_at = at
+    seconds = at - state.now
+    if seconds >= STANDSTILL_THRESHOLD:
+        fields = (("seconds", round(seconds, 3)),)
+        out.append(Log(event="standstill_ended", fields=fields, essential=True))
     if not state.tick_skipped:
         state.work_resumes_at = at + RESUME_PERIOD
 
@@ -164,6 +171,7 @@
         return
     state.configuration = configuration
     state.newest_version = configuration.version
+    state.copy.source = event.source
     for service in configuration.connections:
         if service not in state.databases:
             state.databases[service] = Database(
@@ -180,6 +188,7 @@
             fields=(
                 ("version", configuration.version),
                 ("before", old.version if old is not None else 0),
+                ("source", event.source.value),
                 ("routes", len(configuration.routes)),
                 ("accounts", len(configuration.accounts or ())),
                 ("keys", len(configuration.keys)),
--- a/src/siskinhold/direct/_replies.py
+++ b/src/siskinhold/direct/_replies.py
@@ -1,5 +1,6 @@
 """Replies to callers, with their log lines and metrics."""
 
+from ._copies import describe_copy
 from ._effects import CloseCaller, Log, Observe, ReplyCaller
 from ._state import DirectState, Effects, Job, JobState, Session
 from ._types import Answer, Refusal, Statement
@@ -79,8 +80,8 @@
         ("reason", reason),
     ]
     if session.account:
-        version = state.configuration.version if state.configuration else 0
-        fields += [("account", session.account), ("configuration", version)]
+        fields.append(("account", session.account))
+    fields += describe_copy(state)
     out.append(Log(event="refused", fields=tuple(fields)))
     out.append(Observe(metric="refused_total", label=reason))
     reply(state, session, Answer(refusal=refusal, detail=detail or reason), out)
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -6,6 +6,7 @@
 
 from ..model import Position
 from ._account_state import AccountState
+from ._copy_state import CopyState
 from ._database_state import Database
 from ._effects import Effect
 from ._events import ServersRead
@@ -235,6 +236,7 @@
         work_resumes_at: until when the periodic work is postponed after a pause.
         tick_skipped: whether the last tick was left out for that.
         newest_version: the newest version of the configuration that was applied.
+        copy: how current the copy of the configuration is.
         connections_limit: lowest connection limit of any server, 0 if it is unknown.
         published_at: when this VM last published that limit.
         pending_callers: callers that wait until it is known which VM serves them.
@@ -288,6 +290,7 @@
     work_resumes_at: float = -100.0
     tick_skipped: bool = False
     newest_version: int = 0
+    copy: CopyState = field(default_factory=CopyState)
     connections_limit: int = 0
     published_at: float = -100.0
     pending_callers: dict[int, PendingCaller] = field(default_factory=dict)
--- a/src/siskinhold/direct/accounts/_keys.py
+++ b/src/siskinhold/direct/accounts/_keys.py
@@ -75,8 +75,7 @@
 
 def confirm_configuration(state: DirectState, confirmed_at: float) -> None:
     """Record that the store had accepted no newer configuration before a time."""
-    accounts = state.accounts
-    accounts.confirmed_at = max(accounts.confirmed_at, confirmed_at)
+    state.copy.confirmed_at = max(state.copy.confirmed_at, confirmed_at)
 
 
 def is_confirmed(state: DirectState, share: float = CONFIRMED_SHARE) -> bool:
@@ -88,4 +87,4 @@
     bound = state.accounts.bounds.withdrawal
     if bound is None:
         return True
-    return state.now - state.accounts.confirmed_at < share * bound
+    return state.now - state.copy.confirmed_at < share * bound
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -10,6 +10,7 @@
 from ..direct import (
     ConfigurationConfirmed,
     ConfigurationRead,
+    CopySource,
     DirectState,
     Event,
     ServersRead,
@@ -183,8 +184,10 @@
             # A stale read could return an older version than callers may see.
             revision, fresh = None, True
         confirmed_at = None
+        source = CopySource.WATCH
         try:
             if revision is None:
+                source = CopySource.STORE if fresh else CopySource.STALE
                 read_at = read_clock()
                 revision, configuration = await client.read_configuration(fresh=fresh)
                 confirmed_at = read_at if fresh else None
@@ -216,7 +219,10 @@
         if revision is not None:
             backoff.record_success()
         if configuration is not None:
-            emit(ConfigurationRead(at=read_clock(), configuration=configuration))
+            event = ConfigurationRead(
+                at=read_clock(), configuration=configuration, source=source
+            )
+            emit(event)
         if confirmed_at is not None:
             now = read_clock()
             emit(ConfigurationConfirmed(at=now, confirmed_at=confirmed_at))
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -78,6 +78,7 @@
         self._state = TransactionState.NONE
         self._last_line = b""
         self._sent_at = 0.0
+        self._connected_at = read_clock()
         self._received_at = 0.0
         self._closing = False
         self.waiting_bytes = 0
@@ -186,6 +187,16 @@
             round((read_clock() - self._sent_at) * 1000),
         )
 
+    def _log_refusal(self, reason: str) -> None:
+        """Log that the holder refused the caller's connection."""
+        _log.info(
+            "event=relayed_refusal session=%d holder=%s reason=%s waited_ms=%d",
+            self._session,
+            self.holder.name if self.holder is not None else "",
+            reason,
+            round((read_clock() - self._connected_at) * 1000),
+        )
+
     def forward(self, line: bytes) -> None:
         """Forward a line of the caller to the holder.
 
@@ -211,10 +222,13 @@
         self._write(line + LINE_END)
         answer_line = self._codec.parse_answer_line(line)
         self._received_at = read_clock()
-        if answer_line.kind is AnswerLineKind.REFUSED and self._last_line:
+        if answer_line.kind is AnswerLineKind.REFUSED:
             # The holder's own line, by the same request, tells the cause.
             refusal = answer_line.refusal.value if answer_line.refusal else "unknown"
-            self._log_statement(logging.INFO, "relayed_failure", refusal)
+            if self._last_line:
+                self._log_statement(logging.INFO, "relayed_failure", refusal)
+            else:
+                self._log_refusal(refusal)
         if answer_line.kind in (AnswerLineKind.DONE, AnswerLineKind.REFUSED):
             self._partly_answered = True
         if answer_line.kind is AnswerLineKind.READY:
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -16,6 +16,7 @@
 from ..direct import (
     Configuration,
     ConfigurationRead,
+    CopySource,
     DirectState,
     Event,
     Log,
@@ -238,7 +239,10 @@
     if snapshot.vms and not state.vms_known:
         emit(VmsRead(at=now, vms=snapshot.vms, connections=snapshot.connections))
     if snapshot.configuration is not None:
-        emit(ConfigurationRead(at=now, configuration=snapshot.configuration))
+        event = ConfigurationRead(
+            at=now, configuration=snapshot.configuration, source=CopySource.VM
+        )
+        emit(event)
     if snapshot.servers:
         revision = Revision(era=snapshot.era, number=snapshot.revision)
         emit(ServersRead(at=now, revision=revision, entries=snapshot.servers))
--- a/tests/direct/test_direct_rates.py
+++ b/tests/direct/test_direct_rates.py
@@ -56,7 +56,7 @@
 def take_turns(world, first, second):
     for _ in range(5):
         world.store_down = {first}
-        world.states[first].accounts.confirmed_at = 0.0
+        world.states[first].copy.confirmed_at = 0.0
         world.press(0.6)
         world.store_down = set()
         world.press(0.6)
@@ -64,7 +64,7 @@
 
 def rest_and_return(world, first, second):
     world.store_down = {first}
-    world.states[first].accounts.confirmed_at = 0.0
+    world.states[first].copy.confirmed_at = 0.0
     world.advance(0.5)
     world.press(0.1)
     world.advance(3)
