Show that a standstill leads to a refusal of an added route

A holder that stood still while a route was added refuses the callers that waited, as without a route.

--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -17,6 +17,7 @@
     CommandKind,
     Configuration,
     ConfigurationRead,
+    CopySource,
     Consistency,
     DirectState,
     LeaderRecordAnswered,
@@ -330,6 +331,7 @@
         self.effects_lost = False
         self.order_delays = []
         self.version = 1
+        self.added_databases = set()
         self.timeout = 1.0
         self.timeouts = {}
         self.entries = []
@@ -418,6 +420,8 @@
             "views": (Consistency.BOUNDED_AGE, 1.5, 2),
             "crew": (Consistency.READ_YOUR_WRITES, 2.5, 2),
         }
+        for name in self.added_databases:
+            kinds[name] = (Consistency.PRIMARY, 1.5, 1)
         routes = {}
         for name, (consistency, staleness, priority) in kinds.items():
             routes[name] = Route(
@@ -436,6 +440,26 @@
             idle_transaction=3.0,
         )
 
+    def change_routes(self, *, added=(), removed=()):
+        """Have the store accept a version that adds and removes routes of databases.
+
+        Watches report it to the VMs that run and reach the store.
+        """
+        self.added_databases |= set(added)
+        self.added_databases -= set(removed)
+        self.version += 1
+        for vm in self.states:
+            self.at(self.now + LATENCY, lambda vm=vm: self.report_change(vm))
+
+    def report_change(self, vm):
+        """Have a watch report the newest configuration to a VM."""
+        if vm in self.store_down:
+            return
+        read = ConfigurationRead(
+            at=self.now, configuration=self.configure(), source=CopySource.WATCH
+        )
+        self.dispatch(vm, read)
+
     def at(self, time, action):
         """Run an action at a time."""
         self.order += 1
