Decide by a configuration only while it is known to be current

Callers got NODB for a route 5.5 s after the store had accepted it. A VM that stood still answered what waited in its sockets by the copy from before, also to callers of other VMs, which had run all the while. The class: a decision on a cached copy whose age nobody checks.

A copy now carries the time before which every accepted version is known, on a clock that counts standstills. The watch is renewed in time, so that a copy stays current in calm. A VM that relays a caller states the newest version it has seen; a holder that is behind, or can't confirm its copy, says so, and another one is asked. VMs that exchange copies say how old they are, and a holder reports ready once its first copy was checked.

--- a/src/siskinhold/direct/__init__.py
+++ b/src/siskinhold/direct/__init__.py
@@ -15,11 +15,13 @@
 """
 
 from ._account_state import AccountState
+from ._copies import compute_confirmed_period, describe_copy, is_current
 from ._copy_state import CopySource, CopyState
 from ._effects import (
     AcceptCaller,
     AnnounceReadiness,
     AskVms,
+    CheckConfiguration,
     CloseBackend,
     CloseCaller,
     CloseRelays,
@@ -52,10 +54,12 @@
     CallerMoved,
     CallerOpened,
     CallerStatement,
+    ConfigurationChecked,
     ConfigurationConfirmed,
     ConfigurationRead,
     Event,
     HoldersUnavailable,
+    HolderVersionsSeen,
     LeaderRecordAnswered,
     LossReason,
     PresenceHeard,
@@ -78,6 +82,7 @@
     RelayActivity,
     RelayClosing,
     RelayedStatement,
+    RelayTerms,
     choose_relay_answers,
     find_next_state,
     find_silent_holders,
@@ -116,7 +121,11 @@
     "CallerLimits",
     "AccountState",
     "CallerMoved",
+    "CheckConfiguration",
+    "ConfigurationChecked",
     "ConfigurationConfirmed",
+    "HolderVersionsSeen",
+    "RelayTerms",
     "CopySource",
     "CopyState",
     "PresenceHeard",
@@ -195,7 +204,10 @@
     "VmsRead",
     "WriteLeaderRecord",
     "choose_relay_answers",
+    "compute_confirmed_period",
     "compute_tick_delay",
+    "describe_copy",
+    "is_current",
     "reduce",
     "split_names",
     "find_next_state",
--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -2,9 +2,15 @@
 
 import dataclasses
 
-from ._copies import describe_copy
+from ._copies import (
+    HOLDERS_UNCONFIRMED_PERIOD,
+    Standing,
+    describe_copy,
+    is_behind,
+    judge_copy,
+)
 from ._effects import AcceptCaller, Log, Observe, RefuseCaller, RelayCaller
-from ._events import CallerMoved, CallerOpened, HoldersUnavailable
+from ._events import CallerMoved, CallerOpened, HoldersUnavailable, HolderVersionsSeen
 from ._holders import (
     REFUSING_HOLDER_DELAY,
     UNREACHABLE_HOLDER_DELAY,
@@ -14,7 +20,7 @@
 from ._names import join_names
 from ._state import DirectState, Effects, PendingCaller, Session
 from ._stop_phases import SHUTDOWN, StopPhase, find_stop_phase
-from ._types import Refusal, Route
+from ._types import Refusal, Route, VmEntry
 from .accounts import (
     find_home,
     list_home_targets,
@@ -33,6 +39,9 @@
 """Seconds until a caller is relayed again while the home of its account is lost: the
 next holder takes over when it has missed the home's reports."""
 
+NO_HOLDER = "no_holder"
+"""Reason of the refusal of a caller that no connection holder accepts."""
+
 MAX_QUICK_MOVES = 2
 """Times that a caller is relayed again at once after a holder named others."""
 
@@ -44,7 +53,11 @@
     `ADMISSION_TIMEOUT`. Late in a shutdown it is refused at once.
     """
     caller = PendingCaller(
-        database=event.database, at=state.now, relayed=event.relayed, key=event.key
+        database=event.database,
+        at=state.now,
+        relayed=event.relayed,
+        terms=event.terms,
+        key=event.key,
     )
     if find_stop_phase(state) >= StopPhase.INTAKE_OVER:
         _refuse_for_shutdown(state, event.session, caller, out)
@@ -80,11 +93,19 @@
     if not state.is_holder and not caller.relayed:
         targets = choose_relay_targets(state, session, caller.key)
         if targets:
-            state.relayed[session] = caller
-            out.append(RelayCaller(session=session, holders=tuple(targets)))
+            _relay_caller(state, session, caller, targets, out)
             return True
     if state.configuration is None:
         return False
+    if _try_move_caller(state, session, caller, out):
+        return True
+    version = caller.terms.version if caller.terms is not None else 0
+    standing = judge_copy(state, out, version=version)
+    if standing is Standing.UNCHECKED:
+        return False
+    if standing is Standing.OUTDATED and not _may_serve_outdated(state, caller):
+        _refuse_outdated(state, session, caller, out)
+        return True
     route = find_route(state, caller.database)
     account = ""
     if route is not None and uses_accounts(state):
@@ -100,7 +121,7 @@
 def _try_place_caller(
     state: DirectState, session: int, caller: PendingCaller, account: str, out: Effects
 ) -> bool | None:
-    """Refuse a caller with an unknown key, or send it to its account's home.
+    """Refuse a caller with an unknown key, or whose account has no home.
 
     Returns:
         None if this VM is the home; False if the caller has to wait for one.
@@ -118,19 +139,89 @@
         # While all VMs lack the store, waiting would be in vain.
         _refuse_caller(state, session, caller, Refusal.OVERLOAD, "no_home", out)
         return True
-    if home.name == state.vm:
-        return None
+    return None
+
+
+def _try_move_caller(
+    state: DirectState, session: int, caller: PendingCaller, out: Effects
+) -> bool:
+    """Send a caller to its account's home if that is another VM, which decides."""
+    route = find_route(state, caller.database)
+    if route is None or route.anonymous or not uses_accounts(state):
+        return False
+    account = name_account(state, caller.key)
+    home = find_home(state, account) if account else None
+    if home is None or home.name == state.vm:
+        return False
     targets = list_home_targets(state, account, home)
     if caller.relayed:
         out.append(Observe(metric="callers_moved_total"))
         names = join_names(vm.name for vm in targets)
         out.append(RefuseCaller(session=session, refusal=Refusal.MOVED, detail=names))
         return True
-    state.relayed[session] = caller
-    out.append(RelayCaller(session=session, holders=tuple(targets)))
+    _relay_caller(state, session, caller, targets, out)
     return True
 
 
+def _relay_caller(
+    state: DirectState,
+    session: int,
+    caller: PendingCaller,
+    targets: list[VmEntry],
+    out: Effects,
+) -> None:
+    """Relay a caller to the first of some holders that accepts it."""
+    state.relayed[session] = caller
+    idle = state.now - state.copy.holders_unconfirmed_at
+    version = state.copy.seen_version
+    if state.configuration is not None:
+        version = max(version, state.configuration.version)
+    out.append(
+        RelayCaller(
+            session=session,
+            holders=tuple(targets),
+            version=version,
+            unconfirmed=idle < HOLDERS_UNCONFIRMED_PERIOD,
+        )
+    )
+
+
+def _may_serve_outdated(state: DirectState, caller: PendingCaller) -> bool:
+    """Return whether a copy that can't be confirmed may decide about a caller.
+
+    It may serve what it allows, unless another holder may be current. A caller with a
+    key is served by one VM alone, which stops doing so by itself.
+    """
+    version = caller.terms.version if caller.terms is not None else 0
+    route = find_route(state, caller.database)
+    if route is None or is_behind(state, version):
+        return False
+    if uses_accounts(state) and not route.anonymous:
+        return bool(name_account(state, caller.key))
+    return caller.terms is None or caller.terms.last
+
+
+def _refuse_outdated(
+    state: DirectState, session: int, caller: PendingCaller, out: Effects
+) -> None:
+    """Refuse a caller as not served now, or have its VM ask another holder."""
+    version = caller.terms.version if caller.terms is not None else 0
+    behind = is_behind(state, version)
+    reason = "configuration_behind" if behind else "configuration_unconfirmed"
+    refusal = Refusal.OVERLOAD if caller.terms is None else Refusal.BEHIND
+    _refuse_caller(state, session, caller, refusal, reason, out, detail=reason)
+
+
+def handle_versions_seen(
+    state: DirectState, event: HolderVersionsSeen, out: Effects
+) -> None:
+    """Record which versions holders have."""
+    copy = state.copy
+    copy.seen_version = max(copy.seen_version, event.version)
+    if event.unconfirmed:
+        copy.holders_unconfirmed_at = state.now
+
+
 def handle_caller_moved(state: DirectState, event: CallerMoved, out: Effects) -> None:
     """Relay a caller to the VMs that a holder named, shortly later if one is lost."""
     caller = state.relayed.pop(event.session, None)
@@ -156,11 +247,17 @@
         _skip_holder(state, vm, "silent", UNREACHABLE_HOLDER_DELAY, out)
     for vm in event.refused:
         _skip_holder(state, vm, "refused", REFUSING_HOLDER_DELAY, out)
-    if state.relayed.pop(event.session, None) is not None:
-        out.append(
-            RefuseCaller(
-                session=event.session, refusal=Refusal.OVERLOAD, detail="no_holder"
-            )
+    caller = state.relayed.pop(event.session, None)
+    if caller is not None:
+        _refuse_caller(
+            state,
+            event.session,
+            caller,
+            Refusal.OVERLOAD,
+            NO_HOLDER,
+            out,
+            detail=NO_HOLDER,
+            essential=False,
         )
 
 
@@ -193,7 +290,8 @@
         active_at=state.now,
         closing=find_stop_phase(state) >= StopPhase.DRAINING,
     )
-    out.append(AcceptCaller(session=session))
+    version = state.configuration.version
+    out.append(AcceptCaller(session=session, version=version))
 
 
 def _refuse_caller(
@@ -227,8 +325,15 @@
             essential=essential,
         )
     )
-    detail = detail or caller.database
-    out.append(RefuseCaller(session=session, refusal=refusal, detail=detail))
+    version = state.configuration.version if state.configuration is not None else 0
+    out.append(
+        RefuseCaller(
+            session=session,
+            refusal=refusal,
+            detail=detail or caller.database,
+            version=version,
+        )
+    )
 
 
 def _refuse_for_shutdown(
--- a/src/siskinhold/direct/_copy_state.py
+++ b/src/siskinhold/direct/_copy_state.py
@@ -1,7 +1,9 @@
 """State of this VM's copy of the configuration: where it was read and how old it is."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from ._types import Statement
 
 
 class CopySource(enum.Enum):
@@ -22,15 +24,34 @@
     VM = "vm"
 
 
+NEVER = -1000.0
+"""Time of what has not happened yet."""
+
+
 @dataclass(slots=True, kw_only=True)
 class CopyState:
     """How current this VM's copy of the configuration is.
 
     Args:
+        bound: seconds within which every accepted configuration must be in force.
         source: where it was read.
         confirmed_at: time before which every accepted configuration is known here. It
             is a time of the runtime's clock, which also counts standstills.
+        check_began_at: when the check that is under way began, None without one.
+        checked_at: when the last check ended.
+        unreadable: whether a check has failed and nothing has confirmed the copy since.
+        seen_version: newest version that another VM has shown to this one.
+        holders_unconfirmed_at: when the holders of a caller that this VM relays could
+            not confirm their copies.
+        waiting: statements that wait for a check, by session.
     """
 
+    bound: float = 3.0
     source: CopySource = CopySource.NONE
-    confirmed_at: float = -1000.0
+    confirmed_at: float = NEVER
+    check_began_at: float | None = None
+    checked_at: float = NEVER
+    unreadable: bool = False
+    seen_version: int = 0
+    holders_unconfirmed_at: float = NEVER
+    waiting: dict[int, Statement] = field(default_factory=dict)
--- a/src/siskinhold/direct/_effects.py
+++ b/src/siskinhold/direct/_effects.py
@@ -8,17 +8,34 @@
 
 @dataclass(slots=True, kw_only=True)
 class AcceptCaller:
-    """Accept a caller's connection."""
+    """Accept a caller's connection.
+
+    Args:
+        version: version of the configuration by which it is accepted.
+    """
 
     session: int
+    version: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
 class RelayCaller:
-    """Relay a caller's connection to the first reachable connection holder."""
+    """Relay a caller's connection to the first connection holder that accepts it.
+
+    Args:
+        version: newest version of the configuration that this VM has seen.
+        unconfirmed: whether a holder may accept it without confirming its copy.
+    """
 
     session: int
     holders: tuple[VmEntry, ...]
+    version: int = 0
+    unconfirmed: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class CheckConfiguration:
+    """Ask the store whether there is a newer configuration."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -47,11 +64,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class RefuseCaller:
-    """Refuse a caller's connection and close it."""
+    """Refuse a caller's connection and close it.
+
+    Args:
+        version: version of the configuration by which it is refused.
+    """
 
     session: int
     refusal: Refusal
     detail: str
+    version: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -274,6 +296,7 @@
     | ReportPresence
     | CloseRelays
     | RefuseCaller
+    | CheckConfiguration
     | ReplyCaller
     | CloseCaller
     | OpenBackend
--- a/src/siskinhold/direct/_events.py
+++ b/src/siskinhold/direct/_events.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ._copy_state import CopySource
+from ._relays import RelayTerms
 from ._types import (
     Answer,
     Configuration,
@@ -22,6 +23,7 @@
 
     Args:
         relayed: whether another VM relays it.
+        terms: what that VM said of it, None if it said nothing.
         key: the key that identifies the caller, empty without one.
     """
 
@@ -29,6 +31,7 @@
     session: int
     database: str
     relayed: bool = False
+    terms: RelayTerms | None = None
     key: str = field(default="", repr=False)
 
 
@@ -175,6 +178,33 @@
     vms: tuple[str, ...]
 
 
+@dataclass(slots=True, kw_only=True)
+class HolderVersionsSeen:
+    """Connection holders told the versions of their configurations.
+
+    Args:
+        version: the newest one.
+        unconfirmed: whether none of them could confirm that its copy is current.
+    """
+
+    at: float
+    version: int
+    unconfirmed: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigurationChecked:
+    """A check of the configuration has ended.
+
+    Args:
+        failed: whether the store did not answer it. After one that it did,
+            `ConfigurationConfirmed` has come before.
+    """
+
+    at: float
+    failed: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class ConfigurationConfirmed:
     """The store showed that no newer configuration had been accepted before a time.
@@ -343,6 +373,8 @@
     | HoldersUnavailable
     | CallerMoved
     | ConfigurationConfirmed
+    | ConfigurationChecked
+    | HolderVersionsSeen
     | PresenceHeard
     | VmProbed
     | VmsAsked
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -6,9 +6,12 @@
     handle_caller_moved,
     handle_caller_opened,
     handle_holders_unavailable,
+    handle_versions_seen,
 )
 from ._claims import handle_leader_record
 from ._containment import contain_failure
+from ._copies import confirm_copy, end_check, is_check_overdue, judge_copy
+from ._copy_state import NEVER
 from ._departures import handle_vm_probed, probe_vms
 from ._dispatch import hedge_reads, reconcile_database
 from ._effects import AnnounceReadiness, Log, RegisterVm
@@ -20,10 +23,12 @@
     CallerMoved,
     CallerOpened,
     CallerStatement,
+    ConfigurationChecked,
     ConfigurationConfirmed,
     ConfigurationRead,
     Event,
     HoldersUnavailable,
+    HolderVersionsSeen,
     LeaderRecordAnswered,
     PresenceHeard,
     PromotionAnswered,
@@ -58,14 +63,13 @@
     handle_backend_opened,
     maintain_servers,
 )
-from ._sessions import handle_caller_closed, handle_statement
+from ._sessions import handle_caller_closed, handle_statement, resume_statements
 from ._shutdown import advance_shutdown, request_shutdown, stop_if_idle
 from ._state import Database, DirectState, Effects, JobState
 from ._stop_phases import StopPhase, find_stop_phase
 from ._suspicions import handle_suspicions
 from .accounts import (
     close_displaced_sessions,
-    confirm_configuration,
     observe_accounts,
     record_presence,
     report_presence,
@@ -126,6 +130,7 @@
     state.resumed_at = at
     seconds = at - state.now
     if seconds >= STANDSTILL_THRESHOLD:
+        state.copy.unreadable = False
         fields = (("seconds", round(seconds, 3)),)
         out.append(Log(event="standstill_ended", fields=fields, essential=True))
     if not state.tick_skipped:
@@ -200,7 +205,7 @@
         apply_servers(state, state.deferred_servers, out)
         state.deferred_servers = None
     update_holders(state)
-    admit_pending_callers(state, out)
+    _resume_decisions(state, out)
 
 
 def _begin_era(state: DirectState, event: StoreEraBegan, out: Effects) -> None:
@@ -262,7 +267,42 @@
     state: DirectState, event: ConfigurationConfirmed, out: Effects
 ) -> None:
     """Record that no newer configuration had been accepted before a time."""
-    confirm_configuration(state, event.confirmed_at)
+    confirm_copy(state, event.confirmed_at, out)
+    _resume_decisions(state, out)
+
+
+def _handle_checked(
+    state: DirectState, event: ConfigurationChecked, out: Effects
+) -> None:
+    """Decide what waited for a check of the configuration."""
+    end_check(state, event.failed, out)
+    _resume_decisions(state, out)
+
+
+def _resume_decisions(state: DirectState, out: Effects) -> None:
+    """Decide about the callers and statements that waited for a check."""
+    if state.pending_callers:
+        admit_pending_callers(state, out)
+    if state.copy.waiting:
+        resume_statements(state, out)
+
+
+def _maintain_copy(state: DirectState, out: Effects) -> None:
+    """End an overdue check, and begin one before callers have to wait for it."""
+    if is_check_overdue(state):
+        end_check(state, True, out)
+        _resume_decisions(state, out)
+    if state.is_holder and state.configuration is not None:
+        if not state.copy.unreadable:
+            judge_copy(state, out)
+
+
+def _request_shutdown(
+    state: DirectState, event: ShutdownRequested, out: Effects
+) -> None:
+    """Begin a graceful shutdown, in which no statement waits for a check."""
+    request_shutdown(state, event, out)
+    _resume_decisions(state, out)
 
 
 def _hear_presence(state: DirectState, event: PresenceHeard, out: Effects) -> None:
@@ -311,6 +351,7 @@
 
 def _do_periodic_work(state: DirectState, out: Effects) -> None:
     """Do the periodic work but for the shutdown."""
+    _maintain_copy(state, out)
     maintain_servers(state, out)
     register_again(state, out)
     refresh_vms(state, out)
@@ -357,6 +398,8 @@
     ready = state.shutdown_at is None and knows_vms(state)
     if state.is_holder:
         ready = ready and state.configuration is not None and state.servers_known
+        known = state.copy.confirmed_at > NEVER or state.copy.unreadable
+        ready = ready and known
     if ready == state.ready:
         return
     state.ready = ready
@@ -377,6 +420,8 @@
     HoldersUnavailable: handle_holders_unavailable,
     CallerMoved: handle_caller_moved,
     ConfigurationConfirmed: _confirm_configuration,
+    ConfigurationChecked: _handle_checked,
+    HolderVersionsSeen: handle_versions_seen,
     PresenceHeard: _hear_presence,
     VmProbed: handle_vm_probed,
     VmsAsked: handle_vms_asked,
@@ -385,5 +430,5 @@
     SuspicionsAnswered: handle_suspicions,
     PromotionAnswered: handle_promotion_answer,
     TimeAdvanced: _handle_tick,
-    ShutdownRequested: request_shutdown,
+    ShutdownRequested: _request_shutdown,
 }
--- a/src/siskinhold/direct/_relays.py
+++ b/src/siskinhold/direct/_relays.py
@@ -16,6 +16,20 @@
 """Seconds without a byte from a holder that owes an answer until it is checked."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayTerms:
+    """What a VM tells a holder about a caller that it relays.
+
+    Args:
+        version: newest version of the configuration that the VM has seen.
+        last: whether it will ask no other holder, so that a holder which can't confirm
+            its copy may accept the caller.
+    """
+
+    version: int
+    last: bool
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RelayActivity:
     """Recent traffic of one relay.
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -1,6 +1,7 @@
 """Callers' sessions: handling or submission of their statements."""
 
 from ._callers import find_route
+from ._copies import Standing, judge_copy
 from ._dispatch import submit_job
 from ._effects import Observe
 from ._events import CallerClosed, CallerStatement
@@ -19,6 +20,14 @@
 )
 from .rates import admit_operation, refuse_rate
 
+ROUTED_KINDS = (
+    StatementKind.BEGIN,
+    StatementKind.READ,
+    StatementKind.WRITE,
+    StatementKind.EXECUTE,
+)
+"""Statements that are handled by the route of their session, outside a transaction."""
+
 
 def handle_caller_closed(state: DirectState, event: CallerClosed, out: Effects) -> None:
     """Remove a caller's session and its job, and roll back its open transaction.
@@ -28,6 +37,7 @@
     """
     state.pending_callers.pop(event.session, None)
     state.relayed.pop(event.session, None)
+    state.copy.waiting.pop(event.session, None)
     session = state.sessions.pop(event.session, None)
     if session is None:
         return
@@ -56,6 +66,24 @@
     session.active_at = state.now
     statement = event.statement
     out.append(Observe(metric="statements_total", label=statement.kind.value))
+    _handle_statement(state, session, statement, out)
+
+
+def resume_statements(state: DirectState, out: Effects) -> None:
+    """Handle the statements that waited for a check of the configuration."""
+    waiting = state.copy.waiting
+    state.copy.waiting = {}
+    for number, statement in waiting.items():
+        session = state.sessions.get(number)
+        if session is None:
+            continue
+        _handle_statement(state, session, statement, out)
+
+
+def _handle_statement(
+    state: DirectState, session: Session, statement: Statement, out: Effects
+) -> None:
+    """Answer a statement, submit it, or have it wait for a check."""
     transaction = session.transaction
     if transaction is not None:
         transaction.active_at = state.now
@@ -66,6 +94,16 @@
     if handler is None:
         refuse(state, session, statement, Refusal.MALFORMED, "malformed", out)
         return
+    if transaction is None and statement.kind in ROUTED_KINDS:
+        standing = judge_copy(state, out)
+        if standing is Standing.UNCHECKED:
+            state.copy.waiting[session.number] = statement
+            return
+        if standing is Standing.OUTDATED and _is_denied(state, session):
+            session.closing = True
+            reason = "configuration_unconfirmed"
+            refuse(state, session, statement, Refusal.OVERLOAD, reason, out)
+            return
     if is_key_required(state, session):
         reason = find_key_fault(state, session)
         if reason is not None and statement.kind is not StatementKind.ROLLBACK:
@@ -76,6 +114,15 @@
     handler(state, session, statement, out)
 
 
+def _is_denied(state: DirectState, session: Session) -> bool:
+    """Return whether the configuration denies a session its route or its key."""
+    if find_route(state, session.database) is None:
+        return True
+    if not is_key_required(state, session):
+        return False
+    return find_key_fault(state, session) is KeyFault.WITHDRAWN
+
+
 def _refuse_account(
     state: DirectState,
     session: Session,
--- a/src/siskinhold/direct/_settings.py
+++ b/src/siskinhold/direct/_settings.py
@@ -97,6 +97,8 @@
         avoids_slow_servers: whether reads avoid servers that are slower than usual.
         account_bounds: how promptly keys and rates of client accounts must take effect.
         caller_limits: limits on what callers make the process hold.
+        configuration_bound: seconds within which an accepted configuration must be in
+            force.
     """
 
     name: str
@@ -118,3 +120,4 @@
     avoids_slow_servers: bool = False
     account_bounds: AccountBounds = AccountBounds()
     caller_limits: CallerLimits = compute_caller_limits()
+    configuration_bound: float = 3.0
--- a/src/siskinhold/direct/_state.py
+++ b/src/siskinhold/direct/_state.py
@@ -12,6 +12,7 @@
 from ._events import ServersRead
 from ._pool_state import PoolState
 from ._rate_state import RateState
+from ._relays import RelayTerms
 from ._server_state import Connection, Server
 from ._settings import CallerLimits
 from ._speed_state import SpeedState
@@ -176,6 +177,7 @@
     Args:
         at: when it connected.
         relayed: whether another VM relays it.
+        terms: what that VM said of it, None if it said nothing.
         key: the key that identifies it.
         moves: how often a holder named other VMs for it.
         retry_at: earliest time of the next attempt to relay it.
@@ -184,6 +186,7 @@
     database: str
     at: float
     relayed: bool
+    terms: RelayTerms | None = None
     key: str = field(default="", repr=False)
     moves: int = 0
     retry_at: float = 0.0
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -34,6 +34,7 @@
         UNRECOGNIZED: the server sent an unknown reason.
         DENIED: the caller's key belongs to no client account.
         MOVED: another VM serves the caller's account; VMs tell each other only.
+        BEHIND: the VM can't confirm its configuration; VMs tell each other only.
     """
 
     BUSY = "busy"
@@ -51,6 +52,7 @@
     UNRECOGNIZED = "unrecognized"
     DENIED = "denied"
     MOVED = "moved"
+    BEHIND = "behind"
 
 
 NOT_RUN = frozenset(
@@ -326,6 +328,8 @@
             the metrics and the requests of other VMs.
         zone: its availability zone.
         size: its CPU share, in thousandths of a core.
+        takes_terms: whether it takes `RelayTerms` with the callers that it is sent; VMs
+            of older versions don't.
     """
 
     name: str
@@ -333,6 +337,7 @@
     relay_port: int
     zone: str
     size: int
+    takes_terms: bool = False
 
     @property
     def information_port(self) -> int:
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -19,7 +19,6 @@
 )
 from ._keys import (
     KeyFault,
-    confirm_configuration,
     find_account,
     find_key_fault,
     is_confirmed,
@@ -38,7 +37,6 @@
 __all__ = [
     "KeyFault",
     "close_displaced_sessions",
-    "confirm_configuration",
     "count_home_regions",
     "find_account",
     "find_home",
--- a/src/siskinhold/direct/accounts/_keys.py
+++ b/src/siskinhold/direct/accounts/_keys.py
@@ -7,13 +7,10 @@
 
 import enum
 
+from .._copies import CONFIRMED_SHARE
 from .._state import DirectState, Session
 from .._types import Account
 
-CONFIRMED_SHARE = 0.95
-"""Share of the bound for which a confirmed configuration is relied on. The rest allows
-for clocks that run at different rates."""
-
 
 class KeyFault(enum.Enum):
     """Why a session's key can't be served.
@@ -73,11 +70,6 @@
     return None
 
 
-def confirm_configuration(state: DirectState, confirmed_at: float) -> None:
-    """Record that the store had accepted no newer configuration before a time."""
-    state.copy.confirmed_at = max(state.copy.confirmed_at, confirmed_at)
-
-
 def is_confirmed(state: DirectState, share: float = CONFIRMED_SHARE) -> bool:
     """Return whether the configuration is recent enough to rely on its keys.
 
--- a/src/siskinhold/direct/accounts/_relocation.py
+++ b/src/siskinhold/direct/accounts/_relocation.py
@@ -68,6 +68,8 @@
         session.closing = True
         if session.end_ordered or session.work or session.transaction:
             continue
+        if session.number in state.copy.waiting:
+            continue
         if state.now - session.active_at >= MIN_IDLE_PERIOD:
             close_session(state, session, out)
 
--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -11,15 +11,18 @@
     CallerOpened,
     CallerStatement,
     HoldersUnavailable,
+    HolderVersionsSeen,
     Refusal,
     RelayCaller,
     RelayClosing,
+    RelayTerms,
     Statement,
 )
 from ._caller_flow import CallerFlow
 from ._clock import read_clock
-from ._codec import ConnectRequest, DisconnectRequest, MalformedLine
+from ._codec import LINE_END, ConnectRequest, DisconnectRequest, MalformedLine
 from ._relay import RelayProtocol, open_relay
+from ._relay_terms import encode_version, parse_terms
 
 USER_TIMEOUT = 10.0
 """Seconds that sent data may stay unacknowledged before a caller counts as lost: longer
@@ -52,6 +55,7 @@
     def __init__(self, *, callers, relayed: bool) -> None:
         super().__init__(callers=callers, user_timeout=USER_TIMEOUT)
         self._relayed = relayed
+        self._terms: RelayTerms | None = None
         self._opened_at = 0.0
         self._finishing = False
         self._rejection = ""
@@ -108,6 +112,10 @@
         """
         if self._write_ended or self._rejection or self._released:
             return
+        if self._relayed and not self._session and self._terms is None:
+            self._terms = parse_terms(line)
+            if self._terms is not None:
+                return
         if self._relay is not None:
             self._relay.forward(line)
             if self._relay.detached:
@@ -164,16 +172,37 @@
                 session=self._session,
                 database=message.database,
                 relayed=self._relayed,
+                terms=self._terms,
                 key=message.key,
             )
         )
 
-    def accept(self) -> None:
-        """Accept the caller, then handle the lines that it sent ahead."""
+    def accept(self, version: int) -> None:
+        """Accept the caller, then handle the lines that it sent ahead.
+
+        Args:
+            version: version of the configuration by which it is accepted.
+        """
         self._busy = False
+        self._write_version(version)
         self.write(self._callers.codec.encode_acceptance())
         self._handle_lines_ahead()
 
+    def refuse(self, refusal: Refusal, detail: str, version: int) -> None:
+        """Refuse the caller and end the connection.
+
+        Args:
+            version: version of the configuration by which it is refused.
+        """
+        self._write_version(version)
+        self.write(self._callers.codec.encode_refusal(refusal, detail))
+        self.finish()
+
+    def _write_version(self, version: int) -> None:
+        """Tell the VM that relays the caller this VM's version, if it told its own."""
+        if self._terms is not None:
+            self.write(encode_version(version) + LINE_END)
+
     def _refuse_for_shutdown(self) -> None:
         """Refuse a caller that was neither accepted nor relayed."""
         refusal = Refusal.OVERLOAD
@@ -192,8 +221,22 @@
         if self._rejection:
             self._reject_line(self._rejection)
             return
-        search = await open_relay(effect.holders, self._connect_line, self._make_relay)
+        search = await open_relay(
+            effect.holders,
+            self._connect_line,
+            self._make_relay,
+            version=effect.version,
+            unconfirmed=effect.unconfirmed,
+        )
         relay = search.relay
+        if search.version > effect.version or search.unconfirmed:
+            self._callers.emit(
+                HolderVersionsSeen(
+                    at=read_clock(),
+                    version=search.version,
+                    unconfirmed=search.unconfirmed,
+                )
+            )
         if search.silent or search.refused:
             self._callers.emit(
                 HoldersUnavailable(
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -183,7 +183,7 @@
         """Accept a caller's connection."""
         connection = self.connections.get(effect.session)
         if connection is not None:
-            connection.accept()
+            connection.accept(effect.version)
 
     def relay(self, effect: RelayCaller) -> None:
         """Start to relay a caller's connection to a connection holder."""
@@ -246,8 +246,7 @@
         """Refuse a caller's connection and close it."""
         connection = self.connections.pop(effect.session, None)
         if connection is not None:
-            connection.write(self.codec.encode_refusal(effect.refusal, effect.detail))
-            connection.finish()
+            connection.refuse(effect.refusal, effect.detail, effect.version)
 
     def reply(self, effect: ReplyCaller) -> None:
         """Answer a statement."""
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Awaitable, Callable
 
 from ..direct import (
     AcceptCaller,
     AnnounceReadiness,
     AskVms,
+    CheckConfiguration,
     CloseBackend,
     CloseCaller,
     CloseRelays,
@@ -114,6 +116,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._suspicions: dict[str, Suspicion] = {}
         self.presence: PresencePort | None = None
+        self.check_configuration: Callable[[], Awaitable] | None = None
         self._awaited_suspicions: list[ListSuspicions] = []
         self._suspicion_readers = 0
         self._suspicions_read_at = 0.0
@@ -121,6 +124,7 @@
         self._handlers = {
             AcceptCaller: callers.accept,
             RelayCaller: callers.relay,
+            CheckConfiguration: self._check_configuration,
             ReportPresence: self._report_presence,
             CloseRelays: callers.close_relays,
             RefuseCaller: callers.refuse,
@@ -333,6 +337,11 @@
         if self.presence is not None:
             self.presence.send(effect)
 
+    def _check_configuration(self, effect: CheckConfiguration) -> None:
+        """Start to check the configuration."""
+        if self.check_configuration is not None:
+            self._spawn(self.check_configuration())
+
     def _list_vms(self, effect: ListVms) -> None:
         """Start to read the list of VMs."""
         self._spawn(self._report_vms(effect.fresh))
--- a/src/siskinhold/lines/_feeds.py
+++ b/src/siskinhold/lines/_feeds.py
@@ -8,13 +8,17 @@
 from collections.abc import Awaitable, Callable
 
 from ..direct import (
+    Configuration,
+    ConfigurationChecked,
     ConfigurationConfirmed,
     ConfigurationRead,
     CopySource,
     DirectState,
     Event,
+    Revision,
     ServersRead,
     VmEntry,
+    compute_confirmed_period,
     uses_accounts,
 )
 from ._client import HistoryGone, PlatformClient, StoreUnavailable
@@ -25,6 +29,19 @@
 an unresponsive connection is noticed, and is shorter than the time within which a new
 configuration must be in force."""
 
+WATCH_LATENCY = 0.1
+"""Seconds that the answer to a watch may take beyond its wait."""
+
+CHECK_WAIT = 0.001
+"""Seconds that a check of the configuration waits for a change."""
+
+CHECK_TIMEOUT = 0.4
+"""Seconds until a check fails: less than a holder has to accept a relayed caller, and
+more than the slowest answer that the store is expected to give."""
+
+CHECK_FEED = "configuration_check"
+"""Name of the checks among the feeds of `StoreHealth`."""
+
 WATCHES_PER_BOUND = 5
 """Watches that fit into the time within which a key's withdrawal must take effect: a
 watch is confirmed when it ends, by the time at which it was sent."""
@@ -67,9 +84,15 @@
 
 
 class StoreHealth:
-    """Tracks which feeds of the store currently fail, and when its era began."""
+    """Tracks which feeds of the store currently fail, and when its era began.
+
+    Attributes:
+        configuration_revision: store revision up to which changes of the configuration
+            are known, None if a watch can't continue from one.
+    """
 
     def __init__(self) -> None:
+        self.configuration_revision: Revision | None = None
         self._failing: set[str] = set()
         self._era_began_at = -STALE_PERIOD
         self._watch_limit: asyncio.Timeout | None = None
@@ -146,11 +169,22 @@
 
 
 def compute_watch_timeout(state: DirectState) -> float:
-    """Return the seconds that a watch on the configuration waits."""
+    """Return the seconds that a watch on the configuration waits.
+
+    Each watch confirms the copy before the time that the one before has confirmed gets
+    too old.
+    """
+    period = compute_confirmed_period(state) - DEAF_PERIOD
+    timeout = min(WATCH_TIMEOUT, period / 2 - WATCH_LATENCY)
     bound = state.accounts.bounds.withdrawal
     if bound is None or not uses_accounts(state):
-        return WATCH_TIMEOUT
-    return min(WATCH_TIMEOUT, bound / WATCHES_PER_BOUND)
+        return timeout
+    return min(timeout, bound / WATCHES_PER_BOUND)
+
+
+def needs_confirmation(state: DirectState) -> bool:
+    """Return whether callers wait for the configuration to be confirmed."""
+    return state.accounts.bounds.withdrawal is not None and uses_accounts(state)
 
 
 async def follow_configuration(
@@ -159,6 +193,7 @@
     is_needed: Callable[[], bool],
     health: StoreHealth,
     get_watch_timeout: Callable[[], float] = lambda: WATCH_TIMEOUT,
+    confirms: Callable[[], bool] = lambda: False,
 ) -> None:
     """Emit each new configuration as soon as the store reports it; never returns.
 
@@ -171,6 +206,7 @@
         is_needed: returns whether this VM needs the data now.
         health: is updated with the success of each call.
         get_watch_timeout: returns the seconds that a watch waits.
+        confirms: returns whether callers wait for the configuration to be confirmed.
     """
     backoff = _RetryBackoff(name="configuration", health=health)
     revision = None
@@ -183,6 +219,7 @@
             await _wait_until_needed(is_needed)
             # A stale read could return an older version than callers may see.
             revision, fresh = None, True
+            health.configuration_revision = None
         confirmed_at = None
         source = CopySource.WATCH
         try:
@@ -204,6 +241,7 @@
         except HistoryGone:
             # A stale read could return a revision whose history is dropped as well.
             revision, fresh = None, True
+            health.configuration_revision = None
             if not watched and not health.was_restored_since(read_at):
                 await asyncio.sleep(POLL_INTERVAL)
             watched = False
@@ -211,13 +249,14 @@
         except StoreUnavailable as error:
             # A store that is overloaded may still answer stale reads, but these don't
             # show whether keys were withdrawn.
-            confirms = get_watch_timeout() < WATCH_TIMEOUT
-            fresh = not fresh or confirms
-            limit = CONFIRMING_RETRY_DELAY if confirms else MAX_RETRY_DELAY
+            fresh = not fresh or confirms()
+            limit = CONFIRMING_RETRY_DELAY if confirms() else MAX_RETRY_DELAY
             await backoff.pause(error, limit)
             continue
+        health.configuration_revision = revision
         if revision is not None:
             backoff.record_success()
+            health.mark(CHECK_FEED, fails=False)
         if configuration is not None:
             event = ConfigurationRead(
                 at=read_clock(), configuration=configuration, source=source
@@ -228,6 +267,49 @@
             emit(ConfigurationConfirmed(at=now, confirmed_at=confirmed_at))
 
 
+async def check_configuration(
+    client: PlatformClient, emit: Callable[[Event], None], health: StoreHealth
+) -> None:
+    """Emit what the store says of the configuration now, or that it says nothing.
+
+    It is asked for changes since the known revision, as the configuration is large.
+    """
+    failed = True
+    try:
+        async with asyncio.timeout(CHECK_TIMEOUT):
+            confirmed_at, configuration = await _read_changes(client, health)
+        failed = False
+        if configuration is not None:
+            event = ConfigurationRead(
+                at=read_clock(),
+                configuration=configuration,
+                source=CopySource.STORE,
+            )
+            emit(event)
+        emit(ConfigurationConfirmed(at=read_clock(), confirmed_at=confirmed_at))
+    except (StoreUnavailable, HistoryGone, TimeoutError) as error:
+        _log.warning("event=configuration_unchecked error=%r", error)
+    finally:
+        health.mark(CHECK_FEED, fails=failed)
+        emit(ConfigurationChecked(at=read_clock(), failed=failed))
+
+
+async def _read_changes(
+    client: PlatformClient, health: StoreHealth
+) -> tuple[float, Configuration | None]:
+    """Return a newer configuration, if any, and the time before which all are known."""
+    sent_at = read_clock()
+    revision = health.configuration_revision
+    if revision is not None:
+        try:
+            _, configuration = await client.watch_configuration(revision, CHECK_WAIT)
+            return sent_at - DEAF_PERIOD, configuration
+        except HistoryGone:
+            sent_at = read_clock()
+    _, configuration = await client.read_configuration(fresh=True)
+    return sent_at, configuration
+
+
 async def _wait_until_needed(is_needed: Callable[[], bool]) -> None:
     """Wait until store data is needed."""
     pause = FIRST_CHECK_DELAY
--- a/src/siskinhold/lines/_relay.py
+++ b/src/siskinhold/lines/_relay.py
@@ -10,6 +10,7 @@
     Refusal,
     RelayActivity,
     RelayedStatement,
+    RelayTerms,
     Statement,
     TransactionState,
     VmEntry,
@@ -21,6 +22,7 @@
 from ._clock import read_clock
 from ._codec import LINE_END, AnswerLineKind, LineCodec
 from ._protocol import LineProtocol
+from ._relay_terms import encode_terms, parse_version
 
 CONNECT_TIMEOUT = 0.25
 """Seconds to connect before the next holder is tried: ten round trips to a region."""
@@ -81,7 +83,9 @@
         self._connected_at = read_clock()
         self._received_at = 0.0
         self._closing = False
+        self._awaits_version = False
         self.waiting_bytes = 0
+        self.version = 0
         self.holder: VmEntry | None = None
         self.answered = asyncio.Event()
 
@@ -98,6 +102,7 @@
         return answer_line.kind is AnswerLineKind.READY or answer_line.refusal not in (
             Refusal.OVERLOAD,
             Refusal.MOVED,
+            Refusal.BEHIND,
         )
 
     @property
@@ -110,6 +115,21 @@
             return ()
         return split_names(answer_line.text)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the holder can't confirm its configuration."""
+        if not self._buffered_lines:
+            return False
+        answer_line = self._codec.parse_answer_line(self._buffered_lines[0])
+        return answer_line.refusal is Refusal.BEHIND
+
+    def send_connect_line(self, line: bytes, terms: RelayTerms) -> None:
+        """Send the caller's first line, after the terms if the holder takes them."""
+        if self.holder.takes_terms:
+            self._awaits_version = True
+            line = encode_terms(terms) + LINE_END + line
+        self.transport.write(line + LINE_END)
+
     def start_forwarding(self) -> None:
         """Forward the buffered lines and all later ones to the caller."""
         self._forwarding = True
@@ -215,6 +235,12 @@
 
     def handle_line(self, line: bytes) -> None:
         """Forward a line of the holder to the caller, or buffer it."""
+        if self._awaits_version:
+            self._awaits_version = False
+            version = parse_version(line)
+            if version is not None:
+                self.version = version
+                return
         if not self._forwarding:
             self._buffered_lines.append(line)
             self.answered.set()
@@ -312,47 +338,90 @@
         relay: the connection to the holder, None if there is none.
         silent: names of holders that did not answer in time.
         refused: names of holders that refused, as their process is down or not ready.
+        behind: holders that could not confirm their configuration.
         moved: names of the VMs that serve the caller, as a holder told.
+        version: newest version of the configuration that a holder told.
+        unconfirmed: whether a holder accepted the caller that could not confirm its
+            configuration, as no other one did.
     """
 
     relay: RelayProtocol | None = None
     silent: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
+    behind: list[VmEntry] = field(default_factory=list)
     moved: tuple[str, ...] = ()
+    version: int = 0
+    unconfirmed: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether no further holder has to be tried."""
+        return self.relay is not None or bool(self.moved)
 
 
 async def open_relay(
-    holders: tuple[VmEntry, ...], connect_line: bytes, make_protocol
+    holders: tuple[VmEntry, ...],
+    connect_line: bytes,
+    make_protocol,
+    *,
+    version: int = 0,
+    unconfirmed: bool = False,
 ) -> RelaySearch:
     """Connect to the first holder that accepts a caller.
 
+    Holders that can't confirm their configuration are asked again, and for good, if no
+    other one accepts the caller.
+
     Args:
         holders: the holders to try, in order of preference.
         connect_line: the caller's first line.
         make_protocol: returns a new `RelayProtocol`.
+        version: newest version of the configuration that this VM has seen.
+        unconfirmed: whether all of them are asked for good at once.
     """
     search = RelaySearch()
+    terms = RelayTerms(version=version, last=unconfirmed)
     try:
         async with asyncio.timeout(SEARCH_TIMEOUT):
-            for holder in holders:
-                relay = await _connect_to_holder(
-                    holder, connect_line, make_protocol, search
-                )
-                if relay is not None or search.moved:
-                    search.relay = relay
-                    break
+            await _search(holders, connect_line, make_protocol, terms, search)
+            if search.ended or unconfirmed:
+                return search
+            terms = RelayTerms(version=max(version, search.version), last=True)
+            again = tuple(search.behind)
+            await _search(again, connect_line, make_protocol, terms, search)
+            search.unconfirmed = search.relay is not None
     except TimeoutError:
         # Ends early enough that the caller is refused before its own timeout.
         return search
     return search
 
 
+async def _search(
+    holders: tuple[VmEntry, ...],
+    connect_line: bytes,
+    make_protocol,
+    terms: RelayTerms,
+    search: RelaySearch,
+) -> None:
+    """Try holders in turn until one accepts the caller or names others."""
+    for holder in holders:
+        search.relay = await _connect_to_holder(
+            holder, connect_line, make_protocol, terms, search
+        )
+        if search.ended:
+            return
+
+
 async def _connect_to_holder(
-    holder: VmEntry, connect_line: bytes, make_protocol, search: RelaySearch
+    holder: VmEntry,
+    connect_line: bytes,
+    make_protocol,
+    terms: RelayTerms,
+    search: RelaySearch,
 ) -> RelayProtocol | None:
     """Return the connection to a holder, None if it doesn't accept the caller.
 
-    A holder that doesn't is added to `search`, as silent or as refusing.
+    A holder that doesn't is added to `search`, as silent, refusing or behind.
     """
     loop = asyncio.get_running_loop()
     protocol = make_protocol()
@@ -364,7 +433,7 @@
             )
         if protocol.transport is None:
             raise ConnectionResetError
-        protocol.transport.write(connect_line + LINE_END)
+        protocol.send_connect_line(connect_line, terms)
         async with asyncio.timeout(ACCEPT_TIMEOUT):
             await protocol.answered.wait()
     except ConnectionError:
@@ -378,13 +447,15 @@
         search.silent.append(holder.name)
         protocol.close()
         raise
+    search.version = max(search.version, protocol.version)
     if protocol.accepted:
         return protocol
     search.moved = protocol.other_homes
-    if search.moved:
-        protocol.close()
-        return None
-    search.refused.append(holder.name)
+    if protocol.is_behind:
+        if not terms.last:
+            search.behind.append(holder)
+    elif not search.moved:
+        search.refused.append(holder.name)
     protocol.close()
     return None
 
--- a/src/siskinhold/lines/_service.py
+++ b/src/siskinhold/lines/_service.py
@@ -14,6 +14,7 @@
 
 from ..direct import (
     AccountState,
+    CopyState,
     DirectState,
     Log,
     SpeedState,
@@ -31,9 +32,11 @@
 from ._driver import DirectDriver
 from ._feeds import (
     StoreHealth,
+    check_configuration,
     compute_watch_timeout,
     follow_configuration,
     follow_servers,
+    needs_confirmation,
     register_vm,
 )
 from ._http import HttpAnswer
@@ -169,6 +172,9 @@
         )
         await self._presence.start()
         self.driver.presence = self._presence
+        self.driver.check_configuration = functools.partial(
+            check_configuration, self._client, self.driver.emit, health
+        )
         self.driver.start()
         for name, start in self._list_tasks(health).items():
             self._tasks.append(loop.create_task(keep_running(name, start)))
@@ -203,6 +209,7 @@
                 self._needs_store_data,
                 health,
                 functools.partial(compute_watch_timeout, self.driver.state),
+                functools.partial(needs_confirmation, self.driver.state),
             ),
             "servers": functools.partial(
                 follow_servers, client, emit, self._needs_store_data, health
@@ -322,6 +329,7 @@
         relay_port=settings.relay_port,
         zone=settings.zone,
         size=settings.size,
+        takes_terms=True,
     )
 
 
@@ -336,5 +344,6 @@
         kept_limit=settings.caller_limits.kept,
         random=random.Random(secrets.randbits(64)),
         accounts=AccountState(bounds=settings.account_bounds),
+        copy=CopyState(bound=settings.configuration_bound),
         speeds=SpeedState(enabled=settings.avoids_slow_servers),
     )
--- a/src/siskinhold/lines/_sharing.py
+++ b/src/siskinhold/lines/_sharing.py
@@ -15,6 +15,7 @@
 from ..counts import parse_count
 from ..direct import (
     Configuration,
+    ConfigurationConfirmed,
     ConfigurationRead,
     CopySource,
     DirectState,
@@ -25,6 +26,7 @@
     ServersRead,
     VmEntry,
     VmsRead,
+    compute_confirmed_period,
     needs_servers,
 )
 from ._clock import read_clock
@@ -61,12 +63,17 @@
         vms: the VMs, empty unless they were requested.
         connections: lowest connection limit of any server, 0 if it is unknown or was
             not requested.
+        version: version of the sender's configuration, 0 without one.
+        confirmed_age: seconds since that was known to be the newest one, None if that
+            is too long ago.
         revision: number of the store revision of the list of servers.
         era: era of that revision.
         servers: the entries, empty if the requester has the list.
     """
 
     configuration: Configuration | None = None
+    version: int = 0
+    confirmed_age: float | None = None
     revision: int = -1
     era: int = 0
     servers: tuple[ServerEntry, ...] = ()
@@ -101,10 +108,15 @@
     known = state.servers_revision
     if known > Revision(era=era, number=number):
         entries = tuple(s.entry for s in state.servers.values() if s.gone_at is None)
-    if configuration is None and not entries:
+    confirmed_age = read_clock() - state.copy.confirmed_at
+    if confirmed_age >= compute_confirmed_period(state):
+        confirmed_age = None
+    if configuration is None and not entries and confirmed_age is None:
         return HttpAnswer(status=204, body=b"")
     snapshot = StoreSnapshot(
         configuration=configuration,
+        version=state.newest_version,
+        confirmed_age=confirmed_age,
         revision=known.number,
         era=known.era,
         servers=entries,
@@ -182,6 +194,7 @@
     write_line: Callable[[Log], None],
 ) -> bool:
     """Request a snapshot, log it and emit its data; return whether there was one."""
+    sent_at = read_clock()
     snapshot = await _request_snapshot(host, port, path)
     if snapshot is None:
         return False
@@ -193,12 +206,14 @@
                 ("revision", snapshot.revision),
                 ("era", snapshot.era),
                 ("configuration", snapshot.configuration is not None),
+                ("version", snapshot.version),
+                ("confirmed", snapshot.confirmed_age is not None),
                 ("vms", len(snapshot.vms)),
             ),
             essential=True,
         )
     )
-    _emit_snapshot(state, snapshot, emit)
+    _emit_snapshot(state, snapshot, emit, sent_at)
     return True
 
 
@@ -229,11 +244,16 @@
 
 
 def _emit_snapshot(
-    state: DirectState, snapshot: StoreSnapshot, emit: Callable[[Event], None]
+    state: DirectState,
+    snapshot: StoreSnapshot,
+    emit: Callable[[Event], None],
+    sent_at: float,
 ) -> None:
     """Emit the configuration and the lists of servers and VMs in a snapshot.
 
-    The list of VMs has no version, so it is used only by a VM that has none.
+    The list of VMs has no version, so it is used only by a VM that has none. The age of
+    the sender's configuration counts from when the request was sent, which is earlier
+    than its answer.
     """
     now = read_clock()
     if snapshot.vms and not state.vms_known:
@@ -243,6 +263,10 @@
             at=now, configuration=snapshot.configuration, source=CopySource.VM
         )
         emit(event)
+    known = state.configuration.version if state.configuration is not None else 0
+    if snapshot.confirmed_age is not None and known and known == snapshot.version:
+        confirmed_at = sent_at - snapshot.confirmed_age
+        emit(ConfigurationConfirmed(at=now, confirmed_at=confirmed_at))
     if snapshot.servers:
         revision = Revision(era=snapshot.era, number=snapshot.revision)
         emit(ServersRead(at=now, revision=revision, entries=snapshot.servers))
--- a/tests/direct/accounts_world.py
+++ b/tests/direct/accounts_world.py
@@ -68,6 +68,8 @@
         super().add_vm(name, zone, names, seed, first_number)
         state = self.states[name]
         state.accounts.bounds = BOUNDS
+        # As in the deployment with accounts.
+        state.copy.bound = BOUNDS.withdrawal
         self.at(self.now, lambda: self.confirm(name, state))
 
     def confirm(self, vm, state):
--- a/tests/direct/test_direct_holders.py
+++ b/tests/direct/test_direct_holders.py
@@ -6,6 +6,7 @@
     AnnounceReadiness,
     CallerOpened,
     Configuration,
+    ConfigurationConfirmed,
     ConfigurationRead,
     DirectState,
     HoldersUnavailable,
@@ -210,7 +211,8 @@
         newest = Configuration(
             version=1, routes={}, connections={"db": 53}, idle_transaction=3.0
         )
-        out = reduce(state, ConfigurationRead(at=20.3, configuration=newest))
+        reduce(state, ConfigurationRead(at=20.3, configuration=newest))
+        out = reduce(state, ConfigurationConfirmed(at=20.3, confirmed_at=20.2))
         assert [e for e in out if isinstance(e, RefuseCaller)]
 
     def test_relayed_caller_that_waits_is_not_relayed_again(self):
--- a/tests/direct/world.py
+++ b/tests/direct/world.py
@@ -12,13 +12,16 @@
     CallerClosed,
     CallerOpened,
     CallerStatement,
+    CheckConfiguration,
     CloseBackend,
     CloseCaller,
     CommandKind,
     Configuration,
+    ConfigurationChecked,
+    ConfigurationConfirmed,
     ConfigurationRead,
-    CopySource,
     Consistency,
+    CopySource,
     DirectState,
     LeaderRecordAnswered,
     LeaderState,
@@ -332,6 +335,7 @@
         self.order_delays = []
         self.version = 1
         self.added_databases = set()
+        self.checks = []
         self.timeout = 1.0
         self.timeouts = {}
         self.entries = []
@@ -369,6 +373,8 @@
         self.dispatch(
             name, ConfigurationRead(at=self.now, configuration=self.configure())
         )
+        confirmed = ConfigurationConfirmed(at=self.now, confirmed_at=self.now)
+        self.dispatch(name, confirmed)
         self.at(self.now, lambda: self.tick(name))
         self.at(self.now, lambda: self.list_servers(name))
 
@@ -484,6 +490,7 @@
         """Send a VM the list of servers, once a second."""
         if vm not in self.store_down and vm not in self.paused:
             self.show_era(vm, self.era)
+            self.confirm_copy(vm)
             entries, read_at = self.read_entries(vm)
             self.dispatch(
                 vm,
@@ -496,6 +503,30 @@
             )
         self.at(self.now + 1.0, lambda: self.list_servers(vm))
 
+    def confirm_copy(self, vm):
+        """Have a watch of a VM end without a change, but for one just reported."""
+        confirmed_at = self.now - 2 * LATENCY
+        confirmed = ConfigurationConfirmed(at=self.now, confirmed_at=confirmed_at)
+        self.dispatch(vm, confirmed)
+
+    def check_configuration(self, vm):
+        """Answer a check of the configuration, as failed without the store."""
+        self.checks.append((self.now, vm))
+        sent_at = self.now
+        if vm in self.store_down:
+            failed = ConfigurationChecked(at=0, failed=True)
+            self.deliver(vm, self.now + 0.4, failed)
+            return
+
+        def act():
+            read = ConfigurationRead(at=self.now, configuration=self.configure())
+            self.dispatch(vm, read)
+            confirmed = ConfigurationConfirmed(at=self.now, confirmed_at=sent_at)
+            self.dispatch(vm, confirmed)
+            self.dispatch(vm, ConfigurationChecked(at=self.now, failed=False))
+
+        self.at(self.now + 2 * self.store_delay, act)
+
     def read_entries(self, vm):
         """Return the entries that a VM reads, and the time for which they are valid."""
         return tuple(s.entry() for s in self.servers.values() if s.listed), self.now
@@ -761,7 +792,9 @@
     def call_store(self, vm, effect):
         """Answer store calls and promotion orders."""
         down = vm in self.store_down
-        if isinstance(effect, ListVms):
+        if isinstance(effect, CheckConfiguration):
+            self.check_configuration(vm)
+        elif isinstance(effect, ListVms):
             if not down:
                 self.answer(vm, VmsRead(at=0, vms=tuple(self.entries)))
         elif isinstance(effect, RegisterVm):
@@ -886,11 +919,17 @@
         """Have a caller send a statement."""
         self.order += 1
         request = request or f"r{self.order}"
-        statement = make_statement(request, text)
+        self.submit(vm, session, make_statement(request, text))
+        return request
+
+    def submit(self, vm, session, statement):
+        """Send a statement to a VM, once it has decided about the caller."""
+        if session in self.states[vm].pending_callers:
+            self.at(self.now + 0.001, lambda: self.submit(vm, session, statement))
+            return
         self.dispatch(
             vm, CallerStatement(at=self.now, session=session, statement=statement)
         )
-        return request
 
     def execute(self, vm, session, text, wait=2.0):
         """Have a caller send a statement; return its answer, None after the wait."""
