Test the terms of relays and the confirmations between VMs

A holder that is behind is passed over, one that can't confirm its copy is asked again for good if there is no other, and one of an older version gets no terms. A VM's copy confirms another one only if it is of the same version and was confirmed a short time ago itself.

--- a/tests/users_platform/test_relay.py
+++ b/tests/users_platform/test_relay.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 
 import pytest
 
-from siskinhold.direct import RelayActivity, VmEntry, find_silent_holders
+from siskinhold.direct import RelayActivity, RelayTerms, VmEntry, find_silent_holders
 from siskinhold.lines import _relay
 from siskinhold.lines._relay import RelayProtocol, is_reachable, open_relay
+from siskinhold.lines._relay_terms import (
+    encode_terms,
+    encode_version,
+    parse_terms,
+    parse_version,
+)
 from siskinhold_platform import WireCodec
 
 CONNECT_LINE = b"CONNECT orders u1"
@@ -231,3 +238,66 @@
         busy = RelayActivity(holder="a", waiting_since=None, received_at=2.9)
         assert find_silent_holders([waiting, busy], 3.0) == []
         assert find_silent_holders([waiting], 3.0) == ["a"]
+
+
+class TestTerms:
+    async def search(self, *holders, **options):
+        """Search among holders that take terms; return the search and its output."""
+        caller = Caller()
+        async with contextlib.AsyncExitStack() as stack:
+            entries = []
+            for index, answers in enumerate(holders):
+                holder = run_holder(f"vm{index}", *answers)
+                entry = await stack.enter_async_context(holder)
+                entries.append(dataclasses.replace(entry, takes_terms=True))
+            search = await open_relay(
+                tuple(entries), CONNECT_LINE, caller.make_relay, **options
+            )
+            if search.relay is not None:
+                search.relay.start_forwarding()
+                search.relay.close()
+            return search, caller.written
+
+    async def test_holder_that_is_behind_is_passed_over(self):
+        """Guards against NODB by an outdated holder while another one is current."""
+        search, written = await self.search(
+            (None, b"VERSION 3\r\nERROR BEHIND x\r\n"),
+            (None, b"VERSION 4\r\nREADY I -\r\n"),
+        )
+        assert written == b"READY I -\r\n"
+        assert (search.version, search.unconfirmed) == (4, False)
+        assert search.refused == search.silent == []
+
+    async def test_unconfirmed_holder_is_asked_again_if_there_is_no_other(self):
+        """Guards against callers that nobody serves while the store is away."""
+        search, written = await self.search(
+            (None, b"VERSION 3\r\nERROR BEHIND x\r\n"),
+            (None, b"VERSION 3\r\nERROR BEHIND x\r\n"),
+        )
+        assert (search.relay, written) == (None, b"")
+        search, written = await self.search(
+            (None, b"VERSION 3\r\nREADY I -\r\n"), unconfirmed=True
+        )
+        assert written == b"READY I -\r\n"
+
+    async def test_holder_of_an_older_version_gets_no_terms(self):
+        """Guards against holders that refuse a line which they don't know."""
+        caller = Caller()
+        async with run_holder("a", b"READY I -\r\n") as holder:
+            search = await open_relay((holder,), CONNECT_LINE, caller.make_relay)
+            search.relay.start_forwarding()
+            assert caller.written == b"READY I -\r\n"
+            search.relay.close()
+
+    def test_lines_read_back_the_same(self):
+        """Guards against terms that a holder takes for a caller's line."""
+        for terms in (
+            RelayTerms(version=0, last=False),
+            RelayTerms(version=1 << 40, last=True),
+        ):
+            assert parse_terms(encode_terms(terms)) == terms
+        assert parse_version(encode_version(12)) == 12
+        for line in (b"RELAY", b"RELAY 1", b"RELAY 1 -1", b"RELAY x 1", b"\xff 1 1"):
+            assert parse_terms(line) is None
+        for line in (b"VERSION", b"VERSION 1 2", b"READY I -", b"VERSION \xc2\xb2"):
+            assert parse_version(line) is None
--- a/tests/users_platform/test_sharing.py
+++ b/tests/users_platform/test_sharing.py
@@ -6,7 +6,9 @@
 
 from siskinhold.direct import (
     Configuration,
+    ConfigurationConfirmed,
     ConfigurationRead,
+    CopySource,
     DirectState,
     Revision,
     ServerEntry,
@@ -14,8 +16,10 @@
     TimeAdvanced,
     VmEntry,
     VmsRead,
+    is_current,
     reduce,
 )
+from siskinhold.lines._clock import read_clock
 from siskinhold.lines._http import HttpServer
 from siskinhold.lines._sharing import VM_LIST_PATH, _update_from_peer, answer_snapshot
 
@@ -184,3 +188,38 @@
         configuration = make_peer(make_vms(1)).configuration
         reduce(state, ConfigurationRead(at=4.0, configuration=configuration))
         assert list(state.servers) == ["new"]
+
+
+class TestConfirmation:
+    async def test_copy_of_a_vm_that_is_current_confirms_the_own_one(self):
+        """Guards against a VM without the store that refuses what it knows."""
+        now = read_clock()
+        peer, state = make_peer(make_vms(3)), make_state("vm1")
+        reduce(state, TimeAdvanced(at=now))
+        reduce(peer, ConfigurationConfirmed(at=now, confirmed_at=now - 1.0))
+        await update_from(peer, state)
+        assert now - 1.5 < state.copy.confirmed_at <= now - 1.0
+        assert state.copy.source is CopySource.VM
+
+    async def test_older_copy_of_a_vm_confirms_nothing(self):
+        """Guards against a newer copy that is taken for current by an older one."""
+        now = read_clock()
+        peer, state = make_peer(make_vms(3)), make_peer(make_vms(3))
+        newer = Configuration(
+            version=8, routes={}, connections={"db": 20}, idle_transaction=3.0
+        )
+        reduce(state, ConfigurationRead(at=now, configuration=newer))
+        reduce(peer, ConfigurationConfirmed(at=now, confirmed_at=now))
+        await update_from(peer, state)
+        assert not is_current(state)
+        assert state.configuration.version == 8
+
+    async def test_copy_that_was_confirmed_long_ago_confirms_nothing(self):
+        """Guards against VMs without the store that confirm each other's copies."""
+        now = read_clock()
+        peer, state = make_peer(make_vms(3)), make_state("vm1")
+        reduce(state, TimeAdvanced(at=now))
+        reduce(peer, ConfigurationConfirmed(at=now, confirmed_at=now - 60.0))
+        await update_from(peer, state)
+        assert state.configuration.version == 7
+        assert not is_current(state)
