--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -61,6 +61,11 @@
         action="store_true",
         help="also refuse commands that VMs send for themselves",
     )
+    parser.add_argument(
+        "--routes",
+        action="store_true",
+        help="also add and remove routes while VMs stand still or lose the store",
+    )
     parser.add_argument(
         "--connections",
         type=int,
@@ -81,6 +86,7 @@
             stops=options.stops,
             texts=options.texts,
             refusals=options.refusals,
+            routes=options.routes,
             connections=options.connections,
         )
         report = asyncio.run(soak.run(options.seconds))
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -14,6 +14,7 @@
 from .soak_faults import Faults
 from .soak_kept import KeptChecks
 from .soak_processes import CONTACT_PERIOD, Link, VmProcess
+from .soak_routes import RouteCallers
 from .standins import (
     CONNECTIONS,
     ROUTES,
@@ -55,6 +56,7 @@
         texts: share of long ones among odd texts that callers prepare and set, while
             what servers keep and the memory of the VMs are checked; None for no texts.
         refusals: whether instances refuse commands that VMs send for themselves.
+        routes: whether routes come and go while VMs stand still or lose the store.
         connections: number of connections that each instance accepts; if it is below
             three for each VM, some VMs relay their callers.
     """
@@ -72,6 +74,7 @@
         stops: bool = False,
         texts: float | None = None,
         refusals: bool = False,
+        routes: bool = False,
         connections: int = CONNECTIONS,
     ) -> None:
         self._random = random.Random(seed)
@@ -99,6 +102,11 @@
             restores=restores,
             stops=stops,
             refusals=refusals,
+            routes=routes,
+        )
+        self._routes = routes
+        self._route_callers = RouteCallers(
+            random=self._random, deployment=self._deployment, vms=self._vms
         )
         self._kept_checks = KeptChecks(
             instances=self._deployment.instances, vms=self._vms, faults=self._faults
@@ -127,6 +135,8 @@
         tasks.append(asyncio.create_task(self._restart_exited_vms()))
         if self._restores:
             tasks.append(asyncio.create_task(self._change_routes()))
+        if self._routes:
+            tasks += self._route_callers.start()
         if self._stops:
             tasks += self._staying.start()
         if self._texts:
@@ -155,6 +165,9 @@
         self._check_texts()
         await self._stop()
         self.violations += self._faults.violations + self._kept_checks.violations
+        if self._routes:
+            self.violations += self._route_callers.violations
+            self.counts.update(self._route_callers.counts)
         self.counts.update(self._kept_checks.counts)
         self.counts.update(self._faults.counts)
         return " ".join(f"{key}={value}" for key, value in self.counts.items())
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -29,6 +29,8 @@
         restores: whether the store is restored from older copies, and instances leave.
         stops: whether VMs are stopped in series and at once, and seldom killed.
         refusals: whether instances refuse commands for seconds.
+        routes: whether VMs stand still for longer, some at the same moment, and the
+            store answers with older data.
 
     Attributes:
         violations: texts about checks that failed.
@@ -46,6 +48,7 @@
         restores: bool,
         stops: bool,
         refusals: bool = False,
+        routes: bool = False,
     ) -> None:
         self._random = random
         self.deployment = deployment
@@ -55,6 +58,7 @@
         self.restores = restores
         self.stops = stops
         self.refusals = refusals
+        self.routes = routes
         self.injecting = True
         self.violations: list[str] = []
         self.counts = {"faults": 0}
@@ -81,6 +85,8 @@
                 self._delay_writes,
                 self._crash_primary,
             )
+        if self.routes:
+            faults += (self._stand_still, self._cut_off_store, self._age_reads)
         if self.refusals:
             faults += (self._refuse_commands, self._refuse_commands)
         running: set[asyncio.Task] = set()
@@ -113,6 +119,49 @@
         finally:
             vm.send(signal.SIGCONT)
 
+    async def _stand_still(self) -> None:
+        """Pause some VMs for longer than a configuration may take."""
+        count = self._random.randint(1, max(1, len(self.vms) // 2))
+        vms = self._random.sample(self.vms, count)
+        seconds = self._random.uniform(3.0, 7.0)
+        for vm in vms:
+            vm.send(signal.SIGSTOP)
+            vm.disturb(seconds)
+            vm.break_off(seconds)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            for vm in vms:
+                vm.send(signal.SIGCONT)
+
+    async def _cut_off_store(self) -> None:
+        """Cut some VMs off from the store."""
+        count = self._random.randint(1, max(1, len(self.vms) // 2))
+        places = self._random.sample(range(len(self.vms)), count)
+        seconds = self._random.uniform(3.0, 8.0)
+        for place in places:
+            self.vms[place].disturb(seconds)
+            self.store_links[place].blocked = {"up": True, "down": True}
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            for place in places:
+                self.store_links[place].heal()
+
+    async def _age_reads(self) -> None:
+        """Have the store answer stale reads with older data, and few others."""
+        store = self.deployment.store
+        store.stale_age = self._random.uniform(1.0, 5.0)
+        store.refuses_fresh = self._random.random() < 0.5
+        seconds = self._random.uniform(1.0, 5.0)
+        for vm in self.vms:
+            vm.disturb(seconds if store.refuses_fresh else 0.0)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            store.stale_age = 0.0
+            store.refuses_fresh = False
+
     async def _disturb_link(self) -> None:
         await self._disturb(self._random.choice(self.links), ())
 
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -412,6 +412,8 @@
     Attributes:
         era: number in the header of all answers, one higher after each restore; None
             for a store without this header.
+        stale_age: age of the data in answers to reads that may be stale, in seconds.
+        refuses_fresh: whether reads that may not be stale are refused.
         write_delay: seconds after which a write is carried out although its caller
             gets no answer; None while writes are answered.
     """
@@ -419,6 +421,8 @@
     def __init__(self, *, instances: list[Instance]) -> None:
         self.instances = instances
         self.era: int | None = 1
+        self.stale_age = 0.0
+        self.refuses_fresh = False
         self.write_delay: float | None = None
         self.revision = 1
         self.objects: dict[tuple[str, str], dict] = {}
@@ -568,7 +572,13 @@
             self.refresh()
         if "watch" in request.query:
             return await self._watch(request, kind)
-        items = [item for (k, _), item in self.objects.items() if k == kind]
+        stale = "stale_ok" in request.query
+        if self.refuses_fresh and not stale:
+            return web.Response(status=429)
+        revision, objects = self.revision, self.objects
+        if self.stale_age and stale:
+            revision, objects = self._find_older(self.stale_age)
+        items = [item for (k, _), item in objects.items() if k == kind]
         items.sort(key=lambda item: item["meta"]["name"])
         after = request.query.get("after", "")
         items = [item for item in items if item["meta"]["name"] > after]
@@ -576,12 +586,20 @@
         listed = {
             "items": page,
             "has_more": len(items) > len(page),
-            "store_revision": self.revision,
+            "store_revision": revision,
         }
         text = self.encode(json.dumps(listed))
         body = text.encode(errors="surrogateescape")
         return web.Response(body=body, content_type="application/json")
 
+    def _find_older(self, seconds: float) -> tuple[int, dict]:
+        """Return the revision and the objects of some seconds ago."""
+        then = time.monotonic() - seconds
+        for copy in reversed(self._copies):
+            if copy[0] <= then:
+                break
+        return copy[1], copy[2]
+
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         since = int(request.query["watch"])
         wait = int(request.query["wait_ms"]) / 1000
