Report the age of the configuration on every VM that has one

The gauge stood still without client accounts. A counter of checks shows how often decisions had to wait for the store.

Measured: tests/direct and test_docs pass.

--- a/src/siskinhold/direct/_copies.py
+++ b/src/siskinhold/direct/_copies.py
@@ -10,7 +10,7 @@
 import enum
 
 from ._copy_state import NEVER
-from ._effects import CheckConfiguration, Log
+from ._effects import CheckConfiguration, Log, Observe
 from ._state import DirectState, Effects
 
 CONFIRMED_SHARE = 0.95
@@ -30,6 +30,9 @@
 CHECK_LIMIT = 1.0
 """Seconds after which a check without a result has failed."""
 
+OBSERVATION_INTERVAL = 1.0
+"""Seconds between two reports of the copy's age."""
+
 HOLDERS_UNCONFIRMED_PERIOD = 1.0
 """Seconds for which holders that could not confirm their copies are not asked whether
 they can."""
@@ -113,6 +116,8 @@
     copy = state.copy
     copy.check_began_at = None
     copy.checked_at = state.now
+    label = "failed" if failed else "answered"
+    out.append(Observe(metric="configuration_checks_total", label=label))
     if failed and not copy.unreadable:
         copy.unreadable = True
         log_standing(state, "configuration_unconfirmed", out)
@@ -133,6 +138,19 @@
     return began_at is not None and state.now - began_at >= CHECK_LIMIT
 
 
+def observe_copy(state: DirectState, out: Effects) -> None:
+    """Report the age of the copy as a metric once a second; at each tick."""
+    copy = state.copy
+    if (
+        state.configuration is None
+        or state.now - copy.observed_at < OBSERVATION_INTERVAL
+    ):
+        return
+    copy.observed_at = state.now
+    age = state.now - max(copy.confirmed_at, state.started_at)
+    out.append(Observe(metric="configuration_age_seconds", value=age))
+
+
 def log_standing(state: DirectState, event: str, out: Effects) -> None:
     """Log a change of what this VM knows about the age of its copy."""
     out.append(Log(event=event, fields=describe_copy(state), essential=True))
--- a/src/siskinhold/direct/_copy_state.py
+++ b/src/siskinhold/direct/_copy_state.py
@@ -44,6 +44,7 @@
         holders_unconfirmed_at: when the holders of a caller that this VM relays could
             not confirm their copies.
         waiting: statements that wait for a check, by session.
+        observed_at: when its age was last reported as a metric.
     """
 
     bound: float = 3.0
@@ -55,3 +56,4 @@
     seen_version: int = 0
     holders_unconfirmed_at: float = NEVER
     waiting: dict[int, Statement] = field(default_factory=dict)
+    observed_at: float = NEVER
--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -10,7 +10,13 @@
 )
 from ._claims import handle_leader_record
 from ._containment import contain_failure
-from ._copies import confirm_copy, end_check, is_check_overdue, judge_copy
+from ._copies import (
+    confirm_copy,
+    end_check,
+    is_check_overdue,
+    judge_copy,
+    observe_copy,
+)
 from ._copy_state import NEVER
 from ._departures import handle_vm_probed, probe_vms
 from ._dispatch import hedge_reads, reconcile_database
@@ -295,6 +301,7 @@
     if state.is_holder and state.configuration is not None:
         if not state.copy.unreadable:
             judge_copy(state, out)
+    observe_copy(state, out)
 
 
 def _request_shutdown(
--- a/src/siskinhold/direct/accounts/_observation.py
+++ b/src/siskinhold/direct/accounts/_observation.py
@@ -20,7 +20,5 @@
     served = {session.account for session in state.sessions.values()}
     served.discard("")
     homes = sum(is_account_home(state, account) for account in served)
-    age = state.now - max(state.copy.confirmed_at, state.started_at)
     out.append(Observe(metric="accounts_served", value=homes))
     out.append(Observe(metric="accounts_home", value=float(may_serve(state))))
-    out.append(Observe(metric="configuration_age_seconds", value=age))
--- a/src/siskinhold/lines/_metrics.py
+++ b/src/siskinhold/lines/_metrics.py
@@ -37,6 +37,9 @@
         "Client accounts with callers whose home this VM is."
     ),
     "accounts_home": define_gauge("1 if this VM may be the home of accounts, else 0."),
+    "configuration_checks_total": define_counter(
+        "Checks whether the configuration is the newest one, by result.", "result"
+    ),
     "configuration_age_seconds": define_gauge(
         "Time since the configuration was known to be the newest one."
     ),
