--- a/src/siskinhold/direct/_copies.py
+++ b/src/siskinhold/direct/_copies.py
@@ -82,6 +82,8 @@
 
 def is_behind(state: DirectState, version: int) -> bool:
     """Return whether a VM has shown a newer version than that of this VM's copy."""
+    if state.configuration is None:
+        return False
     return state.configuration.version < max(version, state.copy.seen_version)
 
 
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -126,6 +126,7 @@
         self.violations: list[str] = []
         self.counts = {"done": 0, "refused": 0, "in_doubt": 0}
         self._reported_not_run: dict[tuple[str, int], str] = {}
+        self._unanswered: set[tuple[str, int]] = set()
 
     async def run(self, seconds: float) -> str:
         """Inject faults for some seconds, then check; return a line with counts."""
@@ -309,6 +310,8 @@
                 while self._running and await self._write_once(client, key, index):
                     await asyncio.sleep(self._random.uniform(0.01, 0.1))
             client.close()
+            # Without an answer, the last write may take effect later.
+            self._unanswered.add((key, self._next[index] - 1))
 
     async def _write_once(self, client: Client, key: str, index: int) -> bool:
         number = self._next[index]
@@ -375,7 +378,8 @@
             if seen < min(known, self._acknowledged.get(key, known)):
                 run = self._describe_run(client, began, lines[1])
                 self.violations.append(
-                    f"{key}: read {seen} after {known} was acknowledged, {run}"
+                    f"{key}: read {seen} after {known} was acknowledged, {run} "
+                    f"unanswered={(key, seen) in self._unanswered}"
                 )
             self.counts["done"] += 1
         return True
