--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -37,6 +37,14 @@
         assert soak.violations == []
         assert soak.counts["prepared_runs"] > 100
 
+    async def test_short_run_with_routes_has_no_violations(self, tmp_path):
+        """Guards against routes that are not in force in time, or come and go again."""
+        soak = Soak(seed=6, vms=5, folder=tmp_path, routes=True, connections=12)
+        await soak.run(12)
+        assert soak.violations == []
+        assert soak.counts["served"] > 100
+        assert soak.counts["unknown"] > 100
+
     async def test_short_run_with_accounts_has_no_violations(self, tmp_path):
         """Guards against withdrawn keys that run, and an account beyond its rate."""
         soak = AccountsSoak(seed=3, vms=3, folder=tmp_path)
