Expect the statements of the soak's callers of routes

A caller of a removed route sends a read to see whether it runs; the check of texts took it for one that nobody sent.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -159,7 +159,7 @@
         for task in tasks:
             task.cancel()
         self._reported_not_run.update(self._staying.refused)
-        self._clients += self._staying.clients
+        self._clients += self._staying.clients + self._route_callers.clients
         self._check_writes()
         self._check_answers()
         self._check_promotions()
--- a/tests/users_platform/soak_routes.py
+++ b/tests/users_platform/soak_routes.py
@@ -33,6 +33,7 @@
     Attributes:
         violations: texts about checks that failed.
         counts: numbers of callers by their first answer.
+        clients: those that sent a statement.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         self._removed: dict[str, float] = {}
         self._shown: dict[tuple[str, str], float] = {}
         self.violations: list[str] = []
+        self.clients: list[Client] = []
         self.counts = {"asked": 0, "served": 0, "unknown": 0}
 
     def start(self) -> list[asyncio.Task]:
@@ -104,6 +106,7 @@
     async def _check_served(self, client, vm, name, began, answered) -> None:
         removed = self._removed.get(name)
         if removed is not None and began - removed > CONFIGURATION_PERIOD:
+            self.clients.append(client)
             lines = await client.execute("READ k")
             if lines and not lines[0].startswith("ERROR") and vm.in_touch:
                 late = began - removed
