--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -10,13 +10,7 @@
 )
 from ._claims import handle_leader_record
 from ._containment import contain_failure
-from ._copies import (
-    confirm_copy,
-    end_check,
-    is_check_overdue,
-    judge_copy,
-    observe_copy,
-)
+from ._copies import confirm_copy, end_check, is_check_overdue, judge_copy, observe_copy
 from ._copy_state import NEVER
 from ._departures import handle_vm_probed, probe_vms
 from ._dispatch import hedge_reads, reconcile_database
