Answer callers that no holder serves as all are behind

If each holder refused a relayed caller as behind, also when asked for good, the relaying VM told nobody, and the caller waited until it gave up. The relay's search now reports that it has ended without a holder, and the caller is refused as not run at once.

The test failed before: no event within 1 s.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -237,13 +237,13 @@
                     unconfirmed=search.unconfirmed,
                 )
             )
-        if search.silent or search.refused:
+        if search.silent or search.refused or not search.ended:
             self._callers.emit(
                 HoldersUnavailable(
                     at=read_clock(),
                     silent=tuple(search.silent),
                     refused=tuple(search.refused),
-                    session=self._session if relay is None and not search.moved else 0,
+                    session=0 if search.ended else self._session,
                 )
             )
         if relay is None:
--- a/tests/users_platform/test_relay.py
+++ b/tests/users_platform/test_relay.py
@@ -7,8 +7,17 @@
 
 import pytest
 
-from siskinhold.direct import RelayActivity, RelayTerms, VmEntry, find_silent_holders
+from siskinhold.direct import (
+    CallerOpened,
+    HoldersUnavailable,
+    RelayActivity,
+    RelayCaller,
+    RelayTerms,
+    VmEntry,
+    find_silent_holders,
+)
 from siskinhold.lines import _relay
+from siskinhold.lines._callers import LineCallers
 from siskinhold.lines._relay import RelayProtocol, is_reachable, open_relay
 from siskinhold.lines._relay_terms import (
     encode_terms,
@@ -280,6 +289,34 @@
         )
         assert written == b"READY I -\r\n"
 
+    async def test_caller_is_given_back_if_all_holders_are_behind(self):
+        """Guards against a caller without an answer until it gives up."""
+        events = []
+        callers = LineCallers(
+            host="127.0.0.1", port=0, relay_port=0, codec=WireCodec(), limit=10
+        )
+        behind = b"VERSION 3\r\nERROR BEHIND x\r\n"
+        async with run_holder("a", None, behind) as holder:
+            holder = dataclasses.replace(holder, takes_terms=True)
+
+            def emit(event):
+                events.append(event)
+                if isinstance(event, CallerOpened):
+                    effect = RelayCaller(session=event.session, holders=(holder,))
+                    callers.relay(effect)
+
+            await callers.start(emit)
+            port = callers._listener.getsockname()[1]
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(CONNECT_LINE + b"\r\n")
+            async with asyncio.timeout(1):
+                while not any(isinstance(e, HoldersUnavailable) for e in events):
+                    await asyncio.sleep(0.01)
+            lost = next(e for e in events if isinstance(e, HoldersUnavailable))
+            assert (lost.session, lost.silent, lost.refused) == (1, (), ())
+            writer.close()
+            await callers.stop()
+
     async def test_holder_of_an_older_version_gets_no_terms(self):
         """Guards against holders that refuse a line which they don't know."""
         caller = Caller()
