Forget the version that another VM has shown after the bound

A VM serves no caller by an older version than another VM has shown it. A store that is restored from a copy may lose that version for good; if the holders start anew, their callers were refused until a newer one came. After the bound every copy that is current has the version, so it is forgotten.

Found by reading. The new test failed before: the caller was refused.

--- a/src/siskinhold/direct/_callers.py
+++ b/src/siskinhold/direct/_callers.py
@@ -6,6 +6,7 @@
     HOLDERS_UNCONFIRMED_PERIOD,
     Standing,
     describe_copy,
+    find_seen_version,
     is_behind,
     judge_copy,
 )
@@ -172,8 +173,8 @@
 ) -> None:
     """Relay a caller to the first of some holders that accepts it."""
     state.relayed[session] = caller
-    idle = state.now - state.copy.holders_unconfirmed_at
-    version = state.copy.seen_version
+    since_unconfirmed = state.now - state.copy.holders_unconfirmed_at
+    version = find_seen_version(state)
     if state.configuration is not None:
         version = max(version, state.configuration.version)
     out.append(
@@ -181,7 +182,7 @@
             session=session,
             holders=tuple(targets),
             version=version,
-            unconfirmed=idle < HOLDERS_UNCONFIRMED_PERIOD,
+            unconfirmed=since_unconfirmed < HOLDERS_UNCONFIRMED_PERIOD,
         )
     )
 
@@ -217,7 +218,9 @@
 ) -> None:
     """Record which versions holders have."""
     copy = state.copy
-    copy.seen_version = max(copy.seen_version, event.version)
+    if event.version >= find_seen_version(state):
+        copy.seen_version = event.version
+        copy.seen_at = state.now
     if event.unconfirmed:
         copy.holders_unconfirmed_at = state.now
 
--- a/src/siskinhold/direct/_copies.py
+++ b/src/siskinhold/direct/_copies.py
@@ -84,7 +84,18 @@
     """Return whether a VM has shown a newer version than that of this VM's copy."""
     if state.configuration is None:
         return False
-    return state.configuration.version < max(version, state.copy.seen_version)
+    return state.configuration.version < max(version, find_seen_version(state))
+
+
+def find_seen_version(state: DirectState) -> int:
+    """Return the newest version that another VM has shown, 0 if that is long ago.
+
+    By then every copy that is current has it. A store that was restored may have lost
+    it for good.
+    """
+    if state.now - state.copy.seen_at >= compute_confirmed_period(state):
+        return 0
+    return state.copy.seen_version
 
 
 def judge_copy(state: DirectState, out: Effects, *, version: int = 0) -> Standing:
@@ -97,13 +108,13 @@
     behind = is_behind(state, version)
     if not behind and is_current(state):
         return Standing.CURRENT
-    idle = state.now - copy.checked_at
+    since_check = state.now - copy.checked_at
     if behind:
-        failed = idle < BEHIND_INTERVAL
+        failed = since_check < BEHIND_INTERVAL
         due = not failed
     else:
         failed = copy.unreadable
-        due = not failed or idle >= RECHECK_INTERVAL
+        due = not failed or since_check >= RECHECK_INTERVAL
     if due and copy.check_began_at is None:
         copy.check_began_at = state.now
         out.append(CheckConfiguration())
--- a/src/siskinhold/direct/_copy_state.py
+++ b/src/siskinhold/direct/_copy_state.py
@@ -41,6 +41,7 @@
         checked_at: when the last check ended.
         unreadable: whether a check has failed and nothing has confirmed the copy since.
         seen_version: newest version that another VM has shown to this one.
+        seen_at: when that was.
         holders_unconfirmed_at: when the holders of a caller that this VM relays could
             not confirm their copies.
         waiting: statements that wait for a check, by session.
@@ -54,6 +55,7 @@
     checked_at: float = NEVER
     unreadable: bool = False
     seen_version: int = 0
+    seen_at: float = NEVER
     holders_unconfirmed_at: float = NEVER
     waiting: dict[int, Statement] = field(default_factory=dict)
     observed_at: float = NEVER
--- a/tests/direct/test_direct_copies.py
+++ b/tests/direct/test_direct_copies.py
@@ -174,6 +174,14 @@
         world.advance(0.1)
         assert world.find_refusals(1) == [Refusal.OVERLOAD]
 
+    def test_version_that_a_restored_store_has_lost_is_not_sought_forever(self):
+        """Guards against callers that nobody serves after a restore."""
+        world = CopiesWorld()
+        world.dispatch("vm1", HolderVersionsSeen(at=world.now, version=5))
+        world.advance(compute_confirmed_period(world.states["vm1"]) + 0.1)
+        world.call("vm1", 1, "orders")
+        assert world.accepted == [("vm1", 1)]
+
 
 class TestFirstCopy:
     def start(self, source):
