Count the lease from the arrival of orders without an answer

An order that is on its way for 0.7 to 0.9 s arrives 1.64 to 1.84 s before the first order of the next VM, within the lease of 2.0 s.

Cause: others count the lease from the completed record, or 5.0 s from a claim that stays open, and both assume that an order arrives as it is sent. The record was completed as soon as a new primary was found, though an order without an answer could still be on its way: the primary may be the work of an order before it.

Change: an order without an answer counts as on its way for 1.0 s, the longest that its call is waited for. The record is completed only after that time, this VM counts its own lease from there like the others, and a claim that stays open is waited for 6.0 s in place of 5.0.

Ruled out: orders in the first 2.0 s of a claim only. It keeps 5.0 s, but a promotion whose first order has no answer would need a second claim.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -6,6 +6,7 @@
 from ._leaders import DropReason, drop_leader
 from ._lease import (
     ATTEMPT_TIMEOUT,
+    ORDER_LEASE,
     delay_promotion,
     find_claim_time,
     find_record_end,
@@ -353,6 +354,9 @@
         return
     if state.now < completion.resumes_until and is_resuming(state, database):
         return
+    if completion.unsettled and not completion.call:
+        # Like other VMs, this one counts its lease from the completed record.
+        database.goes_on_at = state.now + ORDER_LEASE
     completion.call = register_call(state, "complete", database)
     completion.repeat_at = state.now + COMPLETION_RETRY_INTERVAL
     write_record(
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -22,7 +22,7 @@
 from ._effects import ListVms, Observe
 from ._holders import needs_servers
 from ._leaders import note_start, probe_leader
-from ._lease import ORDER_LEASE, delay_promotion, holds_lease, watch_completion
+from ._lease import ORDER_TRANSIT_PERIOD, delay_promotion, holds_lease, watch_completion
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -331,9 +331,9 @@
     started_at = promotion.positions.get(leader.server)
     if promotion.ordered and leader.server == promotion.candidate and started_at:
         note_start(database, leader.term, started_at)
+    completes_at = 0.0
     if promotion.orders_open:
-        # An order without an answer may arrive after one with a newer token.
-        database.goes_on_at = state.now + ORDER_LEASE
+        completes_at = database.ordered_at + ORDER_TRANSIT_PERIOD
     out.append(Observe(metric="promotion_seconds", value=took))
     database.completion = Completion(
         server=leader.server,
@@ -341,6 +341,8 @@
         revision=claim.revision,
         attempt=claim.attempt,
         holder=state.vm if promotion.ordered else promotion.holder,
+        unsettled=bool(promotion.orders_open),
+        repeat_at=completes_at,
     )
     complete_record(state, database, out)
 
--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -4,8 +4,10 @@
 leader record only once `ORDER_LEASE` has passed since the last order. It does not know
 when that was sent, and counts from its first sight of the record's revision instead: a
 claim is seen after it was sent, and a completed record after the last order of its
-promotion was sent. What a VM learns late, or again after a restart, can only add to its
-wait. The time that an order is on its way shortens the lease as the platform sees it.
+promotion has arrived. What a VM learns late, or again after a restart, can only add to
+its wait. An order without an answer may be on its way for `ORDER_TRANSIT_PERIOD`: the
+record is completed after that, and a claim that stays open is waited for that much
+longer.
 
 The lease is not renewed, so it costs nothing while primaries are healthy. After another
 VM's promotion, each VM that needs the servers reads the record until it is complete, so
@@ -25,7 +27,10 @@
 ORDER_LEASE = 2.0
 """Seconds after a VM's last order in which no other VM orders a promotion."""
 
-CLAIM_TIMEOUT = ATTEMPT_TIMEOUT + ORDER_LEASE
+ORDER_TRANSIT_PERIOD = 1.0
+"""Seconds after it was sent in which an order may still arrive at the platform."""
+
+CLAIM_TIMEOUT = ATTEMPT_TIMEOUT + ORDER_TRANSIT_PERIOD + ORDER_LEASE
 """Seconds after which another VM may replace an unchanged claim."""
 
 COMPLETION_DELAY = 0.2
--- a/src/siskinhold/direct/_promotion_state.py
+++ b/src/siskinhold/direct/_promotion_state.py
@@ -157,6 +157,7 @@
         attempt: random id of its claim.
         holder: the VM whose lease another VM has to wait out.
         withdraws: whether the promotion ended without an order.
+        unsettled: whether an order of it had no answer, and may have arrived later.
         resumes_until: until when it waits for the servers that are being resumed.
         call: number of the call under way, 0 for none.
         repeat_at: earliest time of the next call.
@@ -168,6 +169,7 @@
     attempt: str
     holder: str
     withdraws: bool = False
+    unsettled: bool = False
     resumes_until: float = 0.0
     call: int = 0
     repeat_at: float = 0.0
--- a/tests/direct/test_direct_claims.py
+++ b/tests/direct/test_direct_claims.py
@@ -1,6 +1,7 @@
 """Tests of the direct core: waits before a claim of the leader record."""
 
 from siskinhold.direct import LeaderState
+from siskinhold.direct._lease import CLAIM_TIMEOUT
 
 from .world import World
 
@@ -26,11 +27,12 @@
         world, vm = lose_primary_and_claimant()
         world.advance(3)
         waits = world.find_logs("promotion_delayed")
+        longest = CLAIM_TIMEOUT * 1000
         assert waits and not world.orders
         for _, _, _, fields in waits:
             assert fields["holder"] == vm
             assert fields["record"] == LeaderState.PROMOTING.value
-            assert 4000 < fields["for_ms"] <= 5000
+            assert longest - 1000 < fields["for_ms"] <= longest
         assert len(waits) == len({name for _, name, _, _ in waits})
 
     def test_claim_names_the_holder_before_it(self):
