Split the search for a holder from the relay's connection

Change: the search is in lines/_relay_search.py, the check in lines/_reachability.py. Functions and texts are unchanged; two tests set the timeout in the module that has it now.

Measured: the tests of relays, tasks, the build and the docs pass.

--- a/src/siskinhold/lines/_caller_protocol.py
+++ b/src/siskinhold/lines/_caller_protocol.py
@@ -21,7 +21,8 @@
 from ._caller_flow import CallerFlow
 from ._clock import read_clock
 from ._codec import LINE_END, ConnectRequest, DisconnectRequest, MalformedLine
-from ._relay import RelayProtocol, open_relay
+from ._relay import RelayProtocol
+from ._relay_search import open_relay
 from ._relay_terms import encode_version, parse_terms
 
 USER_TIMEOUT = 10.0
--- a/src/siskinhold/lines/_callers.py
+++ b/src/siskinhold/lines/_callers.py
@@ -26,7 +26,7 @@
 from ._clock import read_clock
 from ._codec import LineCodec
 from ._memory import MemoryAccount
-from ._relay import is_reachable
+from ._reachability import is_reachable
 
 FIRST_LINE_TIMEOUT = 5.0
 """Seconds within which a caller must send its first line; callers give up after 2 s."""
--- a/src/siskinhold/lines/_driver.py
+++ b/src/siskinhold/lines/_driver.py
@@ -59,7 +59,7 @@
 from ._log import DecisionLog
 from ._presence import PresencePort
 from ._probe import ProbeServer
-from ._relay import is_reachable
+from ._reachability import is_reachable
 from ._supervision import log_failure
 
 PUBLISH_RETRY_DELAY = 0.2
--- a/src/siskinhold/lines/_inquiries.py
+++ b/src/siskinhold/lines/_inquiries.py
@@ -6,7 +6,7 @@
 from ..counts import parse_count
 from ..direct import VmEntry
 from ._http import HttpAnswer, HttpClient, HttpFailure
-from ._relay import is_address_reachable
+from ._reachability import is_address_reachable
 
 REACH_PATH = "reach"
 """First part of the path of a question, followed by host and port."""
--- a/tests/users_platform/test_relay.py
+++ b/tests/users_platform/test_relay.py
@@ -16,9 +16,11 @@
     VmEntry,
     find_silent_holders,
 )
-from siskinhold.lines import _relay
+from siskinhold.lines import _reachability
 from siskinhold.lines._callers import LineCallers
-from siskinhold.lines._relay import RelayProtocol, is_reachable, open_relay
+from siskinhold.lines._reachability import is_reachable
+from siskinhold.lines._relay import RelayProtocol
+from siskinhold.lines._relay_search import open_relay
 from siskinhold.lines._relay_terms import (
     encode_terms,
     encode_version,
@@ -224,7 +226,7 @@
 
     async def test_machine_that_drops_packets_does_not(self, monkeypatch):
         """Guards against waiting for a holder that has lost power."""
-        monkeypatch.setattr(_relay, "CONNECT_TIMEOUT", 0.05)
+        monkeypatch.setattr(_reachability, "CONNECT_TIMEOUT", 0.05)
         with socket.socket() as full:
             # With its queue of connections full, a socket drops further attempts.
             full.bind(("127.0.0.1", 0))
--- a/tests/users_platform/test_tasks.py
+++ b/tests/users_platform/test_tasks.py
@@ -33,7 +33,7 @@
     StoreUnavailable,
     _driver,
     _http,
-    _relay,
+    _reachability,
 )
 from siskinhold.lines._driver import DirectDriver
 from siskinhold.lines._feeds import StoreHealth, follow_configuration, follow_servers
@@ -655,7 +655,7 @@
 
     async def test_other_vm_tells_whether_it_reaches_a_server(self, monkeypatch):
         """Guards against a promotion against a primary that others reach."""
-        monkeypatch.setattr(_relay, "CONNECT_TIMEOUT", 0.05)
+        monkeypatch.setattr(_reachability, "CONNECT_TIMEOUT", 0.05)
         server, vm = await self.start_vm()
         reached, missed = await ask_vms((vm,), "127.0.0.1", vm.information_port)
         assert (reached, missed) == (("vm-2",), ())
