Take a ROLLBACK of a transaction that has ended for done

What callers saw: through the MySQL interface, a ROLLBACK behind a deadlock was answered as not run, transaction_lost, as the server had ended the transaction with the deadlock and the pool owner knew it no more. A client library raises an error on that, in the code that handles the first one.

Cause: whether a ROLLBACK of a transaction that is over is done was decided in three places (loss of the owner, end of the drain time, no owner yet), and forgotten in the others: a transaction that the owner doesn't know, a lost connection, a statement that the owner returns.

Change: `finish`, by which every answer of the entry VM passes, takes it for done. Nothing is left to roll back: the server has done it, or its connection is closed. COMMIT is refused as before.

--- a/src/siskinhold/core/_entries.py
+++ b/src/siskinhold/core/_entries.py
@@ -35,16 +35,20 @@
 ) -> None:
     """Answer a statement in progress and update its session.
 
-    "Not run" becomes "unknown" if an earlier sending, or an earlier request with the
-    same key, may have had an effect. With `POSITION_LOST` the session's floor is set to
-    `position`, which may lower it.
+    A ROLLBACK whose transaction has ended already is done. "Not run" becomes "unknown"
+    if an earlier sending, or an earlier request with the same key, may have had an
+    effect. With `POSITION_LOST` the session's floor is set to `position`, which may
+    lower it.
     """
     node.sessions.requests.pop(entry.request.id, None)
     session = node.sessions.sessions.get(entry.session)
     if session is None:
         return
-    lost = isinstance(outcome, NotRun) and outcome.reason is NotRunReason.POSITION_LOST
-    if lost and position is not None:
+    reason = outcome.reason if isinstance(outcome, NotRun) else None
+    rollback = entry.request.kind is StatementKind.ROLLBACK
+    if rollback and reason is NotRunReason.TRANSACTION_LOST:
+        outcome = Done()
+    if reason is NotRunReason.POSITION_LOST and position is not None:
         session.positions[entry.request.database] = position
     elif isinstance(outcome, NotRun) and entry.may_have_run:
         outcome = Unknown(reason=UnknownReason.OWNER_LOST, detail=outcome.detail)
