--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -31,6 +31,9 @@
 REPLICATION_SECONDS = 0.01
 """Seconds until a replica has received and applied a commit."""
 
+EXPIRY_SECONDS = 3.6
+"""Seconds of silence, three intervals of heartbeats, after which an entry is removed."""
+
 REGIONS = {"a": "east", "b": "east", "c": "west"}
 """Region by zone."""
 
@@ -114,6 +117,7 @@
         self.log: list[tuple[int, int, dict[str, str]]] = []
         self.data: dict[str, str] = {}
         self.running = True
+        self.down_at = 0.0
         self.state = "ready"
         self.blocked: set[str] = set()
         self.cut_from: set[str] = set()
@@ -130,6 +134,7 @@
     def crash(self) -> None:
         """Go down; connections are reset and new ones as well."""
         self.running = False
+        self.down_at = time.monotonic()
         self.record.add(f"{self.name} crashes")
         for writer in list(self._writers):
             writer.transport.abort()
@@ -412,9 +417,13 @@
     def list_instances(self) -> None:
         """Bring the entries of the instances up to date."""
         for instance in self.group.instances:
+            silent = time.monotonic() - instance.down_at
             if instance.running:
                 self.put("servers", instance.name, instance.entry())
-            elif ("servers", instance.name) in self.objects:
+            elif (
+                "servers",
+                instance.name,
+            ) in self.objects and silent >= EXPIRY_SECONDS:
                 self.remove("servers", instance.name)
 
     async def answer(self, method, target, headers, body) -> tuple[int, dict]:
