Apply a database's own rules to statements that came before they were known

Cause: a statement that arrives before the first change tickets got the default rules for good, so a read could be up to 2 s old though its database's rules allow less; and a read whose database is unknown could go to a replica. Unknown rules allow no replica.

--- a/src/siskinhold/core/_placement.py
+++ b/src/siskinhold/core/_placement.py
@@ -85,16 +85,16 @@
             return False
     if job.needs_primary:
         return True
-    if health.status.role is not Role.PRIMARY and not _allows_replicas(node, job):
+    if health.status.role is not Role.PRIMARY and not allows_replicas(node, job):
         return False
     age = measure_age(node, health)
     return age is not None and age * 1000 <= request.max_age_ms
 
 
-def _allows_replicas(node: NodeState, job: Job) -> bool:
+def allows_replicas(node: NodeState, job: Job) -> bool:
     """Return whether the routing rules allow replicas to serve the job."""
     found = node.config.databases.get(job.request.database)
-    return found is None or found[0].rules.replica_reads
+    return found is not None and found[0].rules.replica_reads
 
 
 def find_replica(node: NodeState, pool: Pool, job: Job) -> ServerHealth | None:
--- a/src/siskinhold/core/_routes.py
+++ b/src/siskinhold/core/_routes.py
@@ -128,12 +128,21 @@
 def _forward(
     node: NodeState, session: Session, entry: EntryRequest, out: Effects
 ) -> None:
-    """Send a statement to its owner with the remaining time and the session's floor."""
+    """Send a statement to its owner with the remaining time and the session's floor.
+
+    The rules of its database may have been unknown when it arrived.
+    """
     budget = max(1, round((entry.deadline - node.now) * 1000))
     need = session.positions.get(entry.request.database)
+    max_age = entry.request.max_age_ms
+    found = node.config.databases.get(entry.request.database)
+    if found is not None and entry.request.marks.max_age_ms is None:
+        max_age = found[0].rules.max_age_ms
     if entry.request.kind not in (StatementKind.READ, StatementKind.WRITE):
         need = None
-    request = msgspec.structs.replace(entry.request, need=need, budget_ms=budget)
+    request = msgspec.structs.replace(
+        entry.request, need=need, budget_ms=budget, max_age_ms=max_age
+    )
     entry.request = request
     message = Forward(request=request, region=entry.region, ticket=node.config.applied)
     out.append(SendPeer(vm=entry.owner, message=message))
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -4,6 +4,7 @@
 
 from siskinhold.core import Identity, NodeState
 from siskinhold.core._admission import MAX_WAITING_JOBS, admits, is_too_late
+from siskinhold.core._placement import allows_replicas
 from siskinhold.core._pool_state import Pool
 from siskinhold.core._queue import JobQueue
 from siskinhold.core._stragglers import (
@@ -163,3 +164,9 @@
         assert result.crest_goodput >= 0.95 * result.capacity_goodput
         assert result.marked_refused < 0.01 < result.reads_refused
         assert result.recovery <= 2.0
+
+
+class TestReplicaReads:
+    def test_unknown_rules_allow_no_replica(self):
+        """Guards against a replica that serves a read as nothing says that it may."""
+        assert not allows_replicas(make_node(), make_job(1, tenant="a"))
--- a/tests/test_ticket_spread.py
+++ b/tests/test_ticket_spread.py
@@ -7,11 +7,21 @@
 from hypothesis import given, settings, strategies as st
 from pump import Fleet, build_address, build_ticket
 
-from siskinhold import events
+from siskinhold import effects, events
 from siskinhold.core import Identity, NodeState, reduce
 from siskinhold.core._tickets import find_database, fold_ticket, learn_term_record
-from siskinhold.messages import Envelope, TicketsPushed
-from siskinhold.model import DatabaseGroup, Reservation, TermRecord, TermStart
+from siskinhold.messages import Envelope, Forward, TicketsPushed
+from siskinhold.model import (
+    BackendServer,
+    DatabaseGroup,
+    Marks,
+    Position,
+    Reservation,
+    RoutingRules,
+    StatementKind,
+    TermRecord,
+    TermStart,
+)
 from siskinhold.store import encode_term, encode_ticket, term_key, ticket_key
 
 
@@ -240,3 +250,46 @@
         fleet.run(4.5)
         assert applied(fleet) == {1}
         assert len(fleet.watches) == 1
+
+
+class TestUnknownRules:
+    def test_statement_gets_the_rules_that_its_database_has(self, monkeypatch):
+        """Guards against a read that may be older than its database's rules allow, as
+        they were unknown when it arrived."""
+        monkeypatch.setattr("siskinhold.core._routes.find_owner", lambda *_: "vm1")
+        node = build_node()
+        reduce(node, events.Started(at=0.0))
+        caller = events.CallerOpened(at=0.0, session=1, user="mill", database="db1")
+        reduce(node, caller)
+        positions = {"db1": Position(1, 1)}
+        reduce(node, events.TokenPresented(at=0.0, session=1, positions=positions))
+        read = events.StatementReceived(
+            at=0.0, session=1, kind=StatementKind.READ, sql="SELECT 1", marks=Marks()
+        )
+        reduce(node, read)
+        ticket = build_ticket(1)
+        server = BackendServer(
+            name="s",
+            host="10.1.0.1",
+            port=1,
+            region="north",
+            availability_zone="north-a",
+        )
+        database = msgspec.structs.replace(
+            ticket.groups[0].databases[0], servers=(server,)
+        )
+        group = msgspec.structs.replace(
+            ticket.groups[0],
+            databases=(database,),
+            rules=RoutingRules(max_age_ms=0, replica_reads=False),
+        )
+        sent = reduce(node, push(msgspec.structs.replace(ticket, groups=(group,))))
+        for step in range(20):
+            sent += reduce(node, events.TimeAdvanced(at=0.1 * step))
+        ages = {
+            effect.message.request.max_age_ms
+            for effect in sent
+            if isinstance(effect, effects.SendPeer)
+            and isinstance(effect.message, Forward)
+        }
+        assert ages == {0}
