Check the key of a transaction whose route is gone

Cause: whether a key is needed was read from the session's present route, and no route meant that none is. A statement of an open transaction then ran by the route that it took at its BEGIN. The same lookup let a session take over the account to which its key had moved, kept sessions without an account open, and an account that was not found had no rate. Change: only a route shows that no key is needed; a transaction that began with a key needs it until its end. Operations of unknown accounts are refused. Why it works: the statement of a transaction is let through only if the newest configuration still gives its key to its account, whatever became of the route.

--- a/src/siskinhold/direct/_reducer.py
+++ b/src/siskinhold/direct/_reducer.py
@@ -14,6 +14,7 @@
 from ._copy_state import NEVER
 from ._departures import handle_vm_probed, probe_vms
 from ._dispatch import hedge_reads, reconcile_database
+from ._displacement import close_displaced_sessions
 from ._effects import AnnounceReadiness, Log, RegisterVm
 from ._events import (
     BackendAnswered,
@@ -68,13 +69,7 @@
 from ._state import Database, DirectState, Effects, JobState
 from ._stop_phases import StopPhase, find_stop_phase
 from ._suspicions import handle_suspicions
-from .accounts import (
-    close_displaced_sessions,
-    observe_accounts,
-    record_presence,
-    report_presence,
-    uses_accounts,
-)
+from .accounts import observe_accounts, record_presence, report_presence, uses_accounts
 from .pools import report_pools
 from .rates import list_demands, maintain_rates, note_reported
 
--- a/src/siskinhold/direct/_sessions.py
+++ b/src/siskinhold/direct/_sessions.py
@@ -104,13 +104,13 @@
             reason = "configuration_unconfirmed"
             refuse(state, session, statement, Refusal.OVERLOAD, reason, out)
             return
-    if is_key_required(state, session):
-        reason = find_key_fault(state, session)
-        if reason is not None and statement.kind is not StatementKind.ROLLBACK:
-            _refuse_account(state, session, statement, reason, out)
-            return
-    elif transaction is None and uses_accounts(state):
-        session.account = name_account(state, session.key)
+    fault = find_key_fault(state, session)
+    if fault is not None and statement.kind is not StatementKind.ROLLBACK:
+        _refuse_account(state, session, statement, fault, out)
+        return
+    if transaction is None and uses_accounts(state):
+        if not is_key_required(state, session):
+            session.account = name_account(state, session.key)
     handler(state, session, statement, out)
 
 
@@ -118,8 +118,6 @@
     """Return whether the configuration denies a session its route or its key."""
     if find_route(state, session.database) is None:
         return True
-    if not is_key_required(state, session):
-        return False
     return find_key_fault(state, session) is KeyFault.WITHDRAWN
 
 
--- a/src/siskinhold/direct/accounts/__init__.py
+++ b/src/siskinhold/direct/accounts/__init__.py
@@ -27,16 +27,10 @@
     uses_accounts,
 )
 from ._observation import observe_accounts
-from ._relocation import (
-    close_displaced_sessions,
-    list_home_targets,
-    list_known_homes,
-    note_homes,
-)
+from ._relocation import list_home_targets, list_known_homes, note_homes
 
 __all__ = [
     "KeyFault",
-    "close_displaced_sessions",
     "count_home_regions",
     "find_account",
     "find_home",
--- a/src/siskinhold/direct/accounts/_keys.py
+++ b/src/siskinhold/direct/accounts/_keys.py
@@ -47,25 +47,39 @@
 def is_key_required(state: DirectState, session: Session) -> bool:
     """Return whether a session needs a key that holds.
 
-    A route that becomes anonymous frees its sessions, and one that ceases to be binds
-    them.
+    Only a route shows that it does not. A route that becomes anonymous frees its
+    sessions, and one that ceases to be binds them. A transaction that began with a key
+    needs it until its end, and one that began without keeps its route if that is gone.
     """
     if not uses_accounts(state):
         return bool(session.account)
     route = state.configuration.routes.get(session.database)
-    return route is not None and not route.anonymous
+    if session.transaction is not None:
+        began_by = session.transaction.route
+        if not began_by.anonymous:
+            return True
+        if route is None:
+            route = began_by
+    return route is None or not route.anonymous
 
 
 def find_key_fault(state: DirectState, session: Session) -> KeyFault | None:
-    """Return why a session's statements may not run, None if they may."""
-    if not uses_accounts(state):
-        return KeyFault.WITHDRAWN
-    account = name_account(state, session.key)
+    """Return why a session's statements may not run, None if they may.
+
+    A transaction on an anonymous route runs in the name of an account if its caller had
+    a key, so it ends with that.
+    """
+    required = is_key_required(state, session)
+    if not required and (session.transaction is None or not session.account):
+        return None
+    if state.configuration is None:
+        return KeyFault.UNCONFIRMED
+    account = name_account(state, session.key) if uses_accounts(state) else ""
     if not account:
         return KeyFault.WITHDRAWN
     if account != session.account:
         return KeyFault.REASSIGNED
-    if not is_confirmed(state):
+    if required and not is_confirmed(state):
         return KeyFault.UNCONFIRMED
     return None
 
--- a/src/siskinhold/direct/accounts/_relocation.py
+++ b/src/siskinhold/direct/accounts/_relocation.py
@@ -1,14 +1,11 @@
-"""Callers of accounts that another VM serves, and the end of their sessions."""
+"""Callers of accounts that another VM serves."""
 
 import hashlib
 import secrets
 
-from .._replies import close_session
-from .._state import DirectState, Effects
-from .._stop_phases import MIN_IDLE_PERIOD
+from .._state import DirectState
 from .._types import VmEntry
-from ._homes import is_account_home, rank_homes
-from ._keys import find_account, is_key_required, uses_accounts
+from ._homes import rank_homes
 
 MAX_HOMES = 3
 """Holders that are named for an account: its home and the next ones."""
@@ -48,32 +45,6 @@
     return [known[name] for name in names if name in known]
 
 
-def close_displaced_sessions(state: DirectState, out: Effects) -> None:
-    """Close idle sessions that this VM no longer serves.
-
-    These are sessions of accounts with another home, which their callers reach by
-    connecting again, and sessions whose key was withdrawn.
-    """
-    if not uses_accounts(state):
-        return
-    homes: dict[str, bool] = {}
-    for session in list(state.sessions.values()):
-        account = session.account
-        if not account or not is_key_required(state, session):
-            continue
-        if account not in homes:
-            homes[account] = is_account_home(state, account)
-        if homes[account] and find_account(state, session) is not None:
-            continue
-        session.closing = True
-        if session.end_ordered or session.work or session.transaction:
-            continue
-        if session.number in state.copy.waiting:
-            continue
-        if state.now - session.active_at >= MIN_IDLE_PERIOD:
-            close_session(state, session, out)
-
-
 def _make_digest(key: str) -> bytes:
     """Return a digest by which a key is remembered without being kept."""
     return hashlib.blake2b(key.encode(), key=_DIGEST_KEY, digest_size=16).digest()
--- a/src/siskinhold/direct/rates/_admission.py
+++ b/src/siskinhold/direct/rates/_admission.py
@@ -12,7 +12,7 @@
 from .._replies import refuse
 from .._state import DirectState, Effects, Session
 from .._types import Account, Refusal, Route, Statement
-from ..accounts import is_account_home
+from ..accounts import find_account, is_account_home, uses_accounts
 from ._shares import REPORTED_SHARE, compute_first_allowance, compute_share
 
 RATE_EXCEEDED = "rate_exceeded"
@@ -45,12 +45,15 @@
     """Count an operation that is about to begin: a transaction or a single statement.
 
     Returns:
-        None if it may run, else the seconds after which one may.
+        None if it may run, else the seconds after which one may. Without an account
+        nothing shows which limit applies, so it may not.
     """
-    if not session.account or route.anonymous or state.configuration is None:
+    if route.anonymous or not uses_accounts(state):
         return None
-    account = (state.configuration.accounts or {}).get(session.account)
-    if account is None or account.rate is None:
+    account = find_account(state, session)
+    if account is None:
+        return MAX_WAIT
+    if account.rate is None:
         return None
     allowance = _update_allowance(state, account)
     allowance.asked += 1
