Name the servers that may hold commits in the leader record

Cause: a VM that has just started knows only the listed servers, so one whose entry had expired did not count for it, and a promotion could lose what that server alone had of the acknowledged commits. Change: where replicas acknowledge commits, the leader record names the servers that may hold them. With sync_replicas 0 nothing is written beyond an empty list.

--- a/src/siskinhold/direct/_claims.py
+++ b/src/siskinhold/direct/_claims.py
@@ -12,6 +12,7 @@
     find_record_end,
     note_revision,
 )
+from ._log_records import handle_servers_recorded
 from ._promotion_state import Claim, Completion, OpenClaim, Promotion, PromotionStep
 from ._promotion_steps import (
     CALL_TIMEOUT,
@@ -79,6 +80,10 @@
         del state.calls[event.call]
         handle_store_proof(state, database, event, out)
         return
+    if purpose == "servers" and database is not None:
+        del state.calls[event.call]
+        handle_servers_recorded(state, database, event, out)
+        return
     if purpose == "release" and database is not None:
         del state.calls[event.call]
         _handle_release_answer(state, database, event, out)
--- a/src/siskinhold/direct/_database_state.py
+++ b/src/siskinhold/direct/_database_state.py
@@ -7,7 +7,7 @@
 from ..model import Position
 from ._promotion_state import Completion, OpenClaim, Promotion
 from ._starts import StartCounts
-from ._types import Revision, TermStart
+from ._types import LeaderRecord, Revision, TermStart
 
 if TYPE_CHECKING:
     from ._state import Job
@@ -108,6 +108,15 @@
             rolled back, None if one has not or is not known.
         settled_attempt: random id of this VM's last attempt that was dropped after
             all of its orders were answered.
+        acknowledging: replicas that must have received a commit before it is
+            acknowledged.
+        departed: servers that have left the list and may hold acknowledged commits.
+        covered: those whose commits are known to be held by others.
+        record: the leader record of `record_revision`, None if there is none, it is
+            unreadable or was not read yet.
+        record_known: whether the record or its absence has been read.
+        servers_recorded_at: earliest time of the next look at the servers that it
+            names.
     """
 
     name: str
@@ -151,3 +160,7 @@
     rolled_back_since: float | None = None
     acknowledging: int = 0
     departed: dict[str, DepartedServer] = field(default_factory=dict)
+    covered: set[str] = field(default_factory=set)
+    record: LeaderRecord | None = None
+    record_known: bool = False
+    servers_recorded_at: float = -100.0
--- a/src/siskinhold/direct/_failover.py
+++ b/src/siskinhold/direct/_failover.py
@@ -23,6 +23,7 @@
 from ._holders import needs_servers
 from ._leaders import note_start, probe_leader
 from ._lease import ORDER_TRANSIT_PERIOD, delay_promotion, holds_lease, watch_completion
+from ._log_records import record_servers
 from ._promotion import (
     await_effect,
     await_step_down,
@@ -109,6 +110,7 @@
                 drop_promotion(state, database, promotion, "not_serving", out)
             continue
         record_primary(state, database, out)
+        record_servers(state, database, out)
         watch_completion(state, database, out)
         if promotion is None:
             _prepare_promotion(state, database, out)
--- a/src/siskinhold/direct/_lease.py
+++ b/src/siskinhold/direct/_lease.py
@@ -17,6 +17,7 @@
 from ._effects import ReadLeaderRecord
 from ._events import LeaderRecordAnswered, StoreOutcome
 from ._leaders import note_start
+from ._log_proof import learn_servers
 from ._promotion_steps import log_promotion, register_call, to_milliseconds
 from ._state import Database, DirectState, Effects
 from ._types import LeaderRecord, LeaderState
@@ -55,12 +56,17 @@
     state: DirectState, database: Database, event: LeaderRecordAnswered
 ) -> None:
     """Note when a revision of the leader record was first seen, and what it holds."""
+    if event.outcome is not StoreOutcome.UNKNOWN:
+        database.record_known = True
     if event.outcome not in (StoreOutcome.DONE, StoreOutcome.CONFLICT):
         return
+    record = event.record
     if event.revision > database.record_revision:
         database.record_revision = event.revision
         database.record_seen_at = state.now
-    record = event.record
+        database.record = record
+    if record is not None:
+        learn_servers(state, database, record.servers)
     for start in record.starts if record is not None else ():
         note_start(database, start.term, start.position)
     if record is not None and record.state is LeaderState.STABLE:
--- a/src/siskinhold/direct/_log_proof.py
+++ b/src/siskinhold/direct/_log_proof.py
@@ -10,7 +10,7 @@
 the list, as an entry may expire while its server runs, and a server that crashed comes
 back with its log. One that has left the list no longer counts once another server has
 its address, which got its log, or once `k` replicas have received what the primary had
-committed by then. What the store holds of them is read with the leader record.
+committed by then. The leader record names them, for VMs that start later.
 
 Where no replica has to acknowledge (`k` is 0), what a lost primary alone had committed
 can't be kept. A majority suffices then.
@@ -21,7 +21,7 @@
 from ._effects import Log
 from ._server_state import Server
 from ._state import Database, DirectState, Effects
-from ._types import ServerReport
+from ._types import ServerPlace, ServerReport
 from .pools import find_control_connection
 
 COVERING_DELAY = 2.5
@@ -46,12 +46,12 @@
     acknowledging = count_acknowledging(state, database)
     if not acknowledging:
         return 0
-    holders = len(list_holders(state, database))
+    servers = len(list_log_servers(state, database))
     # At least the primary and those that acknowledge exist.
-    return max(holders, acknowledging + 1) - acknowledging
+    return max(servers, acknowledging + 1) - acknowledging
 
 
-def list_holders(state: DirectState, database: Database) -> set[str]:
+def list_log_servers(state: DirectState, database: Database) -> set[str]:
     """Return the names of all servers that may hold acknowledged commits."""
     places = set()
     for member in state.members(database.name):
@@ -110,11 +110,46 @@
         out.append(Log(event="log_lost", fields=fields, essential=True))
 
 
+def list_places(state: DirectState, database: Database) -> tuple[ServerPlace, ...]:
+    """Return the servers that may hold acknowledged commits, for the leader record.
+
+    It is empty where no replica acknowledges commits.
+    """
+    if not count_acknowledging(state, database):
+        return ()
+    found = []
+    for name in list_log_servers(state, database):
+        departed = database.departed.get(name)
+        entry = departed or state.servers[name].entry
+        found.append(ServerPlace(server=name, host=entry.host, port=entry.port))
+    return tuple(sorted(found))
+
+
+def learn_servers(
+    state: DirectState, database: Database, places: tuple[ServerPlace, ...]
+) -> None:
+    """Count the servers that another VM has recorded and this one does not know."""
+    if not count_acknowledging(state, database):
+        return
+    listed = set()
+    for member in state.members(database.name):
+        if member.gone_at is None:
+            listed.add((member.entry.host, member.entry.port))
+    for place in places:
+        if place.server in state.servers or place.server in database.departed:
+            continue
+        if place.server in database.covered or (place.host, place.port) in listed:
+            continue
+        database.departed[place.server] = DepartedServer(
+            host=place.host, port=place.port, left_at=state.now
+        )
+
+
 def depart(state: DirectState, database: Database, server: Server) -> None:
     """Remember a server that is removed from the state, if it may hold commits."""
     if not count_acknowledging(state, database):
         return
-    if server.entry.server not in list_holders(state, database):
+    if server.entry.server not in list_log_servers(state, database):
         return
     database.departed[server.entry.server] = DepartedServer(
         host=server.entry.host,
@@ -130,6 +165,7 @@
 
     It has to show at least what the server had that left its address.
     """
+    database.covered.discard(server.entry.server)
     place = (server.entry.host, server.entry.port)
     for name, departed in list(database.departed.items()):
         if name != server.entry.server and (departed.host, departed.port) != place:
@@ -170,6 +206,7 @@
         if covering < needed:
             continue
         del database.departed[name]
+        database.covered.add(name)
         fields = (
             ("database", database.name),
             ("server", name),
--- a/src/siskinhold/direct/_promotion_steps.py
+++ b/src/siskinhold/direct/_promotion_steps.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from ._effects import Log, WriteLeaderRecord
+from ._log_proof import list_places
 from ._promotion_state import Promotion, PromotionStep
 from ._state import Database, DirectState, Effects
 from ._types import LeaderRecord, LeaderState, Revision
@@ -182,6 +183,7 @@
         attempt=attempt,
         holder=holder,
         starts=database.term_starts,
+        servers=list_places(state, database),
     )
     out.append(
         WriteLeaderRecord(
--- a/src/siskinhold/direct/_succession.py
+++ b/src/siskinhold/direct/_succession.py
@@ -10,7 +10,7 @@
 
 from ._candidates import is_listed_long
 from ._lease import delay_promotion
-from ._log_proof import count_logs_needed, list_holders, list_reachable_logs
+from ._log_proof import count_logs_needed, list_log_servers, list_reachable_logs
 from ._promotion_state import Promotion
 from ._promotion_steps import DRAINING_CAUSE, is_due, is_planned
 from ._server_state import Purpose, Server
@@ -43,7 +43,7 @@
             out,
             logs=reachable,
             needed=needed,
-            servers=len(list_holders(state, database)),
+            servers=len(list_log_servers(state, database)),
         )
         return False
     if promotion.cause != DRAINING_CAUSE or not is_planned(state, promotion):
--- a/src/siskinhold/direct/_types.py
+++ b/src/siskinhold/direct/_types.py
@@ -366,6 +366,15 @@
     position: Position
 
 
+@dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class ServerPlace:
+    """A backend server and the address under which it is or was listed."""
+
+    server: str
+    host: str
+    port: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LeaderRecord:
     """The record of a database's newest promotion in the store.
@@ -378,6 +387,8 @@
         holder: the VM that ordered the newest completed promotion, empty if no lease
             of it has to be waited out.
         starts: where the newest terms began, the oldest first.
+        servers: the servers that may hold acknowledged commits, where replicas have to
+            acknowledge them.
     """
 
     state: LeaderState
@@ -387,6 +398,7 @@
     attempt: str
     holder: str
     starts: tuple[TermStart, ...] = ()
+    servers: tuple[ServerPlace, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/direct/test_direct_logs.py
+++ b/tests/direct/test_direct_logs.py
@@ -177,6 +177,61 @@
         assert world.primary.name == FAR and not world.lost
 
 
+class TestRestartedVms:
+    def restart(self, world):
+        """Start all VMs again."""
+        for vm in list(world.states):
+            world.stop_process(vm)
+            world.start_process(vm)
+
+    def test_holder_that_they_have_never_seen_counts(self):
+        """Guards against VMs that know only the servers that are listed."""
+        world = start()
+        world.advance(8)
+        assert len(world.record.servers) == 3
+        make_deaf(world, 3.0, FAR)
+        world.advance(1)
+        holder = world.servers["s2"]
+        holder.listed = False
+        holder.unreachable_from = set(world.states)
+        world.crash("s1")
+        world.servers["s1"].listed = False
+        world.advance(2)
+        self.restart(world)
+        world.advance(20)
+        assert not world.orders
+        holder.listed = True
+        holder.unreachable_from = set()
+        check(world, 10)
+
+    def test_lost_server_is_taken_out_of_the_record(self):
+        """Guards against waiting for a server that was lost long before."""
+        world = start()
+        world.advance(8)
+        world.crash("s2")
+        world.servers["s2"].listed = False
+        world.advance(25)
+        assert [place.server for place in world.record.servers] == ["s1", FAR]
+        self.restart(world)
+        world.advance(4)
+        world.crash("s1")
+        world.servers["s1"].listed = False
+        world.advance(12)
+        assert world.primary.name == FAR and not world.lost
+
+    def test_record_is_written_once(self):
+        """Guards against calls of the store that nothing has to be written for."""
+        world = start()
+        world.advance(30)
+        assert len(world.find_logs("servers_recorded")) == 1
+
+    def test_record_is_not_written_without_acknowledgement(self):
+        """Guards against the cost of a record that nobody needs."""
+        world = start(acknowledging=0)
+        world.advance(15)
+        assert world.record is None
+
+
 class TestAcknowledgedByThePrimaryAlone:
     def test_lost_primary_is_replaced_by_a_majority(self):
         """Guards against an outage where no replica has to acknowledge commits."""
--- a/tests/users_platform/test_objects.py
+++ b/tests/users_platform/test_objects.py
@@ -8,7 +8,13 @@
 import pytest
 import yaml
 
-from siskinhold.direct import Consistency, LeaderRecord, LeaderState, TermStart
+from siskinhold.direct import (
+    Consistency,
+    LeaderRecord,
+    LeaderState,
+    ServerPlace,
+    TermStart,
+)
 from siskinhold.model import Position
 from siskinhold_platform import SettingsUnreadable, load_settings
 from siskinhold_platform._objects import (
@@ -172,6 +178,7 @@
             attempt="a1",
             holder="vm2",
             starts=(TermStart(term=3, position=Position(1, 64)),),
+            servers=(ServerPlace(server="i-1", host="10.0.0.1", port=4001),),
         )
         assert decode_leader(encode_leader(record)) == record
 
