Wait for commits of the primary alone in a planned switchover

Cause: with acknowledge set to primary, a leaving primary was replaced after 2 s by a replica without what the primary alone held and had acknowledged. Change: it is replaced once a replica has caught up. Where a majority holds what was acknowledged, the limit of 2 s stays. Result: the test loses an acknowledged write on the code before, and passes.

--- a/src/siskinhold/core/_failover.py
+++ b/src/siskinhold/core/_failover.py
@@ -9,7 +9,15 @@
 
 from ..effects import FollowServer, PromoteServer
 from ..events import ControlAnswered, StatusReported
-from ..model import Database, Role, ServerState, StatementKind, TermRecord, TermStart
+from ..model import (
+    Acknowledge,
+    Database,
+    Role,
+    ServerState,
+    StatementKind,
+    TermRecord,
+    TermStart,
+)
 from ._attempts import (
     PRIMARY_CUT_OFF,
     PRIMARY_LEAVING,
@@ -49,8 +57,8 @@
 UNFINISHED_PROMOTION_TIMEOUT = 1.0
 """Seconds after which this VM takes over a promotion that another VM began."""
 SWITCHOVER_TIMEOUT = 2.0
-"""Seconds for which a planned switchover waits for running writes and for a
-replica to catch up."""
+"""Seconds for which a planned switchover waits for running writes and, if a majority
+holds what was acknowledged, for a replica to catch up."""
 COMMAND_INTERVAL = 0.3
 """Minimum seconds between two promote or follow commands to the same server."""
 
@@ -195,7 +203,8 @@
     """Hold writes before the planned replacement of a primary that is leaving.
 
     Writes resume if the primary is no longer leaving. They are not held while no
-    other server could be promoted.
+    other server could be promoted. Where the primary alone acknowledges writes, a
+    replica has to catch up, however long that takes: planned work loses no commit.
 
     Returns:
         The cause of the promotion once it may begin, else an empty text.
@@ -211,11 +220,11 @@
     if failover.switchover_since is None:
         failover.switchover_since = node.now
     hold_writes(node, database.name, True)
-    waited = node.now - failover.switchover_since
-    ready = not _has_running_writes(node, database) and _has_caught_up_replica(
-        node, database
-    )
-    if ready or waited >= SWITCHOVER_TIMEOUT:
+    overdue = node.now - failover.switchover_since >= SWITCHOVER_TIMEOUT
+    if _has_caught_up_replica(node, database):
+        if overdue or not _has_running_writes(node, database):
+            return PRIMARY_LEAVING
+    elif overdue and _is_acknowledged_by_replicas(node, database):
         return PRIMARY_LEAVING
     request_status(node, primary.server.name, out)
     return ""
@@ -249,6 +258,12 @@
     return False
 
 
+def _is_acknowledged_by_replicas(node: NodeState, database: Database) -> bool:
+    """Return whether a majority holds every acknowledged write; False if unknown."""
+    found = node.config.databases.get(database.name)
+    return found is not None and found[0].rules.acknowledge is Acknowledge.REPLICA
+
+
 def _has_running_writes(node: NodeState, database: Database) -> bool:
     """Return whether a job other than a read runs or any transaction is open."""
     for job in node.pools.jobs.values():
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -8,6 +8,7 @@
 
 from siskinhold.core._failover_state import Phase
 from siskinhold.model import (
+    Acknowledge,
     Done,
     Marks,
     NotRun,
@@ -165,6 +166,30 @@
         assert moved
         assert isinstance(outcome, Done)
 
+    def test_planned_work_waits_for_commits_of_the_primary_alone(self):
+        """Guards against a switchover that loses acknowledged writes, as the primary
+        alone acknowledges them and the replicas are behind."""
+
+        async def scenario(fleet):
+            rules = RoutingRules(acknowledge=Acknowledge.PRIMARY)
+            fleet.accept_ticket(replace(fleet.group, rules=rules))
+            await asyncio.sleep(1.0)
+            database = fleet.databases["bookings"]
+            server = database.find_primary()
+            for other in database.servers.values():
+                other.lag = 6.0
+            outcome = await write(fleet)
+            group = _with_state(fleet, server.endpoint.name, ServerState.LEAVING)
+            fleet.accept_ticket(replace(group, rules=rules))
+            await asyncio.sleep(12.0)
+            primary = database.find_primary()
+            return outcome, primary is not server, primary.log.rows.get("a")
+
+        outcome, moved, row = run(scenario)
+        assert isinstance(outcome, Done)
+        assert moved
+        assert row == "x"
+
 
 def add_replica(fleet, database):
     """Start another instance, which no change ticket names yet, and return it."""
