--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -66,6 +66,13 @@
         action="store_true",
         help="also add and remove routes while VMs stand still or lose the store",
     )
+    parser.add_argument(
+        "--sync",
+        type=int,
+        default=0,
+        help="replicas that acknowledge a commit; instances also leave in series while "
+        "others receive nothing",
+    )
     parser.add_argument(
         "--connections",
         type=int,
@@ -87,6 +94,7 @@
             texts=options.texts,
             refusals=options.refusals,
             routes=options.routes,
+            sync=options.sync,
             connections=options.connections,
         )
         report = asyncio.run(soak.run(options.seconds))
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -15,14 +15,7 @@
 from .soak_kept import KeptChecks
 from .soak_processes import CONTACT_PERIOD, Link, VmProcess
 from .soak_routes import RouteCallers
-from .standins import (
-    CONNECTIONS,
-    ROUTES,
-    Client,
-    Deployment,
-    find_ports,
-    make_configuration,
-)
+from .standins import CONNECTIONS, ROUTES, Client, Deployment, find_ports
 
 NOT_RUN = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Error codes which state that the statement has no lasting effect."""
@@ -57,6 +50,8 @@
             what servers keep and the memory of the VMs are checked; None for no texts.
         refusals: whether instances refuse commands that VMs send for themselves.
         routes: whether routes come and go while VMs stand still or lose the store.
+        sync: replicas that acknowledge a commit; if it is not 0, instances leave in
+            series while others receive nothing.
         connections: number of connections that each instance accepts; if it is below
             three for each VM, some VMs relay their callers.
     """
@@ -75,6 +70,7 @@
         texts: float | None = None,
         refusals: bool = False,
         routes: bool = False,
+        sync: int = 0,
         connections: int = CONNECTIONS,
     ) -> None:
         self._random = random.Random(seed)
@@ -87,7 +83,7 @@
             pauses=TEXT_PAUSES,
         )
         self._folder = folder
-        self._deployment = Deployment(connections=connections)
+        self._deployment = Deployment(connections=connections, sync=sync)
         self._count = vms
         self._restores = restores
         self._vms: list[VmProcess] = []
@@ -166,6 +162,7 @@
         self._check_promotions()
         self._check_texts()
         await self._stop()
+        self.violations += self._deployment.group.lost
         self.violations += self._faults.violations + self._kept_checks.violations
         if self._routes:
             self.violations += self._route_callers.violations
@@ -236,10 +233,7 @@
                 added.append((time.monotonic(), f"r{len(added)}"))
                 routes[added[-1][1]] = "primary"
                 version = 1 + len(added)
-                connections = self._deployment.connections
-                store.put(
-                    "config", "main", make_configuration(version, routes, connections)
-                )
+                store.put("config", "main", self._deployment.configure(version, routes))
             if self._faults.injecting and self._random.random() < 0.1:
                 for number in range(self._random.randrange(100)):
                     store.put("notes", "n", number)
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -87,6 +87,9 @@
             )
         if self.routes:
             faults += (self._stand_still, self._cut_off_store, self._age_reads)
+        if self.deployment.group.sync:
+            faults += (self._deafen, self._deafen)
+            faults += (self._end_in_series, self._end_in_series, self._end_in_series)
         if self.refusals:
             faults += (self._refuse_commands, self._refuse_commands)
         running: set[asyncio.Task] = set()
@@ -255,6 +258,45 @@
                 await instance.stop()
                 await instance.start()
 
+    async def _deafen(self) -> None:
+        """Have an instance receive nothing for a while."""
+        group = self.deployment.group
+        name = self._random.choice(self.deployment.instances).name
+        group.deaf.add(name)
+        try:
+            await asyncio.sleep(self._random.uniform(1.0, 10.0))
+        finally:
+            group.hear(name)
+
+    async def _end_in_series(self) -> None:
+        """Have one or two instances drain, end and return, the primary among them."""
+        instances = self.deployment.instances
+        if any(i.state != "ready" or not i.running for i in instances):
+            return
+        leaving = [self.deployment.group.leader]
+        if self._random.random() < 0.7:
+            leaving.append(self._random.choice([i for i in instances if not i.leads]))
+        self._random.shuffle(leaving)
+        gap = self._random.choice((0.0, 1.0, 3.0))
+        ends = [self._end(i, gap * place) for place, i in enumerate(leaving)]
+        await asyncio.gather(*ends)
+
+    async def _end(self, instance: Instance, delay: float) -> None:
+        """Have an instance drain, end and return with its log."""
+        await asyncio.sleep(delay)
+        instance.state = "draining"
+        self.counts["ends"] = self.counts.get("ends", 0) + 1
+        try:
+            self.deployment.store.refresh()
+            await asyncio.sleep(DRAIN_PERIOD + self._random.uniform(0.1, 3.0))
+            if instance.running:
+                await instance.stop()
+            await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        finally:
+            instance.state = "ready"
+            if not instance.running:
+                await instance.start()
+
     async def _keep_stopping(self) -> None:
         """Stop each VM once, then some of them again and again."""
         for vm in self.vms:
--- a/tests/users_platform/soak_routes.py
+++ b/tests/users_platform/soak_routes.py
@@ -6,7 +6,7 @@
 import time
 
 from .soak_processes import VmProcess
-from .standins import ROUTES, Client, Deployment, make_configuration
+from .standins import ROUTES, Client, Deployment
 
 CONFIGURATION_PERIOD = 3.0
 """Seconds after which a configuration must be in force."""
@@ -75,8 +75,7 @@
                 self._added[present[-1]] = now
             self._version += 1
             routes = {**ROUTES, **{name: "primary" for name in present}}
-            connections = self._deployment.connections
-            configuration = make_configuration(self._version, routes, connections)
+            configuration = self._deployment.configure(self._version, routes)
             self._deployment.store.put("config", "main", configuration)
 
     async def _ask(self, vm: VmProcess) -> None:
--- a/tests/users_platform/standins.py
+++ b/tests/users_platform/standins.py
@@ -29,6 +29,9 @@
 CONNECTIONS = 34
 """Usual number of connections that an instance accepts."""
 
+RECENT_ENTRIES = 200
+"""Newest entries of a log among which a commit is looked for."""
+
 MAX_COPIES = 2000
 """Number of changes of the store after which the oldest copy is dropped."""
 
@@ -71,10 +74,20 @@
 
     Args:
         lag: seconds until a replica receives a commit.
+
+    Attributes:
+        sync: replicas that must have received a commit before it is acknowledged.
+        deaf: names of instances that receive nothing.
+        acknowledged: positions of the commits that were acknowledged.
+        lost: texts about those that a promoted instance lacked.
     """
 
     def __init__(self, *, lag: float) -> None:
         self.lag = lag
+        self.sync = 0
+        self.deaf: set[str] = set()
+        self.acknowledged: set[tuple[int, int]] = set()
+        self.lost: list[str] = []
         self.instances: list["Instance"] = []
         self.outdated: set[str] = set()
         self.committed: set[tuple[str, str]] = set()
@@ -97,10 +110,36 @@
             if instance is not leader:
                 loop.call_later(self.lag, instance.receive, leader)
 
+    async def acknowledge(self, leader: "Instance", entry) -> None:
+        """Wait until enough replicas have received a commit.
+
+        Raises:
+            ConnectionError: if the primary ceases to lead before.
+        """
+        others = [i for i in self.instances if i is not leader]
+        while sum(entry in i.log[-RECENT_ENTRIES:] for i in others) < self.sync:
+            if not leader.leads or not leader.running:
+                raise ConnectionError("the primary was replaced")
+            await asyncio.sleep(0.005)
+        self.acknowledged.add(entry[:2])
+
+    def hear(self, name: str) -> None:
+        """Have an instance receive again."""
+        self.deaf.discard(name)
+        for instance in self.instances:
+            if instance.name == name and instance is not self.leader:
+                instance.follow(self.leader)
+                instance.receive(self.leader)
+
     def promote(self, leader: "Instance") -> None:
         """Make an instance the primary of the next term."""
         if not leader.running or leader.leads:
             return
+        if self.sync:
+            held = {entry[:2] for entry in leader.log}
+            for term, number in sorted(self.acknowledged - held):
+                self.lost.append(f"{leader.name}: lacks commit {term}.{number}")
+            self.acknowledged &= held
         leader.term = max(i.term for i in self.instances) + 1
         leader.leads = True
         leader.held_term = 0
@@ -202,6 +241,8 @@
             return
         if self.held_term > leader.term or not leader.running:
             return
+        if self.name in self.group.deaf:
+            return
         self.copy(leader)
 
     def copy(self, leader: "Instance") -> None:
@@ -213,6 +254,8 @@
 
     def follow(self, leader: "Instance") -> None:
         """Become a replica of a newer primary."""
+        if self.name in self.group.deaf:
+            return
         if self.running and leader.running and self.term < leader.term:
             self.term = leader.term
             self.leads = False
@@ -353,14 +396,14 @@
             item, _, data = fields.partition(" ")
             session.written[item] = data
             if session.state == "I":
-                self._commit(session, request)
+                await self._commit(session, request)
         elif verb == "COMMIT":
             if session.written:
                 if not self.leads:
                     session.state = "I"
                     session.written.clear()
                     return f"ERROR READONLY {self.name}\r\n".encode()
-                self._commit(session, request)
+                await self._commit(session, request)
             session.state = "I"
         else:
             value = session.written.get(fields, self.data.get(fields, "none"))
@@ -381,9 +424,11 @@
         )
         self.runs.append(run)
 
-    def _commit(self, session, request) -> None:
+    async def _commit(self, session, request) -> None:
         self.group.commit(self, request, session.written)
         session.written.clear()
+        if self.group.sync:
+            await self.group.acknowledge(self, self.log[-1])
 
 
 class _Session:
@@ -690,12 +735,13 @@
 
 
 def make_configuration(
-    version: int, routes: dict[str, str], connections: int = CONNECTIONS
+    version: int, routes: dict[str, str], connections: int = CONNECTIONS, sync: int = 0
 ) -> dict:
     """Return a configuration with one route for each database name and type.
 
     Args:
         connections: number of connections that each instance accepts.
+        sync: replicas that acknowledge a commit.
     """
     listed = []
     for host, kind in routes.items():
@@ -723,7 +769,7 @@
                 "max_connections": connections,
                 "protocol": "h1",
                 "tls": False,
-                "sync_replicas": 0,
+                "sync_replicas": sync,
             }
         ],
         "limits": {"tx_idle_ms": 3000},
@@ -743,11 +789,13 @@
 
     Args:
         connections: number of connections that each instance accepts.
+        sync: replicas that acknowledge a commit.
     """
 
-    def __init__(self, *, connections: int = CONNECTIONS) -> None:
+    def __init__(self, *, connections: int = CONNECTIONS, sync: int = 0) -> None:
         self.connections = connections
         self.group = Group(lag=0.005)
+        self.group.sync = sync
         self.instances = []
         for index, zone in enumerate(("a", "b", "c")):
             self.instances.append(
@@ -772,9 +820,11 @@
     def publish(self) -> None:
         """Write the entries of the instances and the first configuration."""
         self.store.refresh()
-        self.store.put(
-            "config", "main", make_configuration(1, ROUTES, self.connections)
-        )
+        self.store.put("config", "main", self.configure(1, ROUTES))
+
+    def configure(self, version: int, routes: dict[str, str]) -> dict:
+        """Return a configuration with some routes."""
+        return make_configuration(version, routes, self.connections, self.group.sync)
 
     async def stop(self) -> None:
         """Stop the instances and the store."""
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -49,6 +49,17 @@
         assert soak.counts["served"] > 100
         assert soak.counts["unknown"] > 100
 
+    @pytest.mark.parametrize("sync", [1, 2])
+    async def test_short_run_with_acknowledging_replicas_loses_nothing(
+        self, tmp_path, sync
+    ):
+        """Guards against commits that are lost as instances end beside deaf ones."""
+        soak = Soak(seed=7, vms=2, folder=tmp_path, sync=sync)
+        await soak.run(12)
+        assert soak.violations == []
+        assert soak.counts["done"] > 100
+        assert soak.counts["ends"] > 1
+
     async def test_short_run_with_accounts_has_no_violations(self, tmp_path):
         """Guards against withdrawn keys that run, and an account beyond its rate."""
         soak = AccountsSoak(seed=3, vms=3, folder=tmp_path)
