Have the soak withdraw keys and routes under open transactions

Change: a third account loses its keys and its route in one version or in two, or its key moves to another account, while callers keep transactions open beyond the bound.

--- a/tests/users_platform/soak_accounts.py
+++ b/tests/users_platform/soak_accounts.py
@@ -6,7 +6,8 @@
 
 from .prepared_callers import KEYS
 from .soak import Soak
-from .standins import ROUTES, Client, make_configuration
+from .soak_withdrawals import DATABASE, FIRST, NEXT, WithdrawalCallers
+from .standins import ROUTES, Client
 
 RATE = 20
 """Operations of the account in a second; its burst is as large."""
@@ -21,44 +22,56 @@
 class AccountsSoak(Soak):
     """One seeded run; the other callers belong to an account without a rate."""
 
-    ACCOUNTS = ("steady", "busy")
+    ACCOUNTS = ("steady", "busy", FIRST, NEXT)
 
     async def run(self, seconds: float) -> str:
         """Inject faults for some seconds, then check; return a line with counts."""
         self._held = ["sk-0"]
         self._withdrawn: dict[str, float] = {}
         self._sent: dict[str, tuple[str, float]] = {}
+        self._version = 1
+        self._withdrawals = WithdrawalCallers(random=self._random, vms=self._vms)
         report = await super().run(seconds)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         ran = self._check_account()
-        return f"{report} limited={ran} keys={len(self._withdrawn)}"
+        self.violations += self._withdrawals.list_violations(self._deployment)
+        keys = len(self._withdrawn) + self._withdrawals.count
+        return f"{report} limited={ran} keys={keys}"
 
     async def _start(self) -> None:
         await super()._start()
-        self._publish(2)
-        self._tasks = [asyncio.create_task(self._change_keys())]
+        self._publish()
+        self._tasks = [
+            asyncio.create_task(self._change_keys()),
+            asyncio.create_task(self._withdrawals.change(self._publish)),
+        ]
         for vm in self._vms:
+            self._tasks.append(asyncio.create_task(self._withdrawals.call(vm)))
             for _ in range(2):
                 self._tasks.append(asyncio.create_task(self._press(vm)))
 
-    def _publish(self, version: int) -> None:
-        """Publish the keys of both accounts."""
-        routes = make_configuration(version, ROUTES, self._deployment.connections)
+    def _publish(self) -> None:
+        """Publish the keys of all accounts, and the routes."""
+        self._version += 1
+        present = {DATABASE: "primary"} if self._withdrawals.present else {}
+        routes = self._deployment.configure(self._version, ROUTES | present)
         busy = {"name": "busy", "api_keys": self._held}
         busy |= {"rate_per_s": RATE, "burst": RATE}
         accounts = [{"name": "steady", "api_keys": list(KEYS)}, busy]
+        for name, held in self._withdrawals.held.items():
+            accounts.append({"name": name, "api_keys": list(held)})
         self._deployment.store.put("config", "main", routes | {"tenants": accounts})
 
     async def _change_keys(self) -> None:
         """Replace the account's key every few seconds."""
-        version = 2
+        number = 0
         while self._running:
             await asyncio.sleep(self._random.uniform(1, 4))
-            version += 1
-            old, self._held = self._held, [f"sk-{version}"]
-            self._publish(version)
+            number += 1
+            old, self._held = self._held, [f"sk-b{number}"]
+            self._publish()
             self._withdrawn[old[0]] = time.monotonic()
 
     async def _press(self, vm) -> None:
@@ -78,6 +91,11 @@
                 client.close()
             await asyncio.sleep(0.05)
 
+    def _check_texts(self) -> None:
+        for request, expected in self._withdrawals.expected.items():
+            self._preparing.expect(request, expected)
+        super()._check_texts()
+
     def _check_account(self) -> int:
         """Check what ran for the account; return the number of its operations."""
         first: dict[str, float] = {}
--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -204,7 +204,8 @@
         try:
             await asyncio.sleep(self._random.uniform(0.5, 5.0))
         finally:
-            await instance.start()
+            if not instance.running:
+                await instance.start()
 
     async def restore_store(self) -> None:
         """Restore the store from an older copy, after a time without it."""
