Have the campaign separate the servers that hold the newest commits

Change: only as many replicas receive as have to acknowledge; these leave, or get out of reach, beside the primary.

--- a/tests/direct/logs_campaign.py
+++ b/tests/direct/logs_campaign.py
@@ -16,6 +16,7 @@
         servers, acknowledging = ((3, 1), (3, 2), (5, 1), (5, 2))[seed % 4]
         super().__init__(servers=servers, acknowledging=acknowledging, seed=seed)
         self.ends_at = self.now + 2.0 + DURATION
+        self.holders = []
 
     def trouble(self):
         """Begin some faults, and choose when the next ones begin."""
@@ -23,13 +24,21 @@
         if self.now >= self.ends_at:
             return
         faults = (self.end_in_series, self.fail, self.lose_reach, self.restart_vms)
-        draw.choice(faults)()
-        if draw.random() < 0.7:
-            for name in draw.sample(sorted(self.servers), draw.choice((1, 1, 2))):
-                self.deaf.add(name)
-                until = self.now + draw.uniform(1.0, 12.0)
-                self.at(until, lambda name=name: self.hear(name))
-        self.at(self.now + draw.uniform(4.0, 12.0), self.trouble)
+        if draw.random() < 0.8:
+            self.separate_holders()
+        self.at(self.now + draw.uniform(0.2, 1.5), draw.choice(faults))
+        self.at(self.now + draw.uniform(5.0, 14.0), self.trouble)
+
+    def separate_holders(self):
+        """Have only as many replicas receive as have to acknowledge, for a while."""
+        draw = self.random
+        replicas = [name for name in self.list_ready() if name != self.primary.name]
+        draw.shuffle(replicas)
+        self.holders = replicas[: self.acknowledging]
+        for name in replicas[self.acknowledging :]:
+            self.deaf.add(name)
+            until = self.now + draw.uniform(2.0, 12.0)
+            self.at(until, lambda name=name: self.hear(name))
 
     def list_ready(self):
         """Return the names of the servers that run and stay."""
@@ -48,7 +57,8 @@
         others = [name for name in ready if name != self.primary.name]
         leaving = [self.primary.name]
         if draw.random() < 0.7:
-            leaving.append(draw.choice(others))
+            held = [name for name in self.holders if name in others]
+            leaving.append(draw.choice(held or others))
         draw.shuffle(leaving)
         gap = draw.choice((0.0, 1.0, 3.0))
         replaced = draw.random() < 0.3
@@ -73,14 +83,18 @@
         self.crash(name)
         if draw.random() < 0.5:
             self.servers[name].listed = False
+        if draw.random() < 0.5:
+            for holder in self.holders:
+                self.lose_reach(holder, all_vms=True)
         self.at(self.now + draw.uniform(1.0, 10.0), lambda: self.come_back(name))
 
-    def lose_reach(self):
+    def lose_reach(self, name="", *, all_vms=False):
         """Have VMs lose a server; its entry may expire meanwhile."""
         draw = self.random
-        server = draw.choice(list(self.servers.values()))
+        server = self.servers[name or draw.choice(sorted(self.servers))]
         vms = sorted(self.states)
-        server.unreachable_from = set(draw.sample(vms, draw.randint(1, len(vms))))
+        count = len(vms) if all_vms else draw.randint(1, len(vms))
+        server.unreachable_from = set(draw.sample(vms, count))
         expires = draw.random() < 0.5 and server.state == "ready"
         if expires:
             server.listed = False
