--- a/tests/users_platform/soak_faults.py
+++ b/tests/users_platform/soak_faults.py
@@ -93,6 +93,9 @@
         if self.refusals:
             faults += (self._refuse_commands, self._refuse_commands)
         running: set[asyncio.Task] = set()
+        if self.deployment.group.sync:
+            running.add(asyncio.create_task(self._deafen()))
+            running.add(asyncio.create_task(self._end_in_series(always_two=True)))
         if self.stops:
             running.add(asyncio.create_task(self._keep_stopping()))
         try:
@@ -269,13 +272,13 @@
         finally:
             group.hear(name)
 
-    async def _end_in_series(self) -> None:
+    async def _end_in_series(self, *, always_two: bool = False) -> None:
         """Have one or two instances drain, end and return, the primary among them."""
         instances = self.deployment.instances
         if any(i.state != "ready" or not i.running for i in instances):
             return
         leaving = [self.deployment.group.leader]
-        if self._random.random() < 0.7:
+        if always_two or self._random.random() < 0.7:
             leaving.append(self._random.choice([i for i in instances if not i.leads]))
         self._random.shuffle(leaving)
         gap = self._random.choice((0.0, 1.0, 3.0))
